--- /dev/null
+++ b/benchlink/src/settings.rs
@@ -0,0 +1,212 @@
+//! The settings as they come on the wire, a JSON object, turned into the library's.
+//!
+//! Keys that are not known are skipped; keys that are missing take the values of `Settings::default()`.
+
+use lapisroute::{Class, DedupGroup, Effect, LoadField, Prices, Reports, Settings, Tenant, Weights, ZoneId};
+use serde::Deserialize;
+use std::time::Duration;
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawClass {
+    aim_ms: f64,
+    aim_stretch: f64,
+    hard_limit_ms: f64,
+    worth: f64,
+    late_worth: f64,
+    effect: String,
+    dedup_scope: Option<String>,
+    key_ttl_ms: f64,
+    streamed: bool,
+}
+
+impl Default for RawClass {
+    fn default() -> Self {
+        Self {
+            aim_ms: 1000.0,
+            aim_stretch: 0.0,
+            hard_limit_ms: 3000.0,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: "at_most_once".into(),
+            dedup_scope: None,
+            key_ttl_ms: 0.0,
+            streamed: false,
+        }
+    }
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawTenant {
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawLimits {
+    cancelling: Option<bool>,
+    conn_idle_ms: Option<f64>,
+    connect_timeout_ms: Option<f64>,
+    cpu_us_per_request: f64,
+    max_streams: Option<u32>,
+    try_limit: Option<u32>,
+    max_retry_after_ms: Option<f64>,
+    may_probe: Option<bool>,
+    retry_after: Option<bool>,
+    second_copies: Option<bool>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawGuarantees {
+    ask_every_ms: Option<f64>,
+    cold_from: Option<f64>,
+    cold_ms: Option<f64>,
+    fall_multiple: Option<f64>,
+    overload_for_ms: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawPrices {
+    connection: f64,
+    cross_zone: f64,
+    handshake: f64,
+    late_fail: f64,
+    probe: f64,
+    waste: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawGoal {
+    slow_end: Option<f64>,
+    tail_miss: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct RawTelemetry {
+    how: Option<String>,
+    fields: Vec<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct Raw {
+    balancers: Option<u32>,
+    me: u32,
+    goal: RawGoal,
+    locality: u8,
+    classes: Vec<RawClass>,
+    parties: Vec<RawTenant>,
+    discovery: Option<String>,
+    guarantees: RawGuarantees,
+    limits: RawLimits,
+    over_share_worth: Option<f64>,
+    prices: RawPrices,
+    telemetry: RawTelemetry,
+    weight_kind: Option<String>,
+    worth_by: Option<String>,
+}
+
+/// A time in milliseconds as a `Duration`; what is no such time becomes zero, what is too long the longest.
+pub fn ms(value: f64) -> Duration {
+    if value.is_nan() || value <= 0.0 {
+        return Duration::ZERO;
+    }
+    Duration::try_from_secs_f64(value / 1e3).unwrap_or(Duration::MAX)
+}
+
+fn class(raw: &RawClass) -> Result<Class, String> {
+    let effect = match (raw.effect.as_str(), raw.dedup_scope.as_deref()) {
+        ("idempotent", _) => Effect::Idempotent,
+        ("at_most_once", _) => Effect::AtMostOnce,
+        ("deduplicated", scope) => Effect::Deduplicated {
+            group: match scope {
+                Some("all") => DedupGroup::All,
+                Some("zone") => DedupGroup::Zone,
+                Some("cell") => DedupGroup::Cell,
+                other => return Err(format!("unknown dedup_scope {other:?}")),
+            },
+            ttl: ms(raw.key_ttl_ms),
+        },
+        (other, _) => return Err(format!("unknown effect {other:?}")),
+    };
+    Ok(Class {
+        aim: ms(raw.aim_ms),
+        aim_stretch: raw.aim_stretch,
+        deadline: ms(raw.hard_limit_ms),
+        worth: raw.worth,
+        late_worth: raw.late_worth,
+        effect,
+        streamed: raw.streamed,
+    })
+}
+
+/// Reads the settings' text.
+pub fn parse(text: &str) -> Result<Settings, String> {
+    let raw: Raw = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    let base = Settings::default();
+    let (limits, rules) = (&raw.limits, &raw.guarantees);
+    let time = |value: Option<f64>, or: Duration| value.map_or(or, ms);
+    Ok(Settings {
+        balancers: raw.balancers.unwrap_or(base.balancers),
+        index: raw.me,
+        zone: ZoneId(raw.locality),
+        classes: raw.classes.iter().map(class).collect::<Result<_, _>>()?,
+        tenants: raw.parties.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
+        over_share_worth: raw.over_share_worth.unwrap_or(base.over_share_worth),
+        worth_by_work: raw.worth_by.as_deref() == Some("work"),
+        ask_for_fleet: raw.discovery.as_deref() == Some("subscribe"),
+        ask_every: time(rules.ask_every_ms, base.ask_every),
+        cold_from: rules.cold_from.unwrap_or(base.cold_from),
+        cold_time: time(rules.cold_ms, base.cold_time),
+        fall_multiple: rules.fall_multiple.unwrap_or(base.fall_multiple),
+        fall_time: time(rules.overload_for_ms, base.fall_time),
+        max_attempts: limits.try_limit.map_or(base.max_attempts, |n| n.min(250) as u8),
+        hedging: limits.second_copies.unwrap_or(base.hedging),
+        cancelling: limits.cancelling.unwrap_or(base.cancelling),
+        probing: limits.may_probe.unwrap_or(base.probing),
+        retry_after: limits.retry_after.unwrap_or(base.retry_after),
+        max_retry_after: time(limits.max_retry_after_ms, base.max_retry_after),
+        connect_timeout: time(limits.connect_timeout_ms, base.connect_timeout),
+        conn_idle: time(limits.conn_idle_ms, base.conn_idle),
+        max_streams: limits.max_streams.unwrap_or(base.max_streams),
+        tail_miss: raw.goal.slow_end.filter(|w| *w > 0.0).and(raw.goal.tail_miss),
+        cpu_per_request: ms(limits.cpu_us_per_request / 1e3),
+        weights: match raw.weight_kind.as_deref() {
+            Some("live") => Weights::Live,
+            Some("nominal" | "rough") => Weights::Size,
+            _ => Weights::Off,
+        },
+        reports: match raw.telemetry.how.as_deref() {
+            Some("inline") => Reports::Inline,
+            Some("on_probe") => Reports::OnProbe,
+            _ => Reports::Off,
+        },
+        report_fields: raw
+            .telemetry
+            .fields
+            .iter()
+            .map(|name| match name.as_str() {
+                "concurrent" => LoadField::InFlight,
+                "depth" => LoadField::Queue,
+                "load_share" => LoadField::Utilization,
+                "mean_ms" => LoadField::ServiceMs,
+                "tps" => LoadField::RequestRate,
+                "err_ps" => LoadField::ErrorRate,
+                _ => LoadField::Other,
+            })
+            .collect(),
+        prices: Prices {
+            cross_zone: raw.prices.cross_zone,
+            connection: raw.prices.connection,
+            handshake: raw.prices.handshake,
+            late_fail: raw.prices.late_fail,
+            probe: raw.prices.probe,
+            waste: raw.prices.waste,
+        },
+    })
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,81 @@
+//! The decisions of a reverse proxy that spreads requests over HTTP upstreams: which request is
+//! admitted, which upstream it goes to, and what happens when an attempt fails.
+//!
+//! The crate does no I/O and reads no clock. The embedder tells [`Balancer`] what happens, as [`Event`]s with
+//! the time, and carries out the [`Action`]s it answers. The same settings, seed and events always give the
+//! same actions.
+//!
+//! ```
+//! use lapisroute::*;
+//! use std::time::Duration;
+//! let ms = Duration::from_millis;
+//!
+//! let settings = Settings {
+//!     classes: vec![Class {
+//!         aim: ms(200),
+//!         deadline: ms(1000),
+//!         effect: Effect::Idempotent,
+//!         ..Class::default()
+//!     }],
+//!     ..Settings::default()
+//! };
+//! let mut balancer = Balancer::new(settings, 42)?;
+//! let mut actions = Vec::new();
+//!
+//! // A balancer's life starts with the list of upstreams it knows.
+//! let listed = [Listed {
+//!     id: UpstreamId(7),
+//!     zone: ZoneId(0),
+//!     kind: KindId(0),
+//!     cell: CellId(0),
+//!     availability: Availability::Ready,
+//!     weight: 1.0,
+//!     started: None,
+//! }];
+//! balancer.handle(ms(0), Event::Fleet { scope: FleetScope::Cached, listed: &listed }, &mut actions);
+//!
+//! // A request comes: it is sent on, or refused at once.
+//! actions.clear();
+//! let request = Event::Request {
+//!     id: RequestId(1),
+//!     class: ClassId(0),
+//!     tenant: TenantId(0),
+//!     time_left: ms(1000),
+//!     work_ms: None,
+//!     repeat: false,
+//! };
+//! balancer.handle(ms(5), request, &mut actions);
+//! assert!(matches!(actions[..], [Action::Attempt { id: RequestId(1), upstream: UpstreamId(7), .. }]));
+//!
+//! // The upstream has answered: the embedder passes the answer on, and tells.
+//! actions.clear();
+//! let ended = Event::AttemptEnded {
+//!     id: RequestId(1),
+//!     attempt: AttemptNo(0),
+//!     upstream: UpstreamId(7),
+//!     outcome: Outcome::Ok,
+//!     latency: ms(30),
+//!     finished: true,
+//!     report: &[],
+//! };
+//! balancer.handle(ms(35), ended, &mut actions);
+//! assert!(actions.is_empty());
+//! # Ok::<(), SettingsError>(())
+//! ```
+//!
+//! Two things an embedder must do: deliver the timers that [`Action::Timer`] asks for (the balancer's tick is
+//! one of them), and end an attempt as [`Outcome::TimedOut`] at its time-out or, at the latest, at the client's
+//! deadline. `Balancer` gives each request exactly one final answer on these terms.
+
+mod choice;
+mod interface;
+mod state;
+mod stats;
+
+pub use choice::Balancer;
+pub use interface::*;
+
+/// README's embedding example, kept honest by the tests.
+#[doc = include_str!("../README.md")]
+#[cfg(doctest)]
+struct Readme;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,84 @@
+//! What a balancer keeps: plain data, filled and read by `choice.rs`. Times are seconds; no decisions.
+
+use crate::interface::{CellId, UpstreamId, ZoneId};
+
+/// An upstream as one balancer sees it.
+#[derive(Default)]
+pub(crate) struct Upstream {
+    pub(crate) id: UpstreamId,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) ready: bool,
+    pub(crate) draining: bool,
+    pub(crate) member: bool,         // of the subset that takes turns
+    pub(crate) fresh: bool,          // new, restarted or back from ejection since the subset was last chosen
+    pub(crate) size: f64,            // listed size; with live weights the largest seen
+    pub(crate) started: Option<f64>, // begins the climb from cold; None: long warm
+    pub(crate) in_flight: u32,       // q_j: this balancer's own
+    pub(crate) overdue: u32,         // of these, out for longer than usual
+    pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
+    pub(crate) held: f64,   // what others hold there, by the latest report
+    pub(crate) held_at: f64,
+    pub(crate) pace: f64, // mean of latency over what is usual for the class
+    pub(crate) seen: f64, // answers behind it, fading
+    pub(crate) ejections: u32,
+    pub(crate) ejected_until: f64,
+    pub(crate) health: Vec<Health>, // by class
+    pub(crate) used_at: f64,        // something was sent or came back last
+    pub(crate) capacity: f64,       // share of a full-size upstream's work it can do now
+    pub(crate) weight: f64,         // turns it gets each round of the ring
+    pub(crate) credit: f64,         // turns earned and not taken
+}
+
+/// What one class has met at one upstream.
+#[derive(Clone, Default)]
+pub(crate) struct Health {
+    pub(crate) faults: u32, // since the last answer
+    pub(crate) answered: f64,
+    pub(crate) ejected: bool, // for this class
+    pub(crate) tried: f64,    // then or by a trial since
+}
+
+/// One send of a request.
+#[derive(Default)]
+pub(crate) struct Attempt {
+    pub(crate) upstream: UpstreamId,
+    pub(crate) zone: ZoneId,
+    pub(crate) cell: CellId,
+    pub(crate) sent: f64,
+    pub(crate) out: bool,
+    pub(crate) may_have_run: bool,
+    pub(crate) overdue: bool,
+    pub(crate) idle: f64, // how long its connection had not been used
+}
+
+/// A request held, or ended with attempts still out.
+pub(crate) struct Request {
+    pub(crate) class: usize,
+    pub(crate) worth_until: f64, // an answer after this earns nothing
+    pub(crate) deadline: f64,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) ended: bool,
+    pub(crate) streaming: bool,
+}
+
+/// The token bucket of a tenant.
+pub(crate) struct Bucket {
+    pub(crate) tokens: f64,    // mu_i
+    pub(crate) arrivals: f64,  // V_i of the running tick
+    pub(crate) demand: f64,    // V_i a second, smoothed
+    pub(crate) part: f64,      // this balancer's equal part of the tenant's allowance, a second
+    pub(crate) guarantee: f64, // u_g_i a second
+}
+
+/// What was learned of a class of requests.
+#[derive(Default)]
+pub(crate) struct Learned {
+    pub(crate) latency: f64, // mean of the class's attempts
+    pub(crate) answers: f64, // of those answered
+    pub(crate) at: f64,      // of the latest of them
+    pub(crate) usual: f64,   // the quantile USUAL of them
+    pub(crate) share: f64,   // of the admitted
+    pub(crate) trials: u32,  // without success, of upstreams ejected for the class
+    pub(crate) trial_at: f64,
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Everything a change has to pass; see README.md. The limits of the decision module are in tests/limits.rs.
+set -eu
+cd "$(dirname "$0")"
+cargo fmt --all --check
+cargo clippy --workspace --all-targets --locked -- -D warnings
+cargo test --workspace --locked
+RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked --quiet
+cargo build --release --locked
