Put a real balancer round the module: sockets, attempts, discovery

A new member, node/, drives the decision module on real sockets (tokio on one thread, hyper 1). The settings parser moves out of benchlink into a crate of its own that both programs use.

--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -3,7 +3,6 @@
 //! It only translates; every decision is the library's. Anything malformed ends it with one line on
 //! standard error and exit code 1, and with no part of a reply written.
 
-mod settings;
 mod wire;
 
 use lapisroute::{Action, Balancer, Event, FleetScope, Listed};
@@ -38,7 +37,7 @@
                 return Ok(());
             }
             Record::PowerOn { seed, settings } => {
-                let settings = settings::parse(settings).map_err(wrong)?;
+                let settings = lapisroute_settings::parse(settings).map_err(wrong)?.settings;
                 let balancer = Balancer::new(settings, *seed).map_err(|e| wrong(e.to_string()))?;
                 self.instances.insert(instance, balancer);
                 self.pending.retain(|(owner, _)| *owner != instance);
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,136 @@
+//! What the platform tells a balancer at its start: the JSON file that `NODE_CONFIG` names.
+
+use lapisroute_settings::Site;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Descriptors kept for what is neither a client nor an upstream: standard streams, the poller, the
+/// listener, signals, discovery's calls.
+const RESERVED_SOCKETS: usize = 24;
+/// Part of the rest that connections to upstreams may take.
+const UPSTREAM_PART: f64 = 0.45;
+
+/// A balancer's configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// The seed of all chance.
+    pub seed: u64,
+    /// How many descriptors the process may hold.
+    pub sockets: usize,
+    /// The upstreams last known, in discovery's form; empty if none are.
+    pub known: String,
+    /// The settings of the site.
+    pub site: Site,
+}
+
+/// Why no balancer can start.
+#[derive(Debug)]
+pub struct ConfigError(String);
+
+impl fmt::Display for ConfigError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ConfigError {}
+
+#[derive(Deserialize)]
+struct Raw<'a> {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    #[serde(default)]
+    limits: RawLimits,
+    #[serde(borrow, default)]
+    known: Option<&'a RawValue>,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct RawLimits {
+    sockets: usize,
+}
+
+impl Default for RawLimits {
+    fn default() -> Self {
+        Self { sockets: 1024 }
+    }
+}
+
+impl Config {
+    /// Reads the file that `NODE_CONFIG` names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var_os("NODE_CONFIG")
+            .ok_or_else(|| ConfigError("NODE_CONFIG names no configuration file".into()))?;
+        let shown = path.to_string_lossy();
+        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
+        Self::parse(&text).map_err(|e| ConfigError(format!("{shown}: {e}")))
+    }
+
+    fn parse(text: &str) -> Result<Self, ConfigError> {
+        let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
+        let site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
+        if raw.limits.sockets < 2 * RESERVED_SOCKETS {
+            return Err(ConfigError(format!("limits.sockets: {} are too few", raw.limits.sockets)));
+        }
+        Ok(Self {
+            listen: raw.listen,
+            discovery: raw.discovery,
+            seed,
+            sockets: raw.limits.sockets,
+            known: raw.known.map_or_else(String::new, |k| k.get().to_owned()),
+            site,
+        })
+    }
+
+    /// How many connections to upstreams may be open.
+    pub fn upstream_connections(&self) -> usize {
+        ((self.sockets - RESERVED_SOCKETS) as f64 * UPSTREAM_PART) as usize
+    }
+
+    /// How many clients' connections may be open.
+    pub fn client_connections(&self) -> usize {
+        self.sockets - RESERVED_SOCKETS - self.upstream_connections()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const GOOD: &str = r#"{"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": {"rev": 4, "targets": []},
+        "settings": {"classes": [{"name": "a", "aim_ms": 200, "effect": "idempotent"}]}}"#;
+
+    #[test]
+    fn the_descriptors_are_shared_out_within_the_limit() {
+        let config = Config::parse(GOOD).unwrap();
+        assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
+        let out = config.upstream_connections() + config.client_connections() + RESERVED_SOCKETS;
+        assert_eq!(out, 1024);
+        assert!(config.known.contains("targets"));
+    }
+
+    #[test]
+    fn what_is_wrong_is_named() {
+        for (from, to, named) in [
+            ("127.0.0.1:9", "nowhere", "socket address"),
+            ("8c1f", "zzzz", "seed"),
+            ("1024", "20", "sockets"),
+            ("idempotent", "maybe", "maybe"),
+        ] {
+            let error = Config::parse(&GOOD.replace(from, to)).unwrap_err().to_string();
+            assert!(error.contains(named), "{error}");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/connection.rs
@@ -0,0 +1,135 @@
+//! One client-side connection: it knows how much of a request the kernel has taken.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
+struct Counted<S> {
+    stream: TcpStream,
+    written: Rc<Cell<u64>>,
+    _slot: S,
+}
+
+impl<S> Counted<S> {
+    fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(Ok(n)) = &poll {
+            self.written.set(self.written.get() + *n as u64);
+        }
+        poll
+    }
+}
+
+impl<S: Unpin> AsyncRead for Counted<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<S: Unpin> AsyncWrite for Counted<S> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.count(poll)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.count(poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+/// An open connection. Dropping it closes it, whatever is still out on it.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    written: Rc<Cell<u64>>,
+    peer: SocketAddr,
+}
+
+impl Connection {
+    /// Opens one; `slot` is held until its descriptor is closed.
+    pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
+        let stream = TcpStream::connect(peer).await?;
+        stream.set_nodelay(true)?;
+        let written = Rc::new(Cell::new(0));
+        let io = TokioIo::new(Counted { stream, written: Rc::clone(&written), _slot: slot });
+        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        // How it ends shows at the sender.
+        let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
+        Ok(Self { sender, task, written, peer })
+    }
+
+    /// Whom it leads to.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether it is known to have ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Waits until it can take a request; `false` if it has ended instead.
+    pub async fn is_usable(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Bytes that the kernel has taken so far.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        self.sender.send_request(request).await
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The bytes that hyper makes of a request which states its own length: line, headers, body.
+pub fn wire_length(request: &Request<Full<Bytes>>) -> u64 {
+    use hyper::body::Body;
+    let path = request.uri().path_and_query().map_or(1, |p| p.as_str().len());
+    let line = request.method().as_str().len() + path + " ".len() + " HTTP/1.1\r\n".len();
+    let headers = request.headers().iter();
+    let headers: usize =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len()).sum();
+    (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
+}
--- /dev/null
+++ b/node/src/discovery.rs
@@ -0,0 +1,236 @@
+//! Discovery: the whole list when asked for it, and the watch on its changes.
+
+use crate::connection::Connection;
+use crate::seldom::Seldom;
+use crate::upstream::Place;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
+use lapisroute_settings::Names;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// A watch says something every 2 s. Silent for this long, it is dead, whatever its connection looks like.
+const SILENCE_MOST: Duration = Duration::from_millis(5000);
+/// How long a connection to discovery may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+/// The longest line, and the longest list: more is no list.
+const LINE_MOST: usize = 8 * 1024 * 1024;
+
+/// An upstream as listed, for the library and for the connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Its id, made of its uid alone: the same at every balancer, and wherever it listens.
+    pub id: UpstreamId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its kind.
+    pub kind: KindId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its weight.
+    pub weight: f64,
+    /// Where it is, and how it stands.
+    pub place: Place,
+}
+
+/// News of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// How complete it is.
+    pub scope: FleetScope,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl News {
+    /// That a call failed or a watch ended.
+    pub fn failed() -> Self {
+        Self { scope: FleetScope::Failed, entries: Vec::new() }
+    }
+}
+
+#[derive(Deserialize)]
+struct RawList<'a> {
+    rev: u64,
+    #[serde(default)]
+    all: bool,
+    #[serde(borrow)]
+    targets: Vec<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct RawEntry<'a> {
+    uid: String,
+    #[serde(borrow, default)]
+    endpoint: Option<&'a RawValue>,
+    state: String,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u16,
+    #[serde(default = "one")]
+    capacity_hint: f64,
+    #[serde(default)]
+    boot_ms: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// FNV-1a: an id that no process, build or machine sees differently.
+fn stable_id(uid: &str) -> UpstreamId {
+    UpstreamId(uid.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    }))
+}
+
+/// Where discovery is, and how far this balancer has followed it.
+pub struct Discovery {
+    address: SocketAddr,
+    names: Names,
+    /// The version of the list in hand; 0: none.
+    rev: Cell<u64>,
+    watch: RefCell<Option<AbortHandle>>,
+    odd: Seldom,
+}
+
+type Failure = Box<dyn Error + Send + Sync>;
+
+impl Discovery {
+    /// Discovery at an address; `names` turn zones and kinds into numbers.
+    pub fn new(address: SocketAddr, names: Names) -> Self {
+        Self { address, names, rev: Cell::new(0), watch: RefCell::default(), odd: Seldom::default() }
+    }
+
+    /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
+    fn read(&self, text: &[u8]) -> Result<News, Failure> {
+        let list: RawList<'_> = serde_json::from_slice(text)?;
+        let entries = list.targets.iter().filter_map(|raw| {
+            let entry = self.entry(raw.get());
+            entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
+        });
+        let entries = entries.collect();
+        self.rev.set(list.rev);
+        Ok(News { scope: if list.all { FleetScope::Full } else { FleetScope::Changes }, entries })
+    }
+
+    fn entry(&self, text: &str) -> Result<Entry, Failure> {
+        let raw: RawEntry<'_> = serde_json::from_str(text)?;
+        let availability = match raw.state.as_str() {
+            "Ready" => Availability::Ready,
+            "Terminating" => Availability::Draining,
+            "Gone" => Availability::Gone,
+            other => return Err(format!("{}: unknown state {other:?}", raw.uid).into()),
+        };
+        let endpoint = raw.endpoint.and_then(|e| serde_json::from_str(e.get()).ok());
+        if endpoint.is_none() && availability == Availability::Ready {
+            return Err(format!("{}: no address", raw.uid).into());
+        }
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        Ok(Entry {
+            id: stable_id(&raw.uid),
+            zone: ZoneId(place(&self.names.zones, &raw.az).map_or(u8::MAX, |z| z as u8)),
+            kind: KindId(place(&self.names.kinds, &raw.model).map_or(u16::MAX, |k| k as u16)),
+            cell: CellId(raw.pod_group),
+            weight: raw.capacity_hint,
+            place: Place { endpoint, availability, boot_ms: raw.boot_ms.max(0.0) as u64 },
+        })
+    }
+
+    /// The list from the configuration, as [`FleetScope::Cached`].
+    pub fn known(&self, text: &str) -> News {
+        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text.as_bytes()) };
+        let entries = read.map_or_else(
+            |e| {
+                tracing::warn!("the list known before the start is unreadable: {e}");
+                Vec::new()
+            },
+            |news| news.entries,
+        );
+        News { scope: FleetScope::Cached, entries }
+    }
+
+    /// Asks for the whole list.
+    pub async fn fetch(&self) -> News {
+        let read = async {
+            let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
+            let body = http_body_util::Limited::new(body, LINE_MOST);
+            let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
+            let news = self.read(&text)?;
+            Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
+        };
+        read.await.unwrap_or_else(|e| {
+            self.odd.warn(|| format!("no list: {e}"));
+            News::failed()
+        })
+    }
+
+    /// Remembers the task that watches, in place of the one before.
+    pub fn watched_by(&self, task: AbortHandle) {
+        if let Some(before) = self.watch.borrow_mut().replace(task) {
+            before.abort();
+        }
+    }
+
+    /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed.
+    pub async fn watch(&self, mut tell: impl FnMut(News)) {
+        if let Err(e) = self.follow(&mut tell).await {
+            self.odd.warn(|| format!("watch ended: {e}"));
+        }
+        tell(News::failed());
+    }
+
+    async fn follow(&self, tell: &mut impl FnMut(News)) -> Result<(), Failure> {
+        let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
+        let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
+        let mut pending = BytesMut::new();
+        while let Some(frame) = timeout(SILENCE_MOST, body.frame()).await? {
+            let Ok(data) = frame?.into_data() else { continue };
+            let mut searched = pending.len();
+            pending.extend_from_slice(&data);
+            while let Some(n) = pending[searched..].iter().position(|byte| *byte == b'\n') {
+                let line = pending.split_to(searched + n + 1);
+                searched = 0;
+                let line = line.trim_ascii();
+                if line.is_empty() {
+                    continue;
+                }
+                match self.read(line) {
+                    Ok(news) => tell(news),
+                    Err(e) => {
+                        // What it said is missing now, a drain perhaps: the whole list is asked for again.
+                        self.rev.set(0);
+                        return Err(e);
+                    }
+                }
+            }
+            if pending.len() > LINE_MOST {
+                return Err("a line without an end".into());
+            }
+        }
+        Ok(())
+    }
+
+    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
+        let mut connection = timeout(CONNECT_TIMEOUT, Connection::open(self.address, ())).await??;
+        let request = Request::get(target).header(HOST, self.address.to_string());
+        let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
+        if response.status() != StatusCode::OK {
+            return Err(format!("status {}", response.status()).into());
+        }
+        Ok((connection, response.into_body()))
+    }
+}
--- /dev/null
+++ b/node/src/driver.rs
@@ -0,0 +1,370 @@
+//! The embedder of the decision module: sole owner of the `Balancer`. It turns what happens into events and
+//! carries out the actions, in order. It decides nothing.
+//!
+//! Everything that happens is put in a queue and played from there, one event at a time, so that the module
+//! is never entered twice; tasks only ever add to the queue.
+
+use crate::discovery::{Discovery, News};
+use crate::upstream::{Ended, Outgoing, Served, Upstreams};
+use lapisroute::{
+    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
+    UpstreamId,
+};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, sleep};
+
+/// How far the module's clock has gone at the start: upstreams may have started before this balancer.
+const BEFORE_START: Duration = Duration::from_secs(3600);
+
+/// The module's clock: it only goes forward, from an hour before the start.
+struct Clock {
+    start: Instant,
+    /// Unix time of the start.
+    start_unix: Duration,
+}
+
+impl Clock {
+    fn now(&self) -> Duration {
+        BEFORE_START + self.start.elapsed()
+    }
+
+    /// A Unix time on this clock; the same one always comes out the same. `None`: long ago.
+    fn at_unix_ms(&self, ms: u64) -> Option<Duration> {
+        let at = (Duration::from_millis(ms) + BEFORE_START).checked_sub(self.start_unix)?;
+        // Not in the future, should clocks differ.
+        (!at.is_zero()).then(|| at.min(self.now()))
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// An upstream's.
+    Served(Served),
+    /// Trying again is harmless, after some time if one is given.
+    Refused(Option<Duration>),
+    /// Nothing is promised.
+    Failed,
+}
+
+/// A request for the module to decide on.
+pub struct Asked {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant.
+    pub tenant: TenantId,
+    /// When the client stops waiting.
+    pub deadline: Instant,
+    /// Expected work in milliseconds, where the client says so.
+    pub work_ms: Option<f64>,
+    /// The client says that it has tried this before.
+    pub repeat: bool,
+    /// What is passed on.
+    pub outgoing: Outgoing,
+}
+
+enum Happening {
+    Fleet(News),
+    Asked(RequestId),
+    AttemptEnded(RequestId, AttemptNo, Ended),
+    ProbeEnded(UpstreamId, Duration, Ended),
+    Gone(RequestId),
+    Timer(TimerId),
+}
+
+struct Attempt {
+    upstream: UpstreamId,
+    sent: Instant,
+    task: AbortHandle,
+    out: bool,
+}
+
+struct Held {
+    asked: Rc<Asked>,
+    /// Taken with the final answer.
+    reply: Option<oneshot::Sender<Answer>>,
+    attempts: Vec<Attempt>,
+}
+
+struct Core {
+    balancer: Balancer,
+    requests: FxHashMap<RequestId, Held>,
+    actions: Vec<Action>,
+    next_id: u32,
+}
+
+/// The driver of one `Balancer`.
+pub struct Driver {
+    clock: Clock,
+    core: RefCell<Core>,
+    queue: RefCell<VecDeque<Happening>>,
+    playing: Cell<bool>,
+    upstreams: Upstreams,
+    discovery: Discovery,
+    emptied: Notify,
+}
+
+impl Driver {
+    /// A driver with the list of upstreams known before the start.
+    pub fn start(balancer: Balancer, upstreams: Upstreams, discovery: Discovery, known: News) -> Rc<Self> {
+        let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
+        let driver = Rc::new(Self {
+            clock: Clock { start: Instant::now(), start_unix },
+            core: RefCell::new(core),
+            queue: RefCell::default(),
+            playing: Cell::new(false),
+            upstreams,
+            discovery,
+            emptied: Notify::new(),
+        });
+        let sweeper = Rc::clone(&driver);
+        spawn_local(async move { sweeper.upstreams.sweep().await });
+        driver.happened(Happening::Fleet(known));
+        driver
+    }
+
+    /// Hands a request to the module. Its final answer comes from what is returned; when that is dropped
+    /// before, the client has gone.
+    pub fn ask(self: &Rc<Self>, asked: Asked) -> Pending {
+        let (reply, answer) = oneshot::channel();
+        let id = {
+            let core = &mut *self.core.borrow_mut();
+            // Ids are not reused while one may be in use: they go round only after 2^32 requests.
+            let id = RequestId(core.next_id);
+            core.next_id = core.next_id.wrapping_add(1);
+            let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new() };
+            core.requests.insert(id, held);
+            id
+        };
+        self.happened(Happening::Asked(id));
+        Pending { driver: Rc::clone(self), id, answer: Some(answer) }
+    }
+
+    /// Waits until no request is held.
+    pub async fn empty(&self) {
+        while !self.core.borrow().requests.is_empty() {
+            self.emptied.notified().await;
+        }
+    }
+
+    /// Takes in what has happened and does what follows from it.
+    fn happened(self: &Rc<Self>, happening: Happening) {
+        self.queue.borrow_mut().push_back(happening);
+        if self.playing.replace(true) {
+            return;
+        }
+        loop {
+            let next = self.queue.borrow_mut().pop_front();
+            let Some(next) = next else { break };
+            self.play(&mut self.core.borrow_mut(), next);
+        }
+        self.playing.set(false);
+    }
+
+    /// Plays one event into the module and carries out its actions.
+    fn play(self: &Rc<Self>, core: &mut Core, happening: Happening) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut core.actions);
+        match happening {
+            Happening::Fleet(news) => {
+                let listed = self.fleet(&news);
+                let event = Event::Fleet { scope: news.scope, listed: &listed };
+                core.balancer.handle(now, event, &mut actions);
+            }
+            Happening::Asked(id) => {
+                let Some(held) = core.requests.get(&id) else { return };
+                let asked = &held.asked;
+                let event = Event::Request {
+                    id,
+                    class: asked.class,
+                    tenant: asked.tenant,
+                    time_left: asked.deadline.saturating_duration_since(Instant::now()),
+                    work_ms: asked.work_ms,
+                    repeat: asked.repeat,
+                };
+                core.balancer.handle(now, event, &mut actions);
+            }
+            Happening::AttemptEnded(id, no, ended) => {
+                let Some(held) = core.requests.get_mut(&id) else { return };
+                // One event for each: a cancelled attempt may have ended by itself just before.
+                let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
+                    return;
+                };
+                attempt.out = false;
+                let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
+                tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                // A second copy's answer comes to a request that is over: it is dropped.
+                if let Some(served) = ended.served
+                    && let Some(reply) = held.reply.take()
+                {
+                    // Where the client has just gone, nobody waits for it.
+                    let _ = reply.send(Answer::Served(served));
+                }
+                let finished = held.reply.is_none();
+                let event = Event::AttemptEnded {
+                    id,
+                    attempt: no,
+                    upstream,
+                    outcome: ended.outcome,
+                    latency,
+                    finished,
+                    report: &ended.report,
+                };
+                core.balancer.handle(now, event, &mut actions);
+                self.forget_if_over(core, id);
+            }
+            Happening::ProbeEnded(upstream, latency, ended) => {
+                let event =
+                    Event::ProbeEnded { upstream, outcome: ended.outcome, latency, report: &ended.report };
+                core.balancer.handle(now, event, &mut actions);
+            }
+            Happening::Gone(id) => {
+                let Some(held) = core.requests.get_mut(&id) else { return };
+                if held.reply.take().is_some() {
+                    core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
+                }
+                self.forget_if_over(core, id);
+            }
+            Happening::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
+        }
+        for action in actions.drain(..) {
+            self.carry_out(core, action);
+        }
+        core.actions = actions;
+    }
+
+    /// Applies news to the connections and words them for the module.
+    fn fleet(&self, news: &News) -> Vec<Listed> {
+        if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
+            let ids: FxHashSet<UpstreamId> = news.entries.iter().map(|e| e.id).collect();
+            self.upstreams.keep_only(|id| ids.contains(&id));
+        }
+        let listed = news.entries.iter().map(|entry| {
+            self.upstreams.place(entry.id, &entry.place);
+            Listed {
+                id: entry.id,
+                zone: entry.zone,
+                kind: entry.kind,
+                cell: entry.cell,
+                availability: entry.place.availability,
+                weight: entry.weight,
+                started: self.clock.at_unix_ms(entry.place.boot_ms),
+            }
+        });
+        listed.collect()
+    }
+
+    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
+        match action {
+            Action::Attempt { id, upstream, timeout } => self.attempt(core, id, upstream, timeout),
+            Action::Cancel { id, attempt } => {
+                let out = core.requests.get(&id).and_then(|held| held.attempts.get(usize::from(attempt.0)));
+                if let Some(out) = out.filter(|a| a.out) {
+                    out.task.abort();
+                    let cancelled = Happening::AttemptEnded(id, attempt, Outcome::Cancelled.into());
+                    self.queue.borrow_mut().push_back(cancelled);
+                }
+            }
+            Action::Refuse { id, retry_after } => self.answer(core, id, Answer::Refused(retry_after)),
+            Action::Fail { id } => self.answer(core, id, Answer::Failed),
+            Action::Timer { after, timer } => {
+                let driver = Rc::clone(self);
+                spawn_local(async move {
+                    sleep(after).await;
+                    driver.happened(Happening::Timer(timer));
+                });
+            }
+            Action::WatchFleet => {
+                let driver = Rc::clone(self);
+                let watch = spawn_local(async move {
+                    driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
+                });
+                self.discovery.watched_by(watch.abort_handle());
+            }
+            Action::FetchFleet => {
+                let driver = Rc::clone(self);
+                spawn_local(async move {
+                    let news = driver.discovery.fetch().await;
+                    driver.happened(Happening::Fleet(news));
+                });
+            }
+            Action::CloseIdle { upstream } => self.upstreams.close_idle(upstream),
+            Action::Probe { upstream } => {
+                let (driver, sent) = (Rc::clone(self), Instant::now());
+                spawn_local(async move {
+                    let ended = driver.upstreams.probe(upstream).await;
+                    driver.happened(Happening::ProbeEnded(upstream, sent.elapsed(), ended));
+                });
+            }
+            Action::Log { line } => tracing::info!("{line}"),
+        }
+    }
+
+    fn attempt(
+        self: &Rc<Self>,
+        core: &mut Core,
+        id: RequestId,
+        upstream: UpstreamId,
+        timeout: Option<Duration>,
+    ) {
+        let Some(held) = core.requests.get_mut(&id) else { return };
+        let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
+        let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
+        let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
+        let task = spawn_local(async move {
+            let ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up).await;
+            driver.happened(Happening::AttemptEnded(id, no, ended));
+        });
+        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
+    }
+
+    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
+        if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
+            let _ = reply.send(answer);
+        }
+        self.forget_if_over(core, id);
+    }
+
+    /// Lets go of a request that has its answer and no attempt out.
+    fn forget_if_over(&self, core: &mut Core, id: RequestId) {
+        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
+        if core.requests.get(&id).is_some_and(over) {
+            core.requests.remove(&id);
+            if core.requests.is_empty() {
+                self.emptied.notify_waiters();
+            }
+        }
+    }
+}
+
+/// A request that is owed its final answer.
+pub struct Pending {
+    driver: Rc<Driver>,
+    id: RequestId,
+    answer: Option<oneshot::Receiver<Answer>>,
+}
+
+impl Pending {
+    /// The final answer.
+    pub async fn answer(mut self) -> Answer {
+        let Some(answer) = &mut self.answer else { return Answer::Failed };
+        let answer = answer.await;
+        self.answer = None;
+        answer.unwrap_or(Answer::Failed)
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.answer.take().is_some() {
+            self.driver.happened(Happening::Gone(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main.rs
@@ -0,0 +1,80 @@
+//! `maplehook`: a load balancer on real sockets. Every decision is the `lapisroute` library's.
+
+mod config;
+mod connection;
+mod discovery;
+mod driver;
+mod headers;
+mod seldom;
+mod server;
+mod upstream;
+
+use config::Config;
+use discovery::Discovery;
+use driver::Driver;
+use lapisroute::Balancer;
+use server::{Phase, Server};
+use std::error::Error;
+use std::process::ExitCode;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
+use tracing::level_filters::LevelFilter;
+use upstream::Upstreams;
+
+/// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
+const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(600);
+/// The end comes before SIGKILL may: 3 s and 0.7 s after SIGTERM.
+const END_AFTER_TERM: Duration = Duration::from_millis(3600);
+/// For answers that are ready to leave.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+
+fn main() -> ExitCode {
+    let level = std::env::var("NODE_LOG").ok().and_then(|level| level.parse().ok());
+    tracing_subscriber::fmt()
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .with_max_level(level.unwrap_or(LevelFilter::INFO))
+        .init();
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("maplehook: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), Box<dyn Error>> {
+    let config = Config::from_env()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
+    let balancer = Balancer::new(config.site.settings.clone(), config.seed)?;
+    let mut term = signal(SignalKind::terminate())?;
+    let listener =
+        TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    let upstreams = Upstreams::new(&config.site.settings, config.upstream_connections());
+    let discovery = Discovery::new(config.discovery, config.site.names.clone());
+    let known = discovery.known(&config.known);
+    tracing::info!(listen = %listener.local_addr()?, upstreams = known.entries.len(), "serving");
+    let driver = Driver::start(balancer, upstreams, discovery, known);
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let server = Server::new(driver.clone(), &config.site, phases);
+    let accepting = spawn_local(server.run(listener, config.client_connections()));
+
+    term.recv().await;
+    tracing::info!("leaving");
+    phase.send_replace(Phase::Leaving);
+    sleep(ACCEPT_AFTER_TERM).await;
+    phase.send_replace(Phase::Closing);
+    accepting.await?;
+    let _ = timeout(END_AFTER_TERM - ACCEPT_AFTER_TERM - LAST_WORDS, driver.empty()).await;
+    sleep(LAST_WORDS).await;
+    Ok(())
+}
--- /dev/null
+++ b/node/src/upstream.rs
@@ -0,0 +1,356 @@
+//! The upstreams' side: their addresses, connections, attempts and probes, and what the outcomes are.
+//!
+//! That an attempt never ran is said only of what can be proved: no connection was made, the kernel did not
+//! take the request's last byte before the connection ended, or the upstream says so itself.
+
+use crate::connection::{Connection, wire_length};
+use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
+use crate::seldom::Seldom;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, timeout_at};
+
+/// The longest body of an answer; more is no answer.
+const BODY_MOST: usize = 64 * 1024;
+/// Share of the upstreams' idle time after which a connection is closed or not used any more: a request that
+/// crosses the upstream's own close ends as a reset, and an unsafe one is lost to its client then.
+const IDLE_SHARE: f64 = 0.8;
+/// How often idle connections are looked over.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request as it is passed on.
+pub struct Outgoing {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// An upstream's 200 answer.
+#[derive(Debug)]
+pub struct Served {
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// How an attempt or a probe ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The answer, with [`Outcome::Ok`].
+    pub served: Option<Served>,
+    /// A load report, in the order of the settings; empty if none came.
+    pub report: Vec<f32>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, served: None, report: Vec::new() }
+    }
+}
+
+/// An entry of the list, as far as connections go.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Place {
+    /// Where it listens; `None` if the list did not say so in a readable way.
+    pub endpoint: Option<SocketAddr>,
+    /// Whether it takes requests.
+    pub availability: Availability,
+    /// When it last started, by the list.
+    pub boot_ms: u64,
+}
+
+struct Upstream {
+    endpoint: Cell<Option<SocketAddr>>,
+    boot_ms: Cell<u64>,
+    /// Cleared once it drains or is gone: attempts that still wait for a connection look here.
+    ready: Cell<bool>,
+    /// Idle connections, the most recently used last, and since when.
+    idle: RefCell<Vec<(Connection, Instant)>>,
+}
+
+impl Upstream {
+    fn put_back(&self, connection: Connection) {
+        if self.ready.get() && self.endpoint.get() == Some(connection.peer()) && !connection.is_closed() {
+            self.idle.borrow_mut().push((connection, Instant::now()));
+        }
+    }
+}
+
+/// Connections open to all upstreams together.
+#[derive(Default)]
+struct Open {
+    count: Cell<usize>,
+    freed: Notify,
+}
+
+/// One of them, until its descriptor is closed.
+struct Slot(Rc<Open>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// All upstreams known.
+pub struct Upstreams {
+    known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
+    open: Rc<Open>,
+    most_open: usize,
+    connect_timeout: Duration,
+    idle_most: Duration,
+    reports: Reports,
+    report_fields: Vec<LoadField>,
+    odd_reports: Seldom,
+}
+
+impl Upstreams {
+    /// None yet; at most `most_open` connections will be open to them together.
+    pub fn new(settings: &Settings, most_open: usize) -> Self {
+        Self {
+            known: RefCell::default(),
+            open: Rc::default(),
+            most_open,
+            connect_timeout: settings.connect_timeout,
+            idle_most: settings.conn_idle.mul_f64(IDLE_SHARE),
+            reports: settings.reports,
+            report_fields: settings.report_fields.clone(),
+            odd_reports: Seldom::default(),
+        }
+    }
+
+    /// Takes in what the list says of one.
+    pub fn place(&self, id: UpstreamId, place: &Place) {
+        let mut known = self.known.borrow_mut();
+        if place.availability == Availability::Gone {
+            if let Some(upstream) = known.remove(&id) {
+                upstream.ready.set(false);
+                upstream.idle.borrow_mut().clear();
+            }
+            return;
+        }
+        let upstream = known.entry(id).or_insert_with(|| {
+            Rc::new(Upstream {
+                endpoint: Cell::new(None),
+                boot_ms: Cell::new(place.boot_ms),
+                ready: Cell::new(false),
+                idle: RefCell::default(),
+            })
+        });
+        let moved = place.endpoint.is_some() && upstream.endpoint.get() != place.endpoint;
+        if moved {
+            upstream.endpoint.set(place.endpoint);
+        }
+        upstream.ready.set(place.availability == Availability::Ready);
+        // Connections to a process that is no more, or wants nothing new, serve nobody.
+        if upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved || !upstream.ready.get() {
+            upstream.idle.borrow_mut().clear();
+        }
+    }
+
+    /// Forgets all that `listed` does not name: they are gone.
+    pub fn keep_only(&self, listed: impl Fn(UpstreamId) -> bool) {
+        self.known.borrow_mut().retain(|id, upstream| {
+            let stays = listed(*id);
+            if !stays {
+                upstream.ready.set(false);
+                upstream.idle.borrow_mut().clear();
+            }
+            stays
+        });
+    }
+
+    /// Closes the idle connections to one.
+    pub fn close_idle(&self, id: UpstreamId) {
+        if let Some(upstream) = self.known.borrow().get(&id) {
+            upstream.idle.borrow_mut().clear();
+        }
+    }
+
+    /// Closes what has been idle for long, again and again.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            let now = Instant::now();
+            for upstream in self.known.borrow().values() {
+                let mut idle = upstream.idle.borrow_mut();
+                idle.retain(|(connection, since)| !connection.is_closed() && now - *since < self.idle_most);
+            }
+        }
+    }
+
+    fn close_an_idle_one(&self) {
+        let known = self.known.borrow();
+        let mut idle = known.values().map(|u| u.idle.borrow_mut());
+        if let Some(mut idle) = idle.find(|idle| !idle.is_empty()) {
+            idle.remove(0);
+        }
+    }
+
+    /// Room for one more connection, made by closing an idle one if need be.
+    async fn slot(&self) -> Slot {
+        while self.open.count.get() >= self.most_open {
+            self.close_an_idle_one();
+            self.open.freed.notified().await;
+        }
+        self.open.count.set(self.open.count.get() + 1);
+        Slot(Rc::clone(&self.open))
+    }
+
+    /// A connection in use before, or else a new one; `true`: in use before.
+    async fn connection(&self, upstream: &Upstream, give_up: Instant) -> Result<(Connection, bool), Outcome> {
+        loop {
+            // Not an `if let`: the borrow must not be held while waiting.
+            let idle = upstream.idle.borrow_mut().pop();
+            let Some((mut connection, since)) = idle else { break };
+            if since.elapsed() < self.idle_most && connection.is_usable().await {
+                return Ok((connection, true));
+            }
+        }
+        let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
+        let until = give_up.min(Instant::now() + self.connect_timeout);
+        // Out of descriptors or of time says nothing of the upstream.
+        let Ok(slot) = timeout_at(until, self.slot()).await else { return Err(Outcome::NotSent) };
+        match timeout_at(until, Connection::open(endpoint, slot)).await {
+            Ok(Ok(connection)) => Ok((connection, false)),
+            Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
+            Ok(Err(e)) => {
+                tracing::debug!(%endpoint, "no connection: {e}");
+                Err(Outcome::ConnectFailed)
+            }
+            Err(_) if until == give_up => Err(Outcome::NotSent),
+            Err(_) => Err(Outcome::ConnectFailed),
+        }
+    }
+
+    /// Sends a request to an upstream and waits for the answer until `give_up`.
+    pub async fn attempt(&self, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+        let upstream = self.known.borrow().get(&id).map(Rc::clone);
+        let Some(upstream) = upstream else { return Outcome::NotSent.into() };
+        loop {
+            let (mut connection, reused) = match self.connection(&upstream, give_up).await {
+                Ok(got) => got,
+                Err(outcome) => return outcome.into(),
+            };
+            let left = give_up.saturating_duration_since(Instant::now());
+            // The moment of writing: it may have begun to drain while the connection was made.
+            if !upstream.ready.get() || left.is_zero() {
+                upstream.put_back(connection);
+                return Outcome::NotSent.into();
+            }
+            let request = request(outgoing, left);
+            let (before, length) = (connection.written(), wire_length(&request));
+            let exchanged = timeout_at(give_up, exchange(&mut connection, request)).await;
+            let written = connection.written() - before;
+            match exchanged {
+                Ok(Ok(response)) => {
+                    // An answer that came before the request had left whole leaves the rest in the way.
+                    if written >= length {
+                        upstream.put_back(connection);
+                    }
+                    return self.answered(response);
+                }
+                // It had ended unseen while idle. Nothing of the request has left: another is taken.
+                Ok(Err(_)) if reused && written == 0 => {}
+                Ok(Err(e)) => {
+                    tracing::debug!(upstream = id.0, written, length, "broken: {e}");
+                    return if written < length { Outcome::ConnectFailed } else { Outcome::Reset }.into();
+                }
+                Err(_) => {
+                    return if written < length { Outcome::NotSent } else { Outcome::TimedOut }.into();
+                }
+            }
+        }
+    }
+
+    /// Asks an upstream how it is.
+    pub async fn probe(&self, id: UpstreamId) -> Ended {
+        let target = Uri::from_static(if self.reports == Reports::Off { "/health/live" } else { "/stats" });
+        let mut headers = HeaderMap::with_capacity(3);
+        headers.insert(HOST, HeaderValue::from_static("upstream"));
+        let outgoing = Outgoing { method: Method::GET, target, headers, body: Bytes::new() };
+        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT).await;
+        if let Some(served) = &ended.served
+            && self.reports != Reports::Off
+            && ended.report.is_empty()
+        {
+            ended.report = self.read_report(&served.body);
+        }
+        ended
+    }
+
+    fn answered(&self, response: Response<Bytes>) -> Ended {
+        let (parts, body) = response.into_parts();
+        let mut headers = parts.headers;
+        let load = headers.remove(LOAD).filter(|_| self.reports == Reports::Inline);
+        let report = load.map_or_else(Vec::new, |load| self.read_report(load.as_bytes()));
+        let unprocessed = headers.get(UNPROCESSED).is_some_and(|v| v.as_bytes() == b"1");
+        let outcome = match parts.status {
+            StatusCode::OK => Outcome::Ok,
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Rejected,
+            _ => Outcome::Error,
+        };
+        headers::strip_hop_by_hop(&mut headers);
+        let served = (outcome == Outcome::Ok).then_some(Served { headers, body });
+        Ended { outcome, served, report }
+    }
+
+    fn read_report(&self, text: &[u8]) -> Vec<f32> {
+        let read = std::str::from_utf8(text).ok().and_then(|t| headers::load_report(t, &self.report_fields));
+        read.unwrap_or_else(|| {
+            let shown = || String::from_utf8_lossy(&text[..text.len().min(80)]).into_owned();
+            self.odd_reports.warn(|| format!("unreadable load report {:?}", shown()));
+            Vec::new()
+        })
+    }
+}
+
+fn out_of_descriptors(e: &io::Error) -> bool {
+    // EMFILE and ENFILE have no kind of their own.
+    matches!(e.raw_os_error(), Some(23 | 24))
+}
+
+/// The request of one attempt: how long the balancer will wait is its own.
+fn request(outgoing: &Outgoing, left: Duration) -> Request<Full<Bytes>> {
+    let mut headers = outgoing.headers.clone();
+    headers.insert(TIME_LEFT, HeaderValue::from(left.as_millis() as u64));
+    if outgoing.method != Method::GET || !outgoing.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(outgoing.body.len()));
+    }
+    let mut request = Request::new(Full::new(outgoing.body.clone()));
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.target.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// One request and its whole answer.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+    let (parts, body) = connection.send(request).await?.into_parts();
+    let body = Limited::new(body, BODY_MOST).collect().await?.to_bytes();
+    Ok(Response::from_parts(parts, body))
+}
--- a/benchlink/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings as they come on the wire, a JSON object, turned into the library's.
+//! The settings as the simulator's wire and the platform's configuration state them, a JSON object, turned
+//! into the library's, with the names that stand for the numbers in it.
 //!
 //! Keys that are not known are skipped; keys that are missing take the values of `Settings::default()`.
 
@@ -18,6 +19,7 @@
     dedup_scope: Option<String>,
     key_ttl_ms: f64,
     streamed: bool,
+    name: String,
 }
 
 impl Default for RawClass {
@@ -32,6 +34,7 @@
             dedup_scope: None,
             key_ttl_ms: 0.0,
             streamed: false,
+            name: String::new(),
         }
     }
 }
@@ -40,6 +43,7 @@
 #[serde(default)]
 struct RawTenant {
     allowance_per_s: f64,
+    name: String,
 }
 
 #[derive(Deserialize, Default)]
@@ -102,15 +106,39 @@
     classes: Vec<RawClass>,
     parties: Vec<RawTenant>,
     discovery: Option<String>,
+    failure_domains: Vec<String>,
     guarantees: RawGuarantees,
     limits: RawLimits,
     over_share_worth: Option<f64>,
     prices: RawPrices,
+    skus: Vec<String>,
     telemetry: RawTelemetry,
     weight_kind: Option<String>,
     worth_by: Option<String>,
 }
 
+/// What a settings object says.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Site {
+    /// The library's settings.
+    pub settings: Settings,
+    /// What the numbers in them are called.
+    pub names: Names,
+}
+
+/// Names by position: those of classes and tenants as in [`Settings`], those of zones and kinds as their ids.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// The classes of requests.
+    pub classes: Vec<String>,
+    /// The tenants.
+    pub tenants: Vec<String>,
+    /// The zones.
+    pub zones: Vec<String>,
+    /// The kinds of upstreams.
+    pub kinds: Vec<String>,
+}
+
 /// A time in milliseconds as a `Duration`; what is no such time becomes zero, what is too long the longest.
 pub fn ms(value: f64) -> Duration {
     if value.is_nan() || value <= 0.0 {
@@ -145,13 +173,26 @@
     })
 }
 
+/// The value of a load report that goes by this name in settings or in reports.
+pub fn load_field(name: &str) -> LoadField {
+    match name {
+        "concurrent" | "inflight" => LoadField::InFlight,
+        "depth" | "queue" => LoadField::Queue,
+        "load_share" | "util" => LoadField::Utilization,
+        "mean_ms" | "latency_ms" => LoadField::ServiceMs,
+        "tps" | "qps" => LoadField::RequestRate,
+        "err_ps" | "eps" => LoadField::ErrorRate,
+        _ => LoadField::Other,
+    }
+}
+
 /// Reads the settings' text.
-pub fn parse(text: &str) -> Result<Settings, String> {
+pub fn parse(text: &str) -> Result<Site, String> {
     let raw: Raw = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
     let base = Settings::default();
     let (limits, rules) = (&raw.limits, &raw.guarantees);
     let time = |value: Option<f64>, or: Duration| value.map_or(or, ms);
-    Ok(Settings {
+    let settings = Settings {
         balancers: raw.balancers.unwrap_or(base.balancers),
         index: raw.me,
         zone: ZoneId(raw.locality),
@@ -186,20 +227,7 @@
             Some("on_probe") => Reports::OnProbe,
             _ => Reports::Off,
         },
-        report_fields: raw
-            .telemetry
-            .fields
-            .iter()
-            .map(|name| match name.as_str() {
-                "concurrent" => LoadField::InFlight,
-                "depth" => LoadField::Queue,
-                "load_share" => LoadField::Utilization,
-                "mean_ms" => LoadField::ServiceMs,
-                "tps" => LoadField::RequestRate,
-                "err_ps" => LoadField::ErrorRate,
-                _ => LoadField::Other,
-            })
-            .collect(),
+        report_fields: raw.telemetry.fields.iter().map(|name| load_field(name)).collect(),
         prices: Prices {
             cross_zone: raw.prices.cross_zone,
             connection: raw.prices.connection,
@@ -208,5 +236,12 @@
             probe: raw.prices.probe,
             waste: raw.prices.waste,
         },
-    })
+    };
+    let names = Names {
+        classes: raw.classes.into_iter().map(|c| c.name).collect(),
+        tenants: raw.parties.into_iter().map(|t| t.name).collect(),
+        zones: raw.failure_domains,
+        kinds: raw.skus,
+    };
+    Ok(Site { settings, names })
 }
