Close the gaps on sockets, each with a test over loopback

By reading the working list against the code: what SIGTERM left unanswered was lost (the driver now ends all attempts shortly before SIGKILL may come and lets the module give the final answers); a full house of idle clients locked others out (the longest idle makes room); a silent watch was given up only after 5 s, which with the second call could pass the 6 s after which news counts as told (now 3.5 s).

Tests: the program between small peers (passing on, reuse, may have run, never ran, stale connections, clients leaving, mute upstreams, unfit requests, drains, moves, unreadable and silent watches, places, SIGTERM, bad configuration), and beside the code the length of a request on the wire, a drain that meets a waiting attempt, and the limit on connections.

--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -133,3 +133,38 @@
         headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len()).sum();
     (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use hyper::header::{CONTENT_LENGTH, HOST};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+
+    /// Guards the proof that a request never ran: it rests on knowing how long the request is on the wire.
+    #[tokio::test(flavor = "local")]
+    async fn the_length_on_the_wire_is_known_beforehand() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        for (method, body) in [("GET", ""), ("POST", ""), ("POST", "some words")] {
+            let mut connection = Connection::open(peer, ()).await.unwrap();
+            let mut request = Request::builder().method(method).uri("/book/day?n=1").header(HOST, "app.svc");
+            if method == "POST" {
+                request = request.header(CONTENT_LENGTH, body.len());
+            }
+            let request = request.body(Full::from(body)).unwrap();
+            let length = wire_length(&request);
+            let upstream = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut read = vec![0; length as usize];
+                stream.read_exact(&mut read).await.unwrap();
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                String::from_utf8(read).unwrap()
+            };
+            let (answer, read) = tokio::join!(connection.send(request), upstream);
+            assert!(answer.unwrap().status().is_success());
+            assert!(read.ends_with(&format!("\r\n\r\n{body}")), "{read:?}");
+            assert_eq!(connection.written(), length);
+        }
+    }
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -20,7 +20,7 @@
 use tokio::time::timeout;
 
 /// A watch says something every 2 s. Silent for this long, it is dead, whatever its connection looks like.
-const SILENCE_MOST: Duration = Duration::from_millis(5000);
+const SILENCE_MOST: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The longest line, and the longest list: more is no list.
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -15,7 +15,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
@@ -107,7 +107,8 @@
     playing: Cell<bool>,
     upstreams: Upstreams,
     discovery: Discovery,
-    emptied: Notify,
+    /// Set when what is held has to end.
+    cut_off: watch::Sender<bool>,
 }
 
 impl Driver {
@@ -122,7 +123,7 @@
             playing: Cell::new(false),
             upstreams,
             discovery,
-            emptied: Notify::new(),
+            cut_off: watch::Sender::new(false),
         });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
@@ -147,11 +148,10 @@
         Pending { driver: Rc::clone(self), id, answer: Some(answer) }
     }
 
-    /// Waits until no request is held.
-    pub async fn empty(&self) {
-        while !self.core.borrow().requests.is_empty() {
-            self.emptied.notified().await;
-        }
+    /// Ends all attempts that are out, and each that may follow, so that the module gives what it holds its
+    /// final answer: the process is about to end.
+    pub fn cut_off(&self) {
+        self.cut_off.send_replace(true);
     }
 
     /// Takes in what has happened and does what follows from it.
@@ -318,8 +318,16 @@
         let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
         let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
+        let mut cut_off = self.cut_off.subscribe();
         let task = spawn_local(async move {
-            let ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up).await;
+            let ended = if *cut_off.borrow() {
+                Outcome::NotSent.into()
+            } else {
+                tokio::select! {
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
+                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
+                }
+            };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
         held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
@@ -337,9 +345,6 @@
         let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
         if core.requests.get(&id).is_some_and(over) {
             core.requests.remove(&id);
-            if core.requests.is_empty() {
-                self.emptied.notify_waiters();
-            }
         }
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -27,10 +27,11 @@
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(600);
-/// The end comes before SIGKILL may: 3 s and 0.7 s after SIGTERM.
-const END_AFTER_TERM: Duration = Duration::from_millis(3600);
-/// For answers that are ready to leave.
-const LAST_WORDS: Duration = Duration::from_millis(100);
+/// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
+const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// For the answers to what is then still held.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 
 fn main() -> ExitCode {
     let level = std::env::var("NODE_LOG").ok().and_then(|level| level.parse().ok());
@@ -66,15 +67,19 @@
     let driver = Driver::start(balancer, upstreams, discovery, known);
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
-    let accepting = spawn_local(server.run(listener, config.client_connections()));
+    let mut accepting = spawn_local(server.run(listener, config.client_connections()));
 
     term.recv().await;
     tracing::info!("leaving");
     phase.send_replace(Phase::Leaving);
     sleep(ACCEPT_AFTER_TERM).await;
     phase.send_replace(Phase::Closing);
-    accepting.await?;
-    let _ = timeout(END_AFTER_TERM - ACCEPT_AFTER_TERM - LAST_WORDS, driver.empty()).await;
-    sleep(LAST_WORDS).await;
+    let deadlines = config.site.settings.classes.iter().map(|class| class.deadline);
+    let longest = deadlines.max().unwrap_or_default().min(KILL_DEADLINE_MOST);
+    let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(ACCEPT_AFTER_TERM + LAST_WORDS);
+    if timeout(rest, &mut accepting).await.is_err() {
+        driver.cut_off();
+        let _ = timeout(LAST_WORDS, &mut accepting).await;
+    }
     Ok(())
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -2,6 +2,7 @@
 
 use crate::driver::{Answer, Asked, Driver};
 use crate::headers::{self, ACCOUNT, CORRELATION_ID, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, WEIGHT_HINT};
+use crate::seldom::Seldom;
 use crate::upstream::Outgoing;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -14,12 +15,13 @@
 use lapisroute::{ClassId, Effect, TenantId};
 use lapisroute_settings::Site;
 use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -56,6 +58,17 @@
     classes: FxHashMap<String, (ClassId, Effect)>,
     tenants: FxHashMap<String, TenantId>,
     phase: watch::Receiver<Phase>,
+    clients: RefCell<FxHashMap<u64, Rc<Client>>>,
+    count: Cell<u64>,
+    odd: Seldom,
+}
+
+/// A client's connection.
+struct Client {
+    /// Since when no request is on it.
+    idle_since: Cell<Option<Instant>>,
+    /// Told when it is to end after the answer in hand, or at once.
+    close: Notify,
 }
 
 impl Server {
@@ -67,35 +80,57 @@
         let tenants = site.names.tenants.iter().cloned().enumerate();
         let tenants = tenants.map(|(k, name)| (name, TenantId(k as u32)));
         let (classes, tenants) = (classes.collect(), tenants.collect());
-        Rc::new(Self { driver, classes, tenants, phase })
+        Rc::new(Self {
+            driver,
+            classes,
+            tenants,
+            phase,
+            clients: RefCell::default(),
+            count: Cell::new(0),
+            odd: Seldom::default(),
+        })
     }
 
-    /// Accepts clients, at most `most` at a time, until the process is closing.
+    /// Accepts clients, at most `most` at a time, until the process is closing; returns when the last of
+    /// them has gone.
     pub async fn run(self: Rc<Self>, listener: TcpListener, most: usize) {
         let places = Arc::new(Semaphore::new(most));
         let mut phase = self.phase.clone();
         loop {
-            let accepted = async {
-                let place = Arc::clone(&places).acquire_owned().await;
-                (listener.accept().await, place)
-            };
-            let (accepted, place) = tokio::select! {
-                accepted = accepted => accepted,
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
                 _ = phase.wait_for(|p| *p == Phase::Closing) => break,
             };
-            match accepted {
-                Ok((stream, _)) => {
-                    let server = Rc::clone(&self);
-                    spawn_local(async move {
-                        server.connection(stream).await;
-                        drop(place);
-                    });
-                }
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
                 Err(e) => {
-                    tracing::debug!("accept: {e}");
+                    self.odd.warn(|| format!("accept: {e}"));
                     sleep(ACCEPT_PAUSE).await;
+                    continue;
                 }
+            };
+            if places.available_permits() == 0 {
+                self.close_longest_idle();
             }
+            // Never closed, so always had in the end.
+            let Ok(place) = Arc::clone(&places).acquire_owned().await else { break };
+            let server = Rc::clone(&self);
+            spawn_local(async move {
+                server.connection(stream).await;
+                drop(place);
+            });
+        }
+        drop(listener);
+        let _ = places.acquire_many(most as u32).await;
+    }
+
+    /// Makes a place for a client that waits: one that only keeps its connection can open another.
+    fn close_longest_idle(&self) {
+        let clients = self.clients.borrow();
+        let idle = clients.values().filter_map(|c| c.idle_since.get().map(|since| (since, c)));
+        if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
+            client.idle_since.set(None);
+            client.close.notify_one();
         }
     }
 
@@ -103,17 +138,32 @@
         // An unset option costs time, not truth.
         let _ = stream.set_nodelay(true);
         let mut phase = self.phase.clone();
+        let number = self.count.replace(self.count.get() + 1);
+        let client = Rc::new(Client { idle_since: Cell::new(Some(Instant::now())), close: Notify::new() });
+        self.clients.borrow_mut().insert(number, Rc::clone(&client));
+        let (server, of) = (Rc::clone(&self), Rc::clone(&client));
         let service = service_fn(move |request| {
-            let server = Rc::clone(&self);
-            async move { Ok::<_, Infallible>(server.respond(request).await) }
+            let (server, client) = (Rc::clone(&server), Rc::clone(&of));
+            async move {
+                client.idle_since.set(None);
+                let response = server.respond(request).await;
+                client.idle_since.set(Some(Instant::now()));
+                Ok::<_, Infallible>(response)
+            }
         });
         let mut builder = http1::Builder::new();
         builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        let close = async {
+            tokio::select! {
+                _ = client.close.notified() => (),
+                _ = phase.wait_for(|p| *p == Phase::Closing) => (),
+            }
+        };
         let ended = tokio::select! {
             ended = connection.as_mut() => ended,
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {
+            () = close => {
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
@@ -121,19 +171,20 @@
         if let Err(e) = ended {
             tracing::debug!("client: {e}");
         }
+        self.clients.borrow_mut().remove(&number);
     }
 
     async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let leaving = *self.phase.borrow() != Phase::Serving;
+        let leaving = || *self.phase.borrow() != Phase::Serving;
         let mut response = match request.uri().path() {
-            "/health/ready" if leaving => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
+            "/health/ready" if leaving() => plain(StatusCode::SERVICE_UNAVAILABLE, "leaving"),
             "/health/ready" | "/health/live" => plain(StatusCode::OK, "ok"),
             _ => match self.read(request).await {
                 Ok(asked) => worded(self.driver.ask(asked).answer().await),
                 Err(Unfit(status, why)) => plain(status, why),
             },
         };
-        if leaving {
+        if leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -152,7 +203,7 @@
         if parts.method != method {
             return Err(Unfit(StatusCode::METHOD_NOT_ALLOWED, "the class has another method"));
         }
-        if !headers.contains_key(CORRELATION_ID) {
+        if headers.get(CORRELATION_ID).is_none_or(|id| id.is_empty()) {
             return Err(Unfit(StatusCode::BAD_REQUEST, "no X-Correlation-Id"));
         }
         if matches!(effect, Effect::Deduplicated { .. }) && !headers.contains_key(IDEMPOTENCY_KEY) {
@@ -160,7 +211,7 @@
         }
         let tenant = match text(&headers, &ACCOUNT).map(|name| self.tenants.get(name)) {
             Some(Some(tenant)) => *tenant,
-            None if self.tenants.is_empty() => TenantId(0),
+            _ if self.tenants.is_empty() => TenantId(0),
             _ => return Err(Unfit(StatusCode::FORBIDDEN, "unknown account")),
         };
         let Some(left) = text(&headers, &TIME_LEFT).and_then(|t| t.trim().parse::<u64>().ok()) else {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -354,3 +354,78 @@
     let body = Limited::new(body, BODY_MOST).collect().await?.to_bytes();
     Ok(Response::from_parts(parts, body))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::spawn_local;
+
+    const ID: UpstreamId = UpstreamId(7);
+    const LONG: Duration = Duration::from_secs(20);
+
+    fn outgoing() -> Outgoing {
+        Outgoing {
+            method: Method::POST,
+            target: Uri::from_static("/book"),
+            headers: HeaderMap::new(),
+            body: Bytes::from_static(b"x"),
+        }
+    }
+
+    async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
+        let upstreams = Rc::new(Upstreams::new(&settings, most_open));
+        let endpoint = Some(listener.local_addr().unwrap());
+        let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
+        upstreams.place(ID, &place);
+        (upstreams, listener, place)
+    }
+
+    /// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
+    #[tokio::test(flavor = "local")]
+    async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
+        let (upstreams, listener, mut place) = upstreams(1).await;
+        let held = Rc::clone(&upstreams);
+        let first = spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        // The only place is taken: this one waits.
+        let waits = Rc::clone(&upstreams);
+        let second = spawn_local(async move { waits.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        tokio::task::yield_now().await;
+        place.availability = Availability::Draining;
+        upstreams.place(ID, &place);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        assert_eq!(first.await.unwrap().outcome, Outcome::Ok, "what it has it finishes");
+        assert_eq!(second.await.unwrap().outcome, Outcome::NotSent);
+        assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
+    }
+
+    /// Guards against running out of descriptors: an idle connection makes room, and where there is none
+    /// the wait ends as not sent, which says nothing of the upstream.
+    #[tokio::test(flavor = "local")]
+    async fn connections_stay_under_the_limit() {
+        let (upstreams, listener, place) = upstreams(1).await;
+        let other = UpstreamId(8);
+        upstreams.place(other, &place);
+        for id in [ID, other] {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                stream
+            };
+            let request = outgoing();
+            let (ended, _stream) =
+                tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG), answer);
+            assert_eq!(ended.outcome, Outcome::Ok);
+            assert_eq!(upstreams.open.count.get(), 1);
+        }
+        let _taken = upstreams.slot().await;
+        let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
+        assert_eq!(ended.outcome, Outcome::NotSent);
+    }
+}
--- /dev/null
+++ b/node/tests/sockets.rs
@@ -0,0 +1,284 @@
+//! The balancer as a process between small peers on loopback. Each test says what it guards against.
+
+mod common;
+
+use common::*;
+use std::process::{Command, Stdio};
+use std::time::Instant;
+
+const TURNED_AWAY: &str = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+const PLAIN_503: &str = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+const ERROR: &str = "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+const CUT_SHORT: &str = "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf";
+
+/// Guards the way through: what must go on unchanged does, and connections are reused on both sides.
+#[test]
+fn a_request_and_its_answer_pass_unchanged_and_connections_are_kept() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let mut client = node.connect();
+    for _ in 0..3 {
+        let answer = client.exchange(&book(5000, "a day"));
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
+        assert_eq!(answer.header("x-own"), Some("kept"));
+    }
+    let seen = upstream.seen();
+    assert_eq!((seen.len(), upstream.connections()), (3, 1));
+    assert_eq!(seen[0].line, "POST /book/day?n=1 HTTP/1.1");
+    assert_eq!(seen[0].header("x-correlation-id"), Some("9b1f03aa"));
+    assert_eq!(seen[0].body, b"a day");
+    let left: u64 = seen[0].header("x-time-left-ms").unwrap().parse().unwrap();
+    assert!(left > 0 && left <= 5000, "{left}");
+}
+
+/// Guards against an effect twice: what may have run is not sent again, nor refused as harmless to retry.
+#[test]
+fn an_unsafe_request_that_may_have_run_has_failed() {
+    for then in [Then::Close, Then::Answer(PLAIN_503), Then::Answer(ERROR), Then::AnswerAndClose(CUT_SHORT)] {
+        let upstreams = [Upstream::start(then), Upstream::start(then)];
+        let node = Setup::with(&[upstreams[0].address, upstreams[1].address]).start();
+        let answer = node.connect().exchange(&book(5000, "x"));
+        assert!(![200, 429, 503].contains(&answer.status()), "{answer:?}");
+        assert_eq!(upstreams.iter().map(|u| u.seen().len()).sum::<usize>(), 1);
+    }
+}
+
+/// Guards the other side of that: what is proved not to have run goes to another upstream.
+#[test]
+fn an_unsafe_request_that_never_ran_is_served_elsewhere() {
+    let away = Upstream::start(Then::Answer(TURNED_AWAY));
+    let good = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[away.address, nobody(), good.address]).start();
+    let mut client = node.connect();
+    for _ in 0..6 {
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+    }
+    assert_eq!(good.seen().len(), 6);
+}
+
+/// Guards against a refusal held back or without a time: nobody can serve, so the client is told at once.
+#[test]
+fn a_request_that_nobody_can_take_is_refused_with_a_time() {
+    let node = Setup::with(&[nobody()]).start();
+    let answer = node.connect().exchange(&book(5000, "x"));
+    assert_eq!(answer.status(), 503);
+    let seconds: f64 = answer.header("retry-after").expect("a time").parse().unwrap();
+    assert!(seconds > 0.0 && seconds <= 1.0, "{seconds}");
+}
+
+/// Guards against stale connections: one that the upstream has closed while idle is not used for a request
+/// that could then not be told from one that ran.
+#[test]
+fn a_connection_closed_while_idle_costs_no_request() {
+    let upstream = Upstream::start(Then::AnswerAndClose(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let mut client = node.connect();
+    for n in 1..=4 {
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+        until("the upstream has closed", || upstream.ended() == n);
+    }
+    assert_eq!((upstream.seen().len(), upstream.connections()), (4, 4));
+}
+
+/// Guards against work for nobody: a client that leaves takes its attempt along, connection and all.
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let upstream = Upstream::start(Then::Mute);
+    let node = Setup::with(&[upstream.address]).start();
+    let mut client = node.connect();
+    client.write(&book(8000, "x"));
+    until("the upstream has it", || upstream.seen().len() == 1);
+    assert_eq!(upstream.ended(), 0);
+    let left = Instant::now();
+    drop(client);
+    until("its connection ends", || upstream.ended() == 1);
+    assert!(left.elapsed().as_secs() < 5, "not by the deadline");
+}
+
+/// Guards against lost requests: a mute upstream still leaves the client its answer, within its time.
+#[test]
+fn a_mute_upstream_leaves_an_answer_before_the_deadline() {
+    let upstream = Upstream::start(Then::Mute);
+    let node = Setup::with(&[upstream.address]).start();
+    let answer = node.connect().exchange(&book(500, "x"));
+    assert!(![200, 429, 503].contains(&answer.status()), "{answer:?}");
+    until("the attempt's connection ends", || upstream.ended() == 1);
+}
+
+/// Guards against crashes and needless attempts over what clients send.
+#[test]
+fn unfit_requests_are_answered_plainly_and_go_nowhere() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut node = Setup::with(&[upstream.address]).start();
+    let good = book(5000, "x");
+    for (from, to) in [
+        ("/book/day", "/nothing"),
+        ("/book/day", "/%ff%00"),
+        ("POST", "DELETE"),
+        ("POST", "GET"),
+        ("acme", "nobody"),
+        ("X-Account: acme\r\n", ""),
+        ("X-Correlation-Id: 9b1f03aa\r\n", ""),
+        ("9b1f03aa", ""),
+        ("X-Time-Left-Ms: 5000\r\n", ""),
+        (": 5000", ": soon"),
+        (": 5000", ": -5"),
+        (": 5000", ": 99999999999999999999"),
+        ("Host", "X-Weight-Hint: heavy\r\nHost"),
+        ("/book/day", "/keyed"),
+        ("Content-Length: 1\r\n\r\nx", "Content-Length: 99999999\r\n\r\n"),
+        ("Content-Length: 1", "Content-Length: one"),
+        (" HTTP/1.1", ""),
+    ] {
+        let text = good.replacen(from, to, 1);
+        assert_ne!(text, good);
+        let answer = node.connect().exchange(&text);
+        assert!((400..500).contains(&answer.status()) && answer.status() != 429, "{text:?}: {answer:?}");
+    }
+    let long = "y".repeat(64 * 1024 + 1);
+    let chunk = format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{long}\r\n0\r\n\r\n", long.len());
+    let answer = node.connect().exchange(&good.replacen("Content-Length: 1\r\n\r\nx", &chunk, 1));
+    assert_eq!(answer.status(), 413);
+    node.connect().write("\u{1}\u{2} nonsense\r\n\r\n");
+    assert!(upstream.seen().is_empty());
+    // The largest that is allowed.
+    assert_eq!(node.connect().exchange(&book(5000, &long[1..])).status(), 200);
+    assert!(node.runs());
+}
+
+/// Guards the drain rule: once told that an upstream drains or is gone, nothing new goes there, not even on
+/// a connection that is still open.
+#[test]
+fn nothing_new_goes_to_an_upstream_that_drains_or_is_gone() {
+    for state in ["Terminating", "Gone"] {
+        let leaving = Upstream::start(Then::Answer(OK));
+        let (discovery, calls) = discovery();
+        let mut setup = Setup::with(&[leaving.address]);
+        (setup.discovery, setup.asks) = (discovery, true);
+        let node = setup.start();
+        let mut client = node.connect();
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+        let (target, watch) = calls.recv_timeout(LONG).unwrap();
+        assert!(target.contains("stream=1") && target.contains("index=1"), "{target}");
+        tell(&watch, &list(2, false, &[entry("s-0", leaving.address, state)]));
+        until("its idle connection is closed", || leaving.ended() == 1);
+        assert_eq!(client.exchange(&book(5000, "x")).status(), 503);
+        assert_eq!(leaving.seen().len(), 1);
+    }
+}
+
+/// Guards against an upstream being taken for its address: one that has moved is followed.
+#[test]
+fn an_upstream_that_moves_is_followed() {
+    let (before, after) = (Upstream::start(Then::Answer(OK)), Upstream::start(Then::Answer(OK)));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[before.address]);
+    (setup.discovery, setup.asks) = (discovery, true);
+    let node = setup.start();
+    let mut client = node.connect();
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+    let (_, watch) = calls.recv_timeout(LONG).unwrap();
+    tell(&watch, &list(2, false, &[entry("s-0", after.address, "Ready")]));
+    until("the connection to its old place is closed", || before.ended() == 1);
+    assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
+    assert_eq!((before.seen().len(), after.seen().len()), (1, 1));
+}
+
+/// Guards against a missed change: a line that can't be read may have been a drain, so the whole list is
+/// asked for. An entry that can't be read costs only itself.
+#[test]
+fn an_unreadable_line_has_the_list_asked_for_again() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[]);
+    (setup.discovery, setup.asks) = (discovery, true);
+    let mut node = setup.start();
+    let (_, watch) = calls.recv_timeout(LONG).unwrap();
+    tell(&watch, "");
+    tell(&watch, "{\"rev\":5,\"all\":tr");
+    let (target, watch) = calls.recv_timeout(LONG).unwrap();
+    assert!(target.contains("index=0"), "{target}");
+    let odd = r#"{"uid":7,"endpoint":[],"state":"Ready"}"#.to_owned();
+    let lost = r#"{"uid":"s-8","endpoint":"nowhere","state":"Ready"}"#.to_owned();
+    tell(&watch, &list(9, true, &[odd, lost, entry("s-9", upstream.address, "Ready")]));
+    let mut client = node.connect();
+    until("the list has come", || client.exchange(&look(5000)).status() == 200);
+    assert!(node.runs());
+}
+
+/// Guards against a watch that is dead without having ended: it says something every 2 s or is given up.
+#[test]
+fn a_silent_watch_is_given_up() {
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[nobody()]);
+    (setup.discovery, setup.asks) = (discovery, true);
+    let _node = setup.start();
+    let (_, _silent) = calls.recv_timeout(LONG).unwrap();
+    calls.recv_timeout(LONG).expect("another call");
+}
+
+/// Guards against clients locked out by others that only keep their connections.
+#[test]
+fn an_idle_client_makes_room_when_places_run_out() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.sockets = 64;
+    let mut node = setup.start();
+    let mut clients = Vec::new();
+    for _ in 0..100 {
+        let mut client = node.connect();
+        assert_eq!(client.exchange(&look(5000)).status(), 200);
+        clients.push(client);
+    }
+    assert!(clients[0].ends(), "the longest idle was closed between requests");
+    assert!(node.runs());
+}
+
+/// Guards what was taken before the end: SIGTERM turns ready to 503, connections end with their next answer,
+/// what is still unanswered gets its final answer, and the process ends by itself.
+#[test]
+fn a_planned_end_answers_all_that_was_taken() {
+    let mute = Upstream::start(Then::Mute);
+    let mut setup = Setup::with(&[mute.address]);
+    setup.deadline_ms = 60_000;
+    let mut node = setup.start();
+    let (mut held, mut kept) = (node.connect(), node.connect());
+    let ready = "GET /health/ready HTTP/1.1\r\nHost: app.svc\r\n\r\n";
+    assert_eq!(kept.exchange(ready).status(), 200);
+    held.write(&book(60_000, "x"));
+    until("the upstream has it", || mute.seen().len() == 1);
+    node.terminate();
+    let mut status = 200;
+    until("not ready any more", || {
+        let answer = node.connect().exchange(ready);
+        assert!(answer.status() == 200 || answer.header("connection") == Some("close"));
+        status = answer.status();
+        status == 503
+    });
+    let answer = held.answer().expect("an answer, not only an end");
+    assert!(![200, 429, 503].contains(&answer.status()), "it may have run: {answer:?}");
+    assert!(kept.ends(), "idle connections end");
+    assert!(node.wait().success());
+}
+
+/// Guards against a balancer that starts half configured: it says what is wrong and ends.
+#[test]
+fn a_bad_configuration_is_named() {
+    let path = std::env::temp_dir().join(format!("maplehook-bad-{}.json", std::process::id()));
+    let good = Setup::with(&[]).text();
+    for (from, to, named) in [
+        ("idempotent", "perhaps", "perhaps"),
+        ("\"seed\"", "\"seeds\"", "seed"),
+        ("\"balancers\":1", "\"balancers\":0", "balancers"),
+        ("{", "[", "maplehook:"),
+    ] {
+        std::fs::write(&path, good.replacen(from, to, 1)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_maplehook"));
+        let output = command.env("NODE_CONFIG", &path).stderr(Stdio::piped()).output().unwrap();
+        let error = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && error.contains(named), "{error}");
+    }
+    std::fs::remove_file(&path).unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_maplehook")).env_remove("NODE_CONFIG").output().unwrap();
+    assert!(!output.status.success());
+}
