Tell every refused client when to come back, whatever limits.retry_after says

The setting decided nothing else and goes.

The test's settings now say false, and it fails without this.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -182,7 +182,6 @@
     /// Of the class `book`, which may not run twice, and of `look`, which may.
     pub deadline_ms: u64,
     pub asks: bool,
-    pub retry_after: bool,
 }
 
 impl Setup {
@@ -195,12 +194,11 @@
             sockets: 256,
             deadline_ms: 8000,
             asks: false,
-            retry_after: true,
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks, retry_after } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks } = self;
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -214,7 +212,7 @@
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
             "settings":{{"balancers":1,"me":0,"classes":[{}],"discovery":"{how}",
             "failure_domains":["a","b"],"skus":["m"],"locality":0,
-            "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":{retry_after}}},
+            "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false}},
             "parties":[{{"name":"acme","allowance_per_s":1000.0}}]}}}}"#,
             classes.join(",")
         )
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -57,7 +57,6 @@
     try_limit: Option<u32>,
     max_retry_after_ms: Option<f64>,
     may_probe: Option<bool>,
-    retry_after: Option<bool>,
     second_copies: Option<bool>,
 }
 
@@ -210,7 +209,6 @@
         hedging: limits.second_copies.unwrap_or(base.hedging),
         cancelling: limits.cancelling.unwrap_or(base.cancelling),
         probing: limits.may_probe.unwrap_or(base.probing),
-        retry_after: limits.retry_after.unwrap_or(base.retry_after),
         max_retry_after: time(limits.max_retry_after_ms, base.max_retry_after),
         connect_timeout: time(limits.connect_timeout_ms, base.connect_timeout),
         conn_idle: time(limits.conn_idle_ms, base.conn_idle),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -240,10 +240,12 @@
         self.send(id, turn);
     }
 
+    /// A refusal always tells when to come back. The moment is spread by the request's own number, so that
+    /// those refused together do not return together.
     fn refuse(&mut self, id: RequestId, left: Duration) {
         let longest = self.set.max_retry_after.min(left / 2);
-        let retry_after = self.set.retry_after.then(|| longest.mul_f64(0.5 + 0.5 * self.rng.f64()));
-        self.out.push(Action::Refuse { id, retry_after });
+        let retry_after = longest.mul_f64(0.5 + 0.5 * Chance::with_seed(u64::from(id.0)).f64());
+        self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
     }
 
     /// The tick: W and the grants, then the fleet's weights, overdue attempts and discovery.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -195,8 +195,6 @@
     pub cancelling: bool,
     /// Probes are allowed.
     pub probing: bool,
-    /// Clients are told how long to stay away after a refusal.
-    pub retry_after: bool,
     /// The longest stay away that clients heed.
     pub max_retry_after: Duration,
     /// A connection not made in this time counts as failed.
@@ -240,7 +238,6 @@
             hedging: true,
             cancelling: true,
             probing: false,
-            retry_after: true,
             max_retry_after: Duration::from_secs(1),
             connect_timeout: Duration::from_millis(250),
             conn_idle: Duration::from_secs(60),
