Ask the poller before a kept connection is used; end half-sent heads; bound buffers

Causes, by reading and by taking each mend out under the tests: - attempt() took a kept connection whose close the kernel knew of and no task had looked at; written to, it ends as a reset, which an unsafe request does not survive. It yields to the poller once first (upstream.rs, connection()). - A client that never ends its head kept its place for 60 s when places ran out; graceful shutdown waits for the head. It is dropped after 250 ms unless a request is in hand. - A watch that drips bytes without a line never fell silent; silence now counts from its last line. An upstream could have hyper buffer 400 KB a connection; 32 KiB now.

--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -16,6 +16,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+/// Size of a connection's buffer, the longest head: peers must not fill this machine's memory.
+const BUFFER: usize = 32 * 1024;
+
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
 struct Counted<S> {
     stream: TcpStream,
@@ -85,7 +88,8 @@
         stream.set_nodelay(true)?;
         let written = Rc::new(Cell::new(0));
         let io = TokioIo::new(Counted { stream, written: Rc::clone(&written), _slot: slot });
-        let (sender, connection) = http1::handshake(io).await.map_err(io::Error::other)?;
+        let (sender, connection) =
+            http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
         // How it ends shows at the sender.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
         Ok(Self { sender, task, written, peer })
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -17,9 +17,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
-/// A watch says something every 2 s. Silent for this long, it is dead, whatever its connection looks like.
+/// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
+/// like.
 const SILENCE_MOST: Duration = Duration::from_millis(3500);
 /// How long a connection to discovery may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -196,14 +197,14 @@
     async fn follow(&self, tell: &mut impl FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
-        let mut pending = BytesMut::new();
-        while let Some(frame) = timeout(SILENCE_MOST, body.frame()).await? {
+        let (mut pending, mut last_line) = (BytesMut::new(), Instant::now());
+        while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             let mut searched = pending.len();
             pending.extend_from_slice(&data);
             while let Some(n) = pending[searched..].iter().position(|byte| *byte == b'\n') {
                 let line = pending.split_to(searched + n + 1);
-                searched = 0;
+                (searched, last_line) = (0, Instant::now());
                 let line = line.trim_ascii();
                 if line.is_empty() {
                     continue;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,9 +18,10 @@
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::{LocalSet, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 use tracing::level_filters::LevelFilter;
 use upstream::Upstreams;
@@ -51,8 +52,9 @@
 
 fn run() -> Result<(), Box<dyn Error>> {
     let config = Config::from_env()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
+    runtime.block_on(serve(config))
 }
 
 async fn serve(config: Config) -> Result<(), Box<dyn Error>> {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -23,7 +23,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// The longest body of a request.
 const BODY_MOST: usize = 64 * 1024;
@@ -33,6 +33,8 @@
 const TIME_LEFT_MOST: u64 = 3_600_000;
 /// A connection on which no head comes for so long is closed.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// How long a connection that is to end may take over the rest of an answer, or of a head it has begun.
+const LINGER: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Size of a connection's buffer, the longest head.
@@ -69,6 +71,8 @@
     idle_since: Cell<Option<Instant>>,
     /// Told when it is to end after the answer in hand, or at once.
     close: Notify,
+    /// It has been told.
+    closing: Cell<bool>,
 }
 
 impl Server {
@@ -127,9 +131,10 @@
     /// Makes a place for a client that waits: one that only keeps its connection can open another.
     fn close_longest_idle(&self) {
         let clients = self.clients.borrow();
-        let idle = clients.values().filter_map(|c| c.idle_since.get().map(|since| (since, c)));
+        let open = clients.values().filter(|c| !c.closing.get());
+        let idle = open.filter_map(|c| c.idle_since.get().map(|since| (since, c)));
         if let Some((_, client)) = idle.min_by_key(|(since, _)| *since) {
-            client.idle_since.set(None);
+            client.closing.set(true);
             client.close.notify_one();
         }
     }
@@ -139,7 +144,11 @@
         let _ = stream.set_nodelay(true);
         let mut phase = self.phase.clone();
         let number = self.count.replace(self.count.get() + 1);
-        let client = Rc::new(Client { idle_since: Cell::new(Some(Instant::now())), close: Notify::new() });
+        let client = Rc::new(Client {
+            idle_since: Cell::new(Some(Instant::now())),
+            close: Notify::new(),
+            closing: Cell::new(false),
+        });
         self.clients.borrow_mut().insert(number, Rc::clone(&client));
         let (server, of) = (Rc::clone(&self), Rc::clone(&client));
         let service = service_fn(move |request| {
@@ -165,7 +174,14 @@
             ended = connection.as_mut() => ended,
             () = close => {
                 connection.as_mut().graceful_shutdown();
-                connection.await
+                loop {
+                    match timeout(LINGER, connection.as_mut()).await {
+                        Ok(ended) => break ended,
+                        // Part of a head at most: nothing was taken.
+                        Err(_) if client.idle_since.get().is_some() => break Ok(()),
+                        Err(_) => {}
+                    }
+                }
             }
         };
         if let Err(e) = ended {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -18,6 +18,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 /// The longest body of an answer; more is no answer.
@@ -224,6 +225,9 @@
             // Not an `if let`: the borrow must not be held while waiting.
             let idle = upstream.idle.borrow_mut().pop();
             let Some((mut connection, since)) = idle else { break };
+            // An end that the kernel knows of and nobody has looked at yet: the poller is asked first. Written
+            // to, such a connection would end as a reset, which an unsafe request does not survive.
+            yield_now().await;
             if since.elapsed() < self.idle_most && connection.is_usable().await {
                 return Ok((connection, true));
             }
@@ -404,6 +408,26 @@
         assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
     }
 
+    /// Guards against the moment between an upstream's close and this process's look at it.
+    #[tokio::test(flavor = "local")]
+    async fn a_connection_that_has_just_been_closed_is_not_written_to() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        for _ in 0..20 {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                stream
+            };
+            let request = outgoing();
+            let (ended, stream) =
+                tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            assert_eq!(ended.outcome, Outcome::Ok);
+            // No task runs between this and the next attempt.
+            drop(stream);
+        }
+    }
+
     /// Guards against running out of descriptors: an idle connection makes room, and where there is none
     /// the wait ends as not sent, which says nothing of the upstream.
     #[tokio::test(flavor = "local")]
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::io::Write;
 use std::process::{Command, Stdio};
 use std::time::Instant;
 
@@ -213,8 +214,18 @@
     let mut setup = Setup::with(&[nobody()]);
     (setup.discovery, setup.asks) = (discovery, true);
     let _node = setup.start();
-    let (_, _silent) = calls.recv_timeout(LONG).unwrap();
-    calls.recv_timeout(LONG).expect("another call");
+    // Each says something first: what was never answered the module asks for again by itself.
+    let (_, silent) = calls.recv_timeout(LONG).unwrap();
+    tell(&silent, &list(2, true, &[]));
+    let (_, mut dripping) = calls.recv_timeout(LONG).expect("another call");
+    tell(&dripping, &list(3, true, &[]));
+    // Bytes without a line say nothing either.
+    std::thread::spawn(move || {
+        while dripping.write_all(b"1\r\n \r\n").is_ok() {
+            std::thread::sleep(std::time::Duration::from_millis(200));
+        }
+    });
+    calls.recv_timeout(LONG).expect("a third call");
 }
 
 /// Guards against clients locked out by others that only keep their connections.
@@ -234,6 +245,22 @@
     assert!(node.runs());
 }
 
+/// Guards against places taken by clients that begin a request and never end it.
+#[test]
+fn clients_that_never_end_their_head_make_room() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.sockets = 64;
+    let node = setup.start();
+    let mut slow = Vec::new();
+    for _ in 0..40 {
+        let mut client = node.connect();
+        client.write("POST /book HTTP/1.1\r\nHost: a");
+        slow.push(client);
+    }
+    assert_eq!(node.connect().exchange(&look(8000)).status(), 200);
+}
+
 /// Guards what was taken before the end: SIGTERM turns ready to 503, connections end with their next answer,
 /// what is still unanswered gets its final answer, and the process ends by itself.
 #[test]
