--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -420,8 +420,9 @@
                 stream
             };
             let request = outgoing();
-            let (ended, stream) =
-                tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            // Without the guard the request goes into the old connection and no new one ever comes.
+            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
             assert_eq!(ended.outcome, Outcome::Ok);
             // No task runs between this and the next attempt.
             drop(stream);
