--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -113,11 +113,15 @@
                     continue;
                 }
             };
-            if places.available_permits() == 0 {
-                self.close_longest_idle();
-            }
-            // Never closed, so always had in the end.
-            let Ok(place) = Arc::clone(&places).acquire_owned().await else { break };
+            // Again and again: all may be busy now, and keep their connections once they are not.
+            let place = loop {
+                if places.available_permits() == 0 {
+                    self.close_longest_idle();
+                }
+                if let Ok(Ok(place)) = timeout(LINGER, Arc::clone(&places).acquire_owned()).await {
+                    break place;
+                }
+            };
             let server = Rc::clone(&self);
             spawn_local(async move {
                 server.connection(stream).await;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -135,9 +135,13 @@
     }
 }
 
-/// An address at which nobody listens.
+/// An address at which nobody listens. Its port stays taken, so that no other peer of these tests gets it.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let address = socket.local_addr().unwrap();
+    std::mem::forget(socket);
+    address
 }
 
 /// Discovery: it tells what was asked of it, each call with the stream on which to answer.
