A spoilt answer is an error of a live upstream, not a reset

Now what can't be parsed, is too long, or is framed in two ways is `Error`: it may have run, the upstream lives. Only a connection that ends is a reset. A length over the limit ends the attempt at the head.

Test: a_spoilt_answer_is_an_error_and_no_reset (fails before on every spoilt form).

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -7,12 +7,15 @@
 use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
 use crate::seldom::Seldom;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Body;
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
+use std::error::Error;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -279,7 +282,13 @@
                 Ok(Err(_)) if reused && written == 0 => {}
                 Ok(Err(e)) => {
                     tracing::debug!(upstream = id.0, written, length, "broken: {e}");
-                    return if written < length { Outcome::ConnectFailed } else { Outcome::Reset }.into();
+                    return match e {
+                        // It has been read, whole or not, by an upstream that lives and has answered.
+                        Broken::Spoilt(_) => Outcome::Error,
+                        Broken::Ended(_) if written < length => Outcome::ConnectFailed,
+                        Broken::Ended(_) => Outcome::Reset,
+                    }
+                    .into();
                 }
                 Err(_) => {
                     return if written < length { Outcome::NotSent } else { Outcome::TimedOut }.into();
@@ -349,13 +358,53 @@
     request
 }
 
+/// Why an exchange came to no answer.
+#[derive(Debug)]
+enum Broken {
+    /// The connection ended.
+    Ended(Failure),
+    /// What came is no answer, though the connection stands: the request may have run, and the upstream is
+    /// no worse than one that answers with an error.
+    Spoilt(Failure),
+}
+
+type Failure = Box<dyn Error + Send + Sync>;
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ended(e) => write!(f, "ended: {e}"),
+            Self::Spoilt(e) => write!(f, "spoilt: {e}"),
+        }
+    }
+}
+
+impl From<hyper::Error> for Broken {
+    fn from(e: hyper::Error) -> Self {
+        if e.is_parse() { Self::Spoilt(e.into()) } else { Self::Ended(e.into()) }
+    }
+}
+
+/// What went wrong with a body: hyper gives the reason for a framing that can't be read as invalid data.
+fn broken_body(e: Failure) -> Broken {
+    let io = e.source().and_then(|e| e.downcast_ref::<io::Error>()).map(io::Error::kind);
+    let unreadable = matches!(io, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput));
+    if unreadable || e.is::<LengthLimitError>() { Broken::Spoilt(e) } else { Broken::Ended(e) }
+}
+
 /// One request and its whole answer.
 async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
-) -> Result<Response<Bytes>, Box<dyn std::error::Error + Send + Sync>> {
+) -> Result<Response<Bytes>, Broken> {
     let (parts, body) = connection.send(request).await?.into_parts();
-    let body = Limited::new(body, BODY_MOST).collect().await?.to_bytes();
+    if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(Broken::Spoilt("two lengths".into()));
+    }
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(Broken::Spoilt("too long".into()));
+    }
+    let body = Limited::new(body, BODY_MOST).collect().await.map_err(broken_body)?.to_bytes();
     Ok(Response::from_parts(parts, body))
 }
 
@@ -429,6 +478,58 @@
         }
     }
 
+    /// Guards a fleet whose answers come spoilt now and then from being taken for dead: each such answer is an
+    /// error of an upstream that lives, ends the attempt at once, and its connection serves nobody again.
+    /// An answer that breaks off with its connection is another thing.
+    #[tokio::test(flavor = "local")]
+    async fn a_spoilt_answer_is_an_error_and_no_reset() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(80 * 1024));
+        let body =
+            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n{}", "y".repeat(0x11000));
+        for (text, outcome) in [
+            ("\u{1}\u{2} noise \r\n\r\n", Outcome::Error),
+            ("HTTP/1.1 2x0 OK\r\n\r\n", Outcome::Error),
+            (&long, Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ndone", Outcome::Error),
+            (
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                Outcome::Error,
+            ),
+            (&body, Outcome::Error),
+            (
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                Outcome::Ok,
+            ),
+        ] {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                // Where it is cut off on the way, its end was seen early enough.
+                let _ = stream.write_all(text.as_bytes()).await;
+                stream
+            };
+            let request = outgoing();
+            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let (ended, _open) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+            assert_eq!(ended.outcome, outcome, "{:?}", &text[..text.len().min(80)]);
+        }
+        for text in ["", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf"] {
+            upstreams.close_idle(ID);
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(text.as_bytes()).await.unwrap();
+            };
+            let request = outgoing();
+            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            assert_eq!(ended.outcome, Outcome::Reset, "{text:?}");
+        }
+    }
+
     /// Guards against running out of descriptors: an idle connection makes room, and where there is none
     /// the wait ends as not sent, which says nothing of the upstream.
     #[tokio::test(flavor = "local")]
