Bound what a client may take up before it asks anything fit; peek before a kept connection is used

Now client.rs knows how far each connection has come: 2 s from connecting to the first whole fit request, trickles and silence included; idle ones end after 6 s; when places run out, the silent and half-said go first, then those idle for over 2 s.

The pool has a file of its own and closes the longest idle connection of all, not the first found in hash order. A kept connection is peeked at in the moment of the first write: what came behind an answer is never taken for the next one's, and an end is seen without waiting for the poller.

--- /dev/null
+++ b/node/src/client.rs
@@ -0,0 +1,279 @@
+//! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The longest time from the connection, or from a later request's first byte, to the request's last byte.
+pub const READ_MOST: Duration = Duration::from_secs(2);
+/// A connection on which nothing has been asked for so long is closed.
+const IDLE_MOST: Duration = Duration::from_secs(6);
+/// Between two looks at a connection on which a request may begin at any time.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Time in which a new connection's first bytes usually come, and a request's last after its first.
+const PROMPT: Duration = Duration::from_millis(250);
+/// A connection idle for longer may be closed at will.
+const SPARE: Duration = Duration::from_secs(2);
+
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stand {
+    /// Nothing of use has come on it yet.
+    New,
+    /// The head of a request is here, the rest of it is not.
+    Reading,
+    /// A request is owed its answer.
+    Held,
+    /// The last request has its answer.
+    Idle,
+}
+
+/// What is known of a client's connection.
+pub struct Client {
+    stand: Cell<Stand>,
+    /// Whether a request of it was ever fit to be answered.
+    useful: Cell<bool>,
+    /// Since when nothing of use has come, or since the last answer.
+    since: Cell<Instant>,
+    /// When the request that is being read began.
+    begun: Cell<Option<Instant>>,
+    /// Lines that have come so far and begin with the name of [`LENGTH`], and those of them accounted for.
+    lengths: Cell<u64>,
+    accounted: Cell<u64>,
+    matched: Cell<usize>,
+    /// Told when it is to make room.
+    close: Notify,
+    closing: Cell<bool>,
+}
+
+const LENGTH: &[u8] = b"content-length";
+/// The rest of the line is no header's name, or was looked at.
+const SKIP: usize = usize::MAX;
+
+impl Client {
+    /// One that has just been accepted.
+    pub fn new() -> Self {
+        Self {
+            stand: Cell::new(Stand::New),
+            useful: Cell::new(false),
+            since: Cell::new(Instant::now()),
+            begun: Cell::new(None),
+            lengths: Cell::new(0),
+            accounted: Cell::new(0),
+            matched: Cell::new(0),
+            close: Notify::new(),
+            closing: Cell::new(false),
+        }
+    }
+
+    /// How far it has come.
+    pub fn stand(&self) -> Stand {
+        self.stand.get()
+    }
+
+    /// A head has come. Returns when the request has to be whole.
+    pub fn reads(&self) -> Instant {
+        let begun = self.begun.take().unwrap_or_else(Instant::now);
+        let begun = if self.stand.replace(Stand::Reading) == Stand::New { self.since.get() } else { begun };
+        self.begun.set(Some(begun));
+        begun + READ_MOST
+    }
+
+    /// The request is here whole and fit to be answered.
+    pub fn holds(&self) {
+        self.begun.set(None);
+        self.stand.set(Stand::Held);
+    }
+
+    /// The answer is made. A client that has only sent what is unfit stays as new as it was.
+    pub fn answered(&self) {
+        self.begun.set(None);
+        self.useful.set(self.useful.get() || self.stand.get() == Stand::Held);
+        if self.useful.get() {
+            self.stand.set(Stand::Idle);
+            self.since.set(Instant::now());
+        } else {
+            self.stand.set(Stand::New);
+        }
+    }
+
+    /// Whether a head names a length that hyper does not show: it drops `Content-Length` where there is
+    /// `Transfer-Encoding` too, in either order. `shown` are those that it does show. Where in doubt, as
+    /// with lines of an earlier body that look alike, they are taken for hidden.
+    pub fn hides_a_length(&self, shown: usize) -> bool {
+        let accounted = self.accounted.get() + shown as u64;
+        self.accounted.set(accounted);
+        self.lengths.get() > accounted
+    }
+
+    /// When it is to be closed, as things stand.
+    fn due(&self) -> Option<Instant> {
+        match (self.stand.get(), self.begun.get()) {
+            (Stand::New, _) => Some(self.since.get() + READ_MOST),
+            // A bit more: the answer says why.
+            (Stand::Reading, Some(begun)) => Some(begun + READ_MOST + PROMPT),
+            (Stand::Idle, Some(begun)) => Some(begun + READ_MOST),
+            (Stand::Idle, None) => Some(self.since.get() + IDLE_MOST),
+            (Stand::Held | Stand::Reading, None) | (Stand::Held, Some(_)) => None,
+        }
+    }
+
+    /// Waits until it has to make room, or has had all the time that it may take for what it does.
+    pub async fn is_to_end(&self) {
+        tokio::select! {
+            () = self.close.notified() => (),
+            () = self.overdue() => (),
+        }
+    }
+
+    async fn overdue(&self) {
+        loop {
+            let (now, due) = (Instant::now(), self.due());
+            if due.is_some_and(|due| due <= now) {
+                return;
+            }
+            let look = now + LOOK_EVERY;
+            let until = match due {
+                Some(due) if self.stand.get() == Stand::New => due,
+                due => due.map_or(look, |due| due.min(look)),
+            };
+            tokio::time::sleep_until(until).await;
+        }
+    }
+
+    /// How little is lost with it when places run out; the least goes first. Those that say nothing or only
+    /// half of something go before usual clients between two requests. `None`: it stays.
+    pub fn worth(&self, now: Instant) -> Option<(u8, Instant)> {
+        if self.closing.get() {
+            return None;
+        }
+        let since = self.begun.get().unwrap_or_else(|| self.since.get());
+        let age = now.saturating_duration_since(since);
+        let rank = match (self.stand.get(), self.begun.get()) {
+            (Stand::New | Stand::Reading, _) | (Stand::Idle, Some(_)) => {
+                if age > PROMPT {
+                    0
+                } else {
+                    2
+                }
+            }
+            (Stand::Idle, None) => {
+                if age > SPARE {
+                    1
+                } else {
+                    3
+                }
+            }
+            (Stand::Held, _) => return None,
+        };
+        Some((rank, since))
+    }
+
+    /// Has it make room.
+    pub fn end(&self) {
+        self.closing.set(true);
+        self.close.notify_one();
+    }
+
+    fn came(&self, mut bytes: &[u8]) {
+        if bytes.is_empty() {
+            return;
+        }
+        if self.stand.get() == Stand::Idle && self.begun.get().is_none() {
+            self.begun.set(Some(Instant::now()));
+        }
+        let mut matched = self.matched.get();
+        while let Some(byte) = bytes.first() {
+            if LENGTH.get(matched).is_some_and(|b| *b == byte.to_ascii_lowercase()) {
+                (matched, bytes) = (matched + 1, &bytes[1..]);
+                if matched == LENGTH.len() {
+                    self.lengths.set(self.lengths.get() + 1);
+                }
+            } else if let Some(n) = bytes.iter().position(|b| *b == b'\n') {
+                (matched, bytes) = (0, &bytes[n + 1..]);
+            } else {
+                (matched, bytes) = (SKIP, &[]);
+            }
+        }
+        self.matched.set(matched);
+    }
+}
+
+/// A client's stream, looked at as it is read.
+pub struct Inbound {
+    stream: TcpStream,
+    client: Rc<Client>,
+}
+
+impl Inbound {
+    /// The stream of this client.
+    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
+        Self { stream, client }
+    }
+}
+
+impl AsyncRead for Inbound {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.client.came(&buf.filled()[before..]);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Inbound {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the look for hidden lengths: however the bytes are cut, and whatever the name's case.
+    #[test]
+    fn lengths_are_found_however_they_come() {
+        let text =
+            b"POST / HTTP/1.1\r\nX: content-length\r\ncOntent-Length: 4\r\nContent-Lengt: 1\r\n\r\nabcd";
+        for cut in 1..text.len() {
+            let client = Client::new();
+            text.chunks(cut).for_each(|chunk| client.came(chunk));
+            assert!(client.hides_a_length(0), "{cut}");
+            let client = Client::new();
+            text.chunks(cut).for_each(|chunk| client.came(chunk));
+            assert!(!client.hides_a_length(1), "{cut}");
+        }
+    }
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -21,8 +21,8 @@
     pub discovery: SocketAddr,
     /// The seed of all chance.
     pub seed: u64,
-    /// How many descriptors the process may hold.
-    pub sockets: usize,
+    /// What the process may use.
+    pub limits: Limits,
     /// The upstreams last known, in discovery's form; empty if none are.
     pub known: String,
     /// The settings of the site.
@@ -47,22 +47,28 @@
     discovery: SocketAddr,
     seed: String,
     #[serde(default)]
-    limits: RawLimits,
+    limits: Limits,
     #[serde(borrow, default)]
     known: Option<&'a RawValue>,
     #[serde(borrow)]
     settings: &'a RawValue,
 }
 
-#[derive(Deserialize)]
+/// What the platform lets a balancer use.
+#[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(default)]
-struct RawLimits {
-    sockets: usize,
+pub struct Limits {
+    /// Cores, or the part of one.
+    pub cores: f64,
+    /// Memory.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub sockets: usize,
 }
 
-impl Default for RawLimits {
+impl Default for Limits {
     fn default() -> Self {
-        Self { sockets: 1024 }
+        Self { cores: 1.0, memory_mb: 192, sockets: 1024 }
     }
 }
 
@@ -87,7 +93,7 @@
             listen: raw.listen,
             discovery: raw.discovery,
             seed,
-            sockets: raw.limits.sockets,
+            limits: raw.limits,
             known: raw.known.map_or_else(String::new, |k| k.get().to_owned()),
             site,
         })
@@ -95,12 +101,12 @@
 
     /// How many connections to upstreams may be open.
     pub fn upstream_connections(&self) -> usize {
-        ((self.sockets - RESERVED_SOCKETS) as f64 * UPSTREAM_PART) as usize
+        ((self.limits.sockets - RESERVED_SOCKETS) as f64 * UPSTREAM_PART) as usize
     }
 
     /// How many clients' connections may be open.
     pub fn client_connections(&self) -> usize {
-        self.sockets - RESERVED_SOCKETS - self.upstream_connections()
+        self.limits.sockets - RESERVED_SOCKETS - self.upstream_connections()
     }
 }
 
--- a/node/src/connection.rs
+++ b/node/src/connection.rs
@@ -6,8 +6,10 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -23,10 +25,28 @@
 struct Counted<S> {
     stream: TcpStream,
     written: Rc<Cell<u64>>,
+    /// Set before a request: its first byte may only go out on a connection that is silent and open.
+    listen_first: Rc<Cell<bool>>,
     _slot: S,
 }
 
 impl<S> Counted<S> {
+    /// An error where something has come that nobody asked for, the end of the connection included. The
+    /// kernel is asked, as this process may not have looked since: what came behind an earlier answer must
+    /// not be taken for the answer to the next request, and a request written to a connection that has ended
+    /// would be a reset, which an unsafe one does not survive.
+    fn hear(&self) -> io::Result<()> {
+        if !self.listen_first.replace(false) {
+            return Ok(());
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(e) => Err(e),
+            Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "bytes on an idle connection")),
+        }
+    }
+
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &poll {
             self.written.set(self.written.get() + *n as u64);
@@ -47,6 +67,7 @@
 
 impl<S: Unpin> AsyncWrite for Counted<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.hear()?;
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(poll)
     }
@@ -56,6 +77,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.hear()?;
         let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(poll)
     }
@@ -78,6 +100,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     written: Rc<Cell<u64>>,
+    listen_first: Rc<Cell<bool>>,
     peer: SocketAddr,
 }
 
@@ -86,13 +109,19 @@
     pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Counted { stream, written: Rc::clone(&written), _slot: slot });
+        let (written, listen_first) = <(Rc<Cell<u64>>, Rc<Cell<bool>>)>::default();
+        let counted = Counted {
+            stream,
+            written: Rc::clone(&written),
+            listen_first: Rc::clone(&listen_first),
+            _slot: slot,
+        };
+        let io = TokioIo::new(counted);
         let (sender, connection) =
             http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
         // How it ends shows at the sender.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { sender, task, written, peer })
+        Ok(Self { sender, task, written, listen_first, peer })
     }
 
     /// Whom it leads to.
@@ -115,8 +144,10 @@
         self.written.get()
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. Nothing of it goes out where something has come
+    /// already.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+        self.listen_first.set(true);
         self.sender.send_request(request).await
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,10 +1,13 @@
 //! `maplehook`: a load balancer on real sockets. Every decision is the `lapisroute` library's.
 
+mod client;
 mod config;
 mod connection;
 mod discovery;
 mod driver;
 mod headers;
+mod pool;
+mod requests;
 mod seldom;
 mod server;
 mod upstream;
@@ -68,7 +71,12 @@
     let upstreams = Upstreams::new(&config.site.settings, config.upstream_connections());
     let discovery = Discovery::new(config.discovery, config.site.names.clone());
     let known = discovery.known(&config.known);
-    tracing::info!(listen = %listener.local_addr()?, upstreams = known.entries.len(), "serving");
+    tracing::info!(
+        listen = %listener.local_addr()?,
+        upstreams = known.entries.len(),
+        limits = ?config.limits,
+        "serving"
+    );
     let driver = Driver::start(balancer, upstreams, discovery, known);
     let (phase, phases) = watch::channel(Phase::Serving);
     let server = Server::new(driver.clone(), &config.site, phases);
--- /dev/null
+++ b/node/src/pool.rs
@@ -0,0 +1,177 @@
+//! Connections to upstreams: how many may be open, and which of them are idle.
+
+use crate::connection::Connection;
+use crate::seldom::Seldom;
+use lapisroute::UpstreamId;
+use rustc_hash::FxHashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How often idle connections are looked over.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+
+/// Connections open to all upstreams together.
+#[derive(Default)]
+struct Open {
+    count: Cell<usize>,
+    freed: Notify,
+}
+
+/// One of them, until its descriptor is closed.
+pub struct Slot(Rc<Open>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
+/// An idle connection.
+struct Kept {
+    upstream: UpstreamId,
+    connection: Connection,
+    since: Instant,
+}
+
+/// Idle connections by the order in which they fell idle.
+#[derive(Default)]
+struct Idle {
+    kept: BTreeMap<u64, Kept>,
+    /// The same by upstream; none is empty.
+    of: FxHashMap<UpstreamId, VecDeque<u64>>,
+    next: u64,
+}
+
+impl Idle {
+    fn remove(&mut self, number: u64) -> Option<Kept> {
+        let kept = self.kept.remove(&number)?;
+        if let Some(of) = self.of.get_mut(&kept.upstream) {
+            // At one of the ends, but for one that its upstream has closed.
+            of.retain(|n| *n != number);
+            if of.is_empty() {
+                self.of.remove(&kept.upstream);
+            }
+        }
+        Some(kept)
+    }
+}
+
+/// The connections to all upstreams.
+pub struct Pool {
+    idle: RefCell<Idle>,
+    open: Rc<Open>,
+    most_open: usize,
+    idle_most: Duration,
+    full: Seldom,
+}
+
+impl Pool {
+    /// At most `most_open` connections, each of use while it has not been idle for `idle_most`.
+    pub fn new(most_open: usize, idle_most: Duration) -> Self {
+        Self { idle: RefCell::default(), open: Rc::default(), most_open, idle_most, full: Seldom::default() }
+    }
+
+    /// Keeps a connection on which nothing is out.
+    pub fn put(&self, upstream: UpstreamId, connection: Connection) {
+        if connection.is_closed() {
+            return;
+        }
+        let idle = &mut *self.idle.borrow_mut();
+        let number = idle.next;
+        idle.next += 1;
+        idle.kept.insert(number, Kept { upstream, connection, since: Instant::now() });
+        idle.of.entry(upstream).or_default().push_back(number);
+    }
+
+    /// The connection to an upstream that fell idle last, if any is still of use.
+    pub fn take(&self, upstream: UpstreamId) -> Option<Connection> {
+        let idle = &mut *self.idle.borrow_mut();
+        while let Some(number) = idle.of.get(&upstream).and_then(|of| of.back().copied()) {
+            let kept = idle.remove(number)?;
+            if kept.since.elapsed() < self.idle_most && !kept.connection.is_closed() {
+                return Some(kept.connection);
+            }
+        }
+        None
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn close(&self, upstream: UpstreamId) {
+        let idle = &mut *self.idle.borrow_mut();
+        for number in idle.of.remove(&upstream).unwrap_or_default() {
+            idle.kept.remove(&number);
+        }
+    }
+
+    /// Closes the one that has been idle longest, whoever is at its other end; `false` if none is idle.
+    fn close_oldest(&self) -> bool {
+        let idle = &mut *self.idle.borrow_mut();
+        let number = idle.kept.first_key_value().map(|(number, _)| *number);
+        number.and_then(|number| idle.remove(number)).is_some()
+    }
+
+    /// Room for one more connection, made by closing an idle one if need be.
+    pub async fn slot(&self) -> Slot {
+        while self.open.count.get() >= self.most_open {
+            if !self.close_oldest() {
+                self.full.warn(|| format!("all {} connections to upstreams are in use", self.most_open));
+            }
+            self.open.freed.notified().await;
+        }
+        self.open.count.set(self.open.count.get() + 1);
+        Slot(Rc::clone(&self.open))
+    }
+
+    /// Closes what has been idle for long, again and again.
+    pub async fn sweep(&self) {
+        loop {
+            tokio::time::sleep(SWEEP_EVERY).await;
+            let (now, idle) = (Instant::now(), &mut *self.idle.borrow_mut());
+            let useless = |kept: &Kept| kept.connection.is_closed() || now - kept.since >= self.idle_most;
+            let numbers: Vec<u64> =
+                idle.kept.iter().filter(|(_, kept)| useless(kept)).map(|(n, _)| *n).collect();
+            for number in numbers {
+                idle.remove(number);
+            }
+        }
+    }
+
+    /// How many connections are open.
+    #[cfg(test)]
+    pub fn open(&self) -> usize {
+        self.open.count.get()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    const LONG: Duration = Duration::from_secs(20);
+
+    /// Guards warm connections where places run out: the one least likely to be used again makes room,
+    /// whichever upstream it leads to.
+    #[tokio::test(flavor = "local")]
+    async fn the_longest_idle_makes_room() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let peer = listener.local_addr().unwrap();
+        let pool = Pool::new(9, LONG);
+        let order = [3, 8, 1, 7, 2, 9, 4, 6, 5].map(UpstreamId);
+        for upstream in order {
+            pool.put(upstream, Connection::open(peer, pool.slot().await).await.unwrap());
+        }
+        let mut slots = Vec::new();
+        for (n, upstream) in order.into_iter().enumerate() {
+            assert!(pool.idle.borrow().of.contains_key(&upstream));
+            slots.push(pool.slot().await);
+            assert!(!pool.idle.borrow().of.contains_key(&upstream), "{n}");
+            assert_eq!((pool.idle.borrow().kept.len(), pool.open()), (8 - n, 9));
+        }
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,10 +1,11 @@
-//! The upstreams' side: their addresses, connections, attempts and probes, and what the outcomes are.
+//! The upstreams' side: their addresses, attempts and probes, and what the outcomes are.
 //!
 //! That an attempt never ran is said only of what can be proved: no connection was made, the kernel did not
 //! take the request's last byte before the connection ended, or the upstream says so itself.
 
 use crate::connection::{Connection, wire_length};
 use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
+use crate::pool::Pool;
 use crate::seldom::Seldom;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -20,8 +21,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::Notify;
-use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 /// The longest body of an answer; more is no answer.
@@ -29,8 +28,6 @@
 /// Share of the upstreams' idle time after which a connection is closed or not used any more: a request that
 /// crosses the upstream's own close ends as a reset, and an unsafe one is lost to its client then.
 const IDLE_SHARE: f64 = 0.8;
-/// How often idle connections are looked over.
-const SWEEP_EVERY: Duration = Duration::from_millis(100);
 /// How long a probe may take.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -88,42 +85,13 @@
     boot_ms: Cell<u64>,
     /// Cleared once it drains or is gone: attempts that still wait for a connection look here.
     ready: Cell<bool>,
-    /// Idle connections, the most recently used last, and since when.
-    idle: RefCell<Vec<(Connection, Instant)>>,
-}
-
-impl Upstream {
-    fn put_back(&self, connection: Connection) {
-        if self.ready.get() && self.endpoint.get() == Some(connection.peer()) && !connection.is_closed() {
-            self.idle.borrow_mut().push((connection, Instant::now()));
-        }
-    }
-}
-
-/// Connections open to all upstreams together.
-#[derive(Default)]
-struct Open {
-    count: Cell<usize>,
-    freed: Notify,
-}
-
-/// One of them, until its descriptor is closed.
-struct Slot(Rc<Open>);
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        self.0.count.set(self.0.count.get() - 1);
-        self.0.freed.notify_one();
-    }
 }
 
 /// All upstreams known.
 pub struct Upstreams {
     known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
-    open: Rc<Open>,
-    most_open: usize,
+    pool: Pool,
     connect_timeout: Duration,
-    idle_most: Duration,
     reports: Reports,
     report_fields: Vec<LoadField>,
     odd_reports: Seldom,
@@ -134,10 +102,8 @@
     pub fn new(settings: &Settings, most_open: usize) -> Self {
         Self {
             known: RefCell::default(),
-            open: Rc::default(),
-            most_open,
+            pool: Pool::new(most_open, settings.conn_idle.mul_f64(IDLE_SHARE)),
             connect_timeout: settings.connect_timeout,
-            idle_most: settings.conn_idle.mul_f64(IDLE_SHARE),
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
             odd_reports: Seldom::default(),
@@ -150,8 +116,8 @@
         if place.availability == Availability::Gone {
             if let Some(upstream) = known.remove(&id) {
                 upstream.ready.set(false);
-                upstream.idle.borrow_mut().clear();
             }
+            self.pool.close(id);
             return;
         }
         let upstream = known.entry(id).or_insert_with(|| {
@@ -159,7 +125,6 @@
                 endpoint: Cell::new(None),
                 boot_ms: Cell::new(place.boot_ms),
                 ready: Cell::new(false),
-                idle: RefCell::default(),
             })
         });
         let moved = place.endpoint.is_some() && upstream.endpoint.get() != place.endpoint;
@@ -169,7 +134,7 @@
         upstream.ready.set(place.availability == Availability::Ready);
         // Connections to a process that is no more, or wants nothing new, serve nobody.
         if upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved || !upstream.ready.get() {
-            upstream.idle.borrow_mut().clear();
+            self.pool.close(id);
         }
     }
 
@@ -179,7 +144,7 @@
             let stays = listed(*id);
             if !stays {
                 upstream.ready.set(false);
-                upstream.idle.borrow_mut().clear();
+                self.pool.close(*id);
             }
             stays
         });
@@ -187,58 +152,36 @@
 
     /// Closes the idle connections to one.
     pub fn close_idle(&self, id: UpstreamId) {
-        if let Some(upstream) = self.known.borrow().get(&id) {
-            upstream.idle.borrow_mut().clear();
-        }
+        self.pool.close(id);
     }
 
     /// Closes what has been idle for long, again and again.
     pub async fn sweep(&self) {
-        loop {
-            tokio::time::sleep(SWEEP_EVERY).await;
-            let now = Instant::now();
-            for upstream in self.known.borrow().values() {
-                let mut idle = upstream.idle.borrow_mut();
-                idle.retain(|(connection, since)| !connection.is_closed() && now - *since < self.idle_most);
-            }
-        }
-    }
-
-    fn close_an_idle_one(&self) {
-        let known = self.known.borrow();
-        let mut idle = known.values().map(|u| u.idle.borrow_mut());
-        if let Some(mut idle) = idle.find(|idle| !idle.is_empty()) {
-            idle.remove(0);
-        }
+        self.pool.sweep().await;
     }
 
-    /// Room for one more connection, made by closing an idle one if need be.
-    async fn slot(&self) -> Slot {
-        while self.open.count.get() >= self.most_open {
-            self.close_an_idle_one();
-            self.open.freed.notified().await;
+    fn put_back(&self, id: UpstreamId, upstream: &Upstream, connection: Connection) {
+        if upstream.ready.get() && upstream.endpoint.get() == Some(connection.peer()) {
+            self.pool.put(id, connection);
         }
-        self.open.count.set(self.open.count.get() + 1);
-        Slot(Rc::clone(&self.open))
     }
 
     /// A connection in use before, or else a new one; `true`: in use before.
-    async fn connection(&self, upstream: &Upstream, give_up: Instant) -> Result<(Connection, bool), Outcome> {
-        loop {
-            // Not an `if let`: the borrow must not be held while waiting.
-            let idle = upstream.idle.borrow_mut().pop();
-            let Some((mut connection, since)) = idle else { break };
-            // An end that the kernel knows of and nobody has looked at yet: the poller is asked first. Written
-            // to, such a connection would end as a reset, which an unsafe request does not survive.
-            yield_now().await;
-            if since.elapsed() < self.idle_most && connection.is_usable().await {
+    async fn connection(
+        &self,
+        id: UpstreamId,
+        upstream: &Upstream,
+        give_up: Instant,
+    ) -> Result<(Connection, bool), Outcome> {
+        while let Some(mut connection) = self.pool.take(id) {
+            if connection.is_usable().await {
                 return Ok((connection, true));
             }
         }
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
         let until = give_up.min(Instant::now() + self.connect_timeout);
         // Out of descriptors or of time says nothing of the upstream.
-        let Ok(slot) = timeout_at(until, self.slot()).await else { return Err(Outcome::NotSent) };
+        let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
         match timeout_at(until, Connection::open(endpoint, slot)).await {
             Ok(Ok(connection)) => Ok((connection, false)),
             Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
@@ -256,14 +199,14 @@
         let upstream = self.known.borrow().get(&id).map(Rc::clone);
         let Some(upstream) = upstream else { return Outcome::NotSent.into() };
         loop {
-            let (mut connection, reused) = match self.connection(&upstream, give_up).await {
+            let (mut connection, reused) = match self.connection(id, &upstream, give_up).await {
                 Ok(got) => got,
                 Err(outcome) => return outcome.into(),
             };
             let left = give_up.saturating_duration_since(Instant::now());
             // The moment of writing: it may have begun to drain while the connection was made.
             if !upstream.ready.get() || left.is_zero() {
-                upstream.put_back(connection);
+                self.put_back(id, &upstream, connection);
                 return Outcome::NotSent.into();
             }
             let request = request(outgoing, left);
@@ -274,7 +217,7 @@
                 Ok(Ok(response)) => {
                     // An answer that came before the request had left whole leaves the rest in the way.
                     if written >= length {
-                        upstream.put_back(connection);
+                        self.put_back(id, &upstream, connection);
                     }
                     return self.answered(response);
                 }
@@ -457,6 +400,45 @@
         assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
     }
 
+    /// Guards against another request's answer: what came behind an answer on a kept connection, a second copy
+    /// perhaps and perhaps unseen by this process as yet, is not taken for the answer to the next request.
+    #[tokio::test(flavor = "local")]
+    async fn what_came_behind_an_answer_serves_nobody() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        for behind_at_once in [true, false] {
+            for _ in 0..20 {
+                upstreams.close_idle(ID);
+                let first = async {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                    let twice = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+                    let (now, later) =
+                        twice.split_at(if behind_at_once { twice.len() } else { twice.len() / 2 });
+                    stream.write_all(now).await.unwrap();
+                    (stream, later)
+                };
+                let request = outgoing();
+                let (ended, (mut stream, later)) =
+                    tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), first);
+                assert_eq!(ended.outcome, Outcome::Ok);
+                // No task runs between this and the next attempt, but for this write.
+                assert_eq!(stream.try_write(later).unwrap(), later.len());
+                let second = async {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew").await.unwrap();
+                    stream
+                };
+                let both =
+                    async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), second) };
+                let (ended, _second) =
+                    timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+                assert_eq!(&ended.served.expect("an answer").body[..], b"new");
+                let _ = stream.read(&mut [0; 1]).await;
+            }
+        }
+    }
+
     /// Guards against the moment between an upstream's close and this process's look at it.
     #[tokio::test(flavor = "local")]
     async fn a_connection_that_has_just_been_closed_is_not_written_to() {
@@ -548,9 +530,9 @@
             let (ended, _stream) =
                 tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG), answer);
             assert_eq!(ended.outcome, Outcome::Ok);
-            assert_eq!(upstreams.open.count.get(), 1);
+            assert_eq!(upstreams.pool.open(), 1);
         }
-        let _taken = upstreams.slot().await;
+        let _taken = upstreams.pool.slot().await;
         let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
         assert_eq!(ended.outcome, Outcome::NotSent);
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -321,6 +321,11 @@
         self.reader.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// The same connection, for writing alone.
+    pub fn writer(&self) -> TcpStream {
+        self.reader.get_ref().try_clone().unwrap()
+    }
+
     /// The answer; `None` if the connection ends instead.
     pub fn answer(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -129,6 +129,17 @@
         ("/book/day", "/keyed"),
         ("Content-Length: 1\r\n\r\nx", "Content-Length: 99999999\r\n\r\n"),
         ("Content-Length: 1", "Content-Length: one"),
+        ("Content-Length: 1", "Content-Length: -1"),
+        ("Content-Length: 1", "Content-Length: 1\r\nContent-Length: 2"),
+        ("Content-Length: 1", "Content-Length: 1\r\nTransfer-Encoding: chunked"),
+        ("Content-Length: 1", "Transfer-Encoding: chunked\r\nContent-Length: 1"),
+        ("Content-Length: 1", "Transfer-Encoding: chunked\r\ncontent-LENGTH: 1"),
+        (": 5000", ": +5000"),
+        (": 5000", ": 5000\r\nX-Time-Left-Ms: 5000"),
+        ("9b1f03aa", "9b1f03aa\r\nX-Correlation-Id: 9b1f03aa"),
+        ("9b1f03aa", "9b\u{e9}03aa"),
+        ("acme", "acme\r\nX-Account: acme"),
+        ("Host: app.svc\r\n", ""),
         (" HTTP/1.1", ""),
     ] {
         let text = good.replacen(from, to, 1);
@@ -142,6 +153,10 @@
     assert_eq!(answer.status(), 413);
     node.connect().write("\u{1}\u{2} nonsense\r\n\r\n");
     assert!(upstream.seen().is_empty());
+    // Without a second length such a body is as good as any.
+    let chunk = "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+    let answer = node.connect().exchange(&good.replacen("Content-Length: 1\r\n\r\nx", chunk, 1));
+    assert_eq!(answer.status(), 200);
     // The largest that is allowed.
     assert_eq!(node.connect().exchange(&book(5000, &long[1..])).status(), 200);
     assert!(node.runs());
@@ -282,6 +297,69 @@
     assert!(node.runs());
 }
 
+/// Guards against places held for nothing: a client has some seconds from its connection for its first whole
+/// request, however it spends them. Time left that no class gives is not believed.
+#[test]
+fn clients_that_come_to_nothing_are_answered_or_ended() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let unfinished = book(3_000_000, &"x".repeat(9999)).replacen(&"x".repeat(9000), "", 1);
+    for text in ["", "POST /book HTTP/1.1\r\nHost: a", &unfinished, &look(5000).replace("/look", "/nothing")]
+    {
+        let mut client = node.connect();
+        client.write(text);
+        if let Some(answer) = client.answer() {
+            assert!((400..500).contains(&answer.status()), "{answer:?}");
+        }
+        assert!(client.ends(), "{text:?}");
+    }
+    for text in ["POST /book HTTP/1.1\r\nHost: a\r\n", &unfinished] {
+        let mut client = node.connect();
+        client.write(text);
+        let mut trickle = client.writer();
+        let start = Instant::now();
+        while trickle.write_all(b"a").is_ok() {
+            assert!(start.elapsed() < LONG, "in vain: {text:?} is ended");
+            std::thread::sleep(std::time::Duration::from_millis(50));
+        }
+    }
+    assert!(upstream.seen().is_empty());
+}
+
+/// Guards usual clients, between two requests or just come, against others that connect by hundreds and say
+/// nothing.
+#[test]
+fn silent_clients_go_before_usual_ones() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.sockets = 64;
+    let node = setup.start();
+    let (mut kept, mut silent) = (node.connect(), Vec::new());
+    for _ in 0..100 {
+        silent.push(node.connect());
+        assert_eq!(kept.exchange(&look(8000)).status(), 200);
+    }
+    assert_eq!(node.connect().exchange(&look(8000)).status(), 200);
+    assert!(silent[0].ends());
+}
+
+/// Guards an open request against another that bears its id, by mistake or not: that one goes nowhere.
+#[test]
+fn the_id_of_an_open_request_is_refused_and_the_open_one_untouched() {
+    let mute = Upstream::start(Then::Mute);
+    let node = Setup::with(&[mute.address]).start();
+    let (mut open, mut other) = (node.connect(), node.connect());
+    open.write(&book(3000, "x"));
+    until("the upstream has it", || mute.seen().len() == 1);
+    for _ in 0..2 {
+        assert_eq!(other.exchange(&book(3000, "x")).status(), 409);
+    }
+    assert_eq!(open.answer().expect("its own answer").status(), 502);
+    assert_eq!((mute.seen().len(), mute.connections()), (1, 1));
+    // Its id is free again, whatever else is said of the next.
+    assert_ne!(node.connect().exchange(&book(1000, "x")).status(), 409);
+}
+
 /// Guards against places taken by clients that begin a request and never end it.
 #[test]
 fn clients_that_never_end_their_head_make_room() {
