An upstream is held for dead after breaks in a row and no answer meanwhile, not after one

A trace of the module (W, rate, ejections, each second) showed an ejection every 3 s a balancer, each followed by 21 s as cold: after ten seconds all eight upstreams stood as cold or ejected, their weights 0.1 to 0.5, and W with them. Ruled out: our own writes to connections known to be closed (peeked at now: no change), the processor (0.07 of 0.2 cores). Cause: learn() took one Reset or ConnectFailed for a death.

Now: three points of breaks since the last answer of any kind (a connection that can't be made counts two) and a quarter of a second without an answer. A process that has died meets both at once; its attempts meanwhile are refused connections, which are tried elsewhere.

Test: a_connection_broken_now_and_then_ejects_nobody (fails before).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,6 +68,12 @@
 /// share of its aim: not so under overload, when all are slow and leaving some makes it worse.
 const HEARD_OF: f64 = 3.0;
 const QUICK: f64 = 0.5;
+/// Broken connections in a row, and seconds without an answer, after which an upstream is held for dead and
+/// ejected; what one that can't be made counts for. A process that dies breaks all it has and refuses new
+/// ones; where one connection in ten breaks, three in a row are met every few seconds.
+const BREAKS: u32 = 3;
+const BREAKS_REFUSED: u32 = 2;
+const BREAKS_OVER: f64 = 0.25;
 /// Seconds of the first ejection; each one more without a success doubles it, three times at most.
 const EJECT: f64 = 1.5;
 /// Share of the ready upstreams that may be ejected: when more seem ill, the fault is not theirs.
@@ -661,7 +667,15 @@
             }
         }
         match outcome {
-            Outcome::ConnectFailed | Outcome::Reset if u.ejected_until <= self.at => {
+            Outcome::Ok | Outcome::Error | Outcome::Rejected => (u.breaks, u.alive_at) = (0, self.at),
+            Outcome::Reset => u.breaks += 1,
+            Outcome::ConnectFailed => u.breaks += BREAKS_REFUSED,
+            _ => {}
+        }
+        let dead = u.breaks >= BREAKS && self.at - u.alive_at > BREAKS_OVER;
+        match outcome {
+            Outcome::ConnectFailed | Outcome::Reset if dead && u.ejected_until <= self.at => {
+                u.breaks = 0;
                 let length = EJECT * f64::from(1 << u.ejections.min(3));
                 u.ejections += 1;
                 u.ejected_until = self.at + length * (0.75 + 0.5 * self.rng.f64());
@@ -745,6 +759,7 @@
                     started,
                     credit,
                     capacity: 1.0,
+                    alive_at: f64::NEG_INFINITY,
                     fresh: !first,
                     ..Upstream::default()
                 });
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,8 +19,10 @@
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
-    pub(crate) pace: f64, // mean of latency over what is usual for the class
-    pub(crate) seen: f64, // answers behind it, fading
+    pub(crate) pace: f64,     // mean of latency over what is usual for the class
+    pub(crate) seen: f64,     // answers behind it, fading
+    pub(crate) breaks: u32,   // connections broken since the last answer
+    pub(crate) alive_at: f64, // of that answer, whatever it was
     pub(crate) ejections: u32,
     pub(crate) ejected_until: f64,
     pub(crate) health: Vec<Health>, // by class
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -56,6 +56,23 @@
 }
 
 /// Takes connections and never answers.
+/// Guards against a fleet emptied by single broken connections, which any network has: as many attempts reach
+/// each upstream as without them, while one that breaks them all is left alone, as above.
+#[test]
+fn a_connection_broken_now_and_then_ejects_nobody() {
+    let attempts = |broken: Outcome| {
+        let mut bench = Bench::new(settings(Effect::AtMostOnce), &fleet(4));
+        let count = std::cell::Cell::new(0);
+        bench.traffic(2000, ms(5), |_| {
+            count.set(count.get() + 1);
+            Some(if count.get() % 10 < 3 { broken } else { Outcome::Ok })
+        });
+        (1..=4).map(|u| bench.attempts_at(UpstreamId(u))).min()
+    };
+    let (with, without) = (attempts(Outcome::Reset).unwrap(), attempts(Outcome::Ok).unwrap());
+    assert!(with * 10 >= without * 9, "{with} attempts at the least used, {without} where nothing breaks");
+}
+
 #[test]
 fn one_that_never_answers_is_passed_over() {
     let mut bench = Bench::new(settings(Effect::Idempotent), &fleet(4));
