Pass long answers on, within a part of the memory

Cause: BODY_MOST in upstream.rs, 64 KiB for answers too.

Now an answer may hold 1 MiB. Those over 64 KiB share a fifth of limits.memory_mb, taken at the head where it states its length and given back when the client's side lets go of the bytes; without room the attempt is an error. What states more, or goes on past it, still ends at once.

--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -11,6 +11,8 @@
 const RESERVED_SOCKETS: usize = 24;
 /// Part of the rest that connections to upstreams may take.
 const UPSTREAM_PART: f64 = 0.45;
+/// One part of so many of the memory may hold long answers; reading one takes it twice for a moment.
+const LONG_ANSWERS_PART: usize = 5;
 
 /// A balancer's configuration.
 #[derive(Debug)]
@@ -104,6 +106,11 @@
         ((self.limits.sockets - RESERVED_SOCKETS) as f64 * UPSTREAM_PART) as usize
     }
 
+    /// How many bytes the long answers in hand may hold.
+    pub fn long_answers(&self) -> usize {
+        (self.limits.memory_mb as usize).saturating_mul(1024 * 1024) / LONG_ANSWERS_PART
+    }
+
     /// How many clients' connections may be open.
     pub fn client_connections(&self) -> usize {
         self.limits.sockets - RESERVED_SOCKETS - self.upstream_connections()
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -68,7 +68,8 @@
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         TcpListener::bind(config.listen).await.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let upstreams = Upstreams::new(&config.site.settings, config.upstream_connections());
+    let upstreams =
+        Upstreams::new(&config.site.settings, config.upstream_connections(), config.long_answers());
     let discovery = Discovery::new(config.discovery, config.site.names.clone());
     let known = discovery.known(&config.known);
     tracing::info!(
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -20,11 +20,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// The longest body of an answer; more is no answer.
-const BODY_MOST: usize = 64 * 1024;
+/// The longest body of an answer; more is no answer. Those of requests are shorter: some answers hold some
+/// hundred KiB.
+const BODY_MOST: usize = 1024 * 1024;
+/// Answers up to this length always find room; longer ones share what there is.
+const BODY_SMALL: usize = 64 * 1024;
 /// Share of the upstreams' idle time after which a connection is closed or not used any more: a request that
 /// crosses the upstream's own close ends as a reset, and an unsafe one is lost to its client then.
 const IDLE_SHARE: f64 = 0.8;
@@ -91,6 +96,7 @@
 pub struct Upstreams {
     known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     pool: Pool,
+    long_answers: Room,
     connect_timeout: Duration,
     reports: Reports,
     report_fields: Vec<LoadField>,
@@ -98,11 +104,13 @@
 }
 
 impl Upstreams {
-    /// None yet; at most `most_open` connections will be open to them together.
-    pub fn new(settings: &Settings, most_open: usize) -> Self {
+    /// None yet; at most `most_open` connections will be open to them together, and long answers in hand
+    /// hold at most `long_answers` bytes.
+    pub fn new(settings: &Settings, most_open: usize, long_answers: usize) -> Self {
         Self {
             known: RefCell::default(),
             pool: Pool::new(most_open, settings.conn_idle.mul_f64(IDLE_SHARE)),
+            long_answers: Room(Arc::new(AtomicUsize::new(long_answers))),
             connect_timeout: settings.connect_timeout,
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
@@ -211,7 +219,7 @@
             }
             let request = request(outgoing, left);
             let (before, length) = (connection.written(), wire_length(&request));
-            let exchanged = timeout_at(give_up, exchange(&mut connection, request)).await;
+            let exchanged = timeout_at(give_up, exchange(&mut connection, request, &self.long_answers)).await;
             let written = connection.written() - before;
             match exchanged {
                 Ok(Ok(response)) => {
@@ -335,19 +343,66 @@
     if unreadable || e.is::<LengthLimitError>() { Broken::Spoilt(e) } else { Broken::Ended(e) }
 }
 
+/// Room for long answers, from the head's word on their length until the client has them.
+#[derive(Clone)]
+struct Room(Arc<AtomicUsize>);
+
+impl Room {
+    fn take(&self, length: usize) -> Option<Taken> {
+        let left = self.0.load(Ordering::Relaxed).checked_sub(length)?;
+        self.0.store(left, Ordering::Relaxed);
+        Some(Taken { room: self.clone(), length })
+    }
+}
+
+struct Taken {
+    room: Room,
+    length: usize,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.room.0.fetch_add(self.length, Ordering::Relaxed);
+    }
+}
+
+/// A long body and its room, given back together.
+struct Long(Bytes, #[expect(dead_code, reason = "held for its drop")] Taken);
+
+impl AsRef<[u8]> for Long {
+    fn as_ref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
 /// One request and its whole answer.
 async fn exchange(
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
+    room: &Room,
 ) -> Result<Response<Bytes>, Broken> {
     let (parts, body) = connection.send(request).await?.into_parts();
     if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
         return Err(Broken::Spoilt("two lengths".into()));
     }
-    if body.size_hint().lower() > BODY_MOST as u64 {
-        return Err(Broken::Spoilt("too long".into()));
+    let stated = body.size_hint().lower();
+    if stated > BODY_MOST as u64 {
+        return Err(Broken::Spoilt(format!("{stated} bytes are too long").into()));
     }
+    let room = |length: usize| match length {
+        ..=BODY_SMALL => Ok(None),
+        _ => room.take(length).map(Some).ok_or_else(|| Broken::Spoilt("no room for a long answer".into())),
+    };
+    let mut taken = room(stated as usize)?;
     let body = Limited::new(body, BODY_MOST).collect().await.map_err(broken_body)?.to_bytes();
+    if taken.is_none() {
+        // It did not say how long it was.
+        taken = room(body.len())?;
+    }
+    let body = match taken {
+        Some(taken) => Bytes::from_owner(Long(body, taken)),
+        None => body,
+    };
     Ok(Response::from_parts(parts, body))
 }
 
@@ -373,7 +428,7 @@
     async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
-        let upstreams = Rc::new(Upstreams::new(&settings, most_open));
+        let upstreams = Rc::new(Upstreams::new(&settings, most_open, 4 * BODY_MOST));
         let endpoint = Some(listener.local_addr().unwrap());
         let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
         upstreams.place(ID, &place);
@@ -467,8 +522,10 @@
     async fn a_spoilt_answer_is_an_error_and_no_reset() {
         let (upstreams, listener, _) = upstreams(8).await;
         let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(80 * 1024));
-        let body =
-            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11000\r\n{}", "y".repeat(0x11000));
+        let body = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n110000\r\n{}",
+            "y".repeat(0x11_0000)
+        );
         for (text, outcome) in [
             ("\u{1}\u{2} noise \r\n\r\n", Outcome::Error),
             ("HTTP/1.1 2x0 OK\r\n\r\n", Outcome::Error),
@@ -512,6 +569,40 @@
         }
     }
 
+    /// Guards long answers, which some upstreams give, and this machine's memory against many at once: their
+    /// room comes back when the client's side lets go of them.
+    #[tokio::test(flavor = "local")]
+    async fn long_answers_pass_while_there_is_room() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let body = "y".repeat(BODY_MOST);
+        let stated = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let chunk = format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+        let chunked = format!("HTTP/1.1 200 OK\r\n{chunk}");
+        let mut held = Vec::new();
+        for n in 0..10 {
+            upstreams.close_idle(ID);
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                let text = if n % 2 == 0 { &stated } else { &chunked };
+                // Where there is no room it is cut off.
+                let _ = stream.write_all(text.as_bytes()).await;
+            };
+            let request = outgoing();
+            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            if !(4..=5).contains(&n) {
+                let served = ended.served.expect("there is room");
+                assert_eq!(served.body.len(), BODY_MOST);
+                held.push(served);
+            } else {
+                assert_eq!(ended.outcome, Outcome::Error, "{n}");
+            }
+            if n == 5 {
+                held.clear();
+            }
+        }
+    }
+
     /// Guards against running out of descriptors: an idle connection makes room, and where there is none
     /// the wait ends as not sent, which says nothing of the upstream.
     #[tokio::test(flavor = "local")]
