--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -132,13 +132,11 @@
         Ok(Head { class: class.id, tenant, method, left, work_ms, repeat, id, parts })
     }
 
-    /// Reads the rest of a request that came at `came` and has to be whole by `whole_by`; from then on it
-    /// is open.
+    /// Reads the rest of a request, which has to be whole by `whole_by`; from then on it is open.
     pub async fn rest(
         &self,
         head: Head,
         body: Incoming,
-        came: Instant,
         whole_by: Instant,
     ) -> Result<(Asked, OpenId), Unfit> {
         const TOO_LONG: Unfit = Unfit(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
@@ -146,7 +144,6 @@
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err(TOO_LONG);
         }
-        let whole_by = whole_by.min(came + head.left);
         let body = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(TOO_LONG),
@@ -166,7 +163,8 @@
         headers::strip_hop_by_hop(&mut headers);
         let target = parts.uri.path_and_query().map(|p| hyper::Uri::from(p.clone())).unwrap_or_default();
         let outgoing = Outgoing { method, target, headers, body };
-        let deadline = came + left.saturating_sub(ON_THE_WAY);
+        // A request's time counts from its last byte: a client that writes slowly waits no less.
+        let deadline = Instant::now() + left.saturating_sub(ON_THE_WAY);
         Ok((Asked { class, tenant, deadline, work_ms, repeat, outgoing }, open))
     }
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -183,10 +183,9 @@
         request: Request<Incoming>,
         whole_by: Instant,
     ) -> Result<(Asked, OpenId), Unfit> {
-        let came = Instant::now();
         let (parts, body) = request.into_parts();
         let head = self.requests.head(parts, |shown| client.hides_a_length(shown))?;
-        let read = self.requests.rest(head, body, came, whole_by).await?;
+        let read = self.requests.rest(head, body, whole_by).await?;
         client.holds();
         Ok(read)
     }
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -326,6 +326,17 @@
     assert!(upstream.seen().is_empty());
 }
 
+/// Guards clients that write slowly: the time that they wait counts from their last byte.
+#[test]
+fn a_body_that_comes_late_takes_nothing_off_the_clients_time() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let (mut client, text) = (node.connect(), book(1000, "words"));
+    client.write(text.strip_suffix("words").unwrap());
+    std::thread::sleep(std::time::Duration::from_millis(1200));
+    assert_eq!(client.exchange("words").status(), 200);
+}
+
 /// Guards usual clients, between two requests or just come, against others that connect by hundreds and say
 /// nothing.
 #[test]
