Let an answer on its way to a slow reader finish before its connection ends

Now such a connection has 2 s (server.rs, finish()); between two requests it still ends at once.

Test: an_answer_on_its_way_is_finished (fails with the old limit). Tried and left out: taking attempts that are silent for three times the usual, while their upstream answers others, out of what is held and out of the mean latency.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -26,6 +26,8 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long a connection that is to end may take over the rest of an answer.
+const ANSWER_MOST: Duration = Duration::from_secs(2);
+/// How often it is looked at meanwhile, and an accept loop that waits for a place looks for another.
 const LINGER: Duration = Duration::from_millis(250);
 /// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -191,17 +193,26 @@
     }
 }
 
-/// Waits for the answer that a connection which shuts down is still owed, or that is on its way.
+/// Waits for the answer that a connection which shuts down is still owed, or that is on its way to a client
+/// who reads slowly. Between requests such a connection ends at once.
 async fn finish(
     client: &Client,
     mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
 ) -> hyper::Result<()> {
+    let mut answered = None;
     loop {
-        match timeout(LINGER, connection.as_mut()).await {
-            Ok(ended) => return ended,
-            // Part of a request, or of an answer that nobody reads.
-            Err(_) if client.stand() != Stand::Held => return Ok(()),
-            Err(_) => {}
+        if let Ok(ended) = timeout(LINGER, connection.as_mut()).await {
+            return ended;
+        }
+        match client.stand() {
+            Stand::Held => {}
+            // Part of a request at most: nothing was taken.
+            Stand::New | Stand::Reading => return Ok(()),
+            Stand::Idle => {
+                if answered.get_or_insert_with(Instant::now).elapsed() > ANSWER_MOST {
+                    return Ok(());
+                }
+            }
         }
     }
 }
@@ -231,3 +242,27 @@
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::pin::pin;
+
+    /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
+    #[tokio::test(flavor = "local")]
+    async fn an_answer_on_its_way_is_finished() {
+        let (client, whole) = (Client::new(), Cell::new(false));
+        client.reads();
+        client.holds();
+        client.answered();
+        let slow = pin!(async {
+            sleep(3 * LINGER).await;
+            whole.set(true);
+            Ok(())
+        });
+        finish(&client, slow).await.unwrap();
+        assert!(whole.get());
+        // One that never comes to an end is given up.
+        finish(&client, pin!(std::future::pending())).await.unwrap();
+    }
+}
