--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -1,5 +1,7 @@
 //! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
 
+use crate::entrance::Entrance;
+use maplehook_admission::ConnId;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -17,11 +19,8 @@
 const IDLE_MOST: Duration = Duration::from_secs(6);
 /// Between two looks at a connection on which a request may begin at any time.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
-/// Time in which a new connection's first bytes usually come, and a request's last after its first.
+/// Time for the word on why a request that did not come whole is not answered.
 const PROMPT: Duration = Duration::from_millis(250);
-/// A connection idle for longer may be closed at will.
-const SPARE: Duration = Duration::from_secs(2);
-
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stand {
@@ -35,8 +34,21 @@
     Idle,
 }
 
+/// What an answer was to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Question {
+    /// A request.
+    Request,
+    /// Our health.
+    Health,
+    /// What is no request.
+    Unfit,
+}
+
 /// What is known of a client's connection.
 pub struct Client {
+    entrance: Rc<Entrance>,
+    id: ConnId,
     stand: Cell<Stand>,
     /// Whether a request of it was ever fit to be answered.
     useful: Cell<bool>,
@@ -50,7 +62,6 @@
     matched: Cell<usize>,
     /// Told when it is to make room.
     close: Notify,
-    closing: Cell<bool>,
 }
 
 const LENGTH: &[u8] = b"content-length";
@@ -58,9 +69,11 @@
 const SKIP: usize = usize::MAX;
 
 impl Client {
-    /// One that has just been accepted.
-    pub fn new() -> Self {
+    /// One that has just been let in under this name.
+    pub fn new(entrance: Rc<Entrance>, id: ConnId) -> Self {
         Self {
+            entrance,
+            id,
             stand: Cell::new(Stand::New),
             useful: Cell::new(false),
             since: Cell::new(Instant::now()),
@@ -69,7 +82,6 @@
             accounted: Cell::new(0),
             matched: Cell::new(0),
             close: Notify::new(),
-            closing: Cell::new(false),
         }
     }
 
@@ -86,22 +98,33 @@
         begun + READ_MOST
     }
 
-    /// The request is here whole and fit to be answered.
-    pub fn holds(&self) {
+    /// The request is here whole and fit to be answered. `vouched`: it shows that its client is known.
+    pub fn holds(&self, tenant: u32, vouched: bool) {
         self.begun.set(None);
         self.stand.set(Stand::Held);
+        self.entrance.held(self.id, tenant, vouched);
     }
 
-    /// The answer is made. A client that has only sent what is unfit stays as new as it was.
-    pub fn answered(&self) {
+    /// The answer is made; `true`: the connection ends with it. A client that has only sent what is unfit
+    /// stays as new as it was.
+    pub fn answered(&self, question: Question) -> bool {
         self.begun.set(None);
-        self.useful.set(self.useful.get() || self.stand.get() == Stand::Held);
-        if self.useful.get() {
+        self.useful.set(self.useful.get() || question == Question::Request);
+        if self.useful.get() || question == Question::Health {
             self.stand.set(Stand::Idle);
             self.since.set(Instant::now());
         } else {
             self.stand.set(Stand::New);
         }
+        match question {
+            Question::Request => self.entrance.answered(self.id),
+            Question::Health | Question::Unfit => self.entrance.checked(self.id),
+        }
+    }
+
+    /// The connection has ended.
+    pub fn leaves(&self) {
+        self.entrance.left(self.id);
     }
 
     /// Whether a head names a length that hyper does not show: it drops `Content-Length` where there is
@@ -148,37 +171,8 @@
         }
     }
 
-    /// How little is lost with it when places run out; the least goes first. Those that say nothing or only
-    /// half of something go before usual clients between two requests. `None`: it stays.
-    pub fn worth(&self, now: Instant) -> Option<(u8, Instant)> {
-        if self.closing.get() {
-            return None;
-        }
-        let since = self.begun.get().unwrap_or_else(|| self.since.get());
-        let age = now.saturating_duration_since(since);
-        let rank = match (self.stand.get(), self.begun.get()) {
-            (Stand::New | Stand::Reading, _) | (Stand::Idle, Some(_)) => {
-                if age > PROMPT {
-                    0
-                } else {
-                    2
-                }
-            }
-            (Stand::Idle, None) => {
-                if age > SPARE {
-                    1
-                } else {
-                    3
-                }
-            }
-            (Stand::Held, _) => return None,
-        };
-        Some((rank, since))
-    }
-
     /// Has it make room.
     pub fn end(&self) {
-        self.closing.set(true);
         self.close.notify_one();
     }
 
@@ -188,6 +182,7 @@
         }
         if self.stand.get() == Stand::Idle && self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
+            self.entrance.began(self.id);
         }
         let mut matched = self.matched.get();
         while let Some(byte) = bytes.first() {
@@ -259,19 +254,26 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
+    use maplehook_admission::{Door, Policy};
+
+    /// A client alone in a house of ten places.
+    pub fn alone() -> Rc<Client> {
+        let entrance = Entrance::new(Door::new(Policy::default(), 10, &[], 7));
+        entrance.arrive("127.0.0.1".parse().unwrap()).unwrap().0
+    }
 
     /// Guards the look for hidden lengths: however the bytes are cut, and whatever the name's case.
-    #[test]
-    fn lengths_are_found_however_they_come() {
+    #[tokio::test]
+    async fn lengths_are_found_however_they_come() {
         let text =
             b"POST / HTTP/1.1\r\nX: content-length\r\ncOntent-Length: 4\r\nContent-Lengt: 1\r\n\r\nabcd";
         for cut in 1..text.len() {
-            let client = Client::new();
+            let client = alone();
             text.chunks(cut).for_each(|chunk| client.came(chunk));
             assert!(client.hides_a_length(0), "{cut}");
-            let client = Client::new();
+            let client = alone();
             text.chunks(cut).for_each(|chunk| client.came(chunk));
             assert!(!client.hides_a_length(1), "{cut}");
         }
--- /dev/null
+++ b/node/src/command.rs
@@ -0,0 +1,67 @@
+//! The command line, and the operator's file that it names.
+
+use clap::{Args, Parser, Subcommand};
+use maplehook_admission::token::Signer;
+use maplehook_config::Operator;
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// A load balancer for services that must keep their promises while things break. It reads the platform's
+/// configuration from the file that NODE_CONFIG names.
+#[derive(Parser)]
+#[command(version)]
+pub struct Line {
+    /// The operator's file, TOML; see deploy/maplehook.toml. Without one, the defaults hold.
+    #[arg(long, value_name = "FILE", global = true)]
+    pub config: Option<PathBuf>,
+    /// What to do instead of serving.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What to do instead of serving.
+#[derive(Subcommand)]
+pub enum Command {
+    /// Reads the operator's file and names all that is wrong with it.
+    Check,
+    /// Signs the word by which a known client shows itself.
+    Sign(Sign),
+}
+
+/// Signs a known client's word.
+#[derive(Args)]
+pub struct Sign {
+    /// The file that holds the secret.
+    #[arg(long, value_name = "FILE")]
+    secret: PathBuf,
+    /// The tenant whose client it is.
+    #[arg(long, value_name = "NAME")]
+    tenant: String,
+    /// How long the word is good, in seconds from now.
+    #[arg(long = "for", value_name = "SECONDS", value_parser = clap::value_parser!(u64).range(1..=315_360_000))]
+    lasts: u64,
+}
+
+impl Sign {
+    /// The word.
+    pub fn word(&self) -> Result<String, Box<dyn Error>> {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
+        let word = signer(&self.secret)?.sign(&self.tenant, now + self.lasts);
+        word.ok_or_else(|| format!("the tenant's name {:?} can't stand in a word", self.tenant).into())
+    }
+}
+
+/// Reads the secret that signs words.
+pub fn signer(path: &Path) -> Result<Signer, Box<dyn Error>> {
+    let secret = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Signer::new(secret.trim_ascii())
+        .ok_or_else(|| format!("{}: a secret has 16 bytes at least", path.display()).into())
+}
+
+/// Reads the operator's file, if there is one.
+pub fn operator(path: Option<&Path>) -> Result<Operator, Box<dyn Error>> {
+    let Some(path) = path else { return Ok(Operator::default()) };
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    maplehook_config::parse(&text).map_err(|e| format!("{}:\n{e}", path.display()).into())
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -6,11 +6,6 @@
 use std::fmt;
 use std::net::SocketAddr;
 
-/// Descriptors kept for what is neither a client nor an upstream: standard streams, the poller, the
-/// listener, signals, discovery's calls.
-const RESERVED_SOCKETS: usize = 24;
-/// Part of the rest that connections to upstreams may take.
-const UPSTREAM_PART: f64 = 0.45;
 /// One part of so many of the memory may hold long answers; reading one takes it twice for a moment.
 const LONG_ANSWERS_PART: usize = 5;
 
@@ -88,9 +83,6 @@
         let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
         let site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
-        if raw.limits.sockets < 2 * RESERVED_SOCKETS {
-            return Err(ConfigError(format!("limits.sockets: {} are too few", raw.limits.sockets)));
-        }
         Ok(Self {
             listen: raw.listen,
             discovery: raw.discovery,
@@ -101,20 +93,10 @@
         })
     }
 
-    /// How many connections to upstreams may be open.
-    pub fn upstream_connections(&self) -> usize {
-        ((self.limits.sockets - RESERVED_SOCKETS) as f64 * UPSTREAM_PART) as usize
-    }
-
     /// How many bytes the long answers in hand may hold.
     pub fn long_answers(&self) -> usize {
         (self.limits.memory_mb as usize).saturating_mul(1024 * 1024) / LONG_ANSWERS_PART
     }
-
-    /// How many clients' connections may be open.
-    pub fn client_connections(&self) -> usize {
-        self.limits.sockets - RESERVED_SOCKETS - self.upstream_connections()
-    }
 }
 
 #[cfg(test)]
@@ -126,11 +108,9 @@
         "settings": {"classes": [{"name": "a", "aim_ms": 200, "effect": "idempotent"}]}}"#;
 
     #[test]
-    fn the_descriptors_are_shared_out_within_the_limit() {
+    fn a_good_one_is_read() {
         let config = Config::parse(GOOD).unwrap();
-        assert_eq!(config.seed, 0x8c1f_30d2_7a5b_e964);
-        let out = config.upstream_connections() + config.client_connections() + RESERVED_SOCKETS;
-        assert_eq!(out, 1024);
+        assert_eq!((config.seed, config.limits.sockets), (0x8c1f_30d2_7a5b_e964, 1024));
         assert!(config.known.contains("targets"));
     }
 
@@ -139,7 +119,6 @@
         for (from, to, named) in [
             ("127.0.0.1:9", "nowhere", "socket address"),
             ("8c1f", "zzzz", "seed"),
-            ("1024", "20", "sockets"),
             ("idempotent", "maybe", "maybe"),
         ] {
             let error = Config::parse(&GOOD.replace(from, to)).unwrap_err().to_string();
--- /dev/null
+++ b/node/src/descriptors.rs
@@ -0,0 +1,198 @@
+//! The owner of this process's descriptors: how many each part may hold, what is done when none is left, and
+//! the one that is kept spare for that moment.
+
+use crate::seldom::Seldom;
+use maplehook_admission::budget::TooFew;
+use maplehook_admission::{Budget, Part};
+use rlimit::Resource;
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How often the process's own limit is read: it may be lowered from outside while it runs.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
+/// Pause after a failure for want of a descriptor: those told to end need a moment, and trying at once spins.
+pub const PAUSE: Duration = Duration::from_millis(5);
+
+/// Frees a descriptor before long; `false` if it has none that can be spared.
+type Relief = Box<dyn Fn() -> bool>;
+
+/// The descriptors of the process.
+pub struct Descriptors {
+    budget: RefCell<Budget>,
+    start: Instant,
+    spare: RefCell<Option<File>>,
+    reliefs: RefCell<Vec<Relief>>,
+    changed: RefCell<Vec<Box<dyn Fn()>>>,
+    /// When the reliefs were last called: many may fail at one moment.
+    relieved: Cell<Option<Instant>>,
+    short: Seldom,
+}
+
+/// The limit that the process finds.
+pub fn real_limit() -> usize {
+    // Where it can't be read, nothing is known to bind but the configuration.
+    Resource::NOFILE.get_soft().map_or(usize::MAX, |n| usize::try_from(n).unwrap_or(usize::MAX))
+}
+
+/// Sets the limit of the process, within what it may set itself.
+pub fn set_limit(limit: u64) -> io::Result<()> {
+    let (_, hard) = Resource::NOFILE.get()?;
+    if limit > hard {
+        return Err(io::Error::other(format!("{limit} descriptors are more than the {hard} allowed")));
+    }
+    Resource::NOFILE.set(limit, hard)
+}
+
+impl Descriptors {
+    /// `allowed` by configuration, within the real limit; upstreams get this share of what is shared out.
+    pub fn new(allowed: usize, upstream_share: f64) -> Result<Rc<Self>, TooFew> {
+        Ok(Rc::new(Self {
+            budget: RefCell::new(Budget::new(allowed, real_limit(), upstream_share)?),
+            start: Instant::now(),
+            spare: RefCell::new(spare()),
+            reliefs: RefCell::default(),
+            changed: RefCell::default(),
+            relieved: Cell::new(None),
+            short: Seldom::default(),
+        }))
+    }
+
+    /// How many a part may hold now.
+    pub fn of(&self, part: Part) -> usize {
+        self.budget.borrow().of(part)
+    }
+
+    /// Whom to ask for a descriptor when there is none; those added first are asked first.
+    pub fn relieved_by(&self, relief: impl Fn() -> bool + 'static) {
+        self.reliefs.borrow_mut().push(Box::new(relief));
+    }
+
+    /// Whom to tell that the parts have changed.
+    pub fn tells(&self, changed: impl Fn() + 'static) {
+        self.changed.borrow_mut().push(Box::new(changed));
+    }
+
+    /// Something could not be opened for want of a descriptor: the limit is read anew, and if it was not that,
+    /// the parts shrink; either way one descriptor is freed before long. Whoever failed waits [`PAUSE`].
+    pub fn starved(&self, what: &str) {
+        self.short.warn(|| format!("no descriptor left: {what}"));
+        let now = Instant::now();
+        if self.relieved.get().is_some_and(|at| now - at < PAUSE) {
+            return;
+        }
+        self.relieved.set(Some(now));
+        if !self.budget.borrow_mut().limit(real_limit()) {
+            self.budget.borrow_mut().exhausted(self.start.elapsed());
+        }
+        self.tell();
+        let _ = self.reliefs.borrow().iter().any(|relief| relief());
+    }
+
+    /// Does something with the spare descriptor given up for as long as it takes.
+    pub fn with_spare<T>(&self, act: impl FnOnce() -> T) -> T {
+        drop(self.spare.borrow_mut().take());
+        let done = act();
+        *self.spare.borrow_mut() = spare();
+        done
+    }
+
+    /// Gets the spare descriptor back, should something else have been quicker.
+    fn regain_spare(&self) {
+        let missing = self.spare.borrow().is_none();
+        if missing {
+            *self.spare.borrow_mut() = spare();
+        }
+    }
+
+    /// Follows the limit of the process, as long as it lives.
+    pub async fn watch(self: Rc<Self>) {
+        loop {
+            sleep(LOOK_EVERY).await;
+            self.regain_spare();
+            let limited = self.budget.borrow_mut().limit(real_limit());
+            let relaxed = self.budget.borrow_mut().relax(self.start.elapsed());
+            if limited {
+                tracing::warn!(
+                    clients = self.of(Part::Clients),
+                    upstreams = self.of(Part::Upstreams),
+                    "the limit on descriptors has changed"
+                );
+            }
+            if limited || relaxed {
+                self.tell();
+            }
+        }
+    }
+
+    fn tell(&self) {
+        self.changed.borrow().iter().for_each(|changed| changed());
+    }
+}
+
+fn spare() -> Option<File> {
+    File::open("/dev/null").ok()
+}
+
+/// Whether something failed for want of a descriptor: in the process, or in the system.
+pub fn out_of_descriptors(e: &io::Error) -> bool {
+    // EMFILE and ENFILE have no kind of their own.
+    matches!(e.raw_os_error(), Some(23 | 24))
+}
+
+/// Whether a connection failed on this side, so that it says nothing of the other: ports that are all in use
+/// or still closing (`EADDRNOTAVAIL`, `EADDRINUSE`), or memory of the kernel (`ENOBUFS`, `ENOMEM`).
+pub fn own_fault(e: &io::Error) -> bool {
+    use io::ErrorKind::{AddrInUse, AddrNotAvailable, OutOfMemory};
+    out_of_descriptors(e)
+        || matches!(e.kind(), AddrInUse | AddrNotAvailable | OutOfMemory)
+        || e.raw_os_error() == Some(105)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards an upstream from the blame for what ran out here.
+    #[test]
+    fn what_ran_out_here_is_told_from_what_failed_there() {
+        let is = |errno| own_fault(&io::Error::from_raw_os_error(errno));
+        assert!([23, 24, 98, 99, 105, 12].into_iter().all(is));
+        // Refused, reset, timed out, unreachable, aborted.
+        assert!(![111, 104, 110, 113, 101, 103].into_iter().any(is));
+    }
+
+    /// Guards the reliefs against a storm: many that fail at one moment end one connection, not one each.
+    #[tokio::test(flavor = "local", start_paused = true)]
+    async fn one_shortage_is_relieved_once() {
+        let descriptors = Descriptors::new(256, 0.5).unwrap();
+        let count = Rc::new(Cell::new((0, 0)));
+        let (first, second, told) = (Rc::clone(&count), Rc::clone(&count), Rc::new(Cell::new(0)));
+        descriptors.relieved_by(move || {
+            first.set((first.get().0 + 1, first.get().1));
+            first.get().0 > 1
+        });
+        descriptors.relieved_by(move || {
+            second.set((second.get().0, second.get().1 + 1));
+            true
+        });
+        let tells = Rc::clone(&told);
+        descriptors.tells(move || tells.set(tells.get() + 1));
+        let before = descriptors.of(Part::Clients);
+        (0..50).for_each(|_| descriptors.starved("test"));
+        assert_eq!((count.get(), told.get()), ((1, 1), 1));
+        assert!(descriptors.of(Part::Clients) + descriptors.of(Part::Upstreams) < 232);
+        sleep(PAUSE).await;
+        descriptors.starved("test");
+        // The first had one to spare now.
+        assert_eq!(count.get(), (2, 1));
+        // What was taken away comes back.
+        let watch = tokio::task::spawn_local(Rc::clone(&descriptors).watch());
+        sleep(Duration::from_secs(30)).await;
+        assert_eq!(descriptors.of(Part::Clients), before);
+        watch.abort();
+    }
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
 use crate::connection::Connection;
+use crate::descriptors::{self, Descriptors, out_of_descriptors};
 use crate::seldom::Seldom;
 use crate::upstream::Place;
 use bytes::{Bytes, BytesMut};
@@ -14,10 +15,12 @@
 use serde_json::value::RawValue;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::AbortHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
 /// like.
@@ -102,6 +105,7 @@
 pub struct Discovery {
     address: Cell<SocketAddr>,
     names: Names,
+    descriptors: Rc<Descriptors>,
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
     watch: RefCell<Option<AbortHandle>>,
@@ -112,10 +116,11 @@
 
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
-    pub fn new(address: SocketAddr, names: Names) -> Self {
+    pub fn new(address: SocketAddr, names: Names, descriptors: Rc<Descriptors>) -> Self {
         Self {
             address: Cell::new(address),
             names,
+            descriptors,
             rev: Cell::new(0),
             watch: RefCell::default(),
             odd: Seldom::default(),
@@ -241,7 +246,7 @@
 
     async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
         let address = self.address.get();
-        let mut connection = timeout(CONNECT_TIMEOUT, Connection::open(address, ())).await??;
+        let mut connection = timeout(CONNECT_TIMEOUT, self.connect(address)).await??;
         let request = Request::get(target).header(HOST, address.to_string());
         let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
         if response.status() != StatusCode::OK {
@@ -249,4 +254,17 @@
         }
         Ok((connection, response.into_body()))
     }
+
+    /// What discovery has to tell may not wait for a descriptor: somebody else gives one up.
+    async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
+        loop {
+            match Connection::open(address, ()).await {
+                Err(e) if out_of_descriptors(&e) => {
+                    self.descriptors.starved("discovery");
+                    sleep(descriptors::PAUSE).await;
+                }
+                ended => return ended,
+            }
+        }
+    }
 }
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -106,7 +106,7 @@
     core: RefCell<Core>,
     queue: RefCell<VecDeque<Happening>>,
     playing: Cell<bool>,
-    upstreams: Upstreams,
+    upstreams: Rc<Upstreams>,
     discovery: Discovery,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
@@ -114,7 +114,12 @@
 
 impl Driver {
     /// A driver with the list of upstreams known before the start.
-    pub fn start(balancer: Balancer, upstreams: Upstreams, discovery: Discovery, known: News) -> Rc<Self> {
+    pub fn start(
+        balancer: Balancer,
+        upstreams: Rc<Upstreams>,
+        discovery: Discovery,
+        known: News,
+    ) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
         let driver = Rc::new(Self {
--- /dev/null
+++ b/node/src/entrance.rs
@@ -0,0 +1,119 @@
+//! Carries out what the door decides: it knows the clients behind the door's names.
+
+use crate::client::Client;
+use maplehook_admission::{After, Arrival, ConnId, Door, Refusal};
+use rustc_hash::FxHashMap;
+use std::cell::RefCell;
+use std::net::IpAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// The door and the clients that it has let in.
+pub struct Entrance {
+    start: Instant,
+    door: RefCell<Door>,
+    clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
+    left: Notify,
+}
+
+impl Entrance {
+    /// One with nobody in it.
+    pub fn new(door: Door) -> Rc<Self> {
+        Rc::new(Self {
+            start: Instant::now(),
+            door: RefCell::new(door),
+            clients: RefCell::default(),
+            left: Notify::new(),
+        })
+    }
+
+    fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Someone has connected: the client, and whether another was told to end for it; or why it is refused.
+    pub fn arrive(self: &Rc<Self>, address: IpAddr) -> Result<(Rc<Client>, bool), Refusal> {
+        let arrival = self.door.borrow_mut().arrive(self.now(), address);
+        match arrival {
+            Arrival::Kept { id, ends } => {
+                let client = Rc::new(Client::new(Rc::clone(self), id));
+                self.clients.borrow_mut().insert(id, Rc::clone(&client));
+                self.end(ends);
+                Ok((client, ends.is_some()))
+            }
+            Arrival::Refused(refusal) => Err(refusal),
+        }
+    }
+
+    /// A request begins on a connection between two.
+    pub fn began(&self, id: ConnId) {
+        self.door.borrow_mut().began(self.now(), id);
+    }
+
+    /// A request is whole and fit.
+    pub fn held(&self, id: ConnId, tenant: u32, vouched: bool) {
+        self.door.borrow_mut().held(self.now(), id, Some(tenant), vouched);
+    }
+
+    /// A request has its answer; `true`: the connection ends with it.
+    pub fn answered(&self, id: ConnId) -> bool {
+        let after = self.door.borrow_mut().answered(self.now(), id);
+        self.follow(after)
+    }
+
+    /// A question that is no request has its answer; `true`: the connection ends with it.
+    pub fn checked(&self, id: ConnId) -> bool {
+        let after = self.door.borrow_mut().checked(self.now(), id);
+        self.follow(after)
+    }
+
+    /// A connection has ended.
+    pub fn left(&self, id: ConnId) {
+        self.door.borrow_mut().left(id);
+        self.clients.borrow_mut().remove(&id);
+        self.left.notify_waiters();
+    }
+
+    /// There are this many places from now on.
+    pub fn resize(&self, places: usize) {
+        self.door.borrow_mut().resize(places);
+        loop {
+            let excess = self.door.borrow_mut().excess(self.now());
+            if excess.is_none() {
+                break;
+            }
+            self.end(excess);
+        }
+    }
+
+    /// Ends one connection that may end, for its descriptor; `false` if there is none.
+    pub fn shed(&self) -> bool {
+        let shed = self.door.borrow_mut().shed(self.now());
+        self.end(shed);
+        shed.is_some()
+    }
+
+    /// Waits until nobody is in it.
+    pub async fn is_empty(&self) {
+        loop {
+            let left = self.left.notified();
+            if self.clients.borrow().is_empty() {
+                return;
+            }
+            left.await;
+        }
+    }
+
+    fn follow(&self, after: After) -> bool {
+        self.end(after.ends);
+        after.close
+    }
+
+    fn end(&self, id: Option<ConnId>) {
+        if let Some(client) = id.and_then(|id| self.clients.borrow().get(&id).cloned()) {
+            client.end();
+        }
+    }
+}
--- a/node/src/pool.rs
+++ b/node/src/pool.rs
@@ -1,8 +1,10 @@
 //! Connections to upstreams: how many may be open, and which of them are idle.
 
 use crate::connection::Connection;
+use crate::descriptors::Descriptors;
 use crate::seldom::Seldom;
 use lapisroute::UpstreamId;
+use maplehook_admission::Part;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -65,15 +67,17 @@
 pub struct Pool {
     idle: RefCell<Idle>,
     open: Rc<Open>,
-    most_open: usize,
+    descriptors: Rc<Descriptors>,
     idle_most: Duration,
     full: Seldom,
 }
 
 impl Pool {
-    /// At most `most_open` connections, each of use while it has not been idle for `idle_most`.
-    pub fn new(most_open: usize, idle_most: Duration) -> Self {
-        Self { idle: RefCell::default(), open: Rc::default(), most_open, idle_most, full: Seldom::default() }
+    /// At most so many connections as there are descriptors for, each of use while it has not been idle for
+    /// `idle_most`.
+    pub fn new(descriptors: Rc<Descriptors>, idle_most: Duration) -> Self {
+        let full = Seldom::default();
+        Self { idle: RefCell::default(), open: Rc::default(), descriptors, idle_most, full }
     }
 
     /// Keeps a connection on which nothing is out.
@@ -109,7 +113,7 @@
     }
 
     /// Closes the one that has been idle longest, whoever is at its other end; `false` if none is idle.
-    fn close_oldest(&self) -> bool {
+    pub fn close_oldest(&self) -> bool {
         let idle = &mut *self.idle.borrow_mut();
         let number = idle.kept.first_key_value().map(|(number, _)| *number);
         number.and_then(|number| idle.remove(number)).is_some()
@@ -117,9 +121,13 @@
 
     /// Room for one more connection, made by closing an idle one if need be.
     pub async fn slot(&self) -> Slot {
-        while self.open.count.get() >= self.most_open {
+        loop {
+            let most = self.descriptors.of(Part::Upstreams);
+            if self.open.count.get() < most {
+                break;
+            }
             if !self.close_oldest() {
-                self.full.warn(|| format!("all {} connections to upstreams are in use", self.most_open));
+                self.full.warn(|| format!("all {most} connections to upstreams are in use"));
             }
             self.open.freed.notified().await;
         }
@@ -127,6 +135,18 @@
         Slot(Rc::clone(&self.open))
     }
 
+    /// There are fewer descriptors than there were: closes idle connections as far as that helps.
+    pub fn shrink(&self) {
+        let over = self.open.count.get().saturating_sub(self.descriptors.of(Part::Upstreams));
+        for _ in 0..over {
+            if !self.close_oldest() {
+                break;
+            }
+        }
+        // More descriptors than there were are for all that wait.
+        self.open.freed.notify_waiters();
+    }
+
     /// Closes what has been idle for long, again and again.
     pub async fn sweep(&self) {
         loop {
@@ -149,19 +169,28 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use tokio::net::TcpListener;
 
     const LONG: Duration = Duration::from_secs(20);
 
+    /// Descriptors of which upstreams may have just `n`.
+    pub fn descriptors(n: usize) -> Rc<Descriptors> {
+        use maplehook_admission::budget::{BASE, DISCOVERY, LEAST, REFUSALS};
+        let shared_out = LEAST - BASE - DISCOVERY - REFUSALS;
+        let descriptors = Descriptors::new(LEAST, (n as f64 + 0.5) / shared_out as f64).unwrap();
+        assert_eq!(descriptors.of(Part::Upstreams), n);
+        descriptors
+    }
+
     /// Guards warm connections where places run out: the one least likely to be used again makes room,
     /// whichever upstream it leads to.
     #[tokio::test(flavor = "local")]
     async fn the_longest_idle_makes_room() {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peer = listener.local_addr().unwrap();
-        let pool = Pool::new(9, LONG);
+        let pool = Pool::new(descriptors(9), LONG);
         let order = [3, 8, 1, 7, 2, 9, 4, 6, 5].map(UpstreamId);
         for upstream in order {
             pool.put(upstream, Connection::open(peer, pool.slot().await).await.unwrap());
--- /dev/null
+++ b/node/src/refusals.rs
@@ -0,0 +1,134 @@
+//! Clients that are refused at the door: a whole answer that can be read, and no place for those who read it
+//! slowly.
+
+use maplehook_admission::Refusal;
+use maplehook_admission::budget::REFUSALS;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::fmt::Write;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::{JoinHandle, spawn_local};
+use tokio::time::timeout;
+
+/// How long a refused client may take to read its answer.
+const LINGER: Duration = Duration::from_millis(500);
+/// What it may still be sending meanwhile, at the most; a request is no longer than that.
+const MORE_MOST: usize = 96 * 1024;
+
+/// The clients that may still read their refusal, oldest first.
+#[derive(Default)]
+pub struct Refusals(RefCell<VecDeque<JoinHandle<()>>>);
+
+/// The answer to a client that is refused at the door: nothing of it has run.
+fn answer(refusal: &Refusal) -> String {
+    const BODY: &str = "refused: no place";
+    let mut text = String::with_capacity(160);
+    let after = refusal.retry_after.as_secs_f64();
+    let _ = write!(
+        text,
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: {after:.3}\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n{BODY}",
+        BODY.len()
+    );
+    text
+}
+
+/// Writes the answer, which any socket that has just come up takes whole.
+fn write(stream: &TcpStream, refusal: &Refusal) -> bool {
+    let text = answer(refusal);
+    stream.try_write(text.as_bytes()).is_ok_and(|n| n == text.len())
+}
+
+/// Reads away what has come: a connection that is closed with bytes unread is reset, and a reset takes the
+/// answer along that its client has not read yet.
+fn read_away(stream: &TcpStream) -> Option<usize> {
+    let mut all = 0;
+    loop {
+        match stream.try_read(&mut [0; 4096]) {
+            Ok(0) => return None,
+            Ok(n) => all += n,
+            Err(_) => return Some(all),
+        }
+        if all > MORE_MOST {
+            return None;
+        }
+    }
+}
+
+impl Refusals {
+    /// Refuses a client. One that does not read at once is given time, as long as no others need its
+    /// descriptor.
+    pub fn refuse(&self, mut stream: TcpStream, refusal: &Refusal) {
+        if !refusal.answered || !write(&stream, refusal) {
+            return;
+        }
+        let lingering = &mut *self.0.borrow_mut();
+        lingering.retain(|task| !task.is_finished());
+        if lingering.len() >= REFUSALS
+            && let Some(oldest) = lingering.pop_front()
+        {
+            oldest.abort();
+        }
+        lingering.push_back(spawn_local(async move {
+            let _ = timeout(LINGER, async {
+                // The end of the answer; its client closes in turn once it has read it.
+                let _ = stream.shutdown().await;
+                let mut all = 0;
+                while let Some(n) = read_away(&stream) {
+                    all += n;
+                    if all > MORE_MOST || stream.readable().await.is_err() {
+                        break;
+                    }
+                }
+            })
+            .await;
+        }));
+    }
+
+    /// The same on a descriptor that is needed back at once: the spare one.
+    pub fn refuse_at_once(stream: &TcpStream, refusal: &Refusal) {
+        if write(stream, refusal) {
+            read_away(stream);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplehook_admission::Reason;
+    use std::io::Read;
+    use tokio::net::TcpListener;
+
+    const REFUSAL: Refusal =
+        Refusal { reason: Reason::Full, answered: true, retry_after: Duration::from_millis(1250) };
+
+    /// Guards the answer against being lost: it is whole and readable though its client goes on sending, and
+    /// those who read it slowly hold no more than their few descriptors.
+    #[tokio::test(flavor = "local")]
+    async fn a_refusal_is_readable_whatever_its_client_sends() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let refusals = Refusals::default();
+        let mut clients = Vec::new();
+        for n in 0..3 * REFUSALS {
+            let mut client = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+            std::io::Write::write_all(&mut client, b"POST /book HTTP/1.1\r\nContent-Length: 9\r\n\r\n")
+                .unwrap();
+            refusals.refuse(listener.accept().await.unwrap().0, &REFUSAL);
+            tokio::task::yield_now().await;
+            if n % 2 == 0 {
+                std::io::Write::write_all(&mut client, b"more").unwrap();
+            }
+            clients.push(client);
+            assert!(refusals.0.borrow().len() <= REFUSALS);
+        }
+        for mut client in clients.into_iter().rev().take(REFUSALS) {
+            let mut read = String::new();
+            client.read_to_string(&mut read).unwrap();
+            assert!(read.starts_with("HTTP/1.1 503 ") && read.ends_with("refused: no place"), "{read}");
+            assert!(read.contains("\r\nRetry-After: 1.250\r\n"), "{read}");
+        }
+    }
+}
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -10,11 +10,12 @@
 use hyper::{Method, StatusCode};
 use lapisroute::{ClassId, Effect, TenantId};
 use lapisroute_settings::Site;
+use maplehook_admission::token::Signer;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::{Instant, timeout_at};
 
 /// The longest body of a request.
@@ -57,6 +58,37 @@
     repeat: bool,
     id: HeaderValue,
     parts: Parts,
+    /// Whether it shows that its client is known.
+    pub vouched: bool,
+}
+
+impl Head {
+    /// Whose it is.
+    pub fn tenant(&self) -> TenantId {
+        self.tenant
+    }
+}
+
+/// By what a request shows that its client is known.
+#[derive(Default)]
+pub struct Vouching {
+    /// Tenants whose name is enough.
+    pub tenants: Vec<String>,
+    /// The header that bears a signed word, and who checks it.
+    pub token: Option<(HeaderName, Signer)>,
+}
+
+impl Vouching {
+    fn vouches(&self, account: Option<&str>, headers: &HeaderMap) -> bool {
+        let word = || {
+            let (name, signer) = self.token.as_ref()?;
+            let word = headers.get(name)?.to_str().ok()?;
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+            let tenant = signer.check(word, now.as_secs()).map_err(|e| tracing::debug!("token: {e}"));
+            tenant.ok().map(|tenant| Some(tenant) == account)
+        };
+        account.is_some_and(|name| self.tenants.iter().any(|known| known == name)) || word() == Some(true)
+    }
 }
 
 /// Reads requests.
@@ -64,11 +96,12 @@
     classes: FxHashMap<String, Class>,
     tenants: FxHashMap<String, TenantId>,
     open: OpenIds,
+    vouching: Vouching,
 }
 
 impl Requests {
     /// A reader of this site's requests.
-    pub fn new(site: &Site) -> Self {
+    pub fn new(site: &Site, vouching: Vouching) -> Self {
         let classes = site.names.classes.iter().cloned().zip(&site.settings.classes).enumerate();
         let classes = classes.map(|(k, (name, class))| {
             let (effect, deadline) = (class.effect, class.deadline);
@@ -76,7 +109,8 @@
         });
         let tenants = site.names.tenants.iter().cloned().enumerate();
         let tenants = tenants.map(|(k, name)| (name, TenantId(k as u32)));
-        Self { classes: classes.collect(), tenants: tenants.collect(), open: OpenIds::default() }
+        let (classes, tenants) = (classes.collect(), tenants.collect());
+        Self { classes, tenants, open: OpenIds::default(), vouching }
     }
 
     /// Reads a head. `hides_a_length`: whether its bytes name a length beyond so many that it shows.
@@ -108,6 +142,7 @@
             return Err(Unfit(BAD, "no Idempotency-Key"));
         }
         let account = only(headers, &ACCOUNT)?.and_then(|name| name.to_str().ok());
+        let vouched = self.vouching.vouches(account, headers);
         let tenant = match account.map(|name| self.tenants.get(name)) {
             Some(Some(tenant)) => *tenant,
             _ if self.tenants.is_empty() => TenantId(0),
@@ -129,7 +164,7 @@
         let repeat = headers.get(REPEAT).is_some_and(|v| v.as_bytes() == b"1");
         // No client waits longer than its class lets it, all tries together.
         let left = left.min(class.deadline);
-        Ok(Head { class: class.id, tenant, method, left, work_ms, repeat, id, parts })
+        Ok(Head { class: class.id, tenant, method, left, work_ms, repeat, id, parts, vouched })
     }
 
     /// Reads the rest of a request, which has to be whole by `whole_by`; from then on it is open.
@@ -150,7 +185,7 @@
             Ok(Err(_)) => return Err(Unfit(StatusCode::BAD_REQUEST, "the body broke off")),
             Err(_) => return Err(Unfit(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
-        let Head { class, tenant, method, left, work_ms, repeat, id, parts } = head;
+        let Head { class, tenant, method, left, work_ms, repeat, id, parts, .. } = head;
         if method == Method::GET && !body.is_empty() {
             return Err(Unfit(StatusCode::BAD_REQUEST, "a GET with a body"));
         }
@@ -161,6 +196,10 @@
         let open = OpenId { ids: Rc::clone(&self.open), id };
         let mut headers = parts.headers;
         headers::strip_hop_by_hop(&mut headers);
+        if let Some((name, _)) = &self.vouching.token {
+            // It is for this door alone.
+            headers.remove(name);
+        }
         let target = parts.uri.path_and_query().map(|p| hyper::Uri::from(p.clone())).unwrap_or_default();
         let outgoing = Outgoing { method, target, headers, body };
         // A request's time counts from its last byte: a client that writes slowly waits no less.
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,7 +1,10 @@
 //! The clients' side: accepts connections, reads requests, writes final answers.
 
-use crate::client::{Client, Inbound, Stand};
+use crate::client::{Client, Inbound, Question, Stand};
+use crate::descriptors::{Descriptors, PAUSE, out_of_descriptors};
 use crate::driver::{Answer, Asked, Driver};
+use crate::entrance::Entrance;
+use crate::refusals::Refusals;
 use crate::requests::{OpenId, Requests, Unfit};
 use crate::seldom::Seldom;
 use bytes::Bytes;
@@ -12,25 +15,22 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use lapisroute_settings::Site;
-use rustc_hash::FxHashMap;
-use std::cell::{Cell, RefCell};
+use maplehook_admission::{Reason, Refusal};
 use std::convert::Infallible;
+use std::io;
+use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, watch};
-use tokio::task::spawn_local;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout};
 
 /// How long a connection that is to end may take over the rest of an answer.
 const ANSWER_MOST: Duration = Duration::from_secs(2);
-/// How often it is looked at meanwhile, and an accept loop that waits for a place looks for another.
+/// How often it is looked at meanwhile.
 const LINGER: Duration = Duration::from_millis(250);
-/// Pause after an accept has failed: when descriptors have run out, trying at once only spins.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// Size of a connection's buffer, the longest head.
 const BUFFER: usize = 32 * 1024;
 
@@ -49,79 +49,99 @@
 pub struct Server {
     driver: Rc<Driver>,
     requests: Requests,
+    entrance: Rc<Entrance>,
+    descriptors: Rc<Descriptors>,
+    refusals: Refusals,
     phase: watch::Receiver<Phase>,
-    clients: RefCell<FxHashMap<u64, Rc<Client>>>,
-    count: Cell<u64>,
     odd: Seldom,
+    refused: Seldom,
 }
 
 impl Server {
-    /// A server that hands requests to `driver`.
-    pub fn new(driver: Rc<Driver>, site: &Site, phase: watch::Receiver<Phase>) -> Rc<Self> {
+    /// A server that hands requests to `driver` and lets clients in by `entrance`.
+    pub fn new(
+        driver: Rc<Driver>,
+        requests: Requests,
+        entrance: Rc<Entrance>,
+        descriptors: Rc<Descriptors>,
+        phase: watch::Receiver<Phase>,
+    ) -> Rc<Self> {
         Rc::new(Self {
             driver,
-            requests: Requests::new(site),
+            requests,
+            entrance,
+            descriptors,
+            refusals: Refusals::default(),
             phase,
-            clients: RefCell::default(),
-            count: Cell::new(0),
             odd: Seldom::default(),
+            refused: Seldom::default(),
         })
     }
 
-    /// Accepts clients, at most `most` at a time, until the process is closing; returns when the last of
-    /// them has gone.
-    pub async fn run(self: Rc<Self>, listener: TcpListener, most: usize) {
-        let places = Arc::new(Semaphore::new(most));
+    /// Accepts clients until the process is closing; returns when the last of them has gone. An accept never
+    /// waits for a place: whoever comes is let in or refused at once.
+    pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
                 _ = phase.wait_for(|p| *p == Phase::Closing) => break,
             };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
+            match accepted {
+                Ok((stream, peer)) => {
+                    if self.admit(stream, peer.ip()) {
+                        // Whoever was told to end does so before the next one comes.
+                        yield_now().await;
+                    }
+                }
+                Err(e) if out_of_descriptors(&e) => self.starved(&listener).await,
+                // One that has gone again before it was accepted.
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) => {
                     self.odd.warn(|| format!("accept: {e}"));
-                    sleep(ACCEPT_PAUSE).await;
-                    continue;
-                }
-            };
-            // Again and again: all may be busy now, and keep their connections once they are not.
-            let place = loop {
-                if let Ok(place) = Arc::clone(&places).try_acquire_owned() {
-                    break place;
-                }
-                self.make_room();
-                if let Ok(Ok(place)) = timeout(LINGER, Arc::clone(&places).acquire_owned()).await {
-                    break place;
+                    sleep(PAUSE).await;
                 }
-            };
-            let server = Rc::clone(&self);
-            spawn_local(async move {
-                server.connection(stream).await;
-                drop(place);
-            });
+            }
         }
         drop(listener);
-        let _ = places.acquire_many(most as u32).await;
+        self.entrance.is_empty().await;
     }
 
-    /// Ends the connection with which least is lost, for one that waits.
-    fn make_room(&self) {
-        let (now, clients) = (Instant::now(), self.clients.borrow());
-        let worth = clients.values().filter_map(|client| Some((client.worth(now)?, client)));
-        if let Some((_, client)) = worth.min_by_key(|(worth, _)| *worth) {
-            client.end();
+    /// Lets a client in or refuses it; `true`: another was told to end for it.
+    fn admit(self: &Rc<Self>, stream: TcpStream, address: IpAddr) -> bool {
+        match self.entrance.arrive(address) {
+            Ok((client, ends)) => {
+                spawn_local(Rc::clone(self).connection(client, stream));
+                ends
+            }
+            Err(refusal) => {
+                self.refused.warn(|| format!("{address} refused at the door: {:?}", refusal.reason));
+                self.refusals.refuse(stream, &refusal);
+                false
+            }
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream) {
+    /// There was no descriptor for a client: one is made free, and the client that waits is told, on the spare
+    /// one, that trying again is harmless. Accepting goes on.
+    async fn starved(self: &Rc<Self>, listener: &TcpListener) {
+        self.descriptors.starved("accept");
+        self.descriptors.with_spare(|| {
+            // Ready or not, only a look: the client may have gone.
+            let mut look = std::task::Context::from_waker(std::task::Waker::noop());
+            if let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut look) {
+                let retry_after = Duration::from_secs(1);
+                let refusal = Refusal { reason: Reason::Full, answered: true, retry_after };
+                Refusals::refuse_at_once(&stream, &refusal);
+            }
+        });
+        sleep(PAUSE).await;
+    }
+
+    async fn connection(self: Rc<Self>, client: Rc<Client>, stream: TcpStream) {
         // An unset option costs time, not truth.
         let _ = stream.set_nodelay(true);
         let mut phase = self.phase.clone();
-        let number = self.count.replace(self.count.get() + 1);
-        let client = Rc::new(Client::new());
-        self.clients.borrow_mut().insert(number, Rc::clone(&client));
         let (server, of) = (Rc::clone(&self), Rc::clone(&client));
         let service = service_fn(move |request| {
             let (server, client) = (Rc::clone(&server), Rc::clone(&of));
@@ -151,15 +171,16 @@
         if let Err(e) = ended {
             tracing::debug!("client: {e}");
         }
-        self.clients.borrow_mut().remove(&number);
+        client.leaves();
     }
 
     async fn respond(&self, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let leaving = || *self.phase.borrow() != Phase::Serving;
         let whole_by = client.reads();
+        let mut question = Question::Request;
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
-                client.holds();
+                question = Question::Health;
                 if leaving() && request.uri().path() == "/health/ready" {
                     plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
                 } else {
@@ -168,11 +189,13 @@
             }
             _ => match self.read(client, request, whole_by).await {
                 Ok((asked, _open)) => worded(self.driver.ask(asked).answer().await),
-                Err(Unfit(status, why)) => plain(status, why),
+                Err(Unfit(status, why)) => {
+                    question = Question::Unfit;
+                    plain(status, why)
+                }
             },
         };
-        client.answered();
-        if leaving() {
+        if client.answered(question) || leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         response
@@ -187,8 +210,9 @@
     ) -> Result<(Asked, OpenId), Unfit> {
         let (parts, body) = request.into_parts();
         let head = self.requests.head(parts, |shown| client.hides_a_length(shown))?;
+        let (tenant, vouched) = (head.tenant(), head.vouched);
         let read = self.requests.rest(head, body, whole_by).await?;
-        client.holds();
+        client.holds(tenant.0, vouched);
         Ok(read)
     }
 }
@@ -246,15 +270,16 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::cell::Cell;
     use std::pin::pin;
 
     /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
     #[tokio::test(flavor = "local")]
     async fn an_answer_on_its_way_is_finished() {
-        let (client, whole) = (Client::new(), Cell::new(false));
+        let (client, whole) = (crate::client::tests::alone(), Cell::new(false));
         client.reads();
-        client.holds();
-        client.answered();
+        client.holds(0, false);
+        client.answered(Question::Request);
         let slow = pin!(async {
             sleep(3 * LINGER).await;
             whole.set(true);
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -4,6 +4,7 @@
 //! take the request's last byte before the connection ended, or the upstream says so itself.
 
 use crate::connection::{Connection, wire_length};
+use crate::descriptors::{self, Descriptors, out_of_descriptors, own_fault};
 use crate::headers::{self, LOAD, TIME_LEFT, UNPROCESSED};
 use crate::pool::Pool;
 use crate::seldom::Seldom;
@@ -23,7 +24,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// The longest body of an answer; more is no answer. Those of requests are shorter: some answers hold some
 /// hundred KiB.
@@ -96,25 +97,29 @@
 pub struct Upstreams {
     known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     pool: Pool,
+    descriptors: Rc<Descriptors>,
     long_answers: Room,
     connect_timeout: Duration,
     reports: Reports,
     report_fields: Vec<LoadField>,
     odd_reports: Seldom,
+    short: Seldom,
 }
 
 impl Upstreams {
-    /// None yet; at most `most_open` connections will be open to them together, and long answers in hand
+    /// None yet; connections to them share the descriptors that upstreams may have, and long answers in hand
     /// hold at most `long_answers` bytes.
-    pub fn new(settings: &Settings, most_open: usize, long_answers: usize) -> Self {
+    pub fn new(settings: &Settings, descriptors: Rc<Descriptors>, long_answers: usize) -> Self {
         Self {
             known: RefCell::default(),
-            pool: Pool::new(most_open, settings.conn_idle.mul_f64(IDLE_SHARE)),
+            pool: Pool::new(Rc::clone(&descriptors), settings.conn_idle.mul_f64(IDLE_SHARE)),
+            descriptors,
             long_answers: Room(Arc::new(AtomicUsize::new(long_answers))),
             connect_timeout: settings.connect_timeout,
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
             odd_reports: Seldom::default(),
+            short: Seldom::default(),
         }
     }
 
@@ -163,6 +168,16 @@
         self.pool.close(id);
     }
 
+    /// Closes the connection that has been idle longest, for its descriptor; `false` if none is idle.
+    pub fn close_oldest(&self) -> bool {
+        self.pool.close_oldest()
+    }
+
+    /// There are fewer descriptors than there were, or more.
+    pub fn resized(&self) {
+        self.pool.shrink();
+    }
+
     /// Closes what has been idle for long, again and again.
     pub async fn sweep(&self) {
         self.pool.sweep().await;
@@ -188,17 +203,29 @@
         }
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
         let until = give_up.min(Instant::now() + self.connect_timeout);
-        // Out of descriptors or of time says nothing of the upstream.
-        let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
-        match timeout_at(until, Connection::open(endpoint, slot)).await {
-            Ok(Ok(connection)) => Ok((connection, false)),
-            Ok(Err(e)) if out_of_descriptors(&e) => Err(Outcome::NotSent),
-            Ok(Err(e)) => {
-                tracing::debug!(%endpoint, "no connection: {e}");
-                Err(Outcome::ConnectFailed)
+        loop {
+            // Out of descriptors or of time says nothing of the upstream.
+            let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
+            match timeout_at(until, Connection::open(endpoint, slot)).await {
+                Ok(Ok(connection)) => return Ok((connection, false)),
+                Ok(Err(e)) if out_of_descriptors(&e) => {
+                    self.descriptors.starved("connect");
+                    if Instant::now() + descriptors::PAUSE >= until {
+                        return Err(Outcome::NotSent);
+                    }
+                    sleep(descriptors::PAUSE).await;
+                }
+                Ok(Err(e)) if own_fault(&e) => {
+                    self.short.warn(|| format!("no connection to {endpoint}: {e}"));
+                    return Err(Outcome::NotSent);
+                }
+                Ok(Err(e)) => {
+                    tracing::debug!(%endpoint, "no connection: {e}");
+                    return Err(Outcome::ConnectFailed);
+                }
+                Err(_) if until == give_up => return Err(Outcome::NotSent),
+                Err(_) => return Err(Outcome::ConnectFailed),
             }
-            Err(_) if until == give_up => Err(Outcome::NotSent),
-            Err(_) => Err(Outcome::ConnectFailed),
         }
     }
 
@@ -290,11 +317,6 @@
     }
 }
 
-fn out_of_descriptors(e: &io::Error) -> bool {
-    // EMFILE and ENFILE have no kind of their own.
-    matches!(e.raw_os_error(), Some(23 | 24))
-}
-
 /// The request of one attempt: how long the balancer will wait is its own.
 fn request(outgoing: &Outgoing, left: Duration) -> Request<Full<Bytes>> {
     let mut headers = outgoing.headers.clone();
@@ -428,7 +450,8 @@
     async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
-        let upstreams = Rc::new(Upstreams::new(&settings, most_open, 4 * BODY_MOST));
+        let upstreams =
+            Rc::new(Upstreams::new(&settings, crate::pool::tests::descriptors(most_open), 4 * BODY_MOST));
         let endpoint = Some(listener.local_addr().unwrap());
         let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
         upstreams.place(ID, &place);
