--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -187,6 +187,8 @@
     /// Of the class `book`, which may not run twice, and of `look`, which may.
     pub deadline_ms: u64,
     pub asks: bool,
+    /// The operator's file; none if empty.
+    pub operator: String,
 }
 
 impl Setup {
@@ -199,11 +201,12 @@
             sockets: 256,
             deadline_ms: 8000,
             asks: false,
+            operator: String::new(),
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks, .. } = self;
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -218,7 +221,7 @@
             "settings":{{"balancers":1,"me":0,"classes":[{}],"discovery":"{how}",
             "failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false}},
-            "parties":[{{"name":"acme","allowance_per_s":1000.0}}]}}}}"#,
+            "parties":[{{"name":"acme","allowance_per_s":1000.0}},{{"name":"lodge","allowance_per_s":1000.0}}]}}}}"#,
             classes.join(",")
         )
     }
@@ -228,12 +231,14 @@
         let number = COUNT.fetch_add(1, Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("maplehook-{}-{number}.json", std::process::id()));
         std::fs::write(&path, self.text()).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_maplehook"))
-            .env("NODE_CONFIG", &path)
-            .env("NODE_LOG", "info")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_maplehook"));
+        let operator = path.with_extension("toml");
+        if !self.operator.is_empty() {
+            std::fs::write(&operator, &self.operator).unwrap();
+            command.arg("--config").arg(&operator);
+        }
+        let mut child =
+            command.env("NODE_CONFIG", &path).env("NODE_LOG", "info").stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         while !line.contains("listen=") {
@@ -267,6 +272,35 @@
         Client { reader: BufReader::new(stream) }
     }
 
+    /// A connection from this address of the loopback net.
+    pub fn connect_from(&self, address: &str) -> Client {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let from: SocketAddr = format!("{address}:0").parse().unwrap();
+        socket.bind(&from.into()).unwrap();
+        socket.connect(&self.address.into()).unwrap();
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
+    /// Sets its limit on descriptors, from outside.
+    pub fn limit(&self, descriptors: u64) {
+        let (pid, hard) = (self.child.id() as i32, rlimit::Resource::NOFILE.get_hard().unwrap());
+        rlimit::prlimit(pid, rlimit::Resource::NOFILE, Some((descriptors, hard)), None).unwrap();
+    }
+
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The processor's time that it has used, in hundredths of a second.
+    pub fn cpu(&self) -> u64 {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split_whitespace().collect();
+        fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
@@ -308,6 +342,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.path);
+        let _ = std::fs::remove_file(self.path.with_extension("toml"));
     }
 }
 
@@ -352,6 +387,11 @@
     )
 }
 
+/// The same under another id.
+pub fn book_as(id: &str, body: &str) -> String {
+    book(8000, body).replace("9b1f03aa", id)
+}
+
 /// A request of the class `look`, which is safe to repeat.
 pub fn look(left_ms: u64) -> String {
     format!(
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,11 @@
 const ROOM: f64 = 0.4;
 /// The same where reports tell how busy the cores are, so that latency need only guard.
 const ROOM_TOLD: f64 = 0.55;
+/// Times its least mean latency a class may take in any case, up to that share of the aim: what work takes
+/// alone is no queue, and no refusal makes it less. Seconds over which the least creeps up.
+const ALONE: f64 = 1.6;
+const ALONE_MOST: f64 = 0.6;
+const LEAST_OVER: f64 = 30.0;
 /// Seconds and requests over which demand V_i is counted at least: a tick sees too few to go by.
 const DEMAND_OVER: f64 = 1.0;
 const DEMAND_COUNT: f64 = 10.0;
@@ -56,6 +61,10 @@
 const USUAL: f64 = 0.95;
 /// An attempt is overdue at this share of the aim at the latest, so that another still has time.
 const OVERDUE_BY: f64 = 0.6;
+/// Times the usual after which an overdue attempt is looked at again, and by how many times it the one sent
+/// later to the same upstream, that has its answer, has to have passed it: it was lost on its way.
+const LOST_LOOK: f64 = 1.0;
+const LOST_BY: f64 = 0.5;
 /// Further attempts earned by each request admitted, and how many of them can be saved up.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
@@ -164,7 +173,13 @@
         });
         let classes = set.classes.iter().map(|c| {
             let aim = c.aim.as_secs_f64();
-            Learned { latency: aim * 0.3, usual: aim * OVERDUE_BY, share: 1.0, ..Learned::default() }
+            Learned {
+                latency: aim * 0.3,
+                least: aim * 0.2,
+                usual: aim * OVERDUE_BY,
+                share: 1.0,
+                ..Learned::default()
+            }
         });
         let each = stated.max(1.0) / f64::from(set.balancers);
         Ok(Self {
@@ -293,8 +308,9 @@
         let classes = self.set.classes.iter().zip(&self.classes).filter(|(_, l)| l.share > SHARE_LEAST);
         let told = at - self.busy_at < BUSY_KEPT;
         let part = if told { ROOM_TOLD } else { ROOM };
-        let slack =
-            classes.map(|(c, l)| part * c.aim.as_secs_f64() - l.latency).fold(f64::INFINITY, f64::min);
+        let target = |aim: f64, l: &Learned| (part * aim).max((ALONE * l.least).min(ALONE_MOST * aim));
+        let slack = classes.map(|(c, l)| target(c.aim.as_secs_f64(), l) - l.latency);
+        let slack = slack.fold(f64::INFINITY, f64::min);
         let mut within = (self.latency() + slack).max(0.0);
         let turns = || self.turns.iter().map(|j| &self.ring[*j]);
         let weights: f64 = turns().map(|u| u.weight).sum::<f64>().max(1e-9);
@@ -317,7 +333,7 @@
             // One place in all at least: where nothing is stated a start from nothing takes long. One whose
             // requests are overdue has no room, in part or all, but what it holds is held: else, when all
             // are stuck, W and what is missing are nil together and no guarantee is cut.
-            let held = f64::from(u.in_flight) + u.ghosts;
+            let held = f64::from(u.in_flight.saturating_sub(u.lost)) + u.ghosts;
             let free = 1.0 - (f64::from(u.overdue) + u.ghosts) / held.max(1.0);
             let all = (c * within).max(u.weight / balancers) * free;
             room += tau * c * free + all - held;
@@ -401,7 +417,11 @@
         let u = &self.ring[j];
         let age = (self.last_tick - u.held_at).max(0.0);
         let reported = u.held * (-age / REPORT_KEPT).exp();
-        (f64::from(u.in_flight) + OVERDUE_HELD * f64::from(u.overdue) + u.ghosts + reported) / u.capacity
+        (f64::from(u.in_flight.saturating_sub(u.lost))
+            + OVERDUE_HELD * f64::from(u.overdue)
+            + u.ghosts
+            + reported)
+            / u.capacity
     }
 
     /// Steps the counter to the next upstream that has earned a turn.
@@ -479,6 +499,7 @@
         }
         u.used_at = self.at;
         u.in_flight += 1;
+        u.health[r.class].sent = self.at;
         let class = &self.set.classes[r.class];
         let overdue = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
         // Where no second copy may run beside the first, what may be repeated is given up when overdue.
@@ -550,15 +571,26 @@
     }
 
     /// An attempt is out for longer than is usual: its upstream is passed over, and a second copy may go out.
+    /// Looked at again later, it may turn out to be lost: then it holds nothing, and its upstream is well.
     fn overdue(&mut self, id: RequestId, attempt: u8) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
-        a.overdue = true;
-        if let Some(&j) = self.index.get(&a.upstream) {
-            self.ring[j].overdue += 1;
+        let usual = self.classes[r.class].usual;
+        let first = !std::mem::replace(&mut a.overdue, true);
+        if let Some(u) = self.index.get(&a.upstream).map(|j| &mut self.ring[*j]) {
+            // A queue serves in turn: one that is passed by so much stands in none. Whom nobody followed
+            // can't be passed: it counts as any other then, so that somebody does.
+            let h = &u.health[r.class];
+            a.lost = !first && h.passed > a.sent + LOST_BY * usual;
+            let counts = first || (a.counted && !a.lost && h.sent > a.sent);
+            u.overdue = u.overdue + u32::from(counts) - u32::from(std::mem::replace(&mut a.counted, counts));
+            u.lost += u32::from(a.lost);
+        }
+        if !a.lost {
+            self.due.insert((self.now + Duration::from_secs_f64(LOST_LOOK * usual), id, attempt));
         }
         // Room for one: the overdue attempt itself is counted in what is held.
-        if self.set.hedging && self.room > -1.0 {
+        if first && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
         }
     }
@@ -568,10 +600,15 @@
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
-        let (upstream, was_overdue, class, ended) = (a.upstream, (a.overdue, a.idle), r.class, r.ended);
+        let counted = std::mem::take(&mut a.counted);
+        let (upstream, way, class, ended) = (a.upstream, (a.overdue, a.lost, a.idle), r.class, r.ended);
+        if let Some(u) = self.index.get(&upstream).map(|j| &mut self.ring[*j]) {
+            u.overdue = u.overdue.saturating_sub(u32::from(counted));
+            u.lost = u.lost.saturating_sub(u32::from(way.1));
+        }
         let owed = !finished && !ended;
         let (others, deadline) = (r.attempts.iter().any(|a| a.out), r.deadline);
-        self.learn(upstream, class, outcome, latency, was_overdue);
+        self.learn(upstream, class, outcome, latency, way);
         if finished {
             self.end(id);
         } else if owed && !others {
@@ -613,8 +650,15 @@
     }
 
     /// What one outcome tells of its upstream, its class and the fleet.
-    fn learn(&mut self, id: UpstreamId, class: usize, outcome: Outcome, latency: f64, way: (bool, f64)) {
-        let (overdue, idle) = way;
+    fn learn(
+        &mut self,
+        id: UpstreamId,
+        class: usize,
+        outcome: Outcome,
+        latency: f64,
+        way: (bool, bool, f64),
+    ) {
+        let (overdue, lost, idle) = way;
         let aim = self.set.classes[class].aim.as_secs_f64();
         let learned = &mut self.classes[class];
         let ratio = latency / learned.latency.max(1e-6);
@@ -626,21 +670,24 @@
                 if latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
             learned.usual = learned.usual.clamp(2.0 * TICK, aim);
         }
-        let slow = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
+        let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
+        let slow = unanswered && !lost;
         if ok || slow {
             let latency = if ok { latency.min(2.0 * aim) } else { (GIVEN_UP * latency).min(2.0 * aim) };
             let newest = ((self.at - learned.at) / LATENCY_OVER).clamp(LATENCY_NEWEST, 0.2);
             learned.at = self.at;
             learned.latency += newest * (latency - learned.latency);
+            let over = if learned.latency < learned.least { LATENCY_OVER } else { LEAST_OVER };
+            learned.least += (newest * LATENCY_OVER / over) * (learned.latency - learned.least);
         }
         // Silence on idle connections, not on those in use, is laid to the way there: something drops them
         // unseen. They are closed before use. Harm where that is wrong: a handshake a use, for a while.
         let silent = &mut self.silent;
-        if ok || slow {
+        if ok || unanswered {
             let share = &mut silent[usize::from(idle > IDLE)];
-            *share += 0.2 * (f64::from(u8::from(slow)) - *share);
+            *share += 0.2 * (f64::from(u8::from(unanswered)) - *share);
         }
-        if slow && idle > IDLE && silent[1] > 0.3 && silent[1] > 2.0 * silent[0] {
+        if unanswered && idle > IDLE && silent[1] > 0.3 && silent[1] > 2.0 * silent[0] {
             let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
             (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
         }
@@ -649,7 +696,6 @@
         let Some(u) = self.index.get(&id).map(|j| &mut self.ring[*j]) else { return };
         u.used_at = self.at;
         u.in_flight = u.in_flight.saturating_sub(1);
-        u.overdue = u.overdue.saturating_sub(u32::from(overdue));
         if ok || slow {
             let ratio = ratio.min(5.0);
             u.seen += 1.0;
@@ -658,6 +704,7 @@
         let (h, l) = (&mut u.health[class], &mut self.classes[class]);
         if ok {
             (h.faults, h.answered) = (0, self.at);
+            h.passed = h.passed.max(self.at - latency);
             if !overdue {
                 u.ejections = 0;
                 if std::mem::take(&mut h.ejected) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,7 @@
     pub(crate) started: Option<f64>, // begins the climb from cold; None: long warm
     pub(crate) in_flight: u32,       // q_j: this balancer's own
     pub(crate) overdue: u32,         // of these, out for longer than usual
+    pub(crate) lost: u32,            // of these, passed by others: they hold nothing there
     pub(crate) ghosts: f64, // given up, and perhaps still at work there; fading over the shortest aim
     pub(crate) held: f64,   // what others hold there, by the latest report
     pub(crate) held_at: f64,
@@ -37,6 +38,8 @@
 pub(crate) struct Health {
     pub(crate) faults: u32, // since the last answer
     pub(crate) answered: f64,
+    pub(crate) passed: f64,   // when the newest of those answered was sent
+    pub(crate) sent: f64,     // when the newest was
     pub(crate) ejected: bool, // for this class
     pub(crate) tried: f64,    // then or by a trial since
 }
@@ -51,6 +54,8 @@
     pub(crate) out: bool,
     pub(crate) may_have_run: bool,
     pub(crate) overdue: bool,
+    pub(crate) counted: bool, // among those of its upstream
+    pub(crate) lost: bool,
     pub(crate) idle: f64, // how long its connection had not been used
 }
 
@@ -78,6 +83,7 @@
 pub(crate) struct Learned {
     pub(crate) latency: f64, // mean of the class's attempts
     pub(crate) answers: f64, // of those answered
+    pub(crate) least: f64,   // what the mean has come down to when little was held; it creeps up
     pub(crate) at: f64,      // of the latest of them
     pub(crate) usual: f64,   // the quantile USUAL of them
     pub(crate) share: f64,   // of the admitted
