--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The balancer as a process, and small peers for it on loopback. Ports are the system's choice; waits are on
 //! conditions, up to `LONG`.
 
+#![allow(dead_code, reason = "each file of tests uses its part")]
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -90,7 +90,7 @@
 /// client confirms; what was accepted keeps its answer, and nothing spins or goes deaf.
 #[test]
 fn a_known_client_confirms_while_an_address_floods_at_the_descriptor_limit() {
-    let (upstream, mute) = (Upstream::start(Then::Answer(OK)), Upstream::start(Then::Mute));
+    let upstream = Upstream::start(Then::Answer(OK));
     let mut setup = Setup::with(&[upstream.address]);
     setup.operator = format!("{KNOWN}[descriptors]\nlimit = 100\n");
     let node = setup.start();
@@ -112,7 +112,6 @@
     assert!(flood.end() > 1000);
     let mut client = node.connect_from("127.0.0.2");
     confirm(&node, "127.0.0.2", &mut client, "after");
-    drop(mute);
 }
 
 /// Guards a lodge's walkers, all behind one address and more than its share of silent ones: beside a flood
@@ -201,12 +200,41 @@
     });
 }
 
+/// Guards accepted items while the process runs out of descriptors: each gets its one answer, and none is
+/// sent again.
+#[test]
+fn what_is_held_is_answered_though_no_descriptor_is_left() {
+    let mute = Upstream::start(Then::Mute);
+    let mut setup = Setup::with(&[mute.address]);
+    (setup.sockets, setup.deadline_ms) = (512, 2500);
+    let node = setup.start();
+    let mut holders = Vec::new();
+    for n in 0..10 {
+        let mut holder = node.connect();
+        holder.write(&book_as(&format!("h{n}"), "x"));
+        holders.push(holder);
+    }
+    until("all are held", || mute.seen().len() == 10);
+    node.limit(node.descriptors() as u64);
+    let flood = Flood::start(&node, "127.0.0.2", 2);
+    for holder in &mut holders {
+        assert_eq!(holder.answer().expect("its one answer").status(), 502);
+    }
+    flood.end();
+    assert_eq!(mute.seen().len(), 10);
+    node.limit(512);
+    until("all is as before", || {
+        let mut client = node.connect();
+        client.write("GET /health/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.answer().is_some_and(|a| a.status() == 200)
+    });
+}
+
 /// Guards accept, connect, discovery and reload where the process has no descriptor left at all, whatever
 /// the balancer thinks that it may hold: it neither spins nor goes deaf, and what is held is answered.
 #[test]
 fn no_descriptor_left_is_no_end() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let mute = Upstream::start(Then::Mute);
     let (address, calls) = discovery();
     let mut setup = Setup::with(&[upstream.address]);
     (setup.discovery, setup.asks, setup.sockets) = (address, true, 512);
@@ -242,7 +270,6 @@
     std::thread::sleep(Duration::from_secs(2));
     let used = node.cpu() - before;
     assert!(used < 100, "{used} hundredths in 2 s");
-    drop(mute);
 }
 
 /// Guards who is known by what a request says: the tenant's header, or a signed word; a forged one does not
