--- a/admission/tests/door.rs
+++ b/admission/tests/door.rs
@@ -49,10 +49,10 @@
     let n = any::<usize>();
     prop_oneof![
         6 => (0_u32..40).prop_map(Step::Arrive),
-        2 => n.clone().prop_map(Step::Began),
-        4 => (n.clone(), 0_u32..4, any::<bool>()).prop_map(|(n, t, v)| Step::Held(n, t, v)),
-        3 => n.clone().prop_map(Step::Answered),
-        1 => n.clone().prop_map(Step::Checked),
+        2 => n.prop_map(Step::Began),
+        4 => (n, 0_u32..4, any::<bool>()).prop_map(|(n, t, v)| Step::Held(n, t, v)),
+        3 => n.prop_map(Step::Answered),
+        1 => n.prop_map(Step::Checked),
         3 => n.prop_map(Step::Left),
         1 => Just(Step::Shed),
         1 => (1_usize..40).prop_map(Step::Resize),
--- a/bench/src/door.rs
+++ b/bench/src/door.rs
@@ -249,7 +249,7 @@
         let (before, start) = (node.used(), Instant::now());
         let all = Booking {
             every: Duration::ZERO,
-            lasts: Duration::from_nanos(1),
+            lasts: Duration::from_millis(1),
             ..self.booking(&node, (KNOWN, 120, 0))
         };
         let tally = all.run().await;
--- a/bench/src/peers.rs
+++ b/bench/src/peers.rs
@@ -80,12 +80,22 @@
 
 /// Holds these local ports, so that no connection is made from them, until the input ends.
 pub fn hold_ports(from: u16, to: u16) {
-    let all = (from..=to).filter_map(|port| {
+    let hold = |port: u16| {
         let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).ok()?;
         socket.bind(&SocketAddr::from((Ipv4Addr::UNSPECIFIED, port)).into()).ok()?;
         Some(socket)
-    });
-    let held: Vec<_> = all.collect();
-    println!("127.0.0.1:{}", held.len().min(65_535));
+    };
+    let mut held: Vec<_> = (from..=to).map(|port| (port, hold(port))).collect();
+    // Ports of connections that have just ended come free within a minute.
+    for _ in 0..70 {
+        if held.iter().all(|(_, socket)| socket.is_some()) {
+            break;
+        }
+        std::thread::sleep(Duration::from_secs(1));
+        for (port, socket) in held.iter_mut().filter(|(_, socket)| socket.is_none()) {
+            *socket = hold(*port);
+        }
+    }
+    println!("127.0.0.1:{}", held.iter().filter(|(_, socket)| socket.is_some()).count().min(65_535));
     let _ = io::stdin().read(&mut [0; 1]);
 }
