--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -73,8 +73,7 @@
 
     /// Nothing could be opened at `now`, though a part was within its share: somebody else holds descriptors.
     pub fn exhausted(&mut self, now: Duration) {
-        let most = (self.shared_out() as f64 * SQUEEZE_MOST) as usize;
-        self.squeeze = (self.squeeze + 1).min(most);
+        self.squeeze = (self.squeeze + 1).min(self.squeeze_most());
         self.squeezed_at = now;
     }
 
@@ -87,13 +86,18 @@
         ease
     }
 
+    fn squeeze_most(&self) -> usize {
+        (self.shared_out() as f64 * SQUEEZE_MOST) as usize
+    }
+
     fn shared_out(&self) -> usize {
         self.allowed.min(self.real) - BASE - DISCOVERY - REFUSALS
     }
 
     /// How many descriptors a part may hold now.
     pub fn of(&self, part: Part) -> usize {
-        let all = self.shared_out() - self.squeeze;
+        // The limit may have fallen since.
+        let all = self.shared_out() - self.squeeze.min(self.squeeze_most());
         let upstreams = ((all as f64 * self.upstream_share) as usize).max(1);
         match part {
             Part::Upstreams => upstreams,
@@ -111,13 +115,14 @@
         /// Guards the limit: whatever happens, the parts together stay under it and none is left with nothing.
         #[test]
         fn parts_never_pass_the_limit(
-            allowed in LEAST..5000, real in LEAST..5000, share in 0.0_f64..1.0,
-            steps in prop::collection::vec((0_u8..3, 0_usize..5000), 0..200),
+            allowed in LEAST..150_usize, real in LEAST..150_usize, share in 0.0_f64..1.0,
+            steps in prop::collection::vec((0_u8..3, 0_usize..150), 0..200),
         ) {
             let mut budget = Budget::new(allowed, real, share).unwrap();
             let (mut real, mut now) = (real, Duration::ZERO);
             for (kind, n) in steps {
                 now += Duration::from_millis(n as u64);
+                let n = if n > 100 { 5000 } else { n };
                 match kind {
                     0 => { budget.limit(n); real = n.max(LEAST) }
                     1 => budget.exhausted(now),
--- a/admission/tests/door.rs
+++ b/admission/tests/door.rs
@@ -357,3 +357,52 @@
     }
     assert_eq!(ended, all[..20]);
 }
+
+/// Guards the others where one address opens more than it uses: it holds its share of the places with what
+/// says nothing, and from there on its oldest such connection goes for its newest; so does a prefix.
+#[test]
+fn an_address_holds_no_more_than_its_share_with_what_says_nothing() {
+    let policy = Policy { prefix_times: Some(2.0), ..Policy::default() };
+    let mut door = Door::new(policy, 100, &[], 7);
+    let mut of_one = Vec::new();
+    for n in 0..60 {
+        let (id, ends) = kept(door.arrive(ms(n), ip(1)));
+        assert_eq!(ends, (n >= 25).then(|| of_one[n as usize - 25]), "{n}");
+        ends.into_iter().for_each(|id| door.left(id));
+        of_one.push(id);
+    }
+    assert_eq!(door.open(), 25);
+    // Its network may hold twice as much.
+    for n in 0..60 {
+        let (_, ends) = kept(door.arrive(ms(100), ip(2 + n)));
+        assert_eq!(ends.is_some(), n >= 25, "{n}");
+        ends.into_iter().for_each(|id| door.left(id));
+    }
+    assert_eq!(door.open(), 50);
+    // One that asks leaves the count, and another comes in its stead.
+    door.held(ms(100), of_one[59], None, false);
+    assert_eq!(kept(door.arrive(ms(100), ip(0x10_0000))).1, None);
+    assert_eq!(door.open(), 51);
+}
+
+/// Guards an operator's hard cap, and clients of a front, whom it leaves out.
+#[test]
+fn a_cap_on_connections_counts_all_but_those_of_a_front() {
+    let policy = Policy {
+        per_address: Some(3),
+        rate: Some(0.1),
+        fronts: vec!["127.0.0.1".parse().unwrap()],
+        ..Policy::default()
+    };
+    let mut door = Door::new(policy, 100, &[], 7);
+    for n in 0..50 {
+        let (id, ends) = kept(door.arrive(ms(n), ip(1)));
+        assert_eq!(ends, None);
+        door.held(ms(n), id, None, false);
+    }
+    let useful: Vec<_> = (0..3).map(|_| kept(door.arrive(ms(60), ip(2))).0).collect();
+    useful.iter().for_each(|id| door.held(ms(60), *id, None, false));
+    assert!(matches!(door.arrive(ms(61), ip(2)), Arrival::Refused(r) if r.reason == Reason::Share));
+    door.left(useful[0]);
+    assert_eq!(kept(door.arrive(ms(62), ip(2))).1, None);
+}
