The engine is a library: handles from any runtime, one source trait, a ledger of effects

Need: partner lodges want the balancing inside their own programs, and a host's repeat must not run twice. Change: engine/ (crate maplehook) takes over attempts, connections and discovery from node/, with discovery behind the trait Source; Engine and Handle with a core on a thread of its own; a pure ledger by tenant, class and id; test peers in standins/. The binary and the platform's protocol stay as they were. Measured: engine tests (50 calls in flight at a shutdown, 1,000 random repeats against upstreams that answer, break and say nothing: none seen twice); all 32 socket tests of the daemon pass unchanged.

--- a/node/src/descriptors.rs
+++ b/engine/src/descriptors.rs
@@ -61,6 +61,14 @@
         }))
     }
 
+    /// Those of an engine in somebody else's process: `most` connections to upstreams, as far as the limit goes.
+    pub fn for_upstreams(most: usize) -> Result<Rc<Self>, TooFew> {
+        use maplehook_admission::budget::{BASE, DISCOVERY, REFUSALS};
+        // The rest of what is shared out is nobody's here.
+        const SHARE: f64 = 0.5;
+        Self::new((most as f64 / SHARE).ceil() as usize + BASE + DISCOVERY + REFUSALS, SHARE)
+    }
+
     /// How many a part may hold now.
     pub fn of(&self, part: Part) -> usize {
         self.budget.borrow().of(part)
--- a/node/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -3,23 +3,23 @@
 use crate::connection::Connection;
 use crate::descriptors::{self, Descriptors, out_of_descriptors};
 use crate::seldom::Seldom;
+use crate::source::{Entry, News, Source, Task};
 use crate::upstream::Place;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
-use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
+use lapisroute::{Availability, CellId, FleetScope, KindId, ZoneId};
 use lapisroute_settings::Names;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::AbortHandle;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
@@ -30,39 +30,6 @@
 /// The longest line, and the longest list: more is no list.
 const LINE_MOST: usize = 8 * 1024 * 1024;
 
-/// An upstream as listed, for the library and for the connections.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Its id, made of its uid alone: the same at every balancer, and wherever it listens.
-    pub id: UpstreamId,
-    /// Its zone.
-    pub zone: ZoneId,
-    /// Its kind.
-    pub kind: KindId,
-    /// Its cell.
-    pub cell: CellId,
-    /// Its weight.
-    pub weight: f64,
-    /// Where it is, and how it stands.
-    pub place: Place,
-}
-
-/// News of the list.
-#[derive(Clone, Debug, PartialEq)]
-pub struct News {
-    /// How complete it is.
-    pub scope: FleetScope,
-    /// The entries.
-    pub entries: Vec<Entry>,
-}
-
-impl News {
-    /// That a call failed or a watch ended.
-    pub fn failed() -> Self {
-        Self { scope: FleetScope::Failed, entries: Vec::new() }
-    }
-}
-
 #[derive(Deserialize)]
 struct RawList<'a> {
     rev: u64,
@@ -94,13 +61,6 @@
     1.0
 }
 
-/// FNV-1a: an id that no process, build or machine sees differently.
-fn stable_id(uid: &str) -> UpstreamId {
-    UpstreamId(uid.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-    }))
-}
-
 /// Where discovery is, and how far this balancer has followed it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -108,7 +68,6 @@
     descriptors: Rc<Descriptors>,
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
-    watch: RefCell<Option<AbortHandle>>,
     odd: Seldom,
 }
 
@@ -117,14 +76,7 @@
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
     pub fn new(address: SocketAddr, names: Names, descriptors: Rc<Descriptors>) -> Self {
-        Self {
-            address: Cell::new(address),
-            names,
-            descriptors,
-            rev: Cell::new(0),
-            watch: RefCell::default(),
-            odd: Seldom::default(),
-        }
+        Self { address: Cell::new(address), names, descriptors, rev: Cell::new(0), odd: Seldom::default() }
     }
 
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
@@ -153,7 +105,7 @@
         }
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         Ok(Entry {
-            id: stable_id(&raw.uid),
+            id: crate::source::stable_id(&raw.uid),
             zone: ZoneId(place(&self.names.zones, &raw.az).map_or(u8::MAX, |z| z as u8)),
             kind: KindId(place(&self.names.kinds, &raw.model).map_or(u16::MAX, |k| k as u16)),
             cell: CellId(raw.pod_group),
@@ -175,45 +127,13 @@
         News { scope: FleetScope::Cached, entries }
     }
 
-    /// Asks for the whole list.
-    pub async fn fetch(&self) -> News {
-        let read = async {
-            let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
-            let body = http_body_util::Limited::new(body, LINE_MOST);
-            let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
-            let news = self.read(&text)?;
-            Ok::<_, Failure>(News { scope: FleetScope::Full, ..news })
-        };
-        read.await.unwrap_or_else(|e| {
-            self.odd.warn(|| format!("no list: {e}"));
-            News::failed()
-        })
-    }
-
     /// From now on discovery is elsewhere. The list in hand, and how far it was followed, stay as they are.
-    /// `true` if that is news and a watch was ever begun: it is to be begun anew, and
-    /// [`Discovery::watched_by`] then ends the old one without a word, so that a planned move is no failure
-    /// and nothing that the old address does later undoes it.
+    /// `true` if that is news: a watch that there is has to be begun anew.
     pub fn move_to(&self, address: SocketAddr) -> bool {
-        self.address.replace(address) != address && self.watch.borrow().is_some()
-    }
-
-    /// Remembers the task that watches, in place of the one before.
-    pub fn watched_by(&self, task: AbortHandle) {
-        if let Some(before) = self.watch.borrow_mut().replace(task) {
-            before.abort();
-        }
-    }
-
-    /// Watches the list until the watch ends, and tells what comes; the last word is that it has failed.
-    pub async fn watch(&self, mut tell: impl FnMut(News)) {
-        if let Err(e) = self.follow(&mut tell).await {
-            self.odd.warn(|| format!("watch ended: {e}"));
-        }
-        tell(News::failed());
+        self.address.replace(address) != address
     }
 
-    async fn follow(&self, tell: &mut impl FnMut(News)) -> Result<(), Failure> {
+    async fn follow(&self, tell: &mut dyn FnMut(News)) -> Result<(), Failure> {
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
         let (mut pending, mut last_line) = (BytesMut::new(), Instant::now());
@@ -255,6 +175,14 @@
         Ok((connection, response.into_body()))
     }
 
+    async fn list(&self) -> Result<News, Failure> {
+        let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
+        let body = http_body_util::Limited::new(body, LINE_MOST);
+        let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
+        let news = self.read(&text)?;
+        Ok(News { scope: FleetScope::Full, ..news })
+    }
+
     /// What discovery has to tell may not wait for a descriptor: somebody else gives one up.
     async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         loop {
@@ -268,3 +196,23 @@
         }
     }
 }
+
+impl Source for Discovery {
+    fn fetch(&self) -> Task<'_, News> {
+        Box::pin(async {
+            self.list().await.unwrap_or_else(|e| {
+                self.odd.warn(|| format!("no list: {e}"));
+                News::failed()
+            })
+        })
+    }
+
+    fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()> {
+        Box::pin(async {
+            if let Err(e) = self.follow(tell).await {
+                self.odd.warn(|| format!("watch ended: {e}"));
+            }
+            tell(News::failed());
+        })
+    }
+}
--- a/node/src/driver.rs
+++ b/engine/src/driver.rs
@@ -4,7 +4,7 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
-use crate::discovery::{Discovery, News};
+use crate::source::{News, Source};
 use crate::upstream::{Ended, Outgoing, Served, Upstreams};
 use lapisroute::{
     Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
@@ -13,7 +13,6 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{oneshot, watch};
@@ -54,6 +53,15 @@
     Failed,
 }
 
+/// How an answer came about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trace {
+    /// Attempts that were begun.
+    pub attempts: u8,
+    /// Who served it.
+    pub upstream: Option<UpstreamId>,
+}
+
 /// A request for the module to decide on.
 pub struct Asked {
     /// Its class.
@@ -89,7 +97,7 @@
 struct Held {
     asked: Rc<Asked>,
     /// Taken with the final answer.
-    reply: Option<oneshot::Sender<Answer>>,
+    reply: Option<oneshot::Sender<(Answer, Trace)>>,
     attempts: Vec<Attempt>,
 }
 
@@ -107,7 +115,8 @@
     queue: RefCell<VecDeque<Happening>>,
     playing: Cell<bool>,
     upstreams: Rc<Upstreams>,
-    discovery: Discovery,
+    source: Rc<dyn Source>,
+    watching: RefCell<Option<AbortHandle>>,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
 }
@@ -117,7 +126,7 @@
     pub fn start(
         balancer: Balancer,
         upstreams: Rc<Upstreams>,
-        discovery: Discovery,
+        source: Rc<dyn Source>,
         known: News,
     ) -> Rc<Self> {
         let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -128,7 +137,8 @@
             queue: RefCell::default(),
             playing: Cell::new(false),
             upstreams,
-            discovery,
+            source,
+            watching: RefCell::default(),
             cut_off: watch::Sender::new(false),
         });
         let sweeper = Rc::clone(&driver);
@@ -154,6 +164,11 @@
         Pending { driver: Rc::clone(self), id, answer: Some(answer) }
     }
 
+    /// The time on the module's clock.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
     /// Ends all attempts that are out, and each that may follow, so that the module gives what it holds its
     /// final answer: the process is about to end.
     pub fn cut_off(&self) {
@@ -211,7 +226,8 @@
                     && let Some(reply) = held.reply.take()
                 {
                     // Where the client has just gone, nobody waits for it.
-                    let _ = reply.send(Answer::Served(served));
+                    let trace = Trace { attempts: held.attempts.len() as u8, upstream: Some(upstream) };
+                    let _ = reply.send((Answer::Served(served), trace));
                 }
                 let finished = held.reply.is_none();
                 let event = Event::AttemptEnded {
@@ -291,7 +307,7 @@
             Action::FetchFleet => {
                 let driver = Rc::clone(self);
                 spawn_local(async move {
-                    let news = driver.discovery.fetch().await;
+                    let news = driver.source.fetch().await;
                     driver.happened(Happening::Fleet(news));
                 });
             }
@@ -310,15 +326,21 @@
     fn watch(self: &Rc<Self>) {
         let driver = Rc::clone(self);
         let watch = spawn_local(async move {
-            driver.discovery.watch(|news| driver.happened(Happening::Fleet(news))).await;
+            let mut tell = |news| driver.happened(Happening::Fleet(news));
+            driver.source.watch(&mut tell).await;
         });
-        self.discovery.watched_by(watch.abort_handle());
+        // The old one ends without a word: a planned move is no failure, and nothing that is said there later
+        // undoes it.
+        if let Some(before) = self.watching.borrow_mut().replace(watch.abort_handle()) {
+            before.abort();
+        }
     }
 
-    /// Discovery has moved. What the module asked for, or will ask for once a failed call is far enough back,
-    /// is asked of the new address at once: what it has to tell may not wait.
-    pub fn discovery_moved(self: &Rc<Self>, address: SocketAddr) {
-        if self.discovery.move_to(address) {
+    /// The source has moved. What the module asked for, or will ask for once a failed call is far enough back,
+    /// is asked anew at once: what it has to tell may not wait.
+    pub fn watch_anew(self: &Rc<Self>) {
+        let watched = self.watching.borrow().is_some();
+        if watched {
             self.watch();
         }
     }
@@ -350,8 +372,10 @@
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
-        if let Some(reply) = core.requests.get_mut(&id).and_then(|held| held.reply.take()) {
-            let _ = reply.send(answer);
+        if let Some(held) = core.requests.get_mut(&id)
+            && let Some(reply) = held.reply.take()
+        {
+            let _ = reply.send((answer, Trace { attempts: held.attempts.len() as u8, upstream: None }));
         }
         self.forget_if_over(core, id);
     }
@@ -369,16 +393,17 @@
 pub struct Pending {
     driver: Rc<Driver>,
     id: RequestId,
-    answer: Option<oneshot::Receiver<Answer>>,
+    answer: Option<oneshot::Receiver<(Answer, Trace)>>,
 }
 
 impl Pending {
     /// The final answer.
-    pub async fn answer(mut self) -> Answer {
-        let Some(answer) = &mut self.answer else { return Answer::Failed };
+    pub async fn answer(mut self) -> (Answer, Trace) {
+        const LOST: (Answer, Trace) = (Answer::Failed, Trace { attempts: 0, upstream: None });
+        let Some(answer) = &mut self.answer else { return LOST };
         let answer = answer.await;
         self.answer = None;
-        answer.unwrap_or(Answer::Failed)
+        answer.unwrap_or(LOST)
     }
 }
 
--- /dev/null
+++ b/engine/src/lib.rs
@@ -0,0 +1,55 @@
+//! A load balancer to embed. Decisions are the `lapisroute` library's; this crate is what carries them out:
+//! attempts, connections, discovery behind one trait, and a ledger, so that every call gets exactly one final
+//! answer and no effect ever happens twice.
+//!
+//! ```
+//! use lapisroute::{Class, ClassId, Effect, Settings, Tenant, TenantId};
+//! use maplehook::source::Fixed;
+//! use maplehook::{Call, Engine, Outcome};
+//! use std::time::Duration;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! let settings = Settings {
+//!     classes: vec![Class { effect: Effect::AtMostOnce, ..Class::default() }],
+//!     tenants: vec![Tenant { allowance_per_s: 50.0 }],
+//!     ..Settings::default()
+//! };
+//! // Nobody listens there: the call is refused, since it never ran.
+//! let upstreams = Fixed::new([("desk-1", "127.0.0.1:9".parse()?)]);
+//! let engine = Engine::builder(settings).seed(7).upstreams(upstreams).start()?;
+//! let handle = engine.handle();
+//! let call = Call {
+//!     class: ClassId(0),
+//!     tenant: TenantId(0),
+//!     wait: Duration::from_secs(1),
+//!     id: Some(b"booking-17".to_vec().into()),
+//!     method: "POST".parse()?,
+//!     target: "/book".parse()?,
+//!     headers: [(hyper::header::HOST, "desk".parse()?)].into_iter().collect(),
+//!     body: "two beds".into(),
+//! };
+//! // Any runtime will do; the core has a thread of its own.
+//! let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+//! let outcome = runtime.block_on(async {
+//!     let outcome = handle.call(call).await;
+//!     engine.shutdown(Duration::from_secs(3)).await;
+//!     outcome
+//! });
+//! assert!(matches!(outcome, Outcome::Refused(_)));
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod connection;
+pub mod descriptors;
+pub mod discovery;
+pub mod driver;
+pub mod engine;
+pub mod headers;
+pub mod ledger;
+pub mod pool;
+pub mod seldom;
+pub mod source;
+pub mod upstream;
+
+pub use engine::{Builder, Call, Engine, Handle, Outcome, Reply, StartError};
--- a/node/src/pool.rs
+++ b/engine/src/pool.rs
@@ -169,7 +169,7 @@
 }
 
 #[cfg(test)]
-pub mod tests {
+pub(crate) mod tests {
     use super::*;
     use tokio::net::TcpListener;
 
--- /dev/null
+++ b/engine/src/source.rs
@@ -0,0 +1,95 @@
+//! Where the list of upstreams comes from. Every kind of discovery stands behind [`Source`].
+
+use crate::upstream::Place;
+use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+/// An upstream as listed, for the library and for the connections.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Its id, made of its uid alone: the same at every balancer, and wherever it listens.
+    pub id: UpstreamId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its kind.
+    pub kind: KindId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Its weight.
+    pub weight: f64,
+    /// Where it is, and how it stands.
+    pub place: Place,
+}
+
+/// News of the list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct News {
+    /// How complete it is.
+    pub scope: FleetScope,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+impl News {
+    /// That a call failed or a watch ended.
+    pub fn failed() -> Self {
+        Self { scope: FleetScope::Failed, entries: Vec::new() }
+    }
+}
+
+/// What a source does, on the engine's own thread.
+pub type Task<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+
+/// A source of the list. It is asked when the decision module wants the list, and asked again, after a while,
+/// when it has failed; it keeps no time of its own for that.
+pub trait Source {
+    /// The whole list, or [`News::failed`].
+    fn fetch(&self) -> Task<'_, News>;
+
+    /// Follows the list until that fails, and tells what comes; the last word is [`News::failed`].
+    fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()>;
+}
+
+/// A list that never changes.
+#[derive(Clone, Debug, Default)]
+pub struct Fixed(Vec<Entry>);
+
+impl Fixed {
+    /// Upstreams that are ready, by name and address, all alike.
+    pub fn new<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr)>) -> Self {
+        let entry = |(name, address): (&str, SocketAddr)| Entry {
+            id: stable_id(name),
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: CellId(0),
+            weight: 1.0,
+            place: Place { endpoint: Some(address), availability: Availability::Ready, boot_ms: 0 },
+        };
+        Self(upstreams.into_iter().map(entry).collect())
+    }
+
+    /// The list.
+    pub fn news(&self) -> News {
+        News { scope: FleetScope::Full, entries: self.0.clone() }
+    }
+}
+
+impl Source for Fixed {
+    fn fetch(&self) -> Task<'_, News> {
+        Box::pin(std::future::ready(self.news()))
+    }
+
+    fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()> {
+        tell(self.news());
+        Box::pin(std::future::pending())
+    }
+}
+
+/// FNV-1a: an id that no process, build or machine sees differently.
+pub fn stable_id(uid: &str) -> UpstreamId {
+    UpstreamId(uid.bytes().fold(0xcbf2_9ce4_8422_2325, |hash: u64, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    }))
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,19 +4,11 @@
 mod client;
 mod command;
 mod config;
-mod connection;
-mod descriptors;
-mod discovery;
-mod driver;
 mod entrance;
-mod headers;
-mod pool;
 mod refusals;
 mod requests;
-mod seldom;
 mod serve;
 mod server;
-mod upstream;
 
 use clap::Parser;
 use command::{Command, Line};
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -1,8 +1,5 @@
 //! What makes a client's message a request that may be handed to the module, and which requests are open.
 
-use crate::driver::Asked;
-use crate::headers::{self, ACCOUNT, CORRELATION_ID, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, WEIGHT_HINT};
-use crate::upstream::Outgoing;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
@@ -10,6 +7,9 @@
 use hyper::{Method, StatusCode};
 use lapisroute::{ClassId, Effect, TenantId};
 use lapisroute_settings::Site;
+use maplehook::driver::Asked;
+use maplehook::headers::{self, ACCOUNT, CORRELATION_ID, IDEMPOTENCY_KEY, REPEAT, TIME_LEFT, WEIGHT_HINT};
+use maplehook::upstream::Outgoing;
 use maplehook_admission::token::Signer;
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -2,16 +2,17 @@
 
 use crate::command;
 use crate::config::Config;
-use crate::descriptors::{self, Descriptors};
-use crate::discovery::Discovery;
-use crate::driver::Driver;
 use crate::entrance::Entrance;
 use crate::requests::{Requests, Vouching};
 use crate::server::{Phase, Server};
-use crate::upstream::Upstreams;
 use hyper::header::HeaderName;
 use lapisroute::Balancer;
 use lapisroute_settings::Site;
+use maplehook::descriptors::{self, Descriptors};
+use maplehook::discovery::Discovery;
+use maplehook::driver::Driver;
+use maplehook::source::Source;
+use maplehook::upstream::Upstreams;
 use maplehook_admission::{Door, Part};
 use maplehook_config::Operator;
 use std::error::Error;
@@ -55,7 +56,8 @@
     let listener =
         listen(config.listen, operator.backlog).map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let upstreams = Rc::new(Upstreams::new(settings, Rc::clone(&descriptors), config.long_answers()));
-    let discovery = Discovery::new(config.discovery, config.site.names.clone(), Rc::clone(&descriptors));
+    let names = config.site.names.clone();
+    let discovery = Rc::new(Discovery::new(config.discovery, names, Rc::clone(&descriptors)));
     let guarantees: Vec<f64> = settings.tenants.iter().map(|t| t.allowance_per_s).collect();
     let places = descriptors.of(Part::Clients);
     let entrance = Entrance::new(Door::new(operator.admission, places, &guarantees, config.seed));
@@ -68,13 +70,13 @@
         places,
         "serving"
     );
-    let driver = Driver::start(balancer, upstreams, discovery, known);
+    let driver = Driver::start(balancer, upstreams, Rc::clone(&discovery) as Rc<dyn Source>, known);
     let (phase, phases) = watch::channel(Phase::Serving);
     let requests = Requests::new(&config.site, vouching);
     let server = Server::new(Rc::clone(&driver), requests, entrance, Rc::clone(&descriptors), phases);
     let mut accepting = spawn_local(server.run(listener));
     spawn_local(Rc::clone(&descriptors).watch());
-    spawn_local(reload(hangup, Rc::clone(&driver), descriptors));
+    spawn_local(reload(hangup, Rc::clone(&driver), discovery, descriptors));
 
     term.recv().await;
     tracing::info!("leaving");
@@ -129,12 +131,19 @@
 
 /// Reads the configuration anew at each SIGHUP. Only discovery's address is taken from it: all else stands
 /// until the next start. A file that can't be read leaves everything as it is.
-async fn reload(mut hangup: Signal, driver: Rc<Driver>, descriptors: Rc<Descriptors>) {
+async fn reload(
+    mut hangup: Signal,
+    driver: Rc<Driver>,
+    discovery: Rc<Discovery>,
+    descriptors: Rc<Descriptors>,
+) {
     while hangup.recv().await.is_some() {
         match descriptors.with_spare(Config::from_env) {
             Ok(config) => {
                 tracing::info!(discovery = %config.discovery, "configuration read anew");
-                driver.discovery_moved(config.discovery);
+                if discovery.move_to(config.discovery) {
+                    driver.watch_anew();
+                }
             }
             Err(e) => tracing::warn!("the configuration stays as it is: {e}"),
         }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,12 +1,9 @@
 //! The clients' side: accepts connections, reads requests, writes final answers.
 
 use crate::client::{Client, Inbound, Question, Stand};
-use crate::descriptors::{Descriptors, PAUSE, out_of_descriptors};
-use crate::driver::{Answer, Asked, Driver};
 use crate::entrance::Entrance;
 use crate::refusals::Refusals;
 use crate::requests::{OpenId, Requests, Unfit};
-use crate::seldom::Seldom;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -15,6 +12,9 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use maplehook::descriptors::{Descriptors, PAUSE, out_of_descriptors};
+use maplehook::driver::{Answer, Asked, Driver};
+use maplehook::seldom::Seldom;
 use maplehook_admission::{Reason, Refusal};
 use std::convert::Infallible;
 use std::io;
@@ -188,7 +188,7 @@
                 }
             }
             _ => match self.read(client, request, whole_by).await {
-                Ok((asked, _open)) => worded(self.driver.ask(asked).answer().await),
+                Ok((asked, _open)) => worded(self.driver.ask(asked).answer().await.0),
                 Err(Unfit(status, why)) => {
                     question = Question::Unfit;
                     plain(status, why)
