At the descriptor limit nobody is ended for nobody, and who waits is accepted

Need: the kernel says that no descriptor is left whether or not a client waits, and each time an idle client was ended: 200 a second at the limit; breaking the code on purpose showed that three tests could not fail.

--- a/engine/src/descriptors.rs
+++ b/engine/src/descriptors.rs
@@ -85,31 +85,38 @@
     }
 
     /// Something could not be opened for want of a descriptor: the limit is read anew, and if it was not that,
-    /// the parts shrink; either way one descriptor is freed before long. Whoever failed waits [`PAUSE`].
-    pub fn starved(&self, what: &str) {
+    /// the parts shrink; either way one descriptor is freed before long, if any can be spared (`true`). Whoever
+    /// failed waits [`PAUSE`]; of many that fail at one moment, one is told so.
+    pub fn starved(&self, what: &str) -> bool {
         self.short.warn(|| format!("no descriptor left: {what}"));
         let now = Instant::now();
         if self.relieved.get().is_some_and(|at| now - at < PAUSE) {
-            return;
+            return false;
         }
         self.relieved.set(Some(now));
         if !self.budget.borrow_mut().limit(real_limit()) {
             self.budget.borrow_mut().exhausted(self.start.elapsed());
         }
+        let freed = self.reliefs.borrow().iter().any(|relief| relief());
         self.tell();
-        let _ = self.reliefs.borrow().iter().any(|relief| relief());
+        freed
     }
 
     /// Does something with the spare descriptor given up for as long as it takes.
     pub fn with_spare<T>(&self, act: impl FnOnce() -> T) -> T {
-        drop(self.spare.borrow_mut().take());
+        self.lend_spare();
         let done = act();
-        *self.spare.borrow_mut() = spare();
+        self.regain_spare();
         done
     }
 
-    /// Gets the spare descriptor back, should something else have been quicker.
-    fn regain_spare(&self) {
+    /// Gives the spare descriptor up, until [`Self::regain_spare`] finds one again.
+    pub fn lend_spare(&self) {
+        drop(self.spare.borrow_mut().take());
+    }
+
+    /// Gets the spare descriptor back, as soon as there is one.
+    pub fn regain_spare(&self) {
         let missing = self.spare.borrow().is_none();
         if missing {
             *self.spare.borrow_mut() = spare();
@@ -190,11 +197,11 @@
         let tells = Rc::clone(&told);
         descriptors.tells(move || tells.set(tells.get() + 1));
         let before = descriptors.of(Part::Clients);
-        (0..50).for_each(|_| descriptors.starved("test"));
+        assert_eq!((0..50).filter(|_| descriptors.starved("test")).count(), 1);
         assert_eq!((count.get(), told.get()), ((1, 1), 1));
         assert!(descriptors.of(Part::Clients) + descriptors.of(Part::Upstreams) < 232);
         sleep(PAUSE).await;
-        descriptors.starved("test");
+        assert!(descriptors.starved("test"));
         // The first had one to spare now.
         assert_eq!(count.get(), (2, 1));
         // What was taken away comes back.
--- a/node/src/refusals.rs
+++ b/node/src/refusals.rs
@@ -86,13 +86,6 @@
             .await;
         }));
     }
-
-    /// The same on a descriptor that is needed back at once: the spare one.
-    pub fn refuse_at_once(stream: &TcpStream, refusal: &Refusal) {
-        if write(stream, refusal) {
-            read_away(stream);
-        }
-    }
 }
 
 #[cfg(test)]
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -21,6 +21,7 @@
 use std::net::IpAddr;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -122,20 +123,23 @@
         }
     }
 
-    /// There was no descriptor for a client: one is made free, and the client that waits is told, on the spare
-    /// one, that trying again is harmless. Accepting goes on.
+    /// There was no descriptor to accept with, which the kernel says whether or not anybody waits. Whoever does
+    /// is accepted on the spare one, and stays if another descriptor can be freed in its stead; else it is
+    /// told that trying again is harmless. Accepting goes on.
     async fn starved(self: &Rc<Self>, listener: &TcpListener) {
-        self.descriptors.starved("accept");
-        self.descriptors.with_spare(|| {
-            // Ready or not, only a look: the client may have gone.
-            let mut look = std::task::Context::from_waker(std::task::Waker::noop());
-            if let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut look) {
+        self.descriptors.lend_spare();
+        // Only a look: the loop's own wait is told of the next one.
+        let mut look = Context::from_waker(Waker::noop());
+        if let Poll::Ready(Ok((stream, peer))) = listener.poll_accept(&mut look) {
+            if self.descriptors.starved("accept") {
+                self.admit(stream, peer.ip());
+            } else {
                 let retry_after = Duration::from_secs(1);
-                let refusal = Refusal { reason: Reason::Full, answered: true, retry_after };
-                Refusals::refuse_at_once(&stream, &refusal);
+                self.refusals.refuse(stream, &Refusal { reason: Reason::Full, answered: true, retry_after });
             }
-        });
-        sleep(PAUSE).await;
+            sleep(PAUSE).await;
+        }
+        self.descriptors.regain_spare();
     }
 
     async fn connection(self: Rc<Self>, client: Rc<Client>, stream: TcpStream) {
