--- a/engine/tests/engine.rs
+++ b/engine/tests/engine.rs
@@ -44,7 +44,7 @@
     Call {
         class: ClassId(class),
         tenant: TenantId(0),
-        wait: LONG,
+        wait: 10 * LONG,
         id: id.map(|id| id.as_bytes().into()),
         method: if safe { "GET" } else { "POST" }.parse().unwrap(),
         target: "/book/day?n=1".parse().unwrap(),
@@ -130,19 +130,21 @@
 #[test]
 fn a_dropped_call_is_called_back_or_remembered() {
     let (mute, host) = (Upstream::start(Then::Mute), host());
-    let engine = engine_for(&[mute.address], Duration::from_millis(1500));
-    let handle = engine.handle();
-    let dropped = |id: Option<&'static str>| {
+    let dropped = |handle: &Handle, id: Option<&'static str>| {
         let handle = handle.clone();
         let before = mute.seen().len();
         let task = host.spawn(async move { handle.call(call(BOOK, id)).await });
         until("it is sent", || mute.seen().len() > before);
         task.abort();
     };
-    dropped(None);
+    // By itself it would end long after this test.
+    let patient = engine_for(&[mute.address], 10 * LONG);
+    dropped(&patient.handle(), None);
     until("its attempt is called back", || mute.ended() == 1);
+    let engine = engine_for(&[mute.address], Duration::from_millis(1500));
+    let handle = engine.handle();
     let start = Instant::now();
-    dropped(Some("kept"));
+    dropped(&handle, Some("kept"));
     let again = host.block_on(handle.call(call(BOOK, Some("kept"))));
     assert_eq!(name(&again), "failed");
     assert!(start.elapsed() < LONG);
@@ -164,6 +166,16 @@
             })
             .collect();
         until("all are out", || upstream.seen().len() == 50);
+        if then == Then::Mute {
+            // While it ends, what is new is refused at once and not sent.
+            let ends = handle.shutdown(Duration::from_secs(2));
+            assert!(
+                host.block_on(async { tokio::time::timeout(Duration::from_millis(50), ends).await }).is_err()
+            );
+            let asked = Instant::now();
+            assert_eq!(name(&host.block_on(handle.call(call(BOOK, None)))), "refused");
+            assert!(asked.elapsed() < Duration::from_millis(1500));
+        }
         let start = Instant::now();
         let own = {
             let handle = handle.clone();
