Tests for discovery and reload without a descriptor can fail now

Need: with the code broken both stayed green, since a retry had left a descriptor free. Change: the tests.

--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -245,38 +245,45 @@
 
 /// Takes every descriptor that a balancer may still open, until one client costs another its place.
 fn exhaust(node: &Node) -> Vec<Client> {
-    let before = node.logged("no descriptor left");
+    let before = node.logged("no descriptor left: accept");
     let mut taken = Vec::new();
     until("there is none left", || {
         taken.push(node.connect_from("127.0.0.6"));
         let client = taken.last_mut().unwrap();
         client.write("GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n");
         assert_eq!(client.answer().map(|a| a.status()), Some(200));
-        node.logged("no descriptor left") > before
+        node.logged("no descriptor left: accept") > before
     });
     taken
 }
 
-/// Guards discovery, and the reload that moves it, where there is no descriptor left: somebody else gives one
-/// up, for what it has to tell may not wait.
+/// Guards discovery where there is no descriptor left: somebody else gives one up, for what it has to tell may
+/// not wait.
 #[test]
 fn discovery_finds_a_descriptor_when_there_is_none() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let (address, calls) = discovery();
     let mut setup = short(&upstream);
-    (setup.discovery, setup.asks) = (address, true);
+    // Nobody listens there, so that it holds no descriptor.
+    (setup.discovery, setup.asks) = (nobody(), true);
     let node = setup.start();
-    calls.recv_timeout(LONG).unwrap();
-    // Its watch ends for good, so that its descriptor is another's.
-    setup.discovery = nobody();
-    node.reload(&setup.text());
-    until("the watch has ended", || node.has_logged("watch ended"));
     let _idle = served(&node, 30);
     let _more = exhaust(&node);
-    let (next, next_calls) = discovery();
+    let (next, calls) = discovery();
     setup.discovery = next;
     node.reload(&setup.text());
-    next_calls.recv_timeout(LONG).unwrap();
+    calls.recv_timeout(LONG).unwrap();
+}
+
+/// Guards a new configuration where there is no descriptor left to read it on.
+#[test]
+fn a_configuration_is_read_when_there_is_no_descriptor() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let setup = short(&upstream);
+    let node = setup.start();
+    let _idle = served(&node, 30);
+    let _more = exhaust(&node);
+    node.reload(&setup.text());
+    until("it is read", || node.has_logged("configuration read anew"));
 }
 
 /// Guards a request whose attempt finds no descriptor: an idle client gives one up, and it is served.
