Each test at the descriptor limit fails with the code broken

Need: two of them were saved by idle clients that go by themselves, or by a descriptor not yet taken back. Change: the tests wait for the spare one, and less long.

--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -254,6 +254,8 @@
         assert_eq!(client.answer().map(|a| a.status()), Some(200));
         node.logged("no descriptor left: accept") > before
     });
+    // The one that was made free is to be the spare one again.
+    std::thread::sleep(Duration::from_millis(600));
     taken
 }
 
@@ -271,7 +273,8 @@
     let (next, calls) = discovery();
     setup.discovery = next;
     node.reload(&setup.text());
-    calls.recv_timeout(LONG).unwrap();
+    // Idle clients go by themselves after 6 s.
+    calls.recv_timeout(Duration::from_secs(3)).unwrap();
 }
 
 /// Guards a new configuration where there is no descriptor left to read it on.
@@ -295,11 +298,8 @@
     let mut kept = node.connect_from("127.0.0.3");
     assert_eq!(kept.exchange(&book_as("first", "x")).status(), 200);
     let _idle = served(&node, 30);
-    let mut taken = Vec::new();
-    for n in 0..3 {
-        taken.push(exhaust(&node));
-        assert_eq!(kept.exchange(&book_as(&format!("k{n}"), "x")).status(), 200, "{n}");
-    }
+    let _taken = exhaust(&node);
+    assert_eq!(kept.exchange(&book_as("again", "x")).status(), 200);
 }
 
 /// Guards idle clients where the process is at its limit and nobody new comes: none of them is ended.
