The rig holds every local port: what had none is refused and reaches nobody

Need: the ports scenario left some ports free, so nothing met the lack of them. Change: the rig takes the last ones by connections of its own, and fails on an untrue answer.

--- a/bench/src/door.rs
+++ b/bench/src/door.rs
@@ -213,6 +213,15 @@
         let [a, b, c, d] = [low, middle, middle + 1, high].map(|n| n.to_string());
         let holders = [Process::own(&["hold-ports", &a, &b])?, Process::own(&["hold-ports", &c, &d])?];
         let held: u32 = holders.iter().map(|h| u32::from(h.address.port())).sum();
+        // The last of them, each by a connection of ours to the same upstream.
+        let mut last = Vec::new();
+        while last.len() < 8000
+            && let Ok(stream) = tokio::net::TcpStream::connect(upstream.address).await
+        {
+            last.push(stream);
+        }
+        let (held, before) =
+            (held + last.len() as u32, upstream.seen.load(std::sync::atomic::Ordering::Relaxed));
         let mut told = [0_u32; 3];
         for (n, stream) in kept.iter_mut().enumerate() {
             let text = crate::load::booking("walkers", &format!("p{n}"));
@@ -223,8 +232,8 @@
                 _ => 2,
             }] += 1;
         }
-        let without = upstream.seen.load(std::sync::atomic::Ordering::Relaxed) - 20;
-        drop(holders);
+        let without = upstream.seen.load(std::sync::atomic::Ordering::Relaxed) - before;
+        drop((holders, last));
         let start = Instant::now();
         let mut tally = Tally::default();
         while tally.served.is_empty() && start.elapsed() < Duration::from_secs(5) {
@@ -240,7 +249,12 @@
             start.elapsed().as_secs_f64()
         );
         row("ports", &tally, 0.0, &node.used(), 0.0, &after);
-        Ok(())
+        // Whatever had no port never ran, and has to be told so.
+        if told[2] > 0 || without != u64::from(told[0]) {
+            Err("ports: an answer that is not true".into())
+        } else {
+            Ok(())
+        }
     }
 
     /// Known clients all come back at once after a restart, while an address floods.
