A request's id and key can't be named away; an absolute target names the host

Need: 'Connection: X-Correlation-Id, Idempotency-Key' on a booking had the balancer take both off, so that the request reached its upstream without the key that keeps it from running twice. 'POST http://other/book' beside 'Host: app.svc' was passed on with the header's host, against RFC 9112, section 3.2.2.

Change: what the protocol lives by from end to end stays on whatever Connection names (left on, not refused: its sender can't have meant to go without, and the request is well formed otherwise); an absolute target's host replaces the header.

--- a/engine/src/headers.rs
+++ b/engine/src/headers.rs
@@ -1,8 +1,8 @@
 //! Names and forms of headers, and which of them stay behind when a message is passed on.
 
 use hyper::header::{
-    CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    CONNECTION, CONTENT_LENGTH, COOKIE, HOST, HeaderMap, HeaderName, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION,
+    TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use lapisroute::LoadField;
 
@@ -27,6 +27,12 @@
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 const EXPECT: HeaderName = HeaderName::from_static("expect");
 
+/// What the protocol lives by from end to end. RFC 9110, section 7.6.1, lets a sender name any header in
+/// `Connection` as its hop's own; one of these that is named there goes on all the same. Without its id a booking
+/// is nobody's, without its key it may run twice, and its sender can't have meant that.
+const KEPT: [HeaderName; 8] =
+    [HOST, COOKIE, CORRELATION_ID, ACCOUNT, TIME_LEFT, REPEAT, WEIGHT_HINT, IDEMPOTENCY_KEY];
+
 /// Takes out what speaks of one connection or of framing only.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -35,6 +41,7 @@
         .filter_map(|value| value.to_str().ok())
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !KEPT.contains(name))
         .collect();
     let fixed = [
         CONNECTION,
@@ -95,4 +102,20 @@
         assert_eq!(headers.len(), 1);
         assert!(headers.contains_key(CORRELATION_ID));
     }
+
+    /// Guards the key that keeps a request from running twice, and all else that is read on the way, against a
+    /// sender who names it away.
+    #[test]
+    fn what_the_protocol_lives_by_cannot_be_named_away() {
+        let mut headers = HeaderMap::new();
+        let names = KEPT.map(|name| name.to_string().to_uppercase());
+        headers.insert(CONNECTION, format!("{}, x-mine", names.join(" ,")).parse().unwrap());
+        for name in KEPT {
+            headers.insert(name, "1".parse().unwrap());
+        }
+        headers.insert("x-mine", "1".parse().unwrap());
+        strip_hop_by_hop(&mut headers);
+        assert_eq!(headers.len(), KEPT.len());
+        assert!(KEPT.iter().all(|name| headers.contains_key(name)));
+    }
 }
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -196,6 +196,12 @@
         let open = OpenId { ids: Rc::clone(&self.open), id };
         let mut headers = parts.headers;
         headers::strip_hop_by_hop(&mut headers);
+        if let Some(host) = parts.uri.authority() {
+            // RFC 9112, section 3.2.2: the host of an absolute target replaces the header, else the upstream would
+            // serve another host than the client named.
+            let host = HeaderValue::from_str(host.as_str().rsplit('@').next().unwrap_or_default());
+            headers.insert(HOST, host.map_err(|_| Unfit(StatusCode::BAD_REQUEST, "an unreadable host"))?);
+        }
         if let Some((name, _)) = &self.vouching.token {
             // It is for this door alone.
             headers.remove(name);
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -32,6 +32,23 @@
     assert!(left > 0 && left <= 5000, "{left}");
 }
 
+/// Guards the key against a client that names it in `Connection`, and the host against a second one in the target.
+#[test]
+fn ids_and_keys_cannot_be_named_away_and_an_absolute_target_names_the_host() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let request = book(8000, "x")
+        .replace("/book/day", "http://other.example:81/book/day")
+        .replace("X-Account", "Idempotency-Key: k-1\r\nConnection: X-Correlation-Id, Idempotency-Key, Host, X-Own\r\nX-Own: 1\r\nX-Account");
+    assert_eq!(node.connect().exchange(&request).status(), 200);
+    let seen = &upstream.seen()[0];
+    assert_eq!(seen.line, "POST /book/day?n=1 HTTP/1.1");
+    assert_eq!(seen.header("x-correlation-id"), Some("9b1f03aa"));
+    assert_eq!(seen.header("idempotency-key"), Some("k-1"));
+    assert_eq!(seen.header("host"), Some("other.example:81"));
+    assert_eq!(seen.header("x-own"), None);
+}
+
 /// Guards against an effect twice: what may have run is not sent again, nor refused as harmless to retry.
 #[test]
 fn an_unsafe_request_that_may_have_run_has_failed() {
