--- a/benchlink/src/main.rs
+++ b/benchlink/src/main.rs
@@ -68,7 +68,7 @@
                 repeat: *repeat,
             },
             Record::Started { id, attempt, latency } => {
-                Event::StreamStarted { id: *id, attempt: *attempt, latency: *latency }
+                Event::StreamStarted { id: *id, attempt: *attempt, latency: Some(*latency) }
             }
             Record::Ended { id, attempt, finished, end } => Event::AttemptEnded {
                 id: *id,
--- /dev/null
+++ b/engine/src/attempt.rs
@@ -0,0 +1,548 @@
+//! Attempts: a request at one upstream, and what came of it.
+//!
+//! That an attempt never ran is said only of what can be proved: no connection was made, the kernel did not take so
+//! much of the request that it could have begun before the connection ended, or the upstream says so itself.
+
+use crate::answer::{AnswerBody, Served, Stream, is_unreadable};
+use crate::body::{Failure, Payload};
+use crate::connection::{Connection, head_length, wire_length};
+use crate::headers::{LOAD, TIME_LEFT};
+use crate::room::Room;
+use crate::upstream::{Upstream, Upstreams};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TE, TRANSFER_ENCODING};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, StatusCode, Uri};
+use lapisroute::{Outcome, Reports, UpstreamId};
+use maplehook_routes::{Answers, Begins, Means, Passage};
+use std::fmt;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Answers up to this length always find room where all are held whole; longer ones share what there is.
+const BODY_SMALL: usize = 64 * 1024;
+/// The longest body of an answer that does not pass.
+const ERROR_MOST: usize = 64 * 1024;
+/// How long a probe may take.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A request as it is passed on.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Its end-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Payload,
+    /// How messages of its class pass.
+    pub passage: Rc<Passage>,
+}
+
+/// How an attempt or a probe ended, or that its answer streams from now on.
+#[derive(Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The final answer, if it is one.
+    pub served: Option<Served>,
+    /// An error in the upstream's own words, for when nothing is left to try.
+    pub words: Option<Served>,
+    /// A load report, in the order of the settings; empty if none came.
+    pub report: Vec<f32>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Self { outcome, served: None, words: None, report: Vec::new() }
+    }
+}
+
+/// The head of an answer, and its body.
+struct Reply {
+    parts: Parts,
+    means: Means,
+    body: Coming,
+}
+
+enum Coming {
+    Whole(Bytes),
+    Streams(Incoming),
+}
+
+impl Upstreams {
+    /// Sends a request to an upstream and waits for the answer until `give_up`.
+    pub async fn attempt(self: &Rc<Self>, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+        let Some(upstream) = self.get(id) else { return Outcome::NotSent.into() };
+        loop {
+            if outgoing.body.is_spent() {
+                return Outcome::NotSent.into();
+            }
+            let (mut connection, reused) = match self.connection(id, &upstream, give_up).await {
+                Ok(got) => got,
+                Err(outcome) => return outcome.into(),
+            };
+            let left = give_up.saturating_duration_since(Instant::now());
+            // The moment of writing: it may have begun to drain while the connection was made.
+            if !upstream.ready.get() || left.is_zero() {
+                self.put_back(id, &upstream, connection);
+                return Outcome::NotSent.into();
+            }
+            let request = request(outgoing, left, &connection);
+            let (before, head, all) = (connection.written(), head_length(&request), wire_length(&request));
+            // What has gone less far than this can't have begun.
+            let begins = if outgoing.passage.begins == Begins::LastByte { all } else { head };
+            let exchanged = exchange(&mut connection, request, &outgoing.passage, &self.room);
+            let exchanged = within(&outgoing.body, give_up, exchanged).await;
+            let written = connection.written() - before;
+            match exchanged {
+                Some(Ok(reply)) => {
+                    return self.answered(id, upstream, connection, outgoing, reply, before + all);
+                }
+                // It had ended unseen while idle. Nothing of the request has left: another is taken.
+                Some(Err(_)) if reused && written == 0 => {}
+                Some(Err(e)) => {
+                    tracing::debug!(upstream = id.0, written, all, "broken: {e}");
+                    return match e {
+                        _ if is_its_senders(&outgoing.body) => Outcome::Cancelled,
+                        // It has been read, whole or not, by an upstream that lives and has answered.
+                        Broken::Spoilt(_) => Outcome::Error,
+                        Broken::Ended(_) if written < begins => Outcome::ConnectFailed,
+                        Broken::Ended(_) => Outcome::Reset,
+                    }
+                    .into();
+                }
+                None if written < begins => return Outcome::NotSent.into(),
+                None if is_its_senders(&outgoing.body) => return Outcome::Cancelled.into(),
+                None => return Outcome::TimedOut.into(),
+            }
+        }
+    }
+
+    /// Asks an upstream how it is.
+    pub async fn probe(self: &Rc<Self>, id: UpstreamId) -> Ended {
+        let target = Uri::from_static(if self.reports == Reports::Off { "/health/live" } else { "/stats" });
+        let mut headers = HeaderMap::with_capacity(3);
+        headers.insert(HOST, HeaderValue::from_static("upstream"));
+        let (body, passage) = (Payload::Whole(Bytes::new()), Rc::clone(&self.probing));
+        let outgoing = Outgoing { method: Method::GET, target, headers, body, passage };
+        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT).await;
+        if let Some(Served { body: AnswerBody::Whole(body), .. }) = &ended.served
+            && self.reports != Reports::Off
+            && ended.report.is_empty()
+        {
+            ended.report = self.read_report(body);
+        }
+        ended
+    }
+
+    /// Takes in an answer. `whole` is what its connection has written when the request has left whole.
+    fn answered(
+        self: &Rc<Self>,
+        id: UpstreamId,
+        upstream: Rc<Upstream>,
+        connection: Connection,
+        outgoing: &Outgoing,
+        reply: Reply,
+        whole: u64,
+    ) -> Ended {
+        let Reply { parts: Parts { status, mut headers, .. }, means, body } = reply;
+        let load = headers.remove(LOAD).filter(|_| self.reports == Reports::Inline);
+        let report = load.map_or_else(Vec::new, |load| self.read_report(load.as_bytes()));
+        self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(_)));
+        // An answer that came before the request had left whole leaves the rest in the way.
+        let payload = outgoing.body.clone();
+        let has_left = move |connection: &Connection| match &payload {
+            Payload::Whole(_) => connection.written() >= whole,
+            Payload::Upload(upload) => upload.is_whole(),
+        };
+        let body = match body {
+            Coming::Whole(body) => {
+                if has_left(&connection) {
+                    self.put_back(id, &upstream, connection);
+                }
+                AnswerBody::Whole(body)
+            }
+            Coming::Streams(incoming) => {
+                let (upstreams, (idle, total)) = (Rc::clone(self), outgoing.passage.patience());
+                let put_back = Box::new(move |connection: Connection| {
+                    if has_left(&connection) {
+                        upstreams.put_back(id, &upstream, connection);
+                    }
+                });
+                let until = Instant::now() + total;
+                AnswerBody::Stream(Stream::new(incoming, connection, put_back, idle, until))
+            }
+        };
+        let (served, spoke) = (Served { status, headers, body }, outgoing.passage.last_error_passes);
+        let (outcome, served, words) = match means {
+            Means::Final { well: true } => (Outcome::Ok, Some(served), None),
+            Means::Final { well: false } => (Outcome::Error, Some(served), None),
+            Means::TurnedAway => (Outcome::Rejected, None, None),
+            Means::Overload => (Outcome::Overloaded, None, Some(served).filter(|_| spoke)),
+            Means::Error => (Outcome::Error, None, Some(served).filter(|_| spoke)),
+        };
+        Ended { outcome, served, words, report }
+    }
+}
+
+/// Whether a request has broken by its sender's fault.
+fn is_its_senders(body: &Payload) -> bool {
+    matches!(body, Payload::Upload(upload) if upload.fault().is_some())
+}
+
+/// What comes in time. A body that streams has times of its own.
+async fn within<T>(body: &Payload, give_up: Instant, exchange: impl Future<Output = T>) -> Option<T> {
+    match body {
+        Payload::Whole(_) => timeout_at(give_up, exchange).await.ok(),
+        Payload::Upload(upload) => tokio::select! {
+            done = exchange => Some(done),
+            () = upload.is_over() => None,
+        },
+    }
+}
+
+/// The request of one attempt: how long the balancer will wait is its own.
+fn request(outgoing: &Outgoing, left: Duration, connection: &Connection) -> Request<crate::body::Outbound> {
+    let mut headers = outgoing.headers.clone();
+    headers.insert(TIME_LEFT, HeaderValue::from(left.as_millis() as u64));
+    let body = connection.outbound(&outgoing.body);
+    let enclosing = matches!(outgoing.method, Method::POST | Method::PUT | Method::PATCH);
+    if let Some(length) = body.size_hint().exact().filter(|length| *length > 0 || enclosing) {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(length));
+    }
+    if matches!(outgoing.passage.answers, Answers::Streamed { .. }) {
+        // What streams may have trailers.
+        headers.insert(TE, HeaderValue::from_static("trailers"));
+    }
+    let mut request = Request::new(body);
+    *request.method_mut() = outgoing.method.clone();
+    *request.uri_mut() = outgoing.target.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+/// Why an exchange came to no answer.
+#[derive(Debug)]
+enum Broken {
+    /// The connection ended.
+    Ended(Failure),
+    /// What came is no answer, though the connection stands: the request may have run, and the upstream is
+    /// no worse than one that answers with an error.
+    Spoilt(Failure),
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Ended(e) => write!(f, "ended: {e}"),
+            Self::Spoilt(e) => write!(f, "spoilt: {e}"),
+        }
+    }
+}
+
+impl From<hyper::Error> for Broken {
+    fn from(e: hyper::Error) -> Self {
+        if e.is_parse() { Self::Spoilt(e.into()) } else { Self::Ended(e.into()) }
+    }
+}
+
+/// What went wrong with a body.
+fn broken_body(e: Failure) -> Broken {
+    if is_unreadable(&e) { Broken::Spoilt(e) } else { Broken::Ended(e) }
+}
+
+/// One request, and its answer: whole, or from its first byte.
+async fn exchange(
+    connection: &mut Connection,
+    request: Request<crate::body::Outbound>,
+    passage: &Passage,
+    room: &Room,
+) -> Result<Reply, Broken> {
+    let (parts, body) = connection.send(request).await?.into_parts();
+    if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
+        return Err(Broken::Spoilt("two lengths".into()));
+    }
+    if parts.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(Broken::Spoilt("an upgrade that nobody asked for".into()));
+    }
+    let means = passage.meaning.of(parts.status, &parts.headers);
+    let body = match (passage.answers, means) {
+        (Answers::Whole { most }, _) => Coming::Whole(whole(body, most, BODY_SMALL, room).await?),
+        (Answers::Streamed { buffer, .. }, Means::Final { .. }) => {
+            let stated = body.size_hint().exact().filter(|n| *n <= buffer as u64);
+            match stated.and_then(|n| room.take_long(n as usize)) {
+                Some(taken) => Coming::Whole(
+                    taken.with(body.collect().await.map_err(|e| broken_body(e.into()))?.to_bytes()),
+                ),
+                // Where there is no room to hold it, its reader sets the pace.
+                None => Coming::Streams(body),
+            }
+        }
+        (Answers::Streamed { .. }, _) => Coming::Whole(whole(body, ERROR_MOST, 0, room).await?),
+    };
+    Ok(Reply { parts, means, body })
+}
+
+/// A whole body of `most` bytes at the most; one of up to `small` needs no room.
+async fn whole(body: Incoming, most: usize, small: usize, room: &Room) -> Result<Bytes, Broken> {
+    let stated = body.size_hint().lower();
+    if stated > most as u64 {
+        return Err(Broken::Spoilt(format!("{stated} bytes are too long").into()));
+    }
+    let room = |length: usize| match length {
+        n if n <= small => Ok(None),
+        _ => room.take_long(length).map(Some).ok_or_else(|| Broken::Spoilt("no room for an answer".into())),
+    };
+    let mut taken = room(stated as usize)?;
+    let body = Limited::new(body, most).collect().await.map_err(broken_body)?.to_bytes();
+    if taken.is_none() {
+        // It did not say how long it was.
+        taken = room(body.len())?;
+    }
+    Ok(match taken {
+        Some(taken) => taken.with(body),
+        None => body,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::upstream::Place;
+    use lapisroute::{Availability, Settings};
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::spawn_local;
+
+    const ID: UpstreamId = UpstreamId(7);
+    const LONG: Duration = Duration::from_secs(20);
+    const LONGEST: usize = 1024 * 1024;
+
+    fn outgoing() -> Outgoing {
+        Outgoing {
+            method: Method::POST,
+            target: Uri::from_static("/book"),
+            headers: HeaderMap::new(),
+            body: Payload::Whole(Bytes::from_static(b"x")),
+            passage: Rc::new(Passage::platform()),
+        }
+    }
+
+    async fn upstreams(most_open: usize) -> (Rc<Upstreams>, TcpListener, Place) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
+        let upstreams = Rc::new(Upstreams::new(
+            &settings,
+            crate::pool::tests::descriptors(most_open),
+            Room::new(4 << 20),
+            maplehook_routes::Forwarding::platform(),
+        ));
+        let endpoint = Some(listener.local_addr().unwrap());
+        let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
+        upstreams.place(ID, &place);
+        (upstreams, listener, place)
+    }
+
+    /// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
+    #[tokio::test(flavor = "local")]
+    async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
+        let (upstreams, listener, mut place) = upstreams(1).await;
+        let held = Rc::clone(&upstreams);
+        let first = spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        let (mut stream, _) = listener.accept().await.unwrap();
+        assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+        // The only place is taken: this one waits.
+        let waits = Rc::clone(&upstreams);
+        let second = spawn_local(async move { waits.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+        tokio::task::yield_now().await;
+        place.availability = Availability::Draining;
+        upstreams.place(ID, &place);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+        assert_eq!(first.await.unwrap().outcome, Outcome::Ok, "what it has it finishes");
+        assert_eq!(second.await.unwrap().outcome, Outcome::NotSent);
+        assert_eq!(stream.read(&mut [0; 1024]).await.unwrap_or(0), 0, "nothing more came");
+    }
+
+    /// Guards against another request's answer: what came behind an answer on a kept connection, a second copy
+    /// perhaps and perhaps unseen by this process as yet, is not taken for the answer to the next request.
+    #[tokio::test(flavor = "local")]
+    async fn what_came_behind_an_answer_serves_nobody() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        for behind_at_once in [true, false] {
+            for _ in 0..20 {
+                upstreams.close_idle(ID);
+                let first = async {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                    let twice = b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold";
+                    let (now, later) =
+                        twice.split_at(if behind_at_once { twice.len() } else { twice.len() / 2 });
+                    stream.write_all(now).await.unwrap();
+                    (stream, later)
+                };
+                let request = outgoing();
+                let (ended, (mut stream, later)) =
+                    tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), first);
+                assert_eq!(ended.outcome, Outcome::Ok);
+                // No task runs between this and the next attempt, but for this write.
+                assert_eq!(stream.try_write(later).unwrap(), later.len());
+                let second = async {
+                    let (mut stream, _) = listener.accept().await.unwrap();
+                    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew").await.unwrap();
+                    stream
+                };
+                let both =
+                    async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), second) };
+                let (ended, _second) =
+                    timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+                let AnswerBody::Whole(body) = ended.served.expect("an answer").body else {
+                    panic!("it streams")
+                };
+                assert_eq!(body, "new");
+                let _ = stream.read(&mut [0; 1]).await;
+            }
+        }
+    }
+
+    /// Guards against the moment between an upstream's close and this process's look at it.
+    #[tokio::test(flavor = "local")]
+    async fn a_connection_that_has_just_been_closed_is_not_written_to() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        for _ in 0..20 {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                stream
+            };
+            let request = outgoing();
+            // Without the guard the request goes into the old connection and no new one ever comes.
+            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+            assert_eq!(ended.outcome, Outcome::Ok);
+            // No task runs between this and the next attempt.
+            drop(stream);
+        }
+    }
+
+    /// Guards a fleet whose answers come spoilt now and then from being taken for dead: each such answer is an
+    /// error of an upstream that lives, ends the attempt at once, and its connection serves nobody again.
+    /// An answer that breaks off with its connection is another thing.
+    #[tokio::test(flavor = "local")]
+    async fn a_spoilt_answer_is_an_error_and_no_reset() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let long = format!("HTTP/1.1 200 OK\r\nX-Long: {}", "y".repeat(80 * 1024));
+        let body = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n110000\r\n{}",
+            "y".repeat(0x11_0000)
+        );
+        for (text, outcome) in [
+            ("\u{1}\u{2} noise \r\n\r\n", Outcome::Error),
+            ("HTTP/1.1 2x0 OK\r\n\r\n", Outcome::Error),
+            (&long, Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\ndone", Outcome::Error),
+            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\ndone", Outcome::Error),
+            (
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                Outcome::Error,
+            ),
+            (&body, Outcome::Error),
+            (
+                "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                Outcome::Ok,
+            ),
+        ] {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                // Where it is cut off on the way, its end was seen early enough.
+                let _ = stream.write_all(text.as_bytes()).await;
+                stream
+            };
+            let request = outgoing();
+            let both = async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer) };
+            let (ended, _open) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
+            assert_eq!(ended.outcome, outcome, "{:?}", &text[..text.len().min(80)]);
+        }
+        for text in ["", "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nhalf"] {
+            upstreams.close_idle(ID);
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(text.as_bytes()).await.unwrap();
+            };
+            let request = outgoing();
+            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            assert_eq!(ended.outcome, Outcome::Reset, "{text:?}");
+        }
+    }
+
+    /// Guards long answers, which some upstreams give, and this machine's memory against many at once: their
+    /// room comes back when the client's side lets go of them.
+    #[tokio::test(flavor = "local")]
+    async fn long_answers_pass_while_there_is_room() {
+        let (upstreams, listener, _) = upstreams(8).await;
+        let body = "y".repeat(LONGEST);
+        let stated = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        let chunk = format!("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n", body.len());
+        let chunked = format!("HTTP/1.1 200 OK\r\n{chunk}");
+        let mut held = Vec::new();
+        for n in 0..10 {
+            upstreams.close_idle(ID);
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                let text = if n % 2 == 0 { &stated } else { &chunked };
+                // Where there is no room it is cut off.
+                let _ = stream.write_all(text.as_bytes()).await;
+            };
+            let request = outgoing();
+            let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG), answer);
+            if !(4..=5).contains(&n) {
+                let served = ended.served.expect("there is room");
+                assert_eq!(served.body.size_hint().exact(), Some(LONGEST as u64));
+                held.push(served);
+            } else {
+                assert_eq!(ended.outcome, Outcome::Error, "{n}");
+            }
+            if n == 5 {
+                held.clear();
+            }
+        }
+    }
+
+    /// Guards against running out of descriptors: an idle connection makes room, and where there is none
+    /// the wait ends as not sent, which says nothing of the upstream.
+    #[tokio::test(flavor = "local")]
+    async fn connections_stay_under_the_limit() {
+        let (upstreams, listener, place) = upstreams(1).await;
+        let other = UpstreamId(8);
+        upstreams.place(other, &place);
+        for id in [ID, other] {
+            let answer = async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                stream
+            };
+            let request = outgoing();
+            let (ended, _stream) =
+                tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG), answer);
+            assert_eq!(ended.outcome, Outcome::Ok);
+            assert_eq!(upstreams.pool.open(), 1);
+        }
+        let _taken = upstreams.pool.slot().await;
+        let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50)).await;
+        assert_eq!(ended.outcome, Outcome::NotSent);
+    }
+}
--- a/engine/src/connection.rs
+++ b/engine/src/connection.rs
@@ -1,7 +1,6 @@
 //! One client-side connection: it knows how much of a request the kernel has taken.
 
-use bytes::Bytes;
-use http_body_util::Full;
+use crate::body::{Outbound, Payload, Written};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -24,7 +23,7 @@
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
 struct Counted<S> {
     stream: TcpStream,
-    written: Rc<Cell<u64>>,
+    written: Rc<Written>,
     /// Set before a request: its first byte may only go out on a connection that is silent and open.
     listen_first: Rc<Cell<bool>>,
     _slot: S,
@@ -49,7 +48,7 @@
 
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &poll {
-            self.written.set(self.written.get() + *n as u64);
+            self.written.add(*n);
         }
         poll
     }
@@ -97,9 +96,9 @@
 
 /// An open connection. Dropping it closes it, whatever is still out on it.
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outbound>,
     task: AbortHandle,
-    written: Rc<Cell<u64>>,
+    written: Rc<Written>,
     listen_first: Rc<Cell<bool>>,
     peer: SocketAddr,
 }
@@ -109,7 +108,7 @@
     pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let (written, listen_first) = <(Rc<Cell<u64>>, Rc<Cell<bool>>)>::default();
+        let (written, listen_first) = <(Rc<Written>, Rc<Cell<bool>>)>::default();
         let counted = Counted {
             stream,
             written: Rc::clone(&written),
@@ -141,12 +140,17 @@
 
     /// Bytes that the kernel has taken so far.
     pub fn written(&self) -> u64 {
-        self.written.get()
+        self.written.count()
+    }
+
+    /// A request's body on this connection.
+    pub fn outbound(&self, payload: &Payload) -> Outbound {
+        Outbound::of(payload, &self.written)
     }
 
     /// Sends a request and waits for the head of its answer. Nothing of it goes out where something has come
     /// already.
-    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
+    pub async fn send(&mut self, request: Request<Outbound>) -> hyper::Result<Response<Incoming>> {
         self.listen_first.set(true);
         self.sender.send_request(request).await
     }
@@ -158,15 +162,20 @@
     }
 }
 
-/// The bytes that hyper makes of a request which states its own length: line, headers, body.
-pub fn wire_length(request: &Request<Full<Bytes>>) -> u64 {
-    use hyper::body::Body;
+/// The bytes that hyper makes of a request's head, or fewer: where it streams, its framing is added.
+pub fn head_length(request: &Request<Outbound>) -> u64 {
     let path = request.uri().path_and_query().map_or(1, |p| p.as_str().len());
     let line = request.method().as_str().len() + path + " ".len() + " HTTP/1.1\r\n".len();
     let headers = request.headers().iter();
     let headers: usize =
         headers.map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len()).sum();
-    (line + headers + "\r\n".len()) as u64 + request.body().size_hint().exact().unwrap_or(0)
+    (line + headers + "\r\n".len()) as u64
+}
+
+/// The bytes that hyper makes of a request which states its own length: line, headers, body.
+pub fn wire_length(request: &Request<Outbound>) -> u64 {
+    use hyper::body::Body;
+    head_length(request) + request.body().size_hint().exact().unwrap_or(0)
 }
 
 #[cfg(test)]
@@ -187,7 +196,7 @@
             if method == "POST" {
                 request = request.header(CONTENT_LENGTH, body.len());
             }
-            let request = request.body(Full::from(body)).unwrap();
+            let request = request.body(connection.outbound(&Payload::Whole(body.into()))).unwrap();
             let length = wire_length(&request);
             let upstream = async {
                 let (mut stream, _) = listener.accept().await.unwrap();
--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -1,12 +1,13 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
+use crate::body::Outbound;
 use crate::connection::Connection;
 use crate::descriptors::{self, Descriptors, out_of_descriptors};
 use crate::seldom::Seldom;
 use crate::source::{Entry, News, Source, Task};
 use crate::upstream::Place;
-use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, Full};
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
@@ -168,7 +169,7 @@
         let address = self.address.get();
         let mut connection = timeout(CONNECT_TIMEOUT, self.connect(address)).await??;
         let request = Request::get(target).header(HOST, address.to_string());
-        let response = connection.send(request.body(Full::<Bytes>::default())?).await?;
+        let response = connection.send(request.body(Outbound::default())?).await?;
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()).into());
         }
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -4,8 +4,11 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
+use crate::answer::{AnswerBody, Served};
+use crate::attempt::{Ended, Outgoing};
+use crate::body::Payload;
 use crate::source::{News, Source};
-use crate::upstream::{Ended, Outgoing, Served, Upstreams};
+use crate::upstream::Upstreams;
 use lapisroute::{
     Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
     UpstreamId,
@@ -82,6 +85,10 @@
     Fleet(News),
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
+    /// The body of this attempt has begun to stream.
+    Uploads(RequestId, AttemptNo),
+    /// The answer that streams has ended.
+    StreamEnded(RequestId, AttemptNo, Outcome),
     ProbeEnded(UpstreamId, Duration, Ended),
     Gone(RequestId),
     Timer(TimerId),
@@ -92,6 +99,8 @@
     sent: Instant,
     task: AbortHandle,
     out: bool,
+    /// The module has been told that it streams.
+    streams: bool,
 }
 
 struct Held {
@@ -99,6 +108,8 @@
     /// Taken with the final answer.
     reply: Option<oneshot::Sender<(Answer, Trace)>>,
     attempts: Vec<Attempt>,
+    /// The last error in an upstream's own words, and whose they are.
+    words: Option<(Served, UpstreamId)>,
 }
 
 struct Core {
@@ -156,7 +167,7 @@
             // Ids are not reused while one may be in use: they go round only after 2^32 requests.
             let id = RequestId(core.next_id);
             core.next_id = core.next_id.wrapping_add(1);
-            let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new() };
+            let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new(), words: None };
             core.requests.insert(id, held);
             id
         };
@@ -218,16 +229,22 @@
                 let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
                     return;
                 };
-                attempt.out = false;
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                let streams = matches!(&ended.served, Some(Served { body: AnswerBody::Stream(_), .. }));
+                if streams && held.reply.is_some() {
+                    let latency = (!std::mem::replace(&mut attempt.streams, true)).then_some(latency);
+                    self.pass_on(held, id, no, upstream, ended.served);
+                    let event = Event::StreamStarted { id, attempt: no, latency };
+                    core.balancer.handle(now, event, &mut actions);
+                    self.carry_out_all(core, actions);
+                    return;
+                }
+                attempt.out = false;
                 // A second copy's answer comes to a request that is over: it is dropped.
-                if let Some(served) = ended.served
-                    && let Some(reply) = held.reply.take()
-                {
-                    // Where the client has just gone, nobody waits for it.
-                    let trace = Trace { attempts: held.attempts.len() as u8, upstream: Some(upstream) };
-                    let _ = reply.send((Answer::Served(served), trace));
+                if held.reply.is_some() {
+                    self.pass_on(held, id, no, upstream, ended.served);
+                    held.words = ended.words.map(|words| (words, upstream)).or(held.words.take());
                 }
                 let finished = held.reply.is_none();
                 let event = Event::AttemptEnded {
@@ -242,6 +259,35 @@
                 core.balancer.handle(now, event, &mut actions);
                 self.forget_if_over(core, id);
             }
+            Happening::Uploads(id, no) => {
+                let Some(held) = core.requests.get_mut(&id) else { return };
+                let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
+                    return;
+                };
+                if !std::mem::replace(&mut attempt.streams, true) {
+                    let event = Event::StreamStarted { id, attempt: no, latency: None };
+                    core.balancer.handle(now, event, &mut actions);
+                }
+            }
+            Happening::StreamEnded(id, no, outcome) => {
+                let Some(held) = core.requests.get_mut(&id) else { return };
+                let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
+                    return;
+                };
+                attempt.out = false;
+                let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
+                let event = Event::AttemptEnded {
+                    id,
+                    attempt: no,
+                    upstream,
+                    outcome,
+                    latency,
+                    finished: true,
+                    report: &[],
+                };
+                core.balancer.handle(now, event, &mut actions);
+                self.forget_if_over(core, id);
+            }
             Happening::ProbeEnded(upstream, latency, ended) => {
                 let event =
                     Event::ProbeEnded { upstream, outcome: ended.outcome, latency, report: &ended.report };
@@ -256,12 +302,38 @@
             }
             Happening::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
         }
+        self.carry_out_all(core, actions);
+    }
+
+    fn carry_out_all(self: &Rc<Self>, core: &mut Core, mut actions: Vec<Action>) {
         for action in actions.drain(..) {
             self.carry_out(core, action);
         }
         core.actions = actions;
     }
 
+    /// Hands an answer to whoever waits for it, if it is one. How a stream ends is told later.
+    fn pass_on(
+        self: &Rc<Self>,
+        held: &mut Held,
+        id: RequestId,
+        no: AttemptNo,
+        upstream: UpstreamId,
+        served: Option<Served>,
+    ) {
+        let Some(mut served) = served else { return };
+        let Some(reply) = held.reply.take() else { return };
+        if let AnswerBody::Stream(stream) = &mut served.body {
+            let driver = Rc::clone(self);
+            stream.on_end(Box::new(move |outcome| {
+                driver.happened(Happening::StreamEnded(id, no, outcome));
+            }));
+        }
+        let trace = Trace { attempts: held.attempts.len() as u8, upstream: Some(upstream) };
+        // Where the client has just gone, nobody waits for it.
+        let _ = reply.send((Answer::Served(served), trace));
+    }
+
     /// Applies news to the connections and words them for the module.
     fn fleet(&self, news: &News) -> Vec<Listed> {
         if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
@@ -354,6 +426,8 @@
     ) {
         let Some(held) = core.requests.get_mut(&id) else { return };
         let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
+        // The time of a body that streams is its own.
+        let timeout = timeout.filter(|_| matches!(held.asked.outgoing.body, Payload::Whole(_)));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
         let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
         let mut cut_off = self.cut_off.subscribe();
@@ -361,21 +435,38 @@
             let ended = if *cut_off.borrow() {
                 Outcome::NotSent.into()
             } else {
+                let uploads = async {
+                    if let Payload::Upload(upload) = &asked.outgoing.body {
+                        upload.begun().await;
+                        driver.happened(Happening::Uploads(id, no));
+                    }
+                    std::future::pending().await
+                };
                 tokio::select! {
+                    biased;
+                    () = uploads => return,
                     ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
                     _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
                 }
             };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
-        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true });
+        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true, streams: false });
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
         if let Some(held) = core.requests.get_mut(&id)
             && let Some(reply) = held.reply.take()
         {
-            let _ = reply.send((answer, Trace { attempts: held.attempts.len() as u8, upstream: None }));
+            let attempts = held.attempts.len() as u8;
+            // Nothing is left to try: an upstream's own words on why say more than ours.
+            let answer = match held.words.take() {
+                Some((words, upstream)) => {
+                    (Answer::Served(words), Trace { attempts, upstream: Some(upstream) })
+                }
+                None => (answer, Trace { attempts, upstream: None }),
+            };
+            let _ = reply.send(answer);
         }
         self.forget_if_over(core, id);
     }
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,76 +3,34 @@
 //! The core is a current-thread runtime without locks: one `Balancer`, its connections, its ledger. A [`Handle`]
 //! reaches it through one bounded queue. Engines share nothing with one another.
 
+use crate::answer::{AnswerBody, Served};
+use crate::attempt::Outgoing;
+use crate::body::{Fault, Payload, take_in};
+use crate::call::{Call, CallBody, Outcome, Piece, Refusal, Reply, ReplyBody, Streaming, Why};
 use crate::descriptors::Descriptors;
+use crate::desk::{Desk, Inside};
 use crate::driver::{Answer, Asked, Driver, Trace};
-use crate::ledger::{Bounds, Ending, EntryId, Identity, Ledger, Opened, Waiter};
+use crate::ledger::{Bounds, Identity};
+use crate::room::Room;
 use crate::source::{Fixed, News, Source};
-use crate::upstream::{Outgoing, Served, Upstreams};
-use bytes::Bytes;
-use hyper::{HeaderMap, Method, Uri};
-use lapisroute::{Balancer, ClassId, Effect, FleetScope, Settings, TenantId, UpstreamId};
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use crate::upstream::Upstreams;
+use http_body_util::BodyExt;
+use hyper::Uri;
+use hyper::body::Body;
+use lapisroute::{Balancer, Effect, FleetScope, Settings};
+use maplehook_routes::{Forwarding, Passage};
 use std::error::Error;
 use std::fmt;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep_until, timeout};
 
 /// Calls that may wait for the core; more are refused, harmlessly.
 const QUEUE: usize = 1024;
 /// After the deadline of a shutdown, what is still held gets its final answer within this.
 const LAST_WORDS: Duration = Duration::from_millis(500);
-/// The longest body of a request.
-pub const BODY_MOST: usize = 64 * 1024;
-
-/// A request to be balanced.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// Its class: a position in [`Settings::classes`].
-    pub class: ClassId,
-    /// Its tenant: a position in [`Settings::tenants`].
-    pub tenant: TenantId,
-    /// How long the caller waits, from now. The class's deadline is the most.
-    pub wait: Duration,
-    /// By what it is known again. With one, a request that may not run twice goes through the ledger: it is sent
-    /// once, and whoever repeats it gets the same final answer.
-    pub id: Option<Box<[u8]>>,
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub target: Uri,
-    /// Its end-to-end headers; `Host` among them.
-    pub headers: HeaderMap,
-    /// Its body, up to [`BODY_MOST`].
-    pub body: Bytes,
-}
-
-/// The final answer to a call. There is exactly one.
-#[derive(Clone, Debug)]
-pub enum Outcome {
-    /// An upstream's answer.
-    Served(Reply),
-    /// It never ran; trying again is harmless, after some time if one is given.
-    Refused(Option<Duration>),
-    /// It may have run.
-    Failed,
-}
-
-/// An upstream's answer.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    /// Its end-to-end headers; the status is 200.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// Attempts that it took.
-    pub attempts: u8,
-    /// Who served it.
-    pub upstream: Option<UpstreamId>,
-}
 
 /// Why an engine does not start.
 #[derive(Debug)]
@@ -98,9 +56,11 @@
     seed: u64,
     fixed: Option<Fixed>,
     source: Option<MakeSource>,
-    descriptors: usize,
-    long_answers: usize,
+    connections: usize,
+    bodies: usize,
     ledger: Bounds,
+    passages: Option<Vec<Passage>>,
+    forwarding: Forwarding,
 }
 
 impl Builder {
@@ -122,15 +82,27 @@
         self
     }
 
-    /// Descriptors that connections to upstreams may hold; 450 if unset. 2 or more.
+    /// Connections to upstreams that may be open; 450 if unset. 2 or more.
     pub fn connections(mut self, most: usize) -> Self {
-        self.descriptors = most;
+        self.connections = most;
+        self
+    }
+
+    /// Bytes that bodies which are held may take together; 16 MiB if unset. Where there is no room, they stream.
+    pub fn bodies(mut self, bytes: usize) -> Self {
+        self.bodies = bytes;
+        self
+    }
+
+    /// How messages of each class pass; [`Passage::general`] if unset.
+    pub fn passages(mut self, passages: Vec<Passage>) -> Self {
+        self.passages = Some(passages);
         self
     }
 
-    /// Bytes that answers over 64 KiB may hold together; 32 MiB if unset.
-    pub fn long_answers(mut self, bytes: usize) -> Self {
-        self.long_answers = bytes;
+    /// What upstreams are told of the way here; nothing if unset.
+    pub fn forwarding(mut self, forwarding: Forwarding) -> Self {
+        self.forwarding = forwarding;
         self
     }
 
@@ -180,12 +152,26 @@
         let wrong = |e: Box<dyn Error + Send + Sync>| StartError(e);
         // Without it the module takes the list for pushed, and never asks.
         self.settings.ask_for_fleet = true;
-        let effects = self.settings.classes.iter().map(|c| (c.effect, c.deadline)).collect();
+        let passages = self.passages.take().unwrap_or_else(|| {
+            self.settings.classes.iter().map(|class| Passage::general(class.effect)).collect()
+        });
+        if passages.len() != self.settings.classes.len() {
+            return Err(wrong("a passage for each class, or none".into()));
+        }
+        let classes = self.settings.classes.iter().zip(passages);
+        let classes = classes.map(|(class, passage)| Class {
+            effect: class.effect,
+            deadline: class.deadline,
+            passage: Rc::new(passage),
+        });
+        let classes = classes.collect();
         let balancer = Balancer::new(self.settings.clone(), self.seed)
             .map_err(|e| wrong(format!("settings: {e}").into()))?;
-        let descriptors = Descriptors::for_upstreams(self.descriptors).map_err(|e| wrong(e.into()))?;
-        let ledger = Ledger::new(self.ledger, self.seed).map_err(|e| wrong(format!("ledger: {e}").into()))?;
-        let upstreams = Rc::new(Upstreams::new(&self.settings, Rc::clone(&descriptors), self.long_answers));
+        let descriptors = Descriptors::for_upstreams(self.connections).map_err(|e| wrong(e.into()))?;
+        let (room, forwarding) = (Room::new(self.bodies), self.forwarding);
+        let upstreams =
+            Upstreams::new(&self.settings, Rc::clone(&descriptors), room.clone(), forwarding.clone());
+        let upstreams = Rc::new(upstreams);
         let (idle, resized) = (Rc::clone(&upstreams), Rc::clone(&upstreams));
         descriptors.relieved_by(move || idle.close_oldest());
         descriptors.tells(move || resized.resized());
@@ -197,15 +183,9 @@
         };
         spawn_local(descriptors.watch());
         let driver = Driver::start(balancer, upstreams, source, known);
-        Ok(Rc::new(Core {
-            driver,
-            effects,
-            ledger: RefCell::new(ledger),
-            waiting: RefCell::default(),
-            next: Cell::new(0),
-            open: Cell::new(0),
-            closed: Notify::new(),
-        }))
+        let desk = Desk::new(driver, self.ledger, self.seed);
+        let desk = desk.map_err(|e| wrong(format!("ledger: {e}").into()))?;
+        Ok(Rc::new(Core { desk, room, forwarding, classes }))
     }
 }
 
@@ -235,9 +215,11 @@
             seed: 0,
             fixed: None,
             source: None,
-            descriptors: 450,
-            long_answers: 32 * 1024 * 1024,
+            connections: 450,
+            bodies: 16 * 1024 * 1024,
             ledger: Bounds::default(),
+            passages: None,
+            forwarding: Forwarding::platform(),
         }
     }
 
@@ -270,14 +252,12 @@
     /// Balances a request. Dropping the call is a client that has gone: what is out for it is called back, but
     /// for a request in the ledger, which goes on, so that whoever asks again has its answer.
     pub async fn call(&self, call: Call) -> Outcome {
-        if call.body.len() > BODY_MOST {
-            return Outcome::Refused(None);
-        }
         let (reply, outcome) = oneshot::channel();
         let command = Command::Call { call: Box::new(call), sent: Instant::now(), reply };
-        if self.commands.try_send(command).is_err() {
+        if let Err(e) = self.commands.try_send(command) {
             // The core never had it.
-            return Outcome::Refused(None);
+            let full = matches!(e, mpsc::error::TrySendError::Full(_));
+            return refused(if full { Why::Busy } else { Why::Ending });
         }
         // The core ends without a word only if it has panicked: what it held may have run.
         outcome.await.unwrap_or(Outcome::Failed)
@@ -295,178 +275,140 @@
 
 /// What lives on the engine's thread.
 struct Core {
-    driver: Rc<Driver>,
-    effects: Vec<(Effect, Duration)>,
-    ledger: RefCell<Ledger<Rc<Reply>>>,
-    waiting: RefCell<HashMap<Waiter, oneshot::Sender<Outcome>>>,
-    next: Cell<Waiter>,
-    open: Cell<usize>,
-    closed: Notify,
+    desk: Rc<Desk>,
+    room: Room,
+    forwarding: Forwarding,
+    classes: Vec<Class>,
 }
 
-/// Counts a call as open until it is dropped.
-struct Open(Rc<Core>);
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.closed.notify_waiters();
-    }
+struct Class {
+    effect: Effect,
+    deadline: Duration,
+    passage: Rc<Passage>,
 }
 
 impl Core {
     async fn serve(self: Rc<Self>, mut commands: mpsc::Receiver<Command>) {
         let mut end: Option<Instant> = None;
         loop {
-            let idle = end.is_some() && self.open.get() == 0;
             let until = end.map(tokio::time::Instant::from_std);
             tokio::select! {
                 biased;
                 command = commands.recv() => match command {
                     Some(Command::Call { reply, .. }) if end.is_some() => {
-                        let _ = reply.send(Outcome::Refused(None));
-                    }
-                    Some(Command::Call { call, sent, reply }) => {
-                        Rc::clone(&self).begin(*call, sent, reply);
+                        let _ = reply.send(refused(Why::Ending));
                     }
+                    Some(Command::Call { call, sent, reply }) => Rc::clone(&self).begin(*call, sent, reply),
                     Some(Command::Shutdown(at)) => end = Some(end.map_or(at, |end| end.min(at))),
                     // Nobody is left who could ask.
                     None => break,
                 },
-                () = std::future::ready(()), if idle => break,
-                () = self.closed.notified(), if end.is_some() && !idle => {}
-                () = tokio::time::sleep_until(until.unwrap_or_else(tokio::time::Instant::now)), if end.is_some() => break,
+                () = self.desk.is_empty(), if end.is_some() => break,
+                () = sleep_until(until.unwrap_or_else(tokio::time::Instant::now)), if end.is_some() => break,
             }
         }
         commands.close();
         while let Ok(command) = commands.try_recv() {
             if let Command::Call { reply, .. } = command {
-                let _ = reply.send(Outcome::Refused(None));
+                let _ = reply.send(refused(Why::Ending));
             }
         }
-        if self.open.get() > 0 {
-            self.driver.cut_off();
-            let all = async {
-                while self.open.get() > 0 {
-                    let closed = self.closed.notified();
-                    tokio::select! { () = closed => {} () = sleep(Duration::from_millis(5)) => {} }
-                }
-            };
-            let _ = timeout(LAST_WORDS, all).await;
-        }
+        self.desk.driver().cut_off();
+        let _ = timeout(LAST_WORDS, self.desk.is_empty()).await;
     }
 
     /// A call has come.
-    fn begin(self: Rc<Self>, call: Call, sent: Instant, reply: oneshot::Sender<Outcome>) {
-        let Some(&(effect, most)) = self.effects.get(usize::from(call.class.0)) else {
-            let _ = reply.send(Outcome::Refused(None));
-            return;
-        };
-        let id = call.id.clone().filter(|_| effect != Effect::Idempotent);
-        let asked = asked(call, sent, most);
-        self.open.set(self.open.get() + 1);
-        let open = Open(Rc::clone(&self));
-        let Some(id) = id else {
-            spawn_local(async move {
-                let (mut reply, pending) = (reply, self.driver.ask(asked));
-                tokio::select! {
-                    (answer, trace) = pending.answer() => drop(reply.send(outcome(answer, trace))),
-                    () = reply.closed() => {}
-                }
-                drop(open);
-            });
-            return;
-        };
-        let identity = Identity { tenant: asked.tenant.0, class: asked.class.0, id };
-        let waiter = self.next.replace(self.next.get() + 1);
-        let opened = self.ledger.borrow_mut().open(self.now(), &identity, waiter);
-        match opened {
-            Opened::First(entry) => {
-                self.waiting.borrow_mut().insert(waiter, reply);
-                spawn_local(async move {
-                    let (answer, trace) = self.driver.ask(asked).answer().await;
-                    self.finish(entry, outcome(answer, trace));
-                    drop(open);
-                });
-            }
-            Opened::Joined(entry) => {
-                self.waiting.borrow_mut().insert(waiter, reply);
-                spawn_local(async move {
-                    self.wait(entry, waiter).await;
-                    drop(open);
-                });
-            }
-            Opened::Ended(ending) => drop(reply.send(told(&ending))),
-            Opened::Crowded | Opened::Full => drop(reply.send(Outcome::Refused(None))),
-        }
-    }
-
-    /// Waits until one who has joined has its answer or has gone.
-    async fn wait(&self, entry: EntryId, waiter: Waiter) {
-        loop {
-            let gone = match self.waiting.borrow().get(&waiter) {
-                None => return,
-                Some(reply) => reply.is_closed(),
-            };
-            if gone {
-                self.waiting.borrow_mut().remove(&waiter);
-                self.ledger.borrow_mut().left(entry, waiter);
-                return;
-            }
+    fn begin(self: Rc<Self>, call: Call, sent: Instant, mut reply: oneshot::Sender<Outcome>) {
+        let inside = self.desk.enter();
+        spawn_local(async move {
             tokio::select! {
-                () = self.closed.notified() => {}
-                () = sleep(Duration::from_millis(100)) => {}
+                biased;
+                outcome = self.outcome(call, sent) => match outcome {
+                    Ok((answer, trace)) => self.tell(answer, trace, reply, inside),
+                    Err(why) => drop(reply.send(refused(why))),
+                },
+                () = reply.closed() => {}
             }
-        }
+        });
     }
 
-    fn finish(&self, entry: EntryId, outcome: Outcome) {
-        let (ending, length) = match &outcome {
-            Outcome::Served(reply) => {
-                let headers: usize = reply.headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 32).sum();
-                let length = reply.body.len() + headers;
-                (Ending::Served(Rc::new(reply.clone())), length)
+    async fn outcome(&self, call: Call, sent: Instant) -> Result<(Answer, Trace), Why> {
+        let Call { class, tenant, wait, id, method, target, mut headers, body, peer } = call;
+        let rules = self.classes.get(usize::from(class.0)).ok_or(Why::Unfit)?;
+        let wait = wait.min(rules.deadline);
+        let deadline = tokio::time::Instant::from_std(sent + wait);
+        let passage = Rc::clone(&rules.passage);
+        let body = match body {
+            CallBody::Whole(body) if body.len() as u64 > passage.body_most => return Err(Why::TooLong),
+            CallBody::Whole(body) => Payload::Whole(body),
+            CallBody::Stream(body) => {
+                take_in(body, &passage, &self.room, deadline, wait).await.map_err(|fault| match fault {
+                    Fault::TooLong => Why::TooLong,
+                    Fault::BrokeOff | Fault::Slow => Why::BrokeOff,
+                })?
             }
-            Outcome::Refused(_) => (Ending::Refused, 0),
-            Outcome::Failed => (Ending::Failed, 0),
         };
-        let waiters = self.ledger.borrow_mut().ended(self.now(), entry, ending, length);
-        let mut waiting = self.waiting.borrow_mut();
-        for reply in waiters.iter().filter_map(|waiter| waiting.remove(waiter)) {
-            let _ = reply.send(outcome.clone());
+        self.forwarding.request(&mut headers, &target, peer).map_err(|_| Why::Unfit)?;
+        let target = target.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
+        let upload = match &body {
+            Payload::Upload(upload) => Some(Rc::clone(upload)),
+            Payload::Whole(_) => None,
+        };
+        // The time of a body that streams is its own.
+        let deadline = if upload.is_some() { deadline + passage.patience().1 } else { deadline };
+        let outgoing = Outgoing { method, target, headers, body, passage };
+        let asked = Asked { class, tenant, deadline, work_ms: None, repeat: false, outgoing };
+        let identity = id.filter(|_| rules.effect != Effect::Idempotent).map(|id| Identity {
+            tenant: tenant.0,
+            class: class.0,
+            id,
+        });
+        let told = self.desk.ask(asked, identity).await;
+        match (&told.0, upload.and_then(|upload| upload.fault())) {
+            // Idempotent, so that it matters to nobody whether it ran.
+            (Answer::Refused(_), Some(Fault::TooLong)) => Err(Why::TooLong),
+            (Answer::Refused(_), Some(_)) => Err(Why::BrokeOff),
+            _ => Ok(told),
         }
-        drop(waiting);
-        self.closed.notify_waiters();
     }
 
-    fn now(&self) -> Duration {
-        self.driver.now()
+    /// Gives a call its answer; a body that streams is passed on as long as somebody reads it.
+    fn tell(&self, answer: Answer, trace: Trace, reply: oneshot::Sender<Outcome>, inside: Inside) {
+        let outcome = match answer {
+            Answer::Served(Served { status, headers, body }) => {
+                let body = match body {
+                    AnswerBody::Whole(body) => ReplyBody::Whole(body),
+                    AnswerBody::Stream(_) => {
+                        let (frames, received) = mpsc::channel(1);
+                        let hint = body.size_hint();
+                        spawn_local(pump(body, frames, inside));
+                        ReplyBody::Stream(Streaming { frames: received, hint, ended: false })
+                    }
+                };
+                let Trace { attempts, upstream } = trace;
+                Outcome::Served(Reply { status, headers, body, attempts, upstream })
+            }
+            Answer::Refused(retry_after) => Outcome::Refused(Refusal { why: Why::NoRoom, retry_after }),
+            Answer::Failed => Outcome::Failed,
+        };
+        let _ = reply.send(outcome);
     }
 }
 
-fn asked(call: Call, sent: Instant, most: Duration) -> Asked {
-    let Call { class, tenant, wait, method, target, headers, body, .. } = call;
-    let deadline = tokio::time::Instant::from_std(sent + wait.min(most));
-    let outgoing = Outgoing { method, target, headers, body };
-    Asked { class, tenant, deadline, work_ms: None, repeat: false, outgoing }
-}
-
-fn outcome(answer: Answer, trace: Trace) -> Outcome {
-    match answer {
-        Answer::Served(Served { headers, body }) => {
-            let Trace { attempts, upstream } = trace;
-            Outcome::Served(Reply { headers, body, attempts, upstream })
+async fn pump(mut body: AnswerBody, frames: mpsc::Sender<Piece>, inside: Inside) {
+    loop {
+        let piece = tokio::select! {
+            piece = body.frame() => piece,
+            () = frames.closed() => break,
+        };
+        let last = !matches!(piece, Some(Ok(_)));
+        if frames.send(piece).await.is_err() || last {
+            break;
         }
-        Answer::Refused(after) => Outcome::Refused(after),
-        Answer::Failed => Outcome::Failed,
     }
+    drop(inside);
 }
 
-/// What one is told who asks again for what has ended.
-fn told(ending: &Ending<Rc<Reply>>) -> Outcome {
-    match ending {
-        Ending::Served(kept) => Outcome::Served(Reply::clone(kept)),
-        Ending::ServedNotKept | Ending::Failed => Outcome::Failed,
-        Ending::Refused => Outcome::Refused(None),
-    }
+fn refused(why: Why) -> Outcome {
+    Outcome::Refused(why.into())
 }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -27,6 +27,7 @@
 //!     target: "/book".parse()?,
 //!     headers: [(hyper::header::HOST, "desk".parse()?)].into_iter().collect(),
 //!     body: "two beds".into(),
+//!     peer: None,
 //! };
 //! // Any runtime will do; the core has a thread of its own.
 //! let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
@@ -40,16 +41,23 @@
 //! # }
 //! ```
 
+pub mod answer;
+pub mod attempt;
+pub mod body;
+pub mod call;
 pub mod connection;
 pub mod descriptors;
+pub mod desk;
 pub mod discovery;
 pub mod driver;
 pub mod engine;
 pub mod headers;
 pub mod ledger;
 pub mod pool;
+pub mod room;
 pub mod seldom;
 pub mod source;
 pub mod upstream;
 
-pub use engine::{Builder, Call, Engine, Handle, Outcome, Reply, StartError};
+pub use call::{Call, CallBody, Outcome, Refusal, Reply, ReplyBody, Why};
+pub use engine::{Builder, Engine, Handle, StartError};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -216,9 +216,7 @@
             Event::Request { id, class, tenant, time_left, .. } => {
                 self.request(id, usize::from(class.0), tenant.0 as usize, time_left);
             }
-            Event::StreamStarted { id, .. } => {
-                self.requests.get_mut(&id).into_iter().for_each(|r| r.streaming = true);
-            }
+            Event::StreamStarted { id, attempt, latency } => self.stream_started(id, attempt.0, latency),
             Event::AttemptEnded { id, attempt, upstream, outcome, latency, finished, report } => {
                 self.report(upstream, report);
                 self.attempt_ended(id, attempt.0, outcome, latency.as_secs_f64(), finished);
@@ -574,7 +572,9 @@
     /// Looked at again later, it may turn out to be lost: then it holds nothing, and its upstream is well.
     fn overdue(&mut self, id: RequestId, attempt: u8) {
         let Some(r) = self.requests.get_mut(&id) else { return };
-        let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
+        let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out && !a.streams) else {
+            return;
+        };
         let usual = self.classes[r.class].usual;
         let first = !std::mem::replace(&mut a.overdue, true);
         if let Some(u) = self.index.get(&a.upstream).map(|j| &mut self.ring[*j]) {
@@ -583,7 +583,7 @@
             let h = &u.health[r.class];
             a.lost = !first && h.passed > a.sent + LOST_BY * usual;
             let counts = first || (a.counted && !a.lost && h.sent > a.sent);
-            u.overdue = u.overdue + u32::from(counts) - u32::from(std::mem::replace(&mut a.counted, counts));
+            count_overdue(u, a, counts);
             u.lost += u32::from(a.lost);
         }
         if !a.lost {
@@ -595,20 +595,55 @@
         }
     }
 
+    /// An attempt streams: it stands in no queue at its upstream from here on, never overdue. Else a few
+    /// long answers would look like a fleet without room.
+    fn stream_started(&mut self, id: RequestId, attempt: u8, latency: Option<Duration>) {
+        let Some(r) = self.requests.get_mut(&id) else { return };
+        r.streaming = true;
+        let class = r.class;
+        let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out && !a.streams) else {
+            return;
+        };
+        a.streams = true;
+        let (upstream, way) = (a.upstream, (a.overdue, std::mem::take(&mut a.lost), a.idle));
+        if let Some(u) = self.index.get(&upstream).map(|j| &mut self.ring[*j]) {
+            count_overdue(u, a, false);
+            u.lost = u.lost.saturating_sub(u32::from(way.1));
+            u.in_flight = u.in_flight.saturating_sub(u32::from(latency.is_none()));
+        }
+        if let Some(latency) = latency {
+            // One answer is enough.
+            let others = r.attempts.iter().enumerate().filter(|(k, a)| a.out && *k != usize::from(attempt));
+            let cancelled = others.filter(|_| self.set.cancelling);
+            let cancel = cancelled.map(|(k, _)| Action::Cancel { id, attempt: AttemptNo(k as u8) });
+            self.out.extend(cancel);
+            self.learn(upstream, class, Outcome::Ok, latency.as_secs_f64(), way);
+        }
+    }
+
     fn attempt_ended(&mut self, id: RequestId, attempt: u8, outcome: Outcome, latency: f64, finished: bool) {
         let Some(r) = self.requests.get_mut(&id) else { return };
         let Some(a) = r.attempts.get_mut(usize::from(attempt)).filter(|a| a.out) else { return };
         a.out = false;
         a.may_have_run = !outcome.never_ran();
-        let counted = std::mem::take(&mut a.counted);
         let (upstream, way, class, ended) = (a.upstream, (a.overdue, a.lost, a.idle), r.class, r.ended);
+        let streams = a.streams;
         if let Some(u) = self.index.get(&upstream).map(|j| &mut self.ring[*j]) {
-            u.overdue = u.overdue.saturating_sub(u32::from(counted));
+            count_overdue(u, a, false);
             u.lost = u.lost.saturating_sub(u32::from(way.1));
+            if streams {
+                match outcome {
+                    Outcome::Reset => u.breaks += 1,
+                    Outcome::Ok | Outcome::Error => (u.breaks, u.alive_at) = (0, self.at),
+                    _ => {}
+                }
+            }
         }
         let owed = !finished && !ended;
         let (others, deadline) = (r.attempts.iter().any(|a| a.out), r.deadline);
-        self.learn(upstream, class, outcome, latency, way);
+        if !streams {
+            self.learn(upstream, class, outcome, latency, way);
+        }
         if finished {
             self.end(id);
         } else if owed && !others {
@@ -714,7 +749,9 @@
             }
         }
         match outcome {
-            Outcome::Ok | Outcome::Error | Outcome::Rejected => (u.breaks, u.alive_at) = (0, self.at),
+            Outcome::Ok | Outcome::Error | Outcome::Rejected | Outcome::Overloaded => {
+                (u.breaks, u.alive_at) = (0, self.at);
+            }
             Outcome::Reset => u.breaks += 1,
             Outcome::ConnectFailed => u.breaks += BREAKS_REFUSED,
             _ => {}
@@ -737,6 +774,8 @@
                 (u.held, u.held_at) = (u.held.max(2.0 * OVERDUE_HELD), self.at);
                 h.faults += 1;
             }
+            // It is not ill, but others are to be asked first for a while.
+            Outcome::Overloaded => (u.held, u.held_at) = (u.held.max(2.0 * OVERDUE_HELD), self.at),
             Outcome::Error => h.faults += 1,
             Outcome::TimedOut | Outcome::Cancelled if overdue => h.faults += 1,
             _ => {}
@@ -904,3 +943,9 @@
         self.weigh(0.0);
     }
 }
+
+/// Counts an attempt in among the overdue of its upstream, or out: once each, whatever comes in between.
+fn count_overdue(u: &mut Upstream, a: &mut Attempt, counts: bool) {
+    let was = std::mem::replace(&mut a.counted, counts);
+    u.overdue = (u.overdue + u32::from(counts)).saturating_sub(u32::from(was));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -396,6 +396,8 @@
     Cancelled,
     /// Not sent at all.
     NotSent,
+    /// The upstream said that it has too much to do; it may have run all the same.
+    Overloaded,
 }
 
 impl Outcome {
@@ -430,14 +432,15 @@
         /// The client says that it has tried this before.
         repeat: bool,
     },
-    /// A streamed answer has started: the request has no deadline any more.
+    /// A streamed answer, or a request's streamed body, has started: the request has no deadline any more, and how
+    /// long the attempt lasts says nothing of its upstream.
     StreamStarted {
         /// The request.
         id: RequestId,
         /// The attempt that streams.
         attempt: AttemptNo,
-        /// Time since it was sent.
-        latency: Duration,
+        /// Time since it was sent, of an answer; `None`: it is the request that streams.
+        latency: Option<Duration>,
     },
     /// An attempt has ended; told once for each.
     AttemptEnded {
--- a/src/state.rs
+++ b/src/state.rs
@@ -56,7 +56,8 @@
     pub(crate) overdue: bool,
     pub(crate) counted: bool, // among those of its upstream
     pub(crate) lost: bool,
-    pub(crate) idle: f64, // how long its connection had not been used
+    pub(crate) streams: bool, // and holds no place in a queue
+    pub(crate) idle: f64,     // how long its connection had not been used
 }
 
 /// A request held, or ended with attempts still out.
