--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -214,7 +214,7 @@
         if !exempt {
             match self.capped(at, entry, prefix) {
                 Ok(own) => ends = own,
-                Err(reason) => return self.refuse(at, reason),
+                Err(reason) => return Arrival::Refused(self.refuse(now, reason)),
             }
         }
         if ends.is_none() && !self.has_room(known) {
@@ -224,11 +224,11 @@
                 ends = self.least(now, 2);
             }
             if ends.is_none() {
-                return self.refuse(at, Reason::Full);
+                return Arrival::Refused(self.refuse(now, Reason::Full));
             }
         }
         if ends.is_some() && self.leaving >= LEAVING_MOST {
-            return self.refuse(at, Reason::Full);
+            return Arrival::Refused(self.refuse(now, Reason::Full));
         }
         let ends = ends.map(|slot| self.end(slot));
         let conn = Conn {
@@ -390,7 +390,9 @@
         })
     }
 
-    fn refuse(&mut self, at: f64, reason: Reason) -> Arrival {
+    /// Somebody is refused whom the door was not asked about, as where there is no descriptor to let anybody in.
+    pub fn refuse(&mut self, now: Duration, reason: Reason) -> Refusal {
+        let at = now.as_secs_f64();
         let (rate, burst) = ANSWERS;
         self.answers = (self.answers + (at - self.answers_at).max(0.0) * rate).min(burst);
         self.answers_at = at;
@@ -402,7 +404,7 @@
         self.refused = self.refused.wrapping_add(1);
         let spread = (self.refused as f64 * 0.618_033_988_75).fract();
         let retry_after = self.policy.retry_after.mul_f64(0.5 + spread);
-        Arrival::Refused(Refusal { reason, answered, retry_after })
+        Refusal { reason, answered, retry_after }
     }
 
     fn insert(&mut self, now: Duration, conn: Conn) -> ConnId {
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -13,8 +13,10 @@
 //! # Ok::<(), maplehook_config::Faults>(())
 //! ```
 
+mod proxy;
 mod reader;
 
+pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
 
 use maplehook_admission::{Policy, budget};
@@ -24,7 +26,9 @@
 use std::time::Duration;
 
 /// The sections that there may be.
-const SECTIONS: &[&str] = &["admission", "token", "descriptors", "listen"];
+const SECTIONS: &[&str] = &["admission", "token", "descriptors", "listen", "balancer", "headers"];
+/// Those that there may be several of.
+const LISTS: &[&str] = &["class", "tenant", "upstream"];
 
 /// What an operator sets.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +43,8 @@
     pub descriptors: Descriptors,
     /// Connections that may wait to be accepted: 1 to 65,535; the system may allow fewer.
     pub backlog: u32,
+    /// What a balancer of one's own serves; on the platform, that is the platform's word.
+    pub proxy: Option<Proxy>,
 }
 
 /// The signed word of a known client.
@@ -67,6 +73,7 @@
             token: None,
             descriptors: Descriptors { limit: None, upstream_share: 0.45 },
             backlog: 1024,
+            proxy: None,
         }
     }
 }
@@ -114,6 +121,7 @@
         }
         operator.backlog = backlog;
     }
+    operator.proxy = proxy::read(&mut reader);
     reader.end()?;
     Ok(operator)
 }
--- a/config/src/reader.rs
+++ b/config/src/reader.rs
@@ -4,9 +4,8 @@
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::fmt;
-use toml::{Spanned, Value};
-
-type Section = BTreeMap<Spanned<String>, Spanned<Value>>;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue, ValueDeserializer};
 
 /// One thing that is wrong, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,10 +42,19 @@
 
 impl std::error::Error for Faults {}
 
+/// A table of the text: a section, or one of several of a name.
+pub struct Table<'a> {
+    /// As it is named in faults: `admission`, or `class[2]`.
+    place: String,
+    line: usize,
+    keys: BTreeMap<String, (usize, Spanned<DeValue<'a>>)>,
+}
+
 /// A text that is being read.
 pub struct Reader<'a> {
     text: &'a str,
-    sections: BTreeMap<Spanned<String>, Section>,
+    sections: BTreeMap<String, Table<'a>>,
+    lists: BTreeMap<String, Vec<Table<'a>>>,
     /// Lines of the keys that were taken.
     lines: BTreeMap<String, usize>,
     faults: Vec<Fault>,
@@ -57,24 +65,79 @@
 }
 
 impl<'a> Reader<'a> {
-    /// Takes a text apart. What is no TOML, or not made of sections, has one fault only.
+    /// Takes a text apart. What is no TOML has one fault only; what is not made of the sections that there are is
+    /// named, and passed over.
     pub fn new(text: &'a str) -> Result<Self, Faults> {
-        let sections = toml::from_str(text).map_err(|e| {
+        let all = DeTable::parse(text).map_err(|e| {
             let line = e.span().map_or(1, |span| line_of(text, span.start));
             Faults(vec![Fault { line, place: String::new(), what: e.message().to_owned() }])
         })?;
-        Ok(Self { text, sections, lines: BTreeMap::new(), faults: Vec::new() })
+        let (sections, lists, lines) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let mut reader = Self { text, sections, lists, lines, faults: Vec::new() };
+        for (name, value) in all.into_inner() {
+            let line = line_of(text, name.span().start);
+            let name = name.into_inner().into_owned();
+            let one = crate::SECTIONS.contains(&name.as_str());
+            let several = crate::LISTS.contains(&name.as_str());
+            match value.into_inner() {
+                DeValue::Table(table) if one => {
+                    let table = reader.table(name.clone(), line, table);
+                    reader.sections.insert(name, table);
+                }
+                DeValue::Array(entries) if several => {
+                    let mut tables = Vec::new();
+                    for (n, entry) in entries.into_iter().enumerate() {
+                        let (line, place) = (line_of(text, entry.span().start), format!("{name}[{}]", n + 1));
+                        match entry.into_inner() {
+                            DeValue::Table(table) => tables.push(reader.table(place, line, table)),
+                            _ => reader.fault_at(line, place, format!("it has to be a table, [[{name}]]")),
+                        }
+                    }
+                    reader.lists.insert(name, tables);
+                }
+                _ if one => reader.fault_at(line, name.clone(), format!("it has to be a section, [{name}]")),
+                _ if several => {
+                    let what = format!("there may be several: [[{name}]]");
+                    reader.fault_at(line, name, what);
+                }
+                _ => {
+                    let known = [crate::SECTIONS, crate::LISTS].concat().join(", ");
+                    reader.fault_at(line, name, format!("no such section; there are {known}"));
+                }
+            }
+        }
+        Ok(reader)
+    }
+
+    fn table(&self, place: String, line: usize, table: DeTable<'a>) -> Table<'a> {
+        let keys = table.into_iter().map(|(key, value)| {
+            let line = line_of(self.text, key.span().start);
+            (key.into_inner().into_owned(), (line, value))
+        });
+        Table { place, line, keys: keys.collect() }
+    }
+
+    /// Whether there is such a section, or at least one of a name that may stand several times.
+    pub fn has(&self, name: &str) -> bool {
+        self.sections.contains_key(name) || self.lists.get(name).is_some_and(|tables| !tables.is_empty())
     }
 
     /// Takes the value of a key, if there is one; one of another type is a fault.
     pub fn take<T: DeserializeOwned>(&mut self, section: &str, key: &str) -> Option<T> {
-        let (at, value) = self.sections.get_mut(section)?.remove_entry(key)?;
-        let place = format!("{section}.{key}");
-        self.lines.insert(place.clone(), line_of(self.text, at.span().start));
-        match value.into_inner().try_into() {
+        let mut table = self.sections.remove(section)?;
+        let value = self.take_in(&mut table, key);
+        self.sections.insert(section.to_owned(), table);
+        value
+    }
+
+    /// The same, out of one of several tables.
+    pub fn take_in<T: DeserializeOwned>(&mut self, table: &mut Table<'a>, key: &str) -> Option<T> {
+        let (line, value) = table.keys.remove(key)?;
+        self.lines.insert(format!("{}.{key}", table.place), line);
+        match T::deserialize(ValueDeserializer::from(value)) {
             Ok(value) => Some(value),
             Err(e) => {
-                self.fault(section, key, e.message().trim_end().to_owned());
+                self.fault(&table.place, key, e.message().trim_end().to_owned());
                 None
             }
         }
@@ -97,29 +160,46 @@
         Some(read.collect())
     }
 
+    /// Takes a section.
+    pub fn take_section(&mut self, name: &str) -> Option<Table<'a>> {
+        self.sections.remove(name)
+    }
+
+    /// Takes all tables of a name.
+    pub fn take_tables(&mut self, name: &str) -> Vec<Table<'a>> {
+        self.lists.remove(name).unwrap_or_default()
+    }
+
+    /// One of several tables has been read: whatever was not taken of it is unknown.
+    pub fn done(&mut self, table: Table<'a>) {
+        for (key, (line, _)) in table.keys {
+            self.fault_at(line, format!("{}.{key}", table.place), "no such key".into());
+        }
+    }
+
     /// Something is wrong with a key that was taken.
     pub fn fault(&mut self, section: &str, key: &str, what: String) {
         let place = format!("{section}.{key}");
         let line = self.lines.get(&place).copied().unwrap_or(1);
+        self.fault_at(line, place, what);
+    }
+
+    /// Something is wrong with a key of one of several tables, or is missing in it.
+    pub fn fault_in(&mut self, table: &Table<'a>, key: &str, what: String) {
+        let place = format!("{}.{key}", table.place);
+        let line = self.lines.get(&place).copied().unwrap_or(table.line);
+        self.fault_at(line, place, what);
+    }
+
+    /// Something is wrong in this line.
+    pub fn fault_at(&mut self, line: usize, place: String, what: String) {
         self.faults.push(Fault { line, place, what });
     }
 
     /// Ends the reading: whatever was not taken is unknown.
     pub fn end(mut self) -> Result<(), Faults> {
-        for (section, keys) in std::mem::take(&mut self.sections) {
-            const KNOWN: &[&str] = crate::SECTIONS;
-            let name = section.get_ref().clone();
-            if !KNOWN.contains(&name.as_str()) {
-                let line = line_of(self.text, section.span().start);
-                let what = format!("no such section; there are {}", KNOWN.join(", "));
-                self.faults.push(Fault { line, place: name, what });
-                continue;
-            }
-            for key in keys.into_keys() {
-                let line = line_of(self.text, key.span().start);
-                let place = format!("{name}.{}", key.get_ref());
-                self.faults.push(Fault { line, place, what: "no such key".into() });
-            }
+        for table in std::mem::take(&mut self.sections).into_values() {
+            self.done(table);
         }
         self.faults.sort_by_key(|fault| fault.line);
         if self.faults.is_empty() { Ok(()) } else { Err(Faults(self.faults)) }
--- a/engine/src/attempt.rs
+++ b/engine/src/attempt.rs
@@ -155,7 +155,8 @@
         let Reply { parts: Parts { status, mut headers, .. }, means, body } = reply;
         let load = headers.remove(LOAD).filter(|_| self.reports == Reports::Inline);
         let report = load.map_or_else(Vec::new, |load| self.read_report(load.as_bytes()));
-        self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(_)));
+        let headless = outgoing.method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
+        self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(_)), headless);
         // An answer that came before the request had left whole leaves the rest in the way.
         let payload = outgoing.body.clone();
         let has_left = move |connection: &Connection| match &payload {
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -59,12 +59,17 @@
 impl Fixed {
     /// Upstreams that are ready, by name and address, all alike.
     pub fn new<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr)>) -> Self {
-        let entry = |(name, address): (&str, SocketAddr)| Entry {
+        Self::listed(upstreams.into_iter().map(|(name, address)| (name, address, ZoneId(0), 1.0)))
+    }
+
+    /// The same, each with its zone and its weight.
+    pub fn listed<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr, ZoneId, f64)>) -> Self {
+        let entry = |(name, address, zone, weight): (&str, SocketAddr, ZoneId, f64)| Entry {
             id: stable_id(name),
-            zone: ZoneId(0),
+            zone,
             kind: KindId(0),
             cell: CellId(0),
-            weight: 1.0,
+            weight,
             place: Place { endpoint: Some(address), availability: Availability::Ready, boot_ms: 0 },
         };
         Self(upstreams.into_iter().map(entry).collect())
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -1,6 +1,5 @@
 //! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
 
-use crate::entrance::Entrance;
 use maplehook_admission::ConnId;
 use std::cell::Cell;
 use std::io;
@@ -45,9 +44,23 @@
     Unfit,
 }
 
+/// Who is told what clients do.
+pub trait Keeper {
+    /// A request begins on a connection between two.
+    fn began(&self, id: ConnId);
+    /// A request is whole and fit.
+    fn held(&self, id: ConnId, tenant: u32, vouched: bool);
+    /// A request has its answer; `true`: the connection ends with it.
+    fn answered(&self, id: ConnId) -> bool;
+    /// A question that is no request has its answer; `true`: the connection ends with it.
+    fn checked(&self, id: ConnId) -> bool;
+    /// A connection has ended.
+    fn left(&self, id: ConnId);
+}
+
 /// What is known of a client's connection.
 pub struct Client {
-    entrance: Rc<Entrance>,
+    keeper: Rc<dyn Keeper>,
     id: ConnId,
     stand: Cell<Stand>,
     /// Whether a request of it was ever fit to be answered.
@@ -60,6 +73,9 @@
     lengths: Cell<u64>,
     accounted: Cell<u64>,
     matched: Cell<usize>,
+    /// How long it may leave an answer unread, and since when it does.
+    stall: Duration,
+    blocked: Cell<Option<Instant>>,
     /// Told when it is to make room.
     close: Notify,
 }
@@ -70,10 +86,12 @@
 
 impl Client {
     /// One that has just been let in under this name.
-    pub fn new(entrance: Rc<Entrance>, id: ConnId) -> Self {
+    pub fn new(keeper: Rc<dyn Keeper>, id: ConnId, stall: Duration) -> Self {
         Self {
-            entrance,
+            keeper,
             id,
+            stall,
+            blocked: Cell::new(None),
             stand: Cell::new(Stand::New),
             useful: Cell::new(false),
             since: Cell::new(Instant::now()),
@@ -102,7 +120,7 @@
     pub fn holds(&self, tenant: u32, vouched: bool) {
         self.begun.set(None);
         self.stand.set(Stand::Held);
-        self.entrance.held(self.id, tenant, vouched);
+        self.keeper.held(self.id, tenant, vouched);
     }
 
     /// The answer is made; `true`: the connection ends with it. A client that has only sent what is unfit
@@ -117,14 +135,14 @@
             self.stand.set(Stand::New);
         }
         match question {
-            Question::Request => self.entrance.answered(self.id),
-            Question::Health | Question::Unfit => self.entrance.checked(self.id),
+            Question::Request => self.keeper.answered(self.id),
+            Question::Health | Question::Unfit => self.keeper.checked(self.id),
         }
     }
 
     /// The connection has ended.
     pub fn leaves(&self) {
-        self.entrance.left(self.id);
+        self.keeper.left(self.id);
     }
 
     /// Whether a head names a length that hyper does not show: it drops `Content-Length` where there is
@@ -144,10 +162,27 @@
             (Stand::Reading, Some(begun)) => Some(begun + READ_MOST + PROMPT),
             (Stand::Idle, Some(begun)) => Some(begun + READ_MOST),
             (Stand::Idle, None) => Some(self.since.get() + IDLE_MOST),
-            (Stand::Held | Stand::Reading, None) | (Stand::Held, Some(_)) => None,
+            // An answer that streams waits for its reader, but not for ever.
+            (Stand::Held, _) => self.blocked.get().and_then(|since| since.checked_add(self.stall)),
+            (Stand::Reading, None) => None,
         }
     }
 
+    /// Whether it has left an answer unread for too long.
+    pub fn is_stalled(&self) -> bool {
+        self.blocked.get().is_some_and(|since| since.elapsed() >= self.stall)
+    }
+
+    /// Bytes for it were taken by the kernel, or were not.
+    fn wrote<T>(&self, poll: Poll<T>) -> Poll<T> {
+        let blocked = match (&poll, self.blocked.get()) {
+            (Poll::Ready(_), _) => None,
+            (Poll::Pending, since) => Some(since.unwrap_or_else(Instant::now)),
+        };
+        self.blocked.set(blocked);
+        poll
+    }
+
     /// Waits until it has to make room, or has had all the time that it may take for what it does.
     pub async fn is_to_end(&self) {
         tokio::select! {
@@ -182,7 +217,7 @@
         }
         if self.stand.get() == Stand::Idle && self.begun.get().is_none() {
             self.begun.set(Some(Instant::now()));
-            self.entrance.began(self.id);
+            self.keeper.began(self.id);
         }
         let mut matched = self.matched.get();
         while let Some(byte) = bytes.first() {
@@ -229,7 +264,8 @@
 
 impl AsyncWrite for Inbound {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.client.wrote(poll)
     }
 
     fn poll_write_vectored(
@@ -237,7 +273,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.client.wrote(poll)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -256,12 +293,27 @@
 #[cfg(test)]
 pub mod tests {
     use super::*;
-    use maplehook_admission::{Door, Policy};
 
-    /// A client alone in a house of ten places.
+    struct Nobody;
+
+    impl Keeper for Nobody {
+        fn began(&self, _: ConnId) {}
+        fn held(&self, _: ConnId, _: u32, _: bool) {}
+        fn answered(&self, _: ConnId) -> bool {
+            false
+        }
+        fn checked(&self, _: ConnId) -> bool {
+            false
+        }
+        fn left(&self, _: ConnId) {}
+    }
+
+    /// A client of which nobody is told.
     pub fn alone() -> Rc<Client> {
-        let entrance = Entrance::new(Door::new(Policy::default(), 10, &[], 7));
-        entrance.arrive("127.0.0.1".parse().unwrap()).unwrap().0
+        let mut door = maplehook_admission::Door::new(maplehook_admission::Policy::default(), 10, &[], 7);
+        let arrival = door.arrive(Duration::ZERO, "127.0.0.1".parse().unwrap());
+        let maplehook_admission::Arrival::Kept { id, .. } = arrival else { panic!("refused") };
+        Rc::new(Client::new(Rc::new(Nobody), id, READ_MOST))
     }
 
     /// Guards the look for hidden lengths: however the bytes are cut, and whatever the name's case.
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -7,8 +7,8 @@
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// A load balancer for services that must keep their promises while things break. It reads the platform's
-/// configuration from the file that NODE_CONFIG names.
+/// A load balancer for services that must keep their promises while things break. Without a command it reads the
+/// platform's configuration from the file that NODE_CONFIG names; `run` needs the operator's file alone.
 #[derive(Parser)]
 #[command(version)]
 pub struct Line {
@@ -23,8 +23,13 @@
 /// What to do instead of serving.
 #[derive(Subcommand)]
 pub enum Command {
-    /// Reads the operator's file and names all that is wrong with it.
-    Check,
+    /// Serves as the operator's file alone says: listen.address, [[class]] and [[upstream]]. No platform is needed.
+    Run,
+    /// Reads an operator's file and names all that is wrong with it.
+    Check {
+        /// The file; the one of --config if it is not named here.
+        file: Option<PathBuf>,
+    },
     /// Signs the word by which a known client shows itself.
     Sign(Sign),
 }
--- a/node/src/entrance.rs
+++ b/node/src/entrance.rs
@@ -1,7 +1,7 @@
 //! Carries out what the door decides: it knows the clients behind the door's names.
 
-use crate::client::Client;
-use maplehook_admission::{After, Arrival, ConnId, Door, Refusal};
+use crate::client::{Client, Keeper};
+use maplehook_admission::{After, Arrival, ConnId, Door, Reason, Refusal};
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
 use std::net::IpAddr;
@@ -16,16 +16,19 @@
     door: RefCell<Door>,
     clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
     left: Notify,
+    /// How long a client may leave an answer unread.
+    stall: Duration,
 }
 
 impl Entrance {
     /// One with nobody in it.
-    pub fn new(door: Door) -> Rc<Self> {
+    pub fn new(door: Door, stall: Duration) -> Rc<Self> {
         Rc::new(Self {
             start: Instant::now(),
             door: RefCell::new(door),
             clients: RefCell::default(),
             left: Notify::new(),
+            stall,
         })
     }
 
@@ -38,7 +41,8 @@
         let arrival = self.door.borrow_mut().arrive(self.now(), address);
         match arrival {
             Arrival::Kept { id, ends } => {
-                let client = Rc::new(Client::new(Rc::clone(self), id));
+                let keeper = Rc::clone(self) as Rc<dyn Keeper>;
+                let client = Rc::new(Client::new(keeper, id, self.stall));
                 self.clients.borrow_mut().insert(id, Rc::clone(&client));
                 self.end(ends);
                 Ok((client, ends.is_some()))
@@ -47,33 +51,9 @@
         }
     }
 
-    /// A request begins on a connection between two.
-    pub fn began(&self, id: ConnId) {
-        self.door.borrow_mut().began(self.now(), id);
-    }
-
-    /// A request is whole and fit.
-    pub fn held(&self, id: ConnId, tenant: u32, vouched: bool) {
-        self.door.borrow_mut().held(self.now(), id, Some(tenant), vouched);
-    }
-
-    /// A request has its answer; `true`: the connection ends with it.
-    pub fn answered(&self, id: ConnId) -> bool {
-        let after = self.door.borrow_mut().answered(self.now(), id);
-        self.follow(after)
-    }
-
-    /// A question that is no request has its answer; `true`: the connection ends with it.
-    pub fn checked(&self, id: ConnId) -> bool {
-        let after = self.door.borrow_mut().checked(self.now(), id);
-        self.follow(after)
-    }
-
-    /// A connection has ended.
-    pub fn left(&self, id: ConnId) {
-        self.door.borrow_mut().left(id);
-        self.clients.borrow_mut().remove(&id);
-        self.left.notify_waiters();
+    /// Why nobody can be let in at all now.
+    pub fn refuse(&self, reason: Reason) -> Refusal {
+        self.door.borrow_mut().refuse(self.now(), reason)
     }
 
     /// There are this many places from now on.
@@ -117,3 +97,29 @@
         }
     }
 }
+
+impl Keeper for Entrance {
+    fn began(&self, id: ConnId) {
+        self.door.borrow_mut().began(self.now(), id);
+    }
+
+    fn held(&self, id: ConnId, tenant: u32, vouched: bool) {
+        self.door.borrow_mut().held(self.now(), id, Some(tenant), vouched);
+    }
+
+    fn answered(&self, id: ConnId) -> bool {
+        let after = self.door.borrow_mut().answered(self.now(), id);
+        self.follow(after)
+    }
+
+    fn checked(&self, id: ConnId) -> bool {
+        let after = self.door.borrow_mut().checked(self.now(), id);
+        self.follow(after)
+    }
+
+    fn left(&self, id: ConnId) {
+        self.door.borrow_mut().left(id);
+        self.clients.borrow_mut().remove(&id);
+        self.left.notify_waiters();
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -9,6 +9,7 @@
 mod requests;
 mod serve;
 mod server;
+mod words;
 
 use clap::Parser;
 use command::{Command, Line};
@@ -35,15 +36,21 @@
 
 fn run(line: &Line) -> Result<(), Box<dyn Error>> {
     match &line.command {
-        Some(Command::Check) => {
-            command::operator(line.config.as_deref())?;
+        Some(Command::Check { file }) => {
+            let named = file.as_deref().or(line.config.as_deref());
+            command::operator(Some(named.ok_or("which file? maplehook check FILE")?))?;
             println!("the operator's file is good");
             Ok(())
         }
+        Some(Command::Run) => {
+            let file = line.config.as_deref().ok_or("which file? maplehook run --config FILE")?;
+            serve::by_file(command::operator(Some(file))?)
+                .map_err(|e| format!("{}: {e}", file.display()).into())
+        }
         Some(Command::Sign(sign)) => {
             println!("{}", sign.word()?);
             Ok(())
         }
-        None => serve::run(command::operator(line.config.as_deref())?),
+        None => serve::on_platform(command::operator(line.config.as_deref())?),
     }
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -5,17 +5,23 @@
 use crate::entrance::Entrance;
 use crate::requests::{Requests, Vouching};
 use crate::server::{Phase, Server};
+use crate::words::Words;
 use hyper::header::HeaderName;
-use lapisroute::Balancer;
-use lapisroute_settings::Site;
+use lapisroute::{Balancer, FleetScope, Settings};
 use maplehook::descriptors::{self, Descriptors};
+use maplehook::desk::Desk;
 use maplehook::discovery::Discovery;
 use maplehook::driver::Driver;
-use maplehook::source::Source;
+use maplehook::ledger::Bounds;
+use maplehook::room::Room;
+use maplehook::source::{Fixed, News, Source};
 use maplehook::upstream::Upstreams;
 use maplehook_admission::{Door, Part};
-use maplehook_config::Operator;
+use maplehook_config::{Operator, Upstream};
+use maplehook_routes::Forwarding;
 use std::error::Error;
+use std::future::Future;
+use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,7 +29,7 @@
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{sleep, timeout};
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
@@ -34,58 +40,164 @@
 /// For the answers to what is then still held.
 const LAST_WORDS: Duration = Duration::from_millis(200);
 
-/// Serves until SIGTERM.
-pub fn run(operator: Operator) -> Result<(), Box<dyn Error>> {
+/// What a balancer is made of, whoever describes it.
+struct Plan {
+    listen: SocketAddr,
+    settings: Settings,
+    seed: u64,
+    sockets: usize,
+    room: Room,
+    forwarding: Forwarding,
+    own: bool,
+    stall: Duration,
+    /// From SIGTERM until the end.
+    grace: Duration,
+    operator: Operator,
+}
+
+/// Serves as the platform says, until SIGTERM.
+pub fn on_platform(operator: Operator) -> Result<(), Box<dyn Error>> {
     let config = Config::from_env()?;
-    if let Some(limit) = operator.descriptors.limit {
-        descriptors::set_limit(limit).map_err(|e| format!("descriptors.limit: {e}"))?;
-    }
+    let settings = config.site.settings.clone();
+    let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let plan = Plan {
+        listen: config.listen,
+        seed: config.seed,
+        sockets: config.limits.sockets,
+        room: Room::new(config.long_answers()),
+        forwarding: Forwarding::platform(),
+        own: false,
+        stall: Duration::MAX,
+        grace: longest.min(KILL_DEADLINE_MOST) + KILL_AFTER_DEADLINE,
+        settings,
+        operator,
+    };
+    block_on(async move {
+        let vouching = vouching(&plan.operator, &config.site.names.tenants)?;
+        let hangup = signal(SignalKind::hangup())?;
+        let parts = Parts::new(&plan)?;
+        let discovery = Rc::new(Discovery::new(
+            config.discovery,
+            config.site.names.clone(),
+            Rc::clone(&parts.descriptors),
+        ));
+        let known = discovery.known(&config.known);
+        tracing::info!(limits = ?config.limits, "configured by the platform");
+        let requests = Requests::platform(&config.site, vouching, plan.room.clone());
+        let descriptors = Rc::clone(&parts.descriptors);
+        let source = Rc::clone(&discovery) as Rc<dyn Source>;
+        let reload = |driver| spawn_local(reload(hangup, driver, discovery, descriptors));
+        serve(plan, parts, requests, source, known, reload).await
+    })
+}
+
+/// Serves as the operator's file alone says, until SIGTERM.
+pub fn by_file(mut operator: Operator) -> Result<(), Box<dyn Error>> {
+    let proxy =
+        operator.proxy.take().ok_or("it names no listen.address, no [[class]] and no [[upstream]]")?;
+    let longest = proxy.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let plan = Plan {
+        listen: proxy.listen,
+        settings: proxy.settings.clone(),
+        seed: RandomState::new().build_hasher().finish(),
+        sockets: proxy.sockets,
+        room: Room::new(proxy.bodies),
+        forwarding: proxy.forwarding.clone(),
+        own: proxy.own,
+        stall: proxy.stall,
+        grace: longest.max(proxy.drain) + KILL_AFTER_DEADLINE,
+        operator,
+    };
+    block_on(async move {
+        let vouching = vouching(&plan.operator, &proxy.tenants)?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let parts = Parts::new(&plan)?;
+        let fronts = plan.operator.admission.fronts.clone();
+        let requests = Requests::of(&proxy, fronts, vouching, plan.room.clone());
+        let fixed = Fixed::listed(proxy.upstreams.iter().map(|upstream| {
+            let Upstream { name, address, zone, weight } = upstream;
+            (name.as_str(), *address, *zone, *weight)
+        }));
+        let known = News { scope: FleetScope::Cached, ..fixed.news() };
+        let ignore = |_| {
+            spawn_local(async move {
+                while hangup.recv().await.is_some() {
+                    tracing::warn!("nothing is read anew: the file is read at the start");
+                }
+            })
+        };
+        serve(plan, parts, requests, Rc::new(fixed), known, ignore).await
+    })
+}
+
+fn block_on(served: impl Future<Output = Result<(), Box<dyn Error>>>) -> Result<(), Box<dyn Error>> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build_local(LocalOptions::default())?;
-    runtime.block_on(serve(config, operator))
+    runtime.block_on(served)
+}
+
+/// What is there before anybody is let in.
+struct Parts {
+    term: Signal,
+    listener: TcpListener,
+    descriptors: Rc<Descriptors>,
+    upstreams: Rc<Upstreams>,
+    entrance: Rc<Entrance>,
+    balancer: Balancer,
+}
+
+impl Parts {
+    fn new(plan: &Plan) -> Result<Self, Box<dyn Error>> {
+        if let Some(limit) = plan.operator.descriptors.limit {
+            descriptors::set_limit(limit).map_err(|e| format!("descriptors.limit: {e}"))?;
+        }
+        let balancer = Balancer::new(plan.settings.clone(), plan.seed)?;
+        // Before anybody can know that this process is ready: unhandled, it would kill.
+        let term = signal(SignalKind::terminate())?;
+        let descriptors = Descriptors::new(plan.sockets, plan.operator.descriptors.upstream_share)?;
+        let listener = listen(plan.listen, plan.operator.backlog)
+            .map_err(|e| format!("listen on {}: {e}", plan.listen))?;
+        let (room, forwarding) = (plan.room.clone(), plan.forwarding.clone());
+        let upstreams = Rc::new(Upstreams::new(&plan.settings, Rc::clone(&descriptors), room, forwarding));
+        let guarantees: Vec<f64> = plan.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
+        let places = descriptors.of(Part::Clients);
+        let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
+        let entrance = Entrance::new(door, plan.stall);
+        share_descriptors(&descriptors, &upstreams, &entrance);
+        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer })
+    }
 }
 
-async fn serve(config: Config, operator: Operator) -> Result<(), Box<dyn Error>> {
-    let settings = &config.site.settings;
-    let balancer = Balancer::new(settings.clone(), config.seed)?;
-    let vouching = vouching(&operator, &config.site)?;
-    let mut term = signal(SignalKind::terminate())?;
-    // Before anybody can know that this process is ready: unhandled, it would kill.
-    let hangup = signal(SignalKind::hangup())?;
-    let descriptors = Descriptors::new(config.limits.sockets, operator.descriptors.upstream_share)?;
-    let listener =
-        listen(config.listen, operator.backlog).map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let upstreams = Rc::new(Upstreams::new(settings, Rc::clone(&descriptors), config.long_answers()));
-    let names = config.site.names.clone();
-    let discovery = Rc::new(Discovery::new(config.discovery, names, Rc::clone(&descriptors)));
-    let guarantees: Vec<f64> = settings.tenants.iter().map(|t| t.allowance_per_s).collect();
-    let places = descriptors.of(Part::Clients);
-    let entrance = Entrance::new(Door::new(operator.admission, places, &guarantees, config.seed));
-    share_descriptors(&descriptors, &upstreams, &entrance);
-    let known = discovery.known(&config.known);
+async fn serve(
+    plan: Plan,
+    parts: Parts,
+    requests: Requests,
+    source: Rc<dyn Source>,
+    known: News,
+    on_hangup: impl FnOnce(Rc<Driver>) -> JoinHandle<()>,
+) -> Result<(), Box<dyn Error>> {
+    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer } = parts;
     tracing::info!(
         listen = %listener.local_addr()?,
         upstreams = known.entries.len(),
-        limits = ?config.limits,
-        places,
+        places = descriptors.of(Part::Clients),
         "serving"
     );
-    let driver = Driver::start(balancer, upstreams, Rc::clone(&discovery) as Rc<dyn Source>, known);
+    let driver = Driver::start(balancer, upstreams, source, known);
+    let desk = Desk::new(Rc::clone(&driver), Bounds::default(), plan.seed)?;
     let (phase, phases) = watch::channel(Phase::Serving);
-    let requests = Requests::new(&config.site, vouching);
-    let server = Server::new(Rc::clone(&driver), requests, entrance, Rc::clone(&descriptors), phases);
+    let words = Words { own: plan.own };
+    let server = Server::new(desk, requests, entrance, Rc::clone(&descriptors), words, phases);
     let mut accepting = spawn_local(server.run(listener));
     spawn_local(Rc::clone(&descriptors).watch());
-    spawn_local(reload(hangup, Rc::clone(&driver), discovery, descriptors));
+    on_hangup(Rc::clone(&driver));
 
     term.recv().await;
     tracing::info!("leaving");
     phase.send_replace(Phase::Leaving);
     sleep(ACCEPT_AFTER_TERM).await;
     phase.send_replace(Phase::Closing);
-    let deadlines = config.site.settings.classes.iter().map(|class| class.deadline);
-    let longest = deadlines.max().unwrap_or_default().min(KILL_DEADLINE_MOST);
-    let rest = (longest + KILL_AFTER_DEADLINE).saturating_sub(ACCEPT_AFTER_TERM + LAST_WORDS);
+    let rest = plan.grace.saturating_sub(ACCEPT_AFTER_TERM + LAST_WORDS);
     if timeout(rest, &mut accepting).await.is_err() {
         driver.cut_off();
         let _ = timeout(LAST_WORDS, &mut accepting).await;
@@ -102,8 +214,8 @@
 }
 
 /// By what clients show that they are known; a tenant that there is not is a slip worth a word.
-fn vouching(operator: &Operator, site: &Site) -> Result<Vouching, Box<dyn Error>> {
-    if let Some(name) = operator.known_tenants.iter().find(|name| !site.names.tenants.contains(name)) {
+fn vouching(operator: &Operator, tenants: &[String]) -> Result<Vouching, Box<dyn Error>> {
+    if let Some(name) = operator.known_tenants.iter().find(|name| !tenants.contains(name)) {
         return Err(format!("admission.known_tenants: there is no tenant {name:?}").into());
     }
     let token = operator.token.as_ref().map(|token| {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -3,19 +3,21 @@
 use crate::client::{Client, Inbound, Question, Stand};
 use crate::entrance::Entrance;
 use crate::refusals::Refusals;
-use crate::requests::{OpenId, Requests, Unfit};
-use bytes::Bytes;
-use http_body_util::Full;
+use crate::requests::{Ready, Requests, at_fault};
+use crate::words::{Tail, Words};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use maplehook::answer::AnswerBody;
 use maplehook::descriptors::{Descriptors, PAUSE, out_of_descriptors};
-use maplehook::driver::{Answer, Asked, Driver};
+use maplehook::desk::Desk;
+use maplehook::driver::Answer;
 use maplehook::seldom::Seldom;
-use maplehook_admission::{Reason, Refusal};
+use maplehook_admission::Reason;
+use maplehook_routes::Unfit;
 use std::convert::Infallible;
 use std::io;
 use std::net::IpAddr;
@@ -48,10 +50,11 @@
 
 /// What clients reach.
 pub struct Server {
-    driver: Rc<Driver>,
+    desk: Rc<Desk>,
     requests: Requests,
     entrance: Rc<Entrance>,
     descriptors: Rc<Descriptors>,
+    words: Words,
     refusals: Refusals,
     phase: watch::Receiver<Phase>,
     odd: Seldom,
@@ -59,19 +62,21 @@
 }
 
 impl Server {
-    /// A server that hands requests to `driver` and lets clients in by `entrance`.
+    /// A server that hands requests to `desk` and lets clients in by `entrance`.
     pub fn new(
-        driver: Rc<Driver>,
+        desk: Rc<Desk>,
         requests: Requests,
         entrance: Rc<Entrance>,
         descriptors: Rc<Descriptors>,
+        words: Words,
         phase: watch::Receiver<Phase>,
     ) -> Rc<Self> {
         Rc::new(Self {
-            driver,
+            desk,
             requests,
             entrance,
             descriptors,
+            words,
             refusals: Refusals::default(),
             phase,
             odd: Seldom::default(),
@@ -112,7 +117,7 @@
     fn admit(self: &Rc<Self>, stream: TcpStream, address: IpAddr) -> bool {
         match self.entrance.arrive(address) {
             Ok((client, ends)) => {
-                spawn_local(Rc::clone(self).connection(client, stream));
+                spawn_local(Rc::clone(self).connection(client, stream, address));
                 ends
             }
             Err(refusal) => {
@@ -134,22 +139,21 @@
             if self.descriptors.starved("accept") {
                 self.admit(stream, peer.ip());
             } else {
-                let retry_after = Duration::from_secs(1);
-                self.refusals.refuse(stream, &Refusal { reason: Reason::Full, answered: true, retry_after });
+                self.refusals.refuse(stream, &self.entrance.refuse(Reason::Full));
             }
             sleep(PAUSE).await;
         }
         self.descriptors.regain_spare();
     }
 
-    async fn connection(self: Rc<Self>, client: Rc<Client>, stream: TcpStream) {
+    async fn connection(self: Rc<Self>, client: Rc<Client>, stream: TcpStream, peer: IpAddr) {
         // An unset option costs time, not truth.
         let _ = stream.set_nodelay(true);
         let mut phase = self.phase.clone();
         let (server, of) = (Rc::clone(&self), Rc::clone(&client));
         let service = service_fn(move |request| {
             let (server, client) = (Rc::clone(&server), Rc::clone(&of));
-            async move { Ok::<_, Infallible>(server.respond(&client, request).await) }
+            async move { Ok::<_, Infallible>(server.respond(&client, peer, request).await) }
         });
         let mut builder = http1::Builder::new();
         // The head's time is the client's own affair, see `Client::overdue`.
@@ -162,6 +166,8 @@
             // Part of a request at most: nothing was taken.
             () = client.is_to_end() => match client.stand() {
                 Stand::New | Stand::Reading => Ok(()),
+                // Whoever does not read its answer can tell that it is not whole.
+                Stand::Held if client.is_stalled() => Ok(()),
                 Stand::Idle | Stand::Held => {
                     connection.as_mut().graceful_shutdown();
                     finish(&client, connection).await
@@ -178,7 +184,7 @@
         client.leaves();
     }
 
-    async fn respond(&self, client: &Client, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn respond(&self, client: &Rc<Client>, peer: IpAddr, request: Request<Incoming>) -> Response<Tail> {
         let leaving = || *self.phase.borrow() != Phase::Serving;
         let whole_by = client.reads();
         let mut question = Question::Request;
@@ -186,36 +192,51 @@
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
                 question = Question::Health;
                 if leaving() && request.uri().path() == "/health/ready" {
-                    plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
+                    self.words.plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
                 } else {
-                    plain(StatusCode::OK, "ok")
+                    self.words.plain(StatusCode::OK, "ok")
                 }
             }
-            _ => match self.read(client, request, whole_by).await {
-                Ok((asked, _open)) => worded(self.driver.ask(asked).answer().await.0),
-                Err(Unfit(status, why)) => {
+            _ => match self.read(client, peer, request, whole_by).await {
+                Ok(ready) => self.answer(ready).await,
+                Err(unfit) => {
                     question = Question::Unfit;
-                    plain(status, why)
+                    self.words.unfit(&unfit)
                 }
             },
         };
-        if client.answered(question) || leaving() {
+        let close =
+            if matches!(response.body(), AnswerBody::Stream(_)) { false } else { client.answered(question) };
+        if close || leaving() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        response
+        // An answer that streams is owed until its end.
+        response.map(|body| Tail::new(body, client))
     }
 
-    /// Reads a request, its body included.
+    async fn answer(&self, ready: Ready) -> Response<AnswerBody> {
+        let Ready { asked, identity, upload, open } = ready;
+        let (answer, _) = self.desk.ask(asked, identity).await;
+        drop(open);
+        match (answer, upload.and_then(|upload| upload.fault())) {
+            // It came to nothing by its client's fault: that is what its client hears.
+            (Answer::Refused(_) | Answer::Failed, Some(fault)) => self.words.unfit(&at_fault(fault)),
+            (answer, _) => self.words.of(answer),
+        }
+    }
+
+    /// Reads a request, its body included where that does not stream.
     async fn read(
         &self,
         client: &Client,
+        peer: IpAddr,
         request: Request<Incoming>,
         whole_by: Instant,
-    ) -> Result<(Asked, OpenId), Unfit> {
+    ) -> Result<Ready, Unfit> {
         let (parts, body) = request.into_parts();
         let head = self.requests.head(parts, |shown| client.hides_a_length(shown))?;
         let (tenant, vouched) = (head.tenant(), head.vouched);
-        let read = self.requests.rest(head, body, whole_by).await?;
+        let read = self.requests.rest(head, body, whole_by, peer).await?;
         client.holds(tenant.0, vouched);
         Ok(read)
     }
@@ -233,6 +254,7 @@
             return ended;
         }
         match client.stand() {
+            Stand::Held if client.is_stalled() => return Ok(()),
             Stand::Held => {}
             // Part of a request at most: nothing was taken.
             Stand::New | Stand::Reading => return Ok(()),
@@ -245,32 +267,6 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
-
-/// The words for a final answer.
-fn worded(answer: Answer) -> Response<Full<Bytes>> {
-    match answer {
-        Answer::Served(served) => {
-            let mut response = Response::new(Full::new(served.body));
-            *response.headers_mut() = served.headers;
-            response
-        }
-        Answer::Refused(retry_after) => {
-            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-            let value = retry_after.and_then(|t| format!("{:.3}", t.as_secs_f64()).parse().ok());
-            if let Some(value) = value {
-                response.headers_mut().insert(RETRY_AFTER, value);
-            }
-            response
-        }
-        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -75,8 +75,29 @@
             std::fs::write(&operator, &self.operator).unwrap();
             command.arg("--config").arg(&operator);
         }
-        let mut child =
-            command.env("NODE_CONFIG", &path).env("NODE_LOG", "info").stderr(Stdio::piped()).spawn().unwrap();
+        command.env("NODE_CONFIG", &path);
+        Node::spawn(command, path)
+    }
+}
+
+/// A balancer that the operator's file alone describes; `extra` goes before its upstreams.
+pub fn run(upstreams: &[SocketAddr], extra: &str) -> Node {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let number = COUNT.fetch_add(1, Ordering::SeqCst);
+    let path = std::env::temp_dir().join(format!("maplehook-run-{}-{number}.toml", std::process::id()));
+    let mut text = format!("[listen]\naddress = \"127.0.0.1:0\"\n{extra}\n");
+    for (n, address) in upstreams.iter().enumerate() {
+        text += &format!("[[upstream]]\nname = \"desk-{n}\"\naddress = \"{address}\"\n");
+    }
+    std::fs::write(&path, text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_maplehook"));
+    command.env_remove("NODE_CONFIG").arg("run").arg("--config").arg(&path);
+    Node::spawn(command, path)
+}
+
+impl Node {
+    fn spawn(mut command: Command, path: PathBuf) -> Self {
+        let mut child = command.env("NODE_LOG", "info").stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         while !line.contains("listen=") {
@@ -93,6 +114,13 @@
         });
         Node { child, address, path, lines }
     }
+
+    /// The most memory that it has held, in KiB.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
 }
 
 /// A running balancer; killed when dropped.
--- a/routes/src/forward.rs
+++ b/routes/src/forward.rs
@@ -137,12 +137,16 @@
         Ok(())
     }
 
-    /// The headers of an answer as they go on. `streams`: its trailers may follow.
-    pub fn answer(&self, headers: &mut HeaderMap, streams: bool) {
-        let trailer = if streams { headers.get(TRAILER).cloned() } else { None };
+    /// The headers of an answer as they go on. `streams`: its trailers may follow. `headless`: it has no body whatever
+    /// length it states, as the answer to a HEAD or 304 (RFC 9110, section 8.6).
+    pub fn answer(&self, headers: &mut HeaderMap, streams: bool, headless: bool) {
+        let kept = [(TRAILER, streams), (CONTENT_LENGTH, headless)];
+        let kept = kept.map(|(name, stays)| (headers.get(&name).filter(|_| stays).cloned(), name));
         strip_hop_by_hop(headers, &[]);
-        if let Some(trailer) = trailer {
-            headers.insert(TRAILER, trailer);
+        for (value, name) in kept {
+            if let Some(value) = value {
+                headers.insert(name, value);
+            }
         }
         self.sign(headers);
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! Peers for tests: upstreams and discovery on loopback that do as they are told. Ports are the system's choice;
 //! waits are on conditions, up to [`LONG`].
 
+pub mod app;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
