--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -7,8 +7,11 @@
 mod load;
 mod node;
 mod peers;
+mod proxy;
+mod roles;
 
 use clap::{Parser, Subcommand};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -32,6 +35,36 @@
         #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=60))]
         seconds: u64,
     },
+    /// What a proxy costs: direct, daemon, axum host with our middleware, and a plain peer, side by side.
+    Proxy {
+        /// One JSON array instead of a table.
+        #[arg(long)]
+        json: bool,
+        /// Rounds, of which the median is told.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=20))]
+        rounds: u64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+    },
+    /// What a request costs by the number of upstreams listed, and what an idle balancer costs.
+    Fleet {
+        /// Rounds, of which the median is told.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=20))]
+        rounds: u64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+    },
+    /// An upstream of the proxy rig.
+    #[command(hide = true)]
+    Desk,
+    /// An axum host with the middleware.
+    #[command(hide = true)]
+    Host { upstreams: Vec<SocketAddr> },
+    /// The plain peer.
+    #[command(hide = true)]
+    PlainProxy { upstreams: Vec<SocketAddr> },
     /// A server that accepts and closes, to measure beside: prints its address.
     #[command(hide = true)]
     Plain,
@@ -45,6 +78,15 @@
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     let ran = runtime.map_err(|e| e.to_string()).and_then(|runtime| match line.rig {
         Rig::Door { names, seconds } => runtime.block_on(door::run(&line.program, &names, seconds)),
+        Rig::Proxy { json, rounds, seconds } => {
+            runtime.block_on(proxy::run(&line.program, rounds as usize, seconds.clamp(0.2, 30.0), json))
+        }
+        Rig::Fleet { rounds, seconds } => {
+            runtime.block_on(proxy::fleet(&line.program, rounds as usize, seconds.clamp(0.2, 30.0)))
+        }
+        Rig::Desk => roles::run(roles::desk),
+        Rig::Host { upstreams } => roles::run(|listener| roles::host(listener, upstreams)),
+        Rig::PlainProxy { upstreams } => roles::run(|listener| roles::plain(listener, upstreams)),
         Rig::Plain => peers::plain().map_err(|e| e.to_string()),
         Rig::HoldPorts { from, to } => {
             peers::hold_ports(from, to);
--- a/bench/src/node.rs
+++ b/bench/src/node.rs
@@ -62,6 +62,21 @@
         std::fs::write(&file, operator).map_err(|e| e.to_string())?;
         let mut command = Command::new(program);
         command.arg("--config").arg(&file).env("NODE_CONFIG", &config).stderr(Stdio::piped());
+        Self::logging(command, program, vec![config, file])
+    }
+
+    /// A balancer that an operator's file alone describes.
+    pub fn by_file(program: &Path, text: &str) -> Result<Self, String> {
+        let unique = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        let unique = unique.map_or(0, |t| t.as_nanos());
+        let file = std::env::temp_dir().join(format!("maplehook-bench-{}-{unique}.toml", std::process::id()));
+        std::fs::write(&file, text).map_err(|e| e.to_string())?;
+        let mut command = Command::new(program);
+        command.arg("run").arg("--config").arg(&file).stderr(Stdio::piped());
+        Self::logging(command, program, vec![file])
+    }
+
+    fn logging(mut command: Command, program: &Path, files: Vec<PathBuf>) -> Result<Self, String> {
         let mut child = command.spawn().map_err(|e| format!("{}: {e}; is it built?", program.display()))?;
         let log = child.stderr.take().ok_or("no log")?;
         let mut lines = BufReader::new(log).lines().map_while(Result::ok);
@@ -69,7 +84,7 @@
         let address = said.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
         let address = address.and_then(|a| a.parse().ok()).ok_or("no address")?;
         std::thread::spawn(move || lines.for_each(drop));
-        Ok(Self { child, _input: None, files: vec![config, file], address })
+        Ok(Self { child, _input: None, files, address })
     }
 
     /// Another mode of this program that prints its address on its first line.
--- a/engine/src/body.rs
+++ b/engine/src/body.rs
@@ -16,7 +16,12 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+
+/// How long, and how much, is read of a body that nobody wants any more.
+const READ_AWAY: Duration = Duration::from_secs(1);
+const READ_AWAY_MOST: usize = 64 * 1024 * 1024;
 
 /// What goes wrong with a body.
 pub type Failure = Box<dyn Error + Send + Sync>;
@@ -116,6 +121,9 @@
     whole: Cell<bool>,
     fault: Cell<Option<Fault>>,
     begun: Notify,
+    /// What nobody reads any more, of an attempt that has ended before it was whole.
+    leftover: RefCell<Option<Source>>,
+    left: Notify,
 }
 
 impl fmt::Debug for Upload {
@@ -140,6 +148,8 @@
             whole: Cell::new(false),
             fault: Cell::new(None),
             begun: Notify::new(),
+            leftover: RefCell::new(None),
+            left: Notify::new(),
         })
     }
 
@@ -179,6 +189,29 @@
         }
     }
 
+    /// Its answer is there though it has not been read whole: the rest is read away, for a while. A connection that is
+    /// closed with bytes unread is reset, and a reset takes the answer along that its client has not read yet.
+    pub fn answered(self: &Rc<Self>) {
+        if self.whole.get() || self.fault.get() == Some(Fault::BrokeOff) {
+            return;
+        }
+        let upload = Rc::clone(self);
+        spawn_local(async move {
+            let rest = upload.rest.borrow_mut().take();
+            let rest = match rest {
+                Some(rest) => Some(rest),
+                None => {
+                    // The attempt that had it ends in a moment.
+                    let _ = timeout(READ_AWAY, upload.left.notified()).await;
+                    upload.leftover.borrow_mut().take()
+                }
+            };
+            if let Some(rest) = rest {
+                read_away(rest).await;
+            }
+        });
+    }
+
     /// It, for one attempt on a connection that has written as much as `written` says.
     fn send(self: &Rc<Self>, written: Rc<Written>) -> Sending {
         let before = written.count();
@@ -203,6 +236,15 @@
     before: u64,
 }
 
+impl Drop for Sending {
+    fn drop(&mut self) {
+        if let Some(source) = self.source.take() {
+            *self.upload.leftover.borrow_mut() = Some(source);
+            self.upload.left.notify_one();
+        }
+    }
+}
+
 impl Sending {
     fn fail(&self, fault: Fault) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
         self.upload.fault.set(Some(fault));
@@ -299,6 +341,23 @@
     }
 }
 
+/// Reads away a body that nobody wants, within bounds, so that its sender can read the answer.
+pub async fn read_away<B>(mut body: B)
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let all = async {
+        let mut read = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > READ_AWAY_MOST {
+                break;
+            }
+        }
+    };
+    let _ = timeout(READ_AWAY, all).await;
+}
+
 /// Takes a request's body in: whole by `whole_by` where its class and the room allow that, else as one that streams.
 /// `answer` is how long its sender waits for the answer from then on.
 pub async fn take_in<B>(
@@ -317,10 +376,13 @@
     }
     let hint = body.size_hint();
     // What is said to be too long is not read.
+    let streams = matches!(passage.answers, Answers::Streamed { .. });
     if hint.lower() > passage.body_most {
+        if streams {
+            spawn_local(read_away(body));
+        }
         return Err(Fault::TooLong);
     }
-    let streams = matches!(passage.answers, Answers::Streamed { .. });
     let mut read = Bytes::new();
     let mut ended = false;
     let is_short = hint.lower() <= passage.buffer as u64;
@@ -353,7 +415,11 @@
             None => read,
         }));
     }
-    if !streams || read.len() as u64 > passage.body_most {
+    if !streams {
+        return Err(Fault::TooLong);
+    }
+    if read.len() as u64 > passage.body_most {
+        spawn_local(read_away(body));
         return Err(Fault::TooLong);
     }
     let (idle, total) = passage.patience();
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -5,7 +5,7 @@
 
 use crate::answer::{AnswerBody, Served};
 use crate::attempt::Outgoing;
-use crate::body::{Fault, Payload, take_in};
+use crate::body::{Fault, Payload, Upload, take_in};
 use crate::call::{Call, CallBody, Outcome, Piece, Refusal, Reply, ReplyBody, Streaming, Why};
 use crate::descriptors::Descriptors;
 use crate::desk::{Desk, Inside};
@@ -364,6 +364,7 @@
             id,
         });
         let told = self.desk.ask(asked, identity).await;
+        upload.iter().for_each(Upload::answered);
         match (&told.0, upload.and_then(|upload| upload.fault())) {
             // Idempotent, so that it matters to nobody whether it ran.
             (Answer::Refused(_), Some(Fault::TooLong)) => Err(Why::TooLong),
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -131,6 +131,11 @@
         }
     }
 
+    /// Whether they are the platform's, which closes on what is unfit.
+    pub fn is_strict(&self) -> bool {
+        self.rules.is_strict()
+    }
+
     /// Reads a head. `hides_a_length`: whether its bytes name a length beyond so many that it shows.
     pub fn head(&self, mut parts: Parts, hides_a_length: impl FnOnce(usize) -> bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplehook::answer::AnswerBody;
+use maplehook::body::{Upload, read_away};
 use maplehook::descriptors::{Descriptors, PAUSE, out_of_descriptors};
 use maplehook::desk::Desk;
 use maplehook::driver::Answer;
@@ -218,6 +219,7 @@
         let Ready { asked, identity, upload, open } = ready;
         let (answer, _) = self.desk.ask(asked, identity).await;
         drop(open);
+        upload.iter().for_each(Upload::answered);
         match (answer, upload.and_then(|upload| upload.fault())) {
             // It came to nothing by its client's fault: that is what its client hears.
             (Answer::Refused(_) | Answer::Failed, Some(fault)) => own(self.words.unfit(&at_fault(fault))),
@@ -234,7 +236,15 @@
         whole_by: Instant,
     ) -> Result<Ready, Unfit> {
         let (parts, body) = request.into_parts();
-        let head = self.requests.head(parts, |shown| client.hides_a_length(shown))?;
+        let head = match self.requests.head(parts, |shown| client.hides_a_length(shown)) {
+            Ok(head) => head,
+            Err(unfit) => {
+                if !self.requests.is_strict() {
+                    spawn_local(read_away(body));
+                }
+                return Err(unfit);
+            }
+        };
         let (tenant, vouched) = (head.tenant(), head.vouched);
         let read = self.requests.rest(head, body, whole_by, peer).await?;
         client.holds(tenant.0, vouched);
--- a/node/tests/proxy.rs
+++ b/node/tests/proxy.rs
@@ -380,6 +380,29 @@
     assert!(rig.app.connections() > connections);
 }
 
+/// Guards the answer to a client that is still sending when its upload comes to nothing: it is not lost under a reset.
+#[test]
+fn an_answer_in_the_middle_of_an_upload_arrives() {
+    let limited = CLASSES
+        .replace("path = \"/**\"\ndeadline_ms", "path = \"/**\"\nbody_most_bytes = 4000000\ndeadline_ms");
+    let rig = Rig::new(&limited);
+    // A client that writes all of it before it reads anything, as simple ones do.
+    let ask = |path: &str, length: usize| {
+        let mut client = rig.node.connect();
+        let mut writer = client.writer();
+        let head = format!("POST {path} HTTP/1.1\r\nHost: app\r\nContent-Length: {length}\r\n\r\n");
+        writer.write_all(head.as_bytes()).unwrap();
+        writer.write_all(&vec![b'x'; length]).unwrap();
+        client.answer().unwrap().status()
+    };
+    for _ in 0..5 {
+        assert_eq!(ask("/cut", 3_000_000), 502);
+        assert_eq!(ask("/early", 3_000_000), 200);
+        assert_eq!(ask("/x", 5_000_000), 413);
+        assert_eq!(ask("/../x/%zz", 3_000_000), 400);
+    }
+}
+
 /// Guards effects against repeats by clients: a key, or an id, runs once, and whoever repeats it hears the same.
 #[test]
 fn a_repeated_booking_runs_once() {
--- a/standins/src/app.rs
+++ b/standins/src/app.rs
@@ -8,6 +8,7 @@
 //! | `/events/N/MS` | N events, one every MS milliseconds |
 //! | `/cookies`, `/gzip`, `/etag`, `/moved`, `/trailers` | headers and trailers that have to pass |
 //! | `/break/N` | says N bytes, sends half of them and ends the connection |
+//! | `/cut` | ends the connection in the middle of the request's body |
 //! | `/early` | answers before it has read the body |
 //! | `/slow/MS` | answers after MS milliseconds |
 //! | `/silent/N` | says N bytes, sends half of them, and then nothing |
@@ -25,7 +26,7 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use serde::{Deserialize, Serialize};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -89,8 +90,13 @@
     pub at: Instant,
 }
 
+/// Keys that several applications have seen: a repeat of a class `keyed` runs at none of them again.
+#[derive(Clone, Default)]
+pub struct Keys(Arc<Mutex<HashSet<String>>>);
+
 #[derive(Default)]
 struct State {
+    keys: Keys,
     seen: Mutex<Vec<Seen>>,
     effects: Mutex<HashMap<String, usize>>,
     connections: AtomicUsize,
@@ -110,8 +116,13 @@
 impl App {
     /// Starts one, on a thread of its own.
     pub fn start() -> Self {
+        Self::sharing(Keys::default())
+    }
+
+    /// The same, with the keys that others have seen.
+    pub fn sharing(keys: Keys) -> Self {
         let (end, ended) = watch::channel(false);
-        let state: Arc<State> = Arc::default();
+        let state = Arc::new(State { keys, ..State::default() });
         let shared = Arc::clone(&state);
         let (tell, told) = std::sync::mpsc::channel();
         let thread = std::thread::spawn(move || {
@@ -130,6 +141,11 @@
         lock(&self.state.seen).clone()
     }
 
+    /// How many there were.
+    pub fn requests(&self) -> usize {
+        lock(&self.state.seen).len()
+    }
+
     /// How often each effect has happened, by the id or key of its request, or its target.
     pub fn effects(&self) -> HashMap<String, usize> {
         lock(&self.state.effects).clone()
@@ -217,7 +233,7 @@
     request: Request<Incoming>,
     break_off: mpsc::Sender<()>,
 ) -> Response<AnyBody> {
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let target = parts.uri.to_string();
     lock(&state.seen).push(Seen {
         method: parts.method.to_string(),
@@ -226,6 +242,7 @@
         at: Instant::now(),
     });
     let path = parts.uri.path().to_owned();
+    let keyed = path.starts_with("/keyed/");
     let mut words: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     if words.len() > 1 && matches!(words[0], "look" | "book" | "keyed") {
         words.remove(0);
@@ -241,13 +258,25 @@
         tokio::spawn(body.collect());
         return text(200, "early");
     }
+    if words[0] == "cut" {
+        let mut read = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            read += frame.data_ref().map_or(0, Bytes::len);
+            if read > 100_000 {
+                let _ = break_off.send(()).await;
+                std::future::pending().await
+            }
+        }
+    }
     let Ok(body) = body.collect().await else { return text(400, "broke off") };
     let trailers = body.trailers().cloned().unwrap_or_default();
     let body = body.to_bytes();
     let run = || {
         let value = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let id = value("idempotency-key").or_else(|| value("x-correlation-id")).unwrap_or(target.clone());
-        *lock(&state.effects).entry(id).or_default() += 1;
+        if !keyed || lock(&state.keys.0).insert(id.clone()) {
+            *lock(&state.effects).entry(id).or_default() += 1;
+        }
     };
     let length = number(1) as usize;
     match words[0] {
