Decisions cost the same in a fleet of ten and of ten thousand

Need: CPU a request grew from 24 us at 4 upstreams to 53 at 4,000, and an idle balancer that lists 10,000 took 5 % of a core: each request counted who is ejected over the whole ring, each tick weighed all of it several times.

Change: the counts are kept where they change; a tick weighs those in use and 512 of the others in turn, and the sums over all are kept. Up to 512 upstreams every one is weighed at each tick, as before.

--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -134,7 +134,7 @@
 /// An operator's file with so many upstreams on these listeners.
 fn file(addresses: &[SocketAddr], count: usize) -> String {
     let mut text = String::from(
-        "[listen]\naddress = \"127.0.0.1:0\"\n[headers]\nx_forwarded = false\n[balancer]\nupstream_idle_ms = 60000\n\
+        "[listen]\naddress = \"127.0.0.1:0\"\n[headers]\nx_forwarded = false\n[balancer]\nupstream_idle_ms = 60000\nsockets = 12000\n\
          [[tenant]]\nname = \"all\"\nallowance_per_s = 1000000.0\n\
          [[class]]\nname = \"all\"\npath = \"/**\"\neffect = \"idempotent\"\ndeadline_ms = 10000\n",
     );
--- /dev/null
+++ b/benches/decision.rs
@@ -0,0 +1,116 @@
+//! What a decision costs by the number of upstreams: one request admitted, sent and answered, and one tick.
+//!
+//! `cargo bench --bench decision`
+
+#![allow(missing_docs, reason = "criterion makes functions of its own")]
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use lapisroute::*;
+use std::time::Duration;
+
+const FLEETS: [u64; 4] = [10, 120, 4000, 10_000];
+
+/// A balancer of so many upstreams that has been busy for a second.
+fn busy(upstreams: u64) -> (Balancer, Duration, u32) {
+    let settings = Settings {
+        classes: vec![Class { late_worth: 0.5, effect: Effect::Idempotent, ..Class::default() }],
+        tenants: vec![Tenant { allowance_per_s: 1e6 }],
+        ..Settings::default()
+    };
+    let mut balancer = Balancer::new(settings, 7).expect("settings permit decisions");
+    let listed: Vec<Listed> = (0..upstreams)
+        .map(|n| Listed {
+            id: UpstreamId(n.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: CellId(0),
+            availability: Availability::Ready,
+            weight: 1.0,
+            started: None,
+        })
+        .collect();
+    let mut actions = Vec::new();
+    balancer.handle(
+        Duration::ZERO,
+        Event::Fleet { scope: FleetScope::Cached, listed: &listed },
+        &mut actions,
+    );
+    let (mut now, mut id) = (Duration::ZERO, 0);
+    for _ in 0..40 {
+        for _ in 0..250 {
+            exchange(&mut balancer, now, &mut id, &mut actions);
+        }
+        now += Duration::from_millis(25);
+        tick(&mut balancer, now, &mut actions);
+    }
+    (balancer, now, id)
+}
+
+fn exchange(balancer: &mut Balancer, now: Duration, id: &mut u32, actions: &mut Vec<Action>) {
+    *id += 1;
+    actions.clear();
+    let request = Event::Request {
+        id: RequestId(*id),
+        class: ClassId(0),
+        tenant: TenantId(0),
+        time_left: Duration::from_secs(1),
+        work_ms: None,
+        repeat: false,
+    };
+    balancer.handle(now, request, actions);
+    let Some(Action::Attempt { id, upstream, .. }) = actions.first().cloned() else { return };
+    let ended = Event::AttemptEnded {
+        id,
+        attempt: AttemptNo(0),
+        upstream,
+        outcome: Outcome::Ok,
+        latency: Duration::from_millis(1),
+        finished: true,
+        report: &[],
+    };
+    balancer.handle(now, ended, actions);
+}
+
+fn tick(balancer: &mut Balancer, now: Duration, actions: &mut Vec<Action>) {
+    actions.clear();
+    balancer.handle(now, Event::Timer { timer: TimerId(0) }, actions);
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("request");
+    for upstreams in FLEETS {
+        let (mut balancer, mut now, mut id) = busy(upstreams);
+        let (mut actions, mut count) = (Vec::new(), 0);
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
+            bencher.iter(|| {
+                exchange(&mut balancer, now, &mut id, &mut actions);
+                count += 1;
+                if count % 1000 == 0 {
+                    // 40,000 a second, so that the bucket has tokens.
+                    now += Duration::from_millis(25);
+                    tick(&mut balancer, now, &mut actions);
+                }
+            });
+        });
+    }
+    group.finish();
+    let mut group = criterion.benchmark_group("tick");
+    for upstreams in FLEETS {
+        let (mut balancer, mut now, mut id) = busy(upstreams);
+        let mut actions = Vec::new();
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
+            bencher.iter(|| {
+                // As after 10,000 requests a second.
+                for _ in 0..25 {
+                    exchange(&mut balancer, now, &mut id, &mut actions);
+                }
+                now += Duration::from_millis(25);
+                tick(&mut balancer, now, &mut actions);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -226,7 +226,7 @@
                 if matched == LENGTH.len() {
                     self.lengths.set(self.lengths.get() + 1);
                 }
-            } else if let Some(n) = bytes.iter().position(|b| *b == b'\n') {
+            } else if let Some(n) = memchr::memchr(b'\n', bytes) {
                 (matched, bytes) = (0, &bytes[n + 1..]);
             } else {
                 (matched, bytes) = (SKIP, &[]);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,7 +7,7 @@
 //! and says what it guards against. Times are seconds.
 
 use crate::interface::*;
-use crate::state::{Attempt, Bucket, Health, Learned, Request, Upstream};
+use crate::state::{Attempt, Bucket, Facts, Health, Learned, Request, Sums, Upstream};
 use crate::stats::Chance;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeSet, VecDeque};
@@ -118,6 +118,9 @@
 /// The timer of the tick.
 const TICK_TIMER: TimerId = TimerId(0);
 
+/// Upstreams that are weighed at a tick at the most, beside those in use.
+const SLICE: usize = 512;
+
 /// One balancer's decisions. See the crate's page for its use.
 #[derive(Default)]
 pub struct Balancer {
@@ -128,7 +131,12 @@
     rng: Chance,
     ring: Vec<Upstream>, // all that are listed
     index: FxHashMap<UpstreamId, usize>,
-    turns: Vec<usize>, // the subset, in this balancer's own order
+    turns: Vec<usize>,   // the subset, in this balancer's own order
+    touched: Vec<usize>, // of the ring: something was sent or came back since they were weighed
+    weighed: usize,      // the turn up to which all have been weighed in this round
+    sums: Sums,
+    facts: Facts,
+    shortest: f64, // aim
     subset_least: usize,
     choose_at: f64,         // when the subset is looked at again
     sigma: usize,           // the counter of the round robin
@@ -188,6 +196,7 @@
             buckets: buckets.collect(),
             classes: classes.collect(),
             rate_now: each,
+            shortest: set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min),
             set,
             busy_at: f64::NEG_INFINITY,
             retries: RETRY_SAVED,
@@ -274,7 +283,7 @@
         if at >= self.choose_at {
             self.choose_subset();
         }
-        self.weigh(tau);
+        self.weigh(false);
         self.grant(tau);
         while let Some(&(when, id, attempt)) = self.due.first().filter(|d| d.0 <= self.now) {
             self.due.remove(&(when, id, attempt));
@@ -310,8 +319,7 @@
         let slack = classes.map(|(c, l)| target(c.aim.as_secs_f64(), l) - l.latency);
         let slack = slack.fold(f64::INFINITY, f64::min);
         let mut within = (self.latency() + slack).max(0.0);
-        let turns = || self.turns.iter().map(|j| &self.ring[*j]);
-        let weights: f64 = turns().map(|u| u.weight).sum::<f64>().max(1e-9);
+        let weights = self.sums.weights.max(1e-9);
         self.rate_now += (tau / RATE_OVER).min(1.0) * (self.done / tau.max(1e-6) - self.rate_now);
         self.done = 0.0;
         let seen = self.rate_now / weights;
@@ -325,18 +333,9 @@
             let over = if slack < 0.0 { RATE_OVER } else { RATE_KEPT };
             self.rate = (self.rate + (tau / over).min(1.0) * (seen - self.rate)).max(seen);
         }
-        let (mut room, mut taken, balancers) = (0.0, 0.0, f64::from(self.set.balancers));
-        for u in self.turns.iter().map(|j| &self.ring[*j]).filter(|u| u.weight > 0.0) {
-            let c = self.rate * u.weight;
-            // One place in all at least: where nothing is stated a start from nothing takes long. One whose
-            // requests are overdue has no room, in part or all, but what it holds is held: else, when all
-            // are stuck, W and what is missing are nil together and no guarantee is cut.
-            let held = f64::from(u.in_flight.saturating_sub(u.lost)) + u.ghosts;
-            let free = 1.0 - (f64::from(u.overdue) + u.ghosts) / held.max(1.0);
-            let all = (c * within).max(u.weight / balancers) * free;
-            room += tau * c * free + all - held;
-            taken += held;
-        }
+        let (taken, least) = (self.sums.held, 1.0 / f64::from(self.set.balancers));
+        // One place in all at least: where nothing is stated a start from nothing takes long.
+        let room = self.sums.free * (tau * self.rate + (self.rate * within).max(least)) - taken;
         self.room = room;
         let total: f64 = self.buckets.iter().map(|b| b.demand).sum();
         // Long enough to hold a few requests: a tenant that happened to be silent is not without demand.
@@ -364,50 +363,94 @@
         }
     }
 
-    /// What each upstream can do now, and the turns it gets for it.
-    fn weigh(&mut self, tau: f64) {
+    /// What all have in common that can do something now. It changes with the list, and with ejections.
+    fn compare(&mut self) {
         let turns = || self.turns.iter().map(|j| &self.ring[*j]);
-        let largest = turns().map(|u| u.size).fold(1e-9, f64::max);
         let ready = turns().filter(|u| u.ready).count() as f64;
         let ejected = turns().filter(|u| u.ready && u.ejected_until > self.at).count() as f64;
-        let spare_ejections = ejected <= EJECTED_MOST * ready;
-        let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(0.0);
-        let near_ready = turns().any(|u| u.ready && u.zone == self.set.zone && u.ejected_until <= self.at);
-        let (fade, cold_from) = ((-tau / PACE_KEPT).exp(), self.set.cold_from.min(1.0));
-        let aim = self.set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min);
-        let laid = (-tau / aim).exp();
-        let (mut warm_rate, mut warm) = (0.0, 0.0);
-        for j in &self.turns {
-            let u = &mut self.ring[*j];
-            u.seen *= fade;
-            u.ghosts *= laid;
-            let pace = (u.pace * u.seen + PACE_DOUBT) / (u.seen + PACE_DOUBT);
-            let climb = u.started.map_or(1.0, |s| {
-                let share = ((self.at - s) / self.set.cold_time.as_secs_f64().max(1e-6)).clamp(0.0, 1.0);
-                cold_from + (1.0 - cold_from) * share
-            });
-            if climb >= 1.0 {
-                u.started = None;
-            }
-            u.capacity = (u.size / largest * climb / pace.clamp(0.25, 4.0)).max(1e-3);
-            let usable = u.ready && (u.ejected_until <= self.at || !spare_ejections);
-            let zone = if u.zone == self.set.zone || !near_ready { 1.0 } else { far };
-            u.weight = if usable { u.capacity * zone } else { 0.0 };
-            if u.weight > 0.0 && u.started.is_none() {
-                warm += 1.0;
-                warm_rate += u.weight;
-            }
+        let near = |u: &Upstream| u.ready && u.zone == self.set.zone && u.ejected_until <= self.at;
+        self.facts = Facts {
+            largest: turns().map(|u| u.size).fold(1e-9, f64::max),
+            spare_ejections: ejected <= EJECTED_MOST * ready,
+            near_ready: turns().any(near),
+        };
+    }
+
+    /// What each upstream can do now, and the turns it gets for it. In a large fleet those that were in use
+    /// are weighed at each tick, and of the others a part, one after another: the tick takes no longer.
+    fn weigh(&mut self, all: bool) {
+        let n = self.turns.len();
+        let mut visits = std::mem::take(&mut self.touched);
+        let all = all || visits.len() + SLICE >= n;
+        if all {
+            self.compare();
+            visits.clear();
+            visits.extend(&self.turns);
+            (self.sums, self.weighed) = (Sums::default(), 0);
+            self.ring.iter_mut().for_each(|u| u.part = Sums::default());
+        } else {
+            let end = (self.weighed + SLICE).min(n);
+            visits.extend(&self.turns[self.weighed..end]);
+            self.weighed = if end == n { 0 } else { end };
+        }
+        visits.iter().for_each(|j| self.weigh_one(*j));
+        if self.weighed == 0 && !all {
+            // What rounding has left over a round.
+            let parts = self.turns.iter().map(|j| &self.ring[*j].part);
+            self.sums = parts.fold(Sums::default(), |sum, part| sum.plus(part, 1.0));
         }
         // A cold upstream earns turns by the clock: where others are skipped the ring turns faster.
-        let each = if warm > 0.0 { self.rate * warm_rate / warm } else { self.rate };
+        let Sums { warm, warm_rate, .. } = self.sums;
+        let each = if warm >= 0.5 { self.rate * warm_rate / warm } else { self.rate };
         let cold = COLD_SHARE * self.set.fall_multiple;
-        for j in &self.turns {
+        for j in &visits {
             let u = &mut self.ring[*j];
+            let tau = std::mem::take(&mut u.waited);
+            if u.started.is_some() {
+                u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
+            }
+        }
+        visits.clear();
+        self.touched = visits;
+    }
+
+    fn weigh_one(&mut self, j: usize) {
+        let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(0.0);
+        let cold_from = self.set.cold_from.min(1.0);
+        let Facts { largest, spare_ejections, near_ready } = self.facts;
+        let u = &mut self.ring[j];
+        if !u.member {
+            return;
+        }
+        let tau = (self.at - u.weighed_at).clamp(0.0, 1.0);
+        (u.weighed_at, u.waited) = (self.at, u.waited + tau);
+        u.seen *= (-tau / PACE_KEPT).exp();
+        u.ghosts *= (-tau / self.shortest).exp();
+        let pace = (u.pace * u.seen + PACE_DOUBT) / (u.seen + PACE_DOUBT);
+        let climb = u.started.map_or(1.0, |s| {
+            let share = ((self.at - s) / self.set.cold_time.as_secs_f64().max(1e-6)).clamp(0.0, 1.0);
+            cold_from + (1.0 - cold_from) * share
+        });
+        if climb >= 1.0 {
+            u.started = None;
+        }
+        u.capacity = (u.size / largest * climb / pace.clamp(0.25, 4.0)).max(1e-3);
+        let usable = u.ready && (u.ejected_until <= self.at || !spare_ejections);
+        let zone = if u.zone == self.set.zone || !near_ready { 1.0 } else { far };
+        u.weight = if usable { u.capacity * zone } else { 0.0 };
+        let mut part = Sums::default();
+        if u.weight > 0.0 {
+            // One whose requests are overdue has no room, in part or all, but what it holds is held: else,
+            // when all are stuck, W and what is missing are nil together and no guarantee is cut.
+            part.held = f64::from(u.in_flight.saturating_sub(u.lost)) + u.ghosts;
+            let free = 1.0 - (f64::from(u.overdue) + u.ghosts) / part.held.max(1.0);
+            (part.weights, part.free) = (u.weight, u.weight * free);
             if u.started.is_none() {
-                continue;
+                (part.warm, part.warm_rate) = (1.0, u.weight);
             }
-            u.credit = (u.credit + tau * each * cold * u.weight).min(1.5);
         }
+        self.sums = self.sums.plus(&u.part, -1.0).plus(&part, 1.0);
+        u.part = part;
     }
 
     /// What an upstream holds for its capacity: own requests and, fading with age, reported ones.
@@ -448,7 +491,9 @@
         let ring = &self.ring;
         self.ahead.retain(|j| ring[*j].weight > 0.0 && ring[*j].ready);
         let ill = |b: &Self, j: usize| b.ring[j].health[class].ejected && b.ring[j].weight > 0.0;
-        let out = self.turns.iter().filter(|j| ill(self, **j)).count();
+        // Few are, as a rule nobody is.
+        let some = self.classes[class].out > 0;
+        let out = if some { self.turns.iter().filter(|j| ill(self, **j)).count() } else { 0 };
         if out > 0 && self.at >= self.classes[class].trial_at {
             // One trial at a time, ever more seldom: each may cost a request that nothing repeats.
             let tried = |j: &&usize| self.ring[**j].health[class].tried;
@@ -488,6 +533,7 @@
     }
 
     fn send(&mut self, id: RequestId, turn: usize) {
+        touch(&mut self.touched, self.ring.len(), turn);
         let Some(r) = self.requests.get_mut(&id) else { return };
         let u = &mut self.ring[turn];
         let mut idle = if u.in_flight > 0 || u.used_at <= 0.0 { 0.0 } else { self.at - u.used_at };
@@ -577,7 +623,9 @@
         };
         let usual = self.classes[r.class].usual;
         let first = !std::mem::replace(&mut a.overdue, true);
-        if let Some(u) = self.index.get(&a.upstream).map(|j| &mut self.ring[*j]) {
+        if let Some(j) = self.index.get(&a.upstream).copied() {
+            touch(&mut self.touched, self.ring.len(), j);
+            let u = &mut self.ring[j];
             // A queue serves in turn: one that is passed by so much stands in none. Whom nobody followed
             // can't be passed: it counts as any other then, so that somebody does.
             let h = &u.health[r.class];
@@ -606,7 +654,9 @@
         };
         a.streams = true;
         let (upstream, way) = (a.upstream, (a.overdue, std::mem::take(&mut a.lost), a.idle));
-        if let Some(u) = self.index.get(&upstream).map(|j| &mut self.ring[*j]) {
+        if let Some(j) = self.index.get(&upstream).copied() {
+            touch(&mut self.touched, self.ring.len(), j);
+            let u = &mut self.ring[j];
             count_overdue(u, a, false);
             u.lost = u.lost.saturating_sub(u32::from(way.1));
             u.in_flight = u.in_flight.saturating_sub(u32::from(latency.is_none()));
@@ -628,7 +678,9 @@
         a.may_have_run = !outcome.never_ran();
         let (upstream, way, class, ended) = (a.upstream, (a.overdue, a.lost, a.idle), r.class, r.ended);
         let streams = a.streams;
-        if let Some(u) = self.index.get(&upstream).map(|j| &mut self.ring[*j]) {
+        if let Some(j) = self.index.get(&upstream).copied() {
+            touch(&mut self.touched, self.ring.len(), j);
+            let u = &mut self.ring[j];
             count_overdue(u, a, false);
             u.lost = u.lost.saturating_sub(u32::from(way.1));
             if streams {
@@ -726,8 +778,7 @@
             let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
             (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
         }
-        let out = self.turns.iter().filter(|j| self.ring[**j].health[class].ejected).count() + 1;
-        let out = out as f64 <= EJECTED_MOST * self.turns.len() as f64;
+        let out = (self.classes[class].out + 1) as f64 <= EJECTED_MOST * self.turns.len() as f64;
         let Some(u) = self.index.get(&id).map(|j| &mut self.ring[*j]) else { return };
         u.used_at = self.at;
         u.in_flight = u.in_flight.saturating_sub(1);
@@ -743,6 +794,7 @@
             if !overdue {
                 u.ejections = 0;
                 if std::mem::take(&mut h.ejected) {
+                    l.out = l.out.saturating_sub(usize::from(u.member));
                     // What ailed it may have been the others' trouble too: they are tried at once.
                     (l.trials, l.trial_at) = (0, self.at);
                 }
@@ -783,6 +835,7 @@
         let quick = self.at - h.answered > HEARD_OF && l.answers < QUICK * aim;
         if !h.ejected && out && (h.faults >= FAULTS || (quick && h.faults > 0 && outcome != Outcome::Error)) {
             (h.faults, h.ejected, h.tried) = (0, true, self.at);
+            l.out += usize::from(u.member);
             if l.trial_at <= self.at {
                 (l.trials, l.trial_at) = (0, self.at + EJECT * (0.75 + 0.5 * self.rng.f64()));
             }
@@ -846,6 +899,7 @@
                     credit,
                     capacity: 1.0,
                     alive_at: f64::NEG_INFINITY,
+                    weighed_at: self.at,
                     fresh: !first,
                     ..Upstream::default()
                 });
@@ -887,7 +941,7 @@
         if changed {
             self.choose_subset();
         } else {
-            self.weigh(0.0);
+            self.weigh(true);
         }
     }
 
@@ -905,7 +959,13 @@
         let blocks = (n / least.max(1)).max(1);
         let (round, place) = (self.set.index as usize / blocks, self.set.index as usize % blocks * least);
         let mut members = 0;
-        self.ring.iter_mut().for_each(|u| u.member &= u.ready);
+        for u in &mut self.ring {
+            u.member &= u.ready;
+            if !u.member {
+                // Time without turns earns none.
+                (u.weighed_at, u.waited) = (self.at, 0.0);
+            }
+        }
         // Who comes back from ejection is looked at again then.
         let until = self.ring.iter().map(|u| u.ejected_until).filter(|t| *t > self.at);
         self.choose_at = until.fold(f64::INFINITY, f64::min);
@@ -940,7 +1000,12 @@
         // Each balancer has its own order, so that counters do not march in step.
         self.rng.shuffle(&mut self.turns);
         (self.sigma, self.ahead) = (0, VecDeque::new());
-        self.weigh(0.0);
+        self.touched.clear();
+        for (class, learned) in self.classes.iter_mut().enumerate() {
+            let ill = |j: &&usize| self.ring[**j].health[class].ejected;
+            learned.out = self.turns.iter().filter(ill).count();
+        }
+        self.weigh(true);
     }
 }
 
@@ -949,3 +1014,11 @@
     let was = std::mem::replace(&mut a.counted, counts);
     u.overdue = (u.overdue + u32::from(counts)).saturating_sub(u32::from(was));
 }
+
+/// Something was sent to an upstream, or came back: it is weighed at the next tick. Past as many as there
+/// are, all of them will be.
+fn touch(touched: &mut Vec<usize>, most: usize, j: usize) {
+    if touched.len() <= most {
+        touched.push(j);
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,39 @@
     pub(crate) capacity: f64,       // share of a full-size upstream's work it can do now
     pub(crate) weight: f64,         // turns it gets each round of the ring
     pub(crate) credit: f64,         // turns earned and not taken
+    pub(crate) weighed_at: f64,
+    pub(crate) waited: f64, // since turns were earned by the clock
+    pub(crate) part: Sums,  // in the sums
+}
+
+/// What the upstreams that take turns come to together.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Sums {
+    pub(crate) weights: f64,
+    pub(crate) free: f64, // of the weights, what is not overdue
+    pub(crate) held: f64,
+    pub(crate) warm: f64, // how many are
+    pub(crate) warm_rate: f64,
+}
+
+impl Sums {
+    pub(crate) fn plus(&self, part: &Self, times: f64) -> Self {
+        Self {
+            weights: self.weights + times * part.weights,
+            free: self.free + times * part.free,
+            held: self.held + times * part.held,
+            warm: self.warm + times * part.warm,
+            warm_rate: self.warm_rate + times * part.warm_rate,
+        }
+    }
+}
+
+/// What the upstreams that take turns have in common.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Facts {
+    pub(crate) largest: f64,
+    pub(crate) spare_ejections: bool,
+    pub(crate) near_ready: bool,
 }
 
 /// What one class has met at one upstream.
@@ -88,6 +121,7 @@
     pub(crate) at: f64,      // of the latest of them
     pub(crate) usual: f64,   // the quantile USUAL of them
     pub(crate) share: f64,   // of the admitted
+    pub(crate) out: usize,   // upstreams in the ring that are ejected for the class
     pub(crate) trials: u32,  // without success, of upstreams ejected for the class
     pub(crate) trial_at: f64,
 }
