--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -56,6 +56,17 @@
         #[arg(long, default_value_t = 2.0)]
         seconds: f64,
     },
+    /// What a request of the platform's protocol costs two programs, in turn.
+    Paired {
+        /// The other one.
+        against: PathBuf,
+        /// Rounds, of which the median ratio is told.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=20))]
+        rounds: u64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+    },
     /// An upstream of the proxy rig.
     #[command(hide = true)]
     Desk,
@@ -84,6 +95,10 @@
         Rig::Fleet { rounds, seconds } => {
             runtime.block_on(proxy::fleet(&line.program, rounds as usize, seconds.clamp(0.2, 30.0)))
         }
+        Rig::Paired { against, rounds, seconds } => {
+            let seconds = seconds.clamp(0.2, 30.0);
+            runtime.block_on(proxy::paired(&line.program, &against, rounds as usize, seconds))
+        }
         Rig::Desk => roles::run(roles::desk),
         Rig::Host { upstreams } => roles::run(|listener| roles::host(listener, upstreams)),
         Rig::PlainProxy { upstreams } => roles::run(|listener| roles::plain(listener, upstreams)),
--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -40,6 +40,8 @@
 enum Body {
     Down(usize),
     Up(usize),
+    /// A request of the platform's protocol.
+    Platform,
 }
 
 const BODIES: [(&str, Body); 3] =
@@ -93,6 +95,28 @@
     Ok(())
 }
 
+/// Measures two programs on the platform's protocol, in turn, and tells the ratio round by round.
+pub async fn paired(program: &Path, against: &Path, rounds: usize, seconds: f64) -> Result<(), String> {
+    let desk = Process::own(&["desk"])?;
+    let here = Process::balancer(program, desk.address, 1024, "")?;
+    let there = Process::balancer(against, desk.address, 1024, "")?;
+    println!("{:>6} {:>14} {:>14} {:>7}", "round", "cpu us/req", "against", "ratio");
+    let mut ratios = Vec::new();
+    for round in 1..=rounds {
+        let one = measure("here", "64 B", Body::Platform, &here, seconds).await?;
+        let other = measure("there", "64 B", Body::Platform, &there, seconds).await?;
+        let (a, b) = (one.cpu_us_per_request, other.cpu_us_per_request);
+        println!("{round:>6} {a:>14.1} {b:>14.1} {:>7.3}", a / b);
+        ratios.push(a / b);
+        if one.failed + other.failed > 0 {
+            println!("       failed: {} and {}", one.failed, other.failed);
+        }
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("median ratio {:.3}", ratios[ratios.len() / 2]);
+    Ok(())
+}
+
 /// Measures what a request costs by the number of upstreams listed, and what an idle balancer costs.
 pub async fn fleet(program: &Path, rounds: usize, seconds: f64) -> Result<(), String> {
     let desks = desks()?;
@@ -205,6 +229,12 @@
             Body::Down(length) => hyper::Request::get(format!("/bytes/{length}"))
                 .header("host", "desk")
                 .body(Empty::new().map_err(|never| match never {}).boxed())?,
+            Body::Platform => hyper::Request::get("/look/bytes")
+                .header("host", "app.svc")
+                .header("x-correlation-id", format!("{:016x}", fastrand::u64(..)))
+                .header("x-account", "walkers")
+                .header("x-time-left-ms", "2000")
+                .body(Empty::new().map_err(|never| match never {}).boxed())?,
             Body::Up(length) => hyper::Request::post("/up")
                 .header("host", "desk")
                 .body(Full::new(up.slice(..length)).boxed())?,
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -194,6 +194,12 @@
         let set = parse(&uncommented).unwrap();
         assert!(set.token.is_some() && set.descriptors.limit.is_some());
         assert!(set.admission.rate.is_some() && set.admission.per_address.is_some());
+        // What it shows of a balancer of one's own are the defaults.
+        let shown = set.proxy.unwrap();
+        let least = "[listen]\naddress = '127.0.0.1:8080'\n[[tenant]]\nname = 'acme'\n[[upstream]]\nname = 'desk-1'\n\
+            address = '127.0.0.1:9001'\n[[class]]\nname = 'book'\npath = '/book/**'\nmethods = ['POST']\neffect = 'keyed'\n\
+            [headers]\nkey = 'X-Room'\nkey_cookie = 'user'\n[balancer]\nzone = 'a'\n";
+        assert_eq!(shown, parse(least).unwrap().proxy.unwrap());
         for key in [
             "reserve",
             "known_most",
@@ -218,6 +224,44 @@
             "limit",
             "upstream_share",
             "backlog",
+            "address",
+            "zone",
+            "max_attempts",
+            "hedging",
+            "connect_timeout_ms",
+            "upstream_idle_ms",
+            "stall_ms",
+            "drain_ms",
+            "bodies_mb",
+            "sockets",
+            "id",
+            "tenant",
+            "idempotency",
+            "time_left",
+            "key",
+            "key_cookie",
+            "x_forwarded",
+            "forwarded",
+            "via",
+            "host",
+            "own",
+            "allowance_per_s",
+            "weight",
+            "path",
+            "methods",
+            "effect",
+            "key_ttl_ms",
+            "dedup",
+            "deadline_ms",
+            "aim_ms",
+            "buffer_bytes",
+            "body_most_bytes",
+            "idle_ms",
+            "total_ms",
+            "turned_away",
+            "marker",
+            "overload",
+            "error",
         ] {
             assert!(uncommented.lines().any(|line| line.starts_with(&format!("{key} = "))), "{key}");
         }
--- a/engine/src/pool.rs
+++ b/engine/src/pool.rs
@@ -16,6 +16,9 @@
 /// How often idle connections are looked over.
 const SWEEP_EVERY: Duration = Duration::from_millis(100);
 
+/// How many of them at one look.
+const SWEEP_MOST: usize = 512;
+
 /// Connections open to all upstreams together.
 #[derive(Default)]
 struct Open {
@@ -147,15 +150,26 @@
         self.open.freed.notify_waiters();
     }
 
-    /// Closes what has been idle for long, again and again.
+    /// Closes what has been idle for long, again and again, and what its upstream has closed, a part at each look: in
+    /// a large fleet there are thousands.
     pub async fn sweep(&self) {
+        let mut next = 0;
         loop {
             tokio::time::sleep(SWEEP_EVERY).await;
             let (now, idle) = (Instant::now(), &mut *self.idle.borrow_mut());
-            let useless = |kept: &Kept| kept.connection.is_closed() || now - kept.since >= self.idle_most;
-            let numbers: Vec<u64> =
-                idle.kept.iter().filter(|(_, kept)| useless(kept)).map(|(n, _)| *n).collect();
-            for number in numbers {
+            // In the order in which they fell idle.
+            let old = idle.kept.iter().take_while(|(_, kept)| now - kept.since >= self.idle_most);
+            let old: Vec<u64> = old.map(|(n, _)| *n).collect();
+            let looked: Vec<(u64, bool)> = idle
+                .kept
+                .range(next..)
+                .take(SWEEP_MOST)
+                .map(|(n, kept)| (*n, kept.connection.is_closed()))
+                .collect();
+            next = looked.last().filter(|_| looked.len() == SWEEP_MOST).map_or(0, |(n, _)| n + 1);
+            for number in
+                old.into_iter().chain(looked.into_iter().filter(|(_, closed)| *closed).map(|(n, _)| n))
+            {
                 idle.remove(number);
             }
         }
