--- a/engine/src/call.rs
+++ b/engine/src/call.rs
@@ -1,6 +1,6 @@
 //! What a host hands to an engine, and what it gets.
 
-use crate::body::Failure;
+use crate::parts::body::Failure;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,17 +3,17 @@
 //! The core is a current-thread runtime without locks: one `Balancer`, its connections, its ledger. A [`Handle`]
 //! reaches it through one bounded queue. Engines share nothing with one another.
 
-use crate::answer::{AnswerBody, Served};
-use crate::attempt::Outgoing;
-use crate::body::{Fault, Payload, Upload, take_in};
 use crate::call::{Call, CallBody, Outcome, Piece, Refusal, Reply, ReplyBody, Streaming, Why};
-use crate::descriptors::Descriptors;
-use crate::desk::{Desk, Inside};
-use crate::driver::{Answer, Asked, Driver, Trace};
 use crate::ledger::{Bounds, Identity};
-use crate::room::Room;
+use crate::parts::answer::{AnswerBody, Served};
+use crate::parts::attempt::Outgoing;
+use crate::parts::body::{Fault, Payload, Upload, take_in};
+use crate::parts::descriptors::Descriptors;
+use crate::parts::desk::{Desk, Inside};
+use crate::parts::driver::{Answer, Asked, Driver, Trace};
+use crate::parts::room::Room;
+use crate::parts::upstream::Upstreams;
 use crate::source::{Fixed, News, Source};
-use crate::upstream::Upstreams;
 use http_body_util::BodyExt;
 use hyper::Uri;
 use hyper::body::Body;
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -41,23 +41,11 @@
 //! # }
 //! ```
 
-pub mod answer;
-pub mod attempt;
-pub mod body;
 pub mod call;
-pub mod connection;
-pub mod descriptors;
-pub mod desk;
-pub mod discovery;
-pub mod driver;
 pub mod engine;
-pub mod headers;
 pub mod ledger;
-pub mod pool;
-pub mod room;
-pub mod seldom;
+pub mod parts;
 pub mod source;
-pub mod upstream;
 
 pub use call::{Call, CallBody, Outcome, Refusal, Reply, ReplyBody, Why};
 pub use engine::{Builder, Engine, Handle, StartError};
--- a/engine/src/answer.rs
+++ b/engine/src/parts/answer.rs
@@ -1,7 +1,7 @@
 //! Answers: held whole, or passed on from the first byte.
 
-use crate::body::Failure;
-use crate::connection::Connection;
+use crate::parts::body::Failure;
+use crate::parts::connection::Connection;
 use bytes::Bytes;
 use http_body_util::LengthLimitError;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
--- a/engine/src/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -3,12 +3,12 @@
 //! That an attempt never ran is said only of what can be proved: no connection was made, the kernel did not take so
 //! much of the request that it could have begun before the connection ended, or the upstream says so itself.
 
-use crate::answer::{AnswerBody, Served, Stream, is_unreadable};
-use crate::body::{Failure, Payload};
-use crate::connection::{Connection, head_length, wire_length};
-use crate::headers::{LOAD, TIME_LEFT};
-use crate::room::Room;
-use crate::upstream::{Upstream, Upstreams};
+use crate::parts::answer::{AnswerBody, Served, Stream, is_unreadable};
+use crate::parts::body::{Failure, Payload};
+use crate::parts::connection::{Connection, head_length, wire_length};
+use crate::parts::headers::{LOAD, TIME_LEFT};
+use crate::parts::room::Room;
+use crate::parts::upstream::{Upstream, Upstreams};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -210,7 +210,11 @@
 }
 
 /// The request of one attempt: how long the balancer will wait is its own.
-fn request(outgoing: &Outgoing, left: Duration, connection: &Connection) -> Request<crate::body::Outbound> {
+fn request(
+    outgoing: &Outgoing,
+    left: Duration,
+    connection: &Connection,
+) -> Request<crate::parts::body::Outbound> {
     let mut headers = outgoing.headers.clone();
     headers.insert(TIME_LEFT, HeaderValue::from(left.as_millis() as u64));
     let body = connection.outbound(&outgoing.body);
@@ -262,7 +266,7 @@
 /// One request, and its answer: whole, or from its first byte.
 async fn exchange(
     connection: &mut Connection,
-    request: Request<crate::body::Outbound>,
+    request: Request<crate::parts::body::Outbound>,
     passage: &Passage,
     room: &Room,
 ) -> Result<Reply, Broken> {
@@ -316,7 +320,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::upstream::Place;
+    use crate::parts::upstream::Place;
     use lapisroute::{Availability, Settings};
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
@@ -341,7 +345,7 @@
         let settings = Settings { connect_timeout: LONG, conn_idle: LONG, ..Settings::default() };
         let upstreams = Rc::new(Upstreams::new(
             &settings,
-            crate::pool::tests::descriptors(most_open),
+            crate::parts::pool::tests::descriptors(most_open),
             Room::new(4 << 20),
             maplehook_routes::Forwarding::platform(),
         ));
--- a/engine/src/body.rs
+++ b/engine/src/parts/body.rs
@@ -3,7 +3,7 @@
 //! What is held may be sent again. A body that streams can be sent once: until the first byte of an attempt has
 //! left, another may still have it; from then on it is spent.
 
-use crate::room::Room;
+use crate::parts::room::Room;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
--- a/engine/src/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -1,6 +1,6 @@
 //! One client-side connection: it knows how much of a request the kernel has taken.
 
-use crate::body::{Outbound, Payload, Written};
+use crate::parts::body::{Outbound, Payload, Written};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
--- a/engine/src/descriptors.rs
+++ b/engine/src/parts/descriptors.rs
@@ -1,7 +1,7 @@
 //! The owner of this process's descriptors: how many each part may hold, what is done when none is left, and
 //! the one that is kept spare for that moment.
 
-use crate::seldom::Seldom;
+use crate::parts::seldom::Seldom;
 use maplehook_admission::budget::TooFew;
 use maplehook_admission::{Budget, Part};
 use rlimit::Resource;
--- a/engine/src/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -1,8 +1,8 @@
 //! The desk: where requests come in. One that must not run twice and can be known again goes through the ledger.
 
-use crate::answer::Served;
-use crate::driver::{Answer, Asked, Driver, Trace};
 use crate::ledger::{Bounds, BoundsError, Ending, EntryId, Identity, Ledger, Opened, Waiter};
+use crate::parts::answer::Served;
+use crate::parts::driver::{Answer, Asked, Driver, Trace};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/engine/src/discovery.rs
+++ b/engine/src/parts/discovery.rs
@@ -1,11 +1,11 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
 
-use crate::body::Outbound;
-use crate::connection::Connection;
-use crate::descriptors::{self, Descriptors, out_of_descriptors};
-use crate::seldom::Seldom;
+use crate::parts::body::Outbound;
+use crate::parts::connection::Connection;
+use crate::parts::descriptors::{self, Descriptors, out_of_descriptors};
+use crate::parts::seldom::Seldom;
+use crate::parts::upstream::Place;
 use crate::source::{Entry, News, Source, Task};
-use crate::upstream::Place;
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/engine/src/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -4,11 +4,11 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
-use crate::answer::{AnswerBody, Served};
-use crate::attempt::{Ended, Outgoing};
-use crate::body::Payload;
+use crate::parts::answer::{AnswerBody, Served};
+use crate::parts::attempt::{Ended, Outgoing};
+use crate::parts::body::Payload;
+use crate::parts::upstream::Upstreams;
 use crate::source::{News, Source};
-use crate::upstream::Upstreams;
 use lapisroute::{
     Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
     UpstreamId,
--- a/engine/src/pool.rs
+++ b/engine/src/parts/pool.rs
@@ -1,8 +1,8 @@
 //! Connections to upstreams: how many may be open, and which of them are idle.
 
-use crate::connection::Connection;
-use crate::descriptors::Descriptors;
-use crate::seldom::Seldom;
+use crate::parts::connection::Connection;
+use crate::parts::descriptors::Descriptors;
+use crate::parts::seldom::Seldom;
 use lapisroute::UpstreamId;
 use maplehook_admission::Part;
 use rustc_hash::FxHashMap;
--- a/engine/src/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -1,11 +1,11 @@
 //! The upstreams: where they are, whether they take requests, the connections to them.
 
-use crate::connection::Connection;
-use crate::descriptors::{self, Descriptors, out_of_descriptors, own_fault};
-use crate::headers;
-use crate::pool::Pool;
-use crate::room::Room;
-use crate::seldom::Seldom;
+use crate::parts::connection::Connection;
+use crate::parts::descriptors::{self, Descriptors, out_of_descriptors, own_fault};
+use crate::parts::headers;
+use crate::parts::pool::Pool;
+use crate::parts::room::Room;
+use crate::parts::seldom::Seldom;
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use maplehook_routes::{Forwarding, Passage};
 use rustc_hash::FxHashMap;
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -1,6 +1,6 @@
 //! Where the list of upstreams comes from. Every kind of discovery stands behind [`Source`].
 
-use crate::upstream::Place;
+pub use crate::parts::upstream::Place;
 use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
 use std::future::Future;
 use std::net::SocketAddr;
