Membership with care, a Eureka client and registry stand-in, registration of the balancer

Need: cooperatives register their desk nodes in a Eureka registry; its errors and empty lists must not empty the fleet.

Change: maplehook-membership (pure) merges sources with provenance: words act at once, a sudden loss is held within bounds and settled by lists that agree, by what passes on the sockets, or by time. maplehook-eureka reads whole lists and changes, JSON and XML, held against the hash, from several replicas, and registers the balancer. The stand-in speaks both ways and fails by script.

Measured: property tests of any order of lists, losses, words and errors pass (no entry that was marked is offered, holds end, the truth is followed once sources are sane).

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -13,9 +13,11 @@
 //! # Ok::<(), maplehook_config::Faults>(())
 //! ```
 
+mod eureka;
 mod proxy;
 mod reader;
 
+pub use eureka::{Eureka, Registration, Wanted};
 pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
 
@@ -26,7 +28,8 @@
 use std::time::Duration;
 
 /// The sections that there may be.
-const SECTIONS: &[&str] = &["admission", "token", "descriptors", "listen", "balancer", "headers"];
+const SECTIONS: &[&str] =
+    &["admission", "token", "descriptors", "listen", "balancer", "headers", "eureka", "registration"];
 /// Those that there may be several of.
 const LISTS: &[&str] = &["class", "tenant", "upstream"];
 
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -1,5 +1,6 @@
 //! What a balancer of one's own serves: its classes, tenants and upstreams, and what passes on the way.
 
+use crate::eureka::Eureka;
 use crate::reader::{Reader, Table};
 use http::{HeaderName, HeaderValue, Method, StatusCode};
 use lapisroute::{Class, ClassId, DedupGroup, Effect, Settings, Tenant, ZoneId};
@@ -58,6 +59,10 @@
     pub stall: Duration,
     /// How long answers may go on after SIGTERM.
     pub drain: Duration,
+    /// The names of the zones, in the order of their ids; the first is the balancer's own.
+    pub zones: Vec<String>,
+    /// The registry that further upstreams are read from.
+    pub eureka: Option<Eureka>,
 }
 
 impl Proxy {
@@ -67,6 +72,11 @@
     }
 }
 
+/// Whether a name may stand in a path as it is.
+pub(crate) fn header_free(name: &str) -> bool {
+    !name.is_empty() && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._:".contains(&b))
+}
+
 /// Takes a number within a range, or names the fault.
 macro_rules! ranged {
     ($reader:expr, $table:expr, $key:literal, $range:expr, $words:literal) => {{
@@ -80,8 +90,10 @@
     }};
 }
 
+pub(crate) use ranged;
+
 /// A time in milliseconds, or a fault.
-fn ms<'a>(reader: &mut Reader<'a>, table: &mut Table<'a>, key: &str, or: Duration) -> Duration {
+pub(crate) fn ms<'a>(reader: &mut Reader<'a>, table: &mut Table<'a>, key: &str, or: Duration) -> Duration {
     let Some(ms) = reader.take_in::<u64>(table, key) else { return or };
     if !(1..=86_400_000).contains(&ms) {
         reader.fault_in(table, key, "it has to be 1 to 86,400,000 ms".into());
@@ -97,7 +109,7 @@
     }
     let own_kind = listen.is_some() || reader.has("upstream") || reader.has("class") || reader.has("tenant");
     if !own_kind {
-        for section in ["balancer", "headers"] {
+        for section in ["balancer", "headers", "eureka", "registration"] {
             if !reader.has(section) {
                 continue;
             }
@@ -147,6 +159,7 @@
         passages.push(passage);
         reader.done(table);
     }
+    let eureka = crate::eureka::read(reader);
     if !own_kind {
         return None;
     }
@@ -157,7 +170,11 @@
             "needed beside [[class]] and [[upstream]]: an IP address and a port",
         ),
         (settings.classes.is_empty(), "class", "at least one [[class]] is needed"),
-        (upstreams.is_empty(), "upstream", "at least one [[upstream]] is needed"),
+        (
+            upstreams.is_empty() && eureka.is_none(),
+            "upstream",
+            "at least one [[upstream]] is needed, or [eureka]",
+        ),
     ] {
         if missing {
             reader.fault_at(1, place.into(), what.into());
@@ -179,6 +196,8 @@
         sockets,
         stall,
         drain,
+        zones,
+        eureka,
     })
 }
 
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -8,7 +8,7 @@
 use crate::parts::attempt::{Ended, Outgoing};
 use crate::parts::body::Payload;
 use crate::parts::upstream::Upstreams;
-use crate::source::{News, Source};
+use crate::source::{Heard, News, Source};
 use lapisroute::{
     Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
     UpstreamId,
@@ -231,6 +231,13 @@
                 };
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                match ended.outcome {
+                    Outcome::Ok | Outcome::Error | Outcome::Rejected | Outcome::Overloaded => {
+                        self.source.heard(upstream, Heard::Answered);
+                    }
+                    Outcome::ConnectFailed => self.source.heard(upstream, Heard::Unreachable),
+                    _ => {}
+                }
                 let streams = matches!(&ended.served, Some(Served { body: AnswerBody::Stream(_), .. }));
                 if streams && held.reply.is_some() {
                     let latency = (!std::mem::replace(&mut attempt.streams, true)).then_some(latency);
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -50,6 +50,18 @@
 
     /// Follows the list until that fails, and tells what comes; the last word is [`News::failed`].
     fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()>;
+
+    /// What passes on the sockets says more of an upstream than its absence from a list.
+    fn heard(&self, _upstream: UpstreamId, _heard: Heard) {}
+}
+
+/// What an attempt says of its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// It has answered.
+    Answered,
+    /// No connection to it could be made.
+    Unreachable,
 }
 
 /// A list that never changes.
--- a/eureka/src/model.rs
+++ b/eureka/src/model.rs
@@ -114,7 +114,9 @@
         known = true;
         document.hash = applications.text_of("apps__hashcode").map(str::to_owned);
         document.version = applications.text_of("versions__delta").map(str::to_owned);
-        applications.all("application").for_each(|application| of_application(application, mapping, &mut document));
+        applications
+            .all("application")
+            .for_each(|application| of_application(application, mapping, &mut document));
     }
     for application in tree.all("application") {
         known = true;
--- a/eureka/src/tree.rs
+++ b/eureka/src/tree.rs
@@ -98,8 +98,7 @@
         let text = std::str::from_utf8(text).map_err(|e| wrong(&e))?;
         let mut reader = Reader::from_str(text);
         reader.config_mut().check_end_names = true;
-        // Open elements: name, children, text.
-        let mut open: Vec<(String, Vec<(String, Self)>, String)> = vec![Default::default()];
+        let mut open: Vec<Open> = vec![Default::default()];
         loop {
             let event = reader.read_event().map_err(|e| wrong(&e))?;
             match event {
@@ -149,6 +148,9 @@
     }
 }
 
+/// An element that is open: its name, its children, its text.
+type Open = (String, Vec<(String, Node)>, String);
+
 fn entity(part: &BytesRef<'_>) -> Option<char> {
     if let Ok(Some(read)) = part.resolve_char_ref() {
         return Some(read);
@@ -187,7 +189,12 @@
     Node::Children(children)
 }
 
-fn of_json(name: String, value: Value, into: &mut Vec<(String, Node)>, depth: usize) -> Result<(), TreeError> {
+fn of_json(
+    name: String,
+    value: Value,
+    into: &mut Vec<(String, Node)>,
+    depth: usize,
+) -> Result<(), TreeError> {
     if depth > DEPTH_MOST {
         return Err(TreeError("JSON: too deep".into()));
     }
--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -189,6 +189,16 @@
         self.settle(origin.source);
     }
 
+    /// A source agrees with what it said before: those that were missing are missing still.
+    pub fn agreed(&mut self, now: Duration, origin: Origin) {
+        self.hear(now, origin);
+        let Some(source) = self.sources.get_mut(origin.source) else { return };
+        for missing in source.records.values_mut().filter_map(|record| record.missing.as_mut()) {
+            missing.lists = missing.lists.saturating_add(1);
+        }
+        self.settle(origin.source);
+    }
+
     /// A source says in so many words that an instance is no more.
     pub fn deleted(&mut self, now: Duration, origin: Origin, key: &str, version: u64) {
         self.hear(now, origin);
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -17,7 +17,9 @@
 use maplehook::source::{Fixed, News, Source};
 use maplehook_admission::{Door, Part};
 use maplehook_config::{Operator, Upstream};
+use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
 use maplehook_routes::{Forwarding, Own};
+use std::collections::BTreeMap;
 use std::error::Error;
 use std::future::Future;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -93,7 +95,7 @@
         let descriptors = Rc::clone(&parts.descriptors);
         let source = Rc::clone(&discovery) as Rc<dyn Source>;
         let reload = |driver| spawn_local(reload(hangup, driver, discovery, descriptors));
-        serve(plan, parts, requests, (source, known), reload, told).await
+        serve(plan, parts, requests, (source, known), reload, told, None).await
     })
 }
 
@@ -125,6 +127,31 @@
             (name.as_str(), *address, *zone, *weight)
         }));
         let known = News { scope: FleetScope::Cached, ..fixed.news() };
+        let (source, registrar) = match &proxy.eureka {
+            None => (Rc::new(fixed) as Rc<dyn Source>, None),
+            Some(file) => {
+                let settings = eureka::Settings::by_file(file, &proxy.zones)?;
+                let registrar = file.registration.as_ref().map(|own| {
+                    let address = own.address.map_or_else(|| parts.listener.local_addr(), Ok)?;
+                    let registration = Registration {
+                        app: own.app.clone(),
+                        id: own.id.clone(),
+                        address,
+                        vip: own.vip.clone(),
+                        renew: own.renew,
+                        metadata: BTreeMap::new(),
+                    };
+                    Ok::<_, std::io::Error>(Registrar::new(
+                        registration,
+                        &settings.manner,
+                        &settings.replicas,
+                    ))
+                });
+                let names: Vec<String> = proxy.upstreams.iter().map(|u| u.name.clone()).collect();
+                let source = Eureka::new(settings, &known.entries, &names);
+                (Rc::new(source) as Rc<dyn Source>, registrar.transpose()?)
+            }
+        };
         let ignore = |_| {
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
@@ -132,7 +159,7 @@
                 }
             })
         };
-        serve(plan, parts, requests, (Rc::new(fixed), known), ignore, told).await
+        serve(plan, parts, requests, (source, known), ignore, told, registrar).await
     })
 }
 
@@ -181,6 +208,7 @@
     (source, known): (Rc<dyn Source>, News),
     on_hangup: impl FnOnce(Rc<Driver>) -> JoinHandle<()>,
     told: Option<Told>,
+    registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
     let Parts { mut term, listener, descriptors, upstreams, entrance, balancer } = parts;
     let address = listener.local_addr()?;
@@ -199,6 +227,8 @@
     spawn_local(Rc::clone(&descriptors).watch());
     on_hangup(Rc::clone(&driver));
 
+    let registrar = registrar.map(Rc::new);
+    let kept = registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
     match told {
         Some(Told { ready, stop }) => {
             ready(address);
@@ -207,6 +237,15 @@
         None => drop(term.recv().await),
     }
     tracing::info!("leaving");
+    if let (Some(registrar), Some(kept)) = (registrar, kept) {
+        // Whoever reads the registry sends nothing new from here on. Nothing else waits for it.
+        kept.abort();
+        spawn_local(async move {
+            if !registrar.deregister().await {
+                tracing::warn!("the registry did not take the deregistration; the lease ends by itself");
+            }
+        });
+    }
     phase.send_replace(Phase::Leaving);
     sleep(ACCEPT_AFTER_TERM).await;
     phase.send_replace(Phase::Closing);
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! waits are on conditions, up to [`LONG`].
 
 pub mod app;
+pub mod eureka;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
