--- /dev/null
+++ b/eureka/tests/registry.rs
@@ -0,0 +1,270 @@
+//! A balancer that reads its upstreams from a registry: marks, failures, restarts, replicas, its own registration.
+
+use maplehook_node::Daemon;
+use maplehook_standins::app::App;
+use maplehook_standins::eureka::{Eureka, Mode};
+use maplehook_standins::{LONG, until};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+const APP: &str = "DESKS";
+
+fn file(registries: &[&Eureka], extra: &str) -> String {
+    let servers: Vec<String> = registries.iter().map(|r| format!("\"{}\"", r.address)).collect();
+    format!(
+        "[listen]\naddress = \"127.0.0.1:0\"\n[eureka]\nservers = [{}]\npoll_ms = 100\ntimeout_ms = 300\n{extra}\n\
+         [[class]]\nname = \"look\"\npath = \"/**\"\neffect = \"idempotent\"\ndeadline_ms = 2000\n",
+        servers.join(", ")
+    )
+}
+
+fn start(registries: &[&Eureka], extra: &str) -> Daemon {
+    Daemon::start(maplehook_config::parse(&file(registries, extra)).unwrap()).unwrap()
+}
+
+fn id(n: usize) -> String {
+    format!("desk-{n}")
+}
+
+fn fleet(registry: &Eureka, count: usize) -> Vec<App> {
+    let apps: Vec<App> = (0..count).map(|_| App::start()).collect();
+    apps.iter().enumerate().for_each(|(n, app)| registry.register(APP, &id(n), app.address, &[]));
+    apps
+}
+
+/// Asks once on a connection of its own; the status, or 0.
+fn ask(address: SocketAddr) -> u16 {
+    let Ok(mut stream) = TcpStream::connect(address) else { return 0 };
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    if stream.write_all(b"GET /day HTTP/1.1\r\nHost: app\r\nConnection: close\r\n\r\n").is_err() {
+        return 0;
+    }
+    maplehook_standins::Message::read(&mut BufReader::new(stream)).map_or(0, |message| message.status())
+}
+
+/// Clients that ask all the time, and what they got.
+struct Load {
+    stop: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    other: Arc<AtomicUsize>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn start(address: SocketAddr, clients: usize) -> Self {
+        let (stop, served, other): (Arc<AtomicBool>, Arc<AtomicUsize>, Arc<AtomicUsize>) = Default::default();
+        let threads = (0..clients).map(|_| {
+            let (stop, served, other) = (Arc::clone(&stop), Arc::clone(&served), Arc::clone(&other));
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let count = if ask(address) == 200 { &served } else { &other };
+                    count.fetch_add(1, Ordering::SeqCst);
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            })
+        });
+        Self { threads: threads.collect(), stop, served, other }
+    }
+
+    /// Ends it: served, and not.
+    fn end(self) -> (usize, usize) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.threads.into_iter().for_each(|thread| thread.join().unwrap());
+        (self.served.load(Ordering::SeqCst), self.other.load(Ordering::SeqCst))
+    }
+}
+
+fn asks(daemon: &Daemon) {
+    let _ = ask(daemon.address);
+}
+
+fn serves(daemon: &Daemon) {
+    until("it serves", || ask(daemon.address) == 200);
+}
+
+/// Guards drains: 200 flips over 20 desk nodes under load. Nothing new reaches one that was marked 500 ms after that.
+#[test]
+fn two_hundred_flips_are_followed_in_time() {
+    let registry = Eureka::start();
+    let apps = fleet(&registry, 20);
+    let daemon = start(&[&registry], "");
+    serves(&daemon);
+    until("all are known", || {
+        asks(&daemon);
+        apps.iter().all(|app| app.requests() > 0)
+    });
+    let load = Load::start(daemon.address, 6);
+    // Each is marked for 0.8 s, in turn: (which, from, until).
+    let mut marked: Vec<(usize, Instant, Option<Instant>)> = Vec::new();
+    for flip in 0..108_usize {
+        if flip < 100 {
+            let status = ["OUT_OF_SERVICE", "DOWN"][flip % 2];
+            registry.mark(APP, &id(flip % 20), status);
+            marked.push((flip % 20, Instant::now(), None));
+        }
+        if let Some(back) = flip.checked_sub(8) {
+            marked[back].2 = Some(Instant::now());
+            registry.mark(APP, &id(back % 20), "UP");
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    let (served, other) = load.end();
+    let mut latest = Duration::ZERO;
+    for (n, from, until) in marked {
+        for seen in apps[n].seen().iter().filter(|s| s.at > from && until.is_none_or(|u| s.at < u)) {
+            latest = latest.max(seen.at - from);
+        }
+    }
+    println!("200 flips: {served} served, {other} not; the last new request {latest:?} after a mark");
+    assert!(latest < Duration::from_millis(500), "{latest:?}");
+    assert!(served > 1000 && other * 100 <= served, "{served} served, {other} not");
+}
+
+/// Guards the fleet against every way in which a registry fails: whatever it answers for two seconds, desk nodes that
+/// answer go on being served.
+#[test]
+fn no_failure_of_the_registry_empties_the_fleet() {
+    let modes = [
+        "500",
+        "503",
+        "reset",
+        "mute",
+        "drip",
+        "empty",
+        "half",
+        "truncated",
+        "garbled",
+        "wrong-hash",
+        "stale",
+    ];
+    let rigs: Vec<_> = modes
+        .into_iter()
+        .enumerate()
+        .map(|(n, name)| {
+            std::thread::spawn(move || {
+                let registry = Eureka::start();
+                let apps = fleet(&registry, 6);
+                let daemon = start(&[&registry], if n % 2 == 0 { "" } else { "format = \"xml\"" });
+                serves(&daemon);
+                let load = Load::start(daemon.address, 2);
+                registry.fails(Mode::named(name).unwrap());
+                std::thread::sleep(Duration::from_secs(2));
+                let (served, other) = load.end();
+                println!("{name}: {served} served, {other} not");
+                assert!(served > 50 && other == 0, "{name}: {served} served, {other} not");
+                // Once it is well, its word counts again.
+                registry.fails(Mode::Well);
+                registry.mark(APP, &id(0), "DOWN");
+                let quiet = || {
+                    let before = apps[0].requests();
+                    (0..12).for_each(|_| asks(&daemon));
+                    apps[0].requests() == before
+                };
+                until("its word counts", quiet);
+            })
+        })
+        .collect();
+    rigs.into_iter().for_each(|rig| rig.join().unwrap());
+}
+
+/// Guards a start while the registry is out of order: with upstreams of the file it serves, without it refuses and says
+/// when to return; a registry that restarts empty and refills costs nobody his answer.
+#[test]
+fn a_start_without_the_registry_and_its_restart() {
+    let registry = Eureka::start();
+    let apps = fleet(&registry, 8);
+    registry.fails(Mode::Status(503));
+    let bare = start(&[&registry], "");
+    let known = format!("[[upstream]]\nname = \"desk-0\"\naddress = \"{}\"\n", apps[0].address);
+    let daemon = start(&[&registry], &known);
+    serves(&daemon);
+    assert_eq!(ask(bare.address), 503);
+    registry.fails(Mode::Well);
+    serves(&bare);
+    until("the others are found", || {
+        ask(daemon.address);
+        apps.iter().all(|app| app.requests() > 0)
+    });
+    let load = Load::start(daemon.address, 2);
+    registry.forget();
+    for (n, app) in apps.iter().enumerate() {
+        std::thread::sleep(Duration::from_millis(200));
+        registry.register(APP, &id(n), app.address, &[]);
+    }
+    let (served, other) = load.end();
+    assert!(served > 100 && other == 0, "{served} served, {other} not");
+}
+
+/// Guards a change of replicas: one that is a minute behind puts nobody back who was taken off.
+#[test]
+fn a_replica_that_lags_takes_over() {
+    let (first, second) = (Eureka::start(), Eureka::start());
+    let apps = fleet(&first, 5);
+    second.replicate(&first);
+    let daemon = start(&[&first, &second], "");
+    serves(&daemon);
+    std::thread::sleep(Duration::from_millis(20));
+    first.mark(APP, &id(0), "OUT_OF_SERVICE");
+    let quiet = || {
+        let before = apps[0].requests();
+        (0..10).for_each(|_| asks(&daemon));
+        apps[0].requests() == before
+    };
+    until("it is off", quiet);
+    first.fails(Mode::Reset);
+    until("the other one is asked", || second.requests().contains_key("apps"));
+    std::thread::sleep(Duration::from_millis(300));
+    assert!(quiet(), "put back by a replica that lags");
+    second.mark(APP, &id(1), "DOWN");
+    until("its news counts", || {
+        let before = apps[1].requests();
+        (0..10).for_each(|_| asks(&daemon));
+        apps[1].requests() == before
+    });
+}
+
+/// Guards the registry's own view: the balancer registers, renews, comes back where it was forgotten, and deregisters
+/// first at its end.
+#[test]
+fn the_balancer_registers_itself() {
+    let registry = Eureka::start();
+    let _apps = fleet(&registry, 1);
+    let own = "[registration]\napp = \"TIER\"\nid = \"tier-1\"\nrenew_ms = 200\n";
+    let daemon = start(&[&registry], own);
+    until("it is registered", || registry.known().get("tier-1").map(String::as_str) == Some("UP"));
+    until("it renews", || registry.renewals("TIER", "tier-1") > 2);
+    registry.forget();
+    until("it is back", || registry.known().contains_key("tier-1"));
+    let address = daemon.address;
+    let ending = std::thread::spawn(move || drop(daemon));
+    until("it is gone", || !registry.known().contains_key("tier-1"));
+    // It was taken off before the balancer stopped taking connections.
+    assert!(TcpStream::connect(address).is_ok());
+    ending.join().unwrap();
+}
+
+/// Guards what an instance may have the balancer connect to, and tells names apart.
+#[test]
+fn what_is_not_ours_to_reach_is_not_offered() {
+    let registry = Eureka::start();
+    let apps = fleet(&registry, 2);
+    registry.register(APP, "elsewhere", "192.0.2.1:80".parse().unwrap(), &[]);
+    let daemon = start(&[&registry], "reach = [\"127.0.0.0/8\"]");
+    serves(&daemon);
+    for _ in 0..60 {
+        assert_eq!(ask(daemon.address), 200);
+    }
+    assert!(apps.iter().all(|app| app.requests() > 10));
+    // One application, or one VIP, alone.
+    let strange = App::start();
+    registry.register("OTHER", "strange", strange.address, &[]);
+    for only in [format!("app = \"{APP}\""), "vip = \"desks\"".into()] {
+        let daemon = start(&[&registry], &format!("{only}\nreach = [\"127.0.0.0/8\"]"));
+        serves(&daemon);
+        (0..20).for_each(|_| assert_eq!(ask(daemon.address), 200));
+    }
+    assert_eq!(strange.requests(), 0);
+}
