The laboratory, its first part; tests that deliberate breaks had survived

Tests: an answer torn without a stated length, a upload that has begun, an answer in the middle of 20 MB, an address outside 'reach' (on loopback now).

--- a/eureka/tests/registry.rs
+++ b/eureka/tests/registry.rs
@@ -255,18 +255,22 @@
 fn what_is_not_ours_to_reach_is_not_offered() {
     let registry = Eureka::start();
     let apps = fleet(&registry, 2);
-    registry.register(APP, "elsewhere", "192.0.2.1:80".parse().unwrap(), &[]);
-    let daemon = start(&[&registry], "reach = [\"127.0.0.0/8\"]");
+    // Another address of this machine.
+    let elsewhere = std::net::TcpListener::bind("127.0.0.2:0").unwrap();
+    elsewhere.set_nonblocking(true).unwrap();
+    registry.register(APP, "elsewhere", elsewhere.local_addr().unwrap(), &[]);
+    let daemon = start(&[&registry], "reach = [\"127.0.0.1/32\"]");
     serves(&daemon);
     for _ in 0..60 {
         assert_eq!(ask(daemon.address), 200);
     }
     assert!(apps.iter().all(|app| app.requests() > 10));
+    assert!(elsewhere.accept().is_err(), "it was connected to");
     // One application, or one VIP, alone.
     let strange = App::start();
     registry.register("OTHER", "strange", strange.address, &[]);
     for only in [format!("app = \"{APP}\""), "vip = \"desks\"".into()] {
-        let daemon = start(&[&registry], &format!("{only}\nreach = [\"127.0.0.0/8\"]"));
+        let daemon = start(&[&registry], &format!("{only}\nreach = [\"127.0.0.1/32\"]"));
         serves(&daemon);
         (0..20).for_each(|_| assert_eq!(ask(daemon.address), 200));
     }
--- /dev/null
+++ b/lab/src/time.rs
@@ -0,0 +1,57 @@
+//! Distributions of times.
+
+use rand::Rng;
+use rand_distr::{Distribution, Exp, LogNormal, Pareto};
+use std::time::Duration;
+
+/// A distribution of times, by its mean.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Time {
+    /// Always the same.
+    Fixed(Duration),
+    /// Exponential with this mean.
+    Exponential(Duration),
+    /// Lognormal with this mean, and the standard deviation of its logarithm.
+    LogNormal(Duration, f64),
+    /// Pareto with this mean, and its shape, over 1.
+    Pareto(Duration, f64),
+    /// The first, and with this probability the second.
+    Bimodal(Duration, Duration, f64),
+}
+
+impl Time {
+    /// One time. Figures out of range count as the nearest that are in it.
+    pub fn draw(&self, chance: &mut impl Rng) -> Duration {
+        let seconds = match *self {
+            Self::Fixed(time) => return time,
+            Self::Bimodal(usual, other, share) => {
+                return if chance.random::<f64>() < share { other } else { usual };
+            }
+            Self::Exponential(mean) => {
+                let mean = mean.as_secs_f64().max(1e-9);
+                Exp::new(1.0 / mean).map_or(mean, |d| d.sample(chance))
+            }
+            Self::LogNormal(mean, sigma) => {
+                let mean = mean.as_secs_f64().max(1e-9);
+                LogNormal::new(mean.ln() - sigma * sigma / 2.0, sigma.abs())
+                    .map_or(mean, |d| d.sample(chance))
+            }
+            Self::Pareto(mean, shape) => {
+                let (mean, shape) = (mean.as_secs_f64().max(1e-9), shape.max(1.001));
+                Pareto::new(mean * (shape - 1.0) / shape, shape).map_or(mean, |d| d.sample(chance))
+            }
+        };
+        Duration::from_secs_f64(seconds.clamp(0.0, 1e6))
+    }
+
+    /// Its mean.
+    pub fn mean(&self) -> Duration {
+        match *self {
+            Self::Fixed(mean)
+            | Self::Exponential(mean)
+            | Self::LogNormal(mean, _)
+            | Self::Pareto(mean, _) => mean,
+            Self::Bimodal(usual, other, share) => usual.mul_f64(1.0 - share) + other.mul_f64(share),
+        }
+    }
+}
--- a/node/tests/proxy.rs
+++ b/node/tests/proxy.rs
@@ -108,7 +108,7 @@
         assert_eq!(answer.status(), 500);
         assert_eq!(rig.bytes(answer), b"an error of its own");
     }
-    assert_eq!(rig.app.effects()["/error/500"], 2, "one upstream: once each");
+    assert_eq!(rig.app.ran("/error/500"), 2, "one upstream: once each");
     let answer = rig.get("/moved");
     assert_eq!(
         (answer.status(), &answer.headers()["location"]),
@@ -136,9 +136,9 @@
         let request = format!("{method} {target} HTTP/1.1\r\nHost: app\r\nContent-Length: 4\r\n\r\nbody");
         assert_eq!(rig.node.connect().exchange(&request).status(), 200);
         assert_eq!(rig.app.seen().last().unwrap().target, target);
-        assert_eq!(rig.app.effects()[&target], 1, "{method}");
+        assert_eq!(rig.app.ran(&target), 1, "{method}");
         assert_eq!(rig.ask(method.parse().unwrap(), &format!("/once/{method}"), "x").status(), 200);
-        assert_eq!(rig.app.effects()[&format!("/once/{method}")], 1, "{method}");
+        assert_eq!(rig.app.ran(&format!("/once/{method}")), 1, "{method}");
     }
     let head = rig.ask(Method::HEAD, "/bytes/12345", "");
     assert_eq!((head.status().as_u16(), &head.headers()["content-length"]), (200, &"12345".parse().unwrap()));
@@ -261,7 +261,8 @@
 #[test]
 fn an_answer_that_breaks_half_way_is_not_taken_for_whole() {
     let rig = Rig::new(&CLASSES.replace("deadline_ms = 5000", "deadline_ms = 5000\nidle_ms = 300"));
-    for (path, length) in [("/break/1000000", 1_000_000), ("/silent/200000", 200_000)] {
+    let torn = [("/break/1000000", 1_000_000), ("/torn/1000000", 1_000_000), ("/silent/200000", 200_000)];
+    for (path, length) in torn {
         let response = rig.get(path);
         assert_eq!(response.status(), 200);
         assert!(rig.runtime.block_on(response.bytes()).is_err(), "{path}: {length} bytes were not sent");
@@ -384,7 +385,7 @@
 #[test]
 fn an_answer_in_the_middle_of_an_upload_arrives() {
     let limited = CLASSES
-        .replace("path = \"/**\"\ndeadline_ms", "path = \"/**\"\nbody_most_bytes = 4000000\ndeadline_ms");
+        .replace("path = \"/**\"\ndeadline_ms", "path = \"/**\"\nbody_most_bytes = 25000000\ndeadline_ms");
     let rig = Rig::new(&limited);
     // A client that writes all of it before it reads anything, as simple ones do.
     let ask = |path: &str, length: usize| {
@@ -396,13 +397,33 @@
         client.answer().unwrap().status()
     };
     for _ in 0..5 {
-        assert_eq!(ask("/cut", 3_000_000), 502);
-        assert_eq!(ask("/early", 3_000_000), 200);
-        assert_eq!(ask("/x", 5_000_000), 413);
-        assert_eq!(ask("/../x/%zz", 3_000_000), 400);
+        // More than the kernel's buffers take.
+        assert_eq!(ask("/cut", 20_000_000), 502);
+        assert_eq!(ask("/early", 20_000_000), 200);
+        assert_eq!(ask("/x", 30_000_000), 413);
+        assert_eq!(ask("/../x/%zz", 20_000_000), 400);
     }
 }
 
+/// Guards an upload that has begun to stream: no other upstream gets a part of it, though a repeat would be harmless.
+#[test]
+fn an_upload_that_has_begun_is_sent_once() {
+    let apps = [App::start(), App::start()];
+    let class = "[[class]]\nname = \"put\"\npath = \"/**\"\neffect = \"idempotent\"\ndeadline_ms = 5000\n";
+    let node = run(&apps.each_ref().map(|app| app.address), class);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let put = |path: &str, length: usize| {
+        let url = format!("http://{}{path}", node.address);
+        let request = Http::builder().no_proxy().build().unwrap().put(url).body(vec![1; length]);
+        runtime.block_on(async { request.send().await }).unwrap().status().as_u16()
+    };
+    assert_eq!(put("/cut", 3_000_000), 503);
+    assert_eq!(apps.iter().map(App::requests).sum::<usize>(), 1);
+    // A short one is held, and tried at the other.
+    assert_eq!(put("/error/500", 1000), 500);
+    assert_eq!(apps.iter().map(App::requests).sum::<usize>(), 3);
+}
+
 /// Guards effects against repeats by clients: a key, or an id, runs once, and whoever repeats it hears the same.
 #[test]
 fn a_repeated_booking_runs_once() {
--- a/standins/src/app.rs
+++ b/standins/src/app.rs
@@ -9,6 +9,7 @@
 //! | `/cookies`, `/gzip`, `/etag`, `/moved`, `/trailers` | headers and trailers that have to pass |
 //! | `/break/N` | says N bytes, sends half of them and ends the connection |
 //! | `/cut` | ends the connection in the middle of the request's body |
+//! | `/torn/N` | the same without saying how long it is |
 //! | `/early` | answers before it has read the body |
 //! | `/slow/MS` | answers after MS milliseconds |
 //! | `/silent/N` | says N bytes, sends half of them, and then nothing |
@@ -99,6 +100,7 @@
     keys: Keys,
     seen: Mutex<Vec<Seen>>,
     effects: Mutex<HashMap<String, usize>>,
+    targets: Mutex<HashMap<String, usize>>,
     connections: AtomicUsize,
     bytes: AtomicUsize,
     draining: AtomicBool,
@@ -151,6 +153,11 @@
         lock(&self.state.effects).clone()
     }
 
+    /// How often something ran by this target, whatever its id.
+    pub fn ran(&self, target: &str) -> usize {
+        lock(&self.state.targets).get(target).copied().unwrap_or(0)
+    }
+
     /// Connections that have come.
     pub fn connections(&self) -> usize {
         self.state.connections.load(Ordering::SeqCst)
@@ -274,6 +281,7 @@
     let run = || {
         let value = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let id = value("idempotency-key").or_else(|| value("x-correlation-id")).unwrap_or(target.clone());
+        *lock(&state.targets).entry(target.clone()).or_default() += 1;
         if !keyed || lock(&state.keys.0).insert(id.clone()) {
             *lock(&state.effects).entry(id).or_default() += 1;
         }
@@ -304,7 +312,7 @@
             };
             text(200, &serde_json::to_string(&echo).unwrap())
         }
-        "bytes" | "chunked" | "break" | "silent" => {
+        "bytes" | "chunked" | "break" | "silent" | "torn" => {
             let (state, whole) = (Arc::clone(state), matches!(words[0], "bytes" | "chunked"));
             let silent = words[0] == "silent";
             let head_only = parts.method == Method::HEAD;
@@ -330,7 +338,7 @@
                 }
             });
             let mut response = Response::new(body);
-            if words[0] != "chunked" {
+            if !matches!(words[0], "chunked" | "torn") {
                 response.headers_mut().insert("content-length", length.into());
             }
             response
