--- a/bench/src/eureka.rs
+++ b/bench/src/eureka.rs
@@ -110,7 +110,13 @@
             .enumerate()
             .for_each(|(n, app)| registry.register("DESKS", &format!("desk-{n}"), app.address, &[]));
         let balancer = Process::by_file(program, &file(registry.address, 200, 1024))?;
-        std::thread::sleep(Duration::from_millis(700));
+        // The first list is asked for within a second of the start, spread over a tier.
+        let start = Instant::now();
+        while runtime.block_on(load_small(balancer.address, Duration::from_millis(20)))?.0 == 0 {
+            if start.elapsed() > Duration::from_secs(10) {
+                return Err("the balancer never served".into());
+            }
+        }
         registry.fails(Mode::named(name).ok_or("no such mode")?);
         let lasts = Duration::from_secs_f64(seconds.max(2.0));
         let (served, not) = runtime.block_on(load_small(balancer.address, lasts))?;
--- a/eureka/tests/common/mod.rs
+++ b/eureka/tests/common/mod.rs
@@ -4,13 +4,13 @@
 
 pub use maplehook_node::Daemon;
 pub use maplehook_standins::app::App;
-pub use maplehook_standins::eureka::{Eureka, Mode};
+pub use maplehook_standins::eureka::Eureka;
 pub use maplehook_standins::{LONG, until};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 pub const APP: &str = "DESKS";
 
--- a/eureka/tests/registry.rs
+++ b/eureka/tests/registry.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use maplehook_standins::eureka::Mode;
 use std::net::TcpStream;
 use std::time::Duration;
 
