A registry's long documents are read beside the requests; an operator's faults come first again

Change: news is made when something may have changed; documents over 256 KiB are read on another thread; the operator's file is read first; values with ranges have a file of their own.

--- a/config/src/eureka.rs
+++ b/config/src/eureka.rs
@@ -1,7 +1,7 @@
 //! A Eureka registry that upstreams are read from, and the balancer's own registration there.
 
-use crate::proxy::{header_free, ms, ranged};
 use crate::reader::Reader;
+use crate::values::{header_free, ms, ranged};
 use maplehook_admission::address::Network;
 use std::net::SocketAddr;
 use std::path::PathBuf;
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -16,6 +16,7 @@
 mod eureka;
 mod proxy;
 mod reader;
+mod values;
 
 pub use eureka::{Eureka, Registration, Wanted};
 pub use proxy::{Proxy, Upstream};
--- a/eureka/src/client.rs
+++ b/eureka/src/client.rs
@@ -23,6 +23,9 @@
 /// The longest document, unpacked, in bytes.
 const DOCUMENT_MOST: usize = 64 << 20;
 
+/// A longer one is read on another thread: requests do not wait for it.
+const READ_HERE: usize = 256 * 1024;
+
 /// Why a replica gave no document.
 #[derive(Debug)]
 pub enum Failed {
@@ -102,7 +105,12 @@
             return Err(Failed::Status(status));
         }
         let notation = media_type.map_or(self.manner.notation, |media_type| Notation::of(&media_type));
-        read(&text, notation, &self.manner.mapping).map_err(broken)
+        if text.len() <= READ_HERE {
+            return read(&text, notation, &self.manner.mapping).map_err(broken);
+        }
+        let mapping = self.manner.mapping.clone();
+        let read = tokio::task::spawn_blocking(move || read(&text, notation, &mapping));
+        read.await.map_err(broken)?.map_err(broken)
     }
 
     /// Sends what has no document for an answer: its status.
--- a/eureka/src/source.rs
+++ b/eureka/src/source.rs
@@ -111,6 +111,8 @@
     /// The replica that is asked, and failures in a row.
     asked: Cell<usize>,
     failures: Cell<u32>,
+    /// Something may have changed since the news was told last.
+    stirred: Cell<bool>,
     /// The registry has no document of changes.
     whole_only: Cell<bool>,
     odd: Seldom,
@@ -144,6 +146,7 @@
             state: RefCell::new(state),
             asked: Cell::new(0),
             failures: Cell::new(0),
+            stirred: Cell::new(true),
             odd: Seldom::default(),
             failing: Seldom::default(),
         }
@@ -185,9 +188,14 @@
             }
         };
         self.state.borrow_mut().membership.pass(self.now());
-        if let Some(news) = self.news() {
+        // A large fleet is not gone through at each poll that says nothing.
+        if self.stirred.take()
+            && let Some(news) = self.news()
+        {
             tell(news);
         }
+        let unsettled = self.state.borrow().membership.is_unsettled();
+        self.stirred.set(self.stirred.get() || unsettled);
         wait
     }
 
@@ -206,6 +214,7 @@
         if !state.mirror.whole(&document) {
             self.odd.warn(|| format!("the registry's hash is not its list's: {:?}", document.hash));
         }
+        self.stirred.set(true);
         let list = document.instances.into_iter().map(|listed| self.instance(listed));
         state.membership.listed(self.now(), origin, list.collect());
         Ok(())
@@ -225,6 +234,8 @@
             Step::Disagreed => self.whole(client, origin).await,
             Step::Agreed { changed, deleted } => {
                 let state = &mut *self.state.borrow_mut();
+                let stirs = !deleted.is_empty() || !changed.is_empty();
+                self.stirred.set(self.stirred.get() || stirs);
                 if !deleted.is_empty() {
                     state.membership.deleted(self.now(), origin, &deleted);
                 }
--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -332,6 +332,11 @@
         held.map(|missing| missing.until(&self.bounds)).min()
     }
 
+    /// Whether anybody is missing, so that time or further lists may change how he stands.
+    pub fn is_unsettled(&self) -> bool {
+        self.sources.iter().flat_map(|source| source.records.values()).any(|record| record.missing.is_some())
+    }
+
     /// How one instance stands.
     pub fn standing(&self, key: &str) -> Standing {
         self.decided(key).map_or(Standing::Gone, |(_, record)| record.standing())
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -42,6 +42,10 @@
             println!("{}", sign.word()?);
             Ok(())
         }
-        None => serve::on_platform(Config::from_env()?, command::operator(line.config.as_deref())?, None),
+        None => {
+            // Its faults come first: they are there whoever starts it.
+            let operator = command::operator(line.config.as_deref())?;
+            serve::on_platform(Config::from_env()?, operator, None)
+        }
     }
 }
