--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -350,10 +350,7 @@
         };
         self.forwarding.request(&mut headers, &target, peer).map_err(|_| Why::Unfit)?;
         let target = target.path_and_query().map(|p| Uri::from(p.clone())).unwrap_or_default();
-        let upload = match &body {
-            Payload::Upload(upload) => Some(Rc::clone(upload)),
-            Payload::Whole(_) => None,
-        };
+        let upload = body.upload();
         // The time of a body that streams is its own.
         let deadline = if upload.is_some() { deadline + passage.patience().1 } else { deadline };
         let outgoing = Outgoing { method, target, headers, body, passage };
--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -43,6 +43,14 @@
         matches!(self, Self::Upload(upload) if upload.rest.borrow().is_none())
     }
 
+    /// The body, where it streams.
+    pub fn upload(&self) -> Option<Rc<Upload>> {
+        match self {
+            Self::Whole(_) => None,
+            Self::Upload(upload) => Some(Rc::clone(upload)),
+        }
+    }
+
     /// Whether there is nothing in it.
     pub fn is_empty(&self) -> bool {
         matches!(self, Self::Whole(body) if body.is_empty())
--- a/engine/src/parts/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -146,11 +146,8 @@
             Answer::Refused(_) => (Ending::Refused, 0),
             Answer::Failed => (Ending::Failed, 0),
         };
-        let others = match &ending {
-            // Whoever waits has it, also where it is too long to be kept.
-            Ending::Served(kept) => Ending::Served(Rc::clone(kept)),
-            ending => ending.clone(),
-        };
+        // Whoever waits has it, also where it is too long to be kept.
+        let others = ending.clone();
         let waiters = self.ledger.borrow_mut().ended(self.driver.now(), entry, ending, length);
         let mut answer = Some((answer, trace));
         for waiter in waiters {
--- a/eureka/src/source.rs
+++ b/eureka/src/source.rs
@@ -178,7 +178,6 @@
                 let failures = self.failures.get();
                 self.failing.warn(|| format!("registry {}: {e}", client.replica()));
                 self.failures.set(failures.saturating_add(1));
-                self.state.borrow_mut().membership.failed(self.now(), origin);
                 // The next replica is asked at once, and all of them again after a while.
                 self.state.borrow_mut().mirror.forget();
                 self.asked.set((at + 1) % self.clients.len());
--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -227,12 +227,6 @@
         }
     }
 
-    /// A source could not be asked: that says nothing of the fleet.
-    pub fn failed(&mut self, now: Duration, origin: Origin) {
-        self.pass(now);
-        let _ = origin;
-    }
-
     /// An instance has answered on its sockets.
     pub fn answered(&mut self, now: Duration, key: &str) {
         self.now = self.now.max(now);
@@ -255,7 +249,7 @@
         records.filter_map(|record| record.missing.as_mut())
     }
 
-    /// Time goes on; a clock that goes back stands.
+    /// Time goes on; a clock that goes back stands. A source that could not be asked says nothing: it is not told.
     pub fn pass(&mut self, now: Duration) {
         self.now = self.now.max(now);
         for source in 0..self.sources.len() {
--- a/membership/tests/fleet.rs
+++ b/membership/tests/fleet.rs
@@ -92,7 +92,7 @@
                     absent.remove(&n);
                     fleet.changed(now, from(0, 0), vec![desk(n, WORDS[word], version)]);
                 }
-                Step::Failed => fleet.failed(now, from(0, 0)),
+                Step::Failed => fleet.pass(now),
                 Step::Deleted(n) => {
                     truth.remove(&n);
                     said.remove(&n);
@@ -270,7 +270,7 @@
     // The first has not been heard for long: the second is, and its word counts until the first is back.
     fleet.listed(60 * SECOND, from(1, 0), vec![desk(0, Word::Up, 1), desk(1, Word::Up, 1)]);
     assert_eq!(fleet.standing("desk-0"), Standing::Offered);
-    fleet.failed(61 * SECOND, from(0, 0));
+    fleet.pass(61 * SECOND);
     assert_eq!(fleet.standing("desk-0"), Standing::Offered);
     fleet.listed(62 * SECOND, from(0, 0), vec![desk(0, Word::OutOfService, 1)]);
     assert_eq!(fleet.standing("desk-0"), Standing::Drained);
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -1,7 +1,6 @@
 //! What makes a client's message a request that may be handed to the module, and which requests are open.
 
-use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Version};
@@ -9,7 +8,7 @@
 use lapisroute_settings::Site;
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::Outgoing;
-use maplehook::parts::body::{Fault, Payload, Upload, take_in};
+use maplehook::parts::body::{Fault, Upload, take_in};
 use maplehook::parts::driver::Asked;
 use maplehook::parts::room::Room;
 use maplehook_admission::address::Network;
@@ -175,11 +174,7 @@
         let Head { fit, parts, .. } = head;
         let passage = &self.passages[usize::from(fit.class.0)];
         let wait = fit.wait.saturating_sub(ON_THE_WAY);
-        let body = if body.is_end_stream() {
-            Payload::Whole(Bytes::new())
-        } else {
-            take_in(body, passage, &self.room, whole_by, wait).await.map_err(at_fault)?
-        };
+        let body = take_in(body, passage, &self.room, whole_by, wait).await.map_err(at_fault)?;
         let strict = self.rules.is_strict();
         if strict && parts.method == Method::GET && !body.is_empty() {
             return Err(Unfit::new(StatusCode::BAD_REQUEST, "a GET with a body"));
@@ -202,10 +197,7 @@
             headers.remove(name);
         }
         let target = parts.uri.path_and_query().map(|p| hyper::Uri::from(p.clone())).unwrap_or_default();
-        let upload = match &body {
-            Payload::Upload(upload) => Some(Rc::clone(upload)),
-            Payload::Whole(_) => None,
-        };
+        let upload = body.upload();
         // A request's time counts from its last byte: a client that writes slowly waits no less.
         let streams = if upload.is_some() { passage.patience().1 } else { Duration::ZERO };
         let deadline = Instant::now() + wait + streams;
