A list that is pushed is followed on sockets, from the start and after each end

Only the decision module started a watch, and it asks only where the settings say that the list has to be asked for: on sockets a pushed list was never read at all, and a balancer lived on the list it was configured with.

Change: where the list is pushed, the driver begins the watch at its start and begins it again 50 ms after each end; the agent is on the same machine and answers at no cost. No switch by site. Where the list is asked for nothing changes.

Measured: the test of drains now runs in both modes and a further one ends the watch three times; with the call taken out both fail.

--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -119,6 +119,9 @@
     next_id: u32,
 }
 
+/// How soon the watch on a pushed list is begun again: its agent is near and answers at no cost.
+const FOLLOW_AGAIN: Duration = Duration::from_millis(50);
+
 /// The driver of one `Balancer`.
 pub struct Driver {
     clock: Clock,
@@ -128,6 +131,8 @@
     upstreams: Rc<Upstreams>,
     source: Rc<dyn Source>,
     watching: RefCell<Option<AbortHandle>>,
+    /// The list is pushed: a watch that ends is begun again here.
+    follows: Cell<bool>,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
 }
@@ -150,6 +155,7 @@
             upstreams,
             source,
             watching: RefCell::default(),
+            follows: Cell::new(false),
             cut_off: watch::Sender::new(false),
         });
         let sweeper = Rc::clone(&driver);
@@ -407,6 +413,10 @@
         let watch = spawn_local(async move {
             let mut tell = |news| driver.happened(Happening::Fleet(news));
             driver.source.watch(&mut tell).await;
+            while driver.follows.get() {
+                sleep(FOLLOW_AGAIN).await;
+                driver.source.watch(&mut tell).await;
+            }
         });
         // The old one ends without a word: a planned move is no failure, and nothing that is said there later
         // undoes it.
@@ -415,6 +425,13 @@
         }
     }
 
+    /// Follows a list that is pushed to an agent on this machine. The module asks for none there, and all that the
+    /// agent holds counts as told, so the watch begins at once and is begun again soon after each end.
+    pub fn follow(self: &Rc<Self>) {
+        self.follows.set(true);
+        self.watch();
+    }
+
     /// The source has moved. What the module asked for, or will ask for once a failed call is far enough back,
     /// is asked anew at once: what it has to tell may not wait.
     pub fn watch_anew(self: &Rc<Self>) {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -211,6 +211,7 @@
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
     let Parts { mut term, listener, descriptors, upstreams, entrance, balancer } = parts;
+    let pushed = !plan.settings.ask_for_fleet;
     let address = listener.local_addr()?;
     tracing::info!(
         listen = %address,
@@ -219,6 +220,9 @@
         "serving"
     );
     let driver = Driver::start(balancer, upstreams, source, known);
+    if pushed {
+        driver.follow();
+    }
     let desk = Desk::new(Rc::clone(&driver), Bounds::default(), plan.seed)?;
     let (phase, phases) = watch::channel(Phase::Serving);
     let words = Own { signed: plan.own };
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -183,11 +183,11 @@
 /// a connection that is still open.
 #[test]
 fn nothing_new_goes_to_an_upstream_that_drains_or_is_gone() {
-    for state in ["Terminating", "Gone"] {
+    for (state, asks) in [("Terminating", true), ("Gone", true), ("Terminating", false), ("Gone", false)] {
         let leaving = Upstream::start(Then::Answer(OK));
         let (discovery, calls) = discovery();
         let mut setup = Setup::with(&[leaving.address]);
-        (setup.discovery, setup.asks) = (discovery, true);
+        (setup.discovery, setup.asks) = (discovery, asks);
         let node = setup.start();
         let mut client = node.connect();
         assert_eq!(client.exchange(&book(5000, "x")).status(), 200);
@@ -200,6 +200,24 @@
     }
 }
 
+/// Guards against a pushed list that is heard once and never again: no one asks the module for it, and all that the
+/// agent holds counts as told from then on.
+#[test]
+fn a_pushed_list_is_followed_again_after_each_end() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (discovery, calls) = discovery();
+    let mut setup = Setup::with(&[]);
+    setup.discovery = discovery;
+    let node = setup.start();
+    for rev in 2..5 {
+        let (target, watch) = calls.recv_timeout(LONG).expect("a watch");
+        assert!(rev == 2 || target.contains(&format!("index={}", rev - 1)), "{target}");
+        tell(&watch, &list(rev, true, &[entry("s-9", upstream.address, "Ready")]));
+        let mut client = node.connect();
+        until("the list has come", || client.exchange(&look(5000)).status() == 200);
+    }
+}
+
 /// Guards against an upstream being taken for its address: one that has moved is followed.
 #[test]
 fn an_upstream_that_moves_is_followed() {
