The emulator has faults, cold and choking upstreams, a tier that restarts, and ten peers

Change: models in files of their own (arrivals with the MMPP of the paper, stations cold, choked, paused or grey, ways with cuts and loss, connections that cost, a list that is late, silent or empty, balancers that die and come back), faults as one time line (stated, random, following others), breaches of each rule counted for every policy, ten peers from public documentation behind one small trait, and the experiment's file, checked whole by the operator's reader, which takes its sections as a form now.

Measured: the tests against theory hold as before (M/M/1, M/M/4, M/G/1, Erlang B, better of two at 0.5, 0.8 and 0.95).

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -15,7 +15,7 @@
 
 mod eureka;
 mod proxy;
-mod reader;
+pub mod reader;
 mod values;
 
 pub use eureka::{Eureka, Registration, Wanted};
@@ -23,16 +23,16 @@
 pub use reader::{Fault, Faults};
 
 use maplehook_admission::{Policy, budget};
-use reader::Reader;
+use reader::{Form, Reader};
 use serde::Deserialize;
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// The sections that there may be.
-const SECTIONS: &[&str] =
-    &["admission", "token", "descriptors", "listen", "balancer", "headers", "eureka", "registration"];
-/// Those that there may be several of.
-const LISTS: &[&str] = &["class", "tenant", "upstream"];
+/// What an operator's file is made of.
+const FORM: Form = Form {
+    sections: &["admission", "token", "descriptors", "listen", "balancer", "headers", "eureka", "registration"],
+    lists: &["class", "tenant", "upstream"],
+};
 
 /// What an operator sets.
 #[derive(Clone, Debug, PartialEq)]
@@ -99,7 +99,7 @@
 }
 
 fn read(text: &str, embedded: bool) -> Result<Operator, Faults> {
-    let mut reader = Reader::new(text)?;
+    let mut reader = Reader::new(text, FORM)?;
     let mut operator = Operator::default();
     admission(&mut reader, &mut operator);
     let header: Option<String> = reader.take("token", "header");
--- a/config/src/reader.rs
+++ b/config/src/reader.rs
@@ -50,6 +50,15 @@
     keys: BTreeMap<String, (usize, Spanned<DeValue<'a>>)>,
 }
 
+/// What a text is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Form {
+    /// The sections that there may be.
+    pub sections: &'static [&'static str],
+    /// Those that there may be several of.
+    pub lists: &'static [&'static str],
+}
+
 /// A text that is being read.
 pub struct Reader<'a> {
     text: &'a str,
@@ -67,7 +76,7 @@
 impl<'a> Reader<'a> {
     /// Takes a text apart. What is no TOML has one fault only; what is not made of the sections that there are is
     /// named, and passed over.
-    pub fn new(text: &'a str) -> Result<Self, Faults> {
+    pub fn new(text: &'a str, form: Form) -> Result<Self, Faults> {
         let all = DeTable::parse(text).map_err(|e| {
             let line = e.span().map_or(1, |span| line_of(text, span.start));
             Faults(vec![Fault { line, place: String::new(), what: e.message().to_owned() }])
@@ -77,8 +86,8 @@
         for (name, value) in all.into_inner() {
             let line = line_of(text, name.span().start);
             let name = name.into_inner().into_owned();
-            let one = crate::SECTIONS.contains(&name.as_str());
-            let several = crate::LISTS.contains(&name.as_str());
+            let one = form.sections.contains(&name.as_str());
+            let several = form.lists.contains(&name.as_str());
             match value.into_inner() {
                 DeValue::Table(table) if one => {
                     let table = reader.table(name.clone(), line, table);
@@ -101,7 +110,7 @@
                     reader.fault_at(line, name, what);
                 }
                 _ => {
-                    let known = [crate::SECTIONS, crate::LISTS].concat().join(", ");
+                    let known = [form.sections, form.lists].concat().join(", ");
                     reader.fault_at(line, name, format!("no such section; there are {known}"));
                 }
             }
@@ -160,6 +169,11 @@
         Some(read.collect())
     }
 
+    /// What a section's keys are called.
+    pub fn keys(table: &Table<'a>) -> Vec<String> {
+        table.keys.keys().cloned().collect()
+    }
+
     /// Takes a section.
     pub fn take_section(&mut self, name: &str) -> Option<Table<'a>> {
         self.sections.remove(name)
@@ -186,9 +200,13 @@
 
     /// Something is wrong with a key of one of several tables, or is missing in it.
     pub fn fault_in(&mut self, table: &Table<'a>, key: &str, what: String) {
-        let place = format!("{}.{key}", table.place);
-        let line = self.lines.get(&place).copied().unwrap_or(table.line);
-        self.fault_at(line, place, what);
+        let line = self.line_in(table, key);
+        self.fault_at(line, format!("{}.{key}", table.place), what);
+    }
+
+    /// The line of a key that was taken out of one of several tables; that of the table, if it was not.
+    pub fn line_in(&self, table: &Table<'a>, key: &str) -> usize {
+        self.lines.get(&format!("{}.{key}", table.place)).copied().unwrap_or(table.line)
     }
 
     /// Something is wrong in this line.
--- a/lab/src/agenda.rs
+++ b/lab/src/agenda.rs
@@ -55,7 +55,12 @@
 
     /// Something will happen after so long.
     pub fn after(&mut self, wait: Duration, event: E) {
-        let (at, caused) = (self.now + wait, self.caused);
+        self.at(self.now + wait, event);
+    }
+
+    /// Something will happen at that time; now, if it is past.
+    pub fn at(&mut self, at: Duration, event: E) {
+        let (at, caused) = (at.max(self.now), self.caused);
         self.caused += 1;
         self.heap.push(Reverse(Entry { at, caused, event }));
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,23 +1,37 @@
 //! A laboratory: a deterministic emulator of clients, balancers and upstreams round the real decisions.
 //!
 //! Time is a queue of events; those of one instant happen in the order in which they were caused, so that no map
-//! decides. The same [`World`] and seed give the same [`Report`], on any machine.
+//! decides. The same [`World`] and seed give the same [`Report`], on any machine and in any number of threads.
 //!
-//! - [`Decides`] is the one trait behind which a policy stands: the decision module's own events and actions. The real
-//!   `Balancer` is one; peers' policies are others, under the same rules.
-//! - [`Station`] is an upstream: servers, a queue, a time of service.
-//! - [`Time`] is a distribution of times.
-//! - [`run`] plays a world.
+//! - [`policies::Decides`] is the one trait behind which a policy stands: the decision module's own events and actions.
+//!   The real `Balancer` is one; peers' policies are others, under the same rules, and each breach is counted.
+//! - [`World`] is what is played: [`Station`]s, ways, discovery, [`Clients`], [`Fault`]s.
+//! - [`run`] plays one; [`Report`] is what came of it.
+//! - [`file`] reads an experiment, [`experiment`] plays all of it, in parallel, and goes on where it stopped;
+//!   [`results`] holds what came of it, [`chart`] and [`page`] draw it.
+//! - [`hunt`] searches an experiment's ranges for the worst day and shrinks it to what matters.
+//! - [`load`] asks a real server as an experiment's clients would, [`calibrate`] compares the two.
+//! - [`paper`] is the experiment of the paper that the design rests on.
 
 mod agenda;
-mod peers;
+mod arrivals;
+mod faults;
+pub mod file;
+mod play;
+pub mod policies;
 mod report;
 mod station;
+mod tier;
 mod time;
+mod trouble;
+mod ways;
+mod window;
 mod world;
 
-pub use peers::{Decides, LeastRequest, RandomChoice, RoundRobin};
-pub use report::Report;
-pub use station::Station;
+pub use arrivals::{Shape, Stream};
+pub use faults::{Fault, Harm, When, Whom};
+pub use play::run;
+pub use report::{Breaches, Got, Report, Second, measure_names};
+pub use station::{Choke, Cold, Station};
 pub use time::Time;
-pub use world::{Load, Refused, World, run};
+pub use world::{Clients, Connections, Discovery, Network, Refused, World};
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -1,361 +1,233 @@
-//! A world, and how it is played.
+//! A world: what is to be played.
 
-use crate::agenda::Agenda;
-use crate::peers::Decides;
-use crate::report::Report;
-use crate::station::{Came, Hall, Station};
+use crate::arrivals::Stream;
+use crate::faults::{Fault, Harm, When};
+use crate::station::Station;
 use crate::time::Time;
-use lapisroute::{
-    Action, AttemptNo, Availability, CellId, Class, ClassId, Effect, Event, FleetScope, KindId, Listed,
-    Outcome, RequestId, TenantId, TimerId, UpstreamId, ZoneId,
-};
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use lapisroute::{Class, Settings, Tenant, ZoneId};
 use std::fmt;
 use std::time::Duration;
 
-/// Requests that may be in hand at once: a world with more has jammed.
-const HELD_MOST: usize = 4_000_000;
-
-/// Who asks.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Load {
-    /// Requests a second over all balancers, by a Poisson process.
-    pub rate: f64,
-    /// Tenants, equally likely.
-    pub tenants: u32,
-    /// Classes, with their share.
-    pub shares: Vec<f64>,
-}
-
 /// A world.
 #[derive(Clone, Debug, PartialEq)]
 pub struct World {
     /// How long clients ask.
     pub lasts: Duration,
-    /// What happens before this counts in no figure.
+    /// What is asked for before this counts in no figure.
     pub settles: Duration,
-    /// Balancers, which clients use in turn at random.
+    /// Zones, shared out over balancers one after another.
+    pub zones: u8,
+    /// Balancers.
     pub balancers: usize,
+    /// By how much their clocks differ, at the most: a shift, and a share of the time.
+    pub clocks: (Duration, f64),
     /// Upstreams.
     pub stations: Vec<Station>,
-    /// The way between a balancer and an upstream, each way.
-    pub network: Time,
+    /// Whether work stops when its request is given up.
+    pub stops: bool,
+    /// The ways.
+    pub network: Network,
+    /// The list of upstreams.
+    pub discovery: Discovery,
     /// The classes.
     pub classes: Vec<Class>,
+    /// The share of requests of each class.
+    pub shares: Vec<f64>,
+    /// Tenants.
+    pub tenants: u32,
+    /// How unequal they are: the exponent of Zipf's law; 0: all alike.
+    pub zipf: f64,
+    /// Requests a second that tenants are promised, together, in equal parts.
+    pub allowance: f64,
+    /// What is asked.
+    pub streams: Vec<Stream>,
     /// Who asks.
-    pub load: Load,
+    pub clients: Clients,
+    /// What goes wrong.
+    pub faults: Vec<Fault>,
     /// The seed of all chance.
     pub seed: u64,
 }
 
-/// Why a world is not played.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Refused(String);
-
-impl fmt::Display for Refused {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Refused {}
-
-impl World {
-    fn check(&self) -> Result<(), Refused> {
-        let sound = [
-            (self.balancers > 0, "a balancer at least"),
-            (!self.stations.is_empty(), "an upstream at least"),
-            (self.stations.iter().all(|s| s.servers > 0), "an upstream has a server at least"),
-            (
-                !self.classes.is_empty() && self.classes.len() == self.load.shares.len(),
-                "a share for each class",
-            ),
-            (
-                self.load.shares.iter().all(|s| *s >= 0.0) && self.load.shares.iter().sum::<f64>() > 0.0,
-                "shares",
-            ),
-            (self.load.rate > 0.0 && self.load.rate.is_finite(), "a rate above nil"),
-            (self.settles <= self.lasts, "it settles before it ends"),
-        ];
-        match sound.iter().find(|(sound, _)| !sound) {
-            Some((_, what)) => Err(Refused(format!("the world has no {what}"))),
-            None => Ok(()),
-        }
-    }
-}
-
-enum What {
-    Asks,
-    Reaches(u32, u8),
-    Done(u32, u8),
-    Returns(u32, u8, Outcome),
-    GiveUp(u32, u8),
-    Timer(usize, TimerId),
-}
-
-struct Attempt {
-    upstream: usize,
-    sent: Duration,
-    reached: Duration,
-    out: bool,
+/// The ways between balancers and upstreams, each way.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Network {
+    /// Within a zone.
+    pub near: Time,
+    /// Between zones.
+    pub far: Time,
+    /// What opening a connection costs; `None`: nothing is opened.
+    pub connections: Option<Connections>,
 }
 
-struct Request {
-    balancer: usize,
-    class: usize,
-    born: Duration,
-    counts: bool,
-    answered: bool,
-    ran: u32,
-    attempts: Vec<Attempt>,
+/// What connections cost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Connections {
+    /// Work of a new one at its upstream, in shares of a mean request.
+    pub work: f64,
+    /// An idle one is closed after so long.
+    pub idle: Duration,
+    /// An upstream takes so many; one more is refused.
+    pub most: usize,
 }
 
-struct Play<'a> {
-    world: &'a World,
-    policies: Vec<Box<dyn Decides>>,
-    agenda: Agenda<What>,
-    halls: Vec<Hall<(u32, u8)>>,
-    requests: Vec<Request>,
-    open: usize,
-    /// Chance of clients, of services and of the network: what one draws changes nothing of the others.
-    chance: [ChaCha8Rng; 3],
-    report: Report,
-    actions: Vec<Action>,
+/// How balancers hear of upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Discovery {
+    /// From a change until a balancer hears of it.
+    pub delay: Time,
+    /// How long a process that is told to drain is there still.
+    pub grace: Duration,
 }
 
-/// Plays a world with one policy for each balancer. It ends when everything has its answer.
-pub fn run(world: &World, policies: Vec<Box<dyn Decides>>) -> Result<Report, Refused> {
-    world.check()?;
-    if policies.len() != world.balancers {
-        return Err(Refused(format!("{} policies for {} balancers", policies.len(), world.balancers)));
-    }
-    let chance = [1, 2, 3].map(|n| ChaCha8Rng::seed_from_u64(world.seed.wrapping_mul(4).wrapping_add(n)));
-    let mut play = Play {
-        world,
-        policies,
-        agenda: Agenda::new(),
-        halls: world.stations.iter().map(|_| Hall { busy: 0, waiting: Default::default() }).collect(),
-        requests: Vec::new(),
-        open: 0,
-        chance,
-        report: Report::new().map_err(Refused)?,
-        actions: Vec::new(),
-    };
-    play.start();
-    play.play();
-    Ok(play.report)
+/// How clients behave.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clients {
+    /// Further tries of each.
+    pub retries: u32,
+    /// The wait before the first of them, doubled each time, from half of it to all at random; zero: at once.
+    pub backoff: Duration,
+    /// Whether they stay away as long as they are told.
+    pub heed: bool,
+    /// The share of the class's deadline after which a try is given up.
+    pub patience: f64,
+    /// Balancers that a tenant's clients come to; 0: all.
+    pub fronts: usize,
+    /// How long a dead balancer is still given requests.
+    pub notice: Duration,
 }
 
-impl Play<'_> {
-    fn start(&mut self) {
-        let listed: Vec<Listed> = (0..self.world.stations.len())
-            .map(|n| Listed {
-                id: UpstreamId(n as u64),
-                zone: ZoneId(0),
-                kind: KindId(0),
-                cell: CellId(0),
-                availability: Availability::Ready,
-                weight: 1.0,
-                started: None,
-            })
-            .collect();
-        for balancer in 0..self.policies.len() {
-            self.tell(balancer, Event::Fleet { scope: FleetScope::Cached, listed: &listed });
-        }
-        self.agenda.after(Duration::ZERO, What::Asks);
-    }
-
-    fn play(&mut self) {
-        while let Some(what) = self.agenda.next() {
-            let now = self.agenda.now();
-            // Only timers are left, which never end.
-            if now > self.world.lasts && self.open == 0 {
-                break;
-            }
-            if self.open > HELD_MOST || self.agenda.len() > 4 * HELD_MOST {
-                self.report.jammed = true;
-                break;
-            }
-            match what {
-                What::Asks => self.asks(now),
-                What::Reaches(request, no) => self.reaches(now, request, no),
-                What::Done(request, no) => self.done(now, request, no),
-                What::Returns(request, no, outcome) => self.ended(now, request, no, outcome),
-                What::GiveUp(request, no) => self.ended(now, request, no, Outcome::TimedOut),
-                What::Timer(balancer, timer) => self.tell(balancer, Event::Timer { timer }),
-            }
+impl Default for Clients {
+    fn default() -> Self {
+        Self {
+            retries: 0,
+            backoff: Duration::from_millis(100),
+            heed: true,
+            patience: 1.0,
+            fronts: 0,
+            notice: Duration::from_secs(1),
         }
     }
+}
 
-    fn asks(&mut self, now: Duration) {
-        if now >= self.world.lasts || self.requests.len() >= u32::MAX as usize {
-            return;
-        }
-        let load = &self.world.load;
-        let gap = Time::Exponential(Duration::from_secs_f64(1.0 / load.rate)).draw(&mut self.chance[0]);
-        self.agenda.after(gap, What::Asks);
-        let balancer = self.chance[0].random_range(0..self.world.balancers);
-        let tenant = self.chance[0].random_range(0..load.tenants.max(1));
-        let mut mark = self.chance[0].random::<f64>() * load.shares.iter().sum::<f64>();
-        let class = load.shares.iter().position(|share| {
-            mark -= share;
-            mark < 0.0
-        });
-        let class = class.unwrap_or(load.shares.len() - 1);
-        let id = self.requests.len() as u32;
-        let counts = now >= self.world.settles;
-        self.report.asked += u64::from(counts);
-        self.requests.push(Request {
-            balancer,
-            class,
-            born: now,
-            counts,
-            answered: false,
-            ran: 0,
-            attempts: Vec::new(),
-        });
-        self.open += 1;
-        let time_left = self.world.classes[class].deadline;
-        self.tell(
-            balancer,
-            Event::Request {
-                id: RequestId(id),
-                class: ClassId(class as u16),
-                tenant: TenantId(tenant),
-                time_left,
-                work_ms: None,
-                repeat: false,
+impl Default for World {
+    /// One balancer and no trouble; upstreams, classes and streams are missing.
+    fn default() -> Self {
+        Self {
+            lasts: Duration::from_secs(60),
+            settles: Duration::ZERO,
+            zones: 1,
+            balancers: 1,
+            clocks: (Duration::ZERO, 0.0),
+            stations: Vec::new(),
+            stops: true,
+            network: Network {
+                near: Time::Fixed(Duration::from_micros(200)),
+                far: Time::Fixed(Duration::from_millis(2)),
+                connections: None,
             },
-        );
-    }
-
-    fn tell(&mut self, balancer: usize, event: Event<'_>) {
-        let mut actions = std::mem::take(&mut self.actions);
-        self.policies[balancer].handle(self.agenda.now(), event, &mut actions);
-        for action in actions.drain(..) {
-            self.carry_out(balancer, action);
+            discovery: Discovery {
+                delay: Time::Fixed(Duration::from_millis(500)),
+                grace: Duration::from_secs(5),
+            },
+            classes: Vec::new(),
+            shares: Vec::new(),
+            tenants: 1,
+            zipf: 0.0,
+            allowance: 0.0,
+            streams: Vec::new(),
+            clients: Clients::default(),
+            faults: Vec::new(),
+            seed: 1,
         }
-        self.actions = actions;
     }
+}
 
-    fn carry_out(&mut self, balancer: usize, action: Action) {
-        let now = self.agenda.now();
-        match action {
-            Action::Attempt { id, upstream, timeout } => {
-                let Some(request) = self.requests.get_mut(id.0 as usize) else { return };
-                let no = request.attempts.len() as u8;
-                let upstream = upstream.0 as usize;
-                let left = (request.born + self.world.classes[request.class].deadline).saturating_sub(now);
-                request.attempts.push(Attempt { upstream, sent: now, reached: now, out: true });
-                self.report.further += u64::from(request.counts && no > 0);
-                self.report.note(now, u64::from(id.0) << 32 | upstream as u64);
-                let way = self.world.network.draw(&mut self.chance[2]);
-                self.agenda.after(way, What::Reaches(id.0, no));
-                self.agenda.after(timeout.map_or(left, |t| t.min(left)), What::GiveUp(id.0, no));
-            }
-            Action::Cancel { id, attempt } => {
-                self.agenda.after(Duration::ZERO, What::Returns(id.0, attempt.0, Outcome::Cancelled))
-            }
-            Action::Refuse { id, .. } => self.answer(id.0, false),
-            Action::Fail { id } => self.answer(id.0, true),
-            Action::Timer { after, timer } => self.agenda.after(after, What::Timer(balancer, timer)),
-            Action::WatchFleet
-            | Action::FetchFleet
-            | Action::CloseIdle { .. }
-            | Action::Probe { .. }
-            | Action::Log { .. } => {}
-        }
-    }
+/// Why a world is not played.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refused(pub String);
 
-    fn answer(&mut self, id: u32, failed: bool) {
-        let now = self.agenda.now();
-        let Some(request) = self.requests.get_mut(id as usize).filter(|r| !r.answered) else { return };
-        request.answered = true;
-        (self.open, self.report.lasted) = (self.open - 1, now);
-        self.report.note(now, u64::from(id) | 1 << 40);
-        if request.counts {
-            let place = if failed { &mut self.report.failed } else { &mut self.report.refused };
-            *place += 1;
-        }
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
     }
+}
 
-    fn reaches(&mut self, now: Duration, id: u32, no: u8) {
-        let attempt = &mut self.requests[id as usize].attempts[usize::from(no)];
-        // Given up on the way: its connection has ended before it came.
-        if !attempt.out {
-            return;
-        }
-        attempt.reached = now;
-        let upstream = attempt.upstream;
-        match self.halls[upstream].come(&self.world.stations[upstream], (id, no)) {
-            Came::Served => self.begin(now, id, no),
-            Came::Waits => {}
-            Came::Full => {
-                self.report.full += u64::from(self.requests[id as usize].counts);
-                let way = self.world.network.draw(&mut self.chance[2]);
-                self.agenda.after(way, What::Returns(id, no, Outcome::Rejected));
-            }
-        }
+impl std::error::Error for Refused {}
+
+impl World {
+    /// What all upstreams can do a second.
+    pub fn capacity(&self) -> f64 {
+        self.stations.iter().map(Station::capacity).sum()
     }
 
-    fn begin(&mut self, now: Duration, id: u32, no: u8) {
-        let request = &mut self.requests[id as usize];
-        request.ran += 1;
-        let unsafe_again = request.ran == 2 && self.world.classes[request.class].effect == Effect::AtMostOnce;
-        self.report.twice += u64::from(unsafe_again);
-        let attempt = &request.attempts[usize::from(no)];
-        if request.counts {
-            self.report.waited.saturating_record((now - attempt.reached).as_micros() as u64);
-        }
-        let takes = self.world.stations[attempt.upstream].service.draw(&mut self.chance[1]);
-        self.report.worked += takes;
-        self.agenda.after(takes, What::Done(id, no));
+    /// The zone of a balancer.
+    pub fn zone_of(&self, balancer: usize) -> u8 {
+        (balancer % usize::from(self.zones.max(1))) as u8
     }
 
-    fn done(&mut self, now: Duration, id: u32, no: u8) {
-        let upstream = self.requests[id as usize].attempts[usize::from(no)].upstream;
-        let way = self.world.network.draw(&mut self.chance[2]);
-        self.agenda.after(way, What::Returns(id, no, Outcome::Ok));
-        // Whoever has been given up meanwhile is not worked on.
-        while let Some((next, attempt)) = self.halls[upstream].done() {
-            if self.requests[next as usize].attempts[usize::from(attempt)].out {
-                self.begin(now, next, attempt);
-                break;
-            }
+    /// What a balancer's decisions are told at its start.
+    pub fn settings(&self, balancer: usize) -> Settings {
+        let cold = self.stations.iter().find_map(|s| s.cold);
+        let part = self.allowance / f64::from(self.tenants.max(1));
+        Settings {
+            balancers: self.balancers as u32,
+            index: balancer as u32,
+            zone: ZoneId(self.zone_of(balancer)),
+            classes: self.classes.clone(),
+            tenants: (0..self.tenants).map(|_| Tenant { allowance_per_s: part }).collect(),
+            cold_from: cold.map_or(1.0, |c| c.from),
+            cold_time: cold.map_or(Duration::ZERO, |c| c.over),
+            fall_multiple: cold.map_or(3.0, |c| c.multiple),
+            fall_time: cold.map_or(Duration::from_secs(1), |c| c.within),
+            hedging: false,
+            conn_idle: self.network.connections.map_or(Duration::from_secs(60), |c| c.idle),
+            ..Settings::default()
         }
     }
 
-    fn ended(&mut self, now: Duration, id: u32, no: u8, outcome: Outcome) {
-        let request = &mut self.requests[id as usize];
-        let attempt = &mut request.attempts[usize::from(no)];
-        if !std::mem::replace(&mut attempt.out, false) {
-            return;
-        }
-        let (upstream, latency, balancer) = (attempt.upstream, now - attempt.sent, request.balancer);
-        if outcome == Outcome::Ok && !request.answered {
-            request.answered = true;
-            (self.open, self.report.lasted) = (self.open - 1, now);
-            if request.counts {
-                let took = now - request.born;
-                self.report.served += 1;
-                self.report.in_time += u64::from(took <= self.world.classes[request.class].aim);
-                self.report.latency.saturating_record(took.as_micros() as u64);
-            }
+    /// What makes it impossible to play; the first of it.
+    pub fn check(&self) -> Result<(), Refused> {
+        let zones = usize::from(self.zones);
+        let follows = |n: usize, fault: &Fault| match &fault.when {
+            When::After(name, _, _) => self.faults[..n].iter().any(|f| f.name == *name),
+            _ => true,
+        };
+        let sound = [
+            (self.balancers > 0, "a balancer at least"),
+            (self.zones > 0, "a zone at least"),
+            (!self.stations.is_empty(), "an upstream at least"),
+            (self.stations.iter().all(|s| s.servers > 0), "an upstream has a server at least"),
+            (self.stations.iter().all(|s| s.speed > 0.0 && s.speed.is_finite()), "a speed above nil"),
+            (self.stations.iter().all(|s| usize::from(s.zone) < zones), "a zone that there is"),
+            (!self.classes.is_empty() && self.classes.len() == self.shares.len(), "a share for each class"),
+            (self.shares.iter().all(|s| *s >= 0.0) && self.shares.iter().sum::<f64>() > 0.0, "shares"),
+            (self.tenants > 0, "a tenant at least"),
+            (
+                self.streams.iter().any(|s| s.mean_rate() > 0.0)
+                    && self.streams.iter().all(|s| s.mean_rate().is_finite()),
+                "a rate above nil",
+            ),
+            (self.settles <= self.lasts, "an end after it has settled"),
+            (
+                self.faults.iter().enumerate().all(|(n, f)| follows(n, f)),
+                "a fault for each that is to follow one, above it",
+            ),
+            (
+                self.faults.iter().all(|f| match f.what {
+                    Harm::Cut { from, to, .. } => usize::from(from.max(to)) < zones,
+                    _ => true,
+                }),
+                "a zone that is cut",
+            ),
+            (
+                self.faults.iter().all(|f| !matches!(f.when, When::Every(mean) if mean.is_zero())),
+                "a time between faults that come again",
+            ),
+        ];
+        match sound.iter().find(|(sound, _)| !sound) {
+            Some((_, what)) => Err(Refused(format!("the world has no {what}"))),
+            None => self.settings(0).check().map_err(|e| Refused(e.to_string())),
         }
-        let finished = request.answered;
-        self.report.note(now, u64::from(id) | u64::from(no) << 48);
-        self.tell(
-            balancer,
-            Event::AttemptEnded {
-                id: RequestId(id),
-                attempt: AttemptNo(no),
-                upstream: UpstreamId(upstream as u64),
-                outcome,
-                latency,
-                finished,
-                report: &[],
-            },
-        );
     }
 }
--- a/lab/tests/theory.rs
+++ b/lab/tests/theory.rs
@@ -1,7 +1,8 @@
 //! The emulator against formulas: queues of one and of several servers, general service times, loss, and the tails of
 //! the better of two. And that it is the same each time.
 
-use lapisroute::{Balancer, Class, Effect, Settings, Tenant};
+use lapisroute::{Class, Effect};
+use maplehook_lab::policies::named;
 use maplehook_lab::*;
 use std::time::Duration;
 
@@ -18,21 +19,33 @@
 
 /// A world in which each server takes 10 ms on average.
 fn world(stations: usize, servers: usize, queue: usize, load: f64, service: Time) -> World {
-    let station = Station { servers, queue, service };
     World {
         lasts: Duration::from_secs(2000),
         settles: Duration::from_secs(50),
-        balancers: 1,
-        stations: vec![station; stations],
-        network: Time::Fixed(Duration::ZERO),
+        stations: vec![Station::new(servers, queue, service); stations],
+        network: Network {
+            near: Time::Fixed(Duration::ZERO),
+            far: Time::Fixed(Duration::ZERO),
+            connections: None,
+        },
         classes: vec![class()],
-        load: Load { rate: load * (stations * servers) as f64 * 100.0, tenants: 1, shares: vec![1.0] },
+        shares: vec![1.0],
+        streams: vec![poisson(load * (stations * servers) as f64 * 100.0)],
         seed: 7,
+        ..World::default()
     }
 }
 
+fn poisson(rate: f64) -> Stream {
+    Stream { rate, tenant: None, shape: Shape::Poisson }
+}
+
+fn by(policy: &str, world: &World) -> Report {
+    run(world, &named(policy).unwrap().make).unwrap()
+}
+
 fn played(world: &World) -> Report {
-    run(world, vec![Box::new(RoundRobin::new(world.classes.clone()))]).unwrap()
+    by("round_robin", world)
 }
 
 /// Erlang's B: the share that finds all servers busy where nobody may wait.
@@ -74,7 +87,7 @@
             (Time::LogNormal(10 * MS, 0.5), (0.25_f64).exp()),
             (Time::Bimodal(5 * MS, 55 * MS, 0.1), (0.9 * 25.0 + 0.1 * 3025.0) / 100.0),
         ] {
-            let report = played(&world(1, 1, usize::MAX, load, service));
+            let report = played(&world(1, 1, usize::MAX, load, service.clone()));
             let expected = load * mean * moment / (2.0 * (1.0 - load));
             near(report.waited.mean() / 1e6, expected, within, &format!("M/G/1 of {service:?} at {load}"));
         }
@@ -86,7 +99,7 @@
 fn full_stations_lose_as_the_formula_says() {
     for load in [0.5, 0.8, 0.95] {
         for service in [Time::Exponential(10 * MS), Time::Fixed(10 * MS), Time::Pareto(10 * MS, 2.5)] {
-            let report = played(&world(1, 5, 0, load, service));
+            let report = played(&world(1, 5, 0, load, service.clone()));
             let share = report.full as f64 / report.asked as f64;
             near(share, erlang_b(5, load * 5.0), 0.06, &format!("{service:?} at {load}"));
             assert_eq!((report.refused, report.failed), (report.full, 0));
@@ -101,8 +114,7 @@
     let (load, stations) = (0.8, 200);
     let mut world = world(stations, 1, usize::MAX, load, Time::Exponential(10 * MS));
     (world.lasts, world.settles) = (Duration::from_secs(40), Duration::from_secs(5));
-    let better = run(&world, vec![Box::new(LeastRequest::new(world.classes.clone(), 3))]).unwrap();
-    let random = run(&world, vec![Box::new(RandomChoice::new(world.classes.clone(), 3))]).unwrap();
+    let (better, random) = (by("better_of_two", &world), by("random", &world));
     // By Little's law from the mean of the number at one upstream: the sum of those shares.
     let held = |power: fn(i32) -> i32| (1..30).map(|k| load.powi(power(k).min(1000))).sum::<f64>();
     let sojourn = |held: f64| held / (load * 100.0);
@@ -115,42 +127,29 @@
     near(random.latency.mean() / 1e6, sojourn(load / (1.0 - load)), 0.06, "random");
 }
 
-fn ours(world: &World) -> Vec<Box<dyn Decides>> {
-    let policy = |index: usize| {
-        let settings = Settings {
-            balancers: world.balancers as u32,
-            index: index as u32,
-            classes: world.classes.clone(),
-            tenants: vec![Tenant { allowance_per_s: world.load.rate }],
-            ..Settings::default()
-        };
-        Box::new(Balancer::new(settings, world.seed + index as u64).unwrap()) as Box<dyn Decides>
-    };
-    (0..world.balancers).map(policy).collect()
-}
-
 /// The real module, several of it, with a network and limits: the same seed is the same run to the last event, another
 /// is another; every request has one answer, and nothing that must not runs twice.
 #[test]
 fn the_same_seed_is_the_same_run() {
     let mut world = world(40, 2, 8, 0.9, Time::LogNormal(10 * MS, 1.0));
     (world.lasts, world.settles, world.balancers) = (Duration::from_secs(20), Duration::from_secs(2), 6);
-    world.network = Time::Exponential(MS);
+    world.network.near = Time::Exponential(MS);
+    world.allowance = world.streams[0].rate;
     let wanted = |effect| Class { aim: 200 * MS, deadline: 1000 * MS, effect, ..Class::default() };
     world.classes = vec![wanted(Effect::AtMostOnce), wanted(Effect::Idempotent)];
-    world.load.shares = vec![0.5, 0.5];
-    let first = run(&world, ours(&world)).unwrap();
+    world.shares = vec![0.5, 0.5];
+    let first = by("maplehook", &world);
     let threads: Vec<_> = (0..4)
         .map(|_| {
             let world = world.clone();
-            std::thread::spawn(move || run(&world, ours(&world)).unwrap().digest)
+            std::thread::spawn(move || by("maplehook", &world).digest)
         })
         .collect();
     assert!(threads.into_iter().all(|thread| thread.join().unwrap() == first.digest));
     let other = World { seed: 8, ..world.clone() };
-    assert_ne!(run(&other, ours(&other)).unwrap().digest, first.digest);
+    assert_ne!(by("maplehook", &other).digest, first.digest);
     assert_eq!(first.served + first.refused + first.failed, first.asked);
-    assert_eq!(first.twice, 0);
+    assert_eq!(first.breaches.sum(), 0, "{:?}", first.breaches);
     assert!(first.in_time as f64 > 0.8 * first.asked as f64, "{first:?}");
 }
 
@@ -158,7 +157,15 @@
 #[test]
 fn worlds_that_cannot_be_are_refused() {
     let good = world(1, 1, 1, 0.5, Time::Fixed(MS));
-    let wrong = World { balancers: 0, ..good.clone() };
-    assert!(run(&wrong, Vec::new()).unwrap_err().to_string().contains("balancer"));
-    assert!(run(&good, Vec::new()).unwrap_err().to_string().contains("0 policies for 1"));
+    let make = named("random").unwrap().make;
+    for (wrong, named) in [
+        (World { balancers: 0, ..good.clone() }, "balancer"),
+        (World { stations: Vec::new(), ..good.clone() }, "upstream"),
+        (World { shares: Vec::new(), ..good.clone() }, "share for each class"),
+        (World { streams: vec![poisson(0.0)], ..good.clone() }, "rate"),
+        (World { tenants: 0, ..good.clone() }, "tenant"),
+    ] {
+        let said = run(&wrong, &make).unwrap_err().to_string();
+        assert!(said.contains(named), "{said}");
+    }
 }
