--- a/bench/src/door.rs
+++ b/bench/src/door.rs
@@ -1,8 +1,8 @@
 //! The rig for admission: what users see while others flood.
 
 use crate::load::{Booking, Does, Flood, Tally, connect};
-use crate::node::{Process, Used};
 use crate::peers::Upstream;
+use maplehook_standins::process::{Process, Used};
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/bench/src/eureka.rs
+++ b/bench/src/eureka.rs
@@ -1,12 +1,12 @@
 //! What following a registry costs: a poll by the number of instances, whole against changes, JSON against XML; what
 //! 120 balancers ask of one registry; and what share of the requests is served while it fails.
 
-use crate::node::Process;
 use crate::proxy::load_small;
 use maplehook_eureka::model::Notation;
 use maplehook_eureka::{Client, Manner, Mirror};
 use maplehook_standins::app::App;
 use maplehook_standins::eureka::{Eureka, Mode};
+use maplehook_standins::process::Process;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,7 +6,6 @@
 mod door;
 mod eureka;
 mod load;
-mod node;
 mod peers;
 mod proxy;
 mod roles;
--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -1,12 +1,12 @@
 //! What a proxy costs: direct, the daemon, an axum host with the middleware, and a plain peer (axum, hyper-util's
 //! client, tower's p2c), side by side in one run; and what a large fleet costs the daemon.
 
-use crate::node::{Process, Used};
 use bytes::Bytes;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Empty, Full};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use maplehook_standins::process::{Process, Used};
 use serde::Serialize;
 use std::fmt::Write;
 use std::net::SocketAddr;
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -30,7 +30,16 @@
 
 /// What an operator's file is made of.
 const FORM: Form = Form {
-    sections: &["admission", "token", "descriptors", "listen", "balancer", "headers", "eureka", "registration"],
+    sections: &[
+        "admission",
+        "token",
+        "descriptors",
+        "listen",
+        "balancer",
+        "headers",
+        "eureka",
+        "registration",
+    ],
     lists: &["class", "tenant", "upstream"],
 };
 
--- a/lab/src/file/mod.rs
+++ b/lab/src/file/mod.rs
@@ -223,7 +223,11 @@
             // A newer one may say things that would be named as faults: that is the one to name.
             let what = format!("this file has format {newer}, and {FORMAT} is the newest that is known here");
             head.fault("format", what.clone());
-            return Err(Faults(vec![Fault { line: head.line_of("format"), place: "experiment.format".into(), what }]));
+            return Err(Faults(vec![Fault {
+                line: head.line_of("format"),
+                place: "experiment.format".into(),
+                what,
+            }]));
         }
         Some(_) => head.fault("format", format!("it has to be {FORMAT}")),
         None => head.fault("format", format!("missing: format = {FORMAT}")),
@@ -350,7 +354,7 @@
     let mut ranges = BTreeMap::new();
     for key in section.keys() {
         let Some((least, most)) = section.take::<(f64, f64)>(&key) else { continue };
-        if !(least < most) {
+        if least >= most || least.is_nan() || most.is_nan() {
             section.fault(&key, "it has to be [least, most]".into());
         }
         ranges.insert(key, (least, most));
--- a/lab/src/file/values.rs
+++ b/lab/src/file/values.rs
@@ -26,8 +26,7 @@
     pub(super) fn list(reader: &'r mut Reader<'a>, name: &str) -> Vec<Self> {
         let tables = reader.take_tables(name);
         let reader = Rc::new(RefCell::new(reader));
-        let taken =
-            |table| Self { reader: Rc::clone(&reader), table: Some(table), name: name.to_owned() };
+        let taken = |table| Self { reader: Rc::clone(&reader), table: Some(table), name: name.to_owned() };
         tables.into_iter().map(taken).collect()
     }
 
@@ -122,9 +121,7 @@
     pub(super) fn of(self, n: usize, count: usize) -> f64 {
         match self {
             Self::One(value) => value,
-            Self::Between(from, to) => {
-                from + (to - from) * (n as f64 + 0.5) / count.max(1) as f64
-            }
+            Self::Between(from, to) => from + (to - from) * (n as f64 + 0.5) / count.max(1) as f64,
         }
     }
 
@@ -164,7 +161,9 @@
             Self::Pareto { mean_ms, alpha } if alpha > 1.0 && alpha <= 1000.0 => {
                 Time::Pareto(ms(mean_ms)?, alpha)
             }
-            Self::Pareto { .. } => return Err("alpha has to be over 1, to 1000: else there is no mean".into()),
+            Self::Pareto { .. } => {
+                return Err("alpha has to be over 1, to 1000: else there is no mean".into());
+            }
             Self::Bimodal { usual_ms, other_ms, share } if (0.0..=1.0).contains(&share) => {
                 Time::Bimodal(ms(usual_ms)?, ms(other_ms)?, share)
             }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,15 +12,26 @@
 //! - [`hunt`] searches an experiment's ranges for the worst day and shrinks it to what matters.
 //! - [`load`] asks a real server as an experiment's clients would, [`calibrate`] compares the two.
 //! - [`paper`] is the experiment of the paper that the design rests on.
+//! - [`rules`] explores what may come between a request and its answer, exhaustively.
 
 mod agenda;
 mod arrivals;
+pub mod calibrate;
+pub mod chart;
+pub mod experiment;
 mod faults;
 pub mod file;
+pub mod hunt;
+pub mod load;
+pub mod page;
+pub mod paper;
 mod play;
 pub mod policies;
 mod report;
+pub mod results;
+pub mod rules;
 mod station;
+pub mod stats;
 mod tier;
 mod time;
 mod trouble;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -188,7 +188,8 @@
     fn play(&mut self) {
         // After its deadlines and tries nothing can come any more.
         let longest = self.world.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-        let end = self.world.lasts + (longest + 4 * self.world.clients.backoff) * (self.world.clients.retries + 2);
+        let end =
+            self.world.lasts + (longest + 4 * self.world.clients.backoff) * (self.world.clients.retries + 2);
         while let Some(what) = self.agenda.next() {
             let now = self.agenda.now();
             // Only timers are left, which never end.
@@ -288,8 +289,9 @@
         if !self.members[balancer].is_alive() {
             return self.try_ended(now, number, End::Broken { taken: false });
         }
-        let time_left =
-            self.world.classes[usize::from(class)].deadline.mul_f64(self.world.clients.patience.clamp(0.01, 1.0));
+        let time_left = self.world.classes[usize::from(class)]
+            .deadline
+            .mul_f64(self.world.clients.patience.clamp(0.01, 1.0));
         let request = Request {
             wish: number,
             balancer: balancer as u32,
@@ -658,7 +660,8 @@
         if !std::mem::replace(&mut attempt.out, false) {
             return;
         }
-        let (n, latency, balancer) = (attempt.upstream as usize, now - attempt.sent, request.balancer as usize);
+        let (n, latency, balancer) =
+            (attempt.upstream as usize, now - attempt.sent, request.balancer as usize);
         let was = attempt.at;
         if was == Where::Way || (self.world.stops && was != Where::Over) {
             attempt.at = Where::Over;
--- a/lab/src/policies/balanced.rs
+++ b/lab/src/policies/balanced.rs
@@ -81,8 +81,8 @@
             By::Requests { outliers: true } => {
                 if endpoint.faults >= FAULTS && ejected < (EJECTED_MOST * ready).max(1.0) {
                     endpoint.faults = 0;
-                    endpoint.ejections += 1;
-                    endpoint.ejected_until = now + EJECTED_FOR * endpoint.ejections.min(10);
+                    let until = now + EJECTED_FOR * (endpoint.ejections + 1).min(10);
+                    to.eject(at, until);
                 }
             }
             By::Latency => {
@@ -97,8 +97,7 @@
                 } else if endpoint.faults >= ACCRUAL {
                     endpoint.faults = 0;
                     let penalty = PENALTY * (1 << endpoint.ejections.min(6));
-                    endpoint.ejected_until = now + penalty.min(PENALTY_MOST);
-                    endpoint.ejections += 1;
+                    to.eject(at, now + penalty.min(PENALTY_MOST));
                 }
             }
         }
--- a/lab/src/policies/peer.rs
+++ b/lab/src/policies/peer.rs
@@ -34,6 +34,8 @@
     /// Those that take requests, as positions in `all`.
     pub(crate) ready: Vec<usize>,
     index: FxHashMap<UpstreamId, usize>,
+    /// Until then at least one is ejected.
+    any_ejected_until: Duration,
     /// Changes whenever `ready` does.
     pub(crate) version: u64,
 }
@@ -70,8 +72,18 @@
         self.version += 1;
     }
 
+    /// Ejects one until then.
+    pub(crate) fn eject(&mut self, at: usize, until: Duration) {
+        self.all[at].ejections += 1;
+        self.all[at].ejected_until = until;
+        self.any_ejected_until = self.any_ejected_until.max(until);
+    }
+
     /// How many of those that are ready are ejected.
     pub(crate) fn ejected(&self, now: Duration) -> usize {
+        if self.any_ejected_until <= now {
+            return 0;
+        }
         self.ready.iter().filter(|n| self.all[**n].ejected_until > now).count()
     }
 }
@@ -99,7 +111,15 @@
     fn sent(&mut self, _to: &Endpoints, _at: usize) {}
 
     /// An attempt has ended.
-    fn learns(&mut self, _now: Duration, _to: &mut Endpoints, _at: usize, _outcome: Outcome, _took: Duration) {}
+    fn learns(
+        &mut self,
+        _now: Duration,
+        _to: &mut Endpoints,
+        _at: usize,
+        _outcome: Outcome,
+        _took: Duration,
+    ) {
+    }
 }
 
 /// What a peer's operator sets.
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -121,7 +121,12 @@
 pub(crate) const LOADS_MOST: usize = 32;
 
 impl Report {
-    pub(crate) fn new(tenants: u32, classes: usize, settles: Duration, until: Duration) -> Result<Self, String> {
+    pub(crate) fn new(
+        tenants: u32,
+        classes: usize,
+        settles: Duration,
+        until: Duration,
+    ) -> Result<Self, String> {
         let histogram = || Histogram::new_with_bounds(1, 3_600_000_000, 3).map_err(|e| e.to_string());
         Ok(Self {
             asked: 0,
--- a/lab/src/tier.rs
+++ b/lab/src/tier.rs
@@ -172,8 +172,8 @@
         }
         let now = self.agenda.now();
         let from = std::mem::replace(&mut self.members[balancer].heard, self.state.changes.len());
-        for change in self.state.changes[from..].to_vec() {
-            self.members[balancer].hear(now, &change);
+        for change in &self.state.changes[from..] {
+            self.members[balancer].hear(now, change);
         }
         let listed = self.its_list(balancer);
         self.tell(balancer, Event::Fleet { scope: FleetScope::Full, listed: &listed });
@@ -195,7 +195,8 @@
             return;
         }
         let life = self.members[balancer].life + 1;
-        let seed = self.world.seed.wrapping_mul(1_000_003).wrapping_add((life as u64) << 32 | balancer as u64);
+        let seed =
+            self.world.seed.wrapping_mul(1_000_003).wrapping_add((life as u64) << 32 | balancer as u64);
         let policy = (self.maker)(self.world, balancer, seed);
         let member = &mut self.members[balancer];
         (member.policy, member.life, member.alive, member.used) = (policy, life, true, true);
--- a/standins/src/app.rs
+++ b/standins/src/app.rs
@@ -20,6 +20,7 @@
 //!
 //! A first part `look`, `book` or `keyed` is passed over: it names a class to the balancer.
 
+use crate::hosted::Hosted;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::server::conn::http1;
@@ -111,8 +112,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Arc<State>,
-    end: watch::Sender<bool>,
-    thread: Option<std::thread::JoinHandle<()>>,
+    hosted: Hosted,
 }
 
 impl App {
@@ -123,19 +123,10 @@
 
     /// The same, with the keys that others have seen.
     pub fn sharing(keys: Keys) -> Self {
-        let (end, ended) = watch::channel(false);
         let state = Arc::new(State { keys, ..State::default() });
         let shared = Arc::clone(&state);
-        let (tell, told) = std::sync::mpsc::channel();
-        let thread = std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(async move {
-                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-                tell.send(listener.local_addr().unwrap()).unwrap();
-                serve(listener, shared, ended).await;
-            });
-        });
-        Self { address: told.recv().unwrap(), state, end, thread: Some(thread) }
+        let hosted = Hosted::start(move |listener, ended| serve(listener, shared, ended));
+        Self { address: hosted.address, state, hosted }
     }
 
     /// Requests whose heads have come, in order.
@@ -175,16 +166,7 @@
 
     /// Dies: its connections end at once, new ones are refused.
     pub fn kill(&mut self) {
-        self.end.send_replace(true);
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
-impl Drop for App {
-    fn drop(&mut self) {
-        self.kill();
+        self.hosted.end();
     }
 }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,9 @@
 
 pub mod app;
 pub mod eureka;
+mod hosted;
+pub mod process;
+pub mod station;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
