--- a/lab/src/file/world.rs
+++ b/lab/src/file/world.rs
@@ -23,6 +23,7 @@
         settles: table.seconds("settles_s").unwrap_or(base.settles),
         zones: table.number("zones", 1.0, 200.0).unwrap_or(1.0) as u8,
         balancers: table.number("balancers", 1.0, 10_000.0).unwrap_or(1.0) as usize,
+        held_most: table.number("held_most", 1.0, 4e6).map_or(base.held_most, |n| n as usize),
         stops: table.take("stops").unwrap_or(base.stops),
         clocks: (
             table.seconds("clock_shift_s").unwrap_or_default(),
--- a/lab/src/window.rs
+++ b/lab/src/window.rs
@@ -28,6 +28,14 @@
         self.entries.get_mut(number.checked_sub(self.base)? as usize)?.as_mut()
     }
 
+    /// Whether there was one of this number that is gone.
+    pub(crate) fn is_past(&self, number: u32) -> bool {
+        match number.checked_sub(self.base) {
+            None => true,
+            Some(at) => self.entries.get(at as usize).is_some_and(Option::is_none),
+        }
+    }
+
     pub(crate) fn remove(&mut self, number: u32) {
         let Some(entry) = number.checked_sub(self.base).and_then(|n| self.entries.get_mut(n as usize)) else {
             return;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -45,6 +45,8 @@
     pub clients: Clients,
     /// What goes wrong.
     pub faults: Vec<Fault>,
+    /// Wishes that may be open at once: a world with more has jammed, and ends.
+    pub held_most: usize,
     /// The seed of all chance.
     pub seed: u64,
 }
@@ -138,6 +140,7 @@
             streams: Vec::new(),
             clients: Clients::default(),
             faults: Vec::new(),
+            held_most: 4_000_000,
             seed: 1,
         }
     }
