An overdue attempt is called back only if another can follow, which is paid for then

Cause, found in the laboratory: where second copies are not allowed, a repeatable request was given up at its 95th percentile by a timeout set at the send, when the budget was looked at.

Change: such an attempt is looked at when it is overdue, as second copies are, and called back only if another can follow then; the token is taken at that moment, since many may be overdue at one tick. Where attempts can't be called back the timeout stays.

--- a/lab/src/calibrate.rs
+++ b/lab/src/calibrate.rs
@@ -5,12 +5,12 @@
 use crate::faults::{Fault, Harm, time_line};
 use crate::file::Plan;
 use crate::load::{self, Target};
-use crate::policies::named;
+use crate::policies::Decides;
 use crate::station::Station as Figures;
 use crate::time::Time;
 use crate::world::{Network, World};
 use crate::{Shape, Stream};
-use lapisroute::{Class, DedupGroup, Effect};
+use lapisroute::{Balancer, Class, DedupGroup, Effect};
 use maplehook_standins::process::Process;
 use maplehook_standins::station::Station;
 use rand::SeedableRng;
@@ -127,7 +127,11 @@
             Station::start(figures.servers, figures.queue, move || service.draw(&mut chance).div_f64(speed))
         })
         .collect();
-    let process = Process::by_file(daemon, &daemon_file(&world, &plan.classes, &stations))?;
+    let file = daemon_file(&world, &plan.classes, &stations);
+    // Both decide by the same settings: those that the daemon reads.
+    let operator = maplehook_config::parse(&file).map_err(|e| format!("the daemon's file: {e}"))?;
+    let settings = operator.proxy.ok_or("the daemon's file names no balancer")?.settings;
+    let process = Process::by_file(daemon, &file)?;
     let target = Target::new(&format!("http://{}", process.address), plan.classes.clone())?;
     let stop = AtomicBool::new(false);
     let (loaded, ()) = tokio::join!(load::run(&world, target, &stop, &|_, _| {}), trouble(&world, &stations));
@@ -138,28 +142,42 @@
     let near = Time::Fixed(Duration::from_micros(60));
     let network = Network { near: near.clone(), far: near, connections: None };
     let emulated = World { network, ..world.clone() };
-    let make = named("maplehook").ok_or("no module")?.make;
+    Balancer::new(settings.clone(), world.seed).map_err(|e| e.to_string())?;
+    let make = |_: &World, _: usize, seed: u64| -> Box<dyn Decides> {
+        Box::new(Balancer::new(settings.clone(), seed).unwrap_or_default())
+    };
     let report = one(&emulated, &make)?;
-    let of = report.measures();
+    // The stand-ins' timers are coarse: what they add counts as work, since a server is taken for it.
+    let mut same = emulated.clone();
+    for (figures, station) in same.stations.iter_mut().zip(&stations) {
+        let by = station.excess().mul_f64(figures.speed);
+        figures.service = Time::Longer(Box::new(figures.service.clone()), by);
+    }
+    let (of, same) = (report.measures(), one(&same, &make)?.measures());
+    let excess: Duration = stations.iter().map(Station::excess).sum::<Duration>() / stations.len() as u32;
     let asked = loaded.planned.max(1) as f64;
     let status = |codes: &[u16]| codes.iter().filter_map(|c| loaded.statuses.get(c)).sum::<u64>() as f64;
+    let failed = status(&[500, 502, 504]) + (loaded.broken + loaded.timed_out) as f64;
     let rows = [
-        ("in time", loaded.in_time, report.in_time as f64 / report.asked.max(1) as f64),
-        ("served", status(&[200]) / asked, of["served"]),
-        ("refused", status(&[429, 503]) / asked, of["refused"]),
-        (
-            "failed",
-            (status(&[500, 502, 504]) + (loaded.broken + loaded.timed_out) as f64) / asked,
-            of["failed"],
-        ),
-        ("p50 ms", loaded.quantiles_ms["p50"], of["p50_ms"]),
-        ("p90 ms", loaded.quantiles_ms["p90"], of["p90_ms"]),
-        ("p99 ms", loaded.quantiles_ms["p99"], of["p99_ms"]),
+        ("goodput", loaded.in_time, "goodput"),
+        ("served", status(&[200]) / asked, "served"),
+        ("refused", status(&[429, 503]) / asked, "refused"),
+        ("failed", failed / asked, "failed"),
+        ("p50 ms", loaded.quantiles_ms["p50"], "p50_ms"),
+        ("p90 ms", loaded.quantiles_ms["p90"], "p90_ms"),
+        ("p99 ms", loaded.quantiles_ms["p99"], "p99_ms"),
     ];
-    let mut text = format!("{:<9} {:>10} {:>10} {:>11}\n", "measure", "sockets", "emulated", "difference");
-    for (name, sockets, emulated) in rows {
-        let _ = writeln!(text, "{name:<9} {sockets:>10.4} {emulated:>10.4} {:>+11.4}", emulated - sockets);
+    let mut text = format!(
+        "{:<9} {:>10} {:>10} {:>11} {:>13}\n",
+        "measure", "sockets", "emulated", "difference", "with excess"
+    );
+    for (name, sockets, measure) in rows {
+        let (plain, same) = (of[measure], same[measure]);
+        let _ =
+            writeln!(text, "{name:<9} {sockets:>10.4} {plain:>10.4} {:>+11.4} {same:>13.4}", plain - sockets);
     }
+    let _ =
+        writeln!(text, "the stand-ins' work took {:.2} ms longer than drawn", excess.as_secs_f64() * 1000.0);
     let _ = writeln!(
         text,
         "{} requests on sockets, {} emulated; the tool was {:.1} ms behind at the most; the daemon used {:.1} s of CPU",
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -69,6 +69,20 @@
         #[arg(long)]
         out: Option<PathBuf>,
     },
+    /// Several experiments' results beside one another, as a Markdown table.
+    Table {
+        /// The results.
+        #[arg(required = true)]
+        results: Vec<PathBuf>,
+        #[arg(long, default_value = "goodput")]
+        measure: String,
+        /// Less of the measure is better.
+        #[arg(long)]
+        low: bool,
+        /// Whom the others are held against.
+        #[arg(long, default_value = "maplehook")]
+        own: String,
+    },
     /// Draws results as SVG files.
     Plot {
         file: PathBuf,
@@ -397,6 +411,11 @@
         Command::Compare { a, b, played } => return compare(a, b, &played),
         Command::Replay { file, seed, policy } => return replay(&file, seed, &policy),
         Command::Hunt { file, out } => return hunted(&file, out),
+        Command::Table { results, measure, low, own } => {
+            let all: Vec<Vec<Line>> =
+                results.iter().map(|path| results::read(path)).collect::<Result<_, _>>()?;
+            print!("{}", page::comparison(&all, &measure, &own, 0.95, low));
+        }
         Command::Plot { file, results, out } => return plot(&file, &results, &out),
         Command::Load { file, target, json } => return loaded(&file, &target, json),
         Command::Calibrate { file, daemon } => {
--- a/lab/src/page.rs
+++ b/lab/src/page.rs
@@ -8,9 +8,10 @@
 use std::fmt::Write;
 
 /// The measures that every table has.
-pub const MEASURES: [&str; 12] = [
+pub const MEASURES: [&str; 13] = [
     "goodput",
     "worst_tenant",
+    "worst_share",
     "worst_10s",
     "worst_class",
     "further",
@@ -134,6 +135,44 @@
     all
 }
 
+/// Several experiments beside one another, as a Markdown table: a measure of each policy, and under it where another
+/// than `own` does better, seed by seed, by more than chance.
+pub fn comparison(all: &[Vec<Line>], measure: &str, own: &str, confidence: f64, low_is_good: bool) -> String {
+    let tables: Vec<Table<'_>> = all.iter().map(|lines| Table::new(lines, confidence)).collect();
+    let mut policies: Vec<&str> = Vec::new();
+    for policy in tables.iter().flat_map(|t| t.policies()) {
+        if !policies.contains(&policy) {
+            policies.push(policy);
+        }
+    }
+    let mut text =
+        format!("| {measure} | {} |\n| --- |{}\n", policies.join(" | "), " --- |".repeat(policies.len()));
+    let mut better = String::new();
+    for (table, lines) in tables.iter().zip(all) {
+        for at in table.points() {
+            let name = lines.first().map_or("", |l| l.experiment.as_str());
+            let name = if at.is_empty() { name.to_owned() } else { format!("{name}, {}", words(at)) };
+            let _ = write!(text, "| {name} |");
+            for policy in &policies {
+                match table.mean(at, policy, measure) {
+                    Some(mean) => {
+                        let _ = write!(text, " {:.3} |", mean.mean);
+                    }
+                    None => text.push_str(" - |"),
+                }
+                if let Some(more) = table.difference(at, (policy, own), measure)
+                    && *policy != own
+                    && if low_is_good { more.most() < 0.0 } else { more.least() > 0.0 }
+                {
+                    let _ = writeln!(better, "- {name}: {policy} by {more}");
+                }
+            }
+            text.push('\n');
+        }
+    }
+    if better.is_empty() { text } else { format!("{text}\nBetter than {own}:\n\n{better}") }
+}
+
 /// The page.
 pub fn html(plan: &Plan, lines: &[Line], verdicts: &[Verdict]) -> String {
     let mut page = String::new();
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -224,6 +224,8 @@
 
     /// What has no answer yet gets none.
     fn end(&mut self) {
+        let promised = self.world.promised_worth();
+        self.report.tenants.iter_mut().for_each(|tenant| tenant.promised = promised);
         if !self.report.jammed {
             let lost = self.requests.iter().filter(|(_, r)| !r.answered).count();
             self.report.breaches.lost += lost as u64;
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -27,9 +27,17 @@
     pub asked: f64,
     /// Answered within its aim.
     pub in_time: f64,
+    /// Of what it asked for, as much as was promised to it; all, where nothing was.
+    pub promised: f64,
 }
 
 impl Got {
+    /// Of what was promised and asked for, the share that was answered in time.
+    pub fn share_of_promised(&self) -> f64 {
+        let owed = self.asked.min(self.promised);
+        if owed > 0.0 { (self.in_time / owed).min(1.0) } else { 1.0 }
+    }
+
     /// The share that was answered in time; all, where nothing was asked.
     pub fn share(&self) -> f64 {
         if self.asked > 0.0 { self.in_time / self.asked } else { 1.0 }
@@ -178,6 +186,7 @@
         let all = self.classes.iter().fold(Got::default(), |all, got| Got {
             asked: all.asked + got.asked,
             in_time: all.in_time + got.in_time,
+            promised: 0.0,
         });
         all.share()
     }
@@ -190,6 +199,7 @@
             let got = w.iter().fold(Got::default(), |got, s| Got {
                 asked: got.asked + s.asked,
                 in_time: got.in_time + s.in_time,
+                promised: 0.0,
             });
             got.share()
         };
@@ -206,6 +216,7 @@
             ("worst_10s", self.worst_10s()),
             ("worst_tenant", worst(&self.tenants)),
             ("worst_class", worst(&self.classes)),
+            ("worst_share", self.tenants.iter().map(Got::share_of_promised).fold(1.0, f64::min)),
             ("served", each(self.served)),
             ("refused", each(self.refused)),
             ("failed", each(self.failed)),
--- a/lab/src/time.rs
+++ b/lab/src/time.rs
@@ -19,6 +19,8 @@
     Bimodal(Duration, Duration, f64),
     /// As it was recorded: upper ends of the buckets, and how many there were up to each.
     Recorded(Vec<(Duration, f64)>),
+    /// So much longer, each time.
+    Longer(Box<Time>, Duration),
 }
 
 impl Time {
@@ -37,6 +39,7 @@
     pub fn draw(&self, chance: &mut impl Rng) -> Duration {
         let seconds = match self {
             Self::Fixed(time) => return *time,
+            Self::Longer(time, by) => return time.draw(chance) + *by,
             Self::Bimodal(usual, other, share) => {
                 return if chance.random::<f64>() < *share { *other } else { *usual };
             }
@@ -70,6 +73,7 @@
             | Self::LogNormal(mean, _)
             | Self::Pareto(mean, _) => *mean,
             Self::Bimodal(usual, other, share) => usual.mul_f64(1.0 - share) + other.mul_f64(*share),
+            Self::Longer(time, by) => time.mean() + *by,
             Self::Recorded(upto) => {
                 let total = upto.last().map_or(1.0, |(_, total)| *total);
                 let starts = std::iter::once(0.0).chain(upto.iter().map(|(_, n)| *n));
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -164,6 +164,19 @@
         self.stations.iter().map(Station::capacity).sum()
     }
 
+    /// The worth that each tenant is promised over the time that counts, at the mean worth of a request; without a
+    /// promise, all that it asks.
+    pub fn promised_worth(&self) -> f64 {
+        if self.allowance <= 0.0 {
+            return f64::INFINITY;
+        }
+        let worth: f64 =
+            self.classes.iter().zip(&self.shares).map(|(class, share)| class.worth * share).sum();
+        let mean = worth / self.shares.iter().sum::<f64>().max(1e-9);
+        let counted = (self.lasts - self.settles).as_secs_f64();
+        self.allowance / f64::from(self.tenants.max(1)) * mean * counted
+    }
+
     /// The zone of a balancer.
     pub fn zone_of(&self, balancer: usize) -> u8 {
         (balancer % usize::from(self.zones.max(1))) as u8
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -546,11 +546,13 @@
         u.health[r.class].sent = self.at;
         let class = &self.set.classes[r.class];
         let overdue = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
-        // Where no second copy may run beside the first, what may be repeated is given up when overdue.
+        // Where no second copy may run beside the first, what may be repeated is given up when overdue: here
+        // if it can't be called back, else then, and only if another can follow.
         let last = r.attempts.len() + 1 >= usize::from(self.set.max_attempts);
         let repeatable = class.effect != Effect::AtMostOnce && !class.streamed;
-        let again = (!self.set.hedging && repeatable && !last && self.retries >= 1.0)
-            .then(|| Duration::from_secs_f64(overdue));
+        let blind = !self.set.hedging && !self.set.cancelling;
+        let again =
+            (blind && repeatable && !last && self.retries >= 1.0).then(|| Duration::from_secs_f64(overdue));
         // What is worth nothing after its aim is not waited for any longer: upstreams that drop what is
         // called back have room for others, and silence is known sooner. It ends just before, not as late.
         let spent = Duration::from_secs_f64((r.worth_until - self.at).clamp(1e-3, 1e6));
@@ -579,7 +581,15 @@
 
     /// Sends a further attempt where the class and the retry budget allow one.
     fn further(&mut self, id: RequestId, cost: f64) -> bool {
-        let Some(r) = self.requests.get(&id) else { return false };
+        let Some(j) = self.follows(id, cost) else { return false };
+        self.retries -= cost;
+        self.send(id, j);
+        true
+    }
+
+    /// Where a further attempt would go, if one may.
+    fn follows(&mut self, id: RequestId, cost: f64) -> Option<usize> {
+        let r = self.requests.get(&id)?;
         let at = self.at;
         if r.ended
             || r.streaming
@@ -589,7 +599,7 @@
             || self.retries < cost
             || self.ring.is_empty()
         {
-            return false;
+            return None;
         }
         // Outside the subset only where nobody in it will do, as for a key known to one cell.
         let (n, m, from) = (self.turns.len(), self.ring.len(), self.rng.usize(..));
@@ -597,10 +607,13 @@
         let fit = all.filter(|j| self.fits(r, &self.ring[*j])).take(FURTHER_LOOK);
         let far = |u: &Upstream| f64::from(u8::from(u.zone != self.set.zone) + 2 * u8::from(!u.member));
         let held = |j: usize| 1e6 * far(&self.ring[j]) + self.holds(j);
-        let Some(j) = fit.min_by(|a, b| held(*a).total_cmp(&held(*b))) else { return false };
-        self.retries -= cost;
-        self.send(id, j);
-        true
+        fit.min_by(|a, b| held(*a).total_cmp(&held(*b)))
+    }
+
+    /// Whether the class of a request permits a further attempt though one may have run.
+    fn repeatable(&self, id: RequestId) -> bool {
+        let class = self.requests.get(&id).map(|r| &self.set.classes[r.class]);
+        class.is_some_and(|c| c.effect != Effect::AtMostOnce && !c.streamed)
     }
 
     /// Whether an upstream may take a further attempt of a request.
@@ -640,6 +653,17 @@
         // Room for one: the overdue attempt itself is counted in what is held.
         if first && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
+        } else if first && !self.set.hedging && self.set.cancelling && self.repeatable(id) {
+            // Nothing is given up for which nothing can follow: it may still be answered.
+            // What follows is paid for now: many may be called back at one tick.
+            if self.follows(id, 1.0).is_some()
+                && let Some(a) =
+                    self.requests.get_mut(&id).and_then(|r| r.attempts.get_mut(usize::from(attempt)))
+            {
+                a.paid = true;
+                self.retries -= 1.0;
+                self.out.push(Action::Cancel { id, attempt: AttemptNo(attempt) });
+            }
         }
     }
 
@@ -677,7 +701,7 @@
         a.out = false;
         a.may_have_run = !outcome.never_ran();
         let (upstream, way, class, ended) = (a.upstream, (a.overdue, a.lost, a.idle), r.class, r.ended);
-        let streams = a.streams;
+        let (streams, paid) = (a.streams, a.paid);
         if let Some(j) = self.index.get(&upstream).copied() {
             touch(&mut self.touched, self.ring.len(), j);
             let u = &mut self.ring[j];
@@ -701,7 +725,7 @@
         } else if owed && !others {
             // A try that never ran adds no work to the fleet: it costs a tenth.
             let cost = if outcome.never_ran() { 0.1 } else { 1.0 };
-            if !self.further(id, cost) {
+            if !self.further(id, if paid { 0.0 } else { cost }) {
                 self.give_up(id, deadline);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -89,6 +89,7 @@
     pub(crate) overdue: bool,
     pub(crate) counted: bool, // among those of its upstream
     pub(crate) lost: bool,
+    pub(crate) paid: bool,    // called back, and the one that follows is paid for
     pub(crate) streams: bool, // and holds no place in a queue
     pub(crate) idle: f64,     // how long its connection had not been used
 }
--- a/standins/src/station.rs
+++ b/standins/src/station.rs
@@ -28,6 +28,8 @@
     errors: AtomicBool,
     paused: watch::Sender<bool>,
     served: AtomicUsize,
+    /// By how much its work has taken longer than was drawn, in microseconds.
+    excess: AtomicU64,
 }
 
 /// An upstream with a queue. It ends when it is dropped.
@@ -48,6 +50,7 @@
             errors: AtomicBool::new(false),
             paused: watch::Sender::new(false),
             served: AtomicUsize::new(0),
+            excess: AtomicU64::new(0),
         });
         let shared = Arc::clone(&state);
         Self { hosted: Hosted::start(move |listener, ended| serve(listener, shared, ended)), state }
@@ -63,6 +66,12 @@
         self.state.served.load(Ordering::SeqCst)
     }
 
+    /// By how much its work takes longer than was drawn, on average: timers are coarse, and machines busy.
+    pub fn excess(&self) -> Duration {
+        let all = Duration::from_micros(self.state.excess.load(Ordering::SeqCst));
+        all / u32::try_from(self.served().max(1)).unwrap_or(u32::MAX)
+    }
+
     /// From now on work takes so many times as long.
     pub fn slow(&self, factor: f64) {
         self.state.slow.store((factor * 1000.0).max(0.0) as u64, Ordering::SeqCst);
@@ -138,7 +147,10 @@
     };
     let takes = (state.draw.lock().unwrap_or_else(PoisonError::into_inner))();
     let slow = state.slow.load(Ordering::SeqCst) as f64 / 1000.0;
-    tokio::time::sleep(takes.mul_f64(slow)).await;
+    let (takes, start) = (takes.mul_f64(slow), tokio::time::Instant::now());
+    tokio::time::sleep(takes).await;
+    let excess = start.elapsed().saturating_sub(takes);
+    state.excess.fetch_add(excess.as_micros() as u64, Ordering::SeqCst);
     let _ = state.paused.subscribe().wait_for(|paused| !*paused).await;
     state.served.fetch_add(1, Ordering::SeqCst);
     drop(permit);
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -25,6 +25,62 @@
     assert!(bench.actions.contains(&Action::Cancel { id, attempt: AttemptNo(0) }));
 }
 
+/// Lets time go on, and ends the first attempt of whatever is called back; tells which those were.
+fn called_back(bench: &mut Bench, span: Duration) -> Vec<RequestId> {
+    let mut all = Vec::new();
+    let end = bench.now + span;
+    while bench.now < end {
+        bench.actions.clear();
+        bench.run(ms(5));
+        let cancelled = bench.actions.iter().filter_map(|a| match a {
+            Action::Cancel { id, attempt: AttemptNo(0) } => Some(*id),
+            _ => None,
+        });
+        let cancelled: Vec<RequestId> = cancelled.collect();
+        for id in &cancelled {
+            assert!(bench.at(*id, 1).is_none(), "none is sent beside one that is out");
+            bench.ended(*id, 0, Outcome::Cancelled);
+        }
+        all.extend(cancelled);
+    }
+    all
+}
+
+/// Guards a repeatable request against being given up for nothing: where second copies are not allowed it is called
+/// back when it is overdue, and only if another attempt can follow, which is paid for then. As many go as the budget
+/// of ten has room for, though all are overdue at one tick; the others wait for their answer.
+#[test]
+fn what_is_overdue_is_called_back_only_if_another_can_follow() {
+    let group = DedupGroup::All;
+    for effect in [Effect::Idempotent, Effect::Deduplicated { group, ttl: ms(5000) }] {
+        let tenants = vec![Tenant { allowance_per_s: 1000.0 }];
+        let settings = Settings { hedging: false, tenants, ..settings(effect) };
+        let mut bench = Bench::new(settings.clone(), &fleet(40));
+        let ids: Vec<RequestId> = (0..30).map(|_| bench.request(0, 0, ms(5000))).collect();
+        let held: Vec<RequestId> = ids.into_iter().filter(|id| bench.at(*id, 0).is_some()).collect();
+        assert!(held.len() >= 20, "{}", held.len());
+        let back = called_back(&mut bench, ms(400));
+        assert!((8..=13).contains(&back.len()), "{effect:?}: {}", back.len());
+        for id in &back {
+            assert!(
+                bench.at(*id, 1).is_some_and(|at| Some(at) != bench.at(*id, 0)),
+                "{effect:?}: it goes on"
+            );
+        }
+        assert!(bench.answers.is_empty(), "{:?}", bench.answers);
+
+        // With nowhere to go nothing is called back, nor what must not run twice.
+        for (effect, count) in [(effect, 1), (Effect::AtMostOnce, 10)] {
+            let class = Class { effect, ..settings.classes[0].clone() };
+            let mut alone = Bench::new(Settings { classes: vec![class], ..settings.clone() }, &fleet(count));
+            let id = alone.request(0, 0, ms(5000));
+            assert_eq!(called_back(&mut alone, ms(800)), [], "{effect:?} of {count}");
+            alone.ended(id, 0, Outcome::Ok);
+            assert_eq!(alone.answers[&id], "served");
+        }
+    }
+}
+
 #[test]
 fn an_effect_that_must_not_run_twice_gets_no_second_try_once_it_may_have_run() {
     let mut bench = Bench::new(settings(Effect::AtMostOnce), &fleet(3));
