--- a/src/choice.rs
+++ b/src/choice.rs
@@ -610,12 +610,6 @@
         fit.min_by(|a, b| held(*a).total_cmp(&held(*b)))
     }
 
-    /// Whether the class of a request permits a further attempt though one may have run.
-    fn repeatable(&self, id: RequestId) -> bool {
-        let class = self.requests.get(&id).map(|r| &self.set.classes[r.class]);
-        class.is_some_and(|c| c.effect != Effect::AtMostOnce && !c.streamed)
-    }
-
     /// Whether an upstream may take a further attempt of a request.
     fn fits(&self, r: &Request, u: &Upstream) -> bool {
         // Not onto a cold upstream: a failure's retries together are the burst that pushes it over.
@@ -653,7 +647,7 @@
         // Room for one: the overdue attempt itself is counted in what is held.
         if first && self.set.hedging && self.room > -1.0 {
             self.further(id, 1.0);
-        } else if first && !self.set.hedging && self.set.cancelling && self.repeatable(id) {
+        } else if first && !self.set.hedging && self.set.cancelling {
             // Nothing is given up for which nothing can follow: it may still be answered.
             // What follows is paid for now: many may be called back at one tick.
             if self.follows(id, 1.0).is_some()
