A request looks through the fleet for no ejected upstream but at a trial

Cause, seen by the laboratory at 10,000 upstreams and 120 balancers: while one upstream was ejected for a class, each request of that class went through all that take turns to count the ejected (82 % of the samples of a profile), and a request that must not run twice was held against every upstream when it was overdue, though none may have it.

Change: the count that is kept is used, and the fleet is gone through at a trial alone, whose next time is set whether or not one was found; what is spent is told by its class. bench wide measures a wide fleet beside a bare relay over as many connections, in turn.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -56,6 +56,18 @@
         #[arg(long, default_value_t = 2.0)]
         seconds: f64,
     },
+    /// What a request costs in a fleet of four and in a large one, in turn, beside a bare relay over as many connections.
+    Wide {
+        /// The large fleet.
+        #[arg(long, default_value_t = 4000, value_parser = clap::value_parser!(u64).range(5..=10_000))]
+        upstreams: u64,
+        /// Rounds, of which the median ratio is told.
+        #[arg(long, default_value_t = 5, value_parser = clap::value_parser!(u64).range(1..=20))]
+        rounds: u64,
+        /// Seconds for each measurement.
+        #[arg(long, default_value_t = 2.0)]
+        seconds: f64,
+    },
     /// What following a Eureka registry costs, and what its failures cost.
     Eureka {
         /// Seconds for each measurement.
@@ -82,6 +94,9 @@
     /// The plain peer.
     #[command(hide = true)]
     PlainProxy { upstreams: Vec<SocketAddr> },
+    /// A bare relay that takes turns over so many kept connections.
+    #[command(hide = true)]
+    Turns { count: usize, upstreams: Vec<SocketAddr> },
     /// A server that accepts and closes, to measure beside: prints its address.
     #[command(hide = true)]
     Plain,
@@ -101,6 +116,10 @@
         Rig::Fleet { rounds, seconds } => {
             runtime.block_on(proxy::fleet(&line.program, rounds as usize, seconds.clamp(0.2, 30.0)))
         }
+        Rig::Wide { upstreams, rounds, seconds } => {
+            let seconds = seconds.clamp(0.2, 30.0);
+            runtime.block_on(proxy::wide(&line.program, upstreams as usize, rounds as usize, seconds))
+        }
         Rig::Paired { against, rounds, seconds } => {
             let seconds = seconds.clamp(0.2, 30.0);
             runtime.block_on(proxy::paired(&line.program, &against, rounds as usize, seconds))
@@ -109,6 +128,9 @@
         Rig::Desk => roles::run(roles::desk),
         Rig::Host { upstreams } => roles::run(|listener| roles::host(listener, upstreams)),
         Rig::PlainProxy { upstreams } => roles::run(|listener| roles::plain(listener, upstreams)),
+        Rig::Turns { count, upstreams } => {
+            roles::run(|listener| roles::turns(listener, count.clamp(1, 20_000), upstreams))
+        }
         Rig::Plain => peers::plain().map_err(|e| e.to_string()),
         Rig::HoldPorts { from, to } => {
             peers::hold_ports(from, to);
--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -145,6 +145,47 @@
     Ok(())
 }
 
+/// Measures what a wide fleet costs more than one of four: the daemon and a bare relay that takes turns over as many
+/// kept connections, all four in turn; and tells the ratios round by round.
+pub async fn wide(program: &Path, count: usize, rounds: usize, seconds: f64) -> Result<(), String> {
+    let desks = desks()?;
+    let addresses: Vec<SocketAddr> = desks.iter().map(|desk| desk.address).collect();
+    let relay = |count: usize| {
+        let count = count.to_string();
+        let listed: Vec<String> = addresses.iter().map(ToString::to_string).collect();
+        let mut arguments = vec!["turns", &count];
+        arguments.extend(listed.iter().map(String::as_str));
+        Process::own(&arguments)
+    };
+    let daemon = |count| Process::by_file(program, &file(&addresses, count));
+    let (few, many) = (daemon(DESKS)?, daemon(count)?);
+    let (bare_few, bare_many) = (relay(DESKS)?, relay(count)?);
+    // The relay makes its connections before it serves, the daemon at its first turns.
+    load(bare_many.address, Body::Down(SMALL), Duration::from_secs(2)).await?;
+    load(many.address, Body::Down(SMALL), Duration::from_secs(2)).await?;
+    println!(
+        "{:>6} {:>9} {:>9} {:>7} {:>9} {:>9} {:>7}",
+        "round", "daemon 4", "wide", "ratio", "relay 4", "wide", "ratio"
+    );
+    let (mut ours, mut bare) = (Vec::new(), Vec::new());
+    for round in 1..=rounds {
+        let mut cost = Vec::new();
+        for process in [&few, &many, &bare_few, &bare_many] {
+            cost.push(measure("", "64 B", Body::Down(SMALL), process, seconds).await?.cpu_us_per_request);
+        }
+        let (a, b) = (cost[1] / cost[0], cost[3] / cost[2]);
+        println!(
+            "{round:>6} {:>9.1} {:>9.1} {a:>7.3} {:>9.1} {:>9.1} {b:>7.3}",
+            cost[0], cost[1], cost[2], cost[3]
+        );
+        (ours, bare) = ([ours, vec![a]].concat(), [bare, vec![b]].concat());
+    }
+    ours.sort_by(f64::total_cmp);
+    bare.sort_by(f64::total_cmp);
+    println!("median ratio: daemon {:.3}, relay {:.3}", ours[ours.len() / 2], bare[bare.len() / 2]);
+    Ok(())
+}
+
 fn median(mut figures: Vec<Figure>) -> Option<Figure> {
     figures.sort_by(|a, b| a.cpu_us_per_request.total_cmp(&b.cpu_us_per_request));
     let middle = figures.len() / 2;
--- a/bench/src/roles.rs
+++ b/bench/src/roles.rs
@@ -9,19 +9,23 @@
 use http::{Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::client::conn::http1 as client;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use maplehook_tower::{Balance, Balancing};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
 use tower::balance::p2c;
 use tower::buffer::Buffer;
 use tower::discover::ServiceList;
@@ -125,3 +129,40 @@
     let app = Router::new().fallback_service(plain);
     Ok(axum::serve(tcp_nodelay(listener), app).await?)
 }
+
+/// The least that turns over so many connections cost: a bare relay that keeps them all open and takes the next.
+pub async fn turns(listener: TcpListener, count: usize, upstreams: Vec<SocketAddr>) -> Result<(), Failure> {
+    let mut kept = Vec::with_capacity(count);
+    for n in 0..count {
+        let stream = TcpStream::connect(upstreams[n % upstreams.len()]).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = client::handshake::<_, Body>(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        kept.push(Rc::new(Mutex::new(sender)));
+    }
+    let (kept, next) = (Rc::new(kept), Rc::new(Cell::new(0)));
+    let local = tokio::task::LocalSet::new();
+    let serving = async {
+        loop {
+            let (stream, _) = listener.accept().await?;
+            stream.set_nodelay(true)?;
+            let (kept, next) = (Rc::clone(&kept), Rc::clone(&next));
+            let service = service_fn(move |request: Request<Incoming>| {
+                let turn = next.get();
+                next.set((turn + 1) % kept.len());
+                let sender = Rc::clone(&kept[turn]);
+                async move {
+                    // One at a time on each; with few connections some wait.
+                    let mut sender = sender.lock().await;
+                    sender.ready().await?;
+                    let response = sender.send_request(request.map(Body::new)).await?;
+                    let (parts, body) = response.into_parts();
+                    let body = body.collect().await?.to_bytes();
+                    Ok::<_, Failure>(Response::from_parts(parts, Full::new(body)))
+                }
+            });
+            tokio::task::spawn_local(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+        }
+    };
+    local.run_until(serving).await
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -490,20 +490,20 @@
     fn next_turn(&mut self, class: usize) -> Option<usize> {
         let ring = &self.ring;
         self.ahead.retain(|j| ring[*j].weight > 0.0 && ring[*j].ready);
-        let ill = |b: &Self, j: usize| b.ring[j].health[class].ejected && b.ring[j].weight > 0.0;
-        // Few are, as a rule nobody is.
-        let some = self.classes[class].out > 0;
-        let out = if some { self.turns.iter().filter(|j| ill(self, **j)).count() } else { 0 };
+        // Few are ejected, as a rule nobody: only a trial, one at a time and ever more seldom, looks for them
+        // through all, since each may cost a request that nothing repeats.
+        let out = self.classes[class].out;
         if out > 0 && self.at >= self.classes[class].trial_at {
-            // One trial at a time, ever more seldom: each may cost a request that nothing repeats.
+            let ill = |j: &&usize| self.ring[**j].health[class].ejected && self.ring[**j].weight > 0.0;
             let tried = |j: &&usize| self.ring[**j].health[class].tried;
-            let oldest =
-                self.turns.iter().filter(|j| ill(self, **j)).min_by(|a, b| tried(a).total_cmp(&tried(b)));
+            let oldest = self.turns.iter().filter(ill).min_by(|a, b| tried(a).total_cmp(&tried(b)));
             let (l, oldest) = (&mut self.classes[class], oldest.copied());
-            l.trials += 1;
+            l.trials += u32::from(oldest.is_some());
             l.trial_at = self.at + EJECT * f64::from(1 << l.trials.min(4)) * (0.75 + 0.5 * self.rng.f64());
-            oldest.into_iter().for_each(|j| self.ring[j].health[class].tried = self.at);
-            return oldest;
+            if let Some(j) = oldest {
+                self.ring[j].health[class].tried = self.at;
+                return oldest;
+            }
         }
         let all = out >= self.turns.len();
         let fit = |b: &Self, j: usize| all || !b.ring[j].health[class].ejected;
@@ -579,6 +579,12 @@
         same && self.at + margin < first.sent + ttl.as_secs_f64()
     }
 
+    /// Whether nobody may have a request any more: it may run once, and may have.
+    fn is_spent(&self, r: &Request) -> bool {
+        let once = self.set.classes[r.class].effect == Effect::AtMostOnce;
+        once && r.attempts.iter().any(|a| a.out || a.may_have_run)
+    }
+
     /// Sends a further attempt where the class and the retry budget allow one.
     fn further(&mut self, id: RequestId, cost: f64) -> bool {
         let Some(j) = self.follows(id, cost) else { return false };
@@ -598,6 +604,7 @@
             || at + 0.5 * self.classes[r.class].latency >= r.worth_until
             || self.retries < cost
             || self.ring.is_empty()
+            || self.is_spent(r)
         {
             return None;
         }
