--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -553,7 +553,9 @@
         if self.halls[n].is_pushed_over(now, &self.stations[n]) {
             self.report.breaches.pushed_over += 1;
             self.halls[n].fell = true;
-            return self.goes_down(now, n, Life::Down);
+            attempt.at = Where::Over;
+            self.goes_down(now, n, Life::Down);
+            return self.returns(id, no, Outcome::Reset);
         }
         match self.halls[n].come(now, &self.stations[n], (id, no)) {
             Came::Served => self.begin(now, id, no),
@@ -585,7 +587,8 @@
         let Some(request) = self.requests.get_mut(id) else { return };
         let attempt = &mut request.attempts[usize::from(no)];
         attempt.at = Where::Works;
-        let (n, reached, opened) = (attempt.upstream as usize, attempt.reached, attempt.opened);
+        let (n, sent, reached, opened) =
+            (attempt.upstream as usize, attempt.sent, attempt.reached, attempt.opened);
         let station = &self.stations[n];
         if let Some(wish) = self.wishes.get_mut(request.wish) {
             let effect = self.world.classes[usize::from(wish.class)].effect;
@@ -594,9 +597,11 @@
                 Effect::AtMostOnce => true,
                 Effect::Deduplicated { group, ttl } => {
                     let group = if group == DedupGroup::Zone { u16::from(station.zone) } else { 0 };
-                    let known = wish.known.iter().any(|(g, since)| *g == group && now - *since <= ttl);
+                    // By the times of sending, as the interface states it: a repeat may have waited longer.
+                    let known =
+                        wish.known.iter().any(|(g, first)| *g == group && sent.abs_diff(*first) <= ttl);
                     if !known {
-                        wish.known.push((group, now));
+                        wish.known.push((group, sent));
                     }
                     !known
                 }
--- a/lab/tests/peers.rs
+++ b/lab/tests/peers.rs
@@ -154,7 +154,14 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, ..ProptestConfig::default() })]
+    // The same days each time: a verdict must not depend on the run.
+    #![proptest_config(ProptestConfig {
+        cases: 40,
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    })]
 
     /// Whatever goes wrong, each policy gives each request one answer in time, sends nothing twice that must not run
     /// twice and nothing beside an attempt that is out; and the module heeds each drain.
