Links in the laboratory's pages lead somewhere

Cause: the crate's page named a private item and a name that is a macro too, which the docs' check refuses. Change: both are worded so that they resolve. Measured: the docs of the laboratory build without a warning.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,7 +7,7 @@
 //!   The real `Balancer` is one; peers' policies are others, under the same rules, and each breach is counted.
 //! - [`World`] is what is played: [`Station`]s, ways, discovery, [`Clients`], [`Fault`]s.
 //! - [`run`] plays one; [`Report`] is what came of it.
-//! - [`file`] reads an experiment, [`experiment`] plays all of it, in parallel, and goes on where it stopped;
+//! - [`mod@file`] reads an experiment, [`experiment`] plays all of it, in parallel, and goes on where it stopped;
 //!   [`results`] holds what came of it, [`chart`] and [`page`] draw it.
 //! - [`hunt`] searches an experiment's ranges for the worst day and shrinks it to what matters.
 //! - [`load`] asks a real server as an experiment's clients would, [`calibrate`] compares the two.
--- a/lab/src/policies/mod.rs
+++ b/lab/src/policies/mod.rs
@@ -1,7 +1,7 @@
 //! Policies: the decision module, and those of other proxies, written from their public documentation.
 //!
 //! All stand behind [`Decides`], the decision module's own events and actions, so that one world plays any of them. A
-//! new one is a file with a [`Pick`](peer::Pick), and a line in [`all`].
+//! new one is a file with a `Pick` of its own, and a line in [`all`].
 
 mod balanced;
 mod gradient;
