Who asks for what is drawn in one place; one way to be interrupted

Cause: the load tool drew tenant and class by a copy of the emulator's lines, and three commands set the same handler of Ctrl-C. Change: arrivals::who serves both, interrupted() serves all three.

--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -178,7 +178,8 @@
             "{round:>6} {:>9.1} {:>9.1} {a:>7.3} {:>9.1} {:>9.1} {b:>7.3}",
             cost[0], cost[1], cost[2], cost[3]
         );
-        (ours, bare) = ([ours, vec![a]].concat(), [bare, vec![b]].concat());
+        ours.push(a);
+        bare.push(b);
     }
     ours.sort_by(f64::total_cmp);
     bare.sort_by(f64::total_cmp);
--- a/lab/src/arrivals.rs
+++ b/lab/src/arrivals.rs
@@ -1,6 +1,7 @@
 //! When clients ask: streams of requests, each of a shape of its own.
 
 use crate::time::Time;
+use crate::world::World;
 use rand::Rng;
 use std::f64::consts::TAU;
 use std::time::Duration;
@@ -124,6 +125,23 @@
     }
 }
 
+/// Whose a request is, and of which class. `tenants` is what [`zipf`] gives; `tenant` is its stream's own.
+pub(crate) fn who(
+    world: &World,
+    tenants: &[f64],
+    tenant: Option<u32>,
+    chance: &mut impl Rng,
+) -> (u32, usize) {
+    let mark = chance.random::<f64>();
+    let any = tenants.partition_point(|upto| *upto <= mark).min(tenants.len() - 1) as u32;
+    let mut mark = chance.random::<f64>() * world.shares.iter().sum::<f64>();
+    let class = world.shares.iter().position(|share| {
+        mark -= share;
+        mark < 0.0
+    });
+    (tenant.map_or(any, |t| t.min(world.tenants - 1)), class.unwrap_or(world.shares.len() - 1))
+}
+
 /// Tenants' weights by Zipf's law: the first has the most.
 pub(crate) fn zipf(tenants: u32, exponent: f64) -> Vec<f64> {
     let weights: Vec<f64> = (1..=tenants.max(1)).map(|n| f64::from(n).powf(-exponent)).collect();
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -1,7 +1,7 @@
 //! Asks a real server as an experiment's clients would: open loop, at times that are known beforehand. A request's
 //! latency runs from the time at which it was to be sent, so that a server that stalls can't hide what waited for it.
 
-use crate::arrivals::{Source, zipf};
+use crate::arrivals::{Source, who, zipf};
 use crate::world::World;
 use hdrhistogram::Histogram;
 use http_body_util::{BodyExt, Empty};
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use lapisroute::Effect;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -43,20 +43,12 @@
 pub fn schedule(world: &World) -> Vec<Planned> {
     let mut chance = ChaCha8Rng::seed_from_u64(world.seed.wrapping_mul(8).wrapping_add(1));
     let tenants = zipf(world.tenants, world.zipf);
-    let shares: f64 = world.shares.iter().sum();
     let mut all = Vec::new();
     for stream in &world.streams {
         let (mut source, mut now) = (Source::new(stream.clone()), Duration::ZERO);
         while let Some(at) = source.next(now, &mut chance).filter(|at| *at < world.lasts) {
-            let mark = chance.random::<f64>();
-            let any = tenants.partition_point(|upto| *upto <= mark).min(tenants.len() - 1) as u32;
-            let mut mark = chance.random::<f64>() * shares;
-            let class = world.shares.iter().position(|share| {
-                mark -= share;
-                mark < 0.0
-            });
-            let class = class.unwrap_or(world.shares.len() - 1);
-            all.push(Planned { at, tenant: source.tenant().unwrap_or(any), class });
+            let (tenant, class) = who(world, &tenants, source.tenant(), &mut chance);
+            all.push(Planned { at, tenant, class });
             now = at;
         }
     }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -134,13 +134,19 @@
     read(&text).map_err(|e| format!("{}:\n{e}", file.display()).into())
 }
 
+/// Set by Ctrl-C: what is in hand ends, and what is done is kept.
+fn interrupted() -> Result<Arc<AtomicBool>, Failure> {
+    let stop = Arc::new(AtomicBool::new(false));
+    let heard = Arc::clone(&stop);
+    ctrlc::set_handler(move || heard.store(true, Ordering::Relaxed))?;
+    Ok(stop)
+}
+
 fn play(plan: &Plan, played: &Played) -> Result<Vec<Line>, Failure> {
     if cfg!(panic = "abort") {
         eprintln!("built so that a policy's panic ends everything: use --profile lab to go on after one");
     }
-    let stop = Arc::new(AtomicBool::new(false));
-    let heard = Arc::clone(&stop);
-    ctrlc::set_handler(move || heard.store(true, Ordering::Relaxed))?;
+    let stop = interrupted()?;
     let out = played.out.clone().unwrap_or_else(|| played.file.with_extension("jsonl"));
     let bar = ProgressBar::new(0);
     bar.set_style(ProgressStyle::with_template("{bar:30} {pos}/{len} runs, {elapsed} so far, {eta} left")?);
@@ -259,9 +265,7 @@
     let plan = plan_of(file)?;
     let wanted = plan.hunt.clone().ok_or("the file has no [hunt]")?;
     let named = policies::named(&wanted.policy).ok_or("no such policy")?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let heard = Arc::clone(&stop);
-    ctrlc::set_handler(move || heard.store(true, Ordering::Relaxed))?;
+    let stop = interrupted()?;
     let told = |played: u32, worst: f64| eprintln!("{played} days, worst {worst:.4}");
     let found = hunt::hunt(&plan, &wanted, &named.make, &stop, &told)?;
     println!("{} by {}: {:.4} as written", wanted.measure, wanted.policy, found.usual);
@@ -293,9 +297,7 @@
 fn loaded(file: &Path, target: &str, json: Option<PathBuf>) -> Result<ExitCode, Failure> {
     let plan = plan_of(file)?;
     let target = load::Target::new(target, plan.classes.clone())?;
-    let stop = Arc::new(AtomicBool::new(false));
-    let heard = Arc::clone(&stop);
-    ctrlc::set_handler(move || heard.store(true, Ordering::Relaxed))?;
+    let stop = interrupted()?;
     let told = |done: u64, out: u64| eprint!("\r{done} answered, {out} out   ");
     let runtime = tokio::runtime::Runtime::new()?;
     let loaded = runtime.block_on(load::run(&plan.world, target, &stop, &told))?;
--- a/lab/src/play.rs
+++ b/lab/src/play.rs
@@ -2,7 +2,7 @@
 //! lists and clocks in `tier.rs`.
 
 use crate::agenda::Agenda;
-use crate::arrivals::{Source, zipf};
+use crate::arrivals::{Source, who, zipf};
 use crate::faults::{Hit, time_line};
 use crate::policies::{Decides, Maker};
 use crate::report::{LOADS_MOST, Report};
@@ -240,15 +240,8 @@
     }
 
     fn asks(&mut self, now: Duration, source: usize) {
-        let mark = self.chance.asks.random::<f64>();
-        let any = self.tenants.partition_point(|upto| *upto <= mark).min(self.tenants.len() - 1);
-        let tenant = self.sources[source].tenant().map_or(any as u32, |t| t.min(self.world.tenants - 1));
-        let mut mark = self.chance.asks.random::<f64>() * self.world.shares.iter().sum::<f64>();
-        let class = self.world.shares.iter().position(|share| {
-            mark -= share;
-            mark < 0.0
-        });
-        let class = class.unwrap_or(self.world.shares.len() - 1);
+        let (tenant, class) =
+            who(self.world, &self.tenants, self.sources[source].tenant(), &mut self.chance.asks);
         let counts = now >= self.world.settles;
         let wish = Wish {
             tenant,
