Operators' calls with counters; the platform's listening socket is taken over

Change: NODE_SOCKET_FD is taken over, checked, never shut down; after SIGTERM a shared socket is left at once to whoever follows. /control/ready and /control/counters on a thread of their own; each request counts once, where its answer ends.

--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -36,6 +36,8 @@
     allowed: usize,
     /// What the process may really open.
     real: usize,
+    /// Of both, what a part of the process has for itself.
+    aside: usize,
     upstream_share: f64,
     squeeze: usize,
     squeezed_at: Duration,
@@ -54,21 +56,21 @@
 impl std::error::Error for TooFew {}
 
 impl Budget {
-    /// `allowed` by configuration, `real` by the limit of the process; of what can be shared out, connections
+    /// `allowed` by configuration, `real` by the limit of the process, `aside` of them not to be shared out; of what can be shared out, connections
     /// to upstreams get this share (0.01 to 0.99).
-    pub fn new(allowed: usize, real: usize, upstream_share: f64) -> Result<Self, TooFew> {
+    pub fn new(allowed: usize, real: usize, aside: usize, upstream_share: f64) -> Result<Self, TooFew> {
         let least = allowed.min(real);
-        if least < LEAST {
+        if least < LEAST + aside {
             return Err(TooFew(least));
         }
         let upstream_share = upstream_share.clamp(0.01, 0.99);
-        Ok(Self { allowed, real, upstream_share, squeeze: 0, squeezed_at: Duration::ZERO })
+        Ok(Self { allowed, real, aside, upstream_share, squeeze: 0, squeezed_at: Duration::ZERO })
     }
 
     /// The limit of the process is now this. One too low to serve with is taken for the lowest that will do:
     /// what is open stays open under it.
     pub fn limit(&mut self, real: usize) -> bool {
-        std::mem::replace(&mut self.real, real.max(LEAST)) != self.real
+        std::mem::replace(&mut self.real, real.max(LEAST + self.aside)) != self.real
     }
 
     /// Nothing could be opened at `now`, though a part was within its share: somebody else holds descriptors.
@@ -91,7 +93,7 @@
     }
 
     fn shared_out(&self) -> usize {
-        self.allowed.min(self.real) - BASE - DISCOVERY - REFUSALS
+        self.allowed.min(self.real) - self.aside - BASE - DISCOVERY - REFUSALS
     }
 
     /// How many descriptors a part may hold now.
@@ -115,22 +117,22 @@
         /// Guards the limit: whatever happens, the parts together stay under it and none is left with nothing.
         #[test]
         fn parts_never_pass_the_limit(
-            allowed in LEAST..150_usize, real in LEAST..150_usize, share in 0.0_f64..1.0,
+            allowed in LEAST + 20..170_usize, real in LEAST + 20..170_usize, aside in 0..20_usize, share in 0.0_f64..1.0,
             steps in prop::collection::vec((0_u8..3, 0_usize..150), 0..200),
         ) {
-            let mut budget = Budget::new(allowed, real, share).unwrap();
+            let mut budget = Budget::new(allowed, real, aside, share).unwrap();
             let (mut real, mut now) = (real, Duration::ZERO);
             for (kind, n) in steps {
                 now += Duration::from_millis(n as u64);
                 let n = if n > 100 { 5000 } else { n };
                 match kind {
-                    0 => { budget.limit(n); real = n.max(LEAST) }
+                    0 => { budget.limit(n); real = n.max(LEAST + aside) }
                     1 => budget.exhausted(now),
                     _ => { budget.relax(now); }
                 }
                 let parts = [Part::Clients, Part::Upstreams].map(|p| budget.of(p));
                 prop_assert!(parts.iter().all(|n| *n > 0));
-                prop_assert!(parts.iter().sum::<usize>() + BASE + DISCOVERY + REFUSALS <= allowed.min(real));
+                prop_assert!(parts.iter().sum::<usize>() + BASE + DISCOVERY + REFUSALS + aside <= allowed.min(real));
             }
             // What was taken away comes back.
             budget.limit(real);
@@ -144,9 +146,10 @@
 
     #[test]
     fn too_few_are_refused() {
-        assert_eq!(Budget::new(LEAST, LEAST - 1, 0.5).unwrap_err(), TooFew(LEAST - 1));
+        assert_eq!(Budget::new(LEAST, LEAST - 1, 0, 0.5).unwrap_err(), TooFew(LEAST - 1));
         assert!(TooFew(3).to_string().contains("3 descriptors"));
-        let mut budget = Budget::new(1024, 1 << 20, 0.45).unwrap();
+        assert_eq!(Budget::new(LEAST, LEAST, 3, 0.5).unwrap_err(), TooFew(LEAST));
+        let mut budget = Budget::new(1024, 1 << 20, 0, 0.45).unwrap();
         assert_eq!((budget.of(Part::Upstreams), budget.of(Part::Clients)), (450, 550));
         assert!(budget.limit(200));
         assert!(!budget.limit(200));
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -14,6 +14,7 @@
 use crate::parts::room::Room;
 use crate::parts::upstream::Upstreams;
 use crate::source::{Fixed, News, Source};
+use crate::tally::{Counting, Tally};
 use http_body_util::BodyExt;
 use hyper::Uri;
 use hyper::body::Body;
@@ -22,6 +23,7 @@
 use std::error::Error;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
@@ -61,6 +63,7 @@
     ledger: Bounds,
     passages: Option<Vec<Passage>>,
     forwarding: Forwarding,
+    tally: Arc<Tally>,
 }
 
 impl Builder {
@@ -106,6 +109,12 @@
         self
     }
 
+    /// Where it counts, by the classes' numbers; in figures of its own if unset.
+    pub fn tally(mut self, tally: Arc<Tally>) -> Self {
+        self.tally = tally;
+        self
+    }
+
     /// What the ledger may hold.
     pub fn ledger(mut self, bounds: Bounds) -> Self {
         self.ledger = bounds;
@@ -170,7 +179,7 @@
         let descriptors = Descriptors::for_upstreams(self.connections).map_err(|e| wrong(e.into()))?;
         let (room, forwarding) = (Room::new(self.bodies), self.forwarding);
         let upstreams =
-            Upstreams::new(&self.settings, Rc::clone(&descriptors), room.clone(), forwarding.clone());
+            Upstreams::new(&self.settings, Rc::clone(&descriptors), room.clone(), forwarding.clone(), Arc::clone(&self.tally));
         let upstreams = Rc::new(upstreams);
         let (idle, resized) = (Rc::clone(&upstreams), Rc::clone(&upstreams));
         descriptors.relieved_by(move || idle.close_oldest());
@@ -183,7 +192,9 @@
         };
         spawn_local(descriptors.watch());
         let driver = Driver::start(balancer, upstreams, source, known);
-        let desk = Desk::new(driver, self.ledger, self.seed);
+        let numbers: Vec<String> = (0..self.settings.classes.len()).map(|n| n.to_string()).collect();
+        let counting = Counting::new(self.tally, &numbers);
+        let desk = Desk::new(driver, counting, self.ledger, self.seed);
         let desk = desk.map_err(|e| wrong(format!("ledger: {e}").into()))?;
         Ok(Rc::new(Core { desk, room, forwarding, classes }))
     }
@@ -220,6 +231,7 @@
             ledger: Bounds::default(),
             passages: None,
             forwarding: Forwarding::platform(),
+            tally: Arc::default(),
         }
     }
 
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod ledger;
 pub mod parts;
 pub mod source;
+pub mod tally;
 
 pub use call::{Call, CallBody, Outcome, Refusal, Reply, ReplyBody, Why};
 pub use engine::{Builder, Engine, Handle, StartError};
--- a/engine/src/parts/answer.rs
+++ b/engine/src/parts/answer.rs
@@ -2,6 +2,7 @@
 
 use crate::parts::body::Failure;
 use crate::parts::connection::Connection;
+use crate::tally::Owed;
 use bytes::Bytes;
 use http_body_util::LengthLimitError;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -93,6 +94,7 @@
     connection: Option<Connection>,
     put_back: Option<PutBack>,
     on_end: Option<OnEnd>,
+    owed: Option<Owed>,
     idle: Duration,
     /// Runs while the upstream is silent.
     silence: Option<Pin<Box<Sleep>>>,
@@ -116,7 +118,7 @@
         until: Instant,
     ) -> Box<Self> {
         let (connection, put_back) = (Some(connection), Some(put_back));
-        Box::new(Self { incoming, connection, put_back, on_end: None, idle, silence: None, until })
+        Box::new(Self { incoming, connection, put_back, on_end: None, owed: None, idle, silence: None, until })
     }
 
     /// Tells how it ends; once.
@@ -124,12 +126,20 @@
         self.on_end = Some(tell);
     }
 
+    /// It is the answer to this request.
+    pub fn owed(&mut self, owed: Owed) {
+        self.owed = Some(owed);
+    }
+
     fn end(&mut self, outcome: Outcome) {
         if let (Outcome::Ok, Some(connection), Some(put_back)) =
             (outcome, self.connection.take(), self.put_back.take())
         {
             put_back(connection);
         }
+        if let Some(owed) = self.owed.take() {
+            owed.streamed(outcome);
+        }
         if let Some(tell) = self.on_end.take() {
             tell(outcome);
         }
--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -17,6 +17,7 @@
 use hyper::{Method, Request, StatusCode, Uri};
 use lapisroute::{Outcome, Reports, UpstreamId};
 use maplehook_routes::{Answers, Begins, Means, Passage};
+use prometheus_client::metrics::counter::Counter;
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
@@ -79,6 +80,17 @@
 impl Upstreams {
     /// Sends a request to an upstream and waits for the answer until `give_up`.
     pub async fn attempt(self: &Rc<Self>, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+        self.send(id, outgoing, give_up, Some(&self.tally.sends)).await
+    }
+
+    /// The same; `sends` counts what has left whole.
+    async fn send(
+        self: &Rc<Self>,
+        id: UpstreamId,
+        outgoing: &Outgoing,
+        give_up: Instant,
+        sends: Option<&Counter>,
+    ) -> Ended {
         let Some(upstream) = self.get(id) else { return Outcome::NotSent.into() };
         loop {
             if outgoing.body.is_spent() {
@@ -96,6 +108,8 @@
             }
             let request = request(outgoing, left, &connection);
             let (before, head, all) = (connection.written(), head_length(&request), wire_length(&request));
+            let stated = matches!(outgoing.body, Payload::Whole(_)).then_some(all);
+            connection.counts(stated, sends.cloned());
             // What has gone less far than this can't have begun.
             let begins = if outgoing.passage.begins == Begins::LastByte { all } else { head };
             let exchanged = exchange(&mut connection, request, &outgoing.passage, &self.room);
@@ -132,7 +146,7 @@
         headers.insert(HOST, HeaderValue::from_static("upstream"));
         let (body, passage) = (Payload::Whole(Bytes::new()), Rc::clone(&self.probing));
         let outgoing = Outgoing { method: Method::GET, target, headers, body, passage };
-        let mut ended = self.attempt(id, &outgoing, Instant::now() + PROBE_TIMEOUT).await;
+        let mut ended = self.send(id, &outgoing, Instant::now() + PROBE_TIMEOUT, None).await;
         if let Some(Served { body: AnswerBody::Whole(body), .. }) = &ended.served
             && self.reports != Reports::Off
             && ended.report.is_empty()
@@ -322,6 +336,7 @@
     use super::*;
     use crate::parts::upstream::Place;
     use lapisroute::{Availability, Settings};
+    use std::sync::Arc;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
     use tokio::net::TcpListener;
     use tokio::task::spawn_local;
@@ -348,6 +363,7 @@
             crate::parts::pool::tests::descriptors(most_open),
             Room::new(4 << 20),
             maplehook_routes::Forwarding::platform(),
+            Arc::default(),
         ));
         let endpoint = Some(listener.local_addr().unwrap());
         let place = Place { endpoint, availability: Availability::Ready, boot_ms: 0 };
--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
 use maplehook_routes::{Answers, Passage};
+use prometheus_client::metrics::counter::Counter;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::fmt;
@@ -85,6 +86,9 @@
 pub struct Written {
     count: Cell<u64>,
     waits: Cell<Option<Waker>>,
+    /// Up to where a request that states its length goes, and what counts it once it has left whole.
+    end: Cell<u64>,
+    sends: Cell<Option<Counter>>,
 }
 
 impl Written {
@@ -94,6 +98,21 @@
         if let Some(waker) = self.waits.take() {
             waker.wake();
         }
+        if self.count.get() >= self.end.get() {
+            self.left_whole();
+        }
+    }
+
+    /// A request begins that `sends` counts once `length` bytes of it are taken; `None`: once its body has ended.
+    pub fn begin(&self, length: Option<u64>, sends: Option<Counter>) {
+        self.end.set(length.map_or(u64::MAX, |n| self.count.get() + n));
+        self.sends.set(sends);
+    }
+
+    fn left_whole(&self) {
+        if let Some(sends) = self.sends.take() {
+            sends.inc();
+        }
     }
 
     /// How many there are.
@@ -293,6 +312,7 @@
             Some(Err(_)) => self.fail(Fault::BrokeOff),
             None => {
                 self.upload.whole.set(true);
+                self.written.left_whole();
                 Poll::Ready(None)
             }
         }
--- a/engine/src/parts/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -5,6 +5,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use prometheus_client::metrics::counter::Counter;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -148,6 +149,12 @@
         Outbound::of(payload, &self.written)
     }
 
+    /// The next request is counted once it has left whole: with its last of `length` bytes, or else with the end of a
+    /// body that streams.
+    pub fn counts(&self, length: Option<u64>, sends: Option<Counter>) {
+        self.written.begin(length, sends);
+    }
+
     /// Sends a request and waits for the head of its answer. Nothing of it goes out where something has come
     /// already.
     pub async fn send(&mut self, request: Request<Outbound>) -> hyper::Result<Response<Incoming>> {
--- a/engine/src/parts/descriptors.rs
+++ b/engine/src/parts/descriptors.rs
@@ -48,10 +48,11 @@
 }
 
 impl Descriptors {
-    /// `allowed` by configuration, within the real limit; upstreams get this share of what is shared out.
-    pub fn new(allowed: usize, upstream_share: f64) -> Result<Rc<Self>, TooFew> {
+    /// `allowed` by configuration, within the real limit, of which `aside` are somebody else's; upstreams get this share
+    /// of what is shared out.
+    pub fn new(allowed: usize, aside: usize, upstream_share: f64) -> Result<Rc<Self>, TooFew> {
         Ok(Rc::new(Self {
-            budget: RefCell::new(Budget::new(allowed, real_limit(), upstream_share)?),
+            budget: RefCell::new(Budget::new(allowed, real_limit(), aside, upstream_share)?),
             start: Instant::now(),
             spare: RefCell::new(spare()),
             reliefs: RefCell::default(),
@@ -66,7 +67,7 @@
         use maplehook_admission::budget::{BASE, DISCOVERY, REFUSALS};
         // The rest of what is shared out is nobody's here.
         const SHARE: f64 = 0.5;
-        Self::new((most as f64 / SHARE).ceil() as usize + BASE + DISCOVERY + REFUSALS, SHARE)
+        Self::new((most as f64 / SHARE).ceil() as usize + BASE + DISCOVERY + REFUSALS, 0, SHARE)
     }
 
     /// How many a part may hold now.
@@ -183,7 +184,7 @@
     /// Guards the reliefs against a storm: many that fail at one moment end one connection, not one each.
     #[tokio::test(flavor = "local", start_paused = true)]
     async fn one_shortage_is_relieved_once() {
-        let descriptors = Descriptors::new(256, 0.5).unwrap();
+        let descriptors = Descriptors::new(256, 0, 0.5).unwrap();
         let count = Rc::new(Cell::new((0, 0)));
         let (first, second, told) = (Rc::clone(&count), Rc::clone(&count), Rc::new(Cell::new(0)));
         descriptors.relieved_by(move || {
--- a/engine/src/parts/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -3,6 +3,7 @@
 use crate::ledger::{Bounds, BoundsError, Ending, EntryId, Identity, Ledger, Opened, Waiter};
 use crate::parts::answer::Served;
 use crate::parts::driver::{Answer, Asked, Driver, Trace};
+use crate::tally::Counting;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -31,6 +32,7 @@
 /// Where requests come in.
 pub struct Desk {
     driver: Rc<Driver>,
+    counting: Rc<Counting>,
     ledger: RefCell<Ledger<Rc<Kept>>>,
     waiting: RefCell<HashMap<Waiter, oneshot::Sender<Told>>>,
     next: Cell<Waiter>,
@@ -67,10 +69,11 @@
 }
 
 impl Desk {
-    /// One before this driver.
-    pub fn new(driver: Rc<Driver>, bounds: Bounds, seed: u64) -> Result<Rc<Self>, BoundsError> {
+    /// One before this driver; it counts what it is asked.
+    pub fn new(driver: Rc<Driver>, counting: Rc<Counting>, bounds: Bounds, seed: u64) -> Result<Rc<Self>, BoundsError> {
         Ok(Rc::new(Self {
             driver,
+            counting,
             ledger: RefCell::new(Ledger::new(bounds, seed)?),
             waiting: RefCell::default(),
             next: Cell::new(0),
@@ -104,6 +107,13 @@
     /// The final answer to a request. When this is dropped before, the client has gone: what is out is called back,
     /// but for what has an identity, which goes on, so that whoever asks again has its answer.
     pub async fn ask(self: &Rc<Self>, asked: Asked, identity: Option<Identity>) -> Told {
+        let owed = self.counting.taken(asked.class);
+        let (mut answer, trace) = self.answer(asked, identity).await;
+        owed.answered(&mut answer);
+        (answer, trace)
+    }
+
+    async fn answer(self: &Rc<Self>, asked: Asked, identity: Option<Identity>) -> Told {
         let Some(identity) = identity else { return self.driver.ask(asked).answer().await };
         let (waiter, deadline) = (self.next.replace(self.next.get() + 1), asked.deadline);
         let opened = self.ledger.borrow_mut().open(self.driver.now(), &identity, waiter);
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -119,6 +119,8 @@
     next_id: u32,
 }
 
+/// How often the list is counted for the figures.
+const COUNT_EVERY: Duration = Duration::from_millis(200);
 /// How soon the watch on a pushed list is begun again: its agent is near and answers at no cost.
 const FOLLOW_AGAIN: Duration = Duration::from_millis(50);
 
@@ -158,12 +160,28 @@
             follows: Cell::new(false),
             cut_off: watch::Sender::new(false),
         });
+        let figures = Rc::downgrade(&driver);
+        spawn_local(async move {
+            while let Some(driver) = figures.upgrade() {
+                driver.count_listed();
+                drop(driver);
+                sleep(COUNT_EVERY).await;
+            }
+        });
         let sweeper = Rc::clone(&driver);
         spawn_local(async move { sweeper.upstreams.sweep().await });
         driver.happened(Happening::Fleet(known));
         driver
     }
 
+    /// Tells the figures of the list as the module sees it.
+    fn count_listed(&self) {
+        let (listed, avoided) = self.core.borrow().balancer.listed();
+        let figure = |n: usize| i64::try_from(n).unwrap_or(i64::MAX);
+        self.upstreams.tally.cluster_size.set(figure(listed));
+        self.upstreams.tally.cluster_unhealthy.set(figure(avoided));
+    }
+
     /// Hands a request to the module. Its final answer comes from what is returned; when that is dropped
     /// before, the client has gone.
     pub fn ask(self: &Rc<Self>, asked: Asked) -> Pending {
--- a/engine/src/parts/pool.rs
+++ b/engine/src/parts/pool.rs
@@ -193,7 +193,7 @@
     pub fn descriptors(n: usize) -> Rc<Descriptors> {
         use maplehook_admission::budget::{BASE, DISCOVERY, LEAST, REFUSALS};
         let shared_out = LEAST - BASE - DISCOVERY - REFUSALS;
-        let descriptors = Descriptors::new(LEAST, (n as f64 + 0.5) / shared_out as f64).unwrap();
+        let descriptors = Descriptors::new(LEAST, 0, (n as f64 + 0.5) / shared_out as f64).unwrap();
         assert_eq!(descriptors.of(Part::Upstreams), n);
         descriptors
     }
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -6,12 +6,14 @@
 use crate::parts::pool::Pool;
 use crate::parts::room::Room;
 use crate::parts::seldom::Seldom;
+use crate::tally::Tally;
 use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
 use maplehook_routes::{Forwarding, Passage};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
@@ -45,6 +47,7 @@
     pub(crate) room: Room,
     pub(crate) forwarding: Forwarding,
     pub(crate) probing: Rc<Passage>,
+    pub(crate) tally: Arc<Tally>,
     connect_timeout: Duration,
     pub(crate) reports: Reports,
     report_fields: Vec<LoadField>,
@@ -59,6 +62,7 @@
         descriptors: Rc<Descriptors>,
         room: Room,
         forwarding: Forwarding,
+        tally: Arc<Tally>,
     ) -> Self {
         Self {
             known: RefCell::default(),
@@ -67,6 +71,7 @@
             room,
             forwarding,
             probing: Rc::new(Passage::platform()),
+            tally,
             connect_timeout: settings.connect_timeout,
             reports: settings.reports,
             report_fields: settings.report_fields.clone(),
--- /dev/null
+++ b/engine/src/tally.rs
@@ -0,0 +1,249 @@
+//! What operators count: requests by class and final answer, attempts, the list. Read from any thread.
+//!
+//! A request is counted where its answer ends, by the [`Owed`] that it holds from when it was taken: exactly once, whatever
+//! way it goes. One whose client has left before is counted by none of the three.
+
+use crate::parts::answer::{AnswerBody, Served};
+use crate::parts::driver::Answer;
+use lapisroute::{ClassId, Outcome};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// The content type of [`Tally::text`].
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Group {
+    group: String,
+}
+
+/// The figures of one process. They begin at nought, and those that count only rise.
+#[derive(Debug)]
+pub struct Tally {
+    registry: Registry,
+    answered: Family<Group, Counter>,
+    deferred: Family<Group, Counter>,
+    errored: Family<Group, Counter>,
+    /// Attempts written whole to upstreams.
+    pub sends: Counter,
+    /// Requests taken and not ended.
+    pub current: Gauge,
+    /// Upstreams in the list.
+    pub cluster_size: Gauge,
+    /// Those of them that are avoided now.
+    pub cluster_unhealthy: Gauge,
+    /// Configurations taken at SIGHUP.
+    pub conf_loaded: Counter,
+    /// Configurations turned down at SIGHUP.
+    pub conf_invalid: Counter,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("balancer");
+        let (answered, deferred, errored) = <(Family<_, _>, Family<_, _>, Family<_, _>)>::default();
+        let (sends, conf_loaded, conf_invalid) = <(Counter, Counter, Counter)>::default();
+        let (current, cluster_size, cluster_unhealthy) = <(Gauge, Gauge, Gauge)>::default();
+        registry.register("answered", "Requests served", Family::clone(&answered));
+        registry.register("deferred", "Requests refused: trying again is harmless", Family::clone(&deferred));
+        registry.register("errored", "Requests failed", Family::clone(&errored));
+        registry.register("sends", "Attempts written whole to upstreams", sends.clone());
+        registry.register("current", "Requests taken and not ended", current.clone());
+        registry.register("cluster_size", "Upstreams in the list", cluster_size.clone());
+        registry.register("cluster_unhealthy", "Listed upstreams avoided now", cluster_unhealthy.clone());
+        registry.register("conf_loaded", "Configurations taken at SIGHUP", conf_loaded.clone());
+        registry.register("conf_invalid", "Configurations turned down at SIGHUP", conf_invalid.clone());
+        Self {
+            registry,
+            answered,
+            deferred,
+            errored,
+            sends,
+            current,
+            cluster_size,
+            cluster_unhealthy,
+            conf_loaded,
+            conf_invalid,
+        }
+    }
+}
+
+impl Tally {
+    /// All figures, in the text form of OpenMetrics 1.0.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        // A string takes whatever is written to it.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+}
+
+/// The counts of one class.
+struct Class {
+    answered: Counter,
+    deferred: Counter,
+    errored: Counter,
+}
+
+/// Counts requests, on the thread that serves them.
+pub struct Counting {
+    tally: Arc<Tally>,
+    /// By their ids.
+    classes: RefCell<Vec<Rc<Class>>>,
+}
+
+impl Counting {
+    /// Counts in this tally, by classes of these names.
+    pub fn new(tally: Arc<Tally>, names: &[String]) -> Rc<Self> {
+        let counting = Self { tally, classes: RefCell::default() };
+        counting.name(names);
+        Rc::new(counting)
+    }
+
+    /// The classes are these from now on. What was counted under a name goes on under it.
+    pub fn name(&self, names: &[String]) {
+        let class = |name: &String| {
+            let group = Group { group: name.clone() };
+            let Tally { answered, deferred, errored, .. } = &*self.tally;
+            let [answered, deferred, errored] =
+                [answered, deferred, errored].map(|family| family.get_or_create(&group).clone());
+            Rc::new(Class { answered, deferred, errored })
+        };
+        *self.classes.borrow_mut() = names.iter().map(class).collect();
+    }
+
+    /// The figures.
+    pub fn tally(&self) -> &Arc<Tally> {
+        &self.tally
+    }
+
+    /// A request of this class has been taken.
+    pub fn taken(&self, class: ClassId) -> Owed {
+        let class = self.classes.borrow().get(usize::from(class.0)).cloned();
+        self.tally.current.inc();
+        Owed { class, current: self.tally.current.clone() }
+    }
+}
+
+/// A request that is owed its answer. When it is dropped before, its client has left.
+pub struct Owed {
+    class: Option<Rc<Class>>,
+    current: Gauge,
+}
+
+impl fmt::Debug for Owed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Owed").finish_non_exhaustive()
+    }
+}
+
+impl Owed {
+    /// It has this answer; one that streams ends later, with its last byte.
+    pub fn answered(self, answer: &mut Answer) {
+        match answer {
+            Answer::Served(Served { body: AnswerBody::Stream(stream), .. }) => stream.owed(self),
+            Answer::Served(Served { status, .. }) if status.is_server_error() => self.count(|c| &c.errored),
+            Answer::Served(_) => self.count(|c| &c.answered),
+            Answer::Refused(_) => self.count(|c| &c.deferred),
+            Answer::Failed => self.count(|c| &c.errored),
+        }
+    }
+
+    /// Its answer, which streamed, has ended like this. A reader that let go has left.
+    pub fn streamed(self, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok => self.count(|c| &c.answered),
+            Outcome::Cancelled => {}
+            _ => self.count(|c| &c.errored),
+        }
+    }
+
+    fn count(self, which: impl FnOnce(&Class) -> &Counter) {
+        if let Some(class) = &self.class {
+            which(class).inc();
+        }
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        self.current.dec();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+    use hyper::{HeaderMap, StatusCode};
+
+    fn served(status: StatusCode) -> Answer {
+        let body = AnswerBody::Whole(Bytes::new());
+        Answer::Served(Served { status, headers: HeaderMap::new(), body })
+    }
+
+    fn has(tally: &Tally, line: &str) -> bool {
+        tally.text().lines().any(|l| l == line)
+    }
+
+    /// Guards the names that operators' tools look for, and that each request counts once, whatever ends it.
+    #[test]
+    fn each_request_counts_once_under_its_class() {
+        let tally = Arc::new(Tally::default());
+        let counting = Counting::new(Arc::clone(&tally), &["look".into(), "bo\"ok".into()]);
+        assert!(has(&tally, "balancer_answered_total{group=\"look\"} 0"));
+        let owed: Vec<Owed> = (0..6).map(|n| counting.taken(ClassId(n % 2))).collect();
+        assert!(has(&tally, "balancer_current 6"));
+        let answers = [
+            Some(served(StatusCode::OK)),
+            Some(Answer::Refused(None)),
+            Some(Answer::Failed),
+            Some(served(StatusCode::BAD_GATEWAY)),
+            None,
+            Some(served(StatusCode::NOT_FOUND)),
+        ];
+        for (owed, answer) in owed.into_iter().zip(answers) {
+            answer.map(|mut answer| owed.answered(&mut answer));
+        }
+        for line in [
+            "balancer_answered_total{group=\"look\"} 1",
+            "balancer_deferred_total{group=\"bo\\\"ok\"} 1",
+            "balancer_errored_total{group=\"look\"} 1",
+            "balancer_errored_total{group=\"bo\\\"ok\"} 1",
+            "balancer_answered_total{group=\"bo\\\"ok\"} 1",
+            "balancer_current 0",
+            "balancer_sends_total 0",
+            "balancer_cluster_size 0",
+            "balancer_cluster_unhealthy 0",
+            "balancer_conf_loaded_total 0",
+            "balancer_conf_invalid_total 0",
+        ] {
+            assert!(has(&tally, line), "{line} in {}", tally.text());
+        }
+    }
+
+    /// Guards counts that only rise: a class that vanishes and comes back goes on where it was, and a request under way
+    /// keeps the class that it was taken under.
+    #[test]
+    fn counts_outlive_their_classes() {
+        let tally = Arc::new(Tally::default());
+        let counting = Counting::new(Arc::clone(&tally), &["a".into(), "b".into()]);
+        let (of_a, of_b) = (counting.taken(ClassId(0)), counting.taken(ClassId(1)));
+        counting.name(&["b".into()]);
+        of_a.answered(&mut Answer::Failed);
+        of_b.answered(&mut Answer::Failed);
+        counting.taken(ClassId(0)).answered(&mut Answer::Failed);
+        counting.name(&["a".into(), "b".into()]);
+        counting.taken(ClassId(0)).answered(&mut Answer::Failed);
+        assert!(has(&tally, "balancer_errored_total{group=\"a\"} 2"));
+        assert!(has(&tally, "balancer_errored_total{group=\"b\"} 2"));
+    }
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -14,6 +14,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if they may.
+    pub operator: Option<SocketAddr>,
     /// Where discovery answers.
     pub discovery: SocketAddr,
     /// The seed of all chance.
@@ -42,6 +44,8 @@
 struct Raw<'a> {
     listen: SocketAddr,
     discovery: SocketAddr,
+    #[serde(default)]
+    operator: Option<SocketAddr>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -76,7 +80,12 @@
             .ok_or_else(|| ConfigError("NODE_CONFIG names no configuration file".into()))?;
         let shown = path.to_string_lossy();
         let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
-        Self::parse(&text).map_err(|e| ConfigError(format!("{shown}: {e}")))
+        let mut config = Self::parse(&text).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
+        if let (None, Ok(operator)) = (config.operator, std::env::var("NODE_OPERATOR")) {
+            let operator = operator.parse().map_err(|e| ConfigError(format!("NODE_OPERATOR: {e}")))?;
+            config.operator = Some(operator);
+        }
+        Ok(config)
     }
 
     /// Reads the text of that file.
@@ -86,6 +95,7 @@
         let site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
         Ok(Self {
             listen: raw.listen,
+            operator: raw.operator,
             discovery: raw.discovery,
             seed,
             limits: raw.limits,
--- /dev/null
+++ b/node/src/control.rs
@@ -0,0 +1,155 @@
+//! Where operators call: `GET /control/ready` and `GET /control/counters`, HTTP/1.1, one call to a connection.
+//!
+//! It has a thread of its own, so that no client, tick or body can keep an operator waiting: the counts are read where
+//! they stand. Callers that send nothing or half a call have so much time and so many places, and make room.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use maplehook::tally::{self, Tally};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{JoinHandle, spawn};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// Calls that may be open at once.
+const CALLS: usize = 16;
+/// Descriptors that it may hold: the calls, one that has just been accepted, the listener and its poller's.
+pub const DESCRIPTORS: usize = CALLS + 5;
+/// How long a call may take to come whole.
+const HEAD_MOST: Duration = Duration::from_secs(5);
+/// How long a caller is left its place, whoever waits: any that means it has asked by then.
+const PROMPT: Duration = Duration::from_millis(200);
+/// How long a caller may take to read its answer.
+const LINGER: Duration = Duration::from_millis(500);
+/// The longest head.
+const BUFFER: usize = 8 * 1024;
+/// Pause after an accept that failed.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// What operators are told.
+#[derive(Clone, Default)]
+pub struct Board {
+    /// The figures.
+    pub tally: Arc<Tally>,
+    /// Whether this process takes clients.
+    pub ready: Arc<AtomicBool>,
+}
+
+/// Binds the address and answers there until the process ends. Returns the address.
+pub fn serve(address: SocketAddr, board: Board) -> io::Result<SocketAddr> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    let bound = listener.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    std::thread::Builder::new().name("operators".into()).stack_size(256 * 1024).spawn(move || {
+        runtime.block_on(async move {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => accept(listener, board).await,
+                Err(e) => tracing::error!("the operators' address: {e}"),
+            }
+        });
+    })?;
+    Ok(bound)
+}
+
+/// An open call.
+struct Call {
+    task: JoinHandle<()>,
+    since: Instant,
+}
+
+async fn accept(listener: TcpListener, board: Board) {
+    let mut calls: VecDeque<Call> = VecDeque::new();
+    loop {
+        calls.retain(|call| !call.task.is_finished());
+        if calls.len() >= CALLS
+            && let Some(mut oldest) = calls.pop_front()
+        {
+            // It makes room, once it has had its time.
+            tokio::select! {
+                _ = &mut oldest.task => {}
+                () = sleep_until(oldest.since + PROMPT) => {
+                    oldest.task.abort();
+                    let _ = oldest.task.await;
+                }
+            }
+            continue;
+        }
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let task = spawn(call(stream, board.clone()));
+                calls.push_back(Call { task, since: Instant::now() });
+            }
+            Err(e) => {
+                tracing::debug!("the operators' address: {e}");
+                if let Some(oldest) = calls.pop_front() {
+                    oldest.task.abort();
+                }
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn call(stream: TcpStream, board: Board) {
+    // An unset option costs time, not truth.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let board = board.clone();
+        async move { Ok::<_, Infallible>(answer(&request, &board)) }
+    });
+    let mut builder = http1::Builder::new();
+    builder.keep_alive(false).max_buf_size(BUFFER).timer(TokioTimer::new()).header_read_timeout(HEAD_MOST);
+    let served = timeout(HEAD_MOST, builder.serve_connection(TokioIo::new(stream), service).without_shutdown());
+    let Ok(Ok(parts)) = served.await else { return };
+    // What it goes on sending is read away: a connection that is closed with bytes unread is reset, and a reset takes the
+    // answer along.
+    let mut stream = parts.io.into_inner();
+    let _ = timeout(LINGER, async {
+        let _ = stream.shutdown().await;
+        while stream.read(&mut [0; 1024]).await.is_ok_and(|n| n > 0) {}
+    })
+    .await;
+}
+
+fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
+    let (status, kind, text) = match (request.uri().path(), request.method()) {
+        ("/control/ready" | "/control/counters", method) if !matches!(*method, Method::GET | Method::HEAD) => {
+            (StatusCode::METHOD_NOT_ALLOWED, "text/plain", "GET alone\n".into())
+        }
+        ("/control/ready" | "/control/counters", _) if !request.body().is_end_stream() => {
+            (StatusCode::BAD_REQUEST, "text/plain", "a call has no body\n".into())
+        }
+        ("/control/ready", _) if board.ready.load(Ordering::Acquire) => {
+            (StatusCode::OK, "text/plain", "yes\n".into())
+        }
+        ("/control/ready", _) => (StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no\n".into()),
+        ("/control/counters", _) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
+        _ => {
+            let text = "/control/ready and /control/counters are what there is\n";
+            (StatusCode::NOT_FOUND, "text/plain", text.into())
+        }
+    };
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    if status == StatusCode::METHOD_NOT_ALLOWED {
+        headers.insert(ALLOW, HeaderValue::from_static("GET, HEAD"));
+    }
+    response
+}
--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -24,7 +24,7 @@
 
     /// Starts one as the platform says.
     pub fn on_platform(config: Config, operator: Operator) -> Result<Self, Box<dyn Error>> {
-        Self::spawn(move |told| serve::on_platform(config, operator, Some(told)))
+        Self::spawn(move |told| serve::on_platform(config, operator, None, Some(told)))
     }
 
     fn spawn(
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -22,8 +22,10 @@
 mod client;
 pub mod command;
 pub mod config;
+mod control;
 mod daemon;
 mod entrance;
+pub mod inherited;
 mod refusals;
 mod requests;
 pub mod serve;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,12 +3,16 @@
 use clap::Parser;
 use maplehook_node::command::{self, Command, Line};
 use maplehook_node::config::Config;
-use maplehook_node::serve;
+use maplehook_node::{inherited, serve};
 use std::error::Error;
+use std::io;
+use std::net::TcpListener;
 use std::process::ExitCode;
 use tracing::level_filters::LevelFilter;
 
 fn main() -> ExitCode {
+    // Before anything is opened.
+    let inherited = inherited::take();
     let line = Line::parse();
     let level = std::env::var("NODE_LOG").ok().and_then(|level| level.parse().ok());
     tracing_subscriber::fmt()
@@ -16,7 +20,7 @@
         .with_ansi(false)
         .with_max_level(level.unwrap_or(LevelFilter::INFO))
         .init();
-    match run(&line) {
+    match run(&line, inherited) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("maplehook: {e}");
@@ -25,7 +29,7 @@
     }
 }
 
-fn run(line: &Line) -> Result<(), Box<dyn Error>> {
+fn run(line: &Line, inherited: Option<io::Result<TcpListener>>) -> Result<(), Box<dyn Error>> {
     match &line.command {
         Some(Command::Check { file }) => {
             let named = file.as_deref().or(line.config.as_deref());
@@ -45,7 +49,7 @@
         None => {
             // Its faults come first: they are there whoever starts it.
             let operator = command::operator(line.config.as_deref())?;
-            serve::on_platform(Config::from_env()?, operator, None)
+            serve::on_platform(Config::from_env()?, operator, inherited, None)
         }
     }
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -2,7 +2,9 @@
 
 use crate::command;
 use crate::config::Config;
+use crate::control::{self, Board};
 use crate::entrance::Entrance;
+use crate::inherited;
 use crate::requests::{Requests, Vouching};
 use crate::server::{Phase, Server};
 use hyper::header::HeaderName;
@@ -15,6 +17,7 @@
 use maplehook::parts::room::Room;
 use maplehook::parts::upstream::Upstreams;
 use maplehook::source::{Fixed, News, Source};
+use maplehook::tally::Counting;
 use maplehook_admission::{Door, Part};
 use maplehook_config::{Operator, Upstream};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
@@ -25,25 +28,36 @@
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
 const ACCEPT_AFTER_TERM: Duration = Duration::from_millis(600);
 /// SIGKILL may come when the longest deadline, 3 s at most, and 0.7 s more have passed; this is a bit before.
 const KILL_DEADLINE_MOST: Duration = Duration::from_secs(3);
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
+/// Where the listening socket is shared, whoever follows accepts at once, and idle connections stay for this long: each
+/// that is used meanwhile ends with its answer, so that hardly any request meets the end of its connection.
+const IDLE_AFTER_TERM: Duration = Duration::from_millis(2000);
 /// For the answers to what is then still held.
 const LAST_WORDS: Duration = Duration::from_millis(200);
 
 /// What a balancer is made of, whoever describes it.
 struct Plan {
     listen: SocketAddr,
+    /// The socket that clients come to, where the platform holds it.
+    inherited: Option<std::net::TcpListener>,
+    /// Where operators call.
+    control: Option<SocketAddr>,
+    /// What the classes are called.
+    classes: Vec<String>,
     settings: Settings,
     seed: u64,
     sockets: usize,
@@ -65,11 +79,24 @@
 }
 
 /// Serves as the platform says, until SIGTERM.
-pub fn on_platform(config: Config, operator: Operator, told: Option<Told>) -> Result<(), Box<dyn Error>> {
+pub fn on_platform(
+    config: Config,
+    operator: Operator,
+    inherited: Option<std::io::Result<std::net::TcpListener>>,
+    told: Option<Told>,
+) -> Result<(), Box<dyn Error>> {
+    let inherited = inherited.and_then(|taken| {
+        let fit = taken.and_then(|listener| inherited::serves(&listener, config.listen).map(|()| listener));
+        // The balancer's own socket does as well, unless somebody holds that address.
+        fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen)).ok()
+    });
     let settings = config.site.settings.clone();
     let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let plan = Plan {
         listen: config.listen,
+        inherited,
+        control: config.operator,
+        classes: config.site.names.classes.clone(),
         seed: config.seed,
         sockets: config.limits.sockets,
         room: Room::new(config.long_answers()),
@@ -83,7 +110,8 @@
     block_on(async move {
         let vouching = vouching(&plan.operator, &config.site.names.tenants)?;
         let hangup = signal(SignalKind::hangup())?;
-        let parts = Parts::new(&plan)?;
+        let mut plan = plan;
+        let parts = Parts::new(&mut plan)?;
         let discovery = Rc::new(Discovery::new(
             config.discovery,
             config.site.names.clone(),
@@ -104,8 +132,11 @@
     let proxy =
         operator.proxy.take().ok_or("it names no listen.address, no [[class]] and no [[upstream]]")?;
     let longest = proxy.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
-    let plan = Plan {
+    let mut plan = Plan {
         listen: proxy.listen,
+        inherited: None,
+        control: None,
+        classes: proxy.classes.clone(),
         settings: proxy.settings.clone(),
         seed: RandomState::new().build_hasher().finish(),
         sockets: proxy.sockets,
@@ -119,7 +150,7 @@
     block_on(async move {
         let vouching = vouching(&plan.operator, &proxy.tenants)?;
         let mut hangup = signal(SignalKind::hangup())?;
-        let parts = Parts::new(&plan)?;
+        let parts = Parts::new(&mut plan)?;
         let fronts = plan.operator.admission.fronts.clone();
         let requests = Requests::of(&proxy, fronts, vouching, plan.room.clone());
         let fixed = Fixed::listed(proxy.upstreams.iter().map(|upstream| {
@@ -177,27 +208,46 @@
     upstreams: Rc<Upstreams>,
     entrance: Rc<Entrance>,
     balancer: Balancer,
+    board: Board,
+    /// Whether others accept on the listener too.
+    shared: bool,
 }
 
 impl Parts {
-    fn new(plan: &Plan) -> Result<Self, Box<dyn Error>> {
+    fn new(plan: &mut Plan) -> Result<Self, Box<dyn Error>> {
         if let Some(limit) = plan.operator.descriptors.limit {
             descriptors::set_limit(limit).map_err(|e| format!("descriptors.limit: {e}"))?;
         }
         let balancer = Balancer::new(plan.settings.clone(), plan.seed)?;
         // Before anybody can know that this process is ready: unhandled, it would kill.
         let term = signal(SignalKind::terminate())?;
-        let descriptors = Descriptors::new(plan.sockets, plan.operator.descriptors.upstream_share)?;
-        let listener = listen(plan.listen, plan.operator.backlog)
-            .map_err(|e| format!("listen on {}: {e}", plan.listen))?;
+        let aside = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
+        let descriptors = Descriptors::new(plan.sockets, aside, plan.operator.descriptors.upstream_share)?;
+        let (shared, listener) = match plan.inherited.take() {
+            Some(listener) => (true, TcpListener::from_std(listener)),
+            None => (false, listen(plan.listen, plan.operator.backlog)),
+        };
+        let listener = listener.map_err(|e| format!("listen on {}: {e}", plan.listen))?;
+        let board = Board::default();
+        if let Some(address) = plan.control {
+            let bound = control::serve(address, board.clone())
+                .map_err(|e| format!("operators' calls on {address}: {e}"))?;
+            tracing::info!(control = %bound, "operators may call");
+        }
         let (room, forwarding) = (plan.room.clone(), plan.forwarding.clone());
-        let upstreams = Rc::new(Upstreams::new(&plan.settings, Rc::clone(&descriptors), room, forwarding));
+        let upstreams = Rc::new(Upstreams::new(
+            &plan.settings,
+            Rc::clone(&descriptors),
+            room,
+            forwarding,
+            Arc::clone(&board.tally),
+        ));
         let guarantees: Vec<f64> = plan.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
         let places = descriptors.of(Part::Clients);
         let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
         let entrance = Entrance::new(door, plan.stall);
         share_descriptors(&descriptors, &upstreams, &entrance);
-        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer })
+        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer, board, shared })
     }
 }
 
@@ -210,7 +260,7 @@
     told: Option<Told>,
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
-    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer } = parts;
+    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer, board, shared } = parts;
     let pushed = !plan.settings.ask_for_fleet;
     let address = listener.local_addr()?;
     tracing::info!(
@@ -223,11 +273,13 @@
     if pushed {
         driver.follow();
     }
-    let desk = Desk::new(Rc::clone(&driver), Bounds::default(), plan.seed)?;
+    let counting = Counting::new(Arc::clone(&board.tally), &plan.classes);
+    let desk = Desk::new(Rc::clone(&driver), counting, Bounds::default(), plan.seed)?;
     let (phase, phases) = watch::channel(Phase::Serving);
     let words = Own { signed: plan.own };
     let server = Server::new(desk, requests, entrance, Rc::clone(&descriptors), words, phases);
     let mut accepting = spawn_local(server.run(listener));
+    board.ready.store(true, Ordering::Release);
     spawn_local(Rc::clone(&descriptors).watch());
     on_hangup(Rc::clone(&driver));
 
@@ -250,10 +302,14 @@
             }
         });
     }
-    phase.send_replace(Phase::Leaving);
-    sleep(ACCEPT_AFTER_TERM).await;
+    board.ready.store(false, Ordering::Release);
+    let until_idle_end = if shared { IDLE_AFTER_TERM } else { ACCEPT_AFTER_TERM };
+    phase.send_replace(if shared { Phase::Draining } else { Phase::Leaving });
+    if timeout(until_idle_end, &mut accepting).await.is_ok() {
+        return Ok(());
+    }
     phase.send_replace(Phase::Closing);
-    let rest = plan.grace.saturating_sub(ACCEPT_AFTER_TERM + LAST_WORDS);
+    let rest = plan.grace.saturating_sub(until_idle_end + LAST_WORDS);
     if timeout(rest, &mut accepting).await.is_err() {
         driver.cut_off();
         let _ = timeout(LAST_WORDS, &mut accepting).await;
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -39,12 +39,14 @@
 const BUFFER: usize = 32 * 1024;
 
 /// How far the end of this process has come.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Not at all.
     Serving,
     /// Not ready any more; connections end with their next answer.
     Leaving,
+    /// Nothing new is accepted: others do that. Connections end with their next answer, idle ones stay.
+    Draining,
     /// Nothing new is accepted; connections end between requests.
     Closing,
 }
@@ -92,7 +94,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                _ = phase.wait_for(|p| *p == Phase::Closing) => break,
+                _ = phase.wait_for(|p| *p >= Phase::Draining) => break,
             };
             match accepted {
                 Ok((stream, peer)) => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -209,6 +209,14 @@
         self.ring.len() + self.index.len() + self.requests.len() + self.due.len()
     }
 
+    /// How many upstreams are listed, and how many of them get nothing now: they drain, or are ejected.
+    pub fn listed(&self) -> (usize, usize) {
+        let listed = || self.ring.iter().filter(|u| u.ready || u.draining);
+        let spare = self.facts.spare_ejections;
+        let avoided = |u: &&Upstream| u.draining || (u.ejected_until > self.at && spare);
+        (listed().count(), listed().filter(avoided).count())
+    }
+
     /// Takes in one event and adds what is to be done about it.
     pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
         std::mem::swap(&mut self.out, actions);
