The platform's bodies and answers stream beyond 64 KiB; lengths are sought in heads alone

Ruled out: time limits (no 408 in the log), places (none refused). Change: messages pass as an application's do, 64 KiB held; a pace instead of a total for slow senders; one piece is kept of what comes in small ones; framing is followed exactly.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -7,7 +7,7 @@
 use crate::ledger::{Bounds, Identity};
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::Outgoing;
-use crate::parts::body::{Fault, Payload, Upload, take_in};
+use crate::parts::body::{Fault, Pace, Payload, Upload, take_in};
 use crate::parts::descriptors::Descriptors;
 use crate::parts::desk::{Desk, Inside};
 use crate::parts::driver::{Answer, Asked, Driver, Trace};
@@ -178,8 +178,13 @@
             .map_err(|e| wrong(format!("settings: {e}").into()))?;
         let descriptors = Descriptors::for_upstreams(self.connections).map_err(|e| wrong(e.into()))?;
         let (room, forwarding) = (Room::new(self.bodies), self.forwarding);
-        let upstreams =
-            Upstreams::new(&self.settings, Rc::clone(&descriptors), room.clone(), forwarding.clone(), Arc::clone(&self.tally));
+        let upstreams = Upstreams::new(
+            &self.settings,
+            Rc::clone(&descriptors),
+            room.clone(),
+            forwarding.clone(),
+            Arc::clone(&self.tally),
+        );
         let upstreams = Rc::new(upstreams);
         let (idle, resized) = (Rc::clone(&upstreams), Rc::clone(&upstreams));
         descriptors.relieved_by(move || idle.close_oldest());
@@ -354,7 +359,9 @@
             CallBody::Whole(body) if body.len() as u64 > passage.body_most => return Err(Why::TooLong),
             CallBody::Whole(body) => Payload::Whole(body),
             CallBody::Stream(body) => {
-                take_in(body, &passage, &self.room, deadline, wait).await.map_err(|fault| match fault {
+                let begun = tokio::time::Instant::from_std(sent);
+                let pace = Pace { begun, grace: wait, rate: f64::INFINITY };
+                take_in(body, &passage, &self.room, pace, wait).await.map_err(|fault| match fault {
                     Fault::TooLong => Why::TooLong,
                     Fault::BrokeOff | Fault::Slow => Why::BrokeOff,
                 })?
--- a/engine/src/parts/answer.rs
+++ b/engine/src/parts/answer.rs
@@ -8,6 +8,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{HeaderMap, StatusCode};
 use lapisroute::Outcome;
+use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -77,7 +78,9 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(body) => SizeHint::with_exact(body.len() as u64),
-            Self::Stream(stream) => stream.incoming.size_hint(),
+            // Of what has been read already nothing was said.
+            Self::Stream(stream) if stream.read.is_empty() => stream.incoming.size_hint(),
+            Self::Stream(_) => SizeHint::new(),
         }
     }
 }
@@ -90,6 +93,8 @@
 /// An answer that is passed on as it comes. Its reader sets the pace: what is not read stays with the upstream. When
 /// it is dropped before its end, its connection closes.
 pub struct Stream {
+    /// What was read of it in case that it was short.
+    read: VecDeque<Frame<Bytes>>,
     incoming: Incoming,
     connection: Option<Connection>,
     put_back: Option<PutBack>,
@@ -108,9 +113,10 @@
 }
 
 impl Stream {
-    /// The rest of an answer on this connection, which is given to `put_back` if it comes whole. `idle` is the
-    /// longest silence, and all of it comes by `until`.
+    /// An answer on this connection, of which `read` has been read already, and which is given to `put_back` if it comes
+    /// whole. `idle` is the longest silence, and all of it comes by `until`.
     pub fn new(
+        read: VecDeque<Frame<Bytes>>,
         incoming: Incoming,
         connection: Connection,
         put_back: PutBack,
@@ -118,7 +124,17 @@
         until: Instant,
     ) -> Box<Self> {
         let (connection, put_back) = (Some(connection), Some(put_back));
-        Box::new(Self { incoming, connection, put_back, on_end: None, owed: None, idle, silence: None, until })
+        Box::new(Self {
+            read,
+            incoming,
+            connection,
+            put_back,
+            on_end: None,
+            owed: None,
+            idle,
+            silence: None,
+            until,
+        })
     }
 
     /// Tells how it ends; once.
@@ -149,6 +165,9 @@
         if self.connection.is_none() {
             return Poll::Ready(None);
         }
+        if let Some(frame) = self.read.pop_front() {
+            return Poll::Ready(Some(Ok(frame)));
+        }
         let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
             let wait = self.idle.min(self.until.saturating_duration_since(Instant::now()));
             let silence = self.silence.get_or_insert_with(|| Box::pin(sleep(wait)));
--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -7,17 +7,18 @@
 use crate::parts::body::{Failure, Payload};
 use crate::parts::connection::{Connection, head_length, wire_length};
 use crate::parts::headers::{LOAD, TIME_LEFT};
-use crate::parts::room::Room;
+use crate::parts::room::{Room, Taken};
 use crate::parts::upstream::{Upstream, Upstreams};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TE, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, StatusCode, Uri};
 use lapisroute::{Outcome, Reports, UpstreamId};
 use maplehook_routes::{Answers, Begins, Means, Passage};
 use prometheus_client::metrics::counter::Counter;
+use std::collections::VecDeque;
 use std::fmt;
 use std::future::Future;
 use std::rc::Rc;
@@ -74,7 +75,7 @@
 
 enum Coming {
     Whole(Bytes),
-    Streams(Incoming),
+    Streams(VecDeque<Frame<Bytes>>, Incoming),
 }
 
 impl Upstreams {
@@ -115,6 +116,11 @@
             let exchanged = exchange(&mut connection, request, &outgoing.passage, &self.room);
             let exchanged = within(&outgoing.body, give_up, exchanged).await;
             let written = connection.written() - before;
+            // One that streams has its end where its last byte is, whatever it says of its length.
+            let may_have_begun = match &outgoing.body {
+                Payload::Upload(upload) if outgoing.passage.begins == Begins::LastByte => upload.is_whole(),
+                _ => written >= begins,
+            };
             match exchanged {
                 Some(Ok(reply)) => {
                     return self.answered(id, upstream, connection, outgoing, reply, before + all);
@@ -127,13 +133,13 @@
                         _ if is_its_senders(&outgoing.body) => Outcome::Cancelled,
                         // It has been read, whole or not, by an upstream that lives and has answered.
                         Broken::Spoilt(_) => Outcome::Error,
-                        Broken::Ended(_) if written < begins => Outcome::ConnectFailed,
+                        Broken::Ended(_) if !may_have_begun => Outcome::ConnectFailed,
                         Broken::Ended(_) => Outcome::Reset,
                     }
                     .into();
                 }
-                None if written < begins => return Outcome::NotSent.into(),
                 None if is_its_senders(&outgoing.body) => return Outcome::Cancelled.into(),
+                None if !may_have_begun => return Outcome::NotSent.into(),
                 None => return Outcome::TimedOut.into(),
             }
         }
@@ -170,7 +176,7 @@
         let load = headers.remove(LOAD).filter(|_| self.reports == Reports::Inline);
         let report = load.map_or_else(Vec::new, |load| self.read_report(load.as_bytes()));
         let headless = outgoing.method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
-        self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(_)), headless);
+        self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(..)), headless);
         // An answer that came before the request had left whole leaves the rest in the way.
         let payload = outgoing.body.clone();
         let has_left = move |connection: &Connection| match &payload {
@@ -184,7 +190,7 @@
                 }
                 AnswerBody::Whole(body)
             }
-            Coming::Streams(incoming) => {
+            Coming::Streams(read, incoming) => {
                 let (upstreams, (idle, total)) = (Rc::clone(self), outgoing.passage.patience());
                 let put_back = Box::new(move |connection: Connection| {
                     if has_left(&connection) {
@@ -192,7 +198,7 @@
                     }
                 });
                 let until = Instant::now() + total;
-                AnswerBody::Stream(Stream::new(incoming, connection, put_back, idle, until))
+                AnswerBody::Stream(Stream::new(read, incoming, connection, put_back, idle, until))
             }
         };
         let (served, spoke) = (Served { status, headers, body }, outgoing.passage.last_error_passes);
@@ -230,6 +236,8 @@
     connection: &Connection,
 ) -> Request<crate::parts::body::Outbound> {
     let mut headers = outgoing.headers.clone();
+    // The time of a body that streams is its own; the answer's counts from its last byte.
+    let left = outgoing.body.upload().map_or(left, |upload| upload.answer_most().min(left));
     headers.insert(TIME_LEFT, HeaderValue::from(left.as_millis() as u64));
     let body = connection.outbound(&outgoing.body);
     let enclosing = matches!(outgoing.method, Method::POST | Method::PUT | Method::PATCH);
@@ -294,14 +302,17 @@
     let means = passage.meaning.of(parts.status, &parts.headers);
     let body = match (passage.answers, means) {
         (Answers::Whole { most }, _) => Coming::Whole(whole(body, most, BODY_SMALL, room).await?),
-        (Answers::Streamed { buffer, .. }, Means::Final { .. }) => {
-            let stated = body.size_hint().exact().filter(|n| *n <= buffer as u64);
-            match stated.and_then(|n| room.take_long(n as usize)) {
-                Some(taken) => Coming::Whole(
-                    taken.with(body.collect().await.map_err(|e| broken_body(e.into()))?.to_bytes()),
-                ),
+        (Answers::Streamed { buffer, hold, .. }, Means::Final { .. }) => {
+            let stated = body.size_hint().exact();
+            let holds = match stated {
+                Some(n) => (n <= buffer as u64).then_some(n as usize),
+                None => (!hold.is_zero()).then_some(buffer),
+            };
+            match holds.and_then(|n| room.take_long(n)) {
+                Some(taken) if stated.is_some() => Coming::Whole(taken.with(short(body).await?)),
+                Some(taken) => held(body, buffer, Instant::now() + hold, taken).await?,
                 // Where there is no room to hold it, its reader sets the pace.
-                None => Coming::Streams(body),
+                None => Coming::Streams(VecDeque::new(), body),
             }
         }
         (Answers::Streamed { .. }, _) => Coming::Whole(whole(body, ERROR_MOST, 0, room).await?),
@@ -309,6 +320,63 @@
     Ok(Reply { parts, means, body })
 }
 
+/// What of a body is in hand: one piece, however small those were that it came in.
+#[derive(Default)]
+struct Gathered {
+    first: Bytes,
+    more: BytesMut,
+}
+
+impl Gathered {
+    fn len(&self) -> usize {
+        self.first.len() + self.more.len()
+    }
+
+    fn push(&mut self, data: Bytes) {
+        if self.len() == 0 {
+            self.first = data;
+            return;
+        }
+        if self.more.is_empty() {
+            self.more.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.more.extend_from_slice(&data);
+    }
+
+    fn whole(self) -> Bytes {
+        if self.more.is_empty() { self.first } else { self.more.freeze() }
+    }
+}
+
+/// A body that is as short as it says.
+async fn short(mut body: Incoming) -> Result<Bytes, Broken> {
+    let mut read = Gathered::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|e| broken_body(e.into()))?.into_data() {
+            read.push(data);
+        }
+    }
+    Ok(read.whole())
+}
+
+/// A body that did not say how long it is: whole if it ends within `buffer` bytes and by `until`.
+async fn held(mut body: Incoming, buffer: usize, until: Instant, taken: Taken) -> Result<Coming, Broken> {
+    let mut read = Gathered::default();
+    let mut trailers = None;
+    while read.len() <= buffer && trailers.is_none() {
+        let Ok(frame) = timeout_at(until, body.frame()).await else { break };
+        match frame.transpose().map_err(|e| broken_body(e.into()))?.map(Frame::into_data) {
+            Some(Ok(data)) => read.push(data),
+            // They follow what is passed on as it came.
+            Some(Err(last)) => trailers = Some(last),
+            None => return Ok(Coming::Whole(taken.shrunk(read.len()).with(read.whole()))),
+        }
+    }
+    let data = read.whole();
+    let data = (!data.is_empty()).then(|| Frame::data(data));
+    Ok(Coming::Streams(data.into_iter().chain(trailers).collect(), body))
+}
+
 /// A whole body of `most` bytes at the most; one of up to `small` needs no room.
 async fn whole(body: Incoming, most: usize, small: usize, room: &Room) -> Result<Bytes, Broken> {
     let stated = body.size_hint().lower();
--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -20,7 +20,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
-/// How long, and how much, is read of a body that nobody wants any more.
+/// How long nothing may come, and how much is read, of a body that nobody wants any more.
 const READ_AWAY: Duration = Duration::from_secs(1);
 const READ_AWAY_MOST: usize = 64 * 1024 * 1024;
 
@@ -185,6 +185,11 @@
         self.length
     }
 
+    /// How long its sender waits for the answer once it has left whole.
+    pub fn answer_most(&self) -> Duration {
+        self.patience.answer
+    }
+
     /// Whether it has left whole.
     pub fn is_whole(&self) -> bool {
         self.whole.get()
@@ -374,25 +379,40 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let all = async {
-        let mut read = 0;
-        while let Some(Ok(frame)) = body.frame().await {
-            read += frame.data_ref().map_or(0, Bytes::len);
-            if read > READ_AWAY_MOST {
-                break;
-            }
+    let mut read = 0;
+    while let Ok(Some(Ok(frame))) = timeout(READ_AWAY, body.frame()).await {
+        read += frame.data_ref().map_or(0, Bytes::len);
+        if read > READ_AWAY_MOST {
+            break;
         }
-    };
-    let _ = timeout(READ_AWAY, all).await;
+    }
+}
+
+/// How fast a body has to come: slow is told from stuck by what has come, not by the time that it takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// When it began.
+    pub begun: Instant,
+    /// The time that it has in any case.
+    pub grace: Duration,
+    /// Bytes a second that it has to bring after that.
+    pub rate: f64,
+}
+
+impl Pace {
+    /// Until when more has to come, after so many bytes.
+    pub fn due(&self, bytes: usize) -> Instant {
+        self.begun + self.grace + Duration::from_secs_f64(bytes as f64 / self.rate)
+    }
 }
 
-/// Takes a request's body in: whole by `whole_by` where its class and the room allow that, else as one that streams.
+/// Takes a request's body in: whole, at this pace, where its class and the room allow that, else as one that streams.
 /// `answer` is how long its sender waits for the answer from then on.
 pub async fn take_in<B>(
     mut body: B,
     passage: &Passage,
     room: &Room,
-    whole_by: Instant,
+    pace: Pace,
     answer: Duration,
 ) -> Result<Payload, Fault>
 where
@@ -420,7 +440,8 @@
     if is_short && (taken.is_some() || !streams) {
         let mut more = BytesMut::new();
         while read.len() + more.len() <= passage.buffer {
-            let frame = timeout_at(whole_by, body.frame()).await.map_err(|_| Fault::Slow)?;
+            let frame =
+                timeout_at(pace.due(read.len() + more.len()), body.frame()).await.map_err(|_| Fault::Slow)?;
             let Some(frame) = frame else {
                 ended = true;
                 break;
--- a/engine/src/parts/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -70,7 +70,12 @@
 
 impl Desk {
     /// One before this driver; it counts what it is asked.
-    pub fn new(driver: Rc<Driver>, counting: Rc<Counting>, bounds: Bounds, seed: u64) -> Result<Rc<Self>, BoundsError> {
+    pub fn new(
+        driver: Rc<Driver>,
+        counting: Rc<Counting>,
+        bounds: Bounds,
+        seed: u64,
+    ) -> Result<Rc<Self>, BoundsError> {
         Ok(Rc::new(Self {
             driver,
             counting,
--- a/engine/src/parts/room.rs
+++ b/engine/src/parts/room.rs
@@ -49,6 +49,14 @@
 }
 
 impl Taken {
+    /// Only so many of these bytes; the others are given back.
+    pub fn shrunk(mut self, length: usize) -> Self {
+        let length = length.min(self.length);
+        self.room.0.fetch_add(self.length - length, Ordering::Relaxed);
+        self.length = length;
+        self
+    }
+
     /// A body that gives its room back when the last of those who have it lets go.
     pub fn with(self, body: Bytes) -> Bytes {
         if self.length == 0 { body } else { Bytes::from_owner(Held(body, self)) }
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -113,7 +113,8 @@
     });
     let mut builder = http1::Builder::new();
     builder.keep_alive(false).max_buf_size(BUFFER).timer(TokioTimer::new()).header_read_timeout(HEAD_MOST);
-    let served = timeout(HEAD_MOST, builder.serve_connection(TokioIo::new(stream), service).without_shutdown());
+    let served =
+        timeout(HEAD_MOST, builder.serve_connection(TokioIo::new(stream), service).without_shutdown());
     let Ok(Ok(parts)) = served.await else { return };
     // What it goes on sending is read away: a connection that is closed with bytes unread is reset, and a reset takes the
     // answer along.
@@ -127,7 +128,9 @@
 
 fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
     let (status, kind, text) = match (request.uri().path(), request.method()) {
-        ("/control/ready" | "/control/counters", method) if !matches!(*method, Method::GET | Method::HEAD) => {
+        ("/control/ready" | "/control/counters", method)
+            if !matches!(*method, Method::GET | Method::HEAD) =>
+        {
             (StatusCode::METHOD_NOT_ALLOWED, "text/plain", "GET alone\n".into())
         }
         ("/control/ready" | "/control/counters", _) if !request.body().is_end_stream() => {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -25,6 +25,7 @@
 mod control;
 mod daemon;
 mod entrance;
+mod framing;
 pub mod inherited;
 mod refusals;
 mod requests;
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -1,14 +1,14 @@
 //! What makes a client's message a request that may be handed to the module, and which requests are open.
 
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HOST, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Version};
 use lapisroute::TenantId;
 use lapisroute_settings::Site;
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::Outgoing;
-use maplehook::parts::body::{Fault, Upload, take_in};
+use maplehook::parts::body::{Fault, Pace, Upload, take_in};
 use maplehook::parts::driver::Asked;
 use maplehook::parts::room::Room;
 use maplehook_admission::address::Network;
@@ -135,13 +135,12 @@
         self.rules.is_strict()
     }
 
-    /// Reads a head. `hides_a_length`: whether its bytes name a length beyond so many that it shows.
-    pub fn head(&self, mut parts: Parts, hides_a_length: impl FnOnce(usize) -> bool) -> Result<Head, Unfit> {
+    /// Reads a head. `hides_a_length`: whether its bytes name a length that it does not show.
+    pub fn head(&self, mut parts: Parts, hides_a_length: bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
         let headers = &mut parts.headers;
-        let shown = headers.get_all(CONTENT_LENGTH).iter().count();
         // Two lengths hide a second request in the body of the first from one of the two that read it.
-        if hides_a_length(shown) && headers.contains_key(TRANSFER_ENCODING) {
+        if hides_a_length && headers.contains_key(TRANSFER_ENCODING) {
             return Err(bad("Content-Length beside Transfer-Encoding"));
         }
         if !self.rules.is_strict() {
@@ -163,18 +162,12 @@
         Ok(Head { fit, parts, vouched })
     }
 
-    /// Reads the rest of a request, which has to be whole by `whole_by` unless it streams; from then on it is open.
-    pub async fn rest(
-        &self,
-        head: Head,
-        body: Incoming,
-        whole_by: Instant,
-        peer: IpAddr,
-    ) -> Result<Ready, Unfit> {
+    /// Reads the rest of a request, which has to come at this pace unless it streams; from then on it is open.
+    pub async fn rest(&self, head: Head, body: Incoming, pace: Pace, peer: IpAddr) -> Result<Ready, Unfit> {
         let Head { fit, parts, .. } = head;
         let passage = &self.passages[usize::from(fit.class.0)];
         let wait = fit.wait.saturating_sub(ON_THE_WAY);
-        let body = take_in(body, passage, &self.room, whole_by, wait).await.map_err(at_fault)?;
+        let body = take_in(body, passage, &self.room, pace, wait).await.map_err(at_fault)?;
         let strict = self.rules.is_strict();
         if strict && parts.method == Method::GET && !body.is_empty() {
             return Err(Unfit::new(StatusCode::BAD_REQUEST, "a GET with a body"));
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -46,6 +46,8 @@
 /// Where the listening socket is shared, whoever follows accepts at once, and idle connections stay for this long: each
 /// that is used meanwhile ends with its answer, so that hardly any request meets the end of its connection.
 const IDLE_AFTER_TERM: Duration = Duration::from_millis(2000);
+/// How long a platform's client may leave an answer unread.
+const STALL: Duration = Duration::from_secs(20);
 /// For the answers to what is then still held.
 const LAST_WORDS: Duration = Duration::from_millis(200);
 
@@ -88,7 +90,8 @@
     let inherited = inherited.and_then(|taken| {
         let fit = taken.and_then(|listener| inherited::serves(&listener, config.listen).map(|()| listener));
         // The balancer's own socket does as well, unless somebody holds that address.
-        fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen)).ok()
+        fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen))
+            .ok()
     });
     let settings = config.site.settings.clone();
     let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
@@ -102,7 +105,7 @@
         room: Room::new(config.long_answers()),
         forwarding: Forwarding::platform(),
         own: false,
-        stall: Duration::MAX,
+        stall: STALL,
         grace: longest.min(KILL_DEADLINE_MOST) + KILL_AFTER_DEADLINE,
         settings,
         operator,
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -12,7 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplehook::parts::answer::AnswerBody;
-use maplehook::parts::body::{Upload, read_away};
+use maplehook::parts::body::{Pace, Upload, read_away};
 use maplehook::parts::descriptors::{Descriptors, PAUSE, out_of_descriptors};
 use maplehook::parts::desk::Desk;
 use maplehook::parts::driver::Answer;
@@ -189,7 +189,7 @@
 
     async fn respond(&self, client: &Rc<Client>, peer: IpAddr, request: Request<Incoming>) -> Response<Tail> {
         let leaving = || *self.phase.borrow() != Phase::Serving;
-        let whole_by = client.reads();
+        let pace = client.reads();
         let mut question = Question::Request;
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
@@ -200,10 +200,11 @@
                     plain(StatusCode::OK, "ok")
                 }
             }
-            _ => match self.read(client, peer, request, whole_by).await {
+            _ => match self.read(client, peer, request, pace).await {
                 Ok(ready) => self.answer(ready).await,
                 Err(unfit) => {
                     question = Question::Unfit;
+                    tracing::debug!(%peer, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
                     own(self.words.unfit(&unfit))
                 }
             },
@@ -235,10 +236,10 @@
         client: &Client,
         peer: IpAddr,
         request: Request<Incoming>,
-        whole_by: Instant,
+        pace: Pace,
     ) -> Result<Ready, Unfit> {
         let (parts, body) = request.into_parts();
-        let head = match self.requests.head(parts, |shown| client.hides_a_length(shown)) {
+        let head = match self.requests.head(parts, client.hides_a_length()) {
             Ok(head) => head,
             Err(unfit) => {
                 if !self.requests.is_strict() {
@@ -248,7 +249,7 @@
             }
         };
         let (tenant, vouched) = (head.tenant(), head.vouched);
-        let read = self.requests.rest(head, body, whole_by, peer).await?;
+        let read = self.requests.rest(head, body, pace, peer).await?;
         client.holds(tenant.0, vouched);
         Ok(read)
     }
--- a/routes/src/meaning.rs
+++ b/routes/src/meaning.rs
@@ -100,6 +100,8 @@
     Streamed {
         /// The longest body that is held, in bytes.
         buffer: usize,
+        /// How long one that does not say how long it is may be held, in case that it is short.
+        hold: Duration,
         /// The longest silence of an upstream in the middle of an answer.
         idle: Duration,
         /// The longest time that an answer, or a request's body, may take in all.
@@ -125,14 +127,20 @@
 }
 
 impl Passage {
-    /// The platform's: nothing streams, requests end at 64 KiB, answers at 1 MiB.
+    /// The platform's: 64 KiB are held each way, since up to there the last byte counts; longer bodies stream, as long
+    /// as anything of them comes.
     pub fn platform() -> Self {
         Self {
             meaning: Meaning::platform(),
             begins: Begins::LastByte,
-            answers: Answers::Whole { most: 1024 * 1024 },
+            answers: Answers::Streamed {
+                buffer: 64 * 1024,
+                hold: Duration::from_millis(50),
+                idle: Duration::from_secs(10),
+                total: Duration::from_secs(3600),
+            },
             buffer: 64 * 1024,
-            body_most: 64 * 1024,
+            body_most: 1 << 30,
             last_error_passes: false,
         }
     }
@@ -144,6 +152,7 @@
             begins: Begins::Head,
             answers: Answers::Streamed {
                 buffer: 64 * 1024,
+                hold: Duration::ZERO,
                 idle: Duration::from_secs(30),
                 total: Duration::from_secs(3600),
             },
