Tests follow the streaming platform; two verdicts that depended on chance are mended

Ruled out: the floods of other tests (still so with those kept apart). membership/tests/fleet.rs failed for one drawn case: an instance that answered and then was unreachable stayed held past its time until the next look. Change: a line for each kind; unreachable() looks at once.

--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -7,7 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Frame, SizeHint};
-use maplehook_routes::{Answers, Passage};
+use maplehook_routes::Passage;
 use prometheus_client::metrics::counter::Counter;
 use std::cell::{Cell, RefCell};
 use std::error::Error;
@@ -424,11 +424,8 @@
     }
     let hint = body.size_hint();
     // What is said to be too long is not read.
-    let streams = matches!(passage.answers, Answers::Streamed { .. });
     if hint.lower() > passage.body_most {
-        if streams {
-            spawn_local(read_away(body));
-        }
+        spawn_local(read_away(body));
         return Err(Fault::TooLong);
     }
     let mut read = Bytes::new();
@@ -436,8 +433,8 @@
     let is_short = hint.lower() <= passage.buffer as u64;
     // The room is taken before the first byte is read, for as much as may come.
     let most = hint.exact().map_or(passage.buffer, |n| n as usize);
-    let taken = if is_short && streams { room.take_long(most) } else { None };
-    if is_short && (taken.is_some() || !streams) {
+    let taken = if is_short { room.take_long(most) } else { None };
+    if taken.is_some() {
         let mut more = BytesMut::new();
         while read.len() + more.len() <= passage.buffer {
             let frame =
@@ -464,9 +461,6 @@
             None => read,
         }));
     }
-    if !streams {
-        return Err(Fault::TooLong);
-    }
     if read.len() as u64 > passage.body_most {
         spawn_local(read_away(body));
         return Err(Fault::TooLong);
--- a/engine/src/parts/descriptors.rs
+++ b/engine/src/parts/descriptors.rs
@@ -5,6 +5,7 @@
 use maplehook_admission::budget::TooFew;
 use maplehook_admission::{Budget, Part};
 use rlimit::Resource;
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::fs::File;
 use std::io;
@@ -29,7 +30,8 @@
     changed: RefCell<Vec<Box<dyn Fn()>>>,
     /// When the reliefs were last called: many may fail at one moment.
     relieved: Cell<Option<Instant>>,
-    short: Seldom,
+    /// By what was in want of one: the one that is refused most often must not hide the others.
+    short: RefCell<FxHashMap<&'static str, Seldom>>,
 }
 
 /// The limit that the process finds.
@@ -58,7 +60,7 @@
             reliefs: RefCell::default(),
             changed: RefCell::default(),
             relieved: Cell::new(None),
-            short: Seldom::default(),
+            short: RefCell::default(),
         }))
     }
 
@@ -88,8 +90,8 @@
     /// Something could not be opened for want of a descriptor: the limit is read anew, and if it was not that,
     /// the parts shrink; either way one descriptor is freed before long, if any can be spared (`true`). Whoever
     /// failed waits [`PAUSE`]; of many that fail at one moment, one is told so.
-    pub fn starved(&self, what: &str) -> bool {
-        self.short.warn(|| format!("no descriptor left: {what}"));
+    pub fn starved(&self, what: &'static str) -> bool {
+        self.short.borrow_mut().entry(what).or_default().warn(|| format!("no descriptor left: {what}"));
         let now = Instant::now();
         if self.relieved.get().is_some_and(|at| now - at < PAUSE) {
             return false;
--- a/membership/src/fleet.rs
+++ b/membership/src/fleet.rs
@@ -242,6 +242,8 @@
         for missing in self.missing_of(key) {
             (missing.answered, missing.unreachable) = (None, true);
         }
+        // Without the answer its hold may have ended long ago.
+        self.pass(now);
     }
 
     fn missing_of<'a>(&'a mut self, key: &'a str) -> impl Iterator<Item = &'a mut Missing> {
--- a/node/tests/door.rs
+++ b/node/tests/door.rs
@@ -77,6 +77,13 @@
 }
 
 /// So many clients that have each been served and keep their connection.
+/// Held by tests that flood, and by those that a flood beside them would keep from what they do until their clients have been
+/// idle for too long.
+fn alone() -> std::sync::MutexGuard<'static, ()> {
+    static ALONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+    ALONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 fn served(node: &Node, count: usize) -> Vec<Client> {
     let one = |n| {
         let mut client = node.connect();
@@ -90,6 +97,7 @@
 /// client confirms; what was accepted keeps its answer, and nothing spins or goes deaf.
 #[test]
 fn a_known_client_confirms_while_an_address_floods_at_the_descriptor_limit() {
+    let _alone = alone();
     let upstream = Upstream::start(Then::Answer(OK));
     let mut setup = Setup::with(&[upstream.address]);
     setup.operator = format!("{KNOWN}[descriptors]\nlimit = 100\n");
@@ -118,6 +126,7 @@
 /// from elsewhere each books, most at the first try, and the flooding address's own walkers too.
 #[test]
 fn a_lodges_walkers_are_served_beside_a_flood() {
+    let _alone = alone();
     let upstream = Upstream::start(Then::Answer(OK));
     let mut setup = Setup::with(&[upstream.address]);
     setup.sockets = 1024;
@@ -207,6 +216,7 @@
 /// sent again.
 #[test]
 fn what_is_held_is_answered_though_no_descriptor_is_left() {
+    let _alone = alone();
     let mute = Upstream::start(Then::Mute);
     let mut setup = Setup::with(&[mute.address]);
     (setup.sockets, setup.deadline_ms) = (512, 2500);
@@ -263,6 +273,7 @@
 /// not wait.
 #[test]
 fn discovery_finds_a_descriptor_when_there_is_none() {
+    let _alone = alone();
     let upstream = Upstream::start(Then::Answer(OK));
     let mut setup = short(&upstream);
     // Nobody listens there, so that it holds no descriptor.
@@ -280,6 +291,7 @@
 /// Guards a new configuration where there is no descriptor left to read it on.
 #[test]
 fn a_configuration_is_read_when_there_is_no_descriptor() {
+    let _alone = alone();
     let upstream = Upstream::start(Then::Answer(OK));
     let setup = short(&upstream);
     let node = setup.start();
@@ -292,6 +304,7 @@
 /// Guards a request whose attempt finds no descriptor: an idle client gives one up, and it is served.
 #[test]
 fn an_attempt_finds_a_descriptor_when_there_is_none() {
+    let _alone = alone();
     const ONCE: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\ndone";
     let upstream = Upstream::start(Then::AnswerAndClose(ONCE));
     let node = short(&upstream).start();
@@ -305,6 +318,7 @@
 /// Guards idle clients where the process is at its limit and nobody new comes: none of them is ended.
 #[test]
 fn at_the_limit_nobody_is_ended_for_nobody() {
+    let _alone = alone();
     let upstream = Upstream::start(Then::Answer(OK));
     let node = short(&upstream).start();
     let mut idle = served(&node, 30);
--- a/routes/src/meaning.rs
+++ b/routes/src/meaning.rs
@@ -88,25 +88,19 @@
     Head,
 }
 
-/// How answers come.
+/// How answers come: whole if they say that they are short; else from the first byte on, as they are made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answers {
-    /// Whole, up to so many bytes; a longer one is an error.
-    Whole {
-        /// The longest body, in bytes.
-        most: usize,
-    },
-    /// Whole if they say that they are this short; else from the first byte on, as they are made.
-    Streamed {
-        /// The longest body that is held, in bytes.
-        buffer: usize,
-        /// How long one that does not say how long it is may be held, in case that it is short.
-        hold: Duration,
-        /// The longest silence of an upstream in the middle of an answer.
-        idle: Duration,
-        /// The longest time that an answer, or a request's body, may take in all.
-        total: Duration,
-    },
+pub struct Answers {
+    /// The longest body that is held, in bytes.
+    pub buffer: usize,
+    /// How long one that does not say how long it is may be held, in case that it is short.
+    pub hold: Duration,
+    /// The longest body that an answer may say it has, in bytes; a longer one is an error.
+    pub most: u64,
+    /// The longest silence of an upstream in the middle of an answer.
+    pub idle: Duration,
+    /// The longest time that an answer, or a request's body, may take in all.
+    pub total: Duration,
 }
 
 /// How messages of one class pass.
@@ -133,9 +127,10 @@
         Self {
             meaning: Meaning::platform(),
             begins: Begins::LastByte,
-            answers: Answers::Streamed {
+            answers: Answers {
                 buffer: 64 * 1024,
                 hold: Duration::from_millis(50),
+                most: 1 << 30,
                 idle: Duration::from_secs(10),
                 total: Duration::from_secs(3600),
             },
@@ -150,9 +145,10 @@
         Self {
             meaning: Meaning::general(effect),
             begins: Begins::Head,
-            answers: Answers::Streamed {
+            answers: Answers {
                 buffer: 64 * 1024,
                 hold: Duration::ZERO,
+                most: u64::MAX,
                 idle: Duration::from_secs(30),
                 total: Duration::from_secs(3600),
             },
@@ -164,9 +160,6 @@
 
     /// The longest silence, and the longest time in all, of a body that streams.
     pub fn patience(&self) -> (Duration, Duration) {
-        match self.answers {
-            Answers::Whole { .. } => (Duration::MAX, Duration::MAX),
-            Answers::Streamed { idle, total, .. } => (idle, total),
-        }
+        (self.answers.idle, self.answers.total)
     }
 }
