Settings are retuned at SIGHUP, whole or not at all

Change: the file is checked whole, into typed settings, before anything changes; the module takes them as one event; a request under way keeps its class and the stricter of both readings.

--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -154,9 +154,7 @@
     /// A door with this many places. `guarantees`: what the decision module guarantees each tenant, in any
     /// unit; `seed` keeps clients from choosing where they fall in tables.
     pub fn new(policy: Policy, places: usize, guarantees: &[f64], seed: u64) -> Self {
-        let all: f64 = guarantees.iter().sum();
-        let part = |g: &f64| if all > 0.0 { g / all } else { 1.0 / guarantees.len() as f64 };
-        Self {
+        let mut door = Self {
             places: places.max(1),
             conns: Vec::new(),
             free: Vec::new(),
@@ -165,14 +163,27 @@
             leaving: 0,
             addresses: Peers::new(policy.remembered, seed),
             prefixes: Peers::new(policy.remembered, seed ^ 0x9e37_79b9),
-            parts: guarantees.iter().map(part).collect(),
-            of_tenant: vec![0; guarantees.len()],
-            known_of_tenant: vec![0; guarantees.len()],
+            parts: Vec::new(),
+            of_tenant: Vec::new(),
+            known_of_tenant: Vec::new(),
             answers: ANSWERS.1,
             answers_at: 0.0,
             refused: 0,
             policy,
-        }
+        };
+        door.guarantee(guarantees);
+        door
+    }
+
+    /// The tenants are guaranteed this from now on. They keep their numbers: there are no fewer than before.
+    pub fn guarantee(&mut self, guarantees: &[f64]) {
+        let all: f64 = guarantees.iter().sum();
+        let part = |g: &f64| if all > 0.0 { g / all } else { 1.0 / guarantees.len() as f64 };
+        self.parts = guarantees.iter().map(part).collect();
+        let tenants = guarantees.len().max(self.of_tenant.len());
+        self.parts.resize(tenants, 0.0);
+        self.of_tenant.resize(tenants, 0);
+        self.known_of_tenant.resize(tenants, 0);
     }
 
     /// Connections let in and not told to end.
--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -145,14 +145,15 @@
 
     /// Asks an upstream how it is.
     pub async fn probe(self: &Rc<Self>, id: UpstreamId) -> Ended {
-        let target = Uri::from_static(if self.reports == Reports::Off { "/health/live" } else { "/stats" });
+        let target =
+            Uri::from_static(if self.reports.get() == Reports::Off { "/health/live" } else { "/stats" });
         let mut headers = HeaderMap::with_capacity(3);
         headers.insert(HOST, HeaderValue::from_static("upstream"));
         let (body, passage) = (Payload::Whole(Bytes::new()), Rc::clone(&self.probing));
         let outgoing = Outgoing { method: Method::GET, target, headers, body, passage };
         let mut ended = self.send(id, &outgoing, Instant::now() + PROBE_TIMEOUT, None).await;
         if let Some(Served { body: AnswerBody::Whole(body), .. }) = &ended.served
-            && self.reports != Reports::Off
+            && self.reports.get() != Reports::Off
             && ended.report.is_empty()
         {
             ended.report = self.read_report(body);
@@ -171,7 +172,7 @@
         whole: u64,
     ) -> Ended {
         let Reply { parts: Parts { status, mut headers, .. }, means, body } = reply;
-        let load = headers.remove(LOAD).filter(|_| self.reports == Reports::Inline);
+        let load = headers.remove(LOAD).filter(|_| self.reports.get() == Reports::Inline);
         let report = load.map_or_else(Vec::new, |load| self.read_report(load.as_bytes()));
         let headless = outgoing.method == Method::HEAD || status == StatusCode::NOT_MODIFIED;
         self.forwarding.answer(&mut headers, matches!(body, Coming::Streams(..)), headless);
--- a/engine/src/parts/discovery.rs
+++ b/engine/src/parts/discovery.rs
@@ -15,7 +15,7 @@
 use lapisroute_settings::Names;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -65,7 +65,7 @@
 /// Where discovery is, and how far this balancer has followed it.
 pub struct Discovery {
     address: Cell<SocketAddr>,
-    names: Names,
+    names: RefCell<Names>,
     descriptors: Rc<Descriptors>,
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
@@ -77,9 +77,15 @@
 impl Discovery {
     /// Discovery at an address; `names` turn zones and kinds into numbers.
     pub fn new(address: SocketAddr, names: Names, descriptors: Rc<Descriptors>) -> Self {
+        let names = RefCell::new(names);
         Self { address: Cell::new(address), names, descriptors, rev: Cell::new(0), odd: Seldom::default() }
     }
 
+    /// Zones and kinds have these numbers from now on.
+    pub fn rename(&self, names: Names) {
+        *self.names.borrow_mut() = names;
+    }
+
     /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
     fn read(&self, text: &[u8]) -> Result<News, Failure> {
         let list: RawList<'_> = serde_json::from_slice(text)?;
@@ -104,11 +110,12 @@
         if endpoint.is_none() && availability == Availability::Ready {
             return Err(format!("{}: no address", raw.uid).into());
         }
+        let names = self.names.borrow();
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         Ok(Entry {
             id: crate::source::stable_id(&raw.uid),
-            zone: ZoneId(place(&self.names.zones, &raw.az).map_or(u8::MAX, |z| z as u8)),
-            kind: KindId(place(&self.names.kinds, &raw.model).map_or(u16::MAX, |k| k as u16)),
+            zone: ZoneId(place(&names.zones, &raw.az).map_or(u8::MAX, |z| z as u8)),
+            kind: KindId(place(&names.kinds, &raw.model).map_or(u16::MAX, |k| k as u16)),
             cell: CellId(raw.pod_group),
             weight: raw.capacity_hint,
             place: Place { endpoint, availability, boot_ms: raw.boot_ms.max(0.0) as u64 },
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -10,8 +10,8 @@
 use crate::parts::upstream::Upstreams;
 use crate::source::{Heard, News, Source};
 use lapisroute::{
-    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, TenantId, TimerId,
-    UpstreamId,
+    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, Settings, TenantId,
+    TimerId, UpstreamId,
 };
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -92,6 +92,7 @@
     ProbeEnded(UpstreamId, Duration, Ended),
     Gone(RequestId),
     Timer(TimerId),
+    Retuned(Box<Settings>, Vec<TenantId>),
 }
 
 struct Attempt {
@@ -199,6 +200,11 @@
         Pending { driver: Rc::clone(self), id, answer: Some(answer) }
     }
 
+    /// The settings have changed; see [`Event::Retuned`].
+    pub fn retune(self: &Rc<Self>, settings: Settings, gone: Vec<TenantId>) {
+        self.happened(Happening::Retuned(Box::new(settings), gone));
+    }
+
     /// The time on the module's clock.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -331,6 +337,11 @@
                 }
                 self.forget_if_over(core, id);
             }
+            Happening::Retuned(settings, gone) => {
+                self.upstreams.retune(&settings);
+                let event = Event::Retuned { settings: &settings, gone: &gone };
+                core.balancer.handle(now, event, &mut actions);
+            }
             Happening::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
         }
         self.carry_out_all(core, actions);
--- a/engine/src/parts/pool.rs
+++ b/engine/src/parts/pool.rs
@@ -71,7 +71,7 @@
     idle: RefCell<Idle>,
     open: Rc<Open>,
     descriptors: Rc<Descriptors>,
-    idle_most: Duration,
+    idle_most: Cell<Duration>,
     full: Seldom,
 }
 
@@ -80,7 +80,18 @@
     /// `idle_most`.
     pub fn new(descriptors: Rc<Descriptors>, idle_most: Duration) -> Self {
         let full = Seldom::default();
-        Self { idle: RefCell::default(), open: Rc::default(), descriptors, idle_most, full }
+        Self {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            descriptors,
+            idle_most: Cell::new(idle_most),
+            full,
+        }
+    }
+
+    /// From now on they are of use while they have not been idle for so long.
+    pub fn retune(&self, idle_most: Duration) {
+        self.idle_most.set(idle_most);
     }
 
     /// Keeps a connection on which nothing is out.
@@ -100,7 +111,7 @@
         let idle = &mut *self.idle.borrow_mut();
         while let Some(number) = idle.of.get(&upstream).and_then(|of| of.back().copied()) {
             let kept = idle.remove(number)?;
-            if kept.since.elapsed() < self.idle_most && !kept.connection.is_closed() {
+            if kept.since.elapsed() < self.idle_most.get() && !kept.connection.is_closed() {
                 return Some(kept.connection);
             }
         }
@@ -158,7 +169,7 @@
             tokio::time::sleep(SWEEP_EVERY).await;
             let (now, idle) = (Instant::now(), &mut *self.idle.borrow_mut());
             // In the order in which they fell idle.
-            let old = idle.kept.iter().take_while(|(_, kept)| now - kept.since >= self.idle_most);
+            let old = idle.kept.iter().take_while(|(_, kept)| now - kept.since >= self.idle_most.get());
             let old: Vec<u64> = old.map(|(n, _)| *n).collect();
             let looked: Vec<(u64, bool)> = idle
                 .kept
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -48,9 +48,9 @@
     pub(crate) forwarding: Forwarding,
     pub(crate) probing: Rc<Passage>,
     pub(crate) tally: Arc<Tally>,
-    connect_timeout: Duration,
-    pub(crate) reports: Reports,
-    report_fields: Vec<LoadField>,
+    connect_timeout: Cell<Duration>,
+    pub(crate) reports: Cell<Reports>,
+    report_fields: RefCell<Vec<LoadField>>,
     odd_reports: Seldom,
     short: Seldom,
 }
@@ -72,14 +72,22 @@
             forwarding,
             probing: Rc::new(Passage::platform()),
             tally,
-            connect_timeout: settings.connect_timeout,
-            reports: settings.reports,
-            report_fields: settings.report_fields.clone(),
+            connect_timeout: Cell::new(settings.connect_timeout),
+            reports: Cell::new(settings.reports),
+            report_fields: RefCell::new(settings.report_fields.clone()),
             odd_reports: Seldom::default(),
             short: Seldom::default(),
         }
     }
 
+    /// The settings have changed. Connections that are open stay.
+    pub fn retune(&self, settings: &Settings) {
+        self.pool.retune(settings.conn_idle.mul_f64(IDLE_SHARE));
+        self.connect_timeout.set(settings.connect_timeout);
+        self.reports.set(settings.reports);
+        self.report_fields.borrow_mut().clone_from(&settings.report_fields);
+    }
+
     /// Takes in what the list says of one.
     pub fn place(&self, id: UpstreamId, place: &Place) {
         let mut known = self.known.borrow_mut();
@@ -159,7 +167,7 @@
             }
         }
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
-        let until = give_up.min(Instant::now() + self.connect_timeout);
+        let until = give_up.min(Instant::now() + self.connect_timeout.get());
         loop {
             // Out of descriptors or of time says nothing of the upstream.
             let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
@@ -191,7 +199,9 @@
     }
 
     pub(crate) fn read_report(&self, text: &[u8]) -> Vec<f32> {
-        let read = std::str::from_utf8(text).ok().and_then(|t| headers::load_report(t, &self.report_fields));
+        let read = std::str::from_utf8(text)
+            .ok()
+            .and_then(|t| headers::load_report(t, &self.report_fields.borrow()));
         read.unwrap_or_else(|| {
             let shown = || String::from_utf8_lossy(&text[..text.len().min(80)]).into_owned();
             self.odd_reports.warn(|| format!("unreadable load report {:?}", shown()));
--- a/engine/src/tally.rs
+++ b/engine/src/tally.rs
@@ -211,7 +211,9 @@
             Some(served(StatusCode::NOT_FOUND)),
         ];
         for (owed, answer) in owed.into_iter().zip(answers) {
-            answer.map(|mut answer| owed.answered(&mut answer));
+            if let Some(mut answer) = answer {
+                owed.answered(&mut answer);
+            }
         }
         for line in [
             "balancer_answered_total{group=\"look\"} 1",
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,10 +1,12 @@
 //! What the platform tells a balancer at its start: the JSON file that `NODE_CONFIG` names.
 
-use lapisroute_settings::Site;
+use lapisroute_settings::{Tuned, Wrong, missing};
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// One part of so many of the memory may hold long answers; reading one takes it twice for a moment.
 const LONG_ANSWERS_PART: usize = 5;
@@ -25,7 +27,9 @@
     /// The upstreams last known, in discovery's form; empty if none are.
     pub known: String,
     /// The settings of the site.
-    pub site: Site,
+    pub tuned: Tuned,
+    /// The file, for the keys that it has to go on having.
+    like: Value,
 }
 
 /// Why no balancer can start.
@@ -73,13 +77,19 @@
     }
 }
 
+/// The file that `NODE_CONFIG` names: its name, and its text.
+fn read() -> Result<(String, String), ConfigError> {
+    let path = std::env::var_os("NODE_CONFIG")
+        .ok_or_else(|| ConfigError("NODE_CONFIG names no configuration file".into()))?;
+    let shown = path.to_string_lossy().into_owned();
+    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
+    Ok((shown, text))
+}
+
 impl Config {
     /// Reads the file that `NODE_CONFIG` names.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let path = std::env::var_os("NODE_CONFIG")
-            .ok_or_else(|| ConfigError("NODE_CONFIG names no configuration file".into()))?;
-        let shown = path.to_string_lossy();
-        let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
+        let (shown, text) = read()?;
         let mut config = Self::parse(&text).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
         if let (None, Ok(operator)) = (config.operator, std::env::var("NODE_OPERATOR")) {
             let operator = operator.parse().map_err(|e| ConfigError(format!("NODE_OPERATOR: {e}")))?;
@@ -88,11 +98,44 @@
         Ok(config)
     }
 
+    /// What of the file that `NODE_CONFIG` names now may be taken while this process runs: discovery's address and the
+    /// settings, `now` since its start; whole, or not at all.
+    pub fn retuned(&self, now: Duration, tuned: &Tuned) -> Result<(SocketAddr, Tuned), ConfigError> {
+        let (shown, text) = read()?;
+        self.retuned_by(now, tuned, &text).map_err(|e| ConfigError(format!("{shown}: {e}")))
+    }
+
+    fn retuned_by(
+        &self,
+        now: Duration,
+        tuned: &Tuned,
+        text: &str,
+    ) -> Result<(SocketAddr, Tuned), ConfigError> {
+        let wrong = |wrong: Wrong| ConfigError(wrong.to_string());
+        let value: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        if let Value::Object(like) = &self.like {
+            // What it knew of the list is of no use to a process that runs.
+            let lacks = like.keys().find(|key| *key != "known" && value.get(key).is_none());
+            if let Some(key) = lacks {
+                return Err(ConfigError(format!("{key}: it is missing")));
+            }
+            for key in ["limits"] {
+                if let (Some(like), Some(new)) = (like.get(key), value.get(key)) {
+                    missing(like, new, key).map_err(wrong)?;
+                }
+            }
+        }
+        let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let tuned = tuned.retuned(now, raw.settings.get(), "settings").map_err(wrong)?;
+        Ok((raw.discovery, tuned))
+    }
+
     /// Reads the text of that file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
         let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
-        let site = lapisroute_settings::parse(raw.settings.get()).map_err(ConfigError)?;
+        let tuned = Tuned::new(raw.settings.get()).map_err(ConfigError)?;
+        let like = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         Ok(Self {
             listen: raw.listen,
             operator: raw.operator,
@@ -100,7 +143,8 @@
             seed,
             limits: raw.limits,
             known: raw.known.map_or_else(String::new, |k| k.get().to_owned()),
-            site,
+            tuned,
+            like,
         })
     }
 
--- a/node/src/entrance.rs
+++ b/node/src/entrance.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// The tenants are guaranteed this from now on.
+    pub fn guarantee(&self, guarantees: &[f64]) {
+        self.door.borrow_mut().guarantee(guarantees);
+    }
+
     /// Ends one connection that may end, for its descriptor; `false` if there is none.
     pub fn shed(&self) -> bool {
         let shed = self.door.borrow_mut().shed(self.now());
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod inherited;
 mod refusals;
 mod requests;
+mod retune;
 pub mod serve;
 mod server;
 mod words;
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -5,7 +5,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode, Version};
 use lapisroute::TenantId;
-use lapisroute_settings::Site;
+use lapisroute_settings::Tuned;
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::Outgoing;
 use maplehook::parts::body::{Fault, Pace, Upload, take_in};
@@ -44,6 +44,7 @@
 pub struct Head {
     fit: Fit,
     parts: Parts,
+    book: Rc<Book>,
     /// Whether it shows that its client is known.
     pub vouched: bool,
 }
@@ -89,10 +90,27 @@
     }
 }
 
-/// Reads requests.
-pub struct Requests {
+/// What requests are made of: a request is read by the one that stood when its head came.
+struct Book {
     rules: Rules,
     passages: Vec<Rc<Passage>>,
+}
+
+impl Book {
+    fn platform(tuned: &Tuned, before: Option<&Rules>) -> Self {
+        let classes = tuned.classes().map(|(id, name, class)| (id, name, class.effect, class.deadline));
+        let passage = Rc::new(Passage::platform());
+        Self {
+            rules: Rules::platform(classes, tuned.tenants(), before),
+            // By number, those of the vanished among them.
+            passages: vec![passage; tuned.site().settings.classes.len()],
+        }
+    }
+}
+
+/// Reads requests.
+pub struct Requests {
+    book: RefCell<Rc<Book>>,
     forwarding: Forwarding,
     fronts: Vec<Network>,
     room: Room,
@@ -102,13 +120,9 @@
 
 impl Requests {
     /// A reader of the platform's requests.
-    pub fn platform(site: &Site, vouching: Vouching, room: Room) -> Self {
-        let classes = site.names.classes.iter().zip(&site.settings.classes);
-        let classes: Vec<_> = classes.map(|(name, c)| (name.as_str(), c.effect, c.deadline)).collect();
-        let passage = Rc::new(Passage::platform());
+    pub fn platform(tuned: &Tuned, vouching: Vouching, room: Room) -> Self {
         Self {
-            rules: Rules::platform(&classes, &site.names.tenants),
-            passages: vec![passage; classes.len()],
+            book: RefCell::new(Rc::new(Book::platform(tuned, None))),
             forwarding: Forwarding::platform(),
             fronts: Vec::new(),
             room,
@@ -120,8 +134,10 @@
     /// A reader of the requests that an operator's file describes.
     pub fn of(proxy: &Proxy, fronts: Vec<Network>, vouching: Vouching, room: Room) -> Self {
         Self {
-            rules: proxy.rules(),
-            passages: proxy.passages.iter().cloned().map(Rc::new).collect(),
+            book: RefCell::new(Rc::new(Book {
+                rules: proxy.rules(),
+                passages: proxy.passages.iter().cloned().map(Rc::new).collect(),
+            })),
             forwarding: proxy.forwarding.clone(),
             fronts,
             room,
@@ -132,18 +148,25 @@
 
     /// Whether they are the platform's, which closes on what is unfit.
     pub fn is_strict(&self) -> bool {
-        self.rules.is_strict()
+        self.book.borrow().rules.is_strict()
+    }
+
+    /// The platform's settings have changed.
+    pub fn retune(&self, tuned: &Tuned) {
+        let before = Rc::clone(&self.book.borrow());
+        *self.book.borrow_mut() = Rc::new(Book::platform(tuned, Some(&before.rules)));
     }
 
     /// Reads a head. `hides_a_length`: whether its bytes name a length that it does not show.
     pub fn head(&self, mut parts: Parts, hides_a_length: bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
+        let book = Rc::clone(&self.book.borrow());
         let headers = &mut parts.headers;
         // Two lengths hide a second request in the body of the first from one of the two that read it.
         if hides_a_length && headers.contains_key(TRANSFER_ENCODING) {
             return Err(bad("Content-Length beside Transfer-Encoding"));
         }
-        if !self.rules.is_strict() {
+        if !book.rules.is_strict() {
             // RFC 9112, section 3.2: a request has one Host, but for one of HTTP/1.0.
             match headers.get_all(HOST).iter().count() {
                 1 => {}
@@ -156,19 +179,19 @@
                 return Err(Unfit::new(StatusCode::NOT_IMPLEMENTED, "no tunnels are made"));
             }
         }
-        let fit = self.rules.read(&parts.method, &parts.uri, &parts.headers)?;
-        let account = parts.headers.get(&self.rules.headers().tenant).and_then(|name| name.to_str().ok());
+        let fit = book.rules.read(&parts.method, &parts.uri, &parts.headers)?;
+        let account = parts.headers.get(&book.rules.headers().tenant).and_then(|name| name.to_str().ok());
         let vouched = self.vouching.vouches(account, &parts.headers);
-        Ok(Head { fit, parts, vouched })
+        Ok(Head { fit, parts, vouched, book })
     }
 
     /// Reads the rest of a request, which has to come at this pace unless it streams; from then on it is open.
     pub async fn rest(&self, head: Head, body: Incoming, pace: Pace, peer: IpAddr) -> Result<Ready, Unfit> {
-        let Head { fit, parts, .. } = head;
-        let passage = &self.passages[usize::from(fit.class.0)];
+        let Head { fit, parts, book, .. } = head;
+        let passage = &book.passages[usize::from(fit.class.0)];
         let wait = fit.wait.saturating_sub(ON_THE_WAY);
         let body = take_in(body, passage, &self.room, pace, wait).await.map_err(at_fault)?;
-        let strict = self.rules.is_strict();
+        let strict = book.rules.is_strict();
         if strict && parts.method == Method::GET && !body.is_empty() {
             return Err(Unfit::new(StatusCode::BAD_REQUEST, "a GET with a body"));
         }
@@ -178,7 +201,7 @@
         };
         let mut headers = parts.headers;
         if fit.id.is_none() {
-            self.rules.mint(&mut headers, fastrand::u128(..));
+            book.rules.mint(&mut headers, fastrand::u128(..));
         }
         let trusted = self.fronts.iter().any(|front| front.contains(peer));
         let peer = Peer { address: peer, trusted, tls: false };
--- /dev/null
+++ b/node/src/retune.rs
@@ -0,0 +1,75 @@
+//! SIGHUP: the platform's file is read anew. Discovery's address and the settings are taken from it, whole or not at all.
+
+use crate::config::Config;
+use crate::entrance::Entrance;
+use crate::requests::Requests;
+use lapisroute_settings::Tuned;
+use maplehook::parts::descriptors::Descriptors;
+use maplehook::parts::discovery::Discovery;
+use maplehook::parts::driver::Driver;
+use maplehook::tally::Counting;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::Signal;
+use tokio::time::Instant;
+
+/// How long a process stays after SIGTERM, by its settings.
+pub type Grace = Rc<Cell<Duration>>;
+
+/// Whom new settings concern.
+pub struct Retuner {
+    /// What the process was started with.
+    pub config: Config,
+    /// The connections to the list.
+    pub discovery: Rc<Discovery>,
+    /// The reader of requests.
+    pub requests: Rc<Requests>,
+    /// The door.
+    pub entrance: Rc<Entrance>,
+    /// A descriptor for the file.
+    pub descriptors: Rc<Descriptors>,
+    /// How long a process stays after SIGTERM.
+    pub grace: Grace,
+    /// The same, by settings.
+    pub grace_by: fn(&Tuned) -> Duration,
+}
+
+impl Retuner {
+    /// Reads the file at each SIGHUP, as long as the process lives.
+    pub async fn run(self, mut hangup: Signal, driver: Rc<Driver>, counting: Rc<Counting>) {
+        let (start, mut tuned) = (Instant::now(), self.config.tuned.clone());
+        while hangup.recv().await.is_some() {
+            let read = self.descriptors.with_spare(|| self.config.retuned(start.elapsed(), &tuned));
+            match read {
+                Ok((discovery, new)) => {
+                    counting.tally().conf_loaded.inc();
+                    tracing::info!(%discovery, retuned = new != tuned, "configuration read anew");
+                    if new != tuned {
+                        self.retune(&new, &driver, &counting);
+                        tuned = new;
+                    }
+                    if self.discovery.move_to(discovery) {
+                        driver.watch_anew();
+                    }
+                }
+                Err(e) => {
+                    counting.tally().conf_invalid.inc();
+                    tracing::warn!("the configuration stays as it is: {e}");
+                }
+            }
+        }
+    }
+
+    /// The decisions come first: no request may come by a class or tenant that they do not know.
+    fn retune(&self, tuned: &Tuned, driver: &Rc<Driver>, counting: &Counting) {
+        let site = tuned.site();
+        driver.retune(site.settings.clone(), tuned.gone_tenants());
+        counting.name(&site.names.classes);
+        let guarantees: Vec<f64> = site.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
+        self.entrance.guarantee(&guarantees);
+        self.discovery.rename(site.names.clone());
+        self.grace.set((self.grace_by)(tuned));
+        self.requests.retune(tuned);
+    }
+}
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -6,9 +6,11 @@
 use crate::entrance::Entrance;
 use crate::inherited;
 use crate::requests::{Requests, Vouching};
+use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
 use hyper::header::HeaderName;
 use lapisroute::{Balancer, FleetScope, Settings};
+use lapisroute_settings::Tuned;
 use maplehook::ledger::Bounds;
 use maplehook::parts::descriptors::{self, Descriptors};
 use maplehook::parts::desk::Desk;
@@ -22,6 +24,7 @@
 use maplehook_config::{Operator, Upstream};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
 use maplehook_routes::{Forwarding, Own};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::future::Future;
@@ -68,7 +71,7 @@
     own: bool,
     stall: Duration,
     /// From SIGTERM until the end.
-    grace: Duration,
+    grace: Grace,
     operator: Operator,
 }
 
@@ -93,43 +96,56 @@
         fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen))
             .ok()
     });
-    let settings = config.site.settings.clone();
-    let longest = settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let settings = config.tuned.site().settings.clone();
     let plan = Plan {
         listen: config.listen,
         inherited,
         control: config.operator,
-        classes: config.site.names.classes.clone(),
+        classes: config.tuned.site().names.classes.clone(),
         seed: config.seed,
         sockets: config.limits.sockets,
         room: Room::new(config.long_answers()),
         forwarding: Forwarding::platform(),
         own: false,
         stall: STALL,
-        grace: longest.min(KILL_DEADLINE_MOST) + KILL_AFTER_DEADLINE,
+        grace: Rc::new(Cell::new(platform_grace(&config.tuned))),
         settings,
         operator,
     };
     block_on(async move {
-        let vouching = vouching(&plan.operator, &config.site.names.tenants)?;
+        let vouching = vouching(&plan.operator, &config.tuned.site().names.tenants)?;
         let hangup = signal(SignalKind::hangup())?;
         let mut plan = plan;
         let parts = Parts::new(&mut plan)?;
         let discovery = Rc::new(Discovery::new(
             config.discovery,
-            config.site.names.clone(),
+            config.tuned.site().names.clone(),
             Rc::clone(&parts.descriptors),
         ));
         let known = discovery.known(&config.known);
         tracing::info!(limits = ?config.limits, "configured by the platform");
-        let requests = Requests::platform(&config.site, vouching, plan.room.clone());
-        let descriptors = Rc::clone(&parts.descriptors);
+        let requests = Rc::new(Requests::platform(&config.tuned, vouching, plan.room.clone()));
         let source = Rc::clone(&discovery) as Rc<dyn Source>;
-        let reload = |driver| spawn_local(reload(hangup, driver, discovery, descriptors));
+        let retuner = Retuner {
+            config,
+            discovery,
+            requests: Rc::clone(&requests),
+            entrance: Rc::clone(&parts.entrance),
+            descriptors: Rc::clone(&parts.descriptors),
+            grace: Rc::clone(&plan.grace),
+            grace_by: platform_grace,
+        };
+        let reload = |driver, counting| spawn_local(retuner.run(hangup, driver, counting));
         serve(plan, parts, requests, (source, known), reload, told, None).await
     })
 }
 
+/// From SIGTERM until the end.
+fn platform_grace(tuned: &Tuned) -> Duration {
+    let longest = tuned.classes().map(|(_, _, class)| class.deadline).max().unwrap_or_default();
+    longest.min(KILL_DEADLINE_MOST) + KILL_AFTER_DEADLINE
+}
+
 /// Serves as the operator's file alone says, until SIGTERM.
 pub fn by_file(mut operator: Operator, told: Option<Told>) -> Result<(), Box<dyn Error>> {
     let proxy =
@@ -147,7 +163,7 @@
         forwarding: proxy.forwarding.clone(),
         own: proxy.own,
         stall: proxy.stall,
-        grace: longest.max(proxy.drain) + KILL_AFTER_DEADLINE,
+        grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
         operator,
     };
     block_on(async move {
@@ -155,7 +171,7 @@
         let mut hangup = signal(SignalKind::hangup())?;
         let parts = Parts::new(&mut plan)?;
         let fronts = plan.operator.admission.fronts.clone();
-        let requests = Requests::of(&proxy, fronts, vouching, plan.room.clone());
+        let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
         let fixed = Fixed::listed(proxy.upstreams.iter().map(|upstream| {
             let Upstream { name, address, zone, weight } = upstream;
             (name.as_str(), *address, *zone, *weight)
@@ -186,7 +202,7 @@
                 (Rc::new(source) as Rc<dyn Source>, registrar.transpose()?)
             }
         };
-        let ignore = |_| {
+        let ignore = |_, _| {
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
                     tracing::warn!("nothing is read anew: the file is read at the start");
@@ -257,9 +273,9 @@
 async fn serve(
     plan: Plan,
     parts: Parts,
-    requests: Requests,
+    requests: Rc<Requests>,
     (source, known): (Rc<dyn Source>, News),
-    on_hangup: impl FnOnce(Rc<Driver>) -> JoinHandle<()>,
+    on_hangup: impl FnOnce(Rc<Driver>, Rc<Counting>) -> JoinHandle<()>,
     told: Option<Told>,
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
@@ -277,14 +293,14 @@
         driver.follow();
     }
     let counting = Counting::new(Arc::clone(&board.tally), &plan.classes);
-    let desk = Desk::new(Rc::clone(&driver), counting, Bounds::default(), plan.seed)?;
+    let desk = Desk::new(Rc::clone(&driver), Rc::clone(&counting), Bounds::default(), plan.seed)?;
     let (phase, phases) = watch::channel(Phase::Serving);
     let words = Own { signed: plan.own };
     let server = Server::new(desk, requests, entrance, Rc::clone(&descriptors), words, phases);
     let mut accepting = spawn_local(server.run(listener));
     board.ready.store(true, Ordering::Release);
     spawn_local(Rc::clone(&descriptors).watch());
-    on_hangup(Rc::clone(&driver));
+    on_hangup(Rc::clone(&driver), counting);
 
     let registrar = registrar.map(Rc::new);
     let kept = registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
@@ -312,7 +328,7 @@
         return Ok(());
     }
     phase.send_replace(Phase::Closing);
-    let rest = plan.grace.saturating_sub(until_idle_end + LAST_WORDS);
+    let rest = plan.grace.get().saturating_sub(until_idle_end + LAST_WORDS);
     if timeout(rest, &mut accepting).await.is_err() {
         driver.cut_off();
         let _ = timeout(LAST_WORDS, &mut accepting).await;
@@ -355,24 +371,3 @@
         }
     });
 }
-
-/// Reads the configuration anew at each SIGHUP. Only discovery's address is taken from it: all else stands
-/// until the next start. A file that can't be read leaves everything as it is.
-async fn reload(
-    mut hangup: Signal,
-    driver: Rc<Driver>,
-    discovery: Rc<Discovery>,
-    descriptors: Rc<Descriptors>,
-) {
-    while hangup.recv().await.is_some() {
-        match descriptors.with_spare(Config::from_env) {
-            Ok(config) => {
-                tracing::info!(discovery = %config.discovery, "configuration read anew");
-                if discovery.move_to(config.discovery) {
-                    driver.watch_anew();
-                }
-            }
-            Err(e) => tracing::warn!("the configuration stays as it is: {e}"),
-        }
-    }
-}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -54,7 +54,7 @@
 /// What clients reach.
 pub struct Server {
     desk: Rc<Desk>,
-    requests: Requests,
+    requests: Rc<Requests>,
     entrance: Rc<Entrance>,
     descriptors: Rc<Descriptors>,
     words: Own,
@@ -68,7 +68,7 @@
     /// A server that hands requests to `desk` and lets clients in by `entrance`.
     pub fn new(
         desk: Rc<Desk>,
-        requests: Requests,
+        requests: Rc<Requests>,
         entrance: Rc<Entrance>,
         descriptors: Rc<Descriptors>,
         words: Own,
--- a/routes/src/classify.rs
+++ b/routes/src/classify.rs
@@ -150,15 +150,31 @@
     }
 
     /// The platform's protocol: a class by the first part of the path, with one method, an id and a time.
-    pub fn platform(classes: &[(&str, Effect, Duration)], tenants: &[String]) -> Self {
-        let routes = classes.iter().enumerate().map(|(k, &(name, effect, deadline))| {
-            let method = if effect == Effect::Idempotent { Method::GET } else { Method::POST };
-            let (class, pattern) = (ClassId(k as u16), Pattern::any());
-            (name.to_owned(), Route { class, pattern, methods: vec![method], effect, deadline })
+    /// A class that allowed repeats before, or did not, is asked for by either method as long as `before` stands: its
+    /// clients can't change theirs at the same moment.
+    pub fn platform<'a>(
+        classes: impl IntoIterator<Item = (ClassId, &'a str, Effect, Duration)>,
+        tenants: impl IntoIterator<Item = (TenantId, &'a str)>,
+        before: Option<&Self>,
+    ) -> Self {
+        let routes = classes.into_iter().map(|(class, name, effect, deadline)| {
+            let mut methods = match effect {
+                Effect::Idempotent => vec![Method::GET, Method::HEAD],
+                _ => vec![Method::POST],
+            };
+            let routes = before.map(|before| &before.routes);
+            if let Some(Routes::First(routes)) = routes
+                && let Some(route) = routes.get(name)
+            {
+                methods.extend(
+                    route.methods.iter().filter(|m| !methods.contains(m)).cloned().collect::<Vec<_>>(),
+                );
+            }
+            (name.to_owned(), Route { class, pattern: Pattern::any(), methods, effect, deadline })
         });
         Self {
             routes: Routes::First(routes.collect()),
-            tenants: numbered(tenants.to_vec()),
+            tenants: tenants.into_iter().map(|(id, name)| (name.to_owned(), id)).collect(),
             headers: Headers::default(),
             strict: true,
         }
--- a/routes/tests/rules.rs
+++ b/routes/tests/rules.rs
@@ -107,7 +107,7 @@
             headers.append(known[*n].clone(), value.parse().unwrap());
         }
         let rules = if strict {
-            Rules::platform(&[("book", KEYED, 3 * SECOND)], &["acme".into()])
+            Rules::platform([(ClassId(0), "book", KEYED, 3 * SECOND)], [(TenantId(0), "acme")], None)
         } else {
             rules(&["/book/*", "/**"], KEYED)
         };
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,6 +3,10 @@
 //!
 //! Keys that are not known are skipped; keys that are missing take the values of `Settings::default()`.
 
+mod tuned;
+
+pub use tuned::{Tuned, Wrong, missing};
+
 use lapisroute::{Class, DedupGroup, Effect, LoadField, Prices, Reports, Settings, Tenant, Weights, ZoneId};
 use serde::Deserialize;
 use std::time::Duration;
@@ -187,7 +191,10 @@
 
 /// Reads the settings' text.
 pub fn parse(text: &str) -> Result<Site, String> {
-    let raw: Raw = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    site(serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+}
+
+fn site(raw: Raw) -> Result<Site, String> {
     let base = Settings::default();
     let (limits, rules) = (&raw.limits, &raw.guarantees);
     let time = |value: Option<f64>, or: Duration| value.map_or(or, ms);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -167,36 +167,15 @@
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
         let count = set.tenants.len().max(1);
-        let stated: f64 = set.tenants.iter().map(|t| t.allowance_per_s).filter(|a| a.is_finite()).sum();
-        let buckets = (0..count).map(|i| {
-            let stated = set.tenants.get(i).map_or(0.0, |t| t.allowance_per_s);
-            let guarantee = if stated > 0.0 { stated / f64::from(set.balancers) } else { 1.0 };
-            Bucket {
-                tokens: BUCKET_LEAST + guarantee, // full
-                arrivals: 0.0,
-                demand: 0.0,
-                part: guarantee,
-                guarantee,
-            }
-        });
-        let classes = set.classes.iter().map(|c| {
-            let aim = c.aim.as_secs_f64();
-            Learned {
-                latency: aim * 0.3,
-                least: aim * 0.2,
-                usual: aim * OVERDUE_BY,
-                share: 1.0,
-                ..Learned::default()
-            }
-        });
-        let each = stated.max(1.0) / f64::from(set.balancers);
+        let buckets = (0..count).map(|i| bucket(&set, i));
+        let classes = set.classes.iter().map(unlearned);
         Ok(Self {
-            subset_least: (SUBSET_EACH * each).clamp(SUBSET_LEAST, 1e6) as usize,
+            subset_least: subset_least(&set),
             rng: Chance::with_seed(seed),
             buckets: buckets.collect(),
             classes: classes.collect(),
-            rate_now: each,
-            shortest: set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min),
+            rate_now: stated_each(&set),
+            shortest: shortest(&set),
             set,
             busy_at: f64::NEG_INFINITY,
             retries: RETRY_SAVED,
@@ -240,6 +219,7 @@
             }
             Event::RequestGone { id } => self.end(id),
             Event::ProbeEnded { upstream, report, .. } => self.report(upstream, report),
+            Event::Retuned { settings, gone } => self.retune(settings, gone),
             Event::Timer { timer: TICK_TIMER } => self.tick(),
             Event::Timer { .. } => {}
         }
@@ -271,7 +251,9 @@
         let aim = self.at + AIM_LEFT * c.aim.as_secs_f64();
         let worth_until = if lasts { deadline } else { deadline.min(aim) };
         let (attempts, ended, streaming) = (Vec::new(), false, false);
-        let request = Request { class, worth_until, deadline, attempts, ended, streaming };
+        let (effect, attempts_most) = (c.effect, self.set.max_attempts);
+        let request =
+            Request { class, effect, attempts_most, worth_until, deadline, attempts, ended, streaming };
         self.requests.insert(id, request);
         self.send(id, turn);
     }
@@ -284,6 +266,35 @@
         self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
     }
 
+    /// Other settings. What was learned stays; a request under way keeps its class, and the stricter of both readings
+    /// holds for what is still sent for it.
+    fn retune(&mut self, set: &Settings, gone: &[TenantId]) {
+        if set.check().is_err() || set.classes.len() < self.classes.len() {
+            return;
+        }
+        for r in self.requests.values_mut() {
+            r.effect = r.effect.stricter(set.classes[r.class].effect);
+            r.attempts_most = r.attempts_most.min(set.max_attempts);
+        }
+        self.classes.extend(set.classes[self.classes.len()..].iter().map(unlearned));
+        self.ring.iter_mut().for_each(|u| u.health.resize(set.classes.len(), Health::default()));
+        for i in 0..set.tenants.len().max(1) {
+            let new = bucket(set, i);
+            match self.buckets.get_mut(i) {
+                Some(b) => (b.part, b.gone) = (new.part, false),
+                None => self.buckets.push(new),
+            }
+        }
+        for tenant in gone {
+            if let Some(b) = self.buckets.get_mut(tenant.0 as usize) {
+                b.gone = true;
+            }
+        }
+        (self.shortest, self.subset_least) = (shortest(set), subset_least(set));
+        self.set = set.clone();
+        self.choose_subset();
+    }
+
     /// The tick: W and the grants, then the fleet's weights, overdue attempts and discovery.
     fn tick(&mut self) {
         let (at, tau) = (self.at, (self.at - self.last_tick).clamp(0.0, 1.0));
@@ -352,7 +363,8 @@
         // as after the loss of half the fleet: nobody is served from full queues.
         let missing = (-room / f64::max(taken, 1e-9)).max(0.0);
         // Where the middle tenant asks for more than its part, this balancer carries more; no tenant surges.
-        let mut asks: Vec<f64> = self.buckets.iter().map(|b| b.demand / b.part.max(1e-9)).collect();
+        let there = self.buckets.iter().filter(|b| !b.gone);
+        let mut asks: Vec<f64> = there.map(|b| b.demand / b.part.max(1e-9)).collect();
         asks.sort_by(f64::total_cmp);
         let more = (asks.get(asks.len() / 2).unwrap_or(&1.0) * PART_SPARE).clamp(1.0, PART_MOST);
         // ... unless much is missing: then all surge, as with retries in a jam.
@@ -556,8 +568,8 @@
         let overdue = self.classes[r.class].usual.min(OVERDUE_BY * class.aim.as_secs_f64());
         // Where no second copy may run beside the first, what may be repeated is given up when overdue: here
         // if it can't be called back, else then, and only if another can follow.
-        let last = r.attempts.len() + 1 >= usize::from(self.set.max_attempts);
-        let repeatable = class.effect != Effect::AtMostOnce && !class.streamed;
+        let last = r.attempts.len() + 1 >= usize::from(r.attempts_most);
+        let repeatable = r.effect != Effect::AtMostOnce && !class.streamed;
         let blind = !self.set.hedging && !self.set.cancelling;
         let again =
             (blind && repeatable && !last && self.retries >= 1.0).then(|| Duration::from_secs_f64(overdue));
@@ -574,8 +586,8 @@
     /// Whether an attempt of a request may go to an upstream without an effect happening twice.
     fn safe(&self, r: &Request, u: &Upstream) -> bool {
         let Some(first) = r.attempts.iter().find(|a| a.out || a.may_have_run) else { return true };
-        let Effect::Deduplicated { group, ttl } = self.set.classes[r.class].effect else {
-            return self.set.classes[r.class].effect == Effect::Idempotent;
+        let Effect::Deduplicated { group, ttl } = r.effect else {
+            return r.effect == Effect::Idempotent;
         };
         // For the way there: a connection may have to be made first.
         let margin = self.set.connect_timeout.as_secs_f64() + 0.05;
@@ -587,12 +599,6 @@
         same && self.at + margin < first.sent + ttl.as_secs_f64()
     }
 
-    /// Whether nobody may have a request any more: it may run once, and may have.
-    fn is_spent(&self, r: &Request) -> bool {
-        let once = self.set.classes[r.class].effect == Effect::AtMostOnce;
-        once && r.attempts.iter().any(|a| a.out || a.may_have_run)
-    }
-
     /// Sends a further attempt where the class and the retry budget allow one.
     fn further(&mut self, id: RequestId, cost: f64) -> bool {
         let Some(j) = self.follows(id, cost) else { return false };
@@ -607,12 +613,12 @@
         let at = self.at;
         if r.ended
             || r.streaming
-            || r.attempts.len() >= usize::from(self.set.max_attempts)
+            || r.attempts.len() >= usize::from(r.attempts_most)
             || at + 1e-3 >= r.deadline
             || at + 0.5 * self.classes[r.class].latency >= r.worth_until
             || self.retries < cost
             || self.ring.is_empty()
-            || self.is_spent(r)
+            || is_spent(r)
         {
             return None;
         }
@@ -746,7 +752,7 @@
     /// The final answer when no attempt is out and none may follow: a refusal only if nothing can have run.
     fn give_up(&mut self, id: RequestId, deadline: f64) {
         let Some(r) = self.requests.remove(&id) else { return };
-        let safe = self.set.classes[r.class].effect == Effect::Idempotent;
+        let safe = r.effect == Effect::Idempotent;
         if safe || r.attempts.iter().all(|a| !a.may_have_run) {
             let left = (deadline - self.at).max(0.0);
             self.refuse(id, Duration::from_secs_f64(left.min(1e6)));
@@ -1042,6 +1048,45 @@
     }
 }
 
+/// The bucket of a tenant of whom nothing is known: full.
+fn bucket(set: &Settings, i: usize) -> Bucket {
+    let stated = set.tenants.get(i).map_or(0.0, |t| t.allowance_per_s);
+    let part = if stated > 0.0 { stated / f64::from(set.balancers) } else { 1.0 };
+    let tokens = BUCKET_LEAST + part;
+    Bucket { tokens, arrivals: 0.0, demand: 0.0, part, guarantee: part, gone: false }
+}
+
+/// A class of which nothing is known.
+fn unlearned(class: &Class) -> Learned {
+    let aim = class.aim.as_secs_f64();
+    Learned {
+        latency: aim * 0.3,
+        least: aim * 0.2,
+        usual: aim * OVERDUE_BY,
+        share: 1.0,
+        ..Learned::default()
+    }
+}
+
+/// What each balancer gets of all that the tenants are granted, a second.
+fn stated_each(set: &Settings) -> f64 {
+    let stated: f64 = set.tenants.iter().map(|t| t.allowance_per_s).filter(|a| a.is_finite()).sum();
+    stated.max(1.0) / f64::from(set.balancers)
+}
+
+fn subset_least(set: &Settings) -> usize {
+    (SUBSET_EACH * stated_each(set)).clamp(SUBSET_LEAST, 1e6) as usize
+}
+
+fn shortest(set: &Settings) -> f64 {
+    set.classes.iter().map(|c| c.aim.as_secs_f64()).fold(f64::INFINITY, f64::min)
+}
+
+/// Whether nobody may have a request any more: it may run once, and may have.
+fn is_spent(r: &Request) -> bool {
+    r.effect == Effect::AtMostOnce && r.attempts.iter().any(|a| a.out || a.may_have_run)
+}
+
 /// Counts an attempt in among the overdue of its upstream, or out: once each, whatever comes in between.
 fn count_overdue(u: &mut Upstream, a: &mut Attempt, counts: bool) {
     let was = std::mem::replace(&mut a.counted, counts);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,25 @@
     AtMostOnce,
 }
 
+impl Effect {
+    /// What satisfies both: whatever this allows, each of them does.
+    pub fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Idempotent, effect) | (effect, Self::Idempotent) => effect,
+            (Self::Deduplicated { group: a, ttl: s }, Self::Deduplicated { group: b, ttl: t }) => {
+                let group = match (a, b) {
+                    (DedupGroup::All, group) | (group, DedupGroup::All) => group,
+                    _ if a == b => a,
+                    // A cell and a zone: nothing says that one lies within the other.
+                    _ => return Self::AtMostOnce,
+                };
+                Self::Deduplicated { group, ttl: s.min(t) }
+            }
+            _ => Self::AtMostOnce,
+        }
+    }
+}
+
 /// The upstreams that drop one another's repeats.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DedupGroup {
@@ -475,6 +494,14 @@
         /// A load report; empty if none came.
         report: &'a [f32],
     },
+    /// The settings have changed. Classes and tenants keep their positions, and there are no fewer; others may follow.
+    /// Requests under way keep their class, and what is sent for them from now on obeys both the old and the new settings.
+    Retuned {
+        /// The settings from now on. Ignored if [`Settings::check`] finds fault with them, or they have fewer classes.
+        settings: &'a Settings,
+        /// Tenants that are not there any more.
+        gone: &'a [TenantId],
+    },
     /// A timer set by [`Action::Timer`] is due.
     Timer {
         /// Which.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a balancer keeps: plain data, filled and read by `choice.rs`. Times are seconds; no decisions.
 
-use crate::interface::{CellId, UpstreamId, ZoneId};
+use crate::interface::{CellId, Effect, UpstreamId, ZoneId};
 
 /// An upstream as one balancer sees it.
 #[derive(Default)]
@@ -97,6 +97,8 @@
 /// A request held, or ended with attempts still out.
 pub(crate) struct Request {
     pub(crate) class: usize,
+    pub(crate) effect: Effect, // the strictest that its class has had since it came
+    pub(crate) attempts_most: u8, // the fewest allowed since then
     pub(crate) worth_until: f64, // an answer after this earns nothing
     pub(crate) deadline: f64,
     pub(crate) attempts: Vec<Attempt>,
@@ -111,6 +113,7 @@
     pub(crate) demand: f64,    // V_i a second, smoothed
     pub(crate) part: f64,      // this balancer's equal part of the tenant's allowance, a second
     pub(crate) guarantee: f64, // u_g_i a second
+    pub(crate) gone: bool,     // there is no such tenant any more
 }
 
 /// What was learned of a class of requests.
