--- a/admission/src/policy.rs
+++ b/admission/src/policy.rs
@@ -69,7 +69,7 @@
             remembered: 4096,
             retry_after: Duration::from_secs(1),
             prompt: Duration::from_millis(250),
-            slow: Duration::from_millis(2500),
+            slow: Duration::from_millis(1000),
             spare: Duration::from_secs(2),
         }
     }
