--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -278,6 +278,19 @@
 }
 
 impl Sending {
+    /// So many bytes more are on their way. Of a body that states its length nobody asks for the end once it has come.
+    fn goes(&mut self, bytes: usize) {
+        self.sent += bytes as u64;
+        if self.upload.length == Some(self.sent) {
+            self.is_whole();
+        }
+    }
+
+    fn is_whole(&self) {
+        self.upload.whole.set(true);
+        self.written.left_whole();
+    }
+
     fn fail(&self, fault: Fault) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
         self.upload.fault.set(Some(fault));
         Poll::Ready(Some(Err(fault.into())))
@@ -286,7 +299,7 @@
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
         if !self.prefix.is_empty() {
             let prefix = std::mem::take(&mut self.prefix);
-            self.sent += prefix.len() as u64;
+            self.goes(prefix.len());
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         if self.source.is_none() {
@@ -308,7 +321,7 @@
         self.upload.moved.set(Instant::now());
         match frame {
             Some(Ok(frame)) => {
-                self.sent += frame.data_ref().map_or(0, |data| data.len() as u64);
+                self.goes(frame.data_ref().map_or(0, Bytes::len));
                 if self.sent > self.upload.most {
                     return self.fail(Fault::TooLong);
                 }
@@ -316,8 +329,7 @@
             }
             Some(Err(_)) => self.fail(Fault::BrokeOff),
             None => {
-                self.upload.whole.set(true);
-                self.written.left_whole();
+                self.is_whole();
                 Poll::Ready(None)
             }
         }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,8 +3,10 @@
 
 #![allow(dead_code, reason = "each file of tests uses its part")]
 
+use command_fds::{CommandFdExt, FdMapping};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -24,6 +26,12 @@
     pub operator: String,
     /// Descriptors that it has from elsewhere, and knows nothing of: numbers 20 and up.
     pub others: usize,
+    /// Whether operators may call.
+    pub control: bool,
+    /// The listening socket that it inherits as descriptor 7.
+    pub inherits: Option<OwnedFd>,
+    /// The platform's limit on memory.
+    pub memory_mb: u64,
 }
 
 impl Setup {
@@ -38,11 +46,15 @@
             asks: false,
             operator: String::new(),
             others: 0,
+            control: false,
+            inherits: None,
+            memory_mb: 192,
         }
     }
 
     pub fn text(&self) -> String {
-        let Self { discovery, known, sockets, deadline_ms, asks, .. } = self;
+        let Self { discovery, known, sockets, deadline_ms, asks, memory_mb, .. } = self;
+        let control = if self.control { r#""operator":"127.0.0.1:0","# } else { "" };
         let how = if *asks { "subscribe" } else { "automatic" };
         let class = |name: &str, effect: &str| {
             format!(
@@ -52,8 +64,8 @@
         let classes =
             [class("look", "idempotent"), class("book", "at_most_once"), class("keyed", "deduplicated")];
         format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
-            "limits":{{"cores":1.0,"memory_mb":192,"sockets":{sockets}}},"known":{known},
+            r#"{{"name":"n0",{control}"listen":"127.0.0.1:0","discovery":"{discovery}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},
             "settings":{{"balancers":1,"me":0,"classes":[{}],"discovery":"{how}",
             "failure_domains":["a","b"],"skus":["m"],"locality":0,
             "limits":{{"conn_idle_ms":60000,"connect_timeout_ms":2000,"try_limit":5,"retry_after":false}},
@@ -75,7 +87,12 @@
             std::fs::write(&operator, &self.operator).unwrap();
             command.arg("--config").arg(&operator);
         }
-        command.env("NODE_CONFIG", &path);
+        command.env("NODE_CONFIG", &path).env_remove("NODE_OPERATOR").env_remove("NODE_SOCKET_FD");
+        if let Some(socket) = &self.inherits {
+            let parent_fd = socket.try_clone().unwrap();
+            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 7 }]).unwrap();
+            command.env("NODE_SOCKET_FD", "7");
+        }
         Node::spawn(command, path)
     }
 }
@@ -99,20 +116,23 @@
     fn spawn(mut command: Command, path: PathBuf) -> Self {
         let mut child = command.env("NODE_LOG", "info").stderr(Stdio::piped()).spawn().unwrap();
         let mut log = BufReader::new(child.stderr.take().unwrap());
-        let mut line = String::new();
+        let (mut line, mut control) = (String::new(), None);
+        let mut first = Vec::new();
         while !line.contains("listen=") {
             line.clear();
             assert_ne!(log.read_line(&mut line).unwrap(), 0, "it has ended");
+            control = control.or(line.split("control=").nth(1).map(|rest| rest.trim().parse().unwrap()));
+            first.push(line.clone());
         }
         let address = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
         let address = address.trim().parse().unwrap();
         // The log must go on being read, or it would fill.
-        let lines: Arc<Mutex<Vec<String>>> = Arc::default();
+        let lines: Arc<Mutex<Vec<String>>> = Arc::new(Mutex::new(first));
         let kept = Arc::clone(&lines);
         std::thread::spawn(move || {
             log.lines().map_while(Result::ok).for_each(|line| kept.lock().unwrap().push(line));
         });
-        Node { child, address, path, lines }
+        Node { child, address, control, path, lines }
     }
 
     /// The most memory that it has held, in KiB.
@@ -127,6 +147,8 @@
 pub struct Node {
     child: Child,
     pub address: SocketAddr,
+    /// Where operators call.
+    pub control: Option<SocketAddr>,
     path: PathBuf,
     lines: Arc<Mutex<Vec<String>>>,
 }
@@ -167,6 +189,35 @@
         fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
     }
 
+    /// An operator's call.
+    pub fn call(&self, target: &str) -> Message {
+        let mut caller = self.caller();
+        caller.write(&format!("GET {target} HTTP/1.1\r\nHost: operators\r\n\r\n"));
+        let answer = caller.answer().expect("an answer");
+        assert!(caller.ends(), "one call to a connection");
+        answer
+    }
+
+    /// A connection to the operators' address.
+    pub fn caller(&self) -> Client {
+        let stream = TcpStream::connect(self.control.unwrap()).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        Client { reader: BufReader::new(stream) }
+    }
+
+    /// A figure; the whole line is what stands before it.
+    pub fn figure(&self, name: &str) -> u64 {
+        let text = String::from_utf8(self.call("/control/counters").body).unwrap();
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("{name} ")));
+        line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+    }
+
+    /// Kills it.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
