What a process knows passes to the next one: lists, drains, cold servers, tokens

Need: a replacement forgot drains until discovery told them again, opened cold ramps anew and filled every bucket. Change: handover/ (pure: format, checksum, age, whose file it is, what is taken), a file in $TMPDIR written twice a second while the socket is shared, the module's heritage as one event; ready waits for a list. Measured: a drain that only the old process was told binds the new one from its first request (test: 0 of 20 sent there); a cold server gets no more from the new process than from the old one in the same time (test).

--- a/engine/src/parts/discovery.rs
+++ b/engine/src/parts/discovery.rs
@@ -81,6 +81,16 @@
         Self { address: Cell::new(address), names, descriptors, rev: Cell::new(0), odd: Seldom::default() }
     }
 
+    /// How far the list was followed; 0: not at all.
+    pub fn rev(&self) -> u64 {
+        self.rev.get()
+    }
+
+    /// The list is known up to here from elsewhere.
+    pub fn resume(&self, rev: u64) {
+        self.rev.set(rev);
+    }
+
     /// Zones and kinds have these numbers from now on.
     pub fn rename(&self, names: Names) {
         *self.names.borrow_mut() = names;
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -9,6 +9,7 @@
 use crate::parts::body::Payload;
 use crate::parts::upstream::Upstreams;
 use crate::source::{Heard, News, Source};
+use lapisroute::heritage::Heritage;
 use lapisroute::{
     Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, Settings, TenantId,
     TimerId, UpstreamId,
@@ -93,6 +94,7 @@
     Gone(RequestId),
     Timer(TimerId),
     Retuned(Box<Settings>, Vec<TenantId>),
+    Inherited(Box<Heritage>),
 }
 
 struct Attempt {
@@ -136,6 +138,8 @@
     watching: RefCell<Option<AbortHandle>>,
     /// The list is pushed: a watch that ends is begun again here.
     follows: Cell<bool>,
+    /// Whether a list is known.
+    knows: watch::Sender<bool>,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
 }
@@ -159,6 +163,7 @@
             source,
             watching: RefCell::default(),
             follows: Cell::new(false),
+            knows: watch::Sender::new(false),
             cut_off: watch::Sender::new(false),
         });
         let figures = Rc::downgrade(&driver);
@@ -205,6 +210,21 @@
         self.happened(Happening::Retuned(Box::new(settings), gone));
     }
 
+    /// What the process before this one had learned.
+    pub fn inherit(self: &Rc<Self>, heritage: Heritage) {
+        self.happened(Happening::Inherited(Box::new(heritage)));
+    }
+
+    /// What the next process may know of this one.
+    pub fn heritage(&self) -> Heritage {
+        self.core.borrow().balancer.heritage()
+    }
+
+    /// Waits until a list is known, were it an empty one.
+    pub async fn knows_a_list(&self) {
+        let _ = self.knows.subscribe().wait_for(|knows| *knows).await;
+    }
+
     /// The time on the module's clock.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -237,6 +257,9 @@
         match happening {
             Happening::Fleet(news) => {
                 let listed = self.fleet(&news);
+                if !listed.is_empty() || matches!(news.scope, FleetScope::Full | FleetScope::Changes) {
+                    self.knows.send_replace(true);
+                }
                 let event = Event::Fleet { scope: news.scope, listed: &listed };
                 core.balancer.handle(now, event, &mut actions);
             }
@@ -337,6 +360,9 @@
                 }
                 self.forget_if_over(core, id);
             }
+            Happening::Inherited(heritage) => {
+                core.balancer.handle(now, Event::Inherited { heritage: &heritage }, &mut actions);
+            }
             Happening::Retuned(settings, gone) => {
                 self.upstreams.retune(&settings);
                 let event = Event::Retuned { settings: &settings, gone: &gone };
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -14,6 +14,8 @@
 /// A balancer's configuration.
 #[derive(Debug)]
 pub struct Config {
+    /// The balancer's name.
+    pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// Where operators call, if they may.
@@ -46,6 +48,8 @@
 
 #[derive(Deserialize)]
 struct Raw<'a> {
+    #[serde(default)]
+    name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     #[serde(default)]
@@ -137,6 +141,7 @@
         let tuned = Tuned::new(raw.settings.get()).map_err(ConfigError)?;
         let like = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         Ok(Self {
+            name: raw.name,
             listen: raw.listen,
             operator: raw.operator,
             discovery: raw.discovery,
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,237 @@
+//! Leaves what this process knows to the next one on the same socket, and takes what the one before has left: a file in
+//! `$TMPDIR`. What of it is taken, `maplehook_handover` decides.
+
+use lapisroute::heritage::Heritage;
+use lapisroute::{Availability, CellId, FleetScope, KindId, UpstreamId, ZoneId};
+use lapisroute_settings::Names;
+use maplehook::parts::descriptors::Descriptors;
+use maplehook::parts::discovery::Discovery;
+use maplehook::parts::driver::Driver;
+use maplehook::parts::seldom::Seldom;
+use maplehook::parts::upstream::Place;
+use maplehook::source::{Entry, News, Source, Task};
+use maplehook_handover::{Known, LENGTH_MOST, Learned, Reader, Snapshot};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::{self, Read};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::sleep;
+
+/// How often the file is written.
+const WRITE_EVERY: Duration = Duration::from_millis(500);
+
+/// The list as it stands, followed on its way from discovery to the decisions.
+pub struct Remembered {
+    discovery: Rc<Discovery>,
+    list: RefCell<BTreeMap<UpstreamId, Entry>>,
+}
+
+impl Remembered {
+    /// A list that begins with this.
+    pub fn new(discovery: Rc<Discovery>, known: &News) -> Rc<Self> {
+        let remembered = Self { discovery, list: RefCell::default() };
+        remembered.take(known);
+        Rc::new(remembered)
+    }
+
+    fn take(&self, news: &News) {
+        let list = &mut *self.list.borrow_mut();
+        if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
+            list.clear();
+        }
+        for entry in &news.entries {
+            if entry.place.availability == Availability::Gone {
+                list.remove(&entry.id);
+            } else {
+                list.insert(entry.id, entry.clone());
+            }
+        }
+    }
+}
+
+impl Source for Remembered {
+    fn fetch(&self) -> Task<'_, News> {
+        Box::pin(async {
+            let news = self.discovery.fetch().await;
+            self.take(&news);
+            news
+        })
+    }
+
+    fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()> {
+        Box::pin(async {
+            let mut tell = |news: News| {
+                self.take(&news);
+                tell(news);
+            };
+            self.discovery.watch(&mut tell).await;
+        })
+    }
+}
+
+/// The file, for one process.
+pub struct Handover {
+    path: PathBuf,
+    name: String,
+    started_ms: u64,
+    /// When the file that this process wrote last was changed.
+    own: Cell<Option<SystemTime>>,
+    odd: Seldom,
+}
+
+/// What the process before has left.
+pub struct Left {
+    snapshot: Snapshot,
+    age: Duration,
+}
+
+fn now_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Handover {
+    /// The file of the balancer of this name, in `$TMPDIR`; `None` where that is not set.
+    pub fn of(name: &str) -> Option<Self> {
+        let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' };
+        let file = format!("maplehook-{}.handover", name.chars().map(plain).collect::<String>());
+        let path = PathBuf::from(std::env::var_os("TMPDIR")?).join(file);
+        let (own, odd) = (Cell::new(None), Seldom::default());
+        Some(Self { path, name: name.to_owned(), started_ms: now_ms(), own, odd })
+    }
+
+    fn reader(&self) -> Reader<'_> {
+        Reader { name: &self.name, started_ms: self.started_ms, now_ms: now_ms() }
+    }
+
+    fn read(&self) -> io::Result<Vec<u8>> {
+        let mut text = Vec::new();
+        File::open(&self.path)?.take(LENGTH_MOST as u64 + 1).read_to_end(&mut text)?;
+        Ok(text)
+    }
+
+    /// What the process before this one has left, if that can be taken.
+    pub fn take(&self, names: &Names) -> Option<Left> {
+        let text = match self.read() {
+            Ok(text) => text,
+            Err(e) if e.kind() == io::ErrorKind::NotFound => return None,
+            Err(e) => {
+                tracing::warn!("nothing is taken over: {}: {e}", self.path.display());
+                return None;
+            }
+        };
+        let left = Snapshot::read(&text).and_then(|snapshot| {
+            let age = snapshot.age(self.reader())?;
+            Ok(Left { snapshot, age })
+        });
+        match left {
+            Ok(left) if left.snapshot.names == (names.zones.clone(), names.kinds.clone()) => {
+                tracing::info!(age = ?left.age, upstreams = left.snapshot.upstreams.len(), "taken over");
+                Some(left)
+            }
+            Ok(_) => {
+                tracing::warn!("nothing is taken over: zones or kinds have changed");
+                None
+            }
+            Err(e) => {
+                tracing::warn!("nothing is taken over: {}: {e}", self.path.display());
+                None
+            }
+        }
+    }
+
+    /// Writes what this process knows, again and again, unless a later process does.
+    pub async fn keep(
+        self,
+        remembered: Rc<Remembered>,
+        driver: Rc<Driver>,
+        descriptors: Rc<Descriptors>,
+        names: impl Fn() -> Names,
+    ) {
+        loop {
+            sleep(WRITE_EVERY).await;
+            let written = descriptors.with_spare(|| self.write(&remembered, &driver, &names()));
+            if let Err(e) = written {
+                self.odd
+                    .warn(|| format!("nothing is left for the next process: {}: {e}", self.path.display()));
+            }
+        }
+    }
+
+    fn write(&self, remembered: &Remembered, driver: &Driver, names: &Names) -> io::Result<()> {
+        let changed = fs::metadata(&self.path).and_then(|file| file.modified()).ok();
+        if changed.is_some()
+            && changed != self.own.get()
+            && self.read().is_ok_and(|text| Snapshot::read(&text).is_ok_and(|s| s.is_a_laters(self.reader())))
+        {
+            return Ok(());
+        }
+        let snapshot = self.snapshot(remembered, &driver.heritage(), names);
+        let text = snapshot.text().ok_or_else(|| io::Error::other("there is more to say than is allowed"))?;
+        let new = self.path.with_extension(format!("{}.new", std::process::id()));
+        let written = fs::write(&new, text).and_then(|()| {
+            self.own.set(fs::metadata(&new)?.modified().ok());
+            fs::rename(&new, &self.path)
+        });
+        if written.is_err() {
+            let _ = fs::remove_file(&new);
+        }
+        written
+    }
+
+    fn snapshot(&self, remembered: &Remembered, heritage: &Heritage, names: &Names) -> Snapshot {
+        let known = |entry: &Entry| Known {
+            id: entry.id.0,
+            place: (entry.zone.0, entry.kind.0, entry.cell.0),
+            weight: entry.weight,
+            endpoint: entry.place.endpoint,
+            ready: entry.place.availability == Availability::Ready,
+            boot_ms: entry.place.boot_ms,
+            learned: Learned::default(),
+        };
+        let mut snapshot = Snapshot {
+            name: self.name.clone(),
+            started_ms: self.started_ms,
+            written_ms: now_ms(),
+            names: (names.zones.clone(), names.kinds.clone()),
+            rev: remembered.discovery.rev(),
+            upstreams: remembered.list.borrow().values().map(known).collect(),
+            rates: Default::default(),
+            classes: BTreeMap::new(),
+            tenants: BTreeMap::new(),
+        };
+        snapshot.learned(heritage, &names.classes, &names.tenants);
+        snapshot
+    }
+}
+
+impl Left {
+    /// The list, unless `known` by the configuration is newer.
+    pub fn list(&self, known: News, discovery: &Discovery) -> News {
+        if self.snapshot.rev < discovery.rev() || self.snapshot.upstreams.is_empty() {
+            return known;
+        }
+        discovery.resume(self.snapshot.rev);
+        let entry = |known: &Known| Entry {
+            id: UpstreamId(known.id),
+            zone: ZoneId(known.place.0),
+            kind: KindId(known.place.1),
+            cell: CellId(known.place.2),
+            weight: known.weight,
+            place: Place {
+                endpoint: known.endpoint,
+                availability: known.availability(),
+                boot_ms: known.boot_ms,
+            },
+        };
+        News { scope: FleetScope::Cached, entries: self.snapshot.upstreams.iter().map(entry).collect() }
+    }
+
+    /// What was learned.
+    pub fn heritage(&self, names: &Names) -> Heritage {
+        self.snapshot.heritage(self.age, &names.classes, &names.tenants)
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -26,6 +26,7 @@
 mod daemon;
 mod entrance;
 mod framing;
+mod handover;
 pub mod inherited;
 mod refusals;
 mod requests;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::control::{self, Board};
 use crate::entrance::Entrance;
+use crate::handover::{Handover, Remembered};
 use crate::inherited;
 use crate::requests::{Requests, Vouching};
 use crate::retune::{Grace, Retuner};
@@ -24,7 +25,7 @@
 use maplehook_config::{Operator, Upstream};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
 use maplehook_routes::{Forwarding, Own};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::future::Future;
@@ -38,7 +39,7 @@
 use tokio::runtime::LocalOptions;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{oneshot, watch};
-use tokio::task::{JoinHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
@@ -122,10 +123,23 @@
             config.tuned.site().names.clone(),
             Rc::clone(&parts.descriptors),
         ));
-        let known = discovery.known(&config.known);
+        let mut known = discovery.known(&config.known);
+        let names = Rc::new(RefCell::new(config.tuned.site().names.clone()));
+        // Only then may another process of this balancer run before, beside or after this one.
+        let handover = if parts.shared { Handover::of(&config.name) } else { None };
+        let left = handover.as_ref().and_then(|handover| handover.take(&names.borrow()));
+        let heritage = left.as_ref().map(|left| left.heritage(&names.borrow()));
+        if let Some(left) = left {
+            known = left.list(known, &discovery);
+        }
+        let remembered = handover.is_some().then(|| Remembered::new(Rc::clone(&discovery), &known));
+        let source = match &remembered {
+            Some(remembered) => Rc::clone(remembered) as Rc<dyn Source>,
+            None => Rc::clone(&discovery) as Rc<dyn Source>,
+        };
         tracing::info!(limits = ?config.limits, "configured by the platform");
         let requests = Rc::new(Requests::platform(&config.tuned, vouching, plan.room.clone()));
-        let source = Rc::clone(&discovery) as Rc<dyn Source>;
+        let descriptors = Rc::clone(&parts.descriptors);
         let retuner = Retuner {
             config,
             discovery,
@@ -134,9 +148,19 @@
             descriptors: Rc::clone(&parts.descriptors),
             grace: Rc::clone(&plan.grace),
             grace_by: platform_grace,
+            names: Rc::clone(&names),
+        };
+        let begun = |driver: Rc<Driver>, counting| {
+            if let Some(heritage) = heritage {
+                driver.inherit(heritage);
+            }
+            if let (Some(handover), Some(remembered)) = (handover, remembered) {
+                let names = move || names.borrow().clone();
+                spawn_local(handover.keep(remembered, Rc::clone(&driver), descriptors, names));
+            }
+            spawn_local(retuner.run(hangup, driver, counting));
         };
-        let reload = |driver, counting| spawn_local(retuner.run(hangup, driver, counting));
-        serve(plan, parts, requests, (source, known), reload, told, None).await
+        serve(plan, parts, requests, (source, known), begun, told, None).await
     })
 }
 
@@ -207,7 +231,7 @@
                 while hangup.recv().await.is_some() {
                     tracing::warn!("nothing is read anew: the file is read at the start");
                 }
-            })
+            });
         };
         serve(plan, parts, requests, (source, known), ignore, told, registrar).await
     })
@@ -275,7 +299,7 @@
     parts: Parts,
     requests: Rc<Requests>,
     (source, known): (Rc<dyn Source>, News),
-    on_hangup: impl FnOnce(Rc<Driver>, Rc<Counting>) -> JoinHandle<()>,
+    begun: impl FnOnce(Rc<Driver>, Rc<Counting>),
     told: Option<Told>,
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
@@ -294,13 +318,17 @@
     }
     let counting = Counting::new(Arc::clone(&board.tally), &plan.classes);
     let desk = Desk::new(Rc::clone(&driver), Rc::clone(&counting), Bounds::default(), plan.seed)?;
+    begun(Rc::clone(&driver), counting);
     let (phase, phases) = watch::channel(Phase::Serving);
     let words = Own { signed: plan.own };
     let server = Server::new(desk, requests, entrance, Rc::clone(&descriptors), words, phases);
     let mut accepting = spawn_local(server.run(listener));
-    board.ready.store(true, Ordering::Release);
+    let (ready_to, knowing) = (Arc::clone(&board.ready), Rc::clone(&driver));
+    let ready = spawn_local(async move {
+        knowing.knows_a_list().await;
+        ready_to.store(true, Ordering::Release);
+    });
     spawn_local(Rc::clone(&descriptors).watch());
-    on_hangup(Rc::clone(&driver), counting);
 
     let registrar = registrar.map(Rc::new);
     let kept = registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
@@ -321,6 +349,7 @@
             }
         });
     }
+    ready.abort();
     board.ready.store(false, Ordering::Release);
     let until_idle_end = if shared { IDLE_AFTER_TERM } else { ACCEPT_AFTER_TERM };
     phase.send_replace(if shared { Phase::Draining } else { Phase::Leaving });
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -30,6 +30,8 @@
     pub control: bool,
     /// The listening socket that it inherits as descriptor 7.
     pub inherits: Option<OwnedFd>,
+    /// Its `$TMPDIR`, where it is not the tests' own.
+    pub tmp: Option<PathBuf>,
     /// The platform's limit on memory.
     pub memory_mb: u64,
 }
@@ -48,6 +50,7 @@
             others: 0,
             control: false,
             inherits: None,
+            tmp: None,
             memory_mb: 192,
         }
     }
@@ -88,6 +91,9 @@
             command.arg("--config").arg(&operator);
         }
         command.env("NODE_CONFIG", &path).env_remove("NODE_OPERATOR").env_remove("NODE_SOCKET_FD");
+        if let Some(tmp) = &self.tmp {
+            command.env("TMPDIR", tmp);
+        }
         if let Some(socket) = &self.inherits {
             let parent_fd = socket.try_clone().unwrap();
             command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 7 }]).unwrap();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 //! skipping one that holds clearly more than the next ones. Everything else here is an exception to that path
 //! and says what it guards against. Times are seconds.
 
+use crate::heritage::{ClassHeritage, Heritage, TenantHeritage, UpstreamHeritage};
 use crate::interface::*;
 use crate::state::{Attempt, Bucket, Facts, Health, Learned, Request, Sums, Upstream};
 use crate::stats::Chance;
@@ -219,6 +220,7 @@
             }
             Event::RequestGone { id } => self.end(id),
             Event::ProbeEnded { upstream, report, .. } => self.report(upstream, report),
+            Event::Inherited { heritage } => self.inherit(heritage),
             Event::Retuned { settings, gone } => self.retune(settings, gone),
             Event::Timer { timer: TICK_TIMER } => self.tick(),
             Event::Timer { .. } => {}
@@ -266,8 +268,62 @@
         self.out.push(Action::Refuse { id, retry_after: Some(retry_after) });
     }
 
-    /// Other settings. What was learned stays; a request under way keeps its class, and the stricter of both readings
-    /// holds for what is still sent for it.
+    /// What the next process may know of this one.
+    pub fn heritage(&self) -> Heritage {
+        let class = |l: &Learned| {
+            let Learned { latency, answers, least, usual, share, .. } = *l;
+            Some(ClassHeritage { latency, answers, least, usual, share })
+        };
+        let upstream = |u: &Upstream| UpstreamHeritage {
+            id: u.id,
+            cold_for: u.started.map(|s| (self.at - s).max(0.0)),
+            ejected_for: (u.ejected_until - self.at).max(0.0),
+            ejections: u.ejections,
+            pace: u.pace,
+            seen: u.seen,
+        };
+        let tenant = |b: &Bucket| Some(TenantHeritage { tokens: b.tokens.max(0.0), demand: b.demand });
+        Heritage {
+            rates: Some((self.rate, self.rate_now)),
+            classes: self.classes.iter().map(class).collect(),
+            tenants: self.buckets.iter().map(tenant).collect(),
+            upstreams: self.ring.iter().filter(|u| u.ready || u.draining).map(upstream).collect(),
+        }
+    }
+
+    /// Goes on where the process before this one stands: else every replacement would open the ramp of a cold
+    /// upstream and fill every bucket anew, and learn the same again at the clients' cost.
+    fn inherit(&mut self, heritage: &Heritage) {
+        if let Some((rate, rate_now)) = heritage.rates {
+            // One that had nothing to do has learned nothing that a fresh start does not grant.
+            (self.rate, self.rate_now) = (rate.max(self.rate), rate_now.max(self.rate_now));
+        }
+        let classes = self.set.classes.iter().zip(&mut self.classes).zip(&heritage.classes);
+        for ((c, l), h) in classes.filter_map(|(both, h)| Some((both, (*h)?))) {
+            let aim = c.aim.as_secs_f64();
+            (l.latency, l.answers) = (h.latency.min(2.0 * aim), h.answers.min(2.0 * aim));
+            (l.least, l.usual) = (h.least.min(2.0 * aim), h.usual.clamp(2.0 * TICK, aim.max(2.0 * TICK)));
+            (l.share, l.at) = (h.share.min(1.0), self.at);
+        }
+        for (b, h) in self.buckets.iter_mut().zip(&heritage.tenants).filter_map(|(b, h)| Some((b, (*h)?))) {
+            (b.tokens, b.demand) = (h.tokens.min(b.tokens), h.demand);
+        }
+        for h in &heritage.upstreams {
+            let Some(u) = self.index.get(&h.id).map(|j| &mut self.ring[*j]) else { continue };
+            if let Some(cold) = h.cold_for.filter(|c| *c < self.set.cold_time.as_secs_f64()) {
+                // The colder of what is listed and what is handed over.
+                let started = self.at - cold;
+                u.started = Some(u.started.map_or(started, |s| s.max(started)));
+                u.credit = 0.0;
+            }
+            (u.ejections, u.ejected_until) = (h.ejections, self.at + h.ejected_for.min(60.0));
+            (u.pace, u.seen) = (h.pace.min(5.0), h.seen);
+        }
+        self.choose_subset();
+    }
+
+    /// Other settings. What was learned stays; a request under way keeps its class, and the stricter of both
+    /// readings holds for what is still sent for it.
     fn retune(&mut self, set: &Settings, gone: &[TenantId]) {
         if set.check().is_err() || set.classes.len() < self.classes.len() {
             return;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! All times are [`Duration`]s on one clock of the embedder's choice that only goes forward.
 
+use crate::heritage::Heritage;
 use std::time::Duration;
 
 /// A client's request; never reused by one embedder.
@@ -502,6 +503,11 @@
         /// Tenants that are not there any more.
         gone: &'a [TenantId],
     },
+    /// What the process before this one had learned; after the list that it knew.
+    Inherited {
+        /// That.
+        heritage: &'a Heritage,
+    },
     /// A timer set by [`Action::Timer`] is due.
     Timer {
         /// Which.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 //! deadline. `Balancer` gives each request exactly one final answer on these terms.
 
 mod choice;
+pub mod heritage;
 mod interface;
 mod state;
 mod stats;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -51,6 +51,10 @@
             headers.push((name.to_lowercase(), value.trim().to_owned()));
         }
         let mut message = Self { line: line.trim_end().to_owned(), headers, body: Vec::new(), length };
+        if message.header("transfer-encoding").is_some() {
+            message.chunks(stream)?;
+            return Some(message);
+        }
         let n = message.header("content-length").map_or(0, |n| n.parse().unwrap());
         message.body.resize(n, 0);
         stream.read_exact(&mut message.body).ok()?;
@@ -58,6 +62,25 @@
         Some(message)
     }
 
+    /// Reads a body in chunks, and passes over its trailers.
+    fn chunks(&mut self, stream: &mut impl BufRead) -> Option<()> {
+        loop {
+            let mut line = String::new();
+            self.length += stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+            let size = usize::from_str_radix(line.trim().split(';').next()?.trim(), 16).ok()?;
+            let before = self.body.len();
+            if size == 0 {
+                while !line.trim().is_empty() {
+                    line.clear();
+                    self.length += stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+                }
+                return Some(());
+            }
+            self.body.resize(before + size, 0);
+            stream.read_exact(&mut self.body[before..]).ok()?;
+            self.length += size + stream.read_line(&mut String::new()).ok().filter(|n| *n > 0)?;
+        }
+    }
     /// The value of the first header of this name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
