--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -354,6 +354,7 @@
     let until_idle_end = if shared { IDLE_AFTER_TERM } else { ACCEPT_AFTER_TERM };
     phase.send_replace(if shared { Phase::Draining } else { Phase::Leaving });
     if timeout(until_idle_end, &mut accepting).await.is_ok() {
+        tracing::info!("gone");
         return Ok(());
     }
     phase.send_replace(Phase::Closing);
@@ -362,6 +363,7 @@
         driver.cut_off();
         let _ = timeout(LAST_WORDS, &mut accepting).await;
     }
+    tracing::info!("gone");
     Ok(())
 }
 
--- a/routes/src/meaning.rs
+++ b/routes/src/meaning.rs
@@ -129,7 +129,7 @@
             begins: Begins::LastByte,
             answers: Answers {
                 buffer: 64 * 1024,
-                hold: Duration::from_millis(50),
+                hold: Duration::from_millis(10),
                 most: 1 << 30,
                 idle: Duration::from_secs(10),
                 total: Duration::from_secs(3600),
