Two processes share one limit; what is half written or stands behind is answered on leaving

Need: the platform counts both processes of a replacement as one balancer, and each took all descriptors; a request half written at the end of the idle time, or behind one whose answer said close, met a closed connection. Change: while a later process writes the hand-over file, and for 10 s after a start that took one over, a process keeps to half of the descriptors; a connection on which a request is being written is waited for; no close is said while another request has begun behind. Measured: tests; both processes together within the limit of 200; what is half written 2.3 s after SIGTERM is served.

--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -67,6 +67,11 @@
         Ok(Self { allowed, real, aside, upstream_share, squeeze: 0, squeezed_at: Duration::ZERO })
     }
 
+    /// So many are allowed from now on, if one can serve with them.
+    pub fn allow(&mut self, allowed: usize) -> bool {
+        std::mem::replace(&mut self.allowed, allowed.max(LEAST + self.aside)) != self.allowed
+    }
+
     /// The limit of the process is now this. One too low to serve with is taken for the lowest that will do:
     /// what is open stays open under it.
     pub fn limit(&mut self, real: usize) -> bool {
@@ -118,16 +123,17 @@
         #[test]
         fn parts_never_pass_the_limit(
             allowed in LEAST + 20..170_usize, real in LEAST + 20..170_usize, aside in 0..20_usize, share in 0.0_f64..1.0,
-            steps in prop::collection::vec((0_u8..3, 0_usize..150), 0..200),
+            steps in prop::collection::vec((0_u8..4, 0_usize..150), 0..200),
         ) {
             let mut budget = Budget::new(allowed, real, aside, share).unwrap();
-            let (mut real, mut now) = (real, Duration::ZERO);
+            let (mut real, mut allowed, mut now) = (real, allowed, Duration::ZERO);
             for (kind, n) in steps {
                 now += Duration::from_millis(n as u64);
                 let n = if n > 100 { 5000 } else { n };
                 match kind {
                     0 => { budget.limit(n); real = n.max(LEAST + aside) }
                     1 => budget.exhausted(now),
+                    2 => { budget.allow(n); allowed = n.max(LEAST + aside) }
                     _ => { budget.relax(now); }
                 }
                 let parts = [Part::Clients, Part::Upstreams].map(|p| budget.of(p));
--- a/engine/src/parts/descriptors.rs
+++ b/engine/src/parts/descriptors.rs
@@ -77,6 +77,13 @@
         self.budget.borrow().of(part)
     }
 
+    /// So many are allowed from now on: another process shares what the platform allows, or does so no more.
+    pub fn allow(&self, allowed: usize) {
+        if self.budget.borrow_mut().allow(allowed) {
+            self.tell();
+        }
+    }
+
     /// Whom to ask for a descriptor when there is none; those added first are asked first.
     pub fn relieved_by(&self, relief: impl Fn() -> bool + 'static) {
         self.reliefs.borrow_mut().push(Box::new(relief));
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -161,6 +161,16 @@
         self.hides_a_length.get()
     }
 
+    /// Whether the next request has begun to come behind the one that is answered.
+    pub fn has_more(&self) -> bool {
+        self.framing.borrow().has_more()
+    }
+
+    /// Whether a part of a request has come that is not whole yet.
+    pub fn is_writing(&self) -> bool {
+        self.stand.get() == Stand::Reading || (self.stand.get() != Stand::Held && self.came.get() > 0)
+    }
+
     /// When it is to be closed, as things stand.
     fn due(&self) -> Option<Instant> {
         match (self.stand.get(), self.begun.get()) {
--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -116,6 +116,11 @@
         At::Lost
     }
 
+    /// Whether a further request has begun to come.
+    pub fn has_more(&self) -> bool {
+        !self.heads.is_empty() || self.at == At::Head { begun: true }
+    }
+
     /// The next request is read. Whether its head names both a length and an encoding; where in doubt, it does.
     pub fn next(&mut self) -> bool {
         self.heads.pop_front().unwrap_or(true)
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -18,11 +18,14 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// How often the file is written.
 const WRITE_EVERY: Duration = Duration::from_millis(500);
 
+/// How long a process before this one may still be there: it is told to leave within 6 s, and has 3.7 s for that.
+const BESIDE: Duration = Duration::from_secs(10);
+
 /// The list as it stands, followed on its way from discovery to the decisions.
 pub struct Remembered {
     discovery: Rc<Discovery>,
@@ -143,31 +146,43 @@
         }
     }
 
-    /// Writes what this process knows, again and again, unless a later process does.
+    /// Writes what this process knows, again and again, unless a later process does. While there are two, each has half of
+    /// the `allowed` descriptors: the platform counts them as one balancer's. `follows`: there may be one before this.
     pub async fn keep(
         self,
         remembered: Rc<Remembered>,
         driver: Rc<Driver>,
         descriptors: Rc<Descriptors>,
+        allowed: usize,
+        follows: bool,
         names: impl Fn() -> Names,
     ) {
+        let begun = Instant::now();
+        let mut alone = true;
         loop {
-            sleep(WRITE_EVERY).await;
             let written = descriptors.with_spare(|| self.write(&remembered, &driver, &names()));
-            if let Err(e) = written {
+            let later = written.unwrap_or_else(|e| {
                 self.odd
                     .warn(|| format!("nothing is left for the next process: {}: {e}", self.path.display()));
+                false
+            });
+            let is_alone = !later && (!follows || begun.elapsed() > BESIDE);
+            if std::mem::replace(&mut alone, is_alone) != is_alone {
+                tracing::info!(is_alone, "the descriptors are shared with another process, or no more");
+                descriptors.allow(if is_alone { allowed } else { allowed / 2 });
             }
+            sleep(WRITE_EVERY).await;
         }
     }
 
-    fn write(&self, remembered: &Remembered, driver: &Driver, names: &Names) -> io::Result<()> {
+    /// `true`: a later process writes.
+    fn write(&self, remembered: &Remembered, driver: &Driver, names: &Names) -> io::Result<bool> {
         let changed = fs::metadata(&self.path).and_then(|file| file.modified()).ok();
         if changed.is_some()
             && changed != self.own.get()
             && self.read().is_ok_and(|text| Snapshot::read(&text).is_ok_and(|s| s.is_a_laters(self.reader())))
         {
-            return Ok(());
+            return Ok(true);
         }
         let snapshot = self.snapshot(remembered, &driver.heritage(), names);
         let text = snapshot.text().ok_or_else(|| io::Error::other("there is more to say than is allowed"))?;
@@ -179,7 +194,7 @@
         if written.is_err() {
             let _ = fs::remove_file(&new);
         }
-        written
+        written.map(|()| false)
     }
 
     fn snapshot(&self, remembered: &Remembered, heritage: &Heritage, names: &Names) -> Snapshot {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -128,6 +128,7 @@
         // Only then may another process of this balancer run before, beside or after this one.
         let handover = if parts.shared { Handover::of(&config.name) } else { None };
         let left = handover.as_ref().and_then(|handover| handover.take(&names.borrow()));
+        let (follows, allowed) = (left.is_some(), plan.sockets);
         let heritage = left.as_ref().map(|left| left.heritage(&names.borrow()));
         if let Some(left) = left {
             known = left.list(known, &discovery);
@@ -156,7 +157,14 @@
             }
             if let (Some(handover), Some(remembered)) = (handover, remembered) {
                 let names = move || names.borrow().clone();
-                spawn_local(handover.keep(remembered, Rc::clone(&driver), descriptors, names));
+                spawn_local(handover.keep(
+                    remembered,
+                    Rc::clone(&driver),
+                    descriptors,
+                    allowed,
+                    follows,
+                    names,
+                ));
             }
             spawn_local(retuner.run(hangup, driver, counting));
         };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -33,6 +33,8 @@
 
 /// How long a connection that is to end may take over the rest of an answer.
 const ANSWER_MOST: Duration = Duration::from_secs(2);
+/// A look at whether anything has come.
+const GLANCE: Duration = Duration::from_millis(1);
 /// How often it is looked at meanwhile.
 const LINGER: Duration = Duration::from_millis(250);
 /// Size of a connection's buffer, the longest head.
@@ -176,9 +178,12 @@
                     finish(&client, connection).await
                 }
             },
-            _ = phase.wait_for(|p| *p == Phase::Closing) => {
-                connection.as_mut().graceful_shutdown();
-                finish(&client, connection).await
+            _ = phase.wait_for(|p| *p == Phase::Closing) => match written(&client, connection.as_mut()).await {
+                Some(ended) => ended,
+                None => {
+                    connection.as_mut().graceful_shutdown();
+                    finish(&client, connection).await
+                }
             }
         };
         if let Err(e) = ended {
@@ -211,7 +216,8 @@
         };
         let close =
             if matches!(response.body(), AnswerBody::Stream(_)) { false } else { client.answered(question) };
-        if close || leaving() {
+        // A request that stands behind this one has been read, or will be with the rest: it has its answer first.
+        if close || (leaving() && !client.has_more()) {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         // An answer that streams is owed until its end.
@@ -255,6 +261,21 @@
     }
 }
 
+/// Lets a client that is writing a request finish it, at its pace; the answer ends the connection. `None`: it writes nothing.
+async fn written<T>(client: &Client, mut connection: Pin<&mut impl Future<Output = T>>) -> Option<T> {
+    // What has just come may not have been looked at.
+    let mut look = GLANCE;
+    loop {
+        if let Ok(ended) = timeout(look, connection.as_mut()).await {
+            return Some(ended);
+        }
+        if !client.is_writing() {
+            return None;
+        }
+        look = LINGER;
+    }
+}
+
 /// Waits for the answer that a connection which shuts down is still owed, or that is on its way to a client
 /// who reads slowly. Between requests such a connection ends at once.
 async fn finish(
--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -588,3 +588,65 @@
     until("it says so", || node.has_logged("nothing is left for the next process"));
     assert_eq!(node.connect().exchange(&look_as("a")).status(), 200);
 }
+
+/// Guards the platform's limit, which counts both processes as one: while there are two, each keeps to half.
+#[test]
+fn two_processes_share_the_descriptors_of_one() {
+    let folder = Folder::new("limit");
+    let upstream = Upstream::start(Then::Answer(OK));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut setup = operated(&[upstream.address]);
+    (setup.inherits, setup.tmp, setup.sockets) = (Some(socket.into()), Some(folder.0.clone()), 200);
+    setup.operator = "[admission]\nkeep_alive = 1.0\n".into();
+    let mut old = setup.start();
+    let fill = |node: &Node, name: &str| -> Vec<Client> {
+        let one = |n| {
+            let mut client = node.connect();
+            client.write(&book_as(&format!("{name}{n}"), "x"));
+            client.answer();
+            client
+        };
+        (0..80).map(one).collect()
+    };
+    let _held = fill(&old, "a");
+    assert!(old.descriptors() > 90, "{}", old.descriptors());
+    until("it is written", || folder.file().exists());
+    let new = setup.start();
+    until("the old one gives up its half", || old.descriptors() <= 100);
+    let _more = fill(&new, "b");
+    assert!(old.descriptors() + new.descriptors() <= 200, "{} {}", old.descriptors(), new.descriptors());
+    old.terminate();
+    old.wait();
+    until("the new one has all", || new.logged("is_alone=true") == 1);
+}
+
+/// Guards a request that is half written, and one that stands behind another, when the process is told to leave.
+#[test]
+fn what_is_half_written_is_answered_by_a_process_that_leaves() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut setup = operated(&[upstream.address]);
+    setup.inherits = Some(socket.into());
+    let mut node = setup.start();
+    let text = book_as("half", "body");
+    let (mut first, mut second, mut two) = (node.connect(), node.connect(), node.connect());
+    assert_eq!(second.exchange(&book_as("before", "x")).status(), 200);
+    first.write(&text[..40]);
+    second.write(&text[..40]);
+    until("they are here", || upstream.seen().len() == 1);
+    std::thread::sleep(Duration::from_millis(100));
+    node.terminate();
+    until("it leaves", || node.call("/control/ready").status() == 503);
+    two.write(&format!("{}{}", book_as("one", "x"), book_as("two", "x")));
+    assert_eq!(two.answer().map(|a| a.status()), Some(200));
+    assert_eq!(two.answer().map(|a| a.status()), Some(200));
+    assert!(two.ends());
+    // Later than idle connections end.
+    std::thread::sleep(Duration::from_millis(2300));
+    for (client, id) in [(&mut first, "half"), (&mut second, "half2")] {
+        client.write(&text.replace("half", id)[40..]);
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")), "{id}");
+    }
+    assert!(node.wait().success());
+}
