The test of shared descriptors tells when they are not

Cause: with the halving taken out it passed, since idle clients ended by themselves while it waited. It now looks at the new process right after it was filled; with the halving taken out it fails.

--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -612,8 +612,10 @@
     assert!(old.descriptors() > 90, "{}", old.descriptors());
     until("it is written", || folder.file().exists());
     let new = setup.start();
-    until("the old one gives up its half", || old.descriptors() <= 100);
+    until("the old one gives up its half", || old.logged("is_alone=false") == 1 && old.descriptors() <= 100);
+    until("so does the new one", || new.logged("is_alone=false") == 1);
     let _more = fill(&new, "b");
+    assert!(new.descriptors() <= 100, "{}", new.descriptors());
     assert!(old.descriptors() + new.descriptors() <= 200, "{} {}", old.descriptors(), new.descriptors());
     old.terminate();
     old.wait();
