--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -615,7 +615,8 @@
     until("the old one gives up its half", || old.logged("is_alone=false") == 1 && old.descriptors() <= 100);
     until("so does the new one", || new.logged("is_alone=false") == 1);
     let _more = fill(&new, "b");
-    assert!(new.descriptors() <= 100, "{}", new.descriptors());
+    // Of its half it sets 45 aside.
+    assert!(new.descriptors() <= 80, "{}", new.descriptors());
     assert!(old.descriptors() + new.descriptors() <= 200, "{} {}", old.descriptors(), new.descriptors());
     old.terminate();
     old.wait();
