Requests spill into other zones for want of room; five turns are looked ahead

A log line of each tick showed two balancers whose zones' servers are full (room under nil, demand 150 to 200 a second) beside one whose servers stand idle (taken 1, room 5): at a price of 0.08 for the way, far servers had no turns at all (FAR_PRICE 0.05), whatever was refused for it. Change: while 2 to 40 % are refused on arrival, other zones get up to six tenths of their turns.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,7 +53,7 @@
 const CUT: (f64, f64) = (20.0, 2.0);
 const CUT_FROM: f64 = 0.25;
 /// Turns looked ahead by the skip rule; two is the design's.
-const LOOK_AHEAD: usize = 3;
+const LOOK_AHEAD: usize = 5;
 /// Holding this many times what another in sight holds, and half a request more, is clearly more.
 const CLEARLY: f64 = 1.5;
 /// What an overdue attempt counts for, in held requests: its upstream is stuck or silent.
@@ -92,6 +92,16 @@
 const COLD_SHARE: f64 = 0.4;
 /// Points of cross-zone price at which other zones get no ordinary turns; less in proportion.
 const FAR_PRICE: f64 = 0.05;
+/// Other zones get turns whatever their price while this share of the requests is refused on arrival; past
+/// the second there is no room anywhere, and the way would be paid for nothing. Seconds and requests over
+/// which it is counted; how much more of the turns a second, how much less with room, and the most of them.
+const SPILL_AT: f64 = 0.02;
+const SPILL_MOST: f64 = 0.4;
+const SPILL_SEEN: f64 = 1.0;
+const SPILL_COUNT: f64 = 10.0;
+const SPILL_UP: f64 = 0.5;
+const SPILL_DOWN: f64 = 0.1;
+const SPILL_TO: f64 = 0.6;
 /// Seconds after which a load report is half forgotten.
 const REPORT_KEPT: f64 = 1.0;
 /// Upstreams a further attempt looks at for the least loaded.
@@ -153,7 +163,10 @@
     done: f64,     // completions of the running tick
     rate_now: f64, // completions a second, smoothed
     room: f64,     // W
-    busy: f64,     // share of the upstreams' cores in use, by their reports
+    spill: f64,    // how far requests are let into other zones, for want of room in this one
+    asked: f64,    // requests of late, and how many of them were refused on arrival
+    turned: f64,
+    busy: f64, // share of the upstreams' cores in use, by their reports
     busy_at: f64,
     retries: f64,
     ticking: bool,
@@ -237,8 +250,10 @@
         let tenant = tenant.min(self.buckets.len() - 1);
         let bucket = &mut self.buckets[tenant];
         bucket.arrivals += 1.0;
+        self.asked += 1.0;
         let turn = if bucket.tokens >= 1.0 { self.next_turn(class) } else { None };
         let Some(turn) = turn else {
+            self.turned += 1.0;
             self.refuse(id, left);
             return;
         };
@@ -412,6 +427,12 @@
         // One place in all at least: where nothing is stated a start from nothing takes long.
         let room = self.sums.free * (tau * self.rate + (self.rate * within).max(least)) - taken;
         self.room = room;
+        // Who is refused here may be served elsewhere, for the price of the way. Slowly back: else it swings.
+        let fade = (-tau / SPILL_SEEN).exp();
+        (self.asked, self.turned) = (self.asked * fade, self.turned * fade);
+        let turned = self.turned / self.asked.max(SPILL_COUNT);
+        let short = turned > SPILL_AT && turned < SPILL_MOST;
+        self.spill = (self.spill + tau * if short { SPILL_UP } else { -SPILL_DOWN }).clamp(0.0, 1.0);
         let total: f64 = self.buckets.iter().map(|b| b.demand).sum();
         // Long enough to hold a few requests: a tenant that happened to be silent is not without demand.
         let over = DEMAND_OVER.max(DEMAND_COUNT / total.max(0.1));
@@ -491,7 +512,7 @@
     }
 
     fn weigh_one(&mut self, j: usize) {
-        let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(0.0);
+        let far = (1.0 - self.set.prices.cross_zone / FAR_PRICE).max(SPILL_TO * self.spill);
         let cold_from = self.set.cold_from.min(1.0);
         let Facts { largest, spare_ejections, near_ready } = self.facts;
         let u = &mut self.ring[j];
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -139,3 +139,50 @@
     assert!(sent < 200, "{sent} of 400 sent into the jam");
     assert!(sent > 0, "some go on, to see whether it has passed");
 }
+
+/// Guards servers that stand idle in another zone beside a zone whose traffic its own can't carry: where the way there has
+/// a price that gives them no ordinary turns, they get some as long as requests are refused, and none while there is room.
+#[test]
+fn requests_spill_into_another_zone_for_want_of_room_alone() {
+    let prices = Prices { cross_zone: 0.08, ..Prices::default() };
+    let mut bench = Bench::new(
+        Settings { prices, ..settings(1, &[20.0]) },
+        &(1..=8).map(|id| Listed { zone: ZoneId(u8::from(id > 2)), ..listed(id) }).collect::<Vec<_>>(),
+    );
+    bench.run(ms(100));
+    // Each server takes 200 ms for a request, one after another: two near ones carry ten a second.
+    let mut free = std::collections::BTreeMap::new();
+    let mut open: Vec<(std::time::Duration, RequestId)> = Vec::new();
+    let mut play = |bench: &mut Bench, gap: u64, count: usize| {
+        let (mut refused, mut far) = (0, 0);
+        for _ in 0..count {
+            let id = bench.request(0, 0, ms(1000));
+            match bench.at(id, 0) {
+                Some(upstream) => {
+                    let done = (*free.get(&upstream).unwrap_or(&bench.now)).max(bench.now) + ms(200);
+                    free.insert(upstream, done);
+                    open.push((done, id));
+                    far += usize::from(upstream.0 > 2);
+                }
+                None => refused += 1,
+            }
+            bench.run(ms(gap));
+            open.sort();
+            while open.first().is_some_and(|(done, _)| *done <= bench.now) {
+                let (_, id) = open.remove(0);
+                if !bench.answers.contains_key(&id) {
+                    bench.ended(id, 0, Outcome::Ok);
+                }
+            }
+        }
+        (refused, far)
+    };
+    // Five a second: the near ones do.
+    assert_eq!(play(&mut bench, 200, 50), (0, 0));
+    // Twenty a second: all eight would carry forty.
+    play(&mut bench, 50, 200);
+    let (refused, far) = play(&mut bench, 50, 200);
+    assert!(far > 40 && refused < 60, "{refused} refused, {far} in the other zone");
+    play(&mut bench, 200, 100);
+    assert_eq!(play(&mut bench, 200, 50).1, 0, "there is room again");
+}
