--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -696,3 +696,30 @@
     assert_eq!((early.status(), &early.body[..]), (200, &b"done"[..]));
     client.write(&long[100 << 10..]);
 }
+
+/// Guards what both hold when both are told to leave, one of them retuned meanwhile; the socket stays for who comes next.
+#[test]
+fn both_may_be_told_to_leave_and_one_is_retuned_on_its_way() {
+    let (address, told, close) = closes();
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut setup = operated(&[address]);
+    setup.inherits = Some(socket.into());
+    let mut old = setup.start();
+    let mut first = old.connect();
+    first.write(&book_as("first", "x"));
+    told.recv_timeout(LONG).unwrap();
+    let mut new = setup.start();
+    old.terminate();
+    until("it leaves", || old.call("/control/ready").status() == 503);
+    old.reload(&setup.text().replacen("idempotent", "at_most_once", 1));
+    until("it is retuned on its way", || old.figure("balancer_conf_loaded_total") == 1);
+    old.reload("");
+    until("and turns down what is none", || old.figure("balancer_conf_invalid_total") == 1);
+    new.terminate();
+    close.send(()).unwrap();
+    let answer = first.answer().expect("an answer");
+    assert!(![200, 429, 503].contains(&answer.status()), "it may have run");
+    assert!(old.wait().success() && new.wait().success());
+    let next = setup.start();
+    assert_eq!(next.connect().exchange(&book_as("next", "x").replace("/book/", "/none/")).status(), 404);
+}
