A class's old method stands until the next settings, and no longer

Change: the method of the effect that stood just before, alone. Measured: the new test's third settings answer GET no more; all tests of the crate pass.

--- a/routes/src/classify.rs
+++ b/routes/src/classify.rs
@@ -158,17 +158,13 @@
         before: Option<&Self>,
     ) -> Self {
         let routes = classes.into_iter().map(|(class, name, effect, deadline)| {
-            let mut methods = match effect {
-                Effect::Idempotent => vec![Method::GET, Method::HEAD],
-                _ => vec![Method::POST],
-            };
-            let routes = before.map(|before| &before.routes);
-            if let Some(Routes::First(routes)) = routes
+            let mut methods = methods_of(effect).to_vec();
+            if let Some(Routes::First(routes)) = before.map(|before| &before.routes)
                 && let Some(route) = routes.get(name)
+                && methods_of(route.effect) != methods
             {
-                methods.extend(
-                    route.methods.iter().filter(|m| !methods.contains(m)).cloned().collect::<Vec<_>>(),
-                );
+                // Those of its effect alone: what stood before that is over.
+                methods.extend_from_slice(methods_of(route.effect));
             }
             (name.to_owned(), Route { class, pattern: Pattern::any(), methods, effect, deadline })
         });
@@ -323,6 +319,14 @@
     }
 }
 
+/// The methods of a class on the platform, by what a repeat may do.
+fn methods_of(effect: Effect) -> &'static [Method] {
+    match effect {
+        Effect::Idempotent => &[Method::GET, Method::HEAD],
+        _ => &[Method::POST],
+    }
+}
+
 impl Pattern {
     /// Every path.
     pub(crate) fn any() -> Self {
--- a/routes/tests/rules.rs
+++ b/routes/tests/rules.rs
@@ -222,3 +222,27 @@
     }
     assert_eq!(Pattern::new("/a/*/%62/**").unwrap().to_string(), "/a/*/b/**");
 }
+
+/// Guards the method of a class whose effect has changed: its clients may still use the old one, but only until the settings
+/// change again.
+#[test]
+fn an_old_method_stands_until_the_next_settings() {
+    let rules = |effect, before: Option<&Rules>| {
+        Rules::platform([(ClassId(0), "look", effect, SECOND)], [(TenantId(0), "acme")], before)
+    };
+    let takes = |rules: &Rules, method: Method| {
+        let mut headers = HeaderMap::new();
+        for (name, value) in
+            [("host", "a"), ("x-correlation-id", "1"), ("x-account", "acme"), ("x-time-left-ms", "9")]
+        {
+            headers.insert(name, value.parse().unwrap());
+        }
+        rules.read(&method, &"/look".parse().unwrap(), &headers).is_ok()
+    };
+    let first = rules(Effect::Idempotent, None);
+    assert!(takes(&first, Method::GET) && takes(&first, Method::HEAD) && !takes(&first, Method::POST));
+    let second = rules(Effect::AtMostOnce, Some(&first));
+    assert!(takes(&second, Method::GET) && takes(&second, Method::HEAD) && takes(&second, Method::POST));
+    let third = rules(Effect::AtMostOnce, Some(&second));
+    assert!(takes(&third, Method::POST) && !takes(&third, Method::GET) && !takes(&third, Method::HEAD));
+}
