--- a/admission/src/budget.rs
+++ b/admission/src/budget.rs
@@ -56,8 +56,8 @@
 impl std::error::Error for TooFew {}
 
 impl Budget {
-    /// `allowed` by configuration, `real` by the limit of the process, `aside` of them not to be shared out; of what can be shared out, connections
-    /// to upstreams get this share (0.01 to 0.99).
+    /// `allowed` by configuration, `real` by the limit of the process, `aside` of them not to be shared out; of what
+    /// can be shared out, connections to upstreams get this share (0.01 to 0.99).
     pub fn new(allowed: usize, real: usize, aside: usize, upstream_share: f64) -> Result<Self, TooFew> {
         let least = allowed.min(real);
         if least < LEAST + aside {
--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -95,6 +95,7 @@
 }
 
 const RANKS: usize = 5;
+const IDLE: usize = RANKS - 1;
 
 /// The list that connections of a state are in while nobody waits for their answer.
 fn rank(state: State) -> Option<usize> {
@@ -103,7 +104,7 @@
         State::Begun => Some(1),
         State::Writing => Some(2),
         State::Checked => Some(3),
-        State::Idle => Some(4),
+        State::Idle => Some(IDLE),
         State::Free | State::Held | State::Leaving => None,
     }
 }
@@ -319,7 +320,7 @@
             f64::from(*holds) > most.max(TENANT_LEAST)
         });
         let keeps = ((self.places as f64 * self.policy.keep_alive) as usize).max(IDLE_LEAST);
-        let idle = [0, 1].map(|k| self.lists[k][4]);
+        let idle = [0, 1].map(|k| self.lists[k][IDLE]);
         let spare = if idle[0].len() + idle[1].len() > keeps { idle[0].first() } else { None };
         After {
             close: (crowded && over && !conn.known) || self.open() > self.places,
--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -14,8 +14,8 @@
 //! 1. A connection that holds a request that is owed its answer is never ended.
 //! 2. The reserve belongs to known clients: an unknown one never takes its last places.
 //! 3. When there is no place, the one goes with which least is lost: first what has said nothing for long, or
-//!    half of something and no more for long, then what has only asked after our health, then who has been idle for long, then
-//!    the younger ones, and last whoever is still writing. Unknown clients go before known ones.
+//!    half of something and no more for long, then what has only asked after our health, then who has been idle
+//!    for long, then the younger ones, and last whoever is still writing. Unknown clients go before known ones.
 //! 4. An address is judged by what its connections do, not by how many they are: only those that have not
 //!    yet asked for anything fit count against its cap, and those that ask give back what they took of its
 //!    rate. So a lodge's shared address may hold all the open places with walkers that book.
--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -4,12 +4,12 @@
 //! much of the request that it could have begun before the connection ended, or the upstream says so itself.
 
 use crate::parts::answer::{AnswerBody, Served, Stream, is_unreadable};
-use crate::parts::body::{Failure, Payload};
+use crate::parts::body::{Failure, Gathered, Payload, gather};
 use crate::parts::connection::{Connection, head_length, wire_length};
 use crate::parts::headers::{LOAD, TIME_LEFT};
 use crate::parts::room::{Room, Taken};
 use crate::parts::upstream::{Upstream, Upstreams};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, HOST, HeaderMap, HeaderValue, TE, TRANSFER_ENCODING};
@@ -309,7 +309,9 @@
                 None => (!hold.is_zero()).then_some(buffer),
             };
             match holds.and_then(|n| room.take_long(n)) {
-                Some(taken) if stated.is_some() => Coming::Whole(taken.with(short(body).await?)),
+                Some(taken) if stated.is_some() => {
+                    Coming::Whole(taken.with(gather(body).await.map_err(broken_body)?))
+                }
                 Some(taken) => held(body, buffer, Instant::now() + hold, taken).await?,
                 // Where there is no room to hold it, its reader sets the pace.
                 None => Coming::Streams(VecDeque::new(), body),
@@ -320,45 +322,6 @@
     Ok(Reply { parts, means, body })
 }
 
-/// What of a body is in hand: one piece, however small those were that it came in.
-#[derive(Default)]
-struct Gathered {
-    first: Bytes,
-    more: BytesMut,
-}
-
-impl Gathered {
-    fn len(&self) -> usize {
-        self.first.len() + self.more.len()
-    }
-
-    fn push(&mut self, data: Bytes) {
-        if self.len() == 0 {
-            self.first = data;
-            return;
-        }
-        if self.more.is_empty() {
-            self.more.extend_from_slice(&std::mem::take(&mut self.first));
-        }
-        self.more.extend_from_slice(&data);
-    }
-
-    fn whole(self) -> Bytes {
-        if self.more.is_empty() { self.first } else { self.more.freeze() }
-    }
-}
-
-/// A body that is as short as it says.
-async fn short(mut body: Incoming) -> Result<Bytes, Broken> {
-    let mut read = Gathered::default();
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(|e| broken_body(e.into()))?.into_data() {
-            read.push(data);
-        }
-    }
-    Ok(read.whole())
-}
-
 /// A body that did not say how long it is: whole if it ends within `buffer` bytes and by `until`.
 async fn held(mut body: Incoming, buffer: usize, until: Instant, taken: Taken) -> Result<Coming, Broken> {
     let mut read = Gathered::default();
@@ -384,7 +347,7 @@
         return Err(Broken::Spoilt(format!("{stated} bytes are too long").into()));
     }
     let taken = room.take_long(stated).ok_or_else(|| Broken::Spoilt("no room for an answer".into()))?;
-    let body = Limited::new(body, most).collect().await.map_err(broken_body)?.to_bytes();
+    let body = gather(Limited::new(body, most)).await.map_err(broken_body)?;
     Ok(taken.shrunk(body.len()).with(body))
 }
 
@@ -605,18 +568,6 @@
         assert_eq!(upstreams.room.left(), ROOM);
     }
 
-    /// Guards the memory against pieces of a byte: what is held is one piece.
-    #[test]
-    fn what_comes_in_pieces_is_held_in_one() {
-        let mut read = Gathered::default();
-        (0..SHORT).for_each(|_| read.push(Bytes::from_static(b"y")));
-        assert!(read.more.capacity() <= 2 * SHORT && read.len() == SHORT);
-        assert_eq!(read.whole(), "y".repeat(SHORT));
-        let mut read = Gathered::default();
-        read.push(Bytes::from_static(b"whole"));
-        assert_eq!(read.whole(), "whole");
-    }
-
     /// Guards against running out of descriptors: an idle connection makes room, and where there is none
     /// the wait ends as not sent, which says nothing of the upstream.
     #[tokio::test(flavor = "local")]
--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -400,6 +400,57 @@
     }
 }
 
+/// What of a body is in hand: one piece, however small those were that it came in.
+#[derive(Default)]
+pub struct Gathered {
+    first: Bytes,
+    more: BytesMut,
+}
+
+impl Gathered {
+    /// How many bytes are in hand.
+    pub fn len(&self) -> usize {
+        self.first.len() + self.more.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// More has come.
+    pub fn push(&mut self, data: Bytes) {
+        if self.is_empty() {
+            self.first = data;
+            return;
+        }
+        if self.more.is_empty() {
+            self.more.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.more.extend_from_slice(&data);
+    }
+
+    /// All of it.
+    pub fn whole(self) -> Bytes {
+        if self.more.is_empty() { self.first } else { self.more.freeze() }
+    }
+}
+
+/// A body to its end, without its trailers.
+pub async fn gather<B>(mut body: B) -> Result<Bytes, Failure>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Failure>,
+{
+    let mut read = Gathered::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(Into::into)?.into_data() {
+            read.push(data);
+        }
+    }
+    Ok(read.whole())
+}
+
 /// How fast a body has to come: slow is told from stuck by what has come, not by the time that it takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
@@ -440,33 +491,25 @@
         spawn_local(read_away(body));
         return Err(Fault::TooLong);
     }
-    let mut read = Bytes::new();
+    let mut read = Gathered::default();
     let mut ended = false;
     let is_short = hint.lower() <= passage.buffer as u64;
     // The room is taken before the first byte is read, for as much as may come.
     let most = hint.exact().map_or(passage.buffer, |n| n as usize);
     let taken = if is_short { room.take_long(most) } else { None };
     if taken.is_some() {
-        let mut more = BytesMut::new();
-        while read.len() + more.len() <= passage.buffer {
-            let frame =
-                timeout_at(pace.due(read.len() + more.len()), body.frame()).await.map_err(|_| Fault::Slow)?;
+        while read.len() <= passage.buffer {
+            let frame = timeout_at(pace.due(read.len()), body.frame()).await.map_err(|_| Fault::Slow)?;
             let Some(frame) = frame else {
                 ended = true;
                 break;
             };
             // Trailers of a body that is held go no further (RFC 9110, section 6.5.1).
             let Ok(data) = frame.map_err(|_| Fault::BrokeOff)?.into_data() else { continue };
-            if read.is_empty() {
-                read = data;
-            } else {
-                more.extend_from_slice(&data);
-            }
-        }
-        if !more.is_empty() {
-            read = [read.as_ref(), more.as_ref()].concat().into();
+            read.push(data);
         }
     }
+    let read = read.whole();
     if ended {
         return Ok(Payload::Whole(match taken {
             Some(taken) => taken.with(read),
@@ -486,3 +529,22 @@
     let patience = Patience { idle, total, answer };
     Ok(Payload::Upload(Upload::new(read, rest, hint.exact(), passage.body_most, patience)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SHORT: usize = 64 * 1024;
+
+    /// Guards the memory against pieces of a byte: what is held is one piece.
+    #[test]
+    fn what_comes_in_pieces_is_held_in_one() {
+        let mut read = Gathered::default();
+        (0..SHORT).for_each(|_| read.push(Bytes::from_static(b"y")));
+        assert!(read.more.capacity() <= 2 * SHORT && read.len() == SHORT);
+        assert_eq!(read.whole(), "y".repeat(SHORT));
+        let mut read = Gathered::default();
+        read.push(Bytes::from_static(b"whole"));
+        assert_eq!(read.whole(), "whole");
+    }
+}
--- a/engine/src/parts/discovery.rs
+++ b/engine/src/parts/discovery.rs
@@ -15,7 +15,7 @@
 use lapisroute_settings::Names;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -91,6 +91,11 @@
         self.rev.set(rev);
     }
 
+    /// What the numbers are called.
+    pub fn names(&self) -> Ref<'_, Names> {
+        self.names.borrow()
+    }
+
     /// Zones and kinds have these numbers from now on.
     pub fn rename(&self, names: Names) {
         *self.names.borrow_mut() = names;
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -166,11 +166,10 @@
             knows: watch::Sender::new(false),
             cut_off: watch::Sender::new(false),
         });
-        let figures = Rc::downgrade(&driver);
+        let counter = Rc::clone(&driver);
         spawn_local(async move {
-            while let Some(driver) = figures.upgrade() {
-                driver.count_listed();
-                drop(driver);
+            loop {
+                counter.count_listed();
                 sleep(COUNT_EVERY).await;
             }
         });
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -168,7 +168,7 @@
 
     /// Whether a part of a request has come that is not whole yet.
     pub fn is_writing(&self) -> bool {
-        self.stand.get() == Stand::Reading || (self.stand.get() != Stand::Held && self.came.get() > 0)
+        self.stand.get() == Stand::Reading || (self.stand.get() != Stand::Held && self.has_more())
     }
 
     /// When it is to be closed, as things stand.
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -30,7 +30,7 @@
     pub known: String,
     /// The settings of the site.
     pub tuned: Tuned,
-    /// The file, for the keys that it has to go on having.
+    /// The keys that the file has to go on having.
     like: Value,
 }
 
@@ -117,18 +117,7 @@
     ) -> Result<(SocketAddr, Tuned), ConfigError> {
         let wrong = |wrong: Wrong| ConfigError(wrong.to_string());
         let value: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
-        if let Value::Object(like) = &self.like {
-            // What it knew of the list is of no use to a process that runs.
-            let lacks = like.keys().find(|key| *key != "known" && value.get(key).is_none());
-            if let Some(key) = lacks {
-                return Err(ConfigError(format!("{key}: it is missing")));
-            }
-            for key in ["limits"] {
-                if let (Some(like), Some(new)) = (like.get(key), value.get(key)) {
-                    missing(like, new, key).map_err(wrong)?;
-                }
-            }
-        }
+        missing(&self.like, &value, "").map_err(wrong)?;
         let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let tuned = tuned.retuned(now, raw.settings.get(), "settings").map_err(wrong)?;
         Ok((raw.discovery, tuned))
@@ -139,7 +128,12 @@
         let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
         let tuned = Tuned::new(raw.settings.get()).map_err(ConfigError)?;
-        let like = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let mut like: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        if let Value::Object(like) = &mut like {
+            // What it knew of the list is of no use to a process that runs, and the settings know their own keys.
+            like.remove("known");
+            like.iter_mut().filter(|(key, _)| *key != "limits").for_each(|(_, value)| *value = Value::Null);
+        }
         Ok(Self {
             name: raw.name,
             listen: raw.listen,
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -3,6 +3,7 @@
 //! It has a thread of its own, so that no client, tick or body can keep an operator waiting: the counts are read where
 //! they stand. Callers that send nothing or half a call have so much time and so many places, and make room.
 
+use crate::refusals::linger;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -10,7 +11,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use maplehook::tally::{self, Tally};
 use std::collections::VecDeque;
 use std::convert::Infallible;
@@ -19,7 +20,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, spawn};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -32,8 +32,6 @@
 const HEAD_MOST: Duration = Duration::from_secs(5);
 /// How long a caller is left its place, whoever waits: any that means it has asked by then.
 const PROMPT: Duration = Duration::from_millis(200);
-/// How long a caller may take to read its answer.
-const LINGER: Duration = Duration::from_millis(500);
 /// The longest head.
 const BUFFER: usize = 8 * 1024;
 /// Pause after an accept that failed.
@@ -112,18 +110,12 @@
         async move { Ok::<_, Infallible>(answer(&request, &board)) }
     });
     let mut builder = http1::Builder::new();
-    builder.keep_alive(false).max_buf_size(BUFFER).timer(TokioTimer::new()).header_read_timeout(HEAD_MOST);
+    // The time of the whole call is the head's too.
+    builder.keep_alive(false).max_buf_size(BUFFER).header_read_timeout(None);
     let served =
         timeout(HEAD_MOST, builder.serve_connection(TokioIo::new(stream), service).without_shutdown());
     let Ok(Ok(parts)) = served.await else { return };
-    // What it goes on sending is read away: a connection that is closed with bytes unread is reset, and a reset takes the
-    // answer along.
-    let mut stream = parts.io.into_inner();
-    let _ = timeout(LINGER, async {
-        let _ = stream.shutdown().await;
-        while stream.read(&mut [0; 1024]).await.is_ok_and(|n| n > 0) {}
-    })
-    .await;
+    linger(parts.io.into_inner()).await;
 }
 
 fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -118,7 +118,10 @@
 
     /// Whether a further request has begun to come.
     pub fn has_more(&self) -> bool {
-        !self.heads.is_empty() || self.at == At::Head { begun: true }
+        match self.at {
+            At::Head { begun } => begun || !self.line.is_empty() || !self.heads.is_empty(),
+            _ => !self.heads.is_empty(),
+        }
     }
 
     /// The next request is read. Whether its head names both a length and an encoding; where in doubt, it does.
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -155,12 +155,11 @@
         descriptors: Rc<Descriptors>,
         allowed: usize,
         follows: bool,
-        names: impl Fn() -> Names,
     ) {
         let begun = Instant::now();
         let mut alone = true;
         loop {
-            let written = descriptors.with_spare(|| self.write(&remembered, &driver, &names()));
+            let written = descriptors.with_spare(|| self.write(&remembered, &driver));
             let later = written.unwrap_or_else(|e| {
                 self.odd
                     .warn(|| format!("nothing is left for the next process: {}: {e}", self.path.display()));
@@ -176,7 +175,7 @@
     }
 
     /// `true`: a later process writes.
-    fn write(&self, remembered: &Remembered, driver: &Driver, names: &Names) -> io::Result<bool> {
+    fn write(&self, remembered: &Remembered, driver: &Driver) -> io::Result<bool> {
         let changed = fs::metadata(&self.path).and_then(|file| file.modified()).ok();
         if changed.is_some()
             && changed != self.own.get()
@@ -184,7 +183,7 @@
         {
             return Ok(true);
         }
-        let snapshot = self.snapshot(remembered, &driver.heritage(), names);
+        let snapshot = self.snapshot(remembered, &driver.heritage());
         let text = snapshot.text().ok_or_else(|| io::Error::other("there is more to say than is allowed"))?;
         let new = self.path.with_extension(format!("{}.new", std::process::id()));
         let written = fs::write(&new, text).and_then(|()| {
@@ -197,7 +196,8 @@
         written.map(|()| false)
     }
 
-    fn snapshot(&self, remembered: &Remembered, heritage: &Heritage, names: &Names) -> Snapshot {
+    fn snapshot(&self, remembered: &Remembered, heritage: &Heritage) -> Snapshot {
+        let names = remembered.discovery.names();
         let known = |entry: &Entry| Known {
             id: entry.id.0,
             place: (entry.zone.0, entry.kind.0, entry.cell.0),
--- a/node/src/refusals.rs
+++ b/node/src/refusals.rs
@@ -57,10 +57,26 @@
     }
 }
 
+/// Ends a stream whose answer is written, and reads away what still comes until its client has read that.
+pub async fn linger(mut stream: TcpStream) {
+    let _ = timeout(LINGER, async {
+        // The end of the answer; its client closes in turn once it has read it.
+        let _ = stream.shutdown().await;
+        let mut all = 0;
+        while let Some(n) = read_away(&stream) {
+            all += n;
+            if all > MORE_MOST || stream.readable().await.is_err() {
+                break;
+            }
+        }
+    })
+    .await;
+}
+
 impl Refusals {
     /// Refuses a client. One that does not read at once is given time, as long as no others need its
     /// descriptor.
-    pub fn refuse(&self, mut stream: TcpStream, refusal: &Refusal) {
+    pub fn refuse(&self, stream: TcpStream, refusal: &Refusal) {
         if !refusal.answered || !write(&stream, refusal) {
             return;
         }
@@ -71,20 +87,7 @@
         {
             oldest.abort();
         }
-        lingering.push_back(spawn_local(async move {
-            let _ = timeout(LINGER, async {
-                // The end of the answer; its client closes in turn once it has read it.
-                let _ = stream.shutdown().await;
-                let mut all = 0;
-                while let Some(n) = read_away(&stream) {
-                    all += n;
-                    if all > MORE_MOST || stream.readable().await.is_err() {
-                        break;
-                    }
-                }
-            })
-            .await;
-        }));
+        lingering.push_back(spawn_local(linger(stream)));
     }
 }
 
--- a/node/src/retune.rs
+++ b/node/src/retune.rs
@@ -3,12 +3,12 @@
 use crate::config::Config;
 use crate::entrance::Entrance;
 use crate::requests::Requests;
-use lapisroute_settings::{Names, Tuned};
+use lapisroute_settings::Tuned;
 use maplehook::parts::descriptors::Descriptors;
 use maplehook::parts::discovery::Discovery;
 use maplehook::parts::driver::Driver;
 use maplehook::tally::Counting;
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -33,8 +33,6 @@
     pub grace: Grace,
     /// The same, by settings.
     pub grace_by: fn(&Tuned) -> Duration,
-    /// What the numbers are called.
-    pub names: Rc<RefCell<Names>>,
 }
 
 impl Retuner {
@@ -71,7 +69,6 @@
         let guarantees: Vec<f64> = site.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
         self.entrance.guarantee(&guarantees);
         self.discovery.rename(site.names.clone());
-        *self.names.borrow_mut() = site.names.clone();
         self.grace.set((self.grace_by)(tuned));
         self.requests.retune(tuned);
     }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -25,7 +25,7 @@
 use maplehook_config::{Operator, Upstream};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
 use maplehook_routes::{Forwarding, Own};
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::future::Future;
@@ -124,12 +124,11 @@
             Rc::clone(&parts.descriptors),
         ));
         let mut known = discovery.known(&config.known);
-        let names = Rc::new(RefCell::new(config.tuned.site().names.clone()));
         // Only then may another process of this balancer run before, beside or after this one.
         let handover = if parts.shared { Handover::of(&config.name) } else { None };
-        let left = handover.as_ref().and_then(|handover| handover.take(&names.borrow()));
+        let left = handover.as_ref().and_then(|handover| handover.take(&discovery.names()));
         let (follows, allowed) = (left.is_some(), plan.sockets);
-        let heritage = left.as_ref().map(|left| left.heritage(&names.borrow()));
+        let heritage = left.as_ref().map(|left| left.heritage(&discovery.names()));
         if let Some(left) = left {
             known = left.list(known, &discovery);
         }
@@ -149,22 +148,13 @@
             descriptors: Rc::clone(&parts.descriptors),
             grace: Rc::clone(&plan.grace),
             grace_by: platform_grace,
-            names: Rc::clone(&names),
         };
         let begun = |driver: Rc<Driver>, counting| {
             if let Some(heritage) = heritage {
                 driver.inherit(heritage);
             }
             if let (Some(handover), Some(remembered)) = (handover, remembered) {
-                let names = move || names.borrow().clone();
-                spawn_local(handover.keep(
-                    remembered,
-                    Rc::clone(&driver),
-                    descriptors,
-                    allowed,
-                    follows,
-                    names,
-                ));
+                spawn_local(handover.keep(remembered, Rc::clone(&driver), descriptors, allowed, follows));
             }
             spawn_local(retuner.run(hangup, driver, counting));
         };
@@ -361,15 +351,13 @@
     board.ready.store(false, Ordering::Release);
     let until_idle_end = if shared { IDLE_AFTER_TERM } else { ACCEPT_AFTER_TERM };
     phase.send_replace(if shared { Phase::Draining } else { Phase::Leaving });
-    if timeout(until_idle_end, &mut accepting).await.is_ok() {
-        tracing::info!("gone");
-        return Ok(());
-    }
-    phase.send_replace(Phase::Closing);
-    let rest = plan.grace.get().saturating_sub(until_idle_end + LAST_WORDS);
-    if timeout(rest, &mut accepting).await.is_err() {
-        driver.cut_off();
-        let _ = timeout(LAST_WORDS, &mut accepting).await;
+    if timeout(until_idle_end, &mut accepting).await.is_err() {
+        phase.send_replace(Phase::Closing);
+        let rest = plan.grace.get().saturating_sub(until_idle_end + LAST_WORDS);
+        if timeout(rest, &mut accepting).await.is_err() {
+            driver.cut_off();
+            let _ = timeout(LAST_WORDS, &mut accepting).await;
+        }
     }
     tracing::info!("gone");
     Ok(())
--- a/node/tests/operation.rs
+++ b/node/tests/operation.rs
@@ -18,6 +18,12 @@
     Setup { control: true, ..Setup::with(upstreams) }
 }
 
+/// The same on a socket that processes follow one another on.
+fn shared(upstreams: &[SocketAddr]) -> Setup {
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    Setup { inherits: Some(socket.into()), ..operated(upstreams) }
+}
+
 fn look_as(id: &str) -> String {
     look(8000).replace("77aa", id)
 }
@@ -311,9 +317,7 @@
 #[test]
 fn one_process_may_end_without_harm_to_the_other() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut setup = operated(&[upstream.address]);
-    setup.inherits = Some(socket.into());
+    let setup = shared(&[upstream.address]);
     let mut old = setup.start();
     let mut kept = old.connect();
     assert_eq!(kept.exchange(&book_as("1", "x")).status(), 200);
@@ -627,9 +631,7 @@
 #[test]
 fn what_is_half_written_is_answered_by_a_process_that_leaves() {
     let upstream = Upstream::start(Then::Answer(OK));
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut setup = operated(&[upstream.address]);
-    setup.inherits = Some(socket.into());
+    let setup = shared(&[upstream.address]);
     let mut node = setup.start();
     let text = book_as("half", "body");
     let (mut first, mut second, mut two) = (node.connect(), node.connect(), node.connect());
@@ -701,9 +703,7 @@
 #[test]
 fn both_may_be_told_to_leave_and_one_is_retuned_on_its_way() {
     let (address, told, close) = closes();
-    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut setup = operated(&[address]);
-    setup.inherits = Some(socket.into());
+    let setup = shared(&[address]);
     let mut old = setup.start();
     let mut first = old.connect();
     first.write(&book_as("first", "x"));
--- a/settings/src/tuned.rs
+++ b/settings/src/tuned.rs
@@ -42,7 +42,7 @@
 pub fn missing(like: &Value, new: &Value, path: &str) -> Result<(), Wrong> {
     match (like, new) {
         (Value::Object(like), Value::Object(new)) => like.iter().try_for_each(|(key, like)| {
-            let path = format!("{path}.{key}");
+            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
             missing(like, new.get(key).ok_or_else(|| wrong(&path, "it is missing"))?, &path)
         }),
         (Value::Object(_), _) => Err(wrong(path, "it is no object")),
