--- a/admission/src/token.rs
+++ b/admission/src/token.rs
@@ -91,7 +91,7 @@
     };
     let bytes = text.as_bytes();
     let pairs = bytes.chunks_exact(2).map(|pair| Some(digit(pair[0])? << 4 | digit(pair[1])?));
-    if bytes.len() % 2 == 0 { pairs.collect() } else { None }
+    if bytes.len().is_multiple_of(2) { pairs.collect() } else { None }
 }
 
 #[cfg(test)]
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -16,15 +16,18 @@
 mod eureka;
 mod proxy;
 pub mod reader;
+mod tier;
 mod values;
 
 pub use eureka::{Eureka, Registration, Wanted};
 pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
+pub use tier::Tier;
 
 use maplehook_admission::{Policy, budget};
 use reader::{Form, Reader};
 use serde::Deserialize;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -39,6 +42,8 @@
         "headers",
         "eureka",
         "registration",
+        "tier",
+        "operator",
     ],
     lists: &["class", "tenant", "upstream"],
 };
@@ -58,6 +63,10 @@
     pub backlog: u32,
     /// What a balancer of one's own serves; on the platform, that is the platform's word.
     pub proxy: Option<Proxy>,
+    /// Where operators call a balancer of one's own; on the platform, that is the platform's word.
+    pub control: Option<SocketAddr>,
+    /// The other balancers.
+    pub tier: Option<Tier>,
 }
 
 /// The signed word of a known client.
@@ -87,6 +96,8 @@
             descriptors: Descriptors { limit: None, upstream_share: 0.45 },
             backlog: 1024,
             proxy: None,
+            control: None,
+            tier: None,
         }
     }
 }
@@ -146,6 +157,12 @@
         operator.backlog = backlog;
     }
     operator.proxy = proxy::read(&mut reader, embedded);
+    let served = operator.proxy.is_some();
+    operator.control = reader.take("operator", "address");
+    if operator.control.is_some() && !served {
+        reader.fault("operator", "address", "of no use without listen.address and [[class]]".into());
+    }
+    operator.tier = tier::read(&mut reader, served);
     reader.end()?;
     Ok(operator)
 }
@@ -208,6 +225,9 @@
             example.lines().map(|line| line.strip_prefix("#: ").unwrap_or(line).to_owned() + "\n").collect();
         let set = parse(&uncommented).unwrap();
         assert!(set.token.is_some() && set.descriptors.limit.is_some());
+        let tier = set.tier.unwrap();
+        assert!(set.control.is_some() && tier.state.is_some() && tier.peers.len() == 1);
+        assert_eq!(tier.drains_most, 0.5);
         assert!(set.admission.rate.is_some() && set.admission.per_address.is_some());
         // What it shows of a balancer of one's own are the defaults.
         let shown = set.proxy.unwrap();
@@ -296,6 +316,10 @@
             "hold_answering_ms",
             "vip",
             "renew_ms",
+            "listen",
+            "secret_file",
+            "state",
+            "drains_most",
         ] {
             assert!(uncommented.lines().any(|line| line.starts_with(&format!("{key} = "))), "{key}");
         }
--- a/config/src/reader.rs
+++ b/config/src/reader.rs
@@ -94,14 +94,7 @@
                     reader.sections.insert(name, table);
                 }
                 DeValue::Array(entries) if several => {
-                    let mut tables = Vec::new();
-                    for (n, entry) in entries.into_iter().enumerate() {
-                        let (line, place) = (line_of(text, entry.span().start), format!("{name}[{}]", n + 1));
-                        match entry.into_inner() {
-                            DeValue::Table(table) => tables.push(reader.table(place, line, table)),
-                            _ => reader.fault_at(line, place, format!("it has to be a table, [[{name}]]")),
-                        }
-                    }
+                    let tables = reader.tables(&name, entries);
                     reader.lists.insert(name, tables);
                 }
                 _ if one => reader.fault_at(line, name.clone(), format!("it has to be a section, [{name}]")),
@@ -184,6 +177,36 @@
         self.lists.remove(name).unwrap_or_default()
     }
 
+    /// Takes all tables of a name that stand within a table, `[[tier.peer]]`.
+    pub fn take_tables_in(&mut self, table: &mut Table<'a>, name: &str) -> Vec<Table<'a>> {
+        let Some((line, value)) = table.keys.remove(name) else { return Vec::new() };
+        let place = format!("{}.{name}", table.place);
+        self.lines.insert(place.clone(), line);
+        let DeValue::Array(entries) = value.into_inner() else {
+            self.fault_at(line, place.clone(), format!("there may be several: [[{place}]]"));
+            return Vec::new();
+        };
+        self.tables(&place, entries)
+    }
+
+    fn tables(&mut self, name: &str, entries: toml::de::DeArray<'a>) -> Vec<Table<'a>> {
+        let mut tables = Vec::new();
+        for (n, entry) in entries.into_iter().enumerate() {
+            let (line, place) = (line_of(self.text, entry.span().start), format!("{name}[{}]", n + 1));
+            match entry.into_inner() {
+                DeValue::Table(table) => tables.push(self.table(place, line, table)),
+                _ => self.fault_at(line, place, format!("it has to be a table, [[{name}]]")),
+            }
+        }
+        tables
+    }
+
+    /// Whether something is known to be wrong with a key of a table.
+    pub fn has_fault(&self, table: &Table<'a>, key: &str) -> bool {
+        let place = format!("{}.{key}", table.place);
+        self.faults.iter().any(|fault| fault.place == place)
+    }
+
     /// One of several tables has been read: whatever was not taken of it is unknown.
     pub fn done(&mut self, table: Table<'a>) {
         for (key, (line, _)) in table.keys {
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -5,6 +5,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::time::Instant;
 
 /// An upstream as listed, for the library and for the connections.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,6 +54,11 @@
 
     /// What passes on the sockets says more of an upstream than its absence from a list.
     fn heard(&self, _upstream: UpstreamId, _heard: Heard) {}
+
+    /// When the list was last known to be what its origin says, with all of that told; `None`: never, or nobody can say.
+    fn confirmed(&self) -> Option<Instant> {
+        None
+    }
 }
 
 /// What an attempt says of its upstream.
@@ -102,6 +108,10 @@
         tell(self.news());
         Box::pin(std::future::pending())
     }
+
+    fn confirmed(&self) -> Option<Instant> {
+        Some(Instant::now())
+    }
 }
 
 /// FNV-1a: an id that no process, build or machine sees differently.
--- a/eureka/src/source.rs
+++ b/eureka/src/source.rs
@@ -115,6 +115,8 @@
     stirred: Cell<bool>,
     /// The registry has no document of changes.
     whole_only: Cell<bool>,
+    /// When the registry was last read, with what it said told.
+    confirmed: Cell<Option<std::time::Instant>>,
     odd: Seldom,
     failing: Seldom,
 }
@@ -147,6 +149,7 @@
             asked: Cell::new(0),
             failures: Cell::new(0),
             stirred: Cell::new(true),
+            confirmed: Cell::new(None),
             odd: Seldom::default(),
             failing: Seldom::default(),
         }
@@ -167,8 +170,10 @@
         let Some(client) = self.clients.get(at) else { return self.settings.pace };
         let origin = Origin { source: REGISTRY, replica: at as u32 };
         let changes = self.state.borrow().mirror.is_whole() && !self.whole_only.get();
+        let begun = std::time::Instant::now();
         let polled =
             if changes { self.changes(client, origin).await } else { self.whole(client, origin).await };
+        let read = polled.is_ok();
         let wait = match polled {
             Ok(()) => {
                 self.failures.set(0);
@@ -193,6 +198,9 @@
         {
             tell(news);
         }
+        if read {
+            self.confirmed.set(Some(begun));
+        }
         let unsettled = self.state.borrow().membership.is_unsettled();
         self.stirred.set(self.stirred.get() || unsettled);
         wait
@@ -359,6 +367,10 @@
         })
     }
 
+    fn confirmed(&self) -> Option<std::time::Instant> {
+        self.confirmed.get()
+    }
+
     fn heard(&self, id: UpstreamId, heard: Heard) {
         let now = self.now();
         let State { membership, keys, .. } = &mut *self.state.borrow_mut();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`hunt`] searches an experiment's ranges for the worst day and shrinks it to what matters.
 //! - [`load`] asks a real server as an experiment's clients would, [`calibrate`] compares the two.
 //! - [`paper`] is the experiment of the paper that the design rests on.
+//! - [`members`] emulates balancers that know each other.
 //! - [`rules`] explores what may come between a request and its answer, exhaustively.
 
 mod agenda;
@@ -23,6 +24,7 @@
 pub mod file;
 pub mod hunt;
 pub mod load;
+pub mod members;
 pub mod page;
 pub mod paper;
 mod play;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,12 +1,14 @@
 //! The laboratory's command line.
 
+use clap::builder::TypedValueParser;
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use maplehook_lab::experiment::{self, How, Verdict};
 use maplehook_lab::file::{Plan, read};
 use maplehook_lab::paper::{self, Paper, Rates, Reading};
 use maplehook_lab::results::{self, Line, Table, words};
-use maplehook_lab::{World, calibrate, hunt, load, page, policies, rules};
+use maplehook_lab::{World, calibrate, hunt, load, members, page, policies, rules};
+use rayon::prelude::*;
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -117,6 +119,21 @@
     },
     /// Explores the rules on drains, deadlines and repeats as a small state machine, exhaustively.
     Rules,
+    /// Balancers that know each other: single faults, or storms of drawn ones.
+    Members {
+        /// How many: 2 to 2000.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(2..=2000).map(|n| n as usize))]
+        members: usize,
+        /// How many storms; 0: each single fault once.
+        #[arg(long, default_value_t = 0)]
+        storms: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// What it costs a balancer when nothing happens, instead.
+        #[arg(long)]
+        cost: bool,
+    },
     /// Measures how fast worlds are played, at 3, 120 and 10,000 upstreams.
     Speed {
         /// Requests of each.
@@ -400,6 +417,43 @@
     Ok(())
 }
 
+/// Storms over balancers that know each other, or single faults.
+fn known(members: usize, storms: u64, seed: u64, cost: bool) -> Result<ExitCode, Failure> {
+    if cost {
+        let (datagrams, bytes, us) = members::faults::cost(members, seed);
+        println!(
+            "{members} balancers, each a second: {datagrams:.1} datagrams, {bytes:.0} bytes, {us:.0} us of this machine"
+        );
+        return Ok(ExitCode::SUCCESS);
+    }
+    if storms == 0 {
+        print!("{}", members::faults::markdown(members, &members::faults::table(members, seed)));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let played: Vec<(u64, members::storm::Storm)> = (seed..seed + storms)
+        .into_par_iter()
+        .map(|seed| (seed, members::storm::play(members, seed)))
+        .collect();
+    let broken: Vec<_> = played.iter().filter(|(_, storm)| !storm.breaches.is_empty()).collect();
+    for (seed, storm) in &broken {
+        storm.breaches.iter().for_each(|breach| println!("seed {seed}: {breach}"));
+    }
+    let faults: u32 = played.iter().flat_map(|(_, storm)| storm.faults.values()).sum();
+    let mut times: Vec<Duration> = played.iter().filter_map(|(_, storm)| storm.converged).collect();
+    times.sort_unstable();
+    let at =
+        |share: f64| times.get(((times.len() as f64 - 1.0) * share) as usize).copied().unwrap_or_default();
+    println!(
+        "{members} balancers, {storms} storms, {faults} faults: {} with breaches; all saw one another again after {:.1} s \
+         (median), {:.1} s (longest; {:.1} s are promised)",
+        broken.len(),
+        at(0.5).as_secs_f64(),
+        at(1.0).as_secs_f64(),
+        members::storm::converges_within(members).as_secs_f64()
+    );
+    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(2) })
+}
+
 fn go(command: Command) -> Result<ExitCode, Failure> {
     match command {
         Command::Check { file } => {
@@ -425,6 +479,7 @@
             print!("{}", runtime.block_on(calibrate::run(&plan_of(&file)?, &daemon))?);
         }
         Command::Paper { replicates } => papers(replicates),
+        Command::Members { members, storms, seed, cost } => return known(members, storms, seed, cost),
         Command::Rules => {
             let (report, sound) = rules::explore_all();
             print!("{report}");
--- /dev/null
+++ b/lab/src/members/faults.rs
@@ -0,0 +1,196 @@
+//! Single faults, and what they cost: the table of the operators' page.
+
+use super::{World, settled};
+use maplehook_tier::{Event, State};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// One fault's figures.
+#[derive(Clone, Debug, Default)]
+pub struct Row {
+    /// The fault.
+    pub fault: &'static str,
+    /// Until all whom it concerns saw it.
+    pub seen: Option<Duration>,
+    /// Deaths announced of members that ran and could be reached.
+    pub false_deaths: usize,
+    /// Until all saw one another again after it had ended.
+    pub converged: Option<Duration>,
+}
+
+const MOST: Duration = Duration::from_secs(90);
+
+fn all_hold(world: &World, who: &[usize], of: &[usize], state: State) -> bool {
+    who.iter().all(|n| of.iter().all(|other| n == other || world.holds(*n, *other) == Some(state)))
+}
+
+fn deaths(world: &World, since: Duration, of: impl Fn(usize) -> bool) -> usize {
+    let dead = |event: &Event| match event {
+        Event::Down(name, _, State::Dead) => name.as_str()[1..].parse::<usize>().is_ok_and(&of),
+        _ => false,
+    };
+    world.events.iter().filter(|said| said.at >= since && dead(&said.event)).count()
+}
+
+/// Plays each fault once, in a world of so many.
+pub fn table(members: usize, seed: u64) -> Vec<Row> {
+    let all: Vec<usize> = (0..members).collect();
+    let half: Vec<usize> = (0..members / 2).collect();
+    let rest: Vec<usize> = (members / 2..members).collect();
+    let others: Vec<usize> = (1..members).collect();
+    let mut rows = Vec::new();
+
+    let mut world = settled(members, seed);
+    let at = world.now;
+    world.kill(0);
+    let seen = world.until(MOST, |w| all_hold(w, &others, &[0], State::Dead));
+    world.start(0, true);
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row {
+        fault: "one killed, and back",
+        seen,
+        false_deaths: deaths(&world, at, |n| n != 0),
+        converged,
+    });
+
+    let mut world = settled(members, seed + 1);
+    let at = world.now;
+    world.leave(0);
+    let seen = world.until(MOST, |w| all_hold(w, &others, &[0], State::Left));
+    world.start(0, true);
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row {
+        fault: "one leaves, and is back",
+        seen,
+        false_deaths: deaths(&world, at, |n| n != 0),
+        converged,
+    });
+
+    let mut world = settled(members, seed + 2);
+    let at = world.now;
+    half.iter().for_each(|n| world.kill(*n));
+    let seen = world.until(MOST, |w| all_hold(w, &rest, &half, State::Dead));
+    half.iter().for_each(|n| world.start(*n, true));
+    let converged = world.until(MOST, World::agrees);
+    let false_deaths = deaths(&world, at, |n| n >= members / 2);
+    rows.push(Row { fault: "half killed at once, and back", seen, false_deaths, converged });
+
+    let mut world = settled(members, seed + 3);
+    let at = world.now;
+    world.stop(0);
+    world.play(world.now + Duration::from_secs(10));
+    let seen = all_hold(&world, &others, &[0], State::Dead).then_some(Duration::from_secs(10));
+    world.go_on(0);
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row {
+        fault: "one stopped for 10 s",
+        seen,
+        false_deaths: deaths(&world, at, |n| n != 0),
+        converged,
+    });
+
+    let mut world = settled(members, seed + 4);
+    let at = world.now;
+    world.stop(0);
+    world.play(world.now + Duration::from_secs(3));
+    world.go_on(0);
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row {
+        fault: "one stopped for 3 s",
+        seen: None,
+        false_deaths: deaths(&world, at, |n| n != 0),
+        converged,
+    });
+
+    let mut world = settled(members, seed + 5);
+    world.cut(&half, &rest, true);
+    let seen = world
+        .until(MOST, |w| all_hold(w, &half, &rest, State::Dead) && all_hold(w, &rest, &half, State::Dead));
+    world.heal();
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row { fault: "cut in two halves", seen, false_deaths: 0, converged });
+
+    let mut world = settled(members, seed + 6);
+    let at = world.now;
+    world.cut(&[0], &[1], false);
+    world.play(world.now + Duration::from_secs(30));
+    let false_deaths = deaths(&world, at, |_| true);
+    world.heal();
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row { fault: "one way from one to another cut, 30 s", seen: None, false_deaths, converged });
+
+    let mut world = settled(members, seed + 7);
+    let at = world.now;
+    world.cut(&half[..1], &rest, true);
+    world.play(world.now + Duration::from_secs(30));
+    let false_deaths = deaths(&world, at, |_| true);
+    world.heal();
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row { fault: "one cut from half of the others, 30 s", seen: None, false_deaths, converged });
+
+    let mut world = settled(members, seed + 8);
+    let at = world.now;
+    (world.ways.loss, world.ways.twice) = (0.3, 0.2);
+    world.ways.delay.1 = Duration::from_millis(80);
+    world.play(world.now + Duration::from_secs(30));
+    let false_deaths = deaths(&world, at, |_| true);
+    world.heal();
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row { fault: "30 % lost, 20 % twice, reordered, 30 s", seen: None, false_deaths, converged });
+
+    let mut world = World::new(members, seed + 9);
+    half.iter().for_each(|n| world.start(*n, true));
+    world.play(Duration::from_secs(30));
+    let at = world.now;
+    rest.iter().for_each(|n| world.start(*n, true));
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row {
+        fault: "twice as many within a moment",
+        seen: converged,
+        false_deaths: deaths(&world, at, |_| true),
+        converged,
+    });
+
+    let mut world = World::new(members, seed + 10);
+    all.iter().for_each(|n| world.start(*n, true));
+    let converged = world.until(MOST, World::agrees);
+    rows.push(Row { fault: "all start at once", seen: converged, false_deaths: 0, converged });
+    rows
+}
+
+/// What it costs a balancer when nothing happens: datagrams and bytes a second, and microseconds of this machine's time a
+/// second.
+pub fn cost(members: usize, seed: u64) -> (f64, f64, f64) {
+    let mut world = settled(members, seed);
+    world.play(world.now + Duration::from_secs(30));
+    let (datagrams, bytes) = (world.counted.datagrams, world.counted.bytes);
+    let begun = std::time::Instant::now();
+    world.play(world.now + Duration::from_secs(20));
+    let each = 20.0 * members as f64;
+    (
+        (world.counted.datagrams - datagrams) as f64 / each,
+        (world.counted.bytes - bytes) as f64 / each,
+        begun.elapsed().as_secs_f64() * 1e6 / each,
+    )
+}
+
+/// The table as Markdown.
+pub fn markdown(members: usize, rows: &[Row]) -> String {
+    let mut text = format!(
+        "| {members} balancers | all see it | false deaths | all see one another again |\n| --- | --- | --- | --- |\n"
+    );
+    let time =
+        |time: Option<Duration>| time.map_or("-".to_owned(), |time| format!("{:.1} s", time.as_secs_f64()));
+    for row in rows {
+        // Writing to a string can't fail.
+        let _ = writeln!(
+            text,
+            "| {} | {} | {} | {} |",
+            row.fault,
+            time(row.seen),
+            row.false_deaths,
+            time(row.converged)
+        );
+    }
+    text
+}
--- /dev/null
+++ b/link/src/lib.rs
@@ -0,0 +1,15 @@
+//! The way between two balancers, and the thread that runs it.
+//!
+//! [`Member`] takes part in a tier: datagrams carry the gossip of `maplehook_tier`, framed messages on connections what is
+//! too long for one. Both bear a MAC under a secret that the tier shares. `docs/design/tier.md` has the reasons.
+
+pub mod connection;
+pub mod frames;
+pub mod hub;
+pub mod queue;
+mod run;
+mod secret;
+pub mod state;
+
+pub use run::{Asks, Member, Part, Status, Told};
+pub use secret::{Datagrams, Secret};
--- /dev/null
+++ b/link/src/run.rs
@@ -0,0 +1,458 @@
+//! The thread on which a balancer takes part in its tier: the sockets, the clock and the disk round [`Tier`].
+//!
+//! It shares nothing with the thread that serves but two watched values: what the own discovery claims goes in, what the
+//! words of others come to goes out. However it fares, no request waits for it.
+
+use crate::connection::Us;
+use crate::frames::Message;
+use crate::hub::{self, Hub, successors};
+use crate::secret::{Datagrams, Secret};
+use crate::state::{self, State};
+use bytes::{Buf, Bytes};
+use maplehook_tier::words::{Claim, Effect, LENGTH, Word};
+use maplehook_tier::{DATAGRAM_MOST, Event, Name, Output, Program, Seen, Settings, Tier, start};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep_until;
+
+/// Datagrams that are read before anything else has its turn.
+const READ_MOST: usize = 64;
+/// Datagrams that nobody with the secret has sent, after which the port rests, and for how long: a flood of them costs
+/// some 13,000 looks a second.
+const GARBAGE_MOST: usize = 128;
+const REST: Duration = Duration::from_millis(10);
+/// How often links are looked after, and all words are told to one other.
+const LINKS: Duration = Duration::from_millis(500);
+const TELL_ALL: Duration = Duration::from_secs(5);
+/// The topic of words.
+const WORDS: u8 = 1;
+/// Tries to find a port that is free for both protocols.
+const TRIES: usize = 32;
+
+/// What a balancer takes part with.
+#[derive(Clone, Debug)]
+pub struct Part {
+    /// Its name.
+    pub name: Name,
+    /// Where it listens, for datagrams and connections.
+    pub listen: SocketAddr,
+    /// What the tier shares.
+    pub secret: Secret,
+    /// Its own directory, if it has one.
+    pub state: Option<PathBuf>,
+    /// The others, each at the address that this one is to use.
+    pub peers: BTreeMap<Name, SocketAddr>,
+    /// Its program.
+    pub program: Program,
+}
+
+/// How it stands.
+#[derive(Clone, Debug)]
+pub struct Status {
+    /// Its name.
+    pub name: Name,
+    /// Its start.
+    pub start: u64,
+    /// Its program.
+    pub program: Program,
+    /// Since when it takes part.
+    pub since: Duration,
+    /// Whether it speaks: not after a later start of its name was seen.
+    pub speaks: bool,
+    /// The others that were seen.
+    pub members: Vec<Seen>,
+    /// Those of its file that are not here.
+    pub away: Vec<Name>,
+    /// Datagrams.
+    pub datagrams: maplehook_tier::Counts,
+    /// Datagrams that nobody with the secret has sent.
+    pub forged: u64,
+    /// Connections.
+    pub links: hub::Counts,
+    /// By how much its own health stretches its probes.
+    pub health: u32,
+    /// Upstreams that there are words of.
+    pub words: usize,
+}
+
+/// What the words of others come to, on a clock that begins at `epoch`.
+#[derive(Clone, Debug)]
+pub struct Told {
+    /// Where the clock begins.
+    pub epoch: Instant,
+    /// What they come to.
+    pub effects: Arc<Vec<Effect>>,
+}
+
+/// A balancer's part in its tier, on a thread of its own. It says that it goes when this is dropped.
+pub struct Member {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What the words of others come to.
+    pub told: watch::Receiver<Told>,
+    /// What the own discovery says.
+    pub claims: watch::Sender<Arc<Vec<Claim>>>,
+    asks: mpsc::Sender<oneshot::Sender<Status>>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Asks how it stands.
+#[derive(Clone)]
+pub struct Asks(mpsc::Sender<oneshot::Sender<Status>>);
+
+impl Asks {
+    /// `None` where the thread does not answer.
+    pub async fn status(&self) -> Option<Status> {
+        let (reply, status) = oneshot::channel();
+        self.0.try_send(reply).ok()?;
+        status.await.ok()
+    }
+}
+
+/// Binds the same port for both protocols.
+fn bind(address: SocketAddr) -> io::Result<(std::net::TcpListener, std::net::UdpSocket)> {
+    let mut tries = 0;
+    loop {
+        let listener = std::net::TcpListener::bind(address)?;
+        match std::net::UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => {
+                listener.set_nonblocking(true)?;
+                socket.set_nonblocking(true)?;
+                return Ok((listener, socket));
+            }
+            // The system chose a port that is taken for datagrams.
+            Err(_) if address.port() == 0 && tries < TRIES => tries += 1,
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Member {
+    /// Begins to take part.
+    pub fn start(part: Part) -> io::Result<Self> {
+        let (listener, socket) = bind(part.listen)?;
+        let address = listener.local_addr()?;
+        let mut odd = |line: String| tracing::warn!("tier.state: {line}");
+        let state = part.state.as_deref().map(|directory| State::open(directory, &part.name, &mut odd));
+        let recorded = state.as_ref().and_then(|state| state.recorded);
+        let start = start::next(unix_ms(), fastrand::u64(..), recorded);
+        if let Some(state) = &state {
+            if state.taken {
+                tracing::warn!(
+                    "tier.state: {}: another process holds it; if it goes by the name {} too, this later one stays",
+                    state.directory().display(),
+                    part.name
+                );
+            }
+            if let Err(e) = state::record(state.directory(), &part.name, start) {
+                tracing::warn!(
+                    "tier.state: {}: the start is not recorded: {e}; the next one goes by the clock alone",
+                    state.directory().display()
+                );
+            }
+        }
+        let epoch = Instant::now();
+        let (told_to, told) = watch::channel(Told { epoch, effects: Arc::default() });
+        let (claims, claimed) = watch::channel(Arc::default());
+        let (asks, asked) = mpsc::channel(32);
+        let (stop, stopped) = oneshot::channel();
+        tracing::info!(tier_listen = %address, name = %part.name, start, "takes part in a tier");
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let thread =
+            std::thread::Builder::new().name("tier".into()).stack_size(512 * 1024).spawn(move || {
+                let local = LocalSet::new();
+                local.block_on(&runtime, async move {
+                    let sockets =
+                        TcpListener::from_std(listener).and_then(|l| Ok((l, UdpSocket::from_std(socket)?)));
+                    match sockets {
+                        Ok((listener, socket)) => {
+                            let mut settings = Settings::new(
+                                part.name.clone(),
+                                start,
+                                part.peers.keys().cloned().collect(),
+                                fastrand::u64(..),
+                            );
+                            (settings.before, settings.program) = (recorded, part.program);
+                            let us = Us { secret: part.secret.clone(), name: part.name.clone(), start };
+                            let (hub, messages) = Hub::new(us, part.peers.clone());
+                            spawn_local(Rc::clone(&hub).accept(listener));
+                            let runner = Runner {
+                                tier: Tier::new(settings, epoch.elapsed()),
+                                datagrams: Datagrams::new(&part.secret),
+                                part,
+                                epoch,
+                                socket,
+                                hub,
+                                _state: state,
+                                told: told_to,
+                                told_version: 0,
+                                forged: 0,
+                                garbage: 0,
+                            };
+                            runner.run(messages, claimed, asked, stopped).await;
+                        }
+                        Err(e) => tracing::error!("the tier's address: {e}"),
+                    }
+                });
+            })?;
+        Ok(Self { address, told, claims, asks, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// By which others may ask how it stands.
+    pub fn asks(&self) -> Asks {
+        Asks(self.asks.clone())
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Runner {
+    part: Part,
+    tier: Tier,
+    datagrams: Datagrams,
+    epoch: Instant,
+    socket: UdpSocket,
+    hub: Rc<Hub>,
+    /// Holds the lock.
+    _state: Option<State>,
+    told: watch::Sender<Told>,
+    told_version: u64,
+    forged: u64,
+    garbage: usize,
+}
+
+impl Runner {
+    fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    async fn run(
+        mut self,
+        mut messages: mpsc::Receiver<(Name, Message)>,
+        mut claimed: watch::Receiver<Arc<Vec<Claim>>>,
+        mut asked: mpsc::Receiver<oneshot::Sender<Status>>,
+        mut stopped: oneshot::Receiver<()>,
+    ) {
+        let mut links = tokio::time::interval(LINKS);
+        links.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut told_all = Instant::now();
+        let mut rests_until: Option<tokio::time::Instant> = None;
+        loop {
+            let due = tokio::time::Instant::from_std(self.epoch + self.tier.next());
+            let rests = rests_until.is_some();
+            tokio::select! {
+                biased;
+                _ = &mut stopped => break,
+                () = sleep_until(due) => self.tier.poll(self.epoch.elapsed()),
+                () = sleep_until(rests_until.unwrap_or(due)), if rests => rests_until = None,
+                readable = self.socket.readable(), if !rests => {
+                    if readable.is_ok() && !self.read() {
+                        rests_until = Some(tokio::time::Instant::now() + REST);
+                    }
+                }
+                Some((from, message)) = messages.recv() => self.heard(&from, message),
+                Some(reply) = asked.recv() => drop(reply.send(self.status())),
+                changed = claimed.changed() => {
+                    if changed.is_err() {
+                        break;
+                    }
+                    let claims = claimed.borrow_and_update().to_vec();
+                    self.tier.claim(self.epoch.elapsed(), unix_ms(), claims);
+                }
+                _ = links.tick() => {
+                    self.look_after_links();
+                    if told_all.elapsed() > TELL_ALL {
+                        told_all = Instant::now();
+                        self.tell_all(None);
+                    }
+                }
+            }
+            self.carry_out();
+        }
+        self.tier.leave(self.now());
+        self.carry_out();
+    }
+
+    /// Reads what there is. `false`: the port is to rest.
+    fn read(&mut self) -> bool {
+        // One byte more than a datagram may have: what fills it is none.
+        let mut buffer = [0u8; DATAGRAM_MOST + 1];
+        for _ in 0..READ_MOST {
+            let length = match self.socket.try_recv_from(&mut buffer) {
+                Ok((length, _)) => length,
+                // An earlier datagram came to a port where nobody listens: nothing to read.
+                Err(_) => return true,
+            };
+            let Some(payload) = self.datagrams.open(&buffer[..length]) else {
+                self.forged += 1;
+                self.garbage += 1;
+                if self.garbage >= GARBAGE_MOST {
+                    self.garbage = 0;
+                    return false;
+                }
+                continue;
+            };
+            self.garbage = 0;
+            let now = self.epoch.elapsed();
+            if let Err(e) = self.tier.handle(now, payload) {
+                tracing::debug!("a datagram is not taken: {e}");
+            }
+        }
+        true
+    }
+
+    fn heard(&mut self, from: &Name, message: Message) {
+        if message.topic != WORDS {
+            tracing::debug!(%from, topic = message.topic, "a topic of a later version");
+            return;
+        }
+        let mut body = message.body;
+        let mut words = Vec::new();
+        while body.len() > 2 {
+            let length = usize::from(body.get_u16());
+            if length > body.len() {
+                break;
+            }
+            words.extend(Word::read(&body.split_to(length)));
+        }
+        let now = self.now();
+        self.tier.absorb(now, &words);
+    }
+
+    fn look_after_links(&mut self) {
+        if !self.tier.speaks() {
+            return;
+        }
+        let now = self.now();
+        let here: Vec<Name> = self
+            .tier
+            .seen(now)
+            .into_iter()
+            .filter(|seen| self.tier.is_here(&seen.name))
+            .map(|seen| seen.name)
+            .collect();
+        self.hub.keep(&successors(&self.part.name, here.iter()));
+    }
+
+    /// All words, to this one, or to one that is drawn: whoever missed a datagram hears of it all the same.
+    fn tell_all(&mut self, to: Option<&Name>) {
+        let now = self.now();
+        let words = self.tier.words(now);
+        if words.is_empty() || !self.tier.speaks() {
+            return;
+        }
+        let drawn = || {
+            let here: Vec<Name> =
+                self.part.peers.keys().filter(|name| self.tier.is_here(name)).cloned().collect();
+            (!here.is_empty()).then(|| here[fastrand::usize(..here.len())].clone())
+        };
+        let Some(to) = to.cloned().or_else(drawn) else { return };
+        let mut body = Vec::with_capacity(words.len() * (LENGTH + 2));
+        for word in words {
+            let bytes = word.bytes();
+            body.extend_from_slice(&(bytes.len() as u16).to_be_bytes());
+            body.extend_from_slice(&bytes);
+        }
+        self.hub.send(&to, Message { topic: WORDS, body: Bytes::from(body) });
+    }
+
+    fn carry_out(&mut self) {
+        for output in self.tier.take() {
+            match output {
+                Output::Send(to, payload) => {
+                    if let Some(address) = self.part.peers.get(&to) {
+                        // What can't be sent is lost, as any datagram may be.
+                        let _ = self.socket.try_send_to(&self.datagrams.seal(payload), *address);
+                    }
+                }
+                Output::Happened(event) => self.happened(event),
+            }
+        }
+        let version = self.tier.effects_version();
+        if version != self.told_version {
+            self.told_version = version;
+            let effects = Arc::new(self.tier.effects().1);
+            self.told.send_replace(Told { epoch: self.epoch, effects });
+        }
+    }
+
+    fn happened(&mut self, event: Event) {
+        match event {
+            Event::Up(name, start) => {
+                tracing::info!(%name, start, "a balancer is here");
+                self.hub.knows(&name, start);
+                self.tell_all(Some(&name));
+            }
+            Event::Down(name, start, state) => {
+                tracing::info!(%name, start, state = state.word(), "a balancer is gone");
+            }
+            Event::Renewed(start) => {
+                tracing::warn!(start, "the others took this process for dead; it goes on under a new start");
+                self.hub.renew(start);
+                if let Some(directory) = self.part.state.clone() {
+                    let name = self.part.name.clone();
+                    // A disk may stand still.
+                    tokio::task::spawn_blocking(move || {
+                        if let Err(e) = state::record(&directory, &name, start) {
+                            tracing::warn!(
+                                "tier.state: {}: the start is not recorded: {e}",
+                                directory.display()
+                            );
+                        }
+                    });
+                }
+            }
+            Event::Superseded(start) => tracing::error!(
+                start,
+                "a later process of this name is in the tier: this one speaks there no more, and goes on serving"
+            ),
+            Event::Doubled(start) => {
+                tracing::error!(start, "an earlier process of this name is in the tier: it is to be ended");
+            }
+            Event::Stopped(missed) => tracing::warn!(?missed, "this process was stopped"),
+            Event::Beside(name, why) => {
+                tracing::warn!(%name, "a balancer was seen that takes no part here: {}", why.words());
+            }
+        }
+    }
+
+    fn status(&self) -> Status {
+        let now = self.now();
+        Status {
+            name: self.part.name.clone(),
+            start: self.tier.identity().start,
+            program: self.part.program,
+            since: now,
+            speaks: self.tier.speaks(),
+            members: self.tier.seen(now),
+            away: self.tier.away().cloned().collect(),
+            datagrams: self.tier.counts(),
+            forged: self.forged,
+            links: self.hub.counts(),
+            health: self.tier.health(),
+            words: self.tier.effects().1.len(),
+        }
+    }
+}
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -1,9 +1,11 @@
 //! The command line, and the operator's file that it names.
 
+use crate::tier::{self, Shown};
 use clap::{Args, Parser, Subcommand};
 use maplehook_admission::token::Signer;
 use maplehook_config::Operator;
 use std::error::Error;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -32,6 +34,37 @@
     },
     /// Signs the word by which a known client shows itself.
     Sign(Sign),
+    /// Asks who is there of a balancer's tier.
+    Tier {
+        /// What to ask.
+        #[command(subcommand)]
+        what: TierCommand,
+    },
+}
+
+/// What to ask of a tier.
+#[derive(Subcommand)]
+pub enum TierCommand {
+    /// Shows who is there. Ends with 0 if nobody is missing, 2 if somebody is, 1 if there is no answer.
+    Status {
+        /// The operators' address of a balancer.
+        #[arg(long, value_name = "IP:PORT")]
+        address: SocketAddr,
+        /// As the balancer says it, in JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+impl TierCommand {
+    /// What there is to show, and whether nobody is missing.
+    pub fn run(&self) -> Result<(String, bool), Box<dyn Error>> {
+        let Self::Status { address, json } = self;
+        let answer = tier::ask(*address, "/control/tier")?;
+        let shown: Shown = serde_json::from_slice(&answer)?;
+        let text = if *json { String::from_utf8_lossy(&answer).into_owned() } else { shown.table() };
+        Ok((text, shown.is_whole()))
+    }
 }
 
 /// Signs a known client's word.
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -1,9 +1,11 @@
-//! Where operators call: `GET /control/ready` and `GET /control/counters`, HTTP/1.1, one call to a connection.
+//! Where operators call: `GET /control/ready`, `GET /control/counters` and, of a tier, `GET /control/tier`; HTTP/1.1, one
+//! call to a connection.
 //!
 //! It has a thread of its own, so that no client, tick or body can keep an operator waiting: the counts are read where
 //! they stand. Callers that send nothing or half a call have so much time and so many places, and make room.
 
 use crate::refusals::linger;
+use crate::tier::Shown;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -13,6 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use maplehook::tally::{self, Tally};
+use maplehook_link::Asks;
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::io;
@@ -34,6 +37,8 @@
 const PROMPT: Duration = Duration::from_millis(200);
 /// The longest head.
 const BUFFER: usize = 8 * 1024;
+/// How long the tier's thread has for its part of an answer.
+const TIER_MOST: Duration = Duration::from_millis(800);
 /// Pause after an accept that failed.
 const PAUSE: Duration = Duration::from_millis(10);
 
@@ -44,6 +49,8 @@
     pub tally: Arc<Tally>,
     /// Whether this process takes clients.
     pub ready: Arc<AtomicBool>,
+    /// How it stands in its tier, if it is of one.
+    pub tier: Option<Asks>,
 }
 
 /// Binds the address and answers there until the process ends. Returns the address.
@@ -107,7 +114,7 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let board = board.clone();
-        async move { Ok::<_, Infallible>(answer(&request, &board)) }
+        async move { Ok::<_, Infallible>(answer(&request, &board).await) }
     });
     let mut builder = http1::Builder::new();
     // The time of the whole call is the head's too.
@@ -118,24 +125,27 @@
     linger(parts.io.into_inner()).await;
 }
 
-fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
-    let (status, kind, text) = match (request.uri().path(), request.method()) {
-        ("/control/ready" | "/control/counters", method)
-            if !matches!(*method, Method::GET | Method::HEAD) =>
-        {
-            (StatusCode::METHOD_NOT_ALLOWED, "text/plain", "GET alone\n".into())
-        }
-        ("/control/ready" | "/control/counters", _) if !request.body().is_end_stream() => {
-            (StatusCode::BAD_REQUEST, "text/plain", "a call has no body\n".into())
-        }
-        ("/control/ready", _) if board.ready.load(Ordering::Acquire) => {
-            (StatusCode::OK, "text/plain", "yes\n".into())
-        }
-        ("/control/ready", _) => (StatusCode::SERVICE_UNAVAILABLE, "text/plain", "no\n".into()),
-        ("/control/counters", _) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
-        _ => {
-            let text = "/control/ready and /control/counters are what there is\n";
-            (StatusCode::NOT_FOUND, "text/plain", text.into())
+async fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
+    const TEXT: &str = "text/plain";
+    let path = request.uri().path();
+    let there_is = match path {
+        "/control/ready" | "/control/counters" => true,
+        "/control/tier" => board.tier.is_some(),
+        _ => false,
+    };
+    let (status, kind, text) = if !there_is {
+        let tier = if board.tier.is_some() { ", /control/tier" } else { "" };
+        (StatusCode::NOT_FOUND, TEXT, format!("/control/ready, /control/counters{tier} are what there is\n"))
+    } else if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        (StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET alone\n".into())
+    } else if !request.body().is_end_stream() {
+        (StatusCode::BAD_REQUEST, TEXT, "a call has no body\n".into())
+    } else {
+        match path {
+            "/control/counters" => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
+            "/control/tier" => shown(board).await,
+            _ if board.ready.load(Ordering::Acquire) => (StatusCode::OK, TEXT, "yes\n".into()),
+            _ => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "no\n".into()),
         }
     };
     let mut response = Response::new(Full::new(Bytes::from(text)));
@@ -148,3 +158,15 @@
     }
     response
 }
+
+async fn shown(board: &Board) -> (StatusCode, &'static str, String) {
+    let status = match &board.tier {
+        Some(asks) => timeout(TIER_MOST, asks.status()).await.ok().flatten(),
+        None => None,
+    };
+    let json = status.and_then(|status| serde_json::to_string(&Shown::of(&status)).ok());
+    match json {
+        Some(json) => (StatusCode::OK, "application/json", json + "\n"),
+        None => (StatusCode::SERVICE_UNAVAILABLE, "text/plain", "the tier's thread does not answer\n".into()),
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -27,12 +27,14 @@
 mod entrance;
 mod framing;
 mod handover;
+mod hearsay;
 pub mod inherited;
 mod refusals;
 mod requests;
 mod retune;
 pub mod serve;
 mod server;
+pub mod tier;
 mod words;
 
 pub use daemon::Daemon;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -21,7 +21,7 @@
         .with_max_level(level.unwrap_or(LevelFilter::INFO))
         .init();
     match run(&line, inherited) {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(code) => code,
         Err(e) => {
             eprintln!("maplehook: {e}");
             ExitCode::FAILURE
@@ -29,27 +29,31 @@
     }
 }
 
-fn run(line: &Line, inherited: Option<io::Result<TcpListener>>) -> Result<(), Box<dyn Error>> {
+fn run(line: &Line, inherited: Option<io::Result<TcpListener>>) -> Result<ExitCode, Box<dyn Error>> {
     match &line.command {
         Some(Command::Check { file }) => {
             let named = file.as_deref().or(line.config.as_deref());
             command::operator(Some(named.ok_or("which file? maplehook check FILE")?))?;
             println!("the operator's file is good");
-            Ok(())
         }
         Some(Command::Run) => {
             let file = line.config.as_deref().ok_or("which file? maplehook run --config FILE")?;
             serve::by_file(command::operator(Some(file))?, None)
-                .map_err(|e| format!("{}: {e}", file.display()).into())
+                .map_err(|e| format!("{}: {e}", file.display()))?;
         }
         Some(Command::Sign(sign)) => {
             println!("{}", sign.word()?);
-            Ok(())
+        }
+        Some(Command::Tier { what }) => {
+            let (text, whole) = what.run()?;
+            print!("{text}");
+            return Ok(if whole { ExitCode::SUCCESS } else { ExitCode::from(2) });
         }
         None => {
             // Its faults come first: they are there whoever starts it.
             let operator = command::operator(line.config.as_deref())?;
-            serve::on_platform(Config::from_env()?, operator, inherited, None)
+            serve::on_platform(Config::from_env()?, operator, inherited, None)?;
         }
     }
+    Ok(ExitCode::SUCCESS)
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -5,10 +5,12 @@
 use crate::control::{self, Board};
 use crate::entrance::Entrance;
 use crate::handover::{Handover, Remembered};
+use crate::hearsay::Hearsay;
 use crate::inherited;
 use crate::requests::{Requests, Vouching};
 use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
+use crate::tier;
 use hyper::header::HeaderName;
 use lapisroute::{Balancer, FleetScope, Settings};
 use lapisroute_settings::Tuned;
@@ -24,6 +26,7 @@
 use maplehook_admission::{Door, Part};
 use maplehook_config::{Operator, Upstream};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
+use maplehook_link::Member;
 use maplehook_routes::{Forwarding, Own};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -60,8 +63,9 @@
     listen: SocketAddr,
     /// The socket that clients come to, where the platform holds it.
     inherited: Option<std::net::TcpListener>,
-    /// Where operators call.
+    /// Where operators call, and how that is told in the log.
     control: Option<SocketAddr>,
+    control_told: &'static str,
     /// What the classes are called.
     classes: Vec<String>,
     settings: Settings,
@@ -87,7 +91,7 @@
 /// Serves as the platform says, until SIGTERM.
 pub fn on_platform(
     config: Config,
-    operator: Operator,
+    mut operator: Operator,
     inherited: Option<std::io::Result<std::net::TcpListener>>,
     told: Option<Told>,
 ) -> Result<(), Box<dyn Error>> {
@@ -97,11 +101,15 @@
         fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen))
             .ok()
     });
+    if operator.tier.take().is_some() {
+        tracing::warn!("[tier] has no effect on the platform, which says who speaks to whom");
+    }
     let settings = config.tuned.site().settings.clone();
     let plan = Plan {
         listen: config.listen,
         inherited,
         control: config.operator,
+        control_told: "control",
         classes: config.tuned.site().names.classes.clone(),
         seed: config.seed,
         sockets: config.limits.sockets,
@@ -176,7 +184,8 @@
     let mut plan = Plan {
         listen: proxy.listen,
         inherited: None,
-        control: None,
+        control: operator.control,
+        control_told: "operator_listen",
         classes: proxy.classes.clone(),
         settings: proxy.settings.clone(),
         seed: RandomState::new().build_hasher().finish(),
@@ -252,6 +261,8 @@
     board: Board,
     /// Whether others accept on the listener too.
     shared: bool,
+    /// Its part in a tier. It says that it goes when this is dropped.
+    member: Option<Member>,
 }
 
 impl Parts {
@@ -262,18 +273,20 @@
         let balancer = Balancer::new(plan.settings.clone(), plan.seed)?;
         // Before anybody can know that this process is ready: unhandled, it would kill.
         let term = signal(SignalKind::terminate())?;
-        let aside = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
+        let operators = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
+        let aside = operators + plan.operator.tier.as_ref().map_or(0, tier::descriptors);
         let descriptors = Descriptors::new(plan.sockets, aside, plan.operator.descriptors.upstream_share)?;
         let (shared, listener) = match plan.inherited.take() {
             Some(listener) => (true, TcpListener::from_std(listener)),
             None => (false, listen(plan.listen, plan.operator.backlog)),
         };
         let listener = listener.map_err(|e| format!("listen on {}: {e}", plan.listen))?;
-        let board = Board::default();
+        let member = plan.operator.tier.as_ref().map(tier::start).transpose()?;
+        let board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
         if let Some(address) = plan.control {
             let bound = control::serve(address, board.clone())
                 .map_err(|e| format!("operators' calls on {address}: {e}"))?;
-            tracing::info!(control = %bound, "operators may call");
+            tracing::info!("operators may call {}={bound}", plan.control_told);
         }
         let (room, forwarding) = (plan.room.clone(), plan.forwarding.clone());
         let upstreams = Rc::new(Upstreams::new(
@@ -288,7 +301,7 @@
         let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
         let entrance = Entrance::new(door, plan.stall);
         share_descriptors(&descriptors, &upstreams, &entrance);
-        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer, board, shared })
+        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer, board, shared, member })
     }
 }
 
@@ -301,7 +314,12 @@
     told: Option<Told>,
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
-    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer, board, shared } = parts;
+    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer, board, shared, member } =
+        parts;
+    let source = match (&member, &plan.operator.tier) {
+        (Some(member), Some(tier)) => Hearsay::new(source, &known, member, tier.drains_most),
+        _ => source,
+    };
     let pushed = !plan.settings.ask_for_fleet;
     let address = listener.local_addr()?;
     tracing::info!(
@@ -359,6 +377,7 @@
             let _ = timeout(LAST_WORDS, &mut accepting).await;
         }
     }
+    drop(member);
     tracing::info!("gone");
     Ok(())
 }
--- /dev/null
+++ b/node/src/tier.rs
@@ -0,0 +1,216 @@
+//! A balancer's part in its tier, as its file says, and what operators are told of it.
+
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Bytes;
+use hyper::client::conn::http1;
+use hyper::header::HOST;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use maplehook_config::Tier;
+use maplehook_link::{Member, Part, Secret, Status};
+use maplehook_tier::{Program, Seen};
+use serde::{Deserialize, Serialize};
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Descriptors beside the links: two sockets, the poller's, callers that greet.
+const DESCRIPTORS: usize = 24;
+/// Others that there may be links to at once, as far as descriptors are set aside for them.
+const LINKED: usize = 20;
+/// How long an operator waits for an answer, and the longest one.
+const ANSWER: Duration = Duration::from_secs(2);
+const ANSWER_MOST: usize = 4 << 20;
+
+/// Descriptors that it may hold.
+pub fn descriptors(tier: &Tier) -> usize {
+    DESCRIPTORS + 2 * tier.peers.len().min(LINKED)
+}
+
+/// Begins to take part.
+pub fn start(tier: &Tier) -> Result<Member, String> {
+    let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
+    let part = Part {
+        name: tier.name.clone(),
+        listen: tier.listen,
+        secret,
+        state: tier.state.clone(),
+        peers: tier.peers.clone(),
+        program: Program::parse(env!("CARGO_PKG_VERSION")),
+    };
+    Member::start(part).map_err(|e| format!("tier.listen: {}: {e}", tier.listen))
+}
+
+/// A member as `GET /control/tier` shows it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct ShownMember {
+    /// Its name.
+    pub name: String,
+    /// Its start.
+    pub incarnation: u64,
+    /// `alive`, `suspect`, `dead` or `left`.
+    pub state: String,
+    /// Its program's version.
+    pub program: String,
+    /// The newest wire version that its program speaks.
+    pub wire: u8,
+    /// For how long that has been believed.
+    pub since_ms: u64,
+    /// Why it takes no part here, where it does not.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub apart: Option<String>,
+}
+
+/// Counters of the ways between balancers.
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[allow(missing_docs, reason = "docs/TIER.md has them")]
+pub struct ShownLink {
+    pub datagrams_taken: u64,
+    pub datagrams_refused: u64,
+    pub datagrams_forged: u64,
+    pub datagrams_sent: u64,
+    pub bytes_sent: u64,
+    pub open: u64,
+    pub calls_failed: u64,
+    pub broken: u64,
+    pub refused: u64,
+    pub messages: u64,
+    pub dropped: u64,
+    pub renewed: u64,
+    pub stopped: u64,
+    pub health: u32,
+}
+
+/// What `GET /control/tier` shows.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Shown {
+    /// The balancer's name.
+    pub name: String,
+    /// Its start.
+    pub incarnation: u64,
+    /// Whether it speaks: not after a later start of its name was seen.
+    pub speaks: bool,
+    /// All that were seen, itself among them.
+    pub members: Vec<ShownMember>,
+    /// Those of its file that are not here.
+    pub away: Vec<String>,
+    /// Upstreams that there are words of.
+    pub words: usize,
+    /// Counters.
+    pub link: ShownLink,
+}
+
+fn ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Shown {
+    /// How it stands.
+    pub fn of(status: &Status) -> Self {
+        let own = ShownMember {
+            name: status.name.to_string(),
+            incarnation: status.start,
+            state: "alive".into(),
+            program: status.program.to_string(),
+            wire: maplehook_tier::WIRE.version,
+            since_ms: ms(status.since),
+            apart: None,
+        };
+        let other = |seen: &Seen| ShownMember {
+            name: seen.name.to_string(),
+            incarnation: seen.start,
+            state: seen.state.word().into(),
+            program: seen.program.to_string(),
+            wire: seen.wire.version,
+            since_ms: ms(seen.since),
+            apart: seen.apart.map(|why| why.words().into()),
+        };
+        let (datagrams, links) = (status.datagrams, status.links);
+        Self {
+            name: status.name.to_string(),
+            incarnation: status.start,
+            speaks: status.speaks,
+            members: std::iter::once(own).chain(status.members.iter().map(other)).collect(),
+            away: status.away.iter().map(ToString::to_string).collect(),
+            words: status.words,
+            link: ShownLink {
+                datagrams_taken: datagrams.taken,
+                datagrams_refused: datagrams.refused,
+                datagrams_forged: status.forged,
+                datagrams_sent: datagrams.sent,
+                bytes_sent: datagrams.sent_bytes,
+                open: links.open,
+                calls_failed: links.failed,
+                broken: links.broken,
+                refused: links.refused,
+                messages: links.messages,
+                dropped: links.dropped,
+                renewed: datagrams.renewed,
+                stopped: datagrams.stopped,
+                health: status.health,
+            },
+        }
+    }
+
+    /// Whether nobody of the file is missing, and this balancer speaks.
+    pub fn is_whole(&self) -> bool {
+        let fine = |member: &ShownMember| member.state == "alive" && member.apart.is_none();
+        self.speaks && self.away.is_empty() && self.members.iter().all(fine)
+    }
+
+    /// As a table.
+    pub fn table(&self) -> String {
+        let mut text =
+            format!("{:<32} {:<8} {:>12} {:<10} {:>4}  start\n", "name", "state", "for", "program", "wire");
+        for member in &self.members {
+            let apart = member.apart.as_ref().map_or(String::new(), |why| format!("  {why}"));
+            // Writing to a string can't fail.
+            let _ = writeln!(
+                text,
+                "{:<32} {:<8} {:>10} s {:<10} {:>4}  {}{apart}",
+                member.name,
+                member.state,
+                format!("{:.1}", member.since_ms as f64 / 1e3),
+                member.program,
+                member.wire,
+                member.incarnation
+            );
+        }
+        let unseen = self.away.iter().filter(|name| !self.members.iter().any(|m| m.name == **name));
+        for name in unseen {
+            let _ = writeln!(text, "{name:<32} {:<8}", "unseen");
+        }
+        if !self.speaks {
+            let _ = writeln!(text, "{} speaks no more: a later start of its name was seen", self.name);
+        }
+        text
+    }
+}
+
+/// Asks a balancer's operators' address.
+pub fn ask(address: SocketAddr, path: &str) -> Result<Bytes, Box<dyn Error>> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let asked = async {
+        let stream = TcpStream::connect(address).await?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
+        let answer = sender.send_request(request).await?;
+        let status = answer.status();
+        let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await?.to_bytes();
+        if status == StatusCode::OK {
+            Ok(body)
+        } else {
+            Err(Box::<dyn Error + Send + Sync>::from(format!(
+                "{status}: {}",
+                String::from_utf8_lossy(&body).trim()
+            )))
+        }
+    };
+    let answered = runtime.block_on(async { timeout(ANSWER, asked).await });
+    let answered = answered.map_err(|_| format!("{address} does not answer"))?;
+    Ok(answered.map_err(|e| format!("{address}: {e}"))?)
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -124,13 +124,13 @@
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let (mut line, mut control) = (String::new(), None);
         let mut first = Vec::new();
-        while !line.contains("listen=") {
+        while !line.contains(" listen=") {
             line.clear();
             assert_ne!(log.read_line(&mut line).unwrap(), 0, "it has ended");
             control = control.or(line.split("control=").nth(1).map(|rest| rest.trim().parse().unwrap()));
             first.push(line.clone());
         }
-        let address = line.split("listen=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
+        let address = line.split(" listen=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
         let address = address.trim().parse().unwrap();
         // The log must go on being read, or it would fill.
         let lines: Arc<Mutex<Vec<String>>> = Arc::new(Mutex::new(first));
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,171 @@
+//! `maplehook-rig`: storms over real balancers.
+
+use clap::{Parser, Subcommand};
+use maplehook_rig::nemesis::Line;
+use maplehook_rig::{Setup, measure, storm};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Real balancers side by side, and the faults between them. All of it stays on loopback and ends by itself.
+#[derive(Parser)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Draws faults from a seed and plays them, one storm after another.
+    Storm {
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// How many storms, each with the next seed: 1 to 1000.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        storms: u64,
+        /// Minutes of faults in each: up to 60.
+        #[arg(long, default_value_t = 0.5)]
+        minutes: f64,
+        #[command(flatten)]
+        played: Played,
+    },
+    /// Plays the faults of a file.
+    Play {
+        /// The file; `rig/storms/` has some.
+        file: PathBuf,
+        #[command(flatten)]
+        played: Played,
+    },
+    /// Measures single faults, how soon a drain acts at all, and what a tier costs, beside balancers that do not know each
+    /// other: about four minutes.
+    Measure {
+        /// Rounds of the load.
+        #[arg(long, default_value_t = 3)]
+        rounds: u32,
+        #[command(flatten)]
+        played: Played,
+    },
+    /// Shows the faults that a seed draws, as a file.
+    Show {
+        /// The seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Minutes of faults.
+        #[arg(long, default_value_t = 0.5)]
+        minutes: f64,
+        /// How many balancers.
+        #[arg(long, default_value_t = 8)]
+        balancers: usize,
+    },
+}
+
+#[derive(clap::Args)]
+struct Played {
+    /// How many balancers: 1 to 32.
+    #[arg(long, default_value_t = 8)]
+    balancers: usize,
+    /// Requests a second over all of them: up to 2000.
+    #[arg(long, default_value_t = 40.0)]
+    rate: f64,
+    /// The balancers do not know each other.
+    #[arg(long)]
+    alone: bool,
+    /// The program; the one beside this.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// The reports as JSON instead of a table.
+    #[arg(long)]
+    json: bool,
+}
+
+const UPSTREAMS: usize = 4;
+
+impl Played {
+    fn setup(&self) -> Result<Setup, String> {
+        let beside = || {
+            let own = std::env::current_exe().map_err(|e| e.to_string())?;
+            Ok::<_, String>(own.with_file_name("maplehook"))
+        };
+        let program = self.program.clone().map_or_else(beside, Ok)?;
+        let rate = self.rate.clamp(1.0, 2000.0);
+        let (balancers, tier) = (self.balancers, !self.alone);
+        Ok(Setup { balancers, rate, tier, upstreams: UPSTREAMS, ..Setup::new(&program) })
+    }
+
+    fn tell(&self, reports: &[storm::Report]) -> Result<bool, String> {
+        if self.json {
+            println!("{}", serde_json::to_string_pretty(reports).map_err(|e| e.to_string())?);
+        } else {
+            print!("{}", storm::markdown(reports));
+        }
+        for report in reports.iter().filter(|report| !report.breaches.is_empty()) {
+            eprintln!("seed {:?}:", report.seed);
+            report.breaches.iter().take(20).for_each(|breach| eprintln!("  {breach}"));
+        }
+        Ok(reports.iter().all(|report| report.breaches.is_empty()))
+    }
+}
+
+fn span(minutes: f64) -> Duration {
+    Duration::from_secs_f64(minutes.clamp(0.05, 60.0) * 60.0)
+}
+
+fn run() -> Result<bool, String> {
+    match Arguments::parse().command {
+        Command::Storm { seed, storms, minutes, played } => {
+            let mut reports = Vec::new();
+            for seed in (seed..).take(storms as usize) {
+                let setup = played.setup()?;
+                let line = Line::draw(seed, setup.balancers, setup.upstreams, span(minutes));
+                let report = storm::play(setup, &line, Some(seed))?;
+                eprintln!("seed {seed}: {} breaches in {:.0} s", report.breaches.len(), report.seconds);
+                reports.push(report);
+            }
+            played.tell(&reports)
+        }
+        Command::Play { file, played } => {
+            let setup = played.setup()?;
+            let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let line = Line::read(&text, setup.balancers, setup.upstreams)
+                .map_err(|e| format!("{}: {e}", file.display()))?;
+            played.tell(&[storm::play(setup, &line, None)?])
+        }
+        Command::Measure { rounds, played } => {
+            let setup = played.setup()?;
+            print!("{}", measure::markdown(&measure::faults(setup.clone())?));
+            for tier in [true, false] {
+                let took = measure::drain(Setup { tier, ..setup.clone() }, Duration::from_secs(10))?;
+                let words =
+                    took.map_or("more than 8 s".into(), |took| format!("{:.2} s", took.as_secs_f64()));
+                println!(
+                    "a drain told to one of {}, tier {tier}: last attempt after {words}",
+                    setup.balancers
+                );
+            }
+            for _ in 0..rounds.min(20) {
+                for tier in [true, false] {
+                    let setup = Setup { tier, rate: setup.rate.max(400.0), ..setup.clone() };
+                    println!("tier {tier}: {:?}", measure::load(setup, Duration::from_secs(5))?);
+                }
+            }
+            Ok(true)
+        }
+        Command::Show { seed, minutes, balancers } => {
+            let line = Line::draw(seed, balancers, UPSTREAMS, span(minutes));
+            print!("{}", toml::to_string(&line).map_err(|e| e.to_string())?);
+            Ok(true)
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(e) => {
+            eprintln!("maplehook-rig: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/rig/src/world.rs
@@ -0,0 +1,545 @@
+//! A tier of real processes, with relays on every way between them, to discovery and to the upstreams.
+
+use crate::balancer::{Balancer, Keeps, view};
+use crate::check::name;
+use crate::history::{Got, History, Kind, What};
+use crate::relay::{Relay, Trouble, Way};
+use maplehook_standins::app::{App, Keys};
+use maplehook_standins::eureka::Eureka;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::time::{sleep, timeout};
+
+/// A request's deadline at the balancers.
+pub const DEADLINE: Duration = Duration::from_secs(2);
+/// How long a client waits in all.
+pub const PATIENCE: Duration = Duration::from_millis(3500);
+/// Requests that may be open at once.
+const OPEN_MOST: usize = 512;
+/// Between two looks at what balancers show.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// What a world is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// The program.
+    pub program: PathBuf,
+    /// How many balancers: 1 to 32.
+    pub balancers: usize,
+    /// How many upstreams.
+    pub upstreams: usize,
+    /// Requests a second, over all balancers.
+    pub rate: f64,
+    /// Whether the balancers know each other.
+    pub tier: bool,
+    /// What else stands in their files.
+    pub extra: String,
+}
+
+impl Setup {
+    /// Eight balancers before four upstreams.
+    pub fn new(program: &Path) -> Self {
+        Self {
+            program: program.to_owned(),
+            balancers: 8,
+            upstreams: 4,
+            rate: 40.0,
+            tier: true,
+            extra: String::new(),
+        }
+    }
+}
+
+/// A tier, and all that it has to do with.
+pub struct World {
+    /// What is seen.
+    pub history: Arc<History>,
+    /// The balancers.
+    pub balancers: Vec<Mutex<Balancer>>,
+    /// The upstreams.
+    pub apps: Vec<App>,
+    /// Discovery.
+    pub registry: Eureka,
+    /// The ways between balancers, by caller and called.
+    ways: Vec<Vec<Arc<Way>>>,
+    relays: Vec<Vec<Option<Relay>>>,
+    /// The ways to discovery, by balancer.
+    discovery: Vec<Arc<Way>>,
+    to_apps: Vec<Arc<Way>>,
+    addresses: Arc<Vec<Mutex<Option<SocketAddr>>>>,
+    operators: Arc<Vec<Mutex<Option<SocketAddr>>>>,
+    next_id: Arc<AtomicU64>,
+    ends: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+    asking: Arc<AtomicBool>,
+    directory: PathBuf,
+    runtime: Runtime,
+    setup: Setup,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A directory that nobody else has.
+fn directory() -> PathBuf {
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let number = COUNT.fetch_add(1, Ordering::SeqCst);
+    std::env::temp_dir().join(format!("maplehook-rig-{}-{number}", std::process::id()))
+}
+
+impl World {
+    /// Prepares one, and starts the balancers together.
+    pub fn start(setup: Setup) -> Result<Self, String> {
+        let world = Self::prepare(setup)?;
+        let all: Vec<usize> = (0..world.setup.balancers).collect();
+        world.start_all(&all, Keeps::State)?;
+        Ok(world)
+    }
+
+    /// Prepares one in which no balancer runs yet.
+    pub fn prepare(setup: Setup) -> Result<Self, String> {
+        let n = setup.balancers;
+        if !(1..=32).contains(&n) {
+            return Err("1 to 32 balancers".into());
+        }
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .map_err(|e| e.to_string())?;
+        let directory = directory();
+        std::fs::create_dir_all(&directory).map_err(|e| e.to_string())?;
+        std::fs::write(directory.join("secret"), "the secret of the rig's tier")
+            .map_err(|e| e.to_string())?;
+        let keys = Keys::default();
+        let apps: Vec<App> = (0..setup.upstreams).map(|_| App::sharing(keys.clone())).collect();
+        let registry = Eureka::start();
+        let way = || Arc::new(Way::default());
+        let ways: Vec<Vec<Arc<Way>>> = (0..n).map(|_| (0..n).map(|_| way()).collect()).collect();
+        let (discovery, to_apps): (Vec<_>, Vec<_>) =
+            ((0..n).map(|_| way()).collect(), apps.iter().map(|_| way()).collect());
+        let mut relays: Vec<Vec<Option<Relay>>> = Vec::new();
+        let (mut to_registry, mut before_apps) = (Vec::new(), Vec::new());
+        runtime
+            .block_on(async {
+                for (a, row) in ways.iter().enumerate() {
+                    let mut relayed = Vec::new();
+                    for (b, forward) in row.iter().enumerate() {
+                        let back = Arc::clone(&ways[b][a]);
+                        relayed.push(match a == b {
+                            true => None,
+                            false => Some(Relay::start(Arc::clone(forward), back).await?),
+                        });
+                    }
+                    relays.push(relayed);
+                }
+                for way in &discovery {
+                    to_registry.push(Relay::start(Arc::clone(way), Arc::clone(way)).await?);
+                }
+                for way in &to_apps {
+                    before_apps.push(Relay::start(Arc::clone(way), Arc::clone(way)).await?);
+                }
+                Ok::<_, std::io::Error>(())
+            })
+            .map_err(|e| format!("a relay: {e}"))?;
+        for relay in &to_registry {
+            relay.leads_to(Some(registry.address));
+        }
+        for (k, relay) in before_apps.iter().enumerate() {
+            relay.leads_to(Some(apps[k].address));
+            registry.register("APP", &format!("u{}", k + 1), relay.address, &[]);
+        }
+        let mut balancers = Vec::new();
+        for k in 0..n {
+            let place = directory.join(name(k));
+            let file = file(&setup, k, &directory, &relays[k], to_registry[k].address);
+            let balancer = Balancer::new(&name(k), &setup.program, &place, &file);
+            balancers.push(Mutex::new(balancer.map_err(|e| format!("{}: {e}", place.display()))?));
+        }
+        let nowhere = || Arc::new((0..n).map(|_| Mutex::new(None)).collect::<Vec<_>>());
+        Ok(Self {
+            history: Arc::default(),
+            balancers,
+            apps,
+            registry,
+            ways,
+            relays,
+            discovery,
+            to_apps,
+            addresses: nowhere(),
+            operators: nowhere(),
+            next_id: Arc::default(),
+            ends: Arc::default(),
+            threads: Vec::new(),
+            asking: Arc::new(AtomicBool::new(true)),
+            directory,
+            runtime,
+            setup,
+        })
+    }
+
+    /// How many balancers there are.
+    pub fn len(&self) -> usize {
+        self.balancers.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.balancers.is_empty()
+    }
+
+    /// A balancer.
+    pub fn balancer(&self, n: usize) -> MutexGuard<'_, Balancer> {
+        lock(&self.balancers[n])
+    }
+
+    /// Starts some, side by side.
+    pub fn start_all(&self, some: &[usize], keeps: Keeps) -> Result<(), String> {
+        std::thread::scope(|scope| {
+            let started: Vec<_> = some.iter().map(|n| scope.spawn(|| self.start_one(*n, keeps))).collect();
+            started
+                .into_iter()
+                .try_for_each(|one| one.join().unwrap_or_else(|_| Err("a start panicked".into())))
+        })
+    }
+
+    /// Starts one that does not run.
+    pub fn start_one(&self, n: usize, keeps: Keeps) -> Result<(), String> {
+        let mut balancer = self.balancer(n);
+        balancer.start(keeps)?;
+        *lock(&self.addresses[n]) = balancer.listen;
+        *lock(&self.operators[n]) = balancer.operator;
+        for from in 0..self.len() {
+            if let Some(relay) = &self.relays[from][n] {
+                relay.leads_to(balancer.tier);
+            }
+        }
+        self.history.note(What::Serves { balancer: n });
+        Ok(())
+    }
+
+    /// kill -9.
+    pub fn kill(&self, n: usize) {
+        self.history.note(What::Down { balancer: n });
+        *lock(&self.operators[n]) = None;
+        self.balancer(n).kill();
+        *lock(&self.addresses[n]) = None;
+    }
+
+    /// SIGTERM.
+    pub fn term(&self, n: usize) {
+        self.history.note(What::Down { balancer: n });
+        *lock(&self.operators[n]) = None;
+        *lock(&self.addresses[n]) = None;
+        self.balancer(n).term();
+    }
+
+    /// SIGSTOP.
+    pub fn stop(&self, n: usize) {
+        self.history.note(What::Down { balancer: n });
+        self.balancer(n).stop();
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self, n: usize) {
+        self.balancer(n).go_on();
+        self.history.note(What::Serves { balancer: n });
+    }
+
+    /// The way from one balancer to another.
+    pub fn way(&self, from: usize, to: usize) -> &Way {
+        &self.ways[from][to]
+    }
+
+    /// Does something to all ways between some and some.
+    pub fn between(&self, from: &[usize], to: &[usize], change: impl Fn(&mut Trouble)) {
+        for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b) {
+            self.ways[a][b].set(&change);
+        }
+    }
+
+    /// Does something to all ways between balancers.
+    pub fn everywhere(&self, change: impl Fn(&mut Trouble)) {
+        let all: Vec<usize> = (0..self.len()).collect();
+        self.between(&all, &all, change);
+    }
+
+    /// Resets all connections between balancers.
+    pub fn reset(&self) {
+        self.ways.iter().flatten().for_each(|way| way.reset());
+    }
+
+    /// The way of a balancer to discovery.
+    pub fn to_discovery(&self, n: usize) -> &Way {
+        &self.discovery[n]
+    }
+
+    /// The ways of all to an upstream.
+    pub fn to_upstream(&self, n: usize) -> &Way {
+        &self.to_apps[n]
+    }
+
+    /// Discovery says that an upstream drains.
+    pub fn drain(&self, upstream: usize) {
+        self.registry.mark("APP", &format!("u{}", upstream + 1), "OUT_OF_SERVICE");
+        self.history.note(What::Drains { upstream });
+    }
+
+    /// All ways are as they were at the start.
+    pub fn heal_ways(&self) {
+        for way in self.ways.iter().flatten().chain(&self.discovery).chain(&self.to_apps) {
+            way.set(|trouble| *trouble = Trouble::default());
+        }
+    }
+
+    /// What all who serve show now; `None` where one of them shows nothing.
+    pub fn views(&self) -> BTreeMap<usize, Option<crate::balancer::View>> {
+        (0..self.len())
+            .filter_map(|n| {
+                let operator = *lock(&self.operators[n]);
+                let serves = lock(&self.balancers[n]).serves();
+                serves.then(|| (n, operator.and_then(view)))
+            })
+            .collect()
+    }
+
+    /// Whether all who serve see just one another, alive.
+    pub fn agrees(&self) -> bool {
+        let views = self.views();
+        let right: BTreeMap<String, u64> =
+            views.iter().filter_map(|(n, view)| Some((name(*n), view.as_ref()?.incarnation))).collect();
+        right.len() == views.len()
+            && views.values().flatten().all(|view| {
+                let alive = view.members.iter().filter(|member| member.state == "alive");
+                alive.map(|m| (m.name.clone(), m.incarnation)).collect::<BTreeMap<_, _>>() == right
+            })
+    }
+
+    /// Waits until something holds; the time that it took.
+    pub fn until(&self, most: Duration, mut holds: impl FnMut(&Self) -> bool) -> Option<Duration> {
+        let begun = Instant::now();
+        loop {
+            if holds(self) {
+                return Some(begun.elapsed());
+            }
+            if begun.elapsed() > most {
+                return None;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until one holds another to be so.
+    pub fn until_holds(&self, most: Duration, n: usize, of: usize, state: &str) -> Option<Duration> {
+        self.until(most, |world| {
+            let operator = *lock(&world.operators[n]);
+            let view = operator.and_then(view);
+            view.is_some_and(|v| v.members.iter().any(|m| m.name == name(of) && m.state == state))
+        })
+    }
+
+    /// Begins to look at what balancers show.
+    pub fn watch(&mut self) {
+        for n in 0..self.len() {
+            let (history, operators, ends) =
+                (Arc::clone(&self.history), Arc::clone(&self.operators), Arc::clone(&self.ends));
+            self.threads.push(std::thread::spawn(move || {
+                while !ends.load(Ordering::SeqCst) {
+                    let operator = *lock(&operators[n]);
+                    if let Some(view) = operator.and_then(view) {
+                        // Not what a process showed that was taken down meanwhile.
+                        if *lock(&operators[n]) == operator {
+                            history.note(What::Shows { balancer: n, view });
+                        }
+                    }
+                    std::thread::sleep(LOOK);
+                }
+            }));
+        }
+    }
+
+    /// Clients begin to ask, at their own pace.
+    pub fn ask(&self) {
+        let (rate, n) = (self.setup.rate, self.len());
+        let (history, addresses, next, ends, asking) = (
+            Arc::clone(&self.history),
+            Arc::clone(&self.addresses),
+            Arc::clone(&self.next_id),
+            Arc::clone(&self.ends),
+            Arc::clone(&self.asking),
+        );
+        self.runtime.spawn(async move {
+            let open = Arc::new(AtomicUsize::new(0));
+            let begun = Instant::now();
+            let mut sent = 0u64;
+            while !ends.load(Ordering::SeqCst) && asking.load(Ordering::SeqCst) {
+                let due = Duration::from_secs_f64(sent as f64 / rate);
+                if let Some(wait) = due.checked_sub(begun.elapsed()) {
+                    sleep(wait).await;
+                }
+                sent += 1;
+                let number = next.fetch_add(1, Ordering::SeqCst);
+                let balancer = (number % n as u64) as usize;
+                let Some(address) = *lock(&addresses[balancer]) else { continue };
+                if open.load(Ordering::SeqCst) >= OPEN_MOST {
+                    continue;
+                }
+                let kind = [Kind::Look, Kind::Book, Kind::Keyed][(number / n as u64 % 3) as usize];
+                let (id, history, open) = (format!("r{number}"), Arc::clone(&history), Arc::clone(&open));
+                history.note(What::Asked { id: id.clone(), kind, balancer });
+                open.fetch_add(1, Ordering::SeqCst);
+                tokio::spawn(async move {
+                    let got = request(address, &id, kind).await;
+                    history.note(What::Got { id, got });
+                    open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+    }
+
+    /// Clients ask no more, and what they have asked has had its time.
+    pub fn quiet(&self) {
+        self.asking.store(false, Ordering::SeqCst);
+        std::thread::sleep(PATIENCE);
+    }
+
+    /// Ends all, and returns what was seen.
+    pub fn end(mut self) -> Vec<crate::history::Entry> {
+        self.ends.store(true, Ordering::SeqCst);
+        for thread in self.threads.drain(..) {
+            // One that has panicked has seen nothing more.
+            let _ = thread.join();
+        }
+        for upstream in 0..self.apps.len() {
+            self.seen_at(upstream);
+        }
+        let mut effects: BTreeMap<String, usize> = BTreeMap::new();
+        for app in &self.apps {
+            for (id, times) in app.effects() {
+                *effects.entry(id).or_default() += times;
+            }
+        }
+        for (id, times) in effects {
+            self.history.note(What::Ran { id, times });
+        }
+        self.history.note(What::End);
+        self.history.entries()
+    }
+
+    fn seen_at(&self, upstream: usize) {
+        for seen in self.apps[upstream].seen() {
+            let header = |name: &str| seen.headers.get(name).and_then(|value| value.to_str().ok());
+            let id = header("x-correlation-id").unwrap_or("?").to_owned();
+            let via = header("via").and_then(|via| via.rsplit("b").next()?.parse::<usize>().ok());
+            let at = seen.at.saturating_duration_since(self.history.begun);
+            let balancer = via.and_then(|n| n.checked_sub(1));
+            self.history.note_at(at, What::Attempt { id, upstream, balancer });
+        }
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::SeqCst);
+        for balancer in &self.balancers {
+            lock(balancer).kill();
+        }
+        // What is left there is only this world's.
+        let _ = std::fs::remove_dir_all(&self.directory);
+    }
+}
+
+/// The operator's file of a balancer.
+fn file(setup: &Setup, n: usize, directory: &Path, relays: &[Option<Relay>], registry: SocketAddr) -> String {
+    let mut text = format!(
+        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}\"\n\
+         [balancer]\nsockets = 512\nmax_attempts = 3\n[eureka]\nservers = [\"{registry}\"]\napp = \"APP\"\npoll_ms = 200\n\
+         timeout_ms = 1000\n",
+        name(n)
+    );
+    for (class, effect) in [("look", "idempotent"), ("book", "at_most_once"), ("keyed", "keyed")] {
+        text += &format!(
+            "[[class]]\nname = \"{class}\"\npath = \"/{class}/**\"\neffect = \"{effect}\"\ndeadline_ms = {}\n",
+            DEADLINE.as_millis()
+        );
+    }
+    if setup.tier {
+        text += &format!(
+            "[tier]\nname = \"{}\"\nlisten = \"127.0.0.1:0\"\nsecret_file = \"{}\"\nstate = \"{}\"\n",
+            name(n),
+            directory.join("secret").display(),
+            directory.join(name(n)).join("state").display()
+        );
+        for (other, relay) in relays.iter().enumerate() {
+            if let Some(relay) = relay {
+                text +=
+                    &format!("[[tier.peer]]\nname = \"{}\"\naddress = \"{}\"\n", name(other), relay.address);
+            }
+        }
+    }
+    text + &setup.extra
+}
+
+async fn request(address: SocketAddr, id: &str, kind: Kind) -> Got {
+    let (method, path, key) = match kind {
+        Kind::Look => ("GET", "look", String::new()),
+        Kind::Book => ("POST", "book", String::new()),
+        Kind::Keyed => ("POST", "keyed", format!("Idempotency-Key: {id}\r\n")),
+    };
+    let text = format!(
+        "{method} /{path}/{id} HTTP/1.1\r\nHost: rig\r\nX-Correlation-Id: {id}\r\n{key}Content-Length: 0\r\n\
+         Connection: close\r\n\r\n"
+    );
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.write_all(text.as_bytes()).await?;
+        let mut answer = Vec::new();
+        stream.take(1 << 20).read_to_end(&mut answer).await?;
+        Ok::<_, std::io::Error>(answer)
+    };
+    match timeout(PATIENCE, exchange).await {
+        Err(_) => Got::Nothing,
+        Ok(Err(_)) => Got::Broken,
+        Ok(Ok(answer)) => read(&answer),
+    }
+}
+
+/// What an answer is, once its connection has ended.
+fn read(answer: &[u8]) -> Got {
+    let text = String::from_utf8_lossy(answer);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else { return Got::Broken };
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
+    let Some(status) = status else { return Got::Broken };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
+    });
+    match length {
+        Some(length) if body.len() < length => Got::Broken,
+        Some(length) if body.len() > length => Got::Twice,
+        _ => Got::Status(status),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn answers_are_told_apart() {
+        assert_eq!(read(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Got::Status(200));
+        assert_eq!(read(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no"), Got::Broken);
+        assert_eq!(read(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK"), Got::Twice);
+        assert_eq!(read(b"HTTP/1.1 20"), Got::Broken);
+        assert_eq!(read(b""), Got::Broken);
+    }
+}
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -80,8 +80,8 @@
         let mut child = command.spawn().map_err(|e| format!("{}: {e}; is it built?", program.display()))?;
         let log = child.stderr.take().ok_or("no log")?;
         let mut lines = BufReader::new(log).lines().map_while(Result::ok);
-        let said = lines.find(|line| line.contains("listen=")).ok_or("the balancer ended")?;
-        let address = said.split("listen=").nth(1).and_then(|rest| rest.split(' ').next());
+        let said = lines.find(|line| line.contains(" listen=")).ok_or("the balancer ended")?;
+        let address = said.split(" listen=").nth(1).and_then(|rest| rest.split(' ').next());
         let address = address.and_then(|a| a.parse().ok()).ok_or("no address")?;
         std::thread::spawn(move || lines.for_each(drop));
         Ok(Self { child, _input: None, files, address })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -232,7 +232,7 @@
                     tenant,
                     time_left,
                     work_ms: *work,
-                    repeat: n % 3 == 0,
+                    repeat: n.is_multiple_of(3),
                 });
             }
             Op::End { pick, outcome, report } => {
