--- a/lab/tests/members.rs
+++ b/lab/tests/members.rs
@@ -60,6 +60,18 @@
     }
 }
 
+/// At 60 and a third of all datagrams lost, doubled and out of order: without second probes and told suspicions each second
+/// brings false deaths.
+#[test]
+fn loss_and_disorder_are_nobodys_death() {
+    let mut world = settled(60, 2);
+    let before = deaths(&world);
+    (world.ways.loss, world.ways.twice) = (0.3, 0.2);
+    world.ways.delay.1 = Duration::from_millis(80);
+    world.play(world.now + s(20));
+    assert_eq!(deaths(&world), before);
+}
+
 /// Two processes of one name, at different addresses to different others: the later start stays.
 #[test]
 fn the_later_of_two_processes_of_a_name_stays() {
--- a/node/src/hearsay.rs
+++ b/node/src/hearsay.rs
@@ -39,12 +39,22 @@
 impl Hearsay {
     /// Over this source, which knew this list before it was read. Drains by hearsay take at most this share of it.
     pub fn new(inner: Rc<dyn Source>, known: &News, member: &Member, share: f64) -> Rc<Self> {
+        Self::between(inner, known, member.claims.clone(), member.told.clone(), share)
+    }
+
+    fn between(
+        inner: Rc<dyn Source>,
+        known: &News,
+        claims: watch::Sender<Arc<Vec<Claim>>>,
+        told: watch::Receiver<Told>,
+        share: f64,
+    ) -> Rc<Self> {
         let hearsay = Self {
             inner,
             care: RefCell::new(Care::new(share)),
             entries: RefCell::default(),
-            claims: member.claims.clone(),
-            told: RefCell::new(member.told.clone()),
+            claims,
+            told: RefCell::new(told),
             idle: Cell::new(0),
         };
         hearsay.own(known.clone());
@@ -191,3 +201,107 @@
         self.inner.confirmed()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use lapisroute::{CellId, KindId, ZoneId};
+    use maplehook::source::Place;
+    use maplehook_tier::words::Effect;
+
+    /// A source that says what it is told to.
+    #[derive(Default)]
+    struct Says {
+        news: RefCell<Vec<News>>,
+        confirmed: Cell<Option<Instant>>,
+    }
+
+    impl Source for Says {
+        fn fetch(&self) -> Task<'_, News> {
+            Box::pin(std::future::ready(News::failed()))
+        }
+
+        fn watch<'a>(&'a self, tell: &'a mut dyn FnMut(News)) -> Task<'a, ()> {
+            Box::pin(async move {
+                loop {
+                    let news = std::mem::take(&mut *self.news.borrow_mut());
+                    news.into_iter().for_each(&mut *tell);
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            })
+        }
+
+        fn confirmed(&self) -> Option<Instant> {
+            self.confirmed.get()
+        }
+    }
+
+    fn entry(id: u64, availability: Availability, boot_ms: u64) -> Entry {
+        let place = Place { endpoint: Some(([127, 0, 0, 1], 9).into()), availability, boot_ms };
+        Entry { id: UpstreamId(id), zone: ZoneId(0), kind: KindId(0), cell: CellId(0), weight: 1.0, place }
+    }
+
+    fn drained(upstream: u64, until: Duration) -> Effect {
+        Effect { upstream, drained: Some((until, 0)), boot_ms: 0 }
+    }
+
+    /// What others say becomes news, what the own source says becomes claims, and neither lifts the other's drain.
+    #[tokio::test(start_paused = true)]
+    async fn words_become_news_and_news_become_claims() {
+        let epoch = Instant::now();
+        let told = |effects: Vec<Effect>| Told { epoch, effects: Arc::new(effects) };
+        let (words, heard) = watch::channel(told(Vec::new()));
+        let (claims, claimed) = watch::channel(Arc::default());
+        let says = Rc::new(Says::default());
+        let ready = |id| entry(id, Availability::Ready, 5);
+        let known = News { scope: FleetScope::Cached, entries: vec![ready(1), ready(2), ready(3), ready(4)] };
+        let source = Hearsay::between(says.clone(), &known, claims, heard, 0.5);
+        assert!(claimed.borrow().is_empty(), "nothing drains, and nothing has started lately");
+        let seen: RefCell<Vec<News>> = RefCell::default();
+        let mut tell = |news| seen.borrow_mut().push(news);
+        let play = async {
+            let pause = || tokio::time::sleep(Duration::from_secs(2));
+            let last = |id: u64| {
+                let seen = seen.borrow();
+                let mut of = seen.iter().flat_map(|n| &n.entries).filter(|e| e.id.0 == id);
+                of.next_back().map(|e| (e.place.availability, e.place.boot_ms))
+            };
+            // Another one says that 1 drains and that 2 has started.
+            let started = Effect { upstream: 2, drained: None, boot_ms: 9 };
+            words.send_replace(told(vec![drained(1, Duration::from_secs(3600)), started]));
+            pause().await;
+            assert_eq!(last(1), Some((Availability::Draining, 5)));
+            assert_eq!(last(2), Some((Availability::Ready, 9)), "cold from then on");
+            assert_eq!(last(3), None, "what has not changed is not told again");
+            // The own source goes on calling it ready: it drains all the same.
+            says.news.borrow_mut().push(News { scope: FleetScope::Full, entries: known.entries.clone() });
+            pause().await;
+            assert_eq!(last(1), Some((Availability::Draining, 5)));
+            assert!(claimed.borrow().is_empty(), "hearsay is not passed on as if one knew it");
+            // It says itself that 3 drains: others are told.
+            let own = entry(3, Availability::Draining, 5);
+            says.news.borrow_mut().push(News { scope: FleetScope::Changes, entries: vec![own] });
+            pause().await;
+            assert_eq!(
+                claimed.borrow().iter().map(|c| (c.upstream, c.drained)).collect::<Vec<_>>(),
+                [(3, true)]
+            );
+            // No word is good any more, and the own source was read since.
+            words.send_replace(told(vec![drained(1, Duration::ZERO)]));
+            pause().await;
+            assert_eq!(last(1), Some((Availability::Draining, 5)), "it was not read since");
+        };
+        tokio::select! {
+            () = source.watch(&mut tell) => unreachable!(),
+            () = play => {}
+        }
+        // A drain whose words are over, with a source that was read since: a fresh look at the same state.
+        let (words, heard) = watch::channel(told(vec![drained(1, Duration::from_nanos(1))]));
+        let (claims, _claimed) = watch::channel(Arc::default());
+        let source = Hearsay::between(says.clone(), &known, claims, heard, 0.5);
+        words.send_replace(told(Vec::new()));
+        says.confirmed.set(Some(Instant::now() + Duration::from_millis(1)));
+        let news = source.own(known.clone());
+        assert!(news.entries.iter().all(|e| e.place.availability == Availability::Ready));
+    }
+}
--- a/node/tests/tier.rs
+++ b/node/tests/tier.rs
@@ -252,3 +252,21 @@
     let alone = World::start(Setup { tier: false, ..setup(1) }).unwrap();
     assert!(alone.balancer(0).ask("/control/tier").is_some_and(|(status, _)| status == 404));
 }
+
+/// Without `[tier]` there is not one thread and not one socket of it.
+#[test]
+fn without_a_tier_there_is_nothing_of_it() {
+    let counted = |tier: bool| {
+        let world = World::start(Setup { tier, ..setup(2) }).unwrap();
+        if tier {
+            assert!(world.until(LONG, World::agrees).is_some());
+        }
+        world.balancer(0).threads().unwrap()
+    };
+    let (with, without) = (counted(true), counted(false));
+    assert!(with.contains(&"tier".to_owned()), "{with:?}");
+    assert!(
+        !without.contains(&"tier".to_owned()) && without.len() + 1 == with.len(),
+        "{without:?}, {with:?}"
+    );
+}
--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -240,6 +240,16 @@
         view(self.operator?)
     }
 
+    /// What its threads are called.
+    pub fn threads(&self) -> Option<Vec<String>> {
+        let tasks = fs::read_dir(format!("/proc/{}/task", self.child.as_ref()?.id())).ok()?;
+        let name = |task: fs::DirEntry| fs::read_to_string(task.path().join("comm")).ok();
+        let mut names: Vec<String> =
+            tasks.filter_map(Result::ok).filter_map(name).map(|name| name.trim().to_owned()).collect();
+        names.sort();
+        Some(names)
+    }
+
     /// What the process has used: processor's time, and memory in KiB.
     pub fn used(&self) -> Option<(Duration, u64)> {
         let of = |name: &str| {
--- a/tier/src/roster.rs
+++ b/tier/src/roster.rs
@@ -7,6 +7,8 @@
 
 /// For how long somebody who takes no part in the gossip counts as alive without a sign of life.
 const SILENT: Duration = Duration::from_secs(10);
+/// How often that is looked at.
+const PASS: Duration = Duration::from_secs(1);
 /// The most who take no part.
 const BYSTANDERS_MOST: usize = 64;
 
@@ -88,6 +90,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     rows: BTreeMap<Name, Row>,
+    /// When that was looked at last.
+    passed: Duration,
 }
 
 impl Roster {
@@ -154,6 +158,10 @@
 
     /// Time passes: those who take no part and are silent count as dead.
     pub fn pass(&mut self, now: Duration) {
+        if now < self.passed + PASS {
+            return;
+        }
+        self.passed = now;
         for row in self.rows.values_mut() {
             if let Some((_, heard)) = row.apart
                 && row.state == State::Alive
