How balancers agree on versions: steps, leases, strictest readings, one order by Raft

Settings come from a file at each balancer; two may contradict each other for ever and nobody can tell.

agreement/ (pure): versions and steps (old, strictest reading of both, new), the leader's leases and the holder's, what contradicts what. quorum/: Raft by the raft crate over a synced redb store that tells a lost log from none.

--- /dev/null
+++ b/agreement/src/lib.rs
@@ -0,0 +1,9 @@
+//! Versions of settings and lists on which balancers agree, and a bound on how long two may contradict: no I/O.
+//!
+//! [`steps`] is what the voters' log comes to, [`grants`] the leader's side of leases, [`holder`] a balancer's. [`strict`] says
+//! what contradicts what, and reads two versions as strictly as either. `docs/design/agreement.md` has the reasons.
+
+pub mod grants;
+pub mod holder;
+pub mod steps;
+pub mod strict;
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -320,6 +320,7 @@
             "secret_file",
             "state",
             "drains_most",
+            "drained",
         ] {
             assert!(uncommented.lines().any(|line| line.starts_with(&format!("{key} = "))), "{key}");
         }
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -27,6 +27,8 @@
     pub zone: ZoneId,
     /// Its weight: what it can do, in multiples of another.
     pub weight: f64,
+    /// Whether it gets nothing new, by the operator's word.
+    pub drained: bool,
 }
 
 /// What a balancer of one's own serves.
@@ -288,8 +290,9 @@
         if zone.is_none() {
             reader.fault_in(&table, "zone", "256 zones at most".into());
         }
+        let drained = reader.take_in(&mut table, "drained").unwrap_or(false);
         if let (Some(address), Some(zone)) = (address, zone) {
-            upstreams.push(Upstream { name, address, zone: ZoneId(zone), weight });
+            upstreams.push(Upstream { name, address, zone: ZoneId(zone), weight, drained });
         }
         reader.done(table);
     }
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -77,18 +77,22 @@
 impl Fixed {
     /// Upstreams that are ready, by name and address, all alike.
     pub fn new<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr)>) -> Self {
-        Self::listed(upstreams.into_iter().map(|(name, address)| (name, address, ZoneId(0), 1.0)))
+        Self::listed(upstreams.into_iter().map(|(name, address)| (name, address, ZoneId(0), 1.0, false)))
     }
 
-    /// The same, each with its zone and its weight.
-    pub fn listed<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr, ZoneId, f64)>) -> Self {
-        let entry = |(name, address, zone, weight): (&str, SocketAddr, ZoneId, f64)| Entry {
+    /// The same, each with its zone, its weight, and whether it drains.
+    pub fn listed<'a>(upstreams: impl IntoIterator<Item = (&'a str, SocketAddr, ZoneId, f64, bool)>) -> Self {
+        let entry = |(name, address, zone, weight, drained): (&str, SocketAddr, ZoneId, f64, bool)| Entry {
             id: stable_id(name),
             zone,
             kind: KindId(0),
             cell: CellId(0),
             weight,
-            place: Place { endpoint: Some(address), availability: Availability::Ready, boot_ms: 0 },
+            place: Place {
+                endpoint: Some(address),
+                availability: if drained { Availability::Draining } else { Availability::Ready },
+                boot_ms: 0,
+            },
         };
         Self(upstreams.into_iter().map(entry).collect())
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,9 +13,11 @@
 //! - [`load`] asks a real server as an experiment's clients would, [`calibrate`] compares the two.
 //! - [`paper`] is the experiment of the paper that the design rests on.
 //! - [`members`] emulates balancers that know each other.
+//! - [`agreed`] explores how they agree on versions.
 //! - [`rules`] explores what may come between a request and its answer, exhaustively.
 
 mod agenda;
+pub mod agreed;
 mod arrivals;
 pub mod calibrate;
 pub mod chart;
--- /dev/null
+++ b/lab/tests/agreed.rs
@@ -0,0 +1,21 @@
+//! How balancers agree on versions: every order of events, and each planted flaw.
+
+use maplehook_lab::agreed::{Agreement, Bounds, Flaw};
+
+/// One change, its undoing, one election, clocks that go wrong: every order of it.
+#[test]
+fn no_order_of_events_brings_a_contradiction() {
+    let bounds = Bounds { changes: 1, elections: 1, time: 3, asks: 1 };
+    let (states, found) = Agreement { bounds, flaw: None }.explore();
+    assert_eq!(found, None);
+    assert!(states > 10_000, "{states}");
+}
+
+#[test]
+fn every_planted_flaw_is_found() {
+    for flaw in Flaw::ALL {
+        let bounds = Bounds { changes: 1, elections: 1, time: 3, asks: 1 };
+        let (states, found) = Agreement { bounds, flaw: Some(flaw) }.explore();
+        assert!(found.is_some(), "{flaw:?} is not found in {states} states");
+    }
+}
--- a/middleware/src/setup.rs
+++ b/middleware/src/setup.rs
@@ -59,8 +59,8 @@
     /// By what such a file says.
     pub fn of(proxy: &Proxy) -> Result<Self, SetupError> {
         let upstreams = proxy.upstreams.iter().map(|upstream| {
-            let Upstream { name, address, zone, weight } = upstream;
-            (name.as_str(), *address, *zone, *weight)
+            let Upstream { name, address, zone, weight, drained } = upstream;
+            (name.as_str(), *address, *zone, *weight, *drained)
         });
         let engine = Engine::builder(proxy.settings.clone())
             .seed(RandomState::new().build_hasher().finish())
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -204,8 +204,8 @@
         let fronts = plan.operator.admission.fronts.clone();
         let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
         let fixed = Fixed::listed(proxy.upstreams.iter().map(|upstream| {
-            let Upstream { name, address, zone, weight } = upstream;
-            (name.as_str(), *address, *zone, *weight)
+            let Upstream { name, address, zone, weight, drained } = upstream;
+            (name.as_str(), *address, *zone, *weight, *drained)
         }));
         let known = News { scope: FleetScope::Cached, ..fixed.news() };
         let (source, registrar) = match &proxy.eureka {
--- /dev/null
+++ b/quorum/src/store.rs
@@ -0,0 +1,244 @@
+//! What a voter may not forget: its vote, its part of the log, and what the log came to. On disk, synced before anything is
+//! answered that rests on it.
+//!
+//! `redb` commits a transaction whole or not at all. A second file, written first and once, says that this directory has had a
+//! log: where that is there and the log is not, it was lost, and a voter that has lost its log must not vote.
+
+use protobuf::Message as _;
+use raft::eraftpb::{Entry, HardState, Snapshot};
+use redb::{Database, ReadableTable, TableDefinition};
+use std::fmt;
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+const LOG: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("log");
+const STATE: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("state");
+const HARD: &str = "hard";
+const SNAPSHOT: &str = "snapshot";
+/// The files.
+const NAME: &str = "log.redb";
+const HAD: &str = "has-voted";
+const FOUNDING: &str = "founding";
+
+/// Why a store can't be used.
+#[derive(Debug)]
+pub enum Unfit {
+    /// It was there and is not any more.
+    Lost,
+    /// It can't be read or written.
+    Broken(String),
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Lost => f.write_str("this voter's log is lost: it takes no part in votes any more"),
+            Self::Broken(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for Unfit {}
+
+fn broken(e: impl fmt::Display) -> Unfit {
+    Unfit::Broken(e.to_string())
+}
+
+/// What is on disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    /// Term, vote and commit.
+    pub hard: HardState,
+    /// What the log came to, up to an index.
+    pub snapshot: Snapshot,
+    /// The entries behind it.
+    pub entries: Vec<Entry>,
+}
+
+/// What is to be written at once.
+#[derive(Clone, Debug, Default)]
+pub struct Batch<'a> {
+    /// Term, vote and commit, if they have changed.
+    pub hard: Option<&'a HardState>,
+    /// A snapshot that takes the place of the log up to its index.
+    pub snapshot: Option<&'a Snapshot>,
+    /// Entries; what stands at their index and behind it is void.
+    pub entries: &'a [Entry],
+}
+
+/// A voter's disk.
+pub struct Store {
+    database: Database,
+}
+
+/// A file that is there whole, or not at all.
+fn put(path: &Path, text: &[u8]) -> std::io::Result<()> {
+    let new = path.with_extension("new");
+    let mut file = File::create(&new)?;
+    file.write_all(text)?;
+    file.sync_all()?;
+    fs::rename(&new, path)?;
+    match path.parent() {
+        Some(directory) => File::open(directory)?.sync_all(),
+        None => Ok(()),
+    }
+}
+
+/// The number by which a voter that has no log yet is known to the others; the same after a restart.
+pub fn founding(directory: &Path, drawn: u64) -> Result<u64, Unfit> {
+    let path = directory.join(FOUNDING);
+    match fs::read_to_string(&path) {
+        Ok(text) => text.trim().parse().map_err(|_| Unfit::Broken(format!("{}: no number", path.display()))),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => {
+            fs::create_dir_all(directory).map_err(broken)?;
+            put(&path, drawn.to_string().as_bytes()).map_err(broken)?;
+            Ok(drawn)
+        }
+        Err(e) => Err(Unfit::Broken(format!("{}: {e}", path.display()))),
+    }
+}
+
+impl Store {
+    /// Opens the one that is there; `None` where there never was one.
+    pub fn open(directory: &Path) -> Result<Option<(Self, Kept)>, Unfit> {
+        let (path, had) = (directory.join(NAME), directory.join(HAD));
+        match (path.exists(), had.exists()) {
+            (false, false) => return Ok(None),
+            (false, true) => return Err(Unfit::Lost),
+            // A creation that was torn: nothing can have been voted by it.
+            (true, false) => {
+                fs::remove_file(&path).map_err(broken)?;
+                return Ok(None);
+            }
+            (true, true) => {}
+        }
+        let database =
+            Database::open(&path).map_err(|e| Unfit::Broken(format!("{}: {e}", path.display())))?;
+        let store = Self { database };
+        let kept = store.read().map_err(|e| Unfit::Broken(format!("{}: {e}", path.display())))?;
+        Ok(Some((store, kept)))
+    }
+
+    /// Makes one that begins with this.
+    pub fn create(directory: &Path, begins: &Snapshot) -> Result<Self, Unfit> {
+        let path: PathBuf = directory.join(NAME);
+        fs::create_dir_all(directory).map_err(broken)?;
+        let database =
+            Database::create(&path).map_err(|e| Unfit::Broken(format!("{}: {e}", path.display())))?;
+        let store = Self { database };
+        let metadata = begins.get_metadata();
+        let hard = HardState { term: metadata.term, commit: metadata.index, ..HardState::default() };
+        store.write(&Batch { hard: Some(&hard), snapshot: Some(begins), entries: &[] })?;
+        // Only now may it vote.
+        put(&directory.join(HAD), b"1\n").map_err(broken)?;
+        Ok(store)
+    }
+
+    fn read(&self) -> Result<Kept, Box<dyn std::error::Error>> {
+        let read = self.database.begin_read()?;
+        let (log, state) = (read.open_table(LOG)?, read.open_table(STATE)?);
+        let mut kept = Kept::default();
+        if let Some(bytes) = state.get(HARD)? {
+            kept.hard = HardState::parse_from_bytes(bytes.value())?;
+        }
+        if let Some(bytes) = state.get(SNAPSHOT)? {
+            kept.snapshot = Snapshot::parse_from_bytes(bytes.value())?;
+        }
+        for row in log.iter()? {
+            let (_, bytes) = row?;
+            kept.entries.push(Entry::parse_from_bytes(bytes.value())?);
+        }
+        Ok(kept)
+    }
+
+    /// Writes it, whole or not at all; when this returns well it is on the disk.
+    pub fn write(&self, batch: &Batch<'_>) -> Result<(), Unfit> {
+        self.try_write(batch).map_err(broken)
+    }
+
+    fn try_write(&self, batch: &Batch<'_>) -> Result<(), Box<dyn std::error::Error>> {
+        // Synced: the default, named since everything rests on it.
+        let mut write = self.database.begin_write()?;
+        write.set_durability(redb::Durability::Immediate);
+        {
+            let (mut log, mut state) = (write.open_table(LOG)?, write.open_table(STATE)?);
+            if let Some(hard) = batch.hard {
+                state.insert(HARD, hard.write_to_bytes()?.as_slice())?;
+            }
+            if let Some(snapshot) = batch.snapshot {
+                state.insert(SNAPSHOT, snapshot.write_to_bytes()?.as_slice())?;
+                log.retain_in(..=snapshot.get_metadata().index, |_, _| false)?;
+            }
+            if let Some(first) = batch.entries.first() {
+                log.retain_in(first.index.., |_, _| false)?;
+            }
+            for entry in batch.entries {
+                log.insert(entry.index, entry.write_to_bytes()?.as_slice())?;
+            }
+        }
+        write.commit()?;
+        Ok(())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn directory(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("maplehook-quorum-{}-{name}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        path
+    }
+
+    fn entry(index: u64, term: u64) -> Entry {
+        let mut entry = Entry::default();
+        (entry.index, entry.term) = (index, term);
+        entry
+    }
+
+    #[test]
+    fn what_was_written_is_there_and_what_was_overwritten_is_not() {
+        let place = directory("written");
+        assert!(Store::open(&place).unwrap().is_none(), "there never was one");
+        let mut begins = Snapshot::default();
+        (begins.mut_metadata().index, begins.mut_metadata().term) = (1, 1);
+        let store = Store::create(&place, &begins).unwrap();
+        let mut hard = HardState::default();
+        (hard.term, hard.vote) = (3, 7);
+        let entries = [entry(2, 1), entry(3, 1), entry(4, 1)];
+        store.write(&Batch { hard: Some(&hard), snapshot: None, entries: &entries }).unwrap();
+        // Another leader's word for what is not committed.
+        store.write(&Batch { entries: &[entry(3, 2)], ..Batch::default() }).unwrap();
+        drop(store);
+        let (store, kept) = Store::open(&place).unwrap().unwrap();
+        assert_eq!((kept.hard.term, kept.hard.vote), (3, 7));
+        assert_eq!(kept.entries, [entry(2, 1), entry(3, 2)]);
+        let mut later = Snapshot::default();
+        later.mut_metadata().index = 2;
+        store.write(&Batch { snapshot: Some(&later), ..Batch::default() }).unwrap();
+        drop(store);
+        let (_, kept) = Store::open(&place).unwrap().unwrap();
+        assert_eq!((kept.snapshot.get_metadata().index, kept.entries.len()), (2, 1));
+        fs::remove_dir_all(&place).unwrap();
+    }
+
+    #[test]
+    fn a_log_that_is_lost_is_told_from_none_and_from_one_that_is_spoilt() {
+        let place = directory("lost");
+        Store::create(&place, &Snapshot::default()).unwrap();
+        fs::write(place.join(NAME), "garbage").unwrap();
+        assert!(matches!(Store::open(&place), Err(Unfit::Broken(_))));
+        fs::remove_file(place.join(NAME)).unwrap();
+        assert!(matches!(Store::open(&place), Err(Unfit::Lost)));
+        fs::remove_dir_all(&place).unwrap();
+        // A creation that was killed half way has voted for nobody.
+        fs::create_dir_all(&place).unwrap();
+        fs::write(place.join(NAME), "half").unwrap();
+        assert!(Store::open(&place).unwrap().is_none());
+        assert_eq!(founding(&place, 5).unwrap(), 5);
+        assert_eq!(founding(&place, 6).unwrap(), 5, "the same after a restart");
+        fs::remove_dir_all(&place).unwrap();
+    }
+}
