--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -52,6 +52,8 @@
     pub forwarding: Forwarding,
     /// Whether our own answers say so in `X-Maplehook`.
     pub own: bool,
+    /// Whether answers and attempts name the version in force in `X-Maplehook-Version`.
+    pub version: bool,
     /// The decision module's settings.
     pub settings: Settings,
     /// Bytes that bodies in hand may take together.
@@ -115,7 +117,7 @@
         }
         reader.done(taken);
     }
-    let (headers, forwarding, own) = headers(reader);
+    let (headers, forwarding, own, version) = headers(reader);
     let (tenants, listed) = tenants(reader);
     settings.tenants = listed;
     let mut zones = vec![zone];
@@ -165,6 +167,7 @@
         headers,
         forwarding,
         own,
+        version,
         settings,
         bodies,
         sockets,
@@ -185,9 +188,10 @@
     read
 }
 
-fn headers(reader: &mut Reader<'_>) -> (Headers, Forwarding, bool) {
+fn headers(reader: &mut Reader<'_>) -> (Headers, Forwarding, bool, bool) {
     let mut headers = Headers::default();
     let (mut own, mut x_forwarded, mut forwarded) = (true, true, false);
+    let mut version = false;
     let (mut via, mut host) = (None, HostRule::Keep);
     if let Some(mut taken) = reader.take_section("headers") {
         let table = &mut taken;
@@ -206,6 +210,7 @@
         x_forwarded = reader.take_in(table, "x_forwarded").unwrap_or(true);
         forwarded = reader.take_in(table, "forwarded").unwrap_or(false);
         own = reader.take_in(table, "own").unwrap_or(true);
+        version = reader.take_in(table, "version").unwrap_or(false);
         via = reader.take_in::<String>(table, "via").filter(|name| !name.is_empty());
         if via.as_ref().is_some_and(|v| !v.bytes().all(|b| b.is_ascii_alphanumeric() || b"-._".contains(&b)))
         {
@@ -229,7 +234,7 @@
     let mut forwarding = Forwarding::general(&headers);
     (forwarding.x_forwarded, forwarding.forwarded) = (x_forwarded, forwarded);
     (forwarding.via, forwarding.host) = (via, host);
-    (headers, forwarding, own)
+    (headers, forwarding, own, version)
 }
 
 fn tenants(reader: &mut Reader<'_>) -> (Vec<String>, Vec<Tenant>) {
--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -79,7 +79,12 @@
 impl Upstreams {
     /// Sends a request to an upstream and waits for the answer until `give_up`.
     pub async fn attempt(self: &Rc<Self>, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
-        self.send(id, outgoing, give_up, Some(&self.tally.sends)).await
+        self.send(id, outgoing, give_up, Some(&self.tally.sends), false).await
+    }
+
+    /// The same of a request that was attempted before.
+    pub async fn repeat(self: &Rc<Self>, id: UpstreamId, outgoing: &Outgoing, give_up: Instant) -> Ended {
+        self.send(id, outgoing, give_up, Some(&self.tally.sends), true).await
     }
 
     /// The same; `sends` counts what has left whole.
@@ -89,6 +94,7 @@
         outgoing: &Outgoing,
         give_up: Instant,
         sends: Option<&Counter>,
+        repeat: bool,
     ) -> Ended {
         let Some(upstream) = self.get(id) else { return Outcome::NotSent.into() };
         loop {
@@ -101,7 +107,7 @@
             };
             let left = give_up.saturating_duration_since(Instant::now());
             // The moment of writing: it may have begun to drain while the connection was made.
-            if !upstream.ready.get() || left.is_zero() {
+            if !upstream.ready.get() || left.is_zero() || !self.may_write(repeat) {
                 self.put_back(id, &upstream, connection);
                 return Outcome::NotSent.into();
             }
@@ -151,7 +157,7 @@
         headers.insert(HOST, HeaderValue::from_static("upstream"));
         let (body, passage) = (Payload::Whole(Bytes::new()), Rc::clone(&self.probing));
         let outgoing = Outgoing { method: Method::GET, target, headers, body, passage };
-        let mut ended = self.send(id, &outgoing, Instant::now() + PROBE_TIMEOUT, None).await;
+        let mut ended = self.send(id, &outgoing, Instant::now() + PROBE_TIMEOUT, None, false).await;
         if let Some(Served { body: AnswerBody::Whole(body), .. }) = &ended.served
             && self.reports.get() != Reports::Off
             && ended.report.is_empty()
@@ -392,6 +398,40 @@
         (upstreams, listener, place)
     }
 
+    /// Guards what is acted on after its time: a process that was stopped writes no repeat by rules that have run out.
+    #[tokio::test(flavor = "local")]
+    async fn a_lease_that_has_run_out_is_found_in_the_moment_of_writing() {
+        use crate::parts::upstream::Lease;
+        let (upstreams, listener, _) = upstreams(8).await;
+        let until = Instant::now();
+        upstreams.lease(Lease::Until { until, first_too: false });
+        let request = outgoing();
+        let ended = upstreams.repeat(ID, &request, Instant::now() + LONG).await;
+        assert_eq!(ended.outcome, Outcome::NotSent);
+        upstreams.lease(Lease::Until { until, first_too: true });
+        let ended = upstreams.attempt(ID, &request, Instant::now() + LONG).await;
+        assert_eq!(ended.outcome, Outcome::NotSent);
+        // Within its time, and for a first attempt where that may go on, it is written.
+        for lease in [
+            Lease::Until { until: Instant::now() + LONG, first_too: true },
+            Lease::Until { until, first_too: false },
+        ] {
+            upstreams.lease(lease);
+            let held = Rc::clone(&upstreams);
+            let attempt =
+                spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG).await });
+            // The first ones were made for what was not written.
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut first = [0; 4];
+                if stream.read_exact(&mut first).await.is_ok() {
+                    break;
+                }
+            }
+            attempt.abort();
+        }
+    }
+
     /// Guards the drain rule where an attempt was decided on before the news and has no connection yet.
     #[tokio::test(flavor = "local")]
     async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -520,10 +520,16 @@
                     }
                     std::future::pending().await
                 };
+                let attempt = async {
+                    match no {
+                        AttemptNo(0) => driver.upstreams.attempt(upstream, &asked.outgoing, give_up).await,
+                        _ => driver.upstreams.repeat(upstream, &asked.outgoing, give_up).await,
+                    }
+                };
                 tokio::select! {
                     biased;
                     () = uploads => return,
-                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up) => ended,
+                    ended = attempt => ended,
                     _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
                 }
             };
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -53,6 +53,21 @@
     report_fields: RefCell<Vec<LoadField>>,
     odd_reports: Seldom,
     short: Seldom,
+    lease: Cell<Lease>,
+}
+
+/// Until when the rules hold by which requests were decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lease {
+    /// For good.
+    Free,
+    /// Until then; after that nothing is written a second time, and where `first_too` nothing at all.
+    Until {
+        /// When it ends.
+        until: Instant,
+        /// Whether that is so of a first attempt too.
+        first_too: bool,
+    },
 }
 
 impl Upstreams {
@@ -77,6 +92,21 @@
             report_fields: RefCell::new(settings.report_fields.clone()),
             odd_reports: Seldom::default(),
             short: Seldom::default(),
+            lease: Cell::new(Lease::Free),
+        }
+    }
+
+    /// Until when the rules hold. It is looked at in the moment of writing: a process that was stopped must not go on by rules
+    /// that have run out meanwhile.
+    pub fn lease(&self, lease: Lease) {
+        self.lease.set(lease);
+    }
+
+    /// Whether an attempt may be written now.
+    pub(crate) fn may_write(&self, repeat: bool) -> bool {
+        match self.lease.get() {
+            Lease::Free => true,
+            Lease::Until { until, first_too } => !(repeat || first_too) || Instant::now() < until,
         }
     }
 
--- a/lab/src/agreed.rs
+++ b/lab/src/agreed.rs
@@ -179,7 +179,7 @@
         for (holder, name) in holders.iter_mut().zip(names()) {
             let number = holder.ask(Duration::ZERO);
             grants.grant(Duration::ZERO, &name, steps.epoch);
-            holder.granted(number, Told::of(&steps));
+            holder.granted(number, steps.epoch, Some(Told::of(&steps)));
         }
         vec![State {
             now: Duration::ZERO,
@@ -254,7 +254,7 @@
                 if self.flaw == Some(Flaw::ClockAfterAnswer) {
                     number = state.holders[n].ask(clock);
                 }
-                state.holders[n].granted(number, told);
+                state.holders[n].granted(number, told.epoch, Some(told));
             }
             Move::Elect => {
                 let steps = state.leaders[present].steps.clone();
--- a/link/src/frames.rs
+++ b/link/src/frames.rs
@@ -18,7 +18,7 @@
 /// The longest greeting or proof.
 pub const GREETING_MOST: usize = 160;
 /// The longest body of a message.
-pub const BODY_MOST: usize = 1 << 20;
+pub const BODY_MOST: usize = 4 << 20;
 /// The longest frame.
 pub const FRAME_MOST: usize = BODY_MOST + 64;
 const MAGIC: &[u8; 3] = b"mhl";
--- a/link/src/run.rs
+++ b/link/src/run.rs
@@ -38,6 +38,18 @@
 /// Tries to find a port that is free for both protocols.
 const TRIES: usize = 32;
 
+/// Messages of other topics that may wait for whoever takes them, or for being sent.
+const TALK_MOST: usize = 1024;
+
+/// Messages of topics other than words, to and from other balancers. What does not fit into the queues is dropped: whoever
+/// talks must be able to say it again.
+pub struct Talk {
+    /// What goes to others.
+    pub say: mpsc::Sender<(Name, Message)>,
+    /// What comes from them.
+    pub heard: mpsc::Receiver<(Name, Message)>,
+}
+
 /// What a balancer takes part with.
 #[derive(Clone, Debug)]
 pub struct Part {
@@ -101,6 +113,8 @@
     pub told: watch::Receiver<Told>,
     /// What the own discovery says.
     pub claims: watch::Sender<Arc<Vec<Claim>>>,
+    /// Messages of other topics, until somebody takes them over.
+    pub talk: Option<Talk>,
     asks: mpsc::Sender<oneshot::Sender<Status>>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -171,6 +185,8 @@
         let (claims, claimed) = watch::channel(Arc::default());
         let (asks, asked) = mpsc::channel(32);
         let (stop, stopped) = oneshot::channel();
+        let (say, said) = mpsc::channel(TALK_MOST);
+        let (others, heard) = mpsc::channel(TALK_MOST);
         tracing::info!(tier_listen = %address, name = %part.name, start, "takes part in a tier");
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let thread =
@@ -203,14 +219,16 @@
                                 told_version: 0,
                                 forged: 0,
                                 garbage: 0,
+                                others,
                             };
-                            runner.run(messages, claimed, asked, stopped).await;
+                            runner.run(messages, said, claimed, asked, stopped).await;
                         }
                         Err(e) => tracing::error!("the tier's address: {e}"),
                     }
                 });
             })?;
-        Ok(Self { address, told, claims, asks, stop: Some(stop), thread: Some(thread) })
+        let talk = Some(Talk { say, heard });
+        Ok(Self { address, told, claims, talk, asks, stop: Some(stop), thread: Some(thread) })
     }
 
     /// By which others may ask how it stands.
@@ -241,6 +259,8 @@
     told_version: u64,
     forged: u64,
     garbage: usize,
+    /// Where messages of other topics go.
+    others: mpsc::Sender<(Name, Message)>,
 }
 
 impl Runner {
@@ -251,6 +271,7 @@
     async fn run(
         mut self,
         mut messages: mpsc::Receiver<(Name, Message)>,
+        mut said: mpsc::Receiver<(Name, Message)>,
         mut claimed: watch::Receiver<Arc<Vec<Claim>>>,
         mut asked: mpsc::Receiver<oneshot::Sender<Status>>,
         mut stopped: oneshot::Receiver<()>,
@@ -272,7 +293,12 @@
                         rests_until = Some(tokio::time::Instant::now() + REST);
                     }
                 }
-                Some((from, message)) = messages.recv() => self.heard(&from, message),
+                Some((from, message)) = messages.recv() => self.heard(from, message),
+                Some((to, message)) = said.recv() => {
+                    if self.tier.speaks() {
+                        self.hub.send(&to, message);
+                    }
+                }
                 Some(reply) = asked.recv() => drop(reply.send(self.status())),
                 changed = claimed.changed() => {
                     if changed.is_err() {
@@ -323,9 +349,12 @@
         true
     }
 
-    fn heard(&mut self, from: &Name, message: Message) {
+    fn heard(&mut self, from: Name, message: Message) {
         if message.topic != WORDS {
-            tracing::debug!(%from, topic = message.topic, "a topic of a later version");
+            // Nobody takes a topic of a later version, or the queue is full: it is said again.
+            if self.others.try_send((from, message)).is_err() {
+                tracing::debug!("a message is dropped");
+            }
             return;
         }
         let mut body = message.body;
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -1,6 +1,7 @@
 //! The command line, and the operator's file that it names.
 
 use crate::tier::{self, Shown};
+use crate::wishes::Settings;
 use clap::{Args, Parser, Subcommand};
 use maplehook_admission::token::Signer;
 use maplehook_config::Operator;
@@ -34,6 +35,9 @@
     },
     /// Signs the word by which a known client shows itself.
     Sign(Sign),
+    /// Versions of settings and lists on which balancers agree. Ends with 0 if it is done, 1 without an answer, 2 if something is
+    /// not everywhere yet, 3 if it is refused.
+    Settings(Settings),
     /// Asks who is there of a balancer's tier.
     Tier {
         /// What to ask.
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -6,8 +6,9 @@
 
 use crate::refusals::linger;
 use crate::tier::Shown;
+use crate::wishes::{self, Guard};
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{ALLOW, CACHE_CONTROL, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -51,6 +52,10 @@
     pub ready: Arc<AtomicBool>,
     /// How it stands in its tier, if it is of one.
     pub tier: Option<Asks>,
+    /// Whether it refuses everything, since it has lost touch with the others.
+    pub refuses: Arc<AtomicBool>,
+    /// The versions, if it agrees on some.
+    pub settings: Option<Arc<Guard>>,
 }
 
 /// Binds the address and answers there until the process ends. Returns the address.
@@ -114,7 +119,7 @@
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
         let board = board.clone();
-        async move { Ok::<_, Infallible>(answer(&request, &board).await) }
+        async move { Ok::<_, Infallible>(answer(request, &board).await) }
     });
     let mut builder = http1::Builder::new();
     // The time of the whole call is the head's too.
@@ -125,26 +130,33 @@
     linger(parts.io.into_inner()).await;
 }
 
-async fn answer(request: &Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
+async fn answer(request: Request<Incoming>, board: &Board) -> Response<Full<Bytes>> {
     const TEXT: &str = "text/plain";
     let path = request.uri().path();
     let there_is = match path {
         "/control/ready" | "/control/counters" => true,
         "/control/tier" => board.tier.is_some(),
+        wishes::PATH => board.settings.is_some(),
         _ => false,
     };
+    let posts = path == wishes::PATH && *request.method() == Method::POST;
     let (status, kind, text) = if !there_is {
         let tier = if board.tier.is_some() { ", /control/tier" } else { "" };
-        (StatusCode::NOT_FOUND, TEXT, format!("/control/ready, /control/counters{tier} are what there is\n"))
-    } else if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        let settings = if board.settings.is_some() { ", /control/settings" } else { "" };
+        let text = format!("/control/ready, /control/counters{tier}{settings} are what there is\n");
+        (StatusCode::NOT_FOUND, TEXT, text)
+    } else if !posts && !matches!(*request.method(), Method::GET | Method::HEAD) {
         (StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET alone\n".into())
-    } else if !request.body().is_end_stream() {
+    } else if !posts && !request.body().is_end_stream() {
         (StatusCode::BAD_REQUEST, TEXT, "a call has no body\n".into())
     } else {
-        match path {
-            "/control/counters" => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
-            "/control/tier" => shown(board).await,
-            _ if board.ready.load(Ordering::Acquire) => (StatusCode::OK, TEXT, "yes\n".into()),
+        match (path, &board.settings) {
+            ("/control/counters", _) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
+            ("/control/tier", _) => shown(board).await,
+            (wishes::PATH, Some(guard)) => settings(request, guard).await,
+            _ if board.ready.load(Ordering::Acquire) && !board.refuses.load(Ordering::Acquire) => {
+                (StatusCode::OK, TEXT, "yes\n".into())
+            }
             _ => (StatusCode::SERVICE_UNAVAILABLE, TEXT, "no\n".into()),
         }
     };
@@ -159,6 +171,21 @@
     response
 }
 
+async fn settings(request: Request<Incoming>, guard: &Guard) -> (StatusCode, &'static str, String) {
+    let (parts, body) = request.into_parts();
+    let (status, text) = if parts.method == Method::POST {
+        let mac = parts.headers.get(wishes::MAC).and_then(|mac| mac.to_str().ok());
+        match Limited::new(body, wishes::BODY_MOST).collect().await {
+            Ok(body) => guard.wish(mac, &body.to_bytes()).await,
+            Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into()),
+        }
+    } else {
+        guard.show(parts.uri.query()).await
+    };
+    let kind = if status == StatusCode::OK { "application/json" } else { "text/plain" };
+    (status, kind, text)
+}
+
 async fn shown(board: &Board) -> (StatusCode, &'static str, String) {
     let status = match &board.tier {
         Some(asks) => timeout(TIER_MOST, asks.status()).await.ok().flatten(),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,12 +29,15 @@
 mod handover;
 mod hearsay;
 pub mod inherited;
+mod lists;
 mod refusals;
 mod requests;
 mod retune;
 pub mod serve;
 mod server;
 pub mod tier;
+mod versions;
+pub mod wishes;
 mod words;
 
 pub use daemon::Daemon;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -38,12 +38,18 @@
         }
         Some(Command::Run) => {
             let file = line.config.as_deref().ok_or("which file? maplehook run --config FILE")?;
-            serve::by_file(command::operator(Some(file))?, None)
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+            serve::by_file(command::operator(Some(file))?, Some(text), None)
                 .map_err(|e| format!("{}: {e}", file.display()))?;
         }
         Some(Command::Sign(sign)) => {
             println!("{}", sign.word()?);
         }
+        Some(Command::Settings(settings)) => {
+            let outcome = settings.run(&command::operator(line.config.as_deref())?)?;
+            print!("{}", outcome.text);
+            return Ok(ExitCode::from(outcome.code));
+        }
         Some(Command::Tier { what }) => {
             let (text, whole) = what.run()?;
             print!("{text}");
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -15,7 +15,7 @@
 use maplehook_admission::token::Signer;
 use maplehook_config::Proxy;
 use maplehook_routes::{Fit, Forwarding, Passage, Peer, Rules, Unfit};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -25,6 +25,9 @@
 /// What is taken off a client's time: the way of the request here and of the answer back, and the timers.
 const ON_THE_WAY: Duration = Duration::from_millis(4);
 
+/// Names the version in force, to upstreams and clients.
+pub const VERSION: HeaderName = HeaderName::from_static("x-maplehook-version");
+
 /// Ids of the requests that are owed their answers. Clients choose them: the hasher is no one's to guess.
 type OpenIds = Rc<RefCell<HashSet<HeaderValue>>>;
 
@@ -66,6 +69,8 @@
     pub upload: Option<Rc<Upload>>,
     /// Open until this is dropped.
     pub open: Option<OpenId>,
+    /// The version that it came under, where it is told.
+    pub label: Option<HeaderValue>,
 }
 
 /// By what a request shows that its client is known.
@@ -94,6 +99,8 @@
 struct Book {
     rules: Rules,
     passages: Vec<Rc<Passage>>,
+    /// The version in force, where it is told.
+    label: Option<HeaderValue>,
 }
 
 impl Book {
@@ -104,6 +111,7 @@
             rules: Rules::platform(classes, tuned.tenants(), before),
             // By number, those of the vanished among them.
             passages: vec![passage; tuned.site().settings.classes.len()],
+            label: None,
         }
     }
 }
@@ -111,6 +119,8 @@
 /// Reads requests.
 pub struct Requests {
     book: RefCell<Rc<Book>>,
+    /// Everything is refused.
+    refuses: Cell<bool>,
     forwarding: Forwarding,
     fronts: Vec<Network>,
     room: Room,
@@ -123,6 +133,7 @@
     pub fn platform(tuned: &Tuned, vouching: Vouching, room: Room) -> Self {
         Self {
             book: RefCell::new(Rc::new(Book::platform(tuned, None))),
+            refuses: Cell::new(false),
             forwarding: Forwarding::platform(),
             fronts: Vec::new(),
             room,
@@ -137,7 +148,9 @@
             book: RefCell::new(Rc::new(Book {
                 rules: proxy.rules(),
                 passages: proxy.passages.iter().cloned().map(Rc::new).collect(),
+                label: None,
             })),
+            refuses: Cell::new(false),
             forwarding: proxy.forwarding.clone(),
             fronts,
             room,
@@ -157,9 +170,29 @@
         *self.book.borrow_mut() = Rc::new(Book::platform(tuned, Some(&before.rules)));
     }
 
+    /// Another version is in force; requests whose heads have come keep the one that they came under.
+    pub fn replace(&self, rules: Rules, passages: Vec<Passage>, label: Option<&str>) {
+        let label = label.and_then(|label| HeaderValue::from_str(label).ok());
+        let passages = passages.into_iter().map(Rc::new).collect();
+        *self.book.borrow_mut() = Rc::new(Book { rules, passages, label });
+    }
+
+    /// Whether everything is refused from now on.
+    pub fn refuse(&self, refuses: bool) {
+        self.refuses.set(refuses);
+    }
+
+    /// The version in force, where it is told.
+    pub fn label(&self) -> Option<HeaderValue> {
+        self.book.borrow().label.clone()
+    }
+
     /// Reads a head. `hides_a_length`: whether its bytes name a length that it does not show.
     pub fn head(&self, mut parts: Parts, hides_a_length: bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
+        if self.refuses.get() {
+            return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no word from the other balancers"));
+        }
         let book = Rc::clone(&self.book.borrow());
         let headers = &mut parts.headers;
         // Two lengths hide a second request in the body of the first from one of the two that read it.
@@ -208,6 +241,9 @@
         self.forwarding
             .request(&mut headers, &parts.uri, Some(peer))
             .map_err(|why| Unfit::new(StatusCode::BAD_REQUEST, why))?;
+        if let Some(label) = &book.label {
+            headers.insert(VERSION, label.clone());
+        }
         if let Some((name, _)) = &self.vouching.token {
             // It is for this door alone.
             headers.remove(name);
@@ -222,7 +258,7 @@
         let outgoing = Outgoing { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
         let Fit { class, tenant, work_ms, repeat, .. } = fit;
         let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing };
-        Ok(Ready { asked, identity, upload, open })
+        Ok(Ready { asked, identity, upload, open, label: book.label.clone() })
     }
 
     fn open(&self, id: &HeaderValue) -> Result<OpenId, Unfit> {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -7,10 +7,13 @@
 use crate::handover::{Handover, Remembered};
 use crate::hearsay::Hearsay;
 use crate::inherited;
+use crate::lists::{self, Lists};
 use crate::requests::{Requests, Vouching};
 use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
 use crate::tier;
+use crate::versions::Versions;
+use crate::wishes::Guard;
 use hyper::header::HeaderName;
 use lapisroute::{Balancer, FleetScope, Settings};
 use lapisroute_settings::Tuned;
@@ -21,12 +24,13 @@
 use maplehook::parts::driver::Driver;
 use maplehook::parts::room::Room;
 use maplehook::parts::upstream::Upstreams;
-use maplehook::source::{Fixed, News, Source};
+use maplehook::source::{News, Source};
 use maplehook::tally::Counting;
 use maplehook_admission::{Door, Part};
-use maplehook_config::{Operator, Upstream};
+use maplehook_config::{CutOff, Operator};
 use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
-use maplehook_link::Member;
+use maplehook_link::{Member, Secret};
+use maplehook_quorum::Agreeing;
 use maplehook_routes::{Forwarding, Own};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -78,6 +82,8 @@
     /// From SIGTERM until the end.
     grace: Grace,
     operator: Operator,
+    /// The operator's file, where it is there.
+    file: Option<String>,
 }
 
 /// Who is told that a balancer serves, and where, and what ends it beside SIGTERM.
@@ -120,6 +126,7 @@
         grace: Rc::new(Cell::new(platform_grace(&config.tuned))),
         settings,
         operator,
+        file: None,
     };
     block_on(async move {
         let vouching = vouching(&plan.operator, &config.tuned.site().names.tenants)?;
@@ -177,9 +184,20 @@
 }
 
 /// Serves as the operator's file alone says, until SIGTERM.
-pub fn by_file(mut operator: Operator, told: Option<Told>) -> Result<(), Box<dyn Error>> {
-    let proxy =
+pub fn by_file(
+    mut operator: Operator,
+    file: Option<String>,
+    told: Option<Told>,
+) -> Result<(), Box<dyn Error>> {
+    let mut proxy =
         operator.proxy.take().ok_or("it names no listen.address, no [[class]] and no [[upstream]]")?;
+    let agreement = operator.tier.as_ref().and_then(|tier| tier.agreement.as_ref());
+    let refuses = agreement.is_some_and(|agreement| agreement.when_cut_off == CutOff::Refuse);
+    let agrees = agreement.is_some();
+    if agrees {
+        // Until it is known what the others act on.
+        proxy = maplehook_agreement::strict::careful(&proxy);
+    }
     let longest = proxy.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let mut plan = Plan {
         listen: proxy.listen,
@@ -196,20 +214,20 @@
         stall: proxy.stall,
         grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
         operator,
+        file,
     };
     block_on(async move {
         let vouching = vouching(&plan.operator, &proxy.tenants)?;
         let mut hangup = signal(SignalKind::hangup())?;
-        let parts = Parts::new(&mut plan)?;
+        let mut parts = Parts::new(&mut plan)?;
         let fronts = plan.operator.admission.fronts.clone();
         let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
-        let fixed = Fixed::listed(proxy.upstreams.iter().map(|upstream| {
-            let Upstream { name, address, zone, weight, drained } = upstream;
-            (name.as_str(), *address, *zone, *weight, *drained)
-        }));
-        let known = News { scope: FleetScope::Cached, ..fixed.news() };
+        requests.refuse(refuses);
+        parts.board.refuses.store(refuses, Ordering::Release);
+        let lists = Rc::new(Lists::new(lists::entries(&proxy.upstreams, |zone| zone)));
+        let known = News { scope: FleetScope::Cached, ..lists.news() };
         let (source, registrar) = match &proxy.eureka {
-            None => (Rc::new(fixed) as Rc<dyn Source>, None),
+            None => (Rc::clone(&lists) as Rc<dyn Source>, None),
             Some(file) => {
                 let settings = eureka::Settings::by_file(file, &proxy.zones)?;
                 let registrar = file.registration.as_ref().map(|own| {
@@ -233,14 +251,32 @@
                 (Rc::new(source) as Rc<dyn Source>, registrar.transpose()?)
             }
         };
-        let ignore = |_, _| {
+        let agreeing = parts.agreeing.take();
+        let versions = agreeing.as_ref().map(|agreeing| {
+            let lists = proxy.eureka.is_none().then_some(lists);
+            let versions = Versions::new(
+                &proxy,
+                lists,
+                Rc::clone(&requests),
+                Rc::clone(&parts.entrance),
+                Rc::clone(&parts.upstreams),
+                Arc::clone(&parts.board.refuses),
+            );
+            (versions, agreeing.acting.clone(), agreeing.applied.clone())
+        });
+        let begun = |driver, counting| {
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
                     tracing::warn!("nothing is read anew: the file is read at the start");
                 }
             });
+            if let Some((versions, acting, applied)) = versions {
+                spawn_local(versions.follow(acting, applied, driver, counting));
+            }
         };
-        serve(plan, parts, requests, (source, known), ignore, told, registrar).await
+        let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
+        drop(agreeing);
+        served
     })
 }
 
@@ -263,6 +299,8 @@
     shared: bool,
     /// Its part in a tier. It says that it goes when this is dropped.
     member: Option<Member>,
+    /// Its part in agreeing on versions.
+    agreeing: Option<Agreeing>,
 }
 
 impl Parts {
@@ -281,8 +319,19 @@
             None => (false, listen(plan.listen, plan.operator.backlog)),
         };
         let listener = listener.map_err(|e| format!("listen on {}: {e}", plan.listen))?;
-        let member = plan.operator.tier.as_ref().map(tier::start).transpose()?;
-        let board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
+        let mut member = plan.operator.tier.as_ref().map(tier::start).transpose()?;
+        let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
+        let mut agreeing = None;
+        if let (Some(member), Some(tier)) = (&mut member, &plan.operator.tier)
+            && let Some(agreement) = &tier.agreement
+        {
+            let file =
+                plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
+            let began = tier::agree(tier, agreement, file, member)?;
+            let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
+            board.settings = Some(Arc::new(Guard::new(&secret, began.wishes())));
+            agreeing = Some(began);
+        }
         if let Some(address) = plan.control {
             let bound = control::serve(address, board.clone())
                 .map_err(|e| format!("operators' calls on {address}: {e}"))?;
@@ -301,7 +350,18 @@
         let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
         let entrance = Entrance::new(door, plan.stall);
         share_descriptors(&descriptors, &upstreams, &entrance);
-        Ok(Self { term, listener, descriptors, upstreams, entrance, balancer, board, shared, member })
+        Ok(Self {
+            term,
+            listener,
+            descriptors,
+            upstreams,
+            entrance,
+            balancer,
+            board,
+            shared,
+            member,
+            agreeing,
+        })
     }
 }
 
@@ -314,8 +374,9 @@
     told: Option<Told>,
     registrar: Option<Registrar>,
 ) -> Result<(), Box<dyn Error>> {
-    let Parts { mut term, listener, descriptors, upstreams, entrance, balancer, board, shared, member } =
-        parts;
+    let Parts {
+        mut term, listener, descriptors, upstreams, entrance, balancer, board, shared, member, ..
+    } = parts;
     let source = match (&member, &plan.operator.tier) {
         (Some(member), Some(tier)) => Hearsay::new(source, &known, member, tier.drains_most),
         _ => source,
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -3,10 +3,10 @@
 use crate::client::{Client, Inbound, Question, Stand};
 use crate::entrance::Entrance;
 use crate::refusals::Refusals;
-use crate::requests::{Ready, Requests, at_fault};
+use crate::requests::{Ready, Requests, VERSION, at_fault};
 use crate::words::{Tail, own, plain, worded};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -210,7 +210,12 @@
                 Err(unfit) => {
                     question = Question::Unfit;
                     tracing::debug!(%peer, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
-                    own(self.words.unfit(&unfit))
+                    let mut answer = own(self.words.unfit(&unfit));
+                    if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
+                        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+                    }
+                    tell(&mut answer, self.requests.label());
+                    answer
                 }
             },
         };
@@ -225,15 +230,17 @@
     }
 
     async fn answer(&self, ready: Ready) -> Response<AnswerBody> {
-        let Ready { asked, identity, upload, open } = ready;
+        let Ready { asked, identity, upload, open, label } = ready;
         let (answer, _) = self.desk.ask(asked, identity).await;
         drop(open);
         upload.iter().for_each(Upload::answered);
-        match (answer, upload.and_then(|upload| upload.fault())) {
+        let mut response = match (answer, upload.and_then(|upload| upload.fault())) {
             // It came to nothing by its client's fault: that is what its client hears.
             (Answer::Refused(_) | Answer::Failed, Some(fault)) => own(self.words.unfit(&at_fault(fault))),
             (answer, _) => worded(answer, self.words),
-        }
+        };
+        tell(&mut response, label);
+        response
     }
 
     /// Reads a request, its body included where that does not stream.
@@ -261,6 +268,13 @@
     }
 }
 
+/// Names the version that an answer was given under.
+fn tell(response: &mut Response<AnswerBody>, label: Option<HeaderValue>) {
+    if let Some(label) = label {
+        response.headers_mut().insert(VERSION, label);
+    }
+}
+
 /// Lets a client that is writing a request finish it, at its pace; the answer ends the connection. `None`: it writes nothing.
 async fn written<T>(client: &Client, mut connection: Pin<&mut impl Future<Output = T>>) -> Option<T> {
     // What has just come may not have been looked at.
--- a/node/src/tier.rs
+++ b/node/src/tier.rs
@@ -1,13 +1,15 @@
 //! A balancer's part in its tier, as its file says, and what operators are told of it.
 
-use http_body_util::{BodyExt, Empty, Limited};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
 use hyper::header::HOST;
-use hyper::{Request, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use maplehook_config::Tier;
+use maplehook_agreement::grants::{CutOff, Times};
+use maplehook_config::{Agreement, Tier};
 use maplehook_link::{Member, Part, Secret, Status};
+use maplehook_quorum::{Agreeing, Setup};
 use maplehook_tier::{Program, Seen};
 use serde::{Deserialize, Serialize};
 use std::error::Error;
@@ -22,12 +24,41 @@
 /// Others that there may be links to at once, as far as descriptors are set aside for them.
 const LINKED: usize = 20;
 /// How long an operator waits for an answer, and the longest one.
-const ANSWER: Duration = Duration::from_secs(2);
+const ANSWER: Duration = Duration::from_secs(4);
 const ANSWER_MOST: usize = 4 << 20;
 
 /// Descriptors that it may hold.
 pub fn descriptors(tier: &Tier) -> usize {
-    DESCRIPTORS + 2 * tier.peers.len().min(LINKED)
+    // A voter may lead, and then all others call it.
+    let votes = tier.agreement.as_ref().is_some_and(|agreement| agreement.voters.contains(&tier.name));
+    let linked = if votes { tier.peers.len() } else { tier.peers.len().min(LINKED) };
+    DESCRIPTORS + 2 * linked
+}
+
+/// Begins to agree with the others, over what a member has to say; `file` is the balancer's own.
+pub fn agree(
+    tier: &Tier,
+    agreement: &Agreement,
+    file: String,
+    member: &mut Member,
+) -> Result<Agreeing, String> {
+    let talk = member.talk.take().ok_or("the tier's thread talks to somebody else")?;
+    let times = Times::new(agreement.contradiction).ok_or("agreement.contradiction_ms can't be kept")?;
+    let members = tier.peers.keys().chain([&tier.name]).cloned().collect();
+    let setup = Setup {
+        own: tier.name.clone(),
+        voters: agreement.voters.clone(),
+        members,
+        times,
+        cut_off: match agreement.when_cut_off {
+            maplehook_config::CutOff::Careful => CutOff::Careful,
+            maplehook_config::CutOff::Refuse => CutOff::Refuse,
+            maplehook_config::CutOff::WaitForAll => CutOff::WaitForAll,
+        },
+        directory: tier.state.as_ref().map(|state| state.join("agreement")),
+        file,
+    };
+    Agreeing::start(setup, talk)
 }
 
 /// Begins to take part.
@@ -190,25 +221,45 @@
     }
 }
 
-/// Asks a balancer's operators' address.
+/// An answer at an operators' address.
+pub struct Answered {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Asks a balancer's operators' address; another answer than 200 is an error.
 pub fn ask(address: SocketAddr, path: &str) -> Result<Bytes, Box<dyn Error>> {
+    let Answered { status, body } = ask_with(address, path, None)?;
+    if status == StatusCode::OK {
+        Ok(body)
+    } else {
+        Err(format!("{address}: {status}: {}", String::from_utf8_lossy(&body).trim()).into())
+    }
+}
+
+/// The same, with a body and its MAC.
+pub fn ask_with(
+    address: SocketAddr,
+    path: &str,
+    signed: Option<(&str, Vec<u8>)>,
+) -> Result<Answered, Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let asked = async {
         let stream = TcpStream::connect(address).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
         tokio::spawn(connection);
-        let request = Request::get(path).header(HOST, address.to_string()).body(Empty::<Bytes>::new())?;
-        let answer = sender.send_request(request).await?;
+        let mut request = Request::get(path).header(HOST, address.to_string());
+        let mut body = Vec::new();
+        if let Some((mac, sent)) = signed {
+            request = request.method(Method::POST).header(crate::wishes::MAC, mac);
+            body = sent;
+        }
+        let answer = sender.send_request(request.body(Full::new(Bytes::from(body)))?).await?;
         let status = answer.status();
         let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await?.to_bytes();
-        if status == StatusCode::OK {
-            Ok(body)
-        } else {
-            Err(Box::<dyn Error + Send + Sync>::from(format!(
-                "{status}: {}",
-                String::from_utf8_lossy(&body).trim()
-            )))
-        }
+        Ok::<_, Box<dyn Error + Send + Sync>>(Answered { status, body })
     };
     let answered = runtime.block_on(async { timeout(ANSWER, asked).await });
     let answered = answered.map_err(|_| format!("{address} does not answer"))?;
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -1,6 +1,11 @@
-//! One order for versions over a few voters.
+//! One order for versions over a few voters, and a balancer's part in it.
 //!
-//! [`voter`] is Raft by the `raft` crate over what the log comes to, [`store`] a voter's disk.
+//! [`voter`] is Raft by the `raft` crate over what the log comes to, [`store`] a voter's disk, [`talk`] what balancers say to one
+//! another, [`Agreeing`] the thread on which one takes part.
 
+mod run;
 pub mod store;
+pub mod talk;
 pub mod voter;
+
+pub use run::{Acting, Agreeing, Local, Setup, Wishes};
--- /dev/null
+++ b/quorum/src/run.rs
@@ -0,0 +1,983 @@
+//! The thread on which a balancer agrees with others on what they share.
+//!
+//! It has a lease renewed, hears of steps, and tells the thread that serves by what to act ([`Acting`]); that one says what it has
+//! come to act on, and only then do the others hear of it. A voter's part runs here too: its disk may be slow, and no request
+//! waits for it.
+
+use crate::store::{self, Store, Unfit};
+use crate::talk::{Op, Overview, RAFT, Reply, Say, Stands, VERSIONS};
+use crate::voter::{Ended, Voter, begins, id};
+use maplehook_agreement::grants::{CutOff, Grants, Times};
+use maplehook_agreement::holder::{Holder, Told};
+use maplehook_agreement::steps::{Command, Step, Steps, digest};
+use maplehook_agreement::strict::{careful, contradictions, strictest};
+use maplehook_config::Proxy;
+use maplehook_link::Talk;
+use maplehook_link::frames::Message;
+use maplehook_tier::Name;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Raft's tick.
+const TICK: Duration = Duration::from_millis(50);
+/// How often a voter without a log asks the others whether they have one.
+const FOUNDING: Duration = Duration::from_millis(300);
+/// How long a wish that was passed on, or a check, may take.
+const WISH: Duration = Duration::from_millis(1500);
+const CHECK: Duration = Duration::from_millis(800);
+/// Wishes that may be under way.
+const WISHES_MOST: usize = 64;
+
+/// Who agrees, and how.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// This balancer.
+    pub own: Name,
+    /// The voters.
+    pub voters: Vec<Name>,
+    /// All that there may be, this one among them.
+    pub members: BTreeSet<Name>,
+    /// The times.
+    pub times: Times,
+    /// What one does that has lost touch.
+    pub cut_off: CutOff,
+    /// Where a voter keeps its log.
+    pub directory: Option<PathBuf>,
+    /// This balancer's file.
+    pub file: String,
+}
+
+/// By what to act.
+#[derive(Clone, Debug)]
+pub struct Acting {
+    /// The epoch.
+    pub epoch: u64,
+    /// The version in force, or the two between which a change stands: `3`, `3-4`; `0` before the first.
+    pub label: String,
+    /// The rules, as long as the lease lasts.
+    pub rules: Arc<Proxy>,
+    /// Until when; `None`: for good.
+    pub until: Option<Instant>,
+    /// The rules after that; `None`: everything is refused.
+    pub careful: Option<Arc<Proxy>>,
+    /// There is no lease at all.
+    pub cut_off: bool,
+}
+
+/// How it stands here.
+#[derive(Clone, Debug)]
+pub struct Local {
+    /// The version in force here; 0 if none.
+    pub in_force: u64,
+    /// The epoch that is acted on.
+    pub epoch: u64,
+    /// The step.
+    pub step: Step,
+    /// The digest of the version in force, or of the own file before the first.
+    pub digest: String,
+    /// What is left of the lease.
+    pub lease_left: Option<Duration>,
+    /// Whether there is none.
+    pub careful: bool,
+    /// Whom it takes for the leader.
+    pub leader: Option<String>,
+    /// What is wrong with its part in votes, if anything is.
+    pub voter: Option<String>,
+}
+
+type Asked = (Op, oneshot::Sender<(Local, Reply)>);
+
+/// A balancer's part, on a thread of its own; it ends when this is dropped.
+pub struct Agreeing {
+    /// By what to act.
+    pub acting: watch::Receiver<Acting>,
+    /// What the thread that serves acts on.
+    pub applied: watch::Sender<u64>,
+    asks: mpsc::Sender<Asked>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Tells operators, and takes their wishes.
+#[derive(Clone)]
+pub struct Wishes(mpsc::Sender<Asked>);
+
+impl Wishes {
+    /// `None` where the thread does not answer.
+    pub async fn ask(&self, op: Op) -> Option<(Local, Reply)> {
+        let (reply, ended) = oneshot::channel();
+        self.0.try_send((op, reply)).ok()?;
+        ended.await.ok()
+    }
+}
+
+impl Agreeing {
+    /// Begins to agree. The file is known to be good.
+    pub fn start(setup: Setup, talk: Talk) -> Result<Self, String> {
+        let (shared, _) = maplehook_config::shared(&setup.file).map_err(|e| e.to_string())?;
+        let own = read(&setup.file, &shared)?;
+        let (acting_to, acting) = watch::channel(first(&own, setup.cut_off));
+        let (applied, applies) = watch::channel(0);
+        let (asks, asked) = mpsc::channel(32);
+        let (stop, stopped) = oneshot::channel();
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        let thread = std::thread::Builder::new()
+            .name("agreement".into())
+            .stack_size(1024 * 1024)
+            .spawn(move || {
+                let runner = Runner::new(setup, shared, own, talk.say, acting_to);
+                runtime.block_on(runner.run(talk.heard, applies, asked, stopped));
+            })
+            .map_err(|e| e.to_string())?;
+        Ok(Self { acting, applied, asks, stop: Some(stop), thread: Some(thread) })
+    }
+
+    /// By which operators ask.
+    pub fn wishes(&self) -> Wishes {
+        Wishes(self.asks.clone())
+    }
+}
+
+impl Drop for Agreeing {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// The rules of a file with this shared part.
+fn read(file: &str, shared: &str) -> Result<Arc<Proxy>, String> {
+    let whole = maplehook_config::with_shared(file, shared).map_err(|e| e.to_string())?;
+    let operator = maplehook_config::parse(&whole).map_err(|e| e.to_string())?;
+    operator.proxy.map(Arc::new).ok_or_else(|| "it names no class and no upstream".into())
+}
+
+/// Before anything was heard.
+fn first(own: &Arc<Proxy>, cut_off: CutOff) -> Acting {
+    let careful = (cut_off != CutOff::Refuse).then(|| Arc::new(careful(own)));
+    Acting { epoch: 0, label: "0".into(), rules: Arc::clone(own), until: None, careful, cut_off: true }
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Who is to hear how a wish ended.
+enum Wisher {
+    Here(oneshot::Sender<(Local, Reply)>),
+    There(Name, u64),
+    Nobody,
+}
+
+/// A voter's part.
+enum Part {
+    /// It does not vote.
+    None,
+    /// It has no log yet, and hears whether the others have.
+    Founding {
+        number: u64,
+        heard: BTreeMap<Name, u64>,
+        asked: Option<Instant>,
+    },
+    Voting {
+        voter: Box<Voter>,
+        store: Store,
+        grants: Option<Grants>,
+    },
+    /// It must not vote.
+    Out(String),
+}
+
+/// A proposal that the members look at.
+struct Checking {
+    op: Op,
+    wisher: Wisher,
+    waits: BTreeSet<Name>,
+    until: Instant,
+}
+
+/// What waits for the others' word that this voter leads.
+enum Reading {
+    Lease { from: Name, number: u64, epoch: u64, has: u64 },
+    Status(Wisher),
+}
+
+struct Runner {
+    setup: Setup,
+    /// The own file's shared part.
+    shared: String,
+    digest: String,
+    own: Arc<Proxy>,
+    say: mpsc::Sender<(Name, Message)>,
+    acting: watch::Sender<Acting>,
+    epoch: Instant,
+    holder: Holder,
+    applied: u64,
+    /// A step whose texts can't be acted on here is not acted on.
+    unfit: Option<String>,
+    leader: Option<Name>,
+    next_voter: usize,
+    part: Part,
+    readings: BTreeMap<u64, Reading>,
+    proposals: BTreeMap<u64, Wisher>,
+    passed_on: BTreeMap<u64, (Wisher, Instant)>,
+    checks: BTreeMap<u64, Checking>,
+    advancing: Option<u64>,
+    digests: BTreeMap<Name, (String, Instant)>,
+}
+
+impl Runner {
+    fn new(
+        setup: Setup,
+        shared: String,
+        own: Arc<Proxy>,
+        say: mpsc::Sender<(Name, Message)>,
+        acting: watch::Sender<Acting>,
+    ) -> Self {
+        let holder = Holder::new(setup.times, setup.cut_off);
+        let digest = digest(&shared);
+        let mut runner = Self {
+            setup,
+            shared,
+            digest,
+            own,
+            say,
+            acting,
+            epoch: Instant::now(),
+            holder,
+            applied: 0,
+            unfit: None,
+            leader: None,
+            next_voter: 0,
+            part: Part::None,
+            readings: BTreeMap::new(),
+            proposals: BTreeMap::new(),
+            passed_on: BTreeMap::new(),
+            checks: BTreeMap::new(),
+            advancing: None,
+            digests: BTreeMap::new(),
+        };
+        if runner.setup.voters.contains(&runner.setup.own) {
+            runner.open();
+        }
+        runner
+    }
+
+    /// Goes on as the voter that it was, or begins as one without a log.
+    fn open(&mut self) {
+        let Some(directory) = self.setup.directory.clone() else {
+            self.part = Part::Out("it has no directory".into());
+            return;
+        };
+        let opened = Store::open(&directory).and_then(|opened| match opened {
+            Some((store, kept)) => {
+                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
+                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
+            }
+            None => {
+                let number = store::founding(&directory, fastrand::u64(1..))?;
+                Ok(Part::Founding { number, heard: BTreeMap::new(), asked: None })
+            }
+        });
+        self.part = opened.unwrap_or_else(|e| {
+            tracing::error!("tier.state: {}: {e}", directory.display());
+            Part::Out(e.to_string())
+        });
+    }
+
+    fn now(&self) -> Duration {
+        self.epoch.elapsed()
+    }
+
+    async fn run(
+        mut self,
+        mut heard: mpsc::Receiver<(Name, Message)>,
+        mut applies: watch::Receiver<u64>,
+        mut asked: mpsc::Receiver<Asked>,
+        mut stopped: oneshot::Receiver<()>,
+    ) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = &mut stopped => return,
+                _ = tick.tick() => self.tick(),
+                said = heard.recv() => match said {
+                    Some((from, message)) => self.hear(&from, &message),
+                    // The tier's thread has ended.
+                    None => return,
+                },
+                changed = applies.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.applied = *applies.borrow_and_update();
+                    // The others wait to hear of it.
+                    self.ask_for_a_lease();
+                }
+                Some((op, reply)) = asked.recv() => self.wish(op, Wisher::Here(reply)),
+            }
+            self.settle();
+        }
+    }
+
+    fn tell(&self, to: &Name, say: &Say) {
+        if let Ok(body) = postcard::to_stdvec(say) {
+            // What does not fit is said again, or was not needed.
+            let _ = self.say.try_send((to.clone(), Message { topic: VERSIONS, body: body.into() }));
+        }
+    }
+
+    fn others(&self) -> impl Iterator<Item = Name> {
+        let own = self.setup.own.clone();
+        self.setup.voters.clone().into_iter().filter(move |name| *name != own)
+    }
+
+    fn tick(&mut self) {
+        if let Part::Voting { voter, .. } = &mut self.part {
+            voter.tick();
+        }
+        self.found();
+        if self.now() >= self.holder.renews() {
+            self.ask_for_a_lease();
+        }
+        let now = Instant::now();
+        let over: Vec<u64> = self
+            .passed_on
+            .iter()
+            .filter(|(_, (_, until))| *until <= now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in over {
+            if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
+                self.end(
+                    wisher,
+                    Reply::Unavailable("the leader does not answer; it may be done or not".into()),
+                );
+            }
+        }
+        let over: Vec<u64> =
+            self.checks.iter().filter(|(_, check)| check.until <= now).map(|(ticket, _)| *ticket).collect();
+        for ticket in over {
+            if let Some(check) = self.checks.remove(&ticket) {
+                // Whoever holds a lease and does not answer may be one that can't act on it.
+                let names: Vec<String> = check.waits.iter().map(ToString::to_string).collect();
+                let why = format!("{} did not say whether it can act on this", names.join(", "));
+                self.end(check.wisher, Reply::Unavailable(why));
+            }
+        }
+        self.lead();
+    }
+
+    /// A voter without a log begins one when all others have none either.
+    fn found(&mut self) {
+        let Part::Founding { number, asked, heard } = &mut self.part else { return };
+        let (number, heard) = (*number, heard.clone());
+        let due = asked.is_none_or(|at| at.elapsed() >= FOUNDING);
+        if due {
+            *asked = Some(Instant::now());
+            let say = Say::Founding { number: Some(number), founded: Vec::new(), asks: true };
+            for other in self.others().collect::<Vec<_>>() {
+                self.tell(&other, &say);
+            }
+        }
+        if heard.len() + 1 == self.setup.voters.len() {
+            let mut founded: Vec<(String, u64)> = heard.iter().map(|(n, k)| (n.to_string(), *k)).collect();
+            founded.push((self.setup.own.to_string(), number));
+            self.begin(&founded);
+        }
+    }
+
+    fn begin(&mut self, founded: &[(String, u64)]) {
+        let Some(directory) = self.setup.directory.clone() else { return };
+        let snapshot = begins(&self.setup.voters);
+        let begun = store::keep_founders(&directory, founded)
+            .and_then(|()| Store::create(&directory, &snapshot))
+            .and_then(|store| {
+                let kept = store::Kept::beginning(&snapshot);
+                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
+                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
+            });
+        self.part = begun.unwrap_or_else(|e| {
+            tracing::error!("tier.state: {}: {e}", directory.display());
+            Part::Out(e.to_string())
+        });
+        if matches!(self.part, Part::Voting { .. }) {
+            tracing::info!("the voters have found one another: versions can be agreed on");
+        }
+    }
+
+    fn founding(&mut self, from: &Name, number: Option<u64>, founded: &[(String, u64)], asks: bool) {
+        if asks {
+            let directory = self.setup.directory.clone();
+            let say = match &self.part {
+                Part::Founding { number, .. } => {
+                    Say::Founding { number: Some(*number), founded: Vec::new(), asks: false }
+                }
+                Part::Voting { .. } => {
+                    let founded = directory.map(|place| store::founders(&place)).unwrap_or_default();
+                    Say::Founding { number: None, founded, asks: false }
+                }
+                _ => return,
+            };
+            self.tell(from, &say);
+        }
+        let Part::Founding { number: ours, heard, .. } = &mut self.part else { return };
+        match number {
+            Some(number) => drop(heard.insert(from.clone(), number)),
+            // It has a log. If that began with us, it is ours too; else we had one and have lost it.
+            None => {
+                let own = self.setup.own.as_str();
+                if founded.iter().any(|(name, number)| name == own && number == ours) {
+                    self.begin(founded);
+                } else if !asks {
+                    let why = "the other voters have a log that began with another one of this name: this voter's is lost";
+                    tracing::error!("{why}; it votes no more");
+                    self.part = Part::Out(why.into());
+                }
+            }
+        }
+    }
+
+    /// Asks whoever leads for a lease. The clock is read before anything is said.
+    fn ask_for_a_lease(&mut self) {
+        let now = self.now();
+        let number = self.holder.ask(now);
+        if let Part::Voting { voter, .. } = &self.part
+            && voter.leads()
+        {
+            self.asked(
+                &self.setup.own.clone(),
+                number,
+                self.applied,
+                self.holder.epoch(),
+                self.digest.clone(),
+            );
+            return;
+        }
+        let to = match &self.leader {
+            Some(leader) => leader.clone(),
+            None => {
+                let others: Vec<Name> = self.others().collect();
+                self.next_voter = self.next_voter.wrapping_add(1);
+                let Some(to) = others.get(self.next_voter % others.len().max(1)) else { return };
+                to.clone()
+            }
+        };
+        // It is asked again elsewhere if nothing comes of it.
+        if self.holder.until().is_none_or(|until| until < now) {
+            self.leader = None;
+        }
+        let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
+        self.tell(&to, &Say::Ask { number, epoch, has, digest });
+    }
+
+    /// A member asks this voter for a lease.
+    fn asked(&mut self, from: &Name, number: u64, epoch: u64, has: u64, digest: String) {
+        let Part::Voting { voter, .. } = &mut self.part else {
+            self.tell(from, &Say::Elsewhere { leader: None });
+            return;
+        };
+        if !voter.knows() {
+            let leader = voter.leader().filter(|leader| **leader != self.setup.own).map(ToString::to_string);
+            self.tell(from, &Say::Elsewhere { leader });
+            return;
+        }
+        let ticket = fastrand::u64(..);
+        if voter.read(ticket) {
+            self.readings.insert(ticket, Reading::Lease { from: from.clone(), number, epoch, has });
+        }
+        self.digests.insert(from.clone(), (digest, Instant::now()));
+    }
+
+    fn hear(&mut self, from: &Name, message: &Message) {
+        if message.topic == RAFT {
+            if let Part::Voting { voter, .. } = &mut self.part
+                && !voter.step(from, &message.body)
+            {
+                tracing::debug!(%from, "a message of a voter makes no sense");
+            }
+            return;
+        }
+        let Ok(say) = postcard::from_bytes::<Say>(&message.body) else {
+            tracing::debug!(%from, "a message on versions can't be read");
+            return;
+        };
+        match say {
+            Say::Ask { number, epoch, has, digest } => self.asked(from, number, epoch, has, digest),
+            Say::Grant { number, epoch, told } => {
+                self.leader = Some(from.clone());
+                self.granted(number, epoch, told.map(Told::from));
+            }
+            Say::Elsewhere { leader } => {
+                self.leader =
+                    leader.and_then(|name| Name::new(&name)).filter(|name| self.setup.members.contains(name));
+            }
+            Say::Wish { ticket, op } => self.wish(op, Wisher::There(from.clone(), ticket)),
+            Say::End { ticket, reply } => {
+                if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
+                    self.end(wisher, reply);
+                }
+            }
+            Say::Check { ticket, text } => {
+                let fault = self.fits(&text).err();
+                self.tell(from, &Say::Checked { ticket, fault });
+            }
+            Say::Checked { ticket, fault } => self.checked(from, ticket, fault),
+            Say::Founding { number, founded, asks } => self.founding(from, number, &founded, asks),
+        }
+    }
+
+    /// Whether this text could be acted on here.
+    fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
+        let rules = read(&self.setup.file, text)?;
+        let present = &self.acting.borrow().rules;
+        if rules.tenants.first() != present.tenants.first() {
+            return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
+        }
+        if self.own.eureka.is_some() && rules.upstreams != self.own.upstreams {
+            return Err("upstream: beside [eureka] those of the file stay as they are".into());
+        }
+        Ok(rules)
+    }
+
+    fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
+        if self.holder.granted(number, epoch, told) {
+            self.unfit = None;
+        }
+        let Some(told) = self.holder.told().cloned() else { return };
+        if told.step == Step::Unsettled {
+            return;
+        }
+        let until = match self.setup.cut_off {
+            CutOff::WaitForAll => None,
+            _ => self.holder.until().map(|until| self.epoch + until),
+        };
+        let news = self.acting.borrow().epoch != told.epoch;
+        if !news {
+            self.acting.send_modify(|acting| acting.until = until);
+            return;
+        }
+        if self.unfit.is_some() {
+            return;
+        }
+        match self.rules(&told) {
+            Ok((rules, label)) => {
+                let careful = (self.setup.cut_off != CutOff::Refuse).then(|| Arc::new(careful(&rules)));
+                tracing::info!(version = label, epoch = told.epoch, step = %told.step, "acts on another step");
+                self.acting.send_replace(Acting {
+                    epoch: told.epoch,
+                    label,
+                    rules,
+                    until,
+                    careful,
+                    cut_off: false,
+                });
+            }
+            Err(e) => {
+                tracing::error!("the version that was agreed on can't be acted on here: {e}");
+                self.unfit = Some(e);
+            }
+        }
+    }
+
+    /// What a step comes to here.
+    fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
+        let of = |number: u64| {
+            let version = told.versions.iter().find(|version| version.number == number);
+            let version = version.ok_or_else(|| format!("version {number} was not told"))?;
+            read(&self.setup.file, &version.text)
+        };
+        match told.step {
+            Step::Unsettled => Err("nothing is agreed".into()),
+            Step::Settled(number) => Ok((of(number)?, number.to_string())),
+            Step::Strictest { from, to } => {
+                let (old, new) = (of(from)?, of(to)?);
+                for what in contradictions(&old, &new) {
+                    tracing::info!(from, to, "the strictest reading holds: {what}");
+                }
+                Ok((Arc::new(strictest(&old, &new)), format!("{from}-{to}")))
+            }
+        }
+    }
+
+    /// Does what a leader does: the first version, the next step.
+    fn lead(&mut self) {
+        let now = self.now();
+        let Part::Voting { voter, grants, .. } = &mut self.part else { return };
+        if !voter.knows() {
+            return;
+        }
+        let Some(grants) = grants else { return };
+        let steps = voter.steps();
+        let command = match steps.step {
+            Step::Unsettled => {
+                let fresh = self.setup.times.lease;
+                let heard: BTreeMap<&Name, &String> = self
+                    .digests
+                    .iter()
+                    .filter(|(_, (_, at))| at.elapsed() < fresh)
+                    .map(|(name, (digest, _))| (name, digest))
+                    .collect();
+                let same = heard.values().all(|digest| **digest == self.digest);
+                if !same || heard.len() < self.setup.members.len() {
+                    return;
+                }
+                let (text, by) = (self.shared.clone(), self.setup.own.to_string());
+                Command::Propose { epoch: steps.epoch, expect: None, text, by, at_ms: unix_ms() }
+            }
+            Step::Strictest { .. } if grants.waits(now, steps).is_empty() => {
+                Command::Advance { epoch: steps.epoch }
+            }
+            _ => return,
+        };
+        if self.advancing.is_some() {
+            return;
+        }
+        let ticket = fastrand::u64(..);
+        if voter.propose(ticket, &command) {
+            self.advancing = Some(ticket);
+            self.proposals.insert(ticket, Wisher::Nobody);
+        }
+    }
+
+    /// An operator wants something.
+    fn wish(&mut self, op: Op, wisher: Wisher) {
+        let knows = matches!(&self.part, Part::Voting { voter, .. } if voter.knows());
+        if knows {
+            self.at_the_leader(op, wisher);
+            return;
+        }
+        let leader = match &self.part {
+            Part::Voting { voter, .. } => voter.leader().cloned(),
+            _ => self.leader.clone(),
+        };
+        match (leader.filter(|leader| *leader != self.setup.own), wisher) {
+            (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
+                let ticket = fastrand::u64(..);
+                self.passed_on.insert(ticket, (Wisher::Here(reply), Instant::now() + WISH));
+                self.tell(&leader, &Say::Wish { ticket, op });
+            }
+            (_, wisher) => {
+                let why = "nobody leads: a majority of the voters can't be reached from here";
+                self.end(wisher, Reply::Unavailable(why.into()));
+            }
+        }
+    }
+
+    fn at_the_leader(&mut self, op: Op, wisher: Wisher) {
+        let now = self.now();
+        let ticket = fastrand::u64(..);
+        let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else {
+            self.end(wisher, Reply::Unavailable("the leader has just begun".into()));
+            return;
+        };
+        let steps = voter.steps().clone();
+        match op {
+            Op::Status => {
+                if voter.read(ticket) {
+                    self.readings.insert(ticket, Reading::Status(wisher));
+                } else {
+                    self.end(wisher, Reply::Unavailable("the leader is busy".into()));
+                }
+            }
+            Op::History => {
+                let without = |version: &maplehook_agreement::steps::Version| {
+                    maplehook_agreement::steps::Version { text: String::new(), ..version.clone() }
+                };
+                self.end(wisher, Reply::Versions(steps.versions.iter().map(without).collect()));
+            }
+            Op::Show { number } => {
+                let reply = match steps.version(number) {
+                    Some(version) => Reply::Versions(vec![version.clone()]),
+                    None => Reply::Refused(format!("there is no version {number}, or no more")),
+                };
+                self.end(wisher, reply);
+            }
+            Op::Forget { name } => {
+                if Name::new(&name).is_none_or(|name| !self.setup.members.contains(&name)) {
+                    self.end(wisher, Reply::Refused(format!("there is no member {name:?}")));
+                    return;
+                }
+                self.put(Command::Forget { name }, wisher);
+            }
+            Op::Undo => match steps.step {
+                Step::Strictest { .. } => self.put(Command::Undo { epoch: steps.epoch }, wisher),
+                Step::Settled(number) => {
+                    let before = steps.versions.iter().rev().find(|v| v.number < number && !v.undone);
+                    match before {
+                        Some(before) => {
+                            let text = before.text.clone();
+                            self.at_the_leader(Op::Propose { text, expect: Some(number) }, wisher);
+                        }
+                        None => self.end(wisher, Reply::Refused("there is no version before".into())),
+                    }
+                }
+                Step::Unsettled => self.end(wisher, Reply::Refused("nothing is agreed yet".into())),
+            },
+            Op::Propose { text, expect } => {
+                let waits = grants.waits(now, &steps);
+                if let Err(e) = self.fits(&text) {
+                    self.end(wisher, Reply::Refused(format!("{}: {e}", self.setup.own)));
+                    return;
+                }
+                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
+                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
+                if !same && steps.step != Step::Unsettled && !waits.is_empty() {
+                    let names: Vec<String> = waits.iter().map(|w| w.name.to_string()).collect();
+                    let why = format!("the last step is not everywhere yet: {}", names.join(", "));
+                    self.end(wisher, Reply::Unavailable(why));
+                    return;
+                }
+                // Whoever holds a lease has to be able to act on it.
+                let own = self.setup.own.clone();
+                let asked: BTreeSet<Name> = self
+                    .digests
+                    .iter()
+                    .filter(|(name, (_, at))| **name != own && at.elapsed() < self.setup.times.lease)
+                    .map(|(name, _)| name.clone())
+                    .collect();
+                for name in &asked {
+                    self.tell(name, &Say::Check { ticket, text: text.clone() });
+                }
+                let check = Checking {
+                    op: Op::Propose { text, expect },
+                    wisher,
+                    waits: asked,
+                    until: Instant::now() + CHECK,
+                };
+                self.checks.insert(ticket, check);
+                self.all_checked(ticket);
+            }
+        }
+    }
+
+    fn checked(&mut self, from: &Name, ticket: u64, fault: Option<String>) {
+        let Some(check) = self.checks.get_mut(&ticket) else { return };
+        match fault {
+            None => drop(check.waits.remove(from)),
+            Some(fault) => {
+                if let Some(check) = self.checks.remove(&ticket) {
+                    self.end(check.wisher, Reply::Refused(format!("{from}: {fault}")));
+                }
+                return;
+            }
+        }
+        self.all_checked(ticket);
+    }
+
+    fn all_checked(&mut self, ticket: u64) {
+        if self.checks.get(&ticket).is_none_or(|check| !check.waits.is_empty()) {
+            return;
+        }
+        let Some(Checking { op: Op::Propose { text, expect }, wisher, .. }) = self.checks.remove(&ticket)
+        else {
+            return;
+        };
+        let Part::Voting { voter, .. } = &self.part else {
+            self.end(wisher, Reply::Unavailable("this voter leads no more".into()));
+            return;
+        };
+        let by = match &wisher {
+            Wisher::There(name, _) => name.to_string(),
+            _ => self.setup.own.to_string(),
+        };
+        let epoch = voter.steps().epoch;
+        self.put(Command::Propose { epoch, expect, text, by, at_ms: unix_ms() }, wisher);
+    }
+
+    fn put(&mut self, command: Command, wisher: Wisher) {
+        let ticket = fastrand::u64(..);
+        let put = match &mut self.part {
+            Part::Voting { voter, .. } => voter.propose(ticket, &command),
+            _ => false,
+        };
+        if put {
+            self.proposals.insert(ticket, wisher);
+        } else {
+            self.end(wisher, Reply::Unavailable("this voter leads no more, or is busy".into()));
+        }
+    }
+
+    fn end(&self, wisher: Wisher, reply: Reply) {
+        match wisher {
+            // It may have given up.
+            Wisher::Here(to) => drop(to.send((self.local(), reply))),
+            Wisher::There(name, ticket) => self.tell(&name, &Say::End { ticket, reply }),
+            Wisher::Nobody => {}
+        }
+    }
+
+    /// Does what follows from what has come.
+    fn settle(&mut self) {
+        let Part::Voting { voter, store, grants } = &mut self.part else { return };
+        let settled = voter.settle(&mut |batch| store.write(batch));
+        let (leads, steps) = (voter.leads(), voter.steps().clone());
+        let settled = match settled {
+            Ok(settled) => settled,
+            Err(e) => {
+                tracing::error!(
+                    "this voter's log can't be written: {e}; it takes no part in votes until its next start"
+                );
+                self.part = Part::Out(e.to_string());
+                self.advancing = None;
+                self.readings.clear();
+                for (_, wisher) in std::mem::take(&mut self.proposals) {
+                    self.end(
+                        wisher,
+                        Reply::Unavailable("this voter's disk fails; it may be done or not".into()),
+                    );
+                }
+                return;
+            }
+        };
+        if settled.turned {
+            let now = self.epoch.elapsed();
+            *grants = leads
+                .then(|| Grants::new(self.setup.times, self.setup.cut_off, self.setup.members.clone(), now));
+            self.digests.clear();
+            self.advancing = None;
+            tracing::info!(leads, "leads the voters, or no more");
+            let readings = std::mem::take(&mut self.readings);
+            for reading in readings.into_values() {
+                if let Reading::Status(wisher) = reading {
+                    self.end(wisher, Reply::Unavailable("the leader has changed".into()));
+                }
+            }
+            let checks = std::mem::take(&mut self.checks);
+            for check in checks.into_values() {
+                self.end(check.wisher, Reply::Unavailable("the leader has changed".into()));
+            }
+        }
+        for (to, bytes) in settled.messages {
+            let name = self.setup.voters.iter().find(|name| id(name) == to);
+            if let Some(name) = name {
+                // What is lost Raft says again.
+                let _ = self.say.try_send((name.clone(), Message { topic: RAFT, body: bytes.into() }));
+            }
+        }
+        for ticket in settled.confirmed {
+            self.confirmed(ticket, &steps);
+        }
+        for (ticket, ended) in settled.ended {
+            if self.advancing == Some(ticket) {
+                self.advancing = None;
+            }
+            let Some(wisher) = self.proposals.remove(&ticket) else { continue };
+            let reply = match ended {
+                Ended::Played(Ok(number)) => Reply::Done(number),
+                Ended::Played(Err(refused)) => Reply::Refused(refused.to_string()),
+                Ended::Unknown => Reply::Unavailable("the leader has changed; it may be done or not".into()),
+            };
+            self.end(wisher, reply);
+        }
+    }
+
+    /// The others say that this voter led after this was asked.
+    fn confirmed(&mut self, ticket: u64, steps: &Steps) {
+        let now = self.now();
+        match self.readings.remove(&ticket) {
+            Some(Reading::Lease { from, number, epoch, has }) => {
+                let Part::Voting { grants: Some(grants), .. } = &mut self.part else { return };
+                if !grants.grant(now, &from, epoch) {
+                    return;
+                }
+                let told = (has != steps.epoch).then(|| Told::of(steps));
+                if from == self.setup.own {
+                    self.granted(number, steps.epoch, told);
+                } else {
+                    let told = told.map(Into::into);
+                    self.tell(&from, &Say::Grant { number, epoch: steps.epoch, told });
+                }
+            }
+            Some(Reading::Status(wisher)) => {
+                let overview = self.overview(steps);
+                self.end(wisher, Reply::Overview(overview));
+            }
+            None => {}
+        }
+    }
+
+    fn overview(&self, steps: &Steps) -> Overview {
+        let now = self.now();
+        let (mut members, mut differ) = (Vec::new(), BTreeMap::<String, Vec<String>>::new());
+        if let Part::Voting { grants: Some(grants), .. } = &self.part {
+            let epochs: BTreeMap<&Name, u64> = grants.heard().collect();
+            let waits = grants.waits(now, steps);
+            for name in &self.setup.members {
+                let waits = waits.iter().find(|waits| waits.name == *name);
+                let most = waits.and_then(|waits| waits.most);
+                members.push(Stands {
+                    name: name.to_string(),
+                    epoch: epochs.get(name).copied(),
+                    waits_ms: most.map(|most| u64::try_from(most.as_millis()).unwrap_or(u64::MAX)),
+                    waits: waits.is_some(),
+                });
+            }
+        }
+        if steps.step == Step::Unsettled {
+            for (name, (digest, _)) in &self.digests {
+                differ.entry(digest.clone()).or_default().push(name.to_string());
+            }
+        }
+        let digest =
+            steps.version(steps.in_force()).map(|version| version.digest.clone()).unwrap_or_default();
+        let differ = differ.into_iter().collect();
+        Overview { epoch: steps.epoch, step: steps.step, digest, members, differ }
+    }
+
+    fn local(&self) -> Local {
+        let now = self.now();
+        let told = self.holder.told();
+        let step = told.map_or(Step::Unsettled, |told| told.step);
+        let in_force = match step {
+            Step::Unsettled => 0,
+            Step::Settled(number) | Step::Strictest { from: number, .. } => number,
+        };
+        let digest = told
+            .and_then(|told| told.versions.iter().find(|version| version.number == in_force))
+            .map_or_else(|| self.digest.clone(), |version| version.digest.clone());
+        let lease_left = self.holder.until().and_then(|until| until.checked_sub(now));
+        let leads = matches!(&self.part, Part::Voting { voter, .. } if voter.leads());
+        let leader = match &self.part {
+            Part::Voting { voter, .. } => voter.leader().cloned(),
+            _ => self.leader.clone(),
+        };
+        let voter = match &self.part {
+            Part::Out(why) => Some(why.clone()),
+            Part::Founding { heard, .. } => {
+                let missing = self.others().filter(|name| !heard.contains_key(name));
+                let names: Vec<String> = missing.map(|name| name.to_string()).collect();
+                Some(format!("the first start waits for all voters; missing: {}", names.join(", ")))
+            }
+            _ => None,
+        };
+        let careful = match self.setup.cut_off {
+            CutOff::WaitForAll => in_force == 0,
+            _ => in_force == 0 || lease_left.is_none(),
+        };
+        Local {
+            in_force,
+            epoch: self.applied,
+            step,
+            digest,
+            lease_left,
+            careful,
+            leader: if leads {
+                Some(self.setup.own.to_string())
+            } else {
+                leader.map(|name| name.to_string())
+            },
+            voter: voter.or_else(|| self.unfit.clone()),
+        }
+    }
+}
--- a/quorum/src/store.rs
+++ b/quorum/src/store.rs
@@ -20,6 +20,7 @@
 const NAME: &str = "log.redb";
 const HAD: &str = "has-voted";
 const FOUNDING: &str = "founding";
+const FOUNDERS: &str = "founders";
 
 /// Why a store can't be used.
 #[derive(Debug)]
@@ -99,6 +100,31 @@
     }
 }
 
+impl Kept {
+    /// That of a log that begins with this.
+    pub fn beginning(snapshot: &Snapshot) -> Self {
+        let metadata = snapshot.get_metadata();
+        let hard = HardState { term: metadata.term, commit: metadata.index, ..HardState::default() };
+        Self { hard, snapshot: snapshot.clone(), entries: Vec::new() }
+    }
+}
+
+/// Keeps with whom this voter's log began, by the numbers that they went by.
+pub fn keep_founders(directory: &Path, founded: &[(String, u64)]) -> Result<(), Unfit> {
+    let lines: String = founded.iter().map(|(name, number)| format!("{name} {number}\n")).collect();
+    put(&directory.join(FOUNDERS), lines.as_bytes()).map_err(broken)
+}
+
+/// With whom it began; nobody where that can't be read.
+pub fn founders(directory: &Path) -> Vec<(String, u64)> {
+    let text = fs::read_to_string(directory.join(FOUNDERS)).unwrap_or_default();
+    let line = |line: &str| {
+        let (name, number) = line.split_once(' ')?;
+        Some((name.to_owned(), number.parse().ok()?))
+    };
+    text.lines().filter_map(line).collect()
+}
+
 impl Store {
     /// Opens the one that is there; `None` where there never was one.
     pub fn open(directory: &Path) -> Result<Option<(Self, Kept)>, Unfit> {
@@ -127,8 +153,7 @@
         let database =
             Database::create(&path).map_err(|e| Unfit::Broken(format!("{}: {e}", path.display())))?;
         let store = Self { database };
-        let metadata = begins.get_metadata();
-        let hard = HardState { term: metadata.term, commit: metadata.index, ..HardState::default() };
+        let Kept { hard, .. } = Kept::beginning(begins);
         store.write(&Batch { hard: Some(&hard), snapshot: Some(begins), entries: &[] })?;
         // Only now may it vote.
         put(&directory.join(HAD), b"1\n").map_err(broken)?;
--- /dev/null
+++ b/quorum/src/talk.rs
@@ -0,0 +1,171 @@
+//! What balancers say to one another of versions.
+
+use maplehook_agreement::holder::Told;
+use maplehook_agreement::steps::{Step, Version};
+use serde::{Deserialize, Serialize};
+
+/// The topics, on links.
+pub const RAFT: u8 = 2;
+/// Everything but Raft's own messages.
+pub const VERSIONS: u8 = 3;
+
+/// A step with its texts, as it is told.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Telling {
+    /// Its epoch.
+    pub epoch: u64,
+    /// The step.
+    pub step: Step,
+    /// The versions that it names.
+    pub versions: Vec<Version>,
+}
+
+impl From<Told> for Telling {
+    fn from(Told { epoch, step, versions }: Told) -> Self {
+        Self { epoch, step, versions }
+    }
+}
+
+impl From<Telling> for Told {
+    fn from(Telling { epoch, step, versions }: Telling) -> Self {
+        Self { epoch, step, versions }
+    }
+}
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Op {
+    /// How it stands.
+    Status,
+    /// A new version.
+    Propose {
+        /// Its shared text.
+        text: String,
+        /// The version that has to be in force.
+        expect: Option<u64>,
+    },
+    /// The change that is under way is taken back; of none, the version before is proposed again.
+    Undo,
+    /// A member is not waited for.
+    Forget {
+        /// Whom.
+        name: String,
+    },
+    /// A version's text.
+    Show {
+        /// Its number.
+        number: u64,
+    },
+    /// All versions that are kept.
+    History,
+}
+
+/// A member, and the epoch that it acts on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stands {
+    /// Its name.
+    pub name: String,
+    /// The epoch that it last said it acts on; none if it was not heard of.
+    pub epoch: Option<u64>,
+    /// Whether the present step is still waited for at it, and for how long at the most.
+    pub waits_ms: Option<u64>,
+    /// Whether it is waited for.
+    pub waits: bool,
+}
+
+/// How it stands, by the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Overview {
+    /// The epoch.
+    pub epoch: u64,
+    /// The step.
+    pub step: Step,
+    /// The digest of what is in force.
+    pub digest: String,
+    /// The members.
+    pub members: Vec<Stands>,
+    /// Members whose files differ, before the first version: names, by digest.
+    pub differ: Vec<(String, Vec<String>)>,
+}
+
+/// The end of an operator's wish.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// How it stands.
+    Overview(Overview),
+    /// It is done; the version that it concerns.
+    Done(u64),
+    /// It is not done, and why; asking again is of no use.
+    Refused(String),
+    /// It is not done, or nobody knows; asking again is harmless.
+    Unavailable(String),
+    /// Versions, those of `History` without their texts.
+    Versions(Vec<Version>),
+}
+
+/// What is said.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Say {
+    /// A member asks for a lease.
+    Ask {
+        /// The request's number.
+        number: u64,
+        /// The epoch that it acts on.
+        epoch: u64,
+        /// The epoch whose texts it has.
+        has: u64,
+        /// The digest of its own file's shared part.
+        digest: String,
+    },
+    /// It is granted.
+    Grant {
+        /// The request's number.
+        number: u64,
+        /// The epoch.
+        epoch: u64,
+        /// The step, where the member has not got it.
+        told: Option<Telling>,
+    },
+    /// Somebody else leads.
+    Elsewhere {
+        /// Whom this voter takes for the leader.
+        leader: Option<String>,
+    },
+    /// An operator's wish, passed on.
+    Wish {
+        /// By which its end is known.
+        ticket: u64,
+        /// What.
+        op: Op,
+    },
+    /// Its end.
+    End {
+        /// Which.
+        ticket: u64,
+        /// How.
+        reply: Reply,
+    },
+    /// Can this be acted on?
+    Check {
+        /// By which the answer is known.
+        ticket: u64,
+        /// The shared text.
+        text: String,
+    },
+    /// It can, or can't for this reason.
+    Checked {
+        /// Which.
+        ticket: u64,
+        /// Why not.
+        fault: Option<String>,
+    },
+    /// A voter without a log says so, by a number of its own, and asks the others.
+    Founding {
+        /// The number; none if it has a log.
+        number: Option<u64>,
+        /// Of one that has a log: with whom it was founded.
+        founded: Vec<(String, u64)>,
+        /// Whether an answer is wanted.
+        asks: bool,
+    },
+}
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -138,7 +138,7 @@
         match what {
             What::Drains { upstream } => drop(drained.entry(*upstream).or_insert(*at)),
             What::Healed => healed = Some(*at),
-            What::Attempt { id, upstream, balancer } => {
+            What::Attempt { id, upstream, balancer, .. } => {
                 if let (Some(since), Some(healed)) = (drained.get(upstream), healed)
                     && *at > (*since).max(healed) + promised.drain
                 {
@@ -260,6 +260,56 @@
     breaches
 }
 
+/// The versions within whose rules whoever bears this label stays; `None`: it is careful, and within all.
+fn keeps(label: &str) -> Option<Vec<u64>> {
+    let (numbers, careful) = label.split_once(';').map_or((label, false), |(numbers, _)| (numbers, true));
+    (!careful && numbers != "0")
+        .then(|| numbers.split('-').filter_map(|number| number.parse().ok()).collect())
+}
+
+/// The longest time for which two balancers acted on rules that contradict each other, as upstreams saw it from first
+/// attempts; a request's later ones are bound by what came meanwhile, whatever it is labelled.
+pub fn longest_contradiction(history: &[Entry]) -> (Duration, String) {
+    let mut first: BTreeSet<&str> = BTreeSet::new();
+    // Spans in which a balancer bore a label, the last of each still open.
+    let mut spans: BTreeMap<usize, Vec<(Duration, Duration, &str)>> = BTreeMap::new();
+    for Entry { at, what } in history {
+        let What::Attempt { id, balancer: Some(balancer), version: Some(version), .. } = what else {
+            continue;
+        };
+        if !first.insert(id) {
+            continue;
+        }
+        let of = spans.entry(*balancer).or_default();
+        match of.last_mut() {
+            Some((_, until, label)) if label == version => *until = *at,
+            _ => of.push((*at, *at, version)),
+        }
+    }
+    let mut longest = (Duration::ZERO, String::new());
+    for (a, of_a) in &spans {
+        for (b, of_b) in spans.range(a + 1..) {
+            for (from, until, label) in of_a {
+                for (from_b, until_b, label_b) in of_b {
+                    let (Some(ours), Some(theirs)) = (keeps(label), keeps(label_b)) else { continue };
+                    if ours.iter().any(|number| theirs.contains(number)) {
+                        continue;
+                    }
+                    let both = (*until.min(until_b)).saturating_sub(*from.max(from_b));
+                    if both > longest.0 {
+                        let from = (*from).max(*from_b);
+                        longest = (
+                            both,
+                            format!("{} on {label} and {} on {label_b} from {from:?}", name(*a), name(*b)),
+                        );
+                    }
+                }
+            }
+        }
+    }
+    longest
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -339,7 +389,8 @@
 
     #[test]
     fn drained_upstreams_get_nothing_new() {
-        let attempt = |ms| entry(ms, What::Attempt { id: "a".into(), upstream: 3, balancer: Some(1) });
+        let attempt =
+            |ms| entry(ms, What::Attempt { id: "a".into(), upstream: 3, balancer: Some(1), version: None });
         let (drains, healed) = (entry(100, What::Drains { upstream: 3 }), entry(50, What::Healed));
         let end = entry(20_000, What::End);
         assert!(rules(&[healed.clone(), attempt(90), drains.clone(), attempt(1000), end.clone()]).is_empty());
@@ -379,6 +430,30 @@
         assert_eq!(rules(&history(&[dead(200), dead(5000), dead(6000)])), ["nobody alive is dead"]);
     }
 
+    #[test]
+    fn contradictions_are_measured_from_first_attempts() {
+        let attempt = |ms, balancer, id: &str, label: &str| {
+            let (id, version) = (id.to_owned(), Some(label.to_owned()));
+            entry(ms, What::Attempt { id, upstream: 0, balancer: Some(balancer), version })
+        };
+        let of = |entries: &[Entry]| longest_contradiction(entries).0.as_millis();
+        let old = [attempt(0, 0, "a", "1"), attempt(900, 0, "b", "1")];
+        assert_eq!(of(&[&old[..], &[attempt(100, 1, "c", "1-2"), attempt(800, 1, "d", "1-2")]].concat()), 0);
+        assert_eq!(of(&[&old[..], &[attempt(100, 1, "c", "2"), attempt(800, 1, "d", "2")]].concat()), 700);
+        assert_eq!(
+            of(&[&old[..], &[attempt(100, 1, "c", "2;careful"), attempt(800, 1, "d", "2;careful")]].concat()),
+            0
+        );
+        // A repeat of what came long ago is labelled as it came.
+        let repeat = [
+            attempt(0, 0, "a", "1"),
+            attempt(100, 1, "c", "2"),
+            attempt(800, 1, "d", "2"),
+            attempt(900, 0, "a", "1"),
+        ];
+        assert_eq!(of(&repeat), 0);
+    }
+
     #[test]
     fn starts_only_rise() {
         let shown = |ms, start| shows(ms, 0, 1, &[("b1", 1, "alive"), ("b2", start, "alive")]);
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -37,7 +37,7 @@
     /// It got this.
     Got { id: String, got: Got },
     /// An upstream got an attempt, from a balancer.
-    Attempt { id: String, upstream: usize, balancer: Option<usize> },
+    Attempt { id: String, upstream: usize, balancer: Option<usize>, version: Option<String> },
     /// It ran, so often in all.
     Ran { id: String, times: usize },
     /// A balancer serves.
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -71,6 +71,9 @@
     /// The balancers do not know each other.
     #[arg(long)]
     alone: bool,
+    /// They agree on versions, which are proposed all the time; contradictions may last so many milliseconds.
+    #[arg(long, value_name = "MS", num_args = 0..=1, default_missing_value = "2000")]
+    agreement: Option<u64>,
     /// The program; the one beside this.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -90,7 +93,8 @@
         let program = self.program.clone().map_or_else(beside, Ok)?;
         let rate = self.rate.clamp(1.0, 2000.0);
         let (balancers, tier) = (self.balancers, !self.alone);
-        Ok(Setup { balancers, rate, tier, upstreams: UPSTREAMS, ..Setup::new(&program) })
+        let agreement = self.agreement.map(|ms| format!("contradiction_ms = {ms}\n"));
+        Ok(Setup { balancers, rate, tier, agreement, upstreams: UPSTREAMS, ..Setup::new(&program) })
     }
 
     fn tell(&self, reports: &[storm::Report]) -> Result<bool, String> {
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -40,6 +40,8 @@
     pub rate: f64,
     /// Whether the balancers know each other.
     pub tier: bool,
+    /// How they agree on versions: the lines of `[agreement]` but the voters.
+    pub agreement: Option<String>,
     /// What else stands in their files.
     pub extra: String,
 }
@@ -53,11 +55,24 @@
             upstreams: 4,
             rate: 40.0,
             tier: true,
+            agreement: None,
             extra: String::new(),
         }
     }
 }
 
+impl Setup {
+    /// The longest contradiction that is promised.
+    pub fn contradiction(&self) -> Duration {
+        let line = self
+            .agreement
+            .as_ref()
+            .and_then(|text| text.lines().find(|line| line.starts_with("contradiction_ms")));
+        let ms = line.and_then(|line| line.split('=').nth(1)?.trim().parse().ok());
+        Duration::from_millis(ms.unwrap_or(5000))
+    }
+}
+
 /// A tier, and all that it has to do with.
 pub struct World {
     /// What is seen.
@@ -187,6 +202,21 @@
         })
     }
 
+    /// Where operators call each, as long as it runs.
+    pub fn operators(&self) -> Arc<Vec<Mutex<Option<SocketAddr>>>> {
+        Arc::clone(&self.operators)
+    }
+
+    /// A balancer's file.
+    pub fn file(&self, n: usize) -> String {
+        std::fs::read_to_string(self.directory.join(name(n)).join("maplehook.toml")).unwrap_or_default()
+    }
+
+    /// The file with the tier's secret.
+    pub fn secret(&self) -> PathBuf {
+        self.directory.join("secret")
+    }
+
     /// How many balancers there are.
     pub fn len(&self) -> usize {
         self.balancers.len()
@@ -442,7 +472,8 @@
             let via = header("via").and_then(|via| via.rsplit("b").next()?.parse::<usize>().ok());
             let at = seen.at.saturating_duration_since(self.history.begun);
             let balancer = via.and_then(|n| n.checked_sub(1));
-            self.history.note_at(at, What::Attempt { id, upstream, balancer });
+            let version = header("x-maplehook-version").map(str::to_owned);
+            self.history.note_at(at, What::Attempt { id, upstream, balancer, version });
         }
     }
 }
@@ -461,10 +492,11 @@
 /// The operator's file of a balancer.
 fn file(setup: &Setup, n: usize, directory: &Path, relays: &[Option<Relay>], registry: SocketAddr) -> String {
     let mut text = format!(
-        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}\"\n\
+        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}\"\n{}\
          [balancer]\nsockets = 512\nmax_attempts = 3\n[eureka]\nservers = [\"{registry}\"]\napp = \"APP\"\npoll_ms = 200\n\
          timeout_ms = 1000\n",
-        name(n)
+        name(n),
+        if setup.agreement.is_some() { "version = true\n" } else { "" }
     );
     for (class, effect) in [("look", "idempotent"), ("book", "at_most_once"), ("keyed", "keyed")] {
         text += &format!(
@@ -486,6 +518,10 @@
             }
         }
     }
+    if let Some(agreement) = &setup.agreement {
+        let voters: Vec<String> = (0..3).map(|n| format!("\"{}\"", name(n))).collect();
+        text += &format!("[agreement]\nvoters = [{}]\n{agreement}", voters.join(", "));
+    }
     text + &setup.extra
 }
 
