--- a/lab/src/agreed.rs
+++ b/lab/src/agreed/mod.rs
@@ -5,6 +5,8 @@
 //! proposals, undoing, time, clocks that go wrong by a hundredth. Whatever happens, no two members act on steps that contradict
 //! each other. Each planted flaw is found.
 
+pub mod storm;
+
 use maplehook_agreement::grants::{CutOff, Grants, Times};
 use maplehook_agreement::holder::{Acts, Holder, Told};
 use maplehook_agreement::steps::{Command, Step, Steps};
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,7 +7,7 @@
 use maplehook_lab::file::{Plan, read};
 use maplehook_lab::paper::{self, Paper, Rates, Reading};
 use maplehook_lab::results::{self, Line, Table, words};
-use maplehook_lab::{World, calibrate, hunt, load, members, page, policies, rules};
+use maplehook_lab::{World, agreed, calibrate, hunt, load, members, page, policies, rules};
 use rayon::prelude::*;
 use std::error::Error;
 use std::path::{Path, PathBuf};
@@ -134,6 +134,21 @@
         #[arg(long)]
         cost: bool,
     },
+    /// Drawn storms over balancers that agree on versions: the longest contradiction, and how long changes take.
+    Versions {
+        /// How many balancers: 3 to 1000.
+        #[arg(long, default_value_t = 16, value_parser = clap::value_parser!(u64).range(3..=1000).map(|n| n as usize))]
+        members: usize,
+        /// How many storms.
+        #[arg(long, default_value_t = 100)]
+        storms: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Without faults.
+        #[arg(long)]
+        calm: bool,
+    },
     /// Measures how fast worlds are played, at 3, 120 and 10,000 upstreams.
     Speed {
         /// Requests of each.
@@ -420,9 +435,17 @@
 /// Storms over balancers that know each other, or single faults.
 fn known(members: usize, storms: u64, seed: u64, cost: bool) -> Result<ExitCode, Failure> {
     if cost {
+        let resident = || {
+            let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+            let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:").map(str::to_owned));
+            line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0)
+        };
+        let before = resident();
         let (datagrams, bytes, us) = members::faults::cost(members, seed);
+        let each = resident().saturating_sub(before) / members as u64;
         println!(
-            "{members} balancers, each a second: {datagrams:.1} datagrams, {bytes:.0} bytes, {us:.0} us of this machine"
+            "{members} balancers, each a second: {datagrams:.1} datagrams, {bytes:.0} bytes, {us:.0} us of this machine; \
+             each has {each} KiB, the emulator's part included"
         );
         return Ok(ExitCode::SUCCESS);
     }
@@ -480,6 +503,15 @@
         }
         Command::Paper { replicates } => papers(replicates),
         Command::Members { members, storms, seed, cost } => return known(members, storms, seed, cost),
+        Command::Versions { members, storms, seed, calm } => {
+            let played: Vec<agreed::storm::Storm> = (seed..seed + storms)
+                .into_par_iter()
+                .map(|seed| agreed::storm::play(members, seed, calm))
+                .collect();
+            let (text, sound) = agreed::storm::words(members, &played);
+            println!("{text}");
+            return Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(2) });
+        }
         Command::Rules => {
             let (report, sound) = rules::explore_all();
             print!("{report}");
--- a/lab/tests/agreed.rs
+++ b/lab/tests/agreed.rs
@@ -19,3 +19,16 @@
         assert!(found.is_some(), "{flaw:?} is not found in {states} states");
     }
 }
+
+/// Storms over more than three, with ways that lose and delay, elections, stops and kills.
+#[test]
+fn storms_bring_no_contradiction_and_changes_come_through() {
+    use maplehook_lab::agreed::storm;
+    for (members, storms) in [(3, 40), (16, 15)] {
+        for seed in 0..storms {
+            let played = storm::play(members, seed, false);
+            assert_eq!(played.contradiction, std::time::Duration::ZERO, "{members} members, seed {seed}");
+            assert!(!played.took.is_empty(), "{members} members, seed {seed}: no change came through");
+        }
+    }
+}
--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -240,6 +240,12 @@
         view(self.operator?)
     }
 
+    /// What it has had written to disks, in bytes.
+    pub fn written(&self) -> Option<u64> {
+        let text = fs::read_to_string(format!("/proc/{}/io", self.child.as_ref()?.id())).ok()?;
+        text.lines().find_map(|line| line.strip_prefix("write_bytes: ")?.trim().parse().ok())
+    }
+
     /// What its threads are called.
     pub fn threads(&self) -> Option<Vec<String>> {
         let tasks = fs::read_dir(format!("/proc/{}/task", self.child.as_ref()?.id())).ok()?;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -43,6 +43,9 @@
         /// Rounds of the load.
         #[arg(long, default_value_t = 3)]
         rounds: u32,
+        /// The load alone.
+        #[arg(long)]
+        load_alone: bool,
         #[command(flatten)]
         played: Played,
     },
@@ -135,10 +138,12 @@
                 .map_err(|e| format!("{}: {e}", file.display()))?;
             played.tell(&[storm::play(setup, &line, None)?])
         }
-        Command::Measure { rounds, played } => {
+        Command::Measure { rounds, load_alone, played } => {
             let setup = played.setup()?;
-            print!("{}", measure::markdown(&measure::faults(setup.clone())?));
-            for tier in [true, false] {
+            if !load_alone {
+                print!("{}", measure::markdown(&measure::faults(setup.clone())?));
+            }
+            for tier in [true, false].into_iter().filter(|_| !load_alone) {
                 let took = measure::drain(Setup { tier, ..setup.clone() }, Duration::from_secs(10))?;
                 let words =
                     took.map_or("more than 8 s".into(), |took| format!("{:.2} s", took.as_secs_f64()));
@@ -148,9 +153,13 @@
                 );
             }
             for _ in 0..rounds.min(20) {
-                for tier in [true, false] {
-                    let setup = Setup { tier, rate: setup.rate.max(400.0), ..setup.clone() };
-                    println!("tier {tier}: {:?}", measure::load(setup, Duration::from_secs(5))?);
+                let agreement = Some("contradiction_ms = 5000\n".to_owned());
+                for (what, tier, agreement) in
+                    [("agreement", true, agreement), ("tier", true, None), ("alone", false, None)]
+                {
+                    let rate = setup.rate.max(400.0);
+                    let setup = Setup { tier, agreement, rate, ..setup.clone() };
+                    println!("{what}: {:?}", measure::load(setup, Duration::from_secs(6))?);
                 }
             }
             Ok(true)
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -164,6 +164,8 @@
     pub memory_kb: u64,
     /// Processor's time of a balancer a second with nothing to do, in microseconds.
     pub idle_us: f64,
+    /// What all balancers wrote to disks in that time, in bytes.
+    pub idle_written: u64,
 }
 
 /// Plays load over a tier, and then none.
@@ -178,9 +180,11 @@
         let each = (0..n).filter_map(|k| world.balancer(k).used());
         each.fold((Duration::ZERO, 0), |(cpu, memory), (c, m)| (cpu + c, memory + m))
     };
-    let before = used(&world).0;
+    let written = |world: &World| (0..n).filter_map(|k| world.balancer(k).written()).sum::<u64>();
+    let (before, disk) = (used(&world).0, written(&world));
     std::thread::sleep(span);
     let idle = used(&world).0 - before;
+    let idle_written = written(&world) - disk;
     let before = used(&world).0;
     world.ask();
     std::thread::sleep(span);
@@ -204,6 +208,7 @@
         answers: took.len() as f64 / span.as_secs_f64(),
         cpu_us: (after - before).as_secs_f64() * 1e6 / took.len().max(1) as f64,
         memory_kb: memory / n as u64,
+        idle_written,
         idle_us: idle.as_secs_f64() * 1e6 / span.as_secs_f64() / n as f64,
     })
 }
