Tests of differing files hold for a while; an emulated host's flaw can't turn time back

A deliberate break (files that differ come into force) was seen by no test: the test now looks again after 2 s. The emulator's clock could be asked for a time before a process began.

--- a/config/src/tier.rs
+++ b/config/src/tier.rs
@@ -240,7 +240,7 @@
         let stateless = faults(&format!("{}{good}", tier.replace("state = 'd'\n", "")));
         assert!(stateless.contains("a voter needs tier.state"), "{stateless}");
         let alone = faults(good);
-        assert!(alone.contains("line 8: agreement: of no use without [tier]"), "{alone}");
+        assert!(alone.contains("line 9: agreement: of no use without [tier]"), "{alone}");
     }
 
     #[test]
--- a/lab/src/members/mod.rs
+++ b/lab/src/members/mod.rs
@@ -258,7 +258,7 @@
     /// Its own clock.
     pub fn clock(&self, n: usize) -> Duration {
         self.processes[n].as_ref().map_or(self.now, |process| {
-            Duration::from_secs(3600) + (self.now - process.began).mul_f64(process.drift)
+            Duration::from_secs(3600) + self.now.saturating_sub(process.began).mul_f64(process.drift)
         })
     }
 
@@ -382,7 +382,8 @@
                 break;
             }
             let Some(Reverse((at, _, due))) = self.queue.pop() else { break };
-            self.now = at;
+            // A planted flaw of a host may have asked for the past.
+            self.now = self.now.max(at);
             match due {
                 Due::Datagram(n, datagram) => match &mut self.processes[n] {
                     Some(process) if process.stopped.is_some() => {
--- a/node/tests/agreement.rs
+++ b/node/tests/agreement.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_maplehook");
-const LONG: Duration = Duration::from_secs(40);
 
 fn setup(balancers: usize, agreement: &str) -> Setup {
     let agreement = Some(format!("contradiction_ms = 2000\n{agreement}"));
@@ -213,6 +212,8 @@
     until("it is said who differs", || {
         (0..3).any(|n| status(&world, n)["differ"].as_array().is_some_and(|differ| differ.len() == 2))
     });
+    // And it stays so once all three were heard of.
+    std::thread::sleep(Duration::from_secs(2));
     assert!((0..3).all(|n| status(&world, n)["careful"] == true && status(&world, n)["in_force"] == 0));
     let file = changed(&world, "first.toml", LOOK, LOOK);
     let done = command(&world, 1, &["propose", &file, "--wait"]);
@@ -312,5 +313,4 @@
     world.quiet();
     let (longest, what) = longest_contradiction(&world.end());
     assert!(longest < Duration::from_millis(200), "{longest:?}: {what}");
-    let _ = LONG;
 }
