A planted flaw of the emulated host is found by its rule, not by an overflow

The flaw in which a stop goes unnoticed was caught only since the emulator's clock overflowed. The rule now looks at what is said on waking up, whatever time it is given, and knows a member that came back from its death.

--- a/lab/src/members/small.rs
+++ b/lab/src/members/small.rs
@@ -15,6 +15,8 @@
 const STEP: Duration = Duration::from_millis(700);
 /// What passes with the move that is time.
 const LONG: Duration = Duration::from_secs(4);
+/// What passes while somebody stands still: longer than a suspicion may last.
+const STOPPED: Duration = Duration::from_secs(9);
 /// How long everything may take to see one another again.
 const HEALS: Duration = Duration::from_secs(20);
 /// How soon somebody who was stopped must not speak of deaths.
@@ -54,8 +56,12 @@
     longest: usize,
     down: [bool; MEMBERS],
     stopped: [bool; MEMBERS],
-    /// Who went on, and when.
-    awake: BTreeMap<usize, Duration>,
+    /// A way was cut at some time: others may rightly have told of a death.
+    was_cut: bool,
+    /// Since when each stands still that does.
+    still: [Duration; MEMBERS],
+    /// Who went on: since when it had stood still, and when that ended.
+    awake: BTreeMap<usize, (Duration, Duration)>,
     seen: usize,
     starts: BTreeMap<(usize, u32, String), u64>,
 }
@@ -73,6 +79,8 @@
             longest,
             down: [false; MEMBERS],
             stopped: [false; MEMBERS],
+            was_cut: false,
+            still: [Duration::ZERO; MEMBERS],
             awake: BTreeMap::new(),
             seen: 0,
             starts: BTreeMap::new(),
@@ -112,9 +120,12 @@
                     let awake = self.awake.get(&said.by);
                     let lives = (0..MEMBERS).any(|n| {
                         let own = self.world.tier(n).map(|tier| tier.identity().start);
-                        self.world.name(n) == name && own == Some(*start) && !self.stopped[n]
-                    }) && self.world.ways.cut.is_empty();
-                    if lives && awake.is_some_and(|at| said.at >= *at && said.at - *at < AWAKE) {
+                        // It may have come back from its death meanwhile.
+                        let same = own.is_some_and(|own| (*start..start + 100).contains(&own));
+                        self.world.name(n) == name && same && !self.stopped[n]
+                    }) && !self.was_cut;
+                    // Whatever time a host gives out for it, it was said on waking up.
+                    if lives && awake.is_some_and(|(from, to)| said.at >= *from && said.at < *to + AWAKE) {
                         return Err(format!("b{} wakes up and takes {name} for dead", said.by));
                     }
                 }
@@ -168,15 +179,18 @@
             }
             Move::Stop(n) => {
                 world.stop(n);
-                self.stopped[n] = true;
-                step = LONG;
+                (self.stopped[n], self.still[n]) = (true, world.now);
+                step = STOPPED;
             }
             Move::GoOn(n) => {
-                self.awake.insert(n, world.now);
+                self.awake.insert(n, (self.still[n], world.now));
                 world.go_on(n);
                 self.stopped[n] = false;
             }
-            Move::Cut(from, to) => world.cut(&[from], &[to], false),
+            Move::Cut(from, to) => {
+                self.was_cut = true;
+                world.cut(&[from], &[to], false);
+            }
             Move::Heal => world.heal(),
             Move::Time => step = LONG,
         }
