A voter's beginnings, a leader's part and the gossip's side have files of their own

quorum/src/run.rs had 983 lines and tier/src/tier.rs 796, each with several jobs. Moved, nothing changed.

--- /dev/null
+++ b/quorum/src/leader.rs
@@ -0,0 +1,236 @@
+//! What a leader does: the first version, the next step, and what operators want.
+
+use crate::run::{CHECK, Checking, Part, Reading, Runner, WISH, WISHES_MOST, Wisher, unix_ms};
+use crate::talk::{Op, Overview, Reply, Say, Stands};
+use maplehook_agreement::steps::{Command, Step, Steps, digest};
+use maplehook_tier::Name;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
+
+impl Runner {
+    /// Does what a leader does: the first version, the next step.
+    pub(crate) fn lead(&mut self) {
+        let now = self.now();
+        let Part::Voting { voter, grants, .. } = &mut self.part else { return };
+        if !voter.knows() {
+            return;
+        }
+        let Some(grants) = grants else { return };
+        let steps = voter.steps();
+        let command = match steps.step {
+            Step::Unsettled => {
+                let fresh = self.setup.times.lease;
+                let heard: BTreeMap<&Name, &String> = self
+                    .digests
+                    .iter()
+                    .filter(|(_, (_, at))| at.elapsed() < fresh)
+                    .map(|(name, (digest, _))| (name, digest))
+                    .collect();
+                let same = heard.values().all(|digest| **digest == self.digest);
+                if !same || heard.len() < self.setup.members.len() {
+                    return;
+                }
+                let (text, by) = (self.shared.clone(), self.setup.own.to_string());
+                Command::Propose { epoch: steps.epoch, expect: None, text, by, at_ms: unix_ms() }
+            }
+            Step::Strictest { .. } if grants.waits(now, steps).is_empty() => {
+                Command::Advance { epoch: steps.epoch }
+            }
+            _ => return,
+        };
+        if self.advancing.is_some() {
+            return;
+        }
+        let ticket = fastrand::u64(..);
+        if voter.propose(ticket, &command) {
+            self.advancing = Some(ticket);
+            self.proposals.insert(ticket, Wisher::Nobody);
+        }
+    }
+
+    /// An operator wants something.
+    pub(crate) fn wish(&mut self, op: Op, wisher: Wisher) {
+        let knows = matches!(&self.part, Part::Voting { voter, .. } if voter.knows());
+        if knows {
+            self.at_the_leader(op, wisher);
+            return;
+        }
+        let leader = match &self.part {
+            Part::Voting { voter, .. } => voter.leader().cloned(),
+            _ => self.leader.clone(),
+        };
+        match (leader.filter(|leader| *leader != self.setup.own), wisher) {
+            (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
+                let ticket = fastrand::u64(..);
+                self.passed_on.insert(ticket, (Wisher::Here(reply), Instant::now() + WISH));
+                self.tell(&leader, &Say::Wish { ticket, op });
+            }
+            (_, wisher) => {
+                let why = "nobody leads: a majority of the voters can't be reached from here";
+                self.end(wisher, Reply::Unavailable(why.into()));
+            }
+        }
+    }
+
+    pub(crate) fn at_the_leader(&mut self, op: Op, wisher: Wisher) {
+        let now = self.now();
+        let ticket = fastrand::u64(..);
+        let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else {
+            self.end(wisher, Reply::Unavailable("the leader has just begun".into()));
+            return;
+        };
+        let steps = voter.steps().clone();
+        match op {
+            Op::Status => {
+                if voter.read(ticket) {
+                    self.readings.insert(ticket, Reading::Status(wisher));
+                } else {
+                    self.end(wisher, Reply::Unavailable("the leader is busy".into()));
+                }
+            }
+            Op::History => {
+                let without = |version: &maplehook_agreement::steps::Version| {
+                    maplehook_agreement::steps::Version { text: String::new(), ..version.clone() }
+                };
+                self.end(wisher, Reply::Versions(steps.versions.iter().map(without).collect()));
+            }
+            Op::Show { number } => {
+                let reply = match steps.version(number) {
+                    Some(version) => Reply::Versions(vec![version.clone()]),
+                    None => Reply::Refused(format!("there is no version {number}, or no more")),
+                };
+                self.end(wisher, reply);
+            }
+            Op::Forget { name } => {
+                if Name::new(&name).is_none_or(|name| !self.setup.members.contains(&name)) {
+                    self.end(wisher, Reply::Refused(format!("there is no member {name:?}")));
+                    return;
+                }
+                self.put(Command::Forget { name }, wisher);
+            }
+            Op::Undo => match steps.step {
+                Step::Strictest { .. } => self.put(Command::Undo { epoch: steps.epoch }, wisher),
+                Step::Settled(number) => {
+                    let before = steps.versions.iter().rev().find(|v| v.number < number && !v.undone);
+                    match before {
+                        Some(before) => {
+                            let text = before.text.clone();
+                            self.at_the_leader(Op::Propose { text, expect: Some(number) }, wisher);
+                        }
+                        None => self.end(wisher, Reply::Refused("there is no version before".into())),
+                    }
+                }
+                Step::Unsettled => self.end(wisher, Reply::Refused("nothing is agreed yet".into())),
+            },
+            Op::Propose { text, expect } => {
+                let waits = grants.waits(now, &steps);
+                if let Err(e) = self.fits(&text) {
+                    self.end(wisher, Reply::Refused(format!("{}: {e}", self.setup.own)));
+                    return;
+                }
+                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
+                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
+                if !same && steps.step != Step::Unsettled && !waits.is_empty() {
+                    let names: Vec<String> = waits.iter().map(|w| w.name.to_string()).collect();
+                    let why = format!("the last step is not everywhere yet: {}", names.join(", "));
+                    self.end(wisher, Reply::Unavailable(why));
+                    return;
+                }
+                // Whoever holds a lease has to be able to act on it.
+                let own = self.setup.own.clone();
+                let asked: BTreeSet<Name> = self
+                    .digests
+                    .iter()
+                    .filter(|(name, (_, at))| **name != own && at.elapsed() < self.setup.times.lease)
+                    .map(|(name, _)| name.clone())
+                    .collect();
+                for name in &asked {
+                    self.tell(name, &Say::Check { ticket, text: text.clone() });
+                }
+                let check = Checking {
+                    op: Op::Propose { text, expect },
+                    wisher,
+                    waits: asked,
+                    until: Instant::now() + CHECK,
+                };
+                self.checks.insert(ticket, check);
+                self.all_checked(ticket);
+            }
+        }
+    }
+
+    pub(crate) fn checked(&mut self, from: &Name, ticket: u64, fault: Option<String>) {
+        let Some(check) = self.checks.get_mut(&ticket) else { return };
+        match fault {
+            None => drop(check.waits.remove(from)),
+            Some(fault) => {
+                if let Some(check) = self.checks.remove(&ticket) {
+                    self.end(check.wisher, Reply::Refused(format!("{from}: {fault}")));
+                }
+                return;
+            }
+        }
+        self.all_checked(ticket);
+    }
+
+    pub(crate) fn all_checked(&mut self, ticket: u64) {
+        if self.checks.get(&ticket).is_none_or(|check| !check.waits.is_empty()) {
+            return;
+        }
+        let Some(Checking { op: Op::Propose { text, expect }, wisher, .. }) = self.checks.remove(&ticket)
+        else {
+            return;
+        };
+        let Part::Voting { voter, .. } = &self.part else {
+            self.end(wisher, Reply::Unavailable("this voter leads no more".into()));
+            return;
+        };
+        let by = match &wisher {
+            Wisher::There(name, _) => name.to_string(),
+            _ => self.setup.own.to_string(),
+        };
+        let epoch = voter.steps().epoch;
+        self.put(Command::Propose { epoch, expect, text, by, at_ms: unix_ms() }, wisher);
+    }
+
+    pub(crate) fn put(&mut self, command: Command, wisher: Wisher) {
+        let ticket = fastrand::u64(..);
+        let put = match &mut self.part {
+            Part::Voting { voter, .. } => voter.propose(ticket, &command),
+            _ => false,
+        };
+        if put {
+            self.proposals.insert(ticket, wisher);
+        } else {
+            self.end(wisher, Reply::Unavailable("this voter leads no more, or is busy".into()));
+        }
+    }
+
+    pub(crate) fn overview(&self, steps: &Steps) -> Overview {
+        let now = self.now();
+        let (mut members, mut differ) = (Vec::new(), BTreeMap::<String, Vec<String>>::new());
+        if let Part::Voting { grants: Some(grants), .. } = &self.part {
+            let epochs: BTreeMap<&Name, u64> = grants.heard().collect();
+            let waits = grants.waits(now, steps);
+            for name in &self.setup.members {
+                let waits = waits.iter().find(|waits| waits.name == *name);
+                let most = waits.and_then(|waits| waits.most);
+                members.push(Stands {
+                    name: name.to_string(),
+                    epoch: epochs.get(name).copied(),
+                    waits_ms: most.map(|most| u64::try_from(most.as_millis()).unwrap_or(u64::MAX)),
+                    waits: waits.is_some(),
+                });
+            }
+        }
+        if steps.step == Step::Unsettled {
+            for (name, (digest, _)) in &self.digests {
+                differ.entry(digest.clone()).or_default().push(name.to_string());
+            }
+        }
+        let digest =
+            steps.version(steps.in_force()).map(|version| version.digest.clone()).unwrap_or_default();
+        let differ = differ.into_iter().collect();
+        Overview { epoch: steps.epoch, step: steps.step, digest, members, differ }
+    }
+}
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -3,6 +3,8 @@
 //! [`voter`] is Raft by the `raft` crate over what the log comes to, [`store`] a voter's disk, [`talk`] what balancers say to one
 //! another, [`Agreeing`] the thread on which one takes part.
 
+mod founding;
+mod leader;
 mod run;
 pub mod store;
 pub mod talk;
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -4,12 +4,12 @@
 //! come to act on, and only then do the others hear of it. A voter's part runs here too: its disk may be slow, and no request
 //! waits for it.
 
-use crate::store::{self, Store, Unfit};
-use crate::talk::{Op, Overview, RAFT, Reply, Say, Stands, VERSIONS};
-use crate::voter::{Ended, Voter, begins, id};
+use crate::store::Store;
+use crate::talk::{Op, RAFT, Reply, Say, VERSIONS};
+use crate::voter::{Ended, Voter, id};
 use maplehook_agreement::grants::{CutOff, Grants, Times};
 use maplehook_agreement::holder::{Holder, Told};
-use maplehook_agreement::steps::{Command, Step, Steps, digest};
+use maplehook_agreement::steps::{Step, Steps, digest};
 use maplehook_agreement::strict::{careful, contradictions, strictest};
 use maplehook_config::Proxy;
 use maplehook_link::Talk;
@@ -26,12 +26,12 @@
 /// Raft's tick.
 const TICK: Duration = Duration::from_millis(50);
 /// How often a voter without a log asks the others whether they have one.
-const FOUNDING: Duration = Duration::from_millis(300);
+pub(crate) const FOUNDING: Duration = Duration::from_millis(300);
 /// How long a wish that was passed on, or a check, may take.
-const WISH: Duration = Duration::from_millis(1500);
-const CHECK: Duration = Duration::from_millis(800);
+pub(crate) const WISH: Duration = Duration::from_millis(1500);
+pub(crate) const CHECK: Duration = Duration::from_millis(800);
 /// Wishes that may be under way.
-const WISHES_MOST: usize = 64;
+pub(crate) const WISHES_MOST: usize = 64;
 
 /// Who agrees, and how.
 #[derive(Clone, Debug)]
@@ -166,20 +166,20 @@
     Acting { epoch: 0, label: "0".into(), rules: Arc::clone(own), until: None, careful, cut_off: true }
 }
 
-fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Who is to hear how a wish ended.
-enum Wisher {
+pub(crate) enum Wisher {
     Here(oneshot::Sender<(Local, Reply)>),
     There(Name, u64),
     Nobody,
 }
 
 /// A voter's part.
-enum Part {
+pub(crate) enum Part {
     /// It does not vote.
     None,
     /// It has no log yet, and hears whether the others have.
@@ -198,45 +198,45 @@
 }
 
 /// A proposal that the members look at.
-struct Checking {
-    op: Op,
-    wisher: Wisher,
-    waits: BTreeSet<Name>,
-    until: Instant,
+pub(crate) struct Checking {
+    pub(crate) op: Op,
+    pub(crate) wisher: Wisher,
+    pub(crate) waits: BTreeSet<Name>,
+    pub(crate) until: Instant,
 }
 
 /// What waits for the others' word that this voter leads.
-enum Reading {
+pub(crate) enum Reading {
     Lease { from: Name, number: u64, epoch: u64, has: u64 },
     Status(Wisher),
 }
 
-struct Runner {
-    setup: Setup,
+pub(crate) struct Runner {
+    pub(crate) setup: Setup,
     /// The own file's shared part.
-    shared: String,
-    digest: String,
-    own: Arc<Proxy>,
-    say: mpsc::Sender<(Name, Message)>,
-    acting: watch::Sender<Acting>,
-    epoch: Instant,
-    holder: Holder,
-    applied: u64,
+    pub(crate) shared: String,
+    pub(crate) digest: String,
+    pub(crate) own: Arc<Proxy>,
+    pub(crate) say: mpsc::Sender<(Name, Message)>,
+    pub(crate) acting: watch::Sender<Acting>,
+    pub(crate) epoch: Instant,
+    pub(crate) holder: Holder,
+    pub(crate) applied: u64,
     /// A step whose texts can't be acted on here is not acted on.
-    unfit: Option<String>,
-    leader: Option<Name>,
-    next_voter: usize,
-    part: Part,
-    readings: BTreeMap<u64, Reading>,
-    proposals: BTreeMap<u64, Wisher>,
-    passed_on: BTreeMap<u64, (Wisher, Instant)>,
-    checks: BTreeMap<u64, Checking>,
-    advancing: Option<u64>,
-    digests: BTreeMap<Name, (String, Instant)>,
+    pub(crate) unfit: Option<String>,
+    pub(crate) leader: Option<Name>,
+    pub(crate) next_voter: usize,
+    pub(crate) part: Part,
+    pub(crate) readings: BTreeMap<u64, Reading>,
+    pub(crate) proposals: BTreeMap<u64, Wisher>,
+    pub(crate) passed_on: BTreeMap<u64, (Wisher, Instant)>,
+    pub(crate) checks: BTreeMap<u64, Checking>,
+    pub(crate) advancing: Option<u64>,
+    pub(crate) digests: BTreeMap<Name, (String, Instant)>,
 }
 
 impl Runner {
-    fn new(
+    pub(crate) fn new(
         setup: Setup,
         shared: String,
         own: Arc<Proxy>,
@@ -272,29 +272,7 @@
         runner
     }
 
-    /// Goes on as the voter that it was, or begins as one without a log.
-    fn open(&mut self) {
-        let Some(directory) = self.setup.directory.clone() else {
-            self.part = Part::Out("it has no directory".into());
-            return;
-        };
-        let opened = Store::open(&directory).and_then(|opened| match opened {
-            Some((store, kept)) => {
-                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
-                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
-            }
-            None => {
-                let number = store::founding(&directory, fastrand::u64(1..))?;
-                Ok(Part::Founding { number, heard: BTreeMap::new(), asked: None })
-            }
-        });
-        self.part = opened.unwrap_or_else(|e| {
-            tracing::error!("tier.state: {}: {e}", directory.display());
-            Part::Out(e.to_string())
-        });
-    }
-
-    fn now(&self) -> Duration {
+    pub(crate) fn now(&self) -> Duration {
         self.epoch.elapsed()
     }
 
@@ -330,19 +308,19 @@
         }
     }
 
-    fn tell(&self, to: &Name, say: &Say) {
+    pub(crate) fn tell(&self, to: &Name, say: &Say) {
         if let Ok(body) = postcard::to_stdvec(say) {
             // What does not fit is said again, or was not needed.
             let _ = self.say.try_send((to.clone(), Message { topic: VERSIONS, body: body.into() }));
         }
     }
 
-    fn others(&self) -> impl Iterator<Item = Name> {
+    pub(crate) fn others(&self) -> impl Iterator<Item = Name> {
         let own = self.setup.own.clone();
         self.setup.voters.clone().into_iter().filter(move |name| *name != own)
     }
 
-    fn tick(&mut self) {
+    pub(crate) fn tick(&mut self) {
         if let Part::Voting { voter, .. } = &mut self.part {
             voter.tick();
         }
@@ -378,78 +356,8 @@
         self.lead();
     }
 
-    /// A voter without a log begins one when all others have none either.
-    fn found(&mut self) {
-        let Part::Founding { number, asked, heard } = &mut self.part else { return };
-        let (number, heard) = (*number, heard.clone());
-        let due = asked.is_none_or(|at| at.elapsed() >= FOUNDING);
-        if due {
-            *asked = Some(Instant::now());
-            let say = Say::Founding { number: Some(number), founded: Vec::new(), asks: true };
-            for other in self.others().collect::<Vec<_>>() {
-                self.tell(&other, &say);
-            }
-        }
-        if heard.len() + 1 == self.setup.voters.len() {
-            let mut founded: Vec<(String, u64)> = heard.iter().map(|(n, k)| (n.to_string(), *k)).collect();
-            founded.push((self.setup.own.to_string(), number));
-            self.begin(&founded);
-        }
-    }
-
-    fn begin(&mut self, founded: &[(String, u64)]) {
-        let Some(directory) = self.setup.directory.clone() else { return };
-        let snapshot = begins(&self.setup.voters);
-        let begun = store::keep_founders(&directory, founded)
-            .and_then(|()| Store::create(&directory, &snapshot))
-            .and_then(|store| {
-                let kept = store::Kept::beginning(&snapshot);
-                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
-                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
-            });
-        self.part = begun.unwrap_or_else(|e| {
-            tracing::error!("tier.state: {}: {e}", directory.display());
-            Part::Out(e.to_string())
-        });
-        if matches!(self.part, Part::Voting { .. }) {
-            tracing::info!("the voters have found one another: versions can be agreed on");
-        }
-    }
-
-    fn founding(&mut self, from: &Name, number: Option<u64>, founded: &[(String, u64)], asks: bool) {
-        if asks {
-            let directory = self.setup.directory.clone();
-            let say = match &self.part {
-                Part::Founding { number, .. } => {
-                    Say::Founding { number: Some(*number), founded: Vec::new(), asks: false }
-                }
-                Part::Voting { .. } => {
-                    let founded = directory.map(|place| store::founders(&place)).unwrap_or_default();
-                    Say::Founding { number: None, founded, asks: false }
-                }
-                _ => return,
-            };
-            self.tell(from, &say);
-        }
-        let Part::Founding { number: ours, heard, .. } = &mut self.part else { return };
-        match number {
-            Some(number) => drop(heard.insert(from.clone(), number)),
-            // It has a log. If that began with us, it is ours too; else we had one and have lost it.
-            None => {
-                let own = self.setup.own.as_str();
-                if founded.iter().any(|(name, number)| name == own && number == ours) {
-                    self.begin(founded);
-                } else if !asks {
-                    let why = "the other voters have a log that began with another one of this name: this voter's is lost";
-                    tracing::error!("{why}; it votes no more");
-                    self.part = Part::Out(why.into());
-                }
-            }
-        }
-    }
-
     /// Asks whoever leads for a lease. The clock is read before anything is said.
-    fn ask_for_a_lease(&mut self) {
+    pub(crate) fn ask_for_a_lease(&mut self) {
         let now = self.now();
         let number = self.holder.ask(now);
         if let Part::Voting { voter, .. } = &self.part
@@ -482,7 +390,7 @@
     }
 
     /// A member asks this voter for a lease.
-    fn asked(&mut self, from: &Name, number: u64, epoch: u64, has: u64, digest: String) {
+    pub(crate) fn asked(&mut self, from: &Name, number: u64, epoch: u64, has: u64, digest: String) {
         let Part::Voting { voter, .. } = &mut self.part else {
             self.tell(from, &Say::Elsewhere { leader: None });
             return;
@@ -499,7 +407,7 @@
         self.digests.insert(from.clone(), (digest, Instant::now()));
     }
 
-    fn hear(&mut self, from: &Name, message: &Message) {
+    pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
         if message.topic == RAFT {
             if let Part::Voting { voter, .. } = &mut self.part
                 && !voter.step(from, &message.body)
@@ -538,7 +446,7 @@
     }
 
     /// Whether this text could be acted on here.
-    fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
+    pub(crate) fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
         let rules = read(&self.setup.file, text)?;
         let present = &self.acting.borrow().rules;
         if rules.tenants.first() != present.tenants.first() {
@@ -550,7 +458,7 @@
         Ok(rules)
     }
 
-    fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
+    pub(crate) fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
         if self.holder.granted(number, epoch, told) {
             self.unfit = None;
         }
@@ -591,7 +499,7 @@
     }
 
     /// What a step comes to here.
-    fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
+    pub(crate) fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
         let of = |number: u64| {
             let version = told.versions.iter().find(|version| version.number == number);
             let version = version.ok_or_else(|| format!("version {number} was not told"))?;
@@ -610,205 +518,7 @@
         }
     }
 
-    /// Does what a leader does: the first version, the next step.
-    fn lead(&mut self) {
-        let now = self.now();
-        let Part::Voting { voter, grants, .. } = &mut self.part else { return };
-        if !voter.knows() {
-            return;
-        }
-        let Some(grants) = grants else { return };
-        let steps = voter.steps();
-        let command = match steps.step {
-            Step::Unsettled => {
-                let fresh = self.setup.times.lease;
-                let heard: BTreeMap<&Name, &String> = self
-                    .digests
-                    .iter()
-                    .filter(|(_, (_, at))| at.elapsed() < fresh)
-                    .map(|(name, (digest, _))| (name, digest))
-                    .collect();
-                let same = heard.values().all(|digest| **digest == self.digest);
-                if !same || heard.len() < self.setup.members.len() {
-                    return;
-                }
-                let (text, by) = (self.shared.clone(), self.setup.own.to_string());
-                Command::Propose { epoch: steps.epoch, expect: None, text, by, at_ms: unix_ms() }
-            }
-            Step::Strictest { .. } if grants.waits(now, steps).is_empty() => {
-                Command::Advance { epoch: steps.epoch }
-            }
-            _ => return,
-        };
-        if self.advancing.is_some() {
-            return;
-        }
-        let ticket = fastrand::u64(..);
-        if voter.propose(ticket, &command) {
-            self.advancing = Some(ticket);
-            self.proposals.insert(ticket, Wisher::Nobody);
-        }
-    }
-
-    /// An operator wants something.
-    fn wish(&mut self, op: Op, wisher: Wisher) {
-        let knows = matches!(&self.part, Part::Voting { voter, .. } if voter.knows());
-        if knows {
-            self.at_the_leader(op, wisher);
-            return;
-        }
-        let leader = match &self.part {
-            Part::Voting { voter, .. } => voter.leader().cloned(),
-            _ => self.leader.clone(),
-        };
-        match (leader.filter(|leader| *leader != self.setup.own), wisher) {
-            (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
-                let ticket = fastrand::u64(..);
-                self.passed_on.insert(ticket, (Wisher::Here(reply), Instant::now() + WISH));
-                self.tell(&leader, &Say::Wish { ticket, op });
-            }
-            (_, wisher) => {
-                let why = "nobody leads: a majority of the voters can't be reached from here";
-                self.end(wisher, Reply::Unavailable(why.into()));
-            }
-        }
-    }
-
-    fn at_the_leader(&mut self, op: Op, wisher: Wisher) {
-        let now = self.now();
-        let ticket = fastrand::u64(..);
-        let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else {
-            self.end(wisher, Reply::Unavailable("the leader has just begun".into()));
-            return;
-        };
-        let steps = voter.steps().clone();
-        match op {
-            Op::Status => {
-                if voter.read(ticket) {
-                    self.readings.insert(ticket, Reading::Status(wisher));
-                } else {
-                    self.end(wisher, Reply::Unavailable("the leader is busy".into()));
-                }
-            }
-            Op::History => {
-                let without = |version: &maplehook_agreement::steps::Version| {
-                    maplehook_agreement::steps::Version { text: String::new(), ..version.clone() }
-                };
-                self.end(wisher, Reply::Versions(steps.versions.iter().map(without).collect()));
-            }
-            Op::Show { number } => {
-                let reply = match steps.version(number) {
-                    Some(version) => Reply::Versions(vec![version.clone()]),
-                    None => Reply::Refused(format!("there is no version {number}, or no more")),
-                };
-                self.end(wisher, reply);
-            }
-            Op::Forget { name } => {
-                if Name::new(&name).is_none_or(|name| !self.setup.members.contains(&name)) {
-                    self.end(wisher, Reply::Refused(format!("there is no member {name:?}")));
-                    return;
-                }
-                self.put(Command::Forget { name }, wisher);
-            }
-            Op::Undo => match steps.step {
-                Step::Strictest { .. } => self.put(Command::Undo { epoch: steps.epoch }, wisher),
-                Step::Settled(number) => {
-                    let before = steps.versions.iter().rev().find(|v| v.number < number && !v.undone);
-                    match before {
-                        Some(before) => {
-                            let text = before.text.clone();
-                            self.at_the_leader(Op::Propose { text, expect: Some(number) }, wisher);
-                        }
-                        None => self.end(wisher, Reply::Refused("there is no version before".into())),
-                    }
-                }
-                Step::Unsettled => self.end(wisher, Reply::Refused("nothing is agreed yet".into())),
-            },
-            Op::Propose { text, expect } => {
-                let waits = grants.waits(now, &steps);
-                if let Err(e) = self.fits(&text) {
-                    self.end(wisher, Reply::Refused(format!("{}: {e}", self.setup.own)));
-                    return;
-                }
-                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
-                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
-                if !same && steps.step != Step::Unsettled && !waits.is_empty() {
-                    let names: Vec<String> = waits.iter().map(|w| w.name.to_string()).collect();
-                    let why = format!("the last step is not everywhere yet: {}", names.join(", "));
-                    self.end(wisher, Reply::Unavailable(why));
-                    return;
-                }
-                // Whoever holds a lease has to be able to act on it.
-                let own = self.setup.own.clone();
-                let asked: BTreeSet<Name> = self
-                    .digests
-                    .iter()
-                    .filter(|(name, (_, at))| **name != own && at.elapsed() < self.setup.times.lease)
-                    .map(|(name, _)| name.clone())
-                    .collect();
-                for name in &asked {
-                    self.tell(name, &Say::Check { ticket, text: text.clone() });
-                }
-                let check = Checking {
-                    op: Op::Propose { text, expect },
-                    wisher,
-                    waits: asked,
-                    until: Instant::now() + CHECK,
-                };
-                self.checks.insert(ticket, check);
-                self.all_checked(ticket);
-            }
-        }
-    }
-
-    fn checked(&mut self, from: &Name, ticket: u64, fault: Option<String>) {
-        let Some(check) = self.checks.get_mut(&ticket) else { return };
-        match fault {
-            None => drop(check.waits.remove(from)),
-            Some(fault) => {
-                if let Some(check) = self.checks.remove(&ticket) {
-                    self.end(check.wisher, Reply::Refused(format!("{from}: {fault}")));
-                }
-                return;
-            }
-        }
-        self.all_checked(ticket);
-    }
-
-    fn all_checked(&mut self, ticket: u64) {
-        if self.checks.get(&ticket).is_none_or(|check| !check.waits.is_empty()) {
-            return;
-        }
-        let Some(Checking { op: Op::Propose { text, expect }, wisher, .. }) = self.checks.remove(&ticket)
-        else {
-            return;
-        };
-        let Part::Voting { voter, .. } = &self.part else {
-            self.end(wisher, Reply::Unavailable("this voter leads no more".into()));
-            return;
-        };
-        let by = match &wisher {
-            Wisher::There(name, _) => name.to_string(),
-            _ => self.setup.own.to_string(),
-        };
-        let epoch = voter.steps().epoch;
-        self.put(Command::Propose { epoch, expect, text, by, at_ms: unix_ms() }, wisher);
-    }
-
-    fn put(&mut self, command: Command, wisher: Wisher) {
-        let ticket = fastrand::u64(..);
-        let put = match &mut self.part {
-            Part::Voting { voter, .. } => voter.propose(ticket, &command),
-            _ => false,
-        };
-        if put {
-            self.proposals.insert(ticket, wisher);
-        } else {
-            self.end(wisher, Reply::Unavailable("this voter leads no more, or is busy".into()));
-        }
-    }
-
-    fn end(&self, wisher: Wisher, reply: Reply) {
+    pub(crate) fn end(&self, wisher: Wisher, reply: Reply) {
         match wisher {
             // It may have given up.
             Wisher::Here(to) => drop(to.send((self.local(), reply))),
@@ -818,7 +528,7 @@
     }
 
     /// Does what follows from what has come.
-    fn settle(&mut self) {
+    pub(crate) fn settle(&mut self) {
         let Part::Voting { voter, store, grants } = &mut self.part else { return };
         let settled = voter.settle(&mut |batch| store.write(batch));
         let (leads, steps) = (voter.leads(), voter.steps().clone());
@@ -883,7 +593,7 @@
     }
 
     /// The others say that this voter led after this was asked.
-    fn confirmed(&mut self, ticket: u64, steps: &Steps) {
+    pub(crate) fn confirmed(&mut self, ticket: u64, steps: &Steps) {
         let now = self.now();
         match self.readings.remove(&ticket) {
             Some(Reading::Lease { from, number, epoch, has }) => {
@@ -907,35 +617,7 @@
         }
     }
 
-    fn overview(&self, steps: &Steps) -> Overview {
-        let now = self.now();
-        let (mut members, mut differ) = (Vec::new(), BTreeMap::<String, Vec<String>>::new());
-        if let Part::Voting { grants: Some(grants), .. } = &self.part {
-            let epochs: BTreeMap<&Name, u64> = grants.heard().collect();
-            let waits = grants.waits(now, steps);
-            for name in &self.setup.members {
-                let waits = waits.iter().find(|waits| waits.name == *name);
-                let most = waits.and_then(|waits| waits.most);
-                members.push(Stands {
-                    name: name.to_string(),
-                    epoch: epochs.get(name).copied(),
-                    waits_ms: most.map(|most| u64::try_from(most.as_millis()).unwrap_or(u64::MAX)),
-                    waits: waits.is_some(),
-                });
-            }
-        }
-        if steps.step == Step::Unsettled {
-            for (name, (digest, _)) in &self.digests {
-                differ.entry(digest.clone()).or_default().push(name.to_string());
-            }
-        }
-        let digest =
-            steps.version(steps.in_force()).map(|version| version.digest.clone()).unwrap_or_default();
-        let differ = differ.into_iter().collect();
-        Overview { epoch: steps.epoch, step: steps.step, digest, members, differ }
-    }
-
-    fn local(&self) -> Local {
+    pub(crate) fn local(&self) -> Local {
         let now = self.now();
         let told = self.holder.told();
         let step = told.map_or(Step::Unsettled, |told| told.step);
--- a/tier/src/lib.rs
+++ b/tier/src/lib.rs
@@ -24,6 +24,7 @@
 //! ```
 
 pub mod care;
+mod gossip;
 mod identity;
 mod name;
 mod peers;
--- a/tier/src/tier.rs
+++ b/tier/src/tier.rs
@@ -4,6 +4,7 @@
 //! goes slower for a balancer that does badly itself (Lifeguard), starts and names, versions, replays, the calls to those
 //! who are away, and the words.
 
+use crate::gossip::{Asked, Ear, GOSSIP, Listens, config};
 use crate::identity::{Identity, Program, WIRE, Wire};
 use crate::name::Name;
 use crate::peers::Away;
@@ -11,24 +12,18 @@
 use crate::suspicion::Suspicion;
 use crate::window::{Stale, Windows};
 use crate::wire::{Envelope, Malformed, Notes, Scribe, sift};
-use crate::words::{Claim, Effect, Word, Words};
-use foca::{BroadcastHandler, Foca, Invalidates, Notification, Runtime, State as Believed, Timer};
+use crate::words::{Claim, Effect, Word};
+use foca::{Foca, State as Believed, Timer};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::convert::Infallible;
 use std::fmt;
-use std::num::{NonZeroU8, NonZeroUsize};
 use std::rc::Rc;
 use std::time::Duration;
 
 /// Between two probes, as long as all goes well.
 pub const PERIOD: Duration = Duration::from_millis(500);
-/// How long a probed member has until others are asked to probe it.
-const RTT: Duration = Duration::from_millis(200);
-/// Between two rounds of gossip.
-const GOSSIP: Duration = Duration::from_millis(200);
 /// Between two looks at who is away, and at words.
 const TICK: Duration = Duration::from_millis(100);
 /// Between two bursts of words to others.
@@ -41,8 +36,6 @@
 const AGAIN: Duration = Duration::from_millis(40);
 /// The most that wait for it.
 const AGAIN_MOST: usize = 64;
-/// Others that are asked, or told, at once.
-const FAN: usize = 3;
 /// Rounds of gossip by which a denial is told, beside what others pass on of it.
 const DENIALS: u8 = 6;
 /// Of those who hear that somebody is suspected, so many tell it that (Lifeguard's buddies): the sooner it can deny it.
@@ -140,74 +133,6 @@
     }
 }
 
-/// A word's place among those that are being passed on.
-#[doc(hidden)]
-#[derive(Clone, Copy)]
-pub struct Key(Word);
-
-impl Invalidates for Key {
-    fn invalidates(&self, other: &Self) -> bool {
-        let (a, b) = (self.0, other.0);
-        a.claim.upstream == b.claim.upstream && a.teller == b.teller && a.stamp >= b.stamp
-    }
-}
-
-/// The words, and the time at which they come.
-#[derive(Default)]
-struct Ear {
-    words: Words,
-    now: Duration,
-    /// News has come that is worth passing on at once.
-    stirred: bool,
-}
-
-struct Listens(Rc<RefCell<Ear>>);
-
-impl BroadcastHandler<Identity> for Listens {
-    type Key = Key;
-    type Error = Infallible;
-
-    fn receive_item(&mut self, data: &[u8], _sender: Option<&Identity>) -> Result<Option<Key>, Infallible> {
-        let ear = &mut *self.0.borrow_mut();
-        let Some(word) = Word::read(data) else { return Ok(None) };
-        let news = ear.words.take(ear.now, word);
-        ear.stirred |= news;
-        Ok(news.then_some(Key(word)))
-    }
-}
-
-/// What `foca` asks for, until it is dealt with.
-#[derive(Default)]
-struct Asked {
-    sends: Vec<(Identity, Vec<u8>)>,
-    timers: Vec<(Timer<Identity>, Duration)>,
-    up: Vec<(Identity, bool)>,
-    renamed: Vec<Identity>,
-    renewed: Option<u64>,
-    probes_failed: u32,
-}
-
-impl Runtime<Identity> for &mut Asked {
-    fn notify(&mut self, notification: Notification<'_, Identity>) {
-        match notification {
-            Notification::MemberUp(identity) => self.up.push((identity.clone(), true)),
-            Notification::MemberDown(identity) => self.up.push((identity.clone(), false)),
-            Notification::Rename(_, to) => self.renamed.push(to.clone()),
-            Notification::Rejoin(to) => self.renewed = Some(to.start),
-            Notification::ProbeFailed(..) => self.probes_failed += 1,
-            _ => {}
-        }
-    }
-
-    fn send_to(&mut self, to: Identity, data: &[u8]) {
-        self.sends.push((to, data.to_vec()));
-    }
-
-    fn submit_after(&mut self, event: Timer<Identity>, after: Duration) {
-        self.timers.push((event, after));
-    }
-}
-
 /// Counts for operators.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -774,23 +699,3 @@
         self.suspected.clear();
     }
 }
-
-fn config(members: usize, own: &Name) -> foca::Config {
-    let number = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
-    let periodic = |frequency, n| Some(foca::PeriodicParams { frequency, num_members: number(n) });
-    let rounds = 6.0 * ((members + 1) as f64).log10().ceil();
-    foca::Config {
-        probe_period: PERIOD,
-        probe_rtt: RTT,
-        num_indirect_probes: number(FAN),
-        max_transmissions: NonZeroU8::new(rounds.clamp(6.0, 100.0) as u8).unwrap_or(NonZeroU8::MIN),
-        // The time itself is reckoned here; see `suspicion`.
-        suspect_to_down_after: PERIOD,
-        remove_down_after: None,
-        max_packet_size: number(Envelope::room(own)),
-        notify_down_members: true,
-        periodic_announce: periodic(Duration::from_secs(5), 1),
-        periodic_announce_to_down_members: None,
-        periodic_gossip: periodic(GOSSIP, FAN),
-    }
-}
