No copy of all versions at each message; one clock, one list of entries, one reading

Read once more: each message and lease renewal copied every kept version's text (up to 32 MiB), the Unix time was read by four functions of the same words, a listed upstream was turned into an entry twice, run read its file twice, who is here was worked out twice, and the emulator kept a field that nobody read. One piece each now, behaviour as it was.

--- a/lab/src/members/mod.rs
+++ b/lab/src/members/mod.rs
@@ -35,7 +35,6 @@
     stopped: Option<Duration>,
     /// What came while it was stopped.
     queued: Vec<Vec<u8>>,
-    polled: Duration,
 }
 
 /// What a world counts.
@@ -100,6 +99,8 @@
 
 /// What a socket's buffer holds for a process that is stopped.
 const QUEUED_MOST: usize = 200;
+/// After so long without a fault nobody may be declared dead who runs.
+const UNDISTURBED: Duration = Duration::from_secs(30);
 /// Unix time at which worlds begin.
 const EPOCH_MS: u64 = 1_796_000_000_000;
 
@@ -169,8 +170,7 @@
         (settings.before, settings.wire) = (recorded, self.wires[n]);
         let drift = 1.0 + self.drift * (2.0 * self.rng.random::<f64>() - 1.0);
         let tier = Tier::new(settings, Duration::from_secs(3600));
-        let process =
-            Process { tier, drift, began: self.now, stopped: None, queued: Vec::new(), polled: self.now };
+        let process = Process { tier, drift, began: self.now, stopped: None, queued: Vec::new() };
         self.processes[n] = Some(process);
         self.starts[n] += 1;
         self.disturbed();
@@ -321,8 +321,7 @@
     }
 
     fn happened(&mut self, n: usize, event: Event) {
-        let (least, longest) = (Duration::from_secs(1), Duration::from_secs(30));
-        let settled = self.now.saturating_sub(self.sound) > longest.max(least) && self.ways.cut.is_empty();
+        let settled = self.now.saturating_sub(self.sound) > UNDISTURBED && self.ways.cut.is_empty();
         if let Event::Down(name, start, State::Dead) = &event {
             let runs = (0..self.listed).any(|other| {
                 self.names[other] == *name
@@ -369,7 +368,6 @@
         let at = self.clock(n);
         if let Some(process) = &mut self.processes[n] {
             process.tier.poll(at);
-            process.polled = self.now;
             self.flush(n);
             self.schedule(n);
         }
--- a/link/src/lib.rs
+++ b/link/src/lib.rs
@@ -11,5 +11,5 @@
 mod secret;
 pub mod state;
 
-pub use run::{Asks, Member, Part, Status, Talk, Told};
+pub use run::{Asks, Member, Part, Status, Talk, Told, unix_ms};
 pub use secret::{Datagrams, Secret};
--- a/link/src/run.rs
+++ b/link/src/run.rs
@@ -151,7 +151,8 @@
     }
 }
 
-fn unix_ms() -> u64 {
+/// The time, in Unix milliseconds.
+pub fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
 }
@@ -370,18 +371,16 @@
         self.tier.absorb(now, &words);
     }
 
+    /// Those who are here and take part.
+    fn here(&self) -> Vec<Name> {
+        self.part.peers.keys().filter(|name| self.tier.is_here(name)).cloned().collect()
+    }
+
     fn look_after_links(&mut self) {
         if !self.tier.speaks() {
             return;
         }
-        let now = self.now();
-        let here: Vec<Name> = self
-            .tier
-            .seen(now)
-            .into_iter()
-            .filter(|seen| self.tier.is_here(&seen.name))
-            .map(|seen| seen.name)
-            .collect();
+        let here = self.here();
         self.hub.keep(&successors(&self.part.name, here.iter()));
     }
 
@@ -393,8 +392,7 @@
             return;
         }
         let drawn = || {
-            let here: Vec<Name> =
-                self.part.peers.keys().filter(|name| self.tier.is_here(name)).cloned().collect();
+            let here = self.here();
             (!here.is_empty()).then(|| here[fastrand::usize(..here.len())].clone())
         };
         let Some(to) = to.cloned().or_else(drawn) else { return };
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -103,7 +103,12 @@
 
 /// Reads the operator's file, if there is one.
 pub fn operator(path: Option<&Path>) -> Result<Operator, Box<dyn Error>> {
-    let Some(path) = path else { return Ok(Operator::default()) };
+    path.map_or_else(|| Ok(Operator::default()), |path| Ok(with_text(path)?.0))
+}
+
+/// Reads an operator's file, and keeps its text.
+pub fn with_text(path: &Path) -> Result<(Operator, String), Box<dyn Error>> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    maplehook_config::parse(&text).map_err(|e| format!("{}:\n{e}", path.display()).into())
+    let operator = maplehook_config::parse(&text).map_err(|e| format!("{}:\n{e}", path.display()))?;
+    Ok((operator, text))
 }
--- a/node/src/hearsay.rs
+++ b/node/src/hearsay.rs
@@ -5,14 +5,14 @@
 
 use lapisroute::{Availability, FleetScope, UpstreamId};
 use maplehook::source::{Entry, Heard, News, Source, Task};
-use maplehook_link::{Member, Told};
+use maplehook_link::{Member, Told, unix_ms};
 use maplehook_tier::care::{Care, Own, View};
 use maplehook_tier::words::Claim;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -31,11 +31,6 @@
     idle: Cell<usize>,
 }
 
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
-}
-
 impl Hearsay {
     /// Over this source, which knew this list before it was read. Drains by hearsay take at most this share of it.
     pub fn new(inner: Rc<dyn Source>, known: &News, member: &Member, share: f64) -> Rc<Self> {
--- a/node/src/lists.rs
+++ b/node/src/lists.rs
@@ -1,7 +1,7 @@
 //! The upstreams that the operator's file lists, which may change while the balancer runs.
 
-use lapisroute::{Availability, CellId, FleetScope, KindId, ZoneId};
-use maplehook::source::{Entry, News, Place, Source, Task, stable_id};
+use lapisroute::{FleetScope, ZoneId};
+use maplehook::source::{Entry, Fixed, News, Source, Task};
 use maplehook_config::Upstream;
 use std::time::Instant;
 use tokio::sync::watch;
@@ -11,19 +11,11 @@
 
 /// As entries, with zones by these numbers.
 pub fn entries(upstreams: &[Upstream], zone: impl Fn(ZoneId) -> ZoneId) -> Vec<Entry> {
-    let entry = |upstream: &Upstream| Entry {
-        id: stable_id(&upstream.name),
-        zone: zone(upstream.zone),
-        kind: KindId(0),
-        cell: CellId(0),
-        weight: upstream.weight,
-        place: Place {
-            endpoint: Some(upstream.address),
-            availability: if upstream.drained { Availability::Draining } else { Availability::Ready },
-            boot_ms: 0,
-        },
-    };
-    upstreams.iter().map(entry).collect()
+    let listed = upstreams.iter().map(|upstream| {
+        let Upstream { name, address, zone: of, weight, drained } = upstream;
+        (name.as_str(), *address, zone(*of), *weight, *drained)
+    });
+    Fixed::listed(listed).news().entries
 }
 
 impl Lists {
--- a/node/src/wishes.rs
+++ b/node/src/wishes.rs
@@ -6,7 +6,7 @@
 use hyper::StatusCode;
 use maplehook_agreement::steps::{Step, Version};
 use maplehook_config::Operator;
-use maplehook_link::Secret;
+use maplehook_link::{Secret, unix_ms};
 use maplehook_quorum::talk::{Op, Overview, Reply};
 use maplehook_quorum::{Local, Wishes};
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// Where it is.
 pub const PATH: &str = "/control/settings";
@@ -29,11 +29,6 @@
 /// The longest body.
 pub const BODY_MOST: usize = 3 << 20;
 
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn key(secret: &Secret) -> Secret {
     secret.derive(&[b"maplehook operator 1"])
 }
--- a/quorum/src/leader.rs
+++ b/quorum/src/leader.rs
@@ -1,8 +1,9 @@
 //! What a leader does: the first version, the next step, and what operators want.
 
-use crate::run::{CHECK, Checking, Part, Reading, Runner, WISH, WISHES_MOST, Wisher, unix_ms};
+use crate::run::{CHECK, Checking, Part, Reading, Runner, WISH, WISHES_MOST, Wisher};
 use crate::talk::{Op, Overview, Reply, Say, Stands};
-use maplehook_agreement::steps::{Command, Step, Steps, digest};
+use maplehook_agreement::steps::{Command, Step, Steps, Version, digest};
+use maplehook_link::unix_ms;
 use maplehook_tier::Name;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Instant;
@@ -79,7 +80,7 @@
             self.end(wisher, Reply::Unavailable("the leader has just begun".into()));
             return;
         };
-        let steps = voter.steps().clone();
+        let steps = voter.steps();
         match op {
             Op::Status => {
                 if voter.read(ticket) {
@@ -89,10 +90,14 @@
                 }
             }
             Op::History => {
-                let without = |version: &maplehook_agreement::steps::Version| {
-                    maplehook_agreement::steps::Version { text: String::new(), ..version.clone() }
+                let without = |version: &Version| Version {
+                    text: String::new(),
+                    digest: version.digest.clone(),
+                    by: version.by.clone(),
+                    ..*version
                 };
-                self.end(wisher, Reply::Versions(steps.versions.iter().map(without).collect()));
+                let reply = Reply::Versions(steps.versions.iter().map(without).collect());
+                self.end(wisher, reply);
             }
             Op::Show { number } => {
                 let reply = match steps.version(number) {
@@ -109,7 +114,10 @@
                 self.put(Command::Forget { name }, wisher);
             }
             Op::Undo => match steps.step {
-                Step::Strictest { .. } => self.put(Command::Undo { epoch: steps.epoch }, wisher),
+                Step::Strictest { .. } => {
+                    let epoch = steps.epoch;
+                    self.put(Command::Undo { epoch }, wisher);
+                }
                 Step::Settled(number) => {
                     let before = steps.versions.iter().rev().find(|v| v.number < number && !v.undone);
                     match before {
@@ -123,14 +131,15 @@
                 Step::Unsettled => self.end(wisher, Reply::Refused("nothing is agreed yet".into())),
             },
             Op::Propose { text, expect } => {
-                let waits = grants.waits(now, &steps);
+                let waits = grants.waits(now, steps);
+                let step = steps.step;
+                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
+                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
                 if let Err(e) = self.fits(&text) {
                     self.end(wisher, Reply::Refused(format!("{}: {e}", self.setup.own)));
                     return;
                 }
-                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
-                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
-                if !same && steps.step != Step::Unsettled && !waits.is_empty() {
+                if !same && step != Step::Unsettled && !waits.is_empty() {
                     let names: Vec<String> = waits.iter().map(|w| w.name.to_string()).collect();
                     let why = format!("the last step is not everywhere yet: {}", names.join(", "));
                     self.end(wisher, Reply::Unavailable(why));
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -9,7 +9,7 @@
 use crate::voter::{Ended, Voter, id};
 use maplehook_agreement::grants::{CutOff, Grants, Times};
 use maplehook_agreement::holder::{Holder, Told};
-use maplehook_agreement::steps::{Step, Steps, digest};
+use maplehook_agreement::steps::{Step, digest};
 use maplehook_agreement::strict::{careful, contradictions, strictest};
 use maplehook_config::Proxy;
 use maplehook_link::Talk;
@@ -19,7 +19,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -166,11 +166,6 @@
     Acting { epoch: 0, label: "0".into(), rules: Arc::clone(own), until: None, careful, cut_off: true }
 }
 
-pub(crate) fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Who is to hear how a wish ended.
 pub(crate) enum Wisher {
     Here(oneshot::Sender<(Local, Reply)>),
@@ -462,15 +457,15 @@
         if self.holder.granted(number, epoch, told) {
             self.unfit = None;
         }
-        let Some(told) = self.holder.told().cloned() else { return };
-        if told.step == Step::Unsettled {
-            return;
-        }
+        let (epoch, step) = match self.holder.told() {
+            Some(told) if told.step != Step::Unsettled => (told.epoch, told.step),
+            _ => return,
+        };
         let until = match self.setup.cut_off {
             CutOff::WaitForAll => None,
             _ => self.holder.until().map(|until| self.epoch + until),
         };
-        let news = self.acting.borrow().epoch != told.epoch;
+        let news = self.acting.borrow().epoch != epoch;
         if !news {
             self.acting.send_modify(|acting| acting.until = until);
             return;
@@ -478,18 +473,13 @@
         if self.unfit.is_some() {
             return;
         }
-        match self.rules(&told) {
+        let rules =
+            self.holder.told().map_or_else(|| Err("nothing is agreed".into()), |told| self.rules(told));
+        match rules {
             Ok((rules, label)) => {
                 let careful = (self.setup.cut_off != CutOff::Refuse).then(|| Arc::new(careful(&rules)));
-                tracing::info!(version = label, epoch = told.epoch, step = %told.step, "acts on another step");
-                self.acting.send_replace(Acting {
-                    epoch: told.epoch,
-                    label,
-                    rules,
-                    until,
-                    careful,
-                    cut_off: false,
-                });
+                tracing::info!(version = label, epoch, step = %step, "acts on another step");
+                self.acting.send_replace(Acting { epoch, label, rules, until, careful, cut_off: false });
             }
             Err(e) => {
                 tracing::error!("the version that was agreed on can't be acted on here: {e}");
@@ -531,7 +521,7 @@
     pub(crate) fn settle(&mut self) {
         let Part::Voting { voter, store, grants } = &mut self.part else { return };
         let settled = voter.settle(&mut |batch| store.write(batch));
-        let (leads, steps) = (voter.leads(), voter.steps().clone());
+        let leads = voter.leads();
         let settled = match settled {
             Ok(settled) => settled,
             Err(e) => {
@@ -576,7 +566,7 @@
             }
         }
         for ticket in settled.confirmed {
-            self.confirmed(ticket, &steps);
+            self.confirmed(ticket);
         }
         for (ticket, ended) in settled.ended {
             if self.advancing == Some(ticket) {
@@ -593,25 +583,30 @@
     }
 
     /// The others say that this voter led after this was asked.
-    pub(crate) fn confirmed(&mut self, ticket: u64, steps: &Steps) {
+    pub(crate) fn confirmed(&mut self, ticket: u64) {
         let now = self.now();
         match self.readings.remove(&ticket) {
             Some(Reading::Lease { from, number, epoch, has }) => {
-                let Part::Voting { grants: Some(grants), .. } = &mut self.part else { return };
+                let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else { return };
+                let steps = voter.steps();
                 if !grants.grant(now, &from, epoch) {
                     return;
                 }
-                let told = (has != steps.epoch).then(|| Told::of(steps));
+                let now_at = steps.epoch;
+                let told = (has != now_at).then(|| Told::of(steps));
                 if from == self.setup.own {
-                    self.granted(number, steps.epoch, told);
+                    self.granted(number, now_at, told);
                 } else {
                     let told = told.map(Into::into);
-                    self.tell(&from, &Say::Grant { number, epoch: steps.epoch, told });
+                    self.tell(&from, &Say::Grant { number, epoch: now_at, told });
                 }
             }
             Some(Reading::Status(wisher)) => {
-                let overview = self.overview(steps);
-                self.end(wisher, Reply::Overview(overview));
+                let reply = match &self.part {
+                    Part::Voting { voter, .. } => Reply::Overview(self.overview(voter.steps())),
+                    _ => Reply::Unavailable("this voter leads no more".into()),
+                };
+                self.end(wisher, reply);
             }
             None => {}
         }
