--- a/admission/src/address.rs
+++ b/admission/src/address.rs
@@ -63,6 +63,57 @@
     }
 }
 
+/// Many networks, among which an address is found in a time that hardly grows with their number.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Networks {
+    /// First and last addresses, disjoint and in order.
+    ranges: Vec<(u128, u128)>,
+}
+
+impl Networks {
+    /// Whether an address lies in one of them.
+    pub fn contains(&self, address: IpAddr) -> bool {
+        let bits = match address.to_canonical() {
+            IpAddr::V4(a) => u128::from(a.to_ipv6_mapped()),
+            IpAddr::V6(a) => u128::from(a),
+        };
+        let after = self.ranges.partition_point(|(first, _)| *first <= bits);
+        after.checked_sub(1).is_some_and(|at| bits <= self.ranges[at].1)
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.ranges.is_empty()
+    }
+
+    /// Both.
+    pub fn and(&self, other: &Self) -> Self {
+        Self::joined(self.ranges.iter().chain(&other.ranges).copied().collect())
+    }
+
+    fn joined(mut ranges: Vec<(u128, u128)>) -> Self {
+        ranges.sort_unstable();
+        let mut joined: Vec<(u128, u128)> = Vec::with_capacity(ranges.len());
+        for (first, last) in ranges {
+            match joined.last_mut() {
+                Some((_, end)) if first <= end.saturating_add(1) => *end = (*end).max(last),
+                _ => joined.push((first, last)),
+            }
+        }
+        Self { ranges: joined }
+    }
+}
+
+impl FromIterator<Network> for Networks {
+    fn from_iter<I: IntoIterator<Item = Network>>(networks: I) -> Self {
+        let range = |network: Network| {
+            let Key { bits, length } = network.key;
+            (bits, bits | !mask(length))
+        };
+        Self::joined(networks.into_iter().map(range).collect())
+    }
+}
+
 /// Why a text names no network.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NetworkError(String);
@@ -100,6 +151,33 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
+
+    fn network() -> impl Strategy<Value = Network> {
+        (any::<u32>(), 0u8..=32).prop_map(|(bits, length)| Network {
+            key: Key::prefix(IpAddr::from((bits & 0xf0f0_000f).to_be_bytes()), length, length),
+        })
+    }
+
+    proptest! {
+        /// The same as looking at each of them.
+        #[test]
+        fn many_networks_hold_what_each_holds(
+            some in prop::collection::vec(network(), 0..12),
+            more in prop::collection::vec(network(), 0..3),
+            addresses in prop::collection::vec(any::<u32>(), 20),
+        ) {
+            let all: Networks = some.iter().copied().collect();
+            let both = all.and(&more.iter().copied().collect());
+            for bits in addresses {
+                let address = IpAddr::from((bits & 0xf0f0_000f).to_be_bytes());
+                let listed = some.iter().any(|network| network.contains(address));
+                prop_assert_eq!(all.contains(address), listed);
+                prop_assert_eq!(both.contains(address), listed || more.iter().any(|n| n.contains(address)));
+            }
+            prop_assert_eq!(all.and(&all), all);
+        }
+    }
 
     #[test]
     fn networks_hold_what_they_say() {
--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -1,6 +1,6 @@
 //! The places at the door and what is decided about them; the rules stand in the crate's page.
 
-use crate::address::Key;
+use crate::address::{Key, Networks};
 use crate::links::{Link, Links, List};
 use crate::peers::Peers;
 use crate::policy::Policy;
@@ -141,6 +141,8 @@
 /// The places, and who holds them.
 pub struct Door {
     policy: Policy,
+    /// Known beside those of the policy.
+    known: Networks,
     places: usize,
     conns: Vec<Conn>,
     free: Vec<u32>,
@@ -178,6 +180,7 @@
             answers: ANSWERS.1,
             answers_at: 0.0,
             refused: 0,
+            known: Networks::default(),
             policy,
         };
         door.guarantee(guarantees);
@@ -195,6 +198,11 @@
         self.known_of_tenant.resize(tenants, 0);
     }
 
+    /// Clients from there are known from now on, beside those of the policy. Whoever is in keeps what it was let in as.
+    pub fn know(&mut self, networks: Networks) {
+        self.known = networks;
+    }
+
     /// Connections let in and not told to end.
     pub fn open(&self) -> usize {
         self.open[0] + self.open[1]
@@ -227,8 +235,8 @@
         let net = Key::prefix(address, self.policy.prefix_v4, self.policy.prefix_v6);
         let times = self.policy.prefix_times;
         let prefix = self.prefixes.enter(net, at, burst * times.unwrap_or(1.0));
-        let known = self.policy.known.iter().any(|n| n.contains(address))
-            && self.addresses.of(entry).known < self.known_most();
+        let listed = self.policy.known.iter().any(|n| n.contains(address)) || self.known.contains(address);
+        let known = listed && self.addresses.of(entry).known < self.known_most();
         let exempt = known || self.policy.fronts.iter().any(|n| n.contains(address));
         let mut ends = None;
         if !exempt {
--- a/agreement/src/steps.rs
+++ b/agreement/src/steps.rs
@@ -12,6 +12,8 @@
 pub const KEPT: usize = 32;
 /// The longest text of a version.
 pub const TEXT_MOST: usize = 1 << 20;
+/// What the texts of all versions that are kept may take, beside those in force.
+pub const TEXTS_MOST: usize = 3 << 20;
 
 /// The digest of a text: SHA-256 in hexadecimal.
 pub fn digest(text: &str) -> String {
@@ -158,11 +160,19 @@
     pub versions: Vec<Version>,
     /// Members that are not waited for, and the epoch at which that was said.
     pub forgotten: BTreeMap<String, u64>,
+    /// The step before this one.
+    pub before: Step,
 }
 
 impl Default for Steps {
     fn default() -> Self {
-        Self { epoch: 0, step: Step::Unsettled, versions: Vec::new(), forgotten: BTreeMap::new() }
+        Self {
+            epoch: 0,
+            step: Step::Unsettled,
+            versions: Vec::new(),
+            forgotten: BTreeMap::new(),
+            before: Step::Unsettled,
+        }
     }
 }
 
@@ -256,9 +266,11 @@
 
     fn go(&mut self, step: Step) {
         self.epoch += 1;
-        self.step = step;
+        self.before = std::mem::replace(&mut self.step, step);
         let kept = step.keeps();
-        while self.versions.len() > KEPT {
+        while self.versions.len() > KEPT
+            || self.versions.iter().map(|v| v.text.len()).sum::<usize>() > TEXTS_MOST
+        {
             let Some(oldest) = self.versions.iter().position(|v| !kept.contains(&Some(v.number))) else {
                 break;
             };
--- a/agreement/src/strict.rs
+++ b/agreement/src/strict.rs
@@ -10,6 +10,8 @@
 //! | an upstream listed here, gone or drained there | always | it drains |
 //! | an upstream at two addresses, or of two zones | always | it drains |
 //! | a tenant's guarantee | never for one tenant, since either keeps what is promised; the sum over the room does | the lesser |
+//! | refused clients | the lists differ | whoever either refuses |
+//! | known clients | never: they say who goes first at a crowded door | the new one's |
 //! | deadlines, aims, weights, limits on bodies, other headers | never: they say how well, not what may happen | the lesser time, the new one's otherwise |
 
 use lapisroute::{Class, Effect, Tenant};
@@ -43,6 +45,9 @@
     if a.headers.idempotency != b.headers.idempotency {
         found.push(format!("headers.idempotency {} and {}", a.headers.idempotency, b.headers.idempotency));
     }
+    if a.clients.refused != b.clients.refused {
+        found.push("clients.refused".into());
+    }
     let (ours, theirs) = (upstreams(a), upstreams(b));
     for name in ours.keys().chain(theirs.keys()).collect::<std::collections::BTreeSet<_>>() {
         match (ours.get(name), theirs.get(name)) {
@@ -122,6 +127,7 @@
     }
     strict.settings.max_attempts = new.settings.max_attempts.min(old.settings.max_attempts);
     strict.settings.hedging = new.settings.hedging && old.settings.hedging;
+    strict.clients.refused = old.clients.refused.and(&new.clients.refused);
     let named = |proxy: &Proxy| -> BTreeMap<String, f64> {
         let names = proxy.tenants.iter().cloned();
         names.zip(proxy.settings.tenants.iter().map(|tenant| tenant.allowance_per_s)).collect()
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -13,6 +13,7 @@
 //! # Ok::<(), maplehook_config::Faults>(())
 //! ```
 
+mod clients;
 mod eureka;
 mod proxy;
 pub mod reader;
@@ -20,6 +21,7 @@
 mod tier;
 mod values;
 
+pub use clients::Clients;
 pub use eureka::{Eureka, Registration, Wanted};
 pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
@@ -42,6 +44,7 @@
         "listen",
         "balancer",
         "headers",
+        "clients",
         "eureka",
         "registration",
         "tier",
@@ -161,6 +164,10 @@
     }
     operator.proxy = proxy::read(&mut reader, embedded);
     let served = operator.proxy.is_some();
+    let known = operator.proxy.as_ref().is_some_and(|proxy| !proxy.clients.known.is_empty());
+    if known && !embedded && operator.admission.reserve == 0.0 {
+        reader.fault("clients", "known", "of no use without a reserve: set admission.reserve".into());
+    }
     operator.control = reader.take("operator", "address");
     if operator.control.is_some() && !served {
         reader.fault("operator", "address", "of no use without listen.address and [[class]]".into());
@@ -239,7 +246,7 @@
             address = '127.0.0.1:9001'\n[[class]]\nname = 'book'\npath = '/book/**'\nmethods = ['POST']\neffect = 'keyed'\n\
             [headers]\nkey = 'X-Room'\nkey_cookie = 'user'\n[balancer]\nzone = 'a'\n[eureka]\nservers = ['127.0.0.1:8761']\n\
             app = 'DESKS'\nuser = 'maplehook'\npassword_file = 'deploy/eureka.secret'\nreach = ['127.0.0.0/8']\n\
-            [registration]\naddress = '127.0.0.1:8080'\n";
+            [registration]\naddress = '127.0.0.1:8080'\n[clients]\nrefused = ['203.0.113.0/24']\n";
         assert_eq!(shown, parse(least).unwrap().proxy.unwrap());
         for key in [
             "reserve",
@@ -261,6 +268,7 @@
             "slow_ms",
             "spare_ms",
             "known_tenants",
+            "refused",
             "header",
             "secret_file",
             "limit",
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -1,5 +1,6 @@
 //! What a balancer of one's own serves: its classes, tenants and upstreams, and what passes on the way.
 
+use crate::clients::Clients;
 use crate::eureka::Eureka;
 use crate::reader::{Reader, Table};
 use crate::values::{ms, ranged};
@@ -66,6 +67,8 @@
     pub drain: Duration,
     /// The names of the zones, in the order of their ids; the first is the balancer's own.
     pub zones: Vec<String>,
+    /// Lists of clients.
+    pub clients: Clients,
     /// The registry that further upstreams are read from.
     pub eureka: Option<Eureka>,
 }
@@ -85,7 +88,7 @@
     }
     let own_kind = listen.is_some() || reader.has("upstream") || reader.has("class") || reader.has("tenant");
     if !own_kind {
-        for section in ["balancer", "headers", "eureka", "registration"] {
+        for section in ["balancer", "headers", "clients", "eureka", "registration"] {
             if !reader.has(section) {
                 continue;
             }
@@ -135,6 +138,7 @@
         passages.push(passage);
         reader.done(table);
     }
+    let clients = crate::clients::read(reader);
     let eureka = crate::eureka::read(reader);
     if !own_kind {
         return None;
@@ -174,6 +178,7 @@
         stall,
         drain,
         zones,
+        clients,
         eureka,
     })
 }
--- a/node/src/entrance.rs
+++ b/node/src/entrance.rs
@@ -1,6 +1,7 @@
 //! Carries out what the door decides: it knows the clients behind the door's names.
 
 use crate::client::{Client, Keeper};
+use maplehook_admission::address::Networks;
 use maplehook_admission::{After, Arrival, ConnId, Door, Reason, Refusal};
 use rustc_hash::FxHashMap;
 use std::cell::RefCell;
@@ -73,6 +74,11 @@
         self.door.borrow_mut().guarantee(guarantees);
     }
 
+    /// Clients from there are known from now on, beside those of the own file.
+    pub fn know(&self, networks: Networks) {
+        self.door.borrow_mut().know(networks);
+    }
+
     /// Ends one connection that may end, for its descriptor; `false` if there is none.
     pub fn shed(&self) -> bool {
         let shed = self.door.borrow_mut().shed(self.now());
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -11,7 +11,7 @@
 use maplehook::parts::body::{Fault, Pace, Upload, take_in};
 use maplehook::parts::driver::Asked;
 use maplehook::parts::room::Room;
-use maplehook_admission::address::Network;
+use maplehook_admission::address::{Network, Networks};
 use maplehook_admission::token::Signer;
 use maplehook_config::Proxy;
 use maplehook_routes::{Fit, Forwarding, Passage, Peer, Rules, Unfit};
@@ -99,6 +99,8 @@
 struct Book {
     rules: Rules,
     passages: Vec<Rc<Passage>>,
+    /// Clients of which nothing is taken.
+    refused: Networks,
     /// The version in force, where it is told.
     label: Option<HeaderValue>,
 }
@@ -111,6 +113,7 @@
             rules: Rules::platform(classes, tuned.tenants(), before),
             // By number, those of the vanished among them.
             passages: vec![passage; tuned.site().settings.classes.len()],
+            refused: Networks::default(),
             label: None,
         }
     }
@@ -148,6 +151,7 @@
             book: RefCell::new(Rc::new(Book {
                 rules: proxy.rules(),
                 passages: proxy.passages.iter().cloned().map(Rc::new).collect(),
+                refused: proxy.clients.refused.clone(),
                 label: None,
             })),
             refuses: Cell::new(false),
@@ -171,10 +175,10 @@
     }
 
     /// Another version is in force; requests whose heads have come keep the one that they came under.
-    pub fn replace(&self, rules: Rules, passages: Vec<Passage>, label: Option<&str>) {
+    pub fn replace(&self, rules: Rules, passages: Vec<Passage>, refused: Networks, label: Option<&str>) {
         let label = label.and_then(|label| HeaderValue::from_str(label).ok());
         let passages = passages.into_iter().map(Rc::new).collect();
-        *self.book.borrow_mut() = Rc::new(Book { rules, passages, label });
+        *self.book.borrow_mut() = Rc::new(Book { rules, passages, refused, label });
     }
 
     /// Whether everything is refused from now on.
@@ -187,13 +191,16 @@
         self.book.borrow().label.clone()
     }
 
-    /// Reads a head. `hides_a_length`: whether its bytes name a length that it does not show.
-    pub fn head(&self, mut parts: Parts, hides_a_length: bool) -> Result<Head, Unfit> {
+    /// Reads a head, from a client at this address. `hides_a_length`: whether its bytes name a length that it does not show.
+    pub fn head(&self, mut parts: Parts, peer: IpAddr, hides_a_length: bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
         if self.refuses.get() {
             return Err(Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no word from the other balancers"));
         }
         let book = Rc::clone(&self.book.borrow());
+        if book.refused.contains(peer) {
+            return Err(Unfit::new(StatusCode::FORBIDDEN, "this client is refused"));
+        }
         let headers = &mut parts.headers;
         // Two lengths hide a second request in the body of the first from one of the two that read it.
         if hides_a_length && headers.contains_key(TRANSFER_ENCODING) {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -223,6 +223,7 @@
         let fronts = plan.operator.admission.fronts.clone();
         let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
         requests.refuse(refuses);
+        parts.entrance.know(proxy.clients.known.clone());
         parts.board.refuses.store(refuses, Ordering::Release);
         let lists = Rc::new(Lists::new(lists::entries(&proxy.upstreams, |zone| zone)));
         let known = News { scope: FleetScope::Cached, ..lists.news() };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -252,7 +252,7 @@
         pace: Pace,
     ) -> Result<Ready, Unfit> {
         let (parts, body) = request.into_parts();
-        let head = match self.requests.head(parts, client.hides_a_length()) {
+        let head = match self.requests.head(parts, peer, client.hides_a_length()) {
             Ok(head) => head,
             Err(unfit) => {
                 if !self.requests.is_strict() {
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -182,6 +182,7 @@
         driver.retune(numbered.settings, numbered.gone);
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
+        self.entrance.know(proxy.clients.known.clone());
         if let Some(lists) = &self.lists {
             let zones = numbered.zones;
             let zone = |zone: ZoneId| zones.get(usize::from(zone.0)).copied().unwrap_or(zone);
@@ -191,7 +192,8 @@
             Mode::Rules => acting.label.clone(),
             _ => format!("{};careful", acting.label),
         });
-        self.requests.replace(numbered.rules, numbered.passages, label.as_deref());
+        let refused = proxy.clients.refused.clone();
+        self.requests.replace(numbered.rules, numbered.passages, refused, label.as_deref());
         self.requests.refuse(mode == Mode::Refuses);
         self.refuses.store(mode == Mode::Refuses, Ordering::Release);
         match mode {
--- a/node/src/wishes.rs
+++ b/node/src/wishes.rs
@@ -186,6 +186,12 @@
     pub trouble: Option<String>,
     /// The members, where the leader answers.
     pub members: Vec<ShownMember>,
+    /// The voters, where the leader answers.
+    #[serde(default)]
+    pub voters: Vec<String>,
+    /// The step that the leader stands at, as a label.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub agreed: Option<String>,
     /// Before the first version: whose files differ, by digest.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub differ: Vec<(String, Vec<String>)>,
@@ -224,6 +230,8 @@
             leader: local.leader.clone(),
             trouble: local.voter.clone(),
             members: members.unwrap_or_default(),
+            voters: overview.map(|overview| overview.voters.clone()).unwrap_or_default(),
+            agreed: overview.map(|overview| label(overview.step)),
             differ: overview.map(|overview| overview.differ.clone()).unwrap_or_default(),
         }
     }
@@ -251,6 +259,9 @@
         if let Some(trouble) = &self.trouble {
             let _ = writeln!(text, "{trouble}");
         }
+        if !self.voters.is_empty() {
+            let _ = writeln!(text, "voters: {}", self.voters.join(", "));
+        }
         for member in &self.members {
             let waits = match (member.waits, member.waits_ms) {
                 (false, _) => String::new(),
@@ -302,6 +313,13 @@
     },
     /// Takes the change back that is under way; of none, proposes the version before again.
     Undo,
+    /// Gives a voter's place to another balancer; to itself, where it has lost its log.
+    ReplaceVoter {
+        /// Who votes.
+        old: String,
+        /// Who is to.
+        new: String,
+    },
     /// Has a member not waited for until it is heard of again (with `when_cut_off = "wait_for_all"`).
     Forget {
         /// Whom.
@@ -370,6 +388,10 @@
                 Ok(Outcome { text: differences(&a.text, &b.text), code: 0 })
             }
             Action::Undo => self.wish(address, operator, &Op::Undo),
+            Action::ReplaceVoter { old, new } => {
+                let op = Op::Replace { old: old.clone(), new: new.clone() };
+                self.wish(address, operator, &op)
+            }
             Action::Forget { name } => self.wish(address, operator, &Op::Forget { name: name.clone() }),
             Action::Propose { file, expect, wait } => self.propose(address, operator, file, *expect, *wait),
         }
@@ -424,7 +446,11 @@
             let _ = writeln!(said, "left out, each balancer's own: {}", left.join(", "));
             let (_, shown) = self.status(address)?;
             if shown.in_force > 0 {
-                said += &differences(&version(address, shown.in_force)?.0.text, &shared);
+                // Whoever leads may be away for a moment: that keeps nobody from proposing.
+                said += &match version(address, shown.in_force) {
+                    Ok((before, _)) => differences(&before.text, &shared),
+                    Err(e) => format!("the difference can't be shown now: {e}\n"),
+                };
             }
         }
         let begun = Instant::now();
--- a/node/tests/agreement.rs
+++ b/node/tests/agreement.rs
@@ -314,3 +314,87 @@
     let (longest, what) = longest_contradiction(&world.end());
     assert!(longest < Duration::from_millis(200), "{longest:?}: {what}");
 }
+
+/// A voter that is gone for good gives its place to another balancer; then one that has lost its log has its own again.
+#[test]
+fn a_voter_is_replaced_by_a_command() {
+    let world = world(5, "");
+    world.kill(2);
+    let replaced = |n: usize, old: &str, new: &str| {
+        let mut last = None;
+        until("it is replaced", || {
+            let done = command(&world, n, &["replace-voter", old, new]);
+            let ended = done.status.code() == Some(0);
+            last = Some(done);
+            // Whoever leads hands that over first.
+            ended || last.as_ref().is_some_and(|done| done.status.code() == Some(3))
+        });
+        last.unwrap()
+    };
+    let done = replaced(4, "b3", "b4");
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    until("all hear of it", || status(&world, 0)["voters"] == serde_json::json!(["b1", "b2", "b4"]));
+    assert_eq!(replaced(1, "b3", "b4").status.code(), Some(0), "once more is harmless");
+    assert!(said(&replaced(1, "b3", "b5")).contains("b3 does not vote"));
+    // b4 counts: with b1 gone, b2 and b4 are a majority.
+    world.kill(0);
+    let file = changed(&world, "next.toml", LOOK, "effect = \"keyed\"");
+    let done = command(&world, 4, &["propose", &file, "--wait", "30"]);
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    // Its place outlives its process, though its file does not call it a voter.
+    world.kill(3);
+    world.start_one(3, Keeps::State).unwrap();
+    let file = changed(&world, "after.toml", LOOK, "effect = \"at_most_once\"");
+    let done = command(&world, 1, &["propose", &file, "--wait", "30"]);
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    // The one that was replaced comes back with its log, and follows.
+    world.start_one(2, Keeps::State).unwrap();
+    until("it hears that it votes no more", || {
+        world.balancer(2).log().iter().any(|line| line.contains("another balancer has this voter's place"))
+    });
+    until("and follows", || acts(&world, 2, 3));
+    // b1 has lost everything: it has its place again under another number.
+    world.start_one(0, Keeps::Nothing).unwrap();
+    until("it says so", || world.balancer(0).log().iter().any(|line| line.contains("votes no more")));
+    let done = replaced(1, "b1", "b1");
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    world.kill(3);
+    let file = changed(&world, "last.toml", LOOK, "effect = \"keyed\"");
+    let done = command(&world, 4, &["propose", &file, "--wait", "30"]);
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+}
+
+/// A list of clients: whoever is refused by either version is refused in between, and then by the new one; the one that can't
+/// act on a version is named, and the version gets no number.
+#[test]
+fn lists_of_clients_have_versions_and_who_cannot_act_on_one_is_named() {
+    let world = World::prepare(setup(4, "")).unwrap();
+    for n in 0..3 {
+        let text = world.file(n) + "[admission]\nreserve = 0.2\n";
+        world.balancer(n).configure(&text).unwrap();
+    }
+    world.start_all(&[0, 1, 2, 3], Keeps::State).unwrap();
+    until("all act on version 1", || settled(&world, 1));
+    let asked = |n: usize| {
+        use std::io::{Read, Write};
+        let mut stream = std::net::TcpStream::connect(world.balancer(n).listen.unwrap()).unwrap();
+        write!(stream, "GET /look/x HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text.split(' ').nth(1).unwrap().to_owned()
+    };
+    assert_eq!(asked(3), "200");
+    let list = |name: &str, list: &str| {
+        changed(&world, name, "[balancer]", &format!("[clients]\n{list}\n[balancer]"))
+    };
+    let done = command(&world, 3, &["propose", &list("refused.toml", "refused = ['127.0.0.0/8']"), "--wait"]);
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    assert!((0..4).all(|n| asked(n) == "403"));
+    // The fourth keeps no reserve for known clients, and says so.
+    let done = command(&world, 0, &["propose", &list("known.toml", "known = ['127.0.0.0/8']")]);
+    assert_eq!(done.status.code(), Some(3), "{}", said(&done));
+    assert!(said(&done).contains("b4: ") && said(&done).contains("clients.known"), "{}", said(&done));
+    assert_eq!(command(&world, 0, &["undo"]).status.code(), Some(0));
+    until("the list is gone", || settled(&world, 3));
+    assert!((0..4).all(|n| asked(n) == "200"));
+}
--- /dev/null
+++ b/quorum/src/follow.rs
@@ -0,0 +1,250 @@
+//! A member's side: it asks for a lease, hears of steps, and reads what they come to here; and the answers that it gets as far as
+//! they need nothing but the leader's word that it leads.
+
+use crate::run::{Acting, Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
+use crate::talk::{RAFT, Reply, Say, Telling};
+use maplehook_agreement::grants::CutOff;
+use maplehook_agreement::holder::Told;
+use maplehook_agreement::steps::{Step, digest};
+use maplehook_agreement::strict::{careful, contradictions, strictest};
+use maplehook_config::Proxy;
+use maplehook_link::frames::Message;
+use maplehook_tier::Name;
+use std::sync::Arc;
+use std::time::Instant;
+
+impl Runner {
+    /// Asks whoever leads for a lease. The clock is read before anything is said.
+    pub(crate) fn ask_for_a_lease(&mut self) {
+        let now = self.now();
+        let number = self.holder.ask(now);
+        if let Part::Voting { voter, .. } = &self.part
+            && voter.leads()
+        {
+            self.asked(
+                &self.setup.own.clone(),
+                number,
+                self.applied,
+                self.holder.epoch(),
+                self.digest.clone(),
+            );
+            return;
+        }
+        let to = match &self.leader {
+            Some(leader) => leader.clone(),
+            None => {
+                self.next_voter = self.next_voter.wrapping_add(1);
+                // Those of the file may all have been replaced: any member knows who leads.
+                let others: Vec<Name> = if self.next_voter % 4 == 3 {
+                    self.setup.members.iter().filter(|name| **name != self.setup.own).cloned().collect()
+                } else {
+                    self.others().collect()
+                };
+                let Some(to) = others.get(self.next_voter % others.len().max(1)) else { return };
+                to.clone()
+            }
+        };
+        // It is asked again elsewhere if nothing comes of it.
+        if self.holder.until().is_none_or(|until| until < now) {
+            self.leader = None;
+        }
+        let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
+        self.tell(&to, &Say::Ask { number, epoch, has, digest });
+    }
+
+    /// A member asks this voter for a lease.
+    pub(crate) fn asked(&mut self, from: &Name, number: u64, epoch: u64, has: u64, digest: String) {
+        let Part::Voting { voter, .. } = &mut self.part else {
+            let leader = self.leader.as_ref().map(ToString::to_string);
+            self.tell(from, &Say::Elsewhere { leader });
+            return;
+        };
+        if !voter.knows() {
+            let leader =
+                voter.leader().filter(|leader| *leader != self.setup.own).map(|leader| leader.to_string());
+            self.tell(from, &Say::Elsewhere { leader });
+            return;
+        }
+        let ticket = fastrand::u64(..);
+        if voter.read(ticket) {
+            self.readings.insert(ticket, Reading::Lease { from: from.clone(), number, epoch, has });
+        }
+        self.digests.insert(from.clone(), (digest, Instant::now()));
+    }
+
+    pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
+        if message.topic == RAFT {
+            if let Part::Voting { voter, .. } = &mut self.part
+                && !voter.step(from, &message.body)
+            {
+                tracing::debug!(%from, "a message of a voter makes no sense");
+                if voter.knows() && !voter.voters().contains(from) {
+                    self.tell(from, &Say::Unseated);
+                }
+            }
+            return;
+        }
+        let Ok(say) = postcard::from_bytes::<Say>(&message.body) else {
+            tracing::debug!(%from, "a message on versions can't be read");
+            return;
+        };
+        match say {
+            Say::Ask { number, epoch, has, digest } => self.asked(from, number, epoch, has, digest),
+            Say::Grant { number, epoch, told } => {
+                self.leader = Some(from.clone());
+                self.granted(number, epoch, told.map(Told::from));
+            }
+            Say::Elsewhere { leader } => {
+                self.leader =
+                    leader.and_then(|name| Name::new(&name)).filter(|name| self.setup.members.contains(name));
+            }
+            Say::Wish { ticket, op } => self.wish(op, Wisher::There(from.clone(), ticket)),
+            Say::End { ticket, reply } => {
+                if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
+                    self.end(wisher, reply);
+                }
+            }
+            Say::Check { ticket, text } => {
+                let fault = self.fits(&text).err();
+                self.tell(from, &Say::Checked { ticket, fault });
+            }
+            Say::Checked { ticket, fault } => self.checked(from, ticket, fault),
+            Say::Founding { number, founded, asks } => self.founding(from, number, &founded, asks),
+            Say::Seat { ticket } => self.seat(from, ticket),
+            Say::Seated { ticket, number } => self.seated(from, ticket, number),
+            Say::Unseated => self.unseated(),
+        }
+    }
+
+    /// Whether this text could be acted on here.
+    pub(crate) fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
+        let rules = read(&self.setup.file, text)?;
+        let present = &self.acting.borrow().rules;
+        if rules.tenants.first() != present.tenants.first() {
+            return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
+        }
+        if self.own.eureka.is_some() && rules.upstreams != self.own.upstreams {
+            return Err("upstream: beside [eureka] those of the file stay as they are".into());
+        }
+        Ok(rules)
+    }
+
+    pub(crate) fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
+        let told = told.and_then(|told| self.whole(told));
+        if self.holder.granted(number, epoch, told) {
+            self.unfit = None;
+        }
+        let (epoch, step) = match self.holder.told() {
+            Some(told) if told.step != Step::Unsettled => (told.epoch, told.step),
+            _ => return,
+        };
+        let until = match self.setup.cut_off {
+            CutOff::WaitForAll => None,
+            _ => self.holder.until().map(|until| self.epoch + until),
+        };
+        let news = self.acting.borrow().epoch != epoch;
+        if !news {
+            self.acting.send_modify(|acting| acting.until = until);
+            return;
+        }
+        if self.unfit.is_some() {
+            return;
+        }
+        let rules =
+            self.holder.told().map_or_else(|| Err("nothing is agreed".into()), |told| self.rules(told));
+        match rules {
+            Ok((rules, label)) => {
+                let careful = (self.setup.cut_off != CutOff::Refuse).then(|| Arc::new(careful(&rules)));
+                tracing::info!(version = label, epoch, step = %step, "acts on another step");
+                self.acting.send_replace(Acting { epoch, label, rules, until, careful, cut_off: false });
+            }
+            Err(e) => {
+                tracing::error!("the version that was agreed on can't be acted on here: {e}");
+                self.unfit = Some(e);
+            }
+        }
+    }
+
+    /// With the texts that were left out since they are here; `None` where one is not.
+    pub(crate) fn whole(&self, mut told: Told) -> Option<Told> {
+        let here = self.holder.told();
+        for version in told.versions.iter_mut().filter(|version| version.text.is_empty()) {
+            let known =
+                here.and_then(|here| here.versions.iter().find(|known| known.digest == version.digest));
+            match known {
+                Some(known) => version.text.clone_from(&known.text),
+                // A version without a word in it is possible.
+                None if version.digest == digest("") => {}
+                None => return None,
+            }
+        }
+        Some(told)
+    }
+
+    /// What a step comes to here.
+    pub(crate) fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
+        let of = |number: u64| {
+            let version = told.versions.iter().find(|version| version.number == number);
+            let version = version.ok_or_else(|| format!("version {number} was not told"))?;
+            read(&self.setup.file, &version.text)
+        };
+        match told.step {
+            Step::Unsettled => Err("nothing is agreed".into()),
+            Step::Settled(number) => Ok((of(number)?, number.to_string())),
+            Step::Strictest { from, to } => {
+                let (old, new) = (of(from)?, of(to)?);
+                for what in contradictions(&old, &new) {
+                    tracing::info!(from, to, "the strictest reading holds: {what}");
+                }
+                Ok((Arc::new(strictest(&old, &new)), format!("{from}-{to}")))
+            }
+        }
+    }
+
+    /// Whether texts may be told now; whoever is not told asks again soon.
+    pub(crate) fn may_tell(&mut self, told: Option<&Telling>) -> bool {
+        let bytes: usize =
+            told.map_or(0, |told| told.versions.iter().map(|version| version.text.len()).sum());
+        let (before, since) = &mut self.texts_told;
+        if since.elapsed() >= TICK {
+            (*before, *since) = (0, Instant::now());
+        }
+        if *before > 0 && *before + bytes > TEXTS_AT_ONCE {
+            return false;
+        }
+        *before += bytes;
+        true
+    }
+
+    /// The others say that this voter led after this was asked.
+    pub(crate) fn confirmed(&mut self, ticket: u64) {
+        let now = self.now();
+        match self.readings.remove(&ticket) {
+            Some(Reading::Lease { from, number, epoch, has }) => {
+                let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else { return };
+                let steps = voter.steps();
+                if !grants.grant(now, &from, epoch) {
+                    return;
+                }
+                let now_at = steps.epoch;
+                let told = (has != now_at).then(|| Told::of(steps));
+                if from == self.setup.own {
+                    return self.granted(number, now_at, told);
+                }
+                let before = if has + 1 == now_at { steps.before } else { Step::Unsettled };
+                let told = told.map(|told| Telling::from(told).after(before));
+                if self.may_tell(told.as_ref()) {
+                    self.tell(&from, &Say::Grant { number, epoch: now_at, told });
+                }
+            }
+            Some(Reading::Status(wisher)) => {
+                let reply = match &self.part {
+                    Part::Voting { voter, .. } => Reply::Overview(self.overview(voter.steps())),
+                    _ => Reply::Unavailable("this voter leads no more".into()),
+                };
+                self.end(wisher, reply);
+            }
+            None => {}
+        }
+    }
+}
--- a/quorum/src/founding.rs
+++ b/quorum/src/founding.rs
@@ -3,7 +3,7 @@
 use crate::run::{FOUNDING, Part, Runner};
 use crate::store::{self, Store, Unfit};
 use crate::talk::Say;
-use crate::voter::{Voter, begins};
+use crate::voter::{Voter, begins, id, seat_id};
 use maplehook_tier::Name;
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -17,9 +17,11 @@
         };
         let opened = Store::open(&directory).and_then(|opened| match opened {
             Some((store, kept)) => {
-                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
-                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
+                let seat = store::seat(&directory)?;
+                let id = seat.map_or_else(|| id(&self.setup.own), |number| seat_id(&self.setup.own, number));
+                self.voting(id, store, kept)
             }
+            None if !self.setup.voters.contains(&self.setup.own) => Ok(Part::None),
             None => {
                 let number = store::founding(&directory, fastrand::u64(1..))?;
                 Ok(Part::Founding { number, heard: BTreeMap::new(), asked: None })
@@ -31,6 +33,49 @@
         });
     }
 
+    fn voting(&self, id: u64, store: Store, kept: store::Kept) -> Result<Part, Unfit> {
+        let members: Vec<Name> = self.setup.members.iter().cloned().collect();
+        let voter = Voter::new(id, &members, kept).map_err(Unfit::Broken)?;
+        Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
+    }
+
+    /// The leader asks under which number this member would vote: one that nobody has had.
+    pub(crate) fn seat(&mut self, from: &Name, ticket: u64) {
+        let votes = matches!(&self.part, Part::Voting { voter, .. } if !voter.unseated());
+        let number = match self.setup.directory.clone() {
+            _ if votes => Err("it votes already".to_owned()),
+            None => Err("it has no tier.state, where a voter keeps its log".to_owned()),
+            Some(directory) => {
+                let number = fastrand::u64(1..);
+                // The log of a place that it had is closed before its files go.
+                self.part = Part::None;
+                let taken = store::take_seat(&directory, number)
+                    .and_then(|(store, kept)| self.voting(seat_id(&self.setup.own, number), store, kept));
+                match taken {
+                    Ok(part) => {
+                        self.part = part;
+                        tracing::info!("this balancer is given a voter's place");
+                        Ok(number)
+                    }
+                    Err(e) => {
+                        self.part = Part::Out(e.to_string());
+                        Err(e.to_string())
+                    }
+                }
+            }
+        };
+        self.tell(from, &Say::Seated { ticket, number });
+    }
+
+    /// Its place was given to somebody else.
+    pub(crate) fn unseated(&mut self) {
+        if let Part::Voting { .. } = &self.part {
+            let why = "another balancer has this voter's place; agreement.voters of its file is to be mended";
+            tracing::warn!("{why}");
+            self.part = Part::Out(why.into());
+        }
+    }
+
     /// A voter without a log begins one when all others have none either.
     pub(crate) fn found(&mut self) {
         let Part::Founding { number, asked, heard } = &mut self.part else { return };
@@ -57,8 +102,7 @@
             .and_then(|()| Store::create(&directory, &snapshot))
             .and_then(|store| {
                 let kept = store::Kept::beginning(&snapshot);
-                let voter = Voter::new(&self.setup.own, &self.setup.voters, kept).map_err(Unfit::Broken)?;
-                Ok(Part::Voting { voter: Box::new(voter), store, grants: None })
+                self.voting(id(&self.setup.own), store, kept)
             });
         self.part = begun.unwrap_or_else(|e| {
             tracing::error!("tier.state: {}: {e}", directory.display());
--- a/quorum/src/leader.rs
+++ b/quorum/src/leader.rs
@@ -1,6 +1,6 @@
 //! What a leader does: the first version, the next step, and what operators want.
 
-use crate::run::{CHECK, Checking, Part, Reading, Runner, WISH, WISHES_MOST, Wisher};
+use crate::run::{CHECK, Checking, Part, Reading, Runner, Seating, WISH, WISHES_MOST, Wisher};
 use crate::talk::{Op, Overview, Reply, Say, Stands};
 use maplehook_agreement::steps::{Command, Step, Steps, Version, digest};
 use maplehook_link::unix_ms;
@@ -57,7 +57,7 @@
             return;
         }
         let leader = match &self.part {
-            Part::Voting { voter, .. } => voter.leader().cloned(),
+            Part::Voting { voter, .. } => voter.leader().or_else(|| self.leader.clone()),
             _ => self.leader.clone(),
         };
         match (leader.filter(|leader| *leader != self.setup.own), wisher) {
@@ -113,6 +113,7 @@
                 }
                 self.put(Command::Forget { name }, wisher);
             }
+            Op::Replace { old, new } => self.replace(&old, &new, wisher),
             Op::Undo => match steps.step {
                 Step::Strictest { .. } => {
                     let epoch = steps.epoch;
@@ -153,9 +154,7 @@
                     .filter(|(name, (_, at))| **name != own && at.elapsed() < self.setup.times.lease)
                     .map(|(name, _)| name.clone())
                     .collect();
-                for name in &asked {
-                    self.tell(name, &Say::Check { ticket, text: text.clone() });
-                }
+                self.tell_all(&asked, &Say::Check { ticket, text: text.clone() });
                 let check = Checking {
                     op: Op::Propose { text, expect },
                     wisher,
@@ -202,6 +201,65 @@
         self.put(Command::Propose { epoch, expect, text, by, at_ms: unix_ms() }, wisher);
     }
 
+    /// A voter's place goes to a member, which first says under which number it would vote.
+    fn replace(&mut self, old: &str, new: &str, wisher: Wisher) {
+        let Part::Voting { voter, .. } = &mut self.part else { return };
+        let voters = voter.voters();
+        let member = |name: &str| Name::new(name).filter(|name| self.setup.members.contains(name));
+        let refused = match (member(old), member(new)) {
+            (None, _) => Err(format!("there is no member {old:?}")),
+            (_, None) => Err(format!("there is no member {new:?}")),
+            (Some(old), Some(new)) => Ok((old, new)),
+        };
+        let (old, new) = match refused {
+            Ok(names) => names,
+            Err(why) => return self.end(wisher, Reply::Refused(why)),
+        };
+        if old != new && voters.contains(&new) {
+            // Its proposer did not hear that it was done.
+            let reply = match voters.contains(&old) {
+                false => Reply::Done(voter.steps().in_force()),
+                true => Reply::Refused(format!("{new} votes already")),
+            };
+            return self.end(wisher, reply);
+        }
+        if !voters.contains(&old) {
+            return self.end(wisher, Reply::Refused(format!("{old} does not vote")));
+        }
+        if old == self.setup.own {
+            voter.hand_over();
+            let why = format!("{old} leads, and hands that over now; ask again");
+            return self.end(wisher, Reply::Unavailable(why));
+        }
+        let ticket = fastrand::u64(..);
+        let until = Instant::now() + CHECK;
+        self.seats.insert(ticket, Seating { old, new: new.clone(), wisher, until });
+        self.tell(&new, &Say::Seat { ticket });
+    }
+
+    /// The member says under which number it would vote.
+    pub(crate) fn seated(&mut self, from: &Name, ticket: u64, number: Result<u64, String>) {
+        if self.seats.get(&ticket).is_none_or(|seating| seating.new != *from) {
+            return;
+        }
+        let Some(Seating { old, new, wisher, .. }) = self.seats.remove(&ticket) else { return };
+        let number = match number {
+            Ok(number) => number,
+            Err(why) => return self.end(wisher, Reply::Refused(format!("{new}: {why}"))),
+        };
+        let ticket = fastrand::u64(..);
+        let put = match &mut self.part {
+            Part::Voting { voter, .. } => voter.replace(ticket, &old, &new, number),
+            _ => false,
+        };
+        if put {
+            self.proposals.insert(ticket, wisher);
+        } else {
+            let why = "another change of voters is under way, or this voter leads no more";
+            self.end(wisher, Reply::Unavailable(why.into()));
+        }
+    }
+
     pub(crate) fn put(&mut self, command: Command, wisher: Wisher) {
         let ticket = fastrand::u64(..);
         let put = match &mut self.part {
@@ -218,6 +276,10 @@
     pub(crate) fn overview(&self, steps: &Steps) -> Overview {
         let now = self.now();
         let (mut members, mut differ) = (Vec::new(), BTreeMap::<String, Vec<String>>::new());
+        let voters = match &self.part {
+            Part::Voting { voter, .. } => voter.voters().iter().map(ToString::to_string).collect(),
+            _ => Vec::new(),
+        };
         if let Part::Voting { grants: Some(grants), .. } = &self.part {
             let epochs: BTreeMap<&Name, u64> = grants.heard().collect();
             let waits = grants.waits(now, steps);
@@ -240,6 +302,6 @@
         let digest =
             steps.version(steps.in_force()).map(|version| version.digest.clone()).unwrap_or_default();
         let differ = differ.into_iter().collect();
-        Overview { epoch: steps.epoch, step: steps.step, digest, members, differ }
+        Overview { epoch: steps.epoch, step: steps.step, digest, members, differ, voters }
     }
 }
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`voter`] is Raft by the `raft` crate over what the log comes to, [`store`] a voter's disk, [`talk`] what balancers say to one
 //! another, [`Agreeing`] the thread on which one takes part.
 
+mod follow;
 mod founding;
 mod leader;
 mod run;
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -6,11 +6,11 @@
 
 use crate::store::Store;
 use crate::talk::{Op, RAFT, Reply, Say, VERSIONS};
-use crate::voter::{Ended, Voter, id};
+use crate::voter::{Ended, Voter};
 use maplehook_agreement::grants::{CutOff, Grants, Times};
-use maplehook_agreement::holder::{Holder, Told};
+use maplehook_agreement::holder::Holder;
 use maplehook_agreement::steps::{Step, digest};
-use maplehook_agreement::strict::{careful, contradictions, strictest};
+use maplehook_agreement::strict::careful;
 use maplehook_config::Proxy;
 use maplehook_link::Talk;
 use maplehook_link::frames::Message;
@@ -24,12 +24,14 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 /// Raft's tick.
-const TICK: Duration = Duration::from_millis(50);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 /// How often a voter without a log asks the others whether they have one.
 pub(crate) const FOUNDING: Duration = Duration::from_millis(300);
 /// How long a wish that was passed on, or a check, may take.
 pub(crate) const WISH: Duration = Duration::from_millis(1500);
 pub(crate) const CHECK: Duration = Duration::from_millis(800);
+/// Bytes of texts that a leader tells within a tick.
+pub(crate) const TEXTS_AT_ONCE: usize = 4 << 20;
 /// Wishes that may be under way.
 pub(crate) const WISHES_MOST: usize = 64;
 
@@ -154,7 +156,7 @@
 }
 
 /// The rules of a file with this shared part.
-fn read(file: &str, shared: &str) -> Result<Arc<Proxy>, String> {
+pub(crate) fn read(file: &str, shared: &str) -> Result<Arc<Proxy>, String> {
     let whole = maplehook_config::with_shared(file, shared).map_err(|e| e.to_string())?;
     let operator = maplehook_config::parse(&whole).map_err(|e| e.to_string())?;
     operator.proxy.map(Arc::new).ok_or_else(|| "it names no class and no upstream".into())
@@ -200,6 +202,14 @@
     pub(crate) until: Instant,
 }
 
+/// A member that is asked to take a voter's place.
+pub(crate) struct Seating {
+    pub(crate) old: Name,
+    pub(crate) new: Name,
+    pub(crate) wisher: Wisher,
+    pub(crate) until: Instant,
+}
+
 /// What waits for the others' word that this voter leads.
 pub(crate) enum Reading {
     Lease { from: Name, number: u64, epoch: u64, has: u64 },
@@ -226,6 +236,9 @@
     pub(crate) proposals: BTreeMap<u64, Wisher>,
     pub(crate) passed_on: BTreeMap<u64, (Wisher, Instant)>,
     pub(crate) checks: BTreeMap<u64, Checking>,
+    pub(crate) seats: BTreeMap<u64, Seating>,
+    /// Bytes of texts that were told since, and since when: what a leader holds for many that are slow stays bounded.
+    pub(crate) texts_told: (usize, Instant),
     pub(crate) advancing: Option<u64>,
     pub(crate) digests: BTreeMap<Name, (String, Instant)>,
 }
@@ -258,10 +271,13 @@
             proposals: BTreeMap::new(),
             passed_on: BTreeMap::new(),
             checks: BTreeMap::new(),
+            seats: BTreeMap::new(),
+            texts_told: (0, Instant::now()),
             advancing: None,
             digests: BTreeMap::new(),
         };
-        if runner.setup.voters.contains(&runner.setup.own) {
+        let has_voted = runner.setup.directory.as_deref().is_some_and(crate::store::has_voted);
+        if has_voted || runner.setup.voters.contains(&runner.setup.own) {
             runner.open();
         }
         runner
@@ -310,6 +326,16 @@
         }
     }
 
+    /// The same to several: its bytes are there once.
+    pub(crate) fn tell_all(&self, to: &BTreeSet<Name>, say: &Say) {
+        let Ok(body) = postcard::to_stdvec(say) else { return };
+        let body = bytes::Bytes::from(body);
+        for name in to {
+            // What does not fit is said again, or was not needed.
+            let _ = self.say.try_send((name.clone(), Message { topic: VERSIONS, body: body.clone() }));
+        }
+    }
+
     pub(crate) fn others(&self) -> impl Iterator<Item = Name> {
         let own = self.setup.own.clone();
         self.setup.voters.clone().into_iter().filter(move |name| *name != own)
@@ -348,164 +374,18 @@
                 self.end(check.wisher, Reply::Unavailable(why));
             }
         }
-        self.lead();
-    }
-
-    /// Asks whoever leads for a lease. The clock is read before anything is said.
-    pub(crate) fn ask_for_a_lease(&mut self) {
-        let now = self.now();
-        let number = self.holder.ask(now);
-        if let Part::Voting { voter, .. } = &self.part
-            && voter.leads()
-        {
-            self.asked(
-                &self.setup.own.clone(),
-                number,
-                self.applied,
-                self.holder.epoch(),
-                self.digest.clone(),
-            );
-            return;
-        }
-        let to = match &self.leader {
-            Some(leader) => leader.clone(),
-            None => {
-                let others: Vec<Name> = self.others().collect();
-                self.next_voter = self.next_voter.wrapping_add(1);
-                let Some(to) = others.get(self.next_voter % others.len().max(1)) else { return };
-                to.clone()
-            }
-        };
-        // It is asked again elsewhere if nothing comes of it.
-        if self.holder.until().is_none_or(|until| until < now) {
-            self.leader = None;
-        }
-        let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
-        self.tell(&to, &Say::Ask { number, epoch, has, digest });
-    }
-
-    /// A member asks this voter for a lease.
-    pub(crate) fn asked(&mut self, from: &Name, number: u64, epoch: u64, has: u64, digest: String) {
-        let Part::Voting { voter, .. } = &mut self.part else {
-            self.tell(from, &Say::Elsewhere { leader: None });
-            return;
-        };
-        if !voter.knows() {
-            let leader = voter.leader().filter(|leader| **leader != self.setup.own).map(ToString::to_string);
-            self.tell(from, &Say::Elsewhere { leader });
-            return;
-        }
-        let ticket = fastrand::u64(..);
-        if voter.read(ticket) {
-            self.readings.insert(ticket, Reading::Lease { from: from.clone(), number, epoch, has });
-        }
-        self.digests.insert(from.clone(), (digest, Instant::now()));
-    }
-
-    pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
-        if message.topic == RAFT {
-            if let Part::Voting { voter, .. } = &mut self.part
-                && !voter.step(from, &message.body)
-            {
-                tracing::debug!(%from, "a message of a voter makes no sense");
-            }
-            return;
-        }
-        let Ok(say) = postcard::from_bytes::<Say>(&message.body) else {
-            tracing::debug!(%from, "a message on versions can't be read");
-            return;
-        };
-        match say {
-            Say::Ask { number, epoch, has, digest } => self.asked(from, number, epoch, has, digest),
-            Say::Grant { number, epoch, told } => {
-                self.leader = Some(from.clone());
-                self.granted(number, epoch, told.map(Told::from));
-            }
-            Say::Elsewhere { leader } => {
-                self.leader =
-                    leader.and_then(|name| Name::new(&name)).filter(|name| self.setup.members.contains(name));
-            }
-            Say::Wish { ticket, op } => self.wish(op, Wisher::There(from.clone(), ticket)),
-            Say::End { ticket, reply } => {
-                if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
-                    self.end(wisher, reply);
-                }
-            }
-            Say::Check { ticket, text } => {
-                let fault = self.fits(&text).err();
-                self.tell(from, &Say::Checked { ticket, fault });
-            }
-            Say::Checked { ticket, fault } => self.checked(from, ticket, fault),
-            Say::Founding { number, founded, asks } => self.founding(from, number, &founded, asks),
-        }
-    }
-
-    /// Whether this text could be acted on here.
-    pub(crate) fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
-        let rules = read(&self.setup.file, text)?;
-        let present = &self.acting.borrow().rules;
-        if rules.tenants.first() != present.tenants.first() {
-            return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
-        }
-        if self.own.eureka.is_some() && rules.upstreams != self.own.upstreams {
-            return Err("upstream: beside [eureka] those of the file stay as they are".into());
-        }
-        Ok(rules)
-    }
-
-    pub(crate) fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
-        if self.holder.granted(number, epoch, told) {
-            self.unfit = None;
-        }
-        let (epoch, step) = match self.holder.told() {
-            Some(told) if told.step != Step::Unsettled => (told.epoch, told.step),
-            _ => return,
-        };
-        let until = match self.setup.cut_off {
-            CutOff::WaitForAll => None,
-            _ => self.holder.until().map(|until| self.epoch + until),
-        };
-        let news = self.acting.borrow().epoch != epoch;
-        if !news {
-            self.acting.send_modify(|acting| acting.until = until);
-            return;
-        }
-        if self.unfit.is_some() {
-            return;
-        }
-        let rules =
-            self.holder.told().map_or_else(|| Err("nothing is agreed".into()), |told| self.rules(told));
-        match rules {
-            Ok((rules, label)) => {
-                let careful = (self.setup.cut_off != CutOff::Refuse).then(|| Arc::new(careful(&rules)));
-                tracing::info!(version = label, epoch, step = %step, "acts on another step");
-                self.acting.send_replace(Acting { epoch, label, rules, until, careful, cut_off: false });
-            }
-            Err(e) => {
-                tracing::error!("the version that was agreed on can't be acted on here: {e}");
-                self.unfit = Some(e);
-            }
-        }
-    }
-
-    /// What a step comes to here.
-    pub(crate) fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
-        let of = |number: u64| {
-            let version = told.versions.iter().find(|version| version.number == number);
-            let version = version.ok_or_else(|| format!("version {number} was not told"))?;
-            read(&self.setup.file, &version.text)
-        };
-        match told.step {
-            Step::Unsettled => Err("nothing is agreed".into()),
-            Step::Settled(number) => Ok((of(number)?, number.to_string())),
-            Step::Strictest { from, to } => {
-                let (old, new) = (of(from)?, of(to)?);
-                for what in contradictions(&old, &new) {
-                    tracing::info!(from, to, "the strictest reading holds: {what}");
-                }
-                Ok((Arc::new(strictest(&old, &new)), format!("{from}-{to}")))
+        let over: Vec<u64> = self
+            .seats
+            .iter()
+            .filter(|(_, seating)| seating.until <= now)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in over {
+            if let Some(Seating { new, wisher, .. }) = self.seats.remove(&ticket) {
+                self.end(wisher, Reply::Unavailable(format!("{new} does not answer")));
             }
         }
+        self.lead();
     }
 
     pub(crate) fn end(&self, wisher: Wisher, reply: Reply) {
@@ -558,11 +438,17 @@
                 self.end(check.wisher, Reply::Unavailable("the leader has changed".into()));
             }
         }
+        if let Part::Voting { voter, .. } = &self.part
+            && voter.unseated()
+        {
+            return self.unseated();
+        }
         for (to, bytes) in settled.messages {
-            let name = self.setup.voters.iter().find(|name| id(name) == to);
-            if let Some(name) = name {
+            if let Part::Voting { voter, .. } = &self.part
+                && let Some(name) = voter.name_of(to)
+            {
                 // What is lost Raft says again.
-                let _ = self.say.try_send((name.clone(), Message { topic: RAFT, body: bytes.into() }));
+                let _ = self.say.try_send((name, Message { topic: RAFT, body: bytes.into() }));
             }
         }
         for ticket in settled.confirmed {
@@ -582,36 +468,6 @@
         }
     }
 
-    /// The others say that this voter led after this was asked.
-    pub(crate) fn confirmed(&mut self, ticket: u64) {
-        let now = self.now();
-        match self.readings.remove(&ticket) {
-            Some(Reading::Lease { from, number, epoch, has }) => {
-                let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else { return };
-                let steps = voter.steps();
-                if !grants.grant(now, &from, epoch) {
-                    return;
-                }
-                let now_at = steps.epoch;
-                let told = (has != now_at).then(|| Told::of(steps));
-                if from == self.setup.own {
-                    self.granted(number, now_at, told);
-                } else {
-                    let told = told.map(Into::into);
-                    self.tell(&from, &Say::Grant { number, epoch: now_at, told });
-                }
-            }
-            Some(Reading::Status(wisher)) => {
-                let reply = match &self.part {
-                    Part::Voting { voter, .. } => Reply::Overview(self.overview(voter.steps())),
-                    _ => Reply::Unavailable("this voter leads no more".into()),
-                };
-                self.end(wisher, reply);
-            }
-            None => {}
-        }
-    }
-
     pub(crate) fn local(&self) -> Local {
         let now = self.now();
         let told = self.holder.told();
@@ -626,7 +482,7 @@
         let lease_left = self.holder.until().and_then(|until| until.checked_sub(now));
         let leads = matches!(&self.part, Part::Voting { voter, .. } if voter.leads());
         let leader = match &self.part {
-            Part::Voting { voter, .. } => voter.leader().cloned(),
+            Part::Voting { voter, .. } => voter.leader().or_else(|| self.leader.clone()),
             _ => self.leader.clone(),
         };
         let voter = match &self.part {
--- a/quorum/src/store.rs
+++ b/quorum/src/store.rs
@@ -21,6 +21,7 @@
 const HAD: &str = "has-voted";
 const FOUNDING: &str = "founding";
 const FOUNDERS: &str = "founders";
+const SEAT: &str = "seat";
 
 /// Why a store can't be used.
 #[derive(Debug)]
@@ -109,6 +110,38 @@
     }
 }
 
+/// The number under which this voter took its place, where it did so after the log had begun.
+pub fn seat(directory: &Path) -> Result<Option<u64>, Unfit> {
+    let path = directory.join(SEAT);
+    match fs::read_to_string(&path) {
+        Ok(text) => match text.trim().parse() {
+            Ok(number) => Ok(Some(number)),
+            Err(_) => Err(Unfit::Broken(format!("{}: no number", path.display()))),
+        },
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(Unfit::Broken(format!("{}: {e}", path.display()))),
+    }
+}
+
+/// Whether there is a voter's log here, or was one.
+pub fn has_voted(directory: &Path) -> bool {
+    directory.join(HAD).exists()
+}
+
+/// Clears the directory for a voter that takes a place, under this number: what was there is of a voter that is none any more.
+pub fn take_seat(directory: &Path, number: u64) -> Result<(Store, Kept), Unfit> {
+    fs::create_dir_all(directory).map_err(broken)?;
+    // The mark goes first: what is left of the log without it is a creation that was torn.
+    for name in [HAD, NAME, FOUNDERS, FOUNDING] {
+        match fs::remove_file(directory.join(name)) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(broken(e)),
+            _ => {}
+        }
+    }
+    put(&directory.join(SEAT), number.to_string().as_bytes()).map_err(broken)?;
+    Ok((Store::create(directory, &Snapshot::default())?, Kept::default()))
+}
+
 /// Keeps with whom this voter's log began, by the numbers that they went by.
 pub fn keep_founders(directory: &Path, founded: &[(String, u64)]) -> Result<(), Unfit> {
     let lines: String = founded.iter().map(|(name, number)| format!("{name} {number}\n")).collect();
--- a/quorum/src/talk.rs
+++ b/quorum/src/talk.rs
@@ -20,6 +20,17 @@
     pub versions: Vec<Version>,
 }
 
+impl Telling {
+    /// Without the texts of versions that the step before names too: whoever has been told that one has them.
+    pub fn after(mut self, before: Step) -> Self {
+        let known = before.keeps();
+        for version in self.versions.iter_mut().filter(|version| known.contains(&Some(version.number))) {
+            version.text.clear();
+        }
+        self
+    }
+}
+
 impl From<Told> for Telling {
     fn from(Told { epoch, step, versions }: Told) -> Self {
         Self { epoch, step, versions }
@@ -58,6 +69,13 @@
     },
     /// All versions that are kept.
     History,
+    /// A voter's place is given to another member; the same one, where it has lost its log.
+    Replace {
+        /// Who votes.
+        old: String,
+        /// Who is to.
+        new: String,
+    },
 }
 
 /// A member, and the epoch that it acts on.
@@ -86,6 +104,8 @@
     pub members: Vec<Stands>,
     /// Members whose files differ, before the first version: names, by digest.
     pub differ: Vec<(String, Vec<String>)>,
+    /// The voters.
+    pub voters: Vec<String>,
 }
 
 /// The end of an operator's wish.
@@ -168,4 +188,18 @@
         /// Whether an answer is wanted.
         asks: bool,
     },
+    /// A member is asked under which number it would vote.
+    Seat {
+        /// By which the answer is known.
+        ticket: u64,
+    },
+    /// Under this one, or it can't for this reason.
+    Seated {
+        /// Which.
+        ticket: u64,
+        /// The number.
+        number: Result<u64, String>,
+    },
+    /// Whoever hears this speaks as a voter, and is none any more.
+    Unseated,
 }
--- a/quorum/src/voter.rs
+++ b/quorum/src/voter.rs
@@ -8,9 +8,15 @@
 use maplehook_tier::Name;
 use maplehook_tier::words::fnv;
 use protobuf::Message as _;
-use raft::eraftpb::{ConfState, Entry, EntryType, HardState, Message, Snapshot};
+use raft::eraftpb::{
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, HardState, Message,
+    MessageType, Snapshot,
+};
 use raft::storage::MemStorage;
-use raft::{Config, GetEntriesContext, RaftState, RawNode, ReadOnlyOption, StateRole, Storage};
+use raft::{
+    Config, GetEntriesContext, RaftState, RawNode, ReadOnlyOption, SnapshotStatus, StateRole, Storage,
+};
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Between two ticks an embedder lets pass 50 ms: an election after 0.5 to 1 s without a leader.
@@ -18,6 +24,10 @@
 const HEARTBEAT_TICKS: usize = 2;
 /// Entries that are kept behind the snapshot, for voters that lag.
 const KEPT: u64 = 32;
+/// What the entries that are not in the snapshot yet may take in memory before there is a new one.
+const BEHIND_MOST: usize = 3 << 20;
+/// Ticks after which a snapshot that was not taken counts as lost: Raft itself waits for its embedder's word for good.
+const SNAPSHOT_TICKS: u32 = 30;
 /// The most commands that may wait for the log.
 const WAITING_MOST: usize = 64;
 /// Reads that may wait to be confirmed.
@@ -29,6 +39,20 @@
     fnv(name.as_str().as_bytes()).max(1)
 }
 
+/// The number of a voter that took a place later. Nobody had it before: whoever loses its log loses this number too, and can't
+/// vote as if it never had.
+pub fn seat_id(name: &Name, number: u64) -> u64 {
+    let bytes = [name.as_str().as_bytes(), &[0], &number.to_be_bytes()].concat();
+    fnv(&bytes).max(1)
+}
+
+/// What the log comes to: the versions, and who has taken a place since it began.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+struct Agreed {
+    steps: Steps,
+    seats: BTreeMap<u64, String>,
+}
+
 /// The log in memory, with what it came to.
 struct Log {
     memory: MemStorage,
@@ -95,22 +119,37 @@
 /// A voter.
 pub struct Voter {
     raft: RawNode<Log>,
-    steps: Steps,
+    agreed: Agreed,
     applied: u64,
     conf: ConfState,
+    /// Whoever may have been there when the log began.
     names: BTreeMap<u64, Name>,
+    /// The ticket of the change of voters that is under way.
+    changing: Option<u64>,
+    /// The voters have changed: whoever is new needs a snapshot that says so.
+    reseated: bool,
+    /// Bytes of the entries that are in memory.
+    behind: usize,
+    /// Snapshots that were sent, and how many ticks ago.
+    snapshots: BTreeMap<u64, u32>,
     /// Commands that this voter has put into the log, with their tickets and where they stand.
     waiting: VecDeque<(u64, Option<u64>)>,
     led: bool,
     dead: bool,
 }
 
-fn parse(data: &[u8]) -> Steps {
+fn parse(data: &[u8]) -> Agreed {
     if data.is_empty() {
-        return Steps::default();
+        return Agreed::default();
     }
-    // What a voter has written itself it can read.
-    postcard::from_bytes(data).unwrap_or_default()
+    // What a voter has written itself it can read; before voters could be replaced there were the steps alone.
+    postcard::from_bytes(data)
+        .or_else(|_| postcard::from_bytes(data).map(|steps| Agreed { steps, seats: BTreeMap::new() }))
+        .unwrap_or_default()
+}
+
+fn size(entries: &[Entry]) -> usize {
+    entries.iter().map(|entry| entry.data.len() + 64).sum()
 }
 
 /// With what a log begins: the voters, and nothing agreed.
@@ -125,21 +164,25 @@
 }
 
 impl Voter {
-    /// One that goes on from what is on its disk.
-    pub fn new(own: &Name, voters: &[Name], kept: Kept) -> Result<Self, String> {
+    /// One that goes on from what is on its disk, under the number that it has.
+    pub fn new(id_of_own: u64, members: &[Name], kept: Kept) -> Result<Self, String> {
         let Kept { hard, snapshot, entries } = kept;
         let conf = snapshot.get_metadata().get_conf_state().clone();
         let applied = snapshot.get_metadata().index;
         let memory = MemStorage::new();
         {
             let mut core = memory.wl();
-            core.apply_snapshot(snapshot.clone()).map_err(|e| e.to_string())?;
+            // One that has just been given a place has heard of nothing yet.
+            if snapshot.get_metadata().index > 0 {
+                core.apply_snapshot(snapshot.clone()).map_err(|e| e.to_string())?;
+            }
             core.append(&entries).map_err(|e| e.to_string())?;
             core.set_hardstate(hard);
         }
-        let steps = parse(snapshot.get_data());
+        let agreed = parse(snapshot.get_data());
+        let behind = size(&entries);
         let config = Config {
-            id: id(own),
+            id: id_of_own,
             election_tick: ELECTION_TICKS,
             heartbeat_tick: HEARTBEAT_TICKS,
             applied,
@@ -152,15 +195,105 @@
         };
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let raft = RawNode::new(&config, Log { memory, snapshot }, &logger).map_err(|e| e.to_string())?;
-        let names = voters.iter().map(|name| (id(name), name.clone())).collect();
-        let waiting = VecDeque::new();
-        Ok(Self { raft, steps, applied, conf, names, waiting, led: false, dead: false })
+        let names = members.iter().map(|name| (id(name), name.clone())).collect();
+        Ok(Self {
+            raft,
+            agreed,
+            applied,
+            conf,
+            names,
+            changing: None,
+            reseated: false,
+            behind,
+            snapshots: BTreeMap::new(),
+            waiting: VecDeque::new(),
+            led: false,
+            dead: false,
+        })
     }
 
     /// Time passes.
     pub fn tick(&mut self) {
-        if !self.dead {
-            self.raft.tick();
+        if self.dead {
+            return;
+        }
+        self.raft.tick();
+        self.snapshots.values_mut().for_each(|ticks| *ticks += 1);
+        let lost: Vec<u64> =
+            self.snapshots.iter().filter(|(_, ticks)| **ticks >= SNAPSHOT_TICKS).map(|(to, _)| *to).collect();
+        for to in lost {
+            self.snapshots.remove(&to);
+            // Of one that was taken this changes nothing; another is sent to whoever still needs it.
+            self.raft.report_snapshot(to, SnapshotStatus::Failure);
+        }
+    }
+
+    /// Who goes by this number.
+    pub fn name_of(&self, id: u64) -> Option<Name> {
+        let seated = self.agreed.seats.get(&id).and_then(|name| Name::new(name));
+        seated.or_else(|| self.names.get(&id).cloned())
+    }
+
+    /// The voters, by the log as far as it is known here.
+    pub fn voters(&self) -> Vec<Name> {
+        let mut names: Vec<Name> = self.conf.get_voters().iter().filter_map(|id| self.name_of(*id)).collect();
+        names.sort();
+        names
+    }
+
+    /// Whether the log, as far as it is known here, gives its place to somebody else.
+    pub fn unseated(&self) -> bool {
+        let own = &self.raft.raft.id;
+        !self.conf.get_voters().is_empty()
+            && !self.conf.get_voters().contains(own)
+            && !self.conf.get_voters_outgoing().contains(own)
+    }
+
+    /// Whether whoever speaks for this number votes, by the log as far as it is known here.
+    pub fn is_voter(&self, id: u64) -> bool {
+        self.conf.get_voters().contains(&id) || self.conf.get_voters_outgoing().contains(&id)
+    }
+
+    /// Gives a voter's place to another member, under the number that it says; its ticket comes back once that is done. `false`
+    /// where this voter does not lead, or another change is under way.
+    pub fn replace(&mut self, ticket: u64, old: &Name, new: &Name, number: u64) -> bool {
+        if self.dead
+            || !self.knows()
+            || self.changing.is_some()
+            || !self.conf.get_voters_outgoing().is_empty()
+        {
+            return false;
+        }
+        let Some(gone) =
+            self.conf.get_voters().iter().copied().find(|id| self.name_of(*id).as_ref() == Some(old))
+        else {
+            return false;
+        };
+        let comes = seat_id(new, number);
+        let mut change = ConfChangeV2::default();
+        for (kind, node) in [(ConfChangeType::AddNode, comes), (ConfChangeType::RemoveNode, gone)] {
+            let mut single = ConfChangeSingle::default();
+            single.set_change_type(kind);
+            single.node_id = node;
+            change.mut_changes().push(single);
+        }
+        let Ok(context) = postcard::to_stdvec(&(comes, new.to_string())) else { return false };
+        change.set_context(context.into());
+        if self.raft.propose_conf_change(ticket.to_be_bytes().to_vec(), change).is_err() {
+            return false;
+        }
+        self.changing = Some(ticket);
+        true
+    }
+
+    /// Lets another voter lead, as soon as one is as far.
+    pub fn hand_over(&mut self) {
+        let own = self.raft.raft.id;
+        let next = self.conf.get_voters().iter().copied().find(|id| {
+            *id != own && self.raft.raft.prs().get(*id).is_some_and(|progress| progress.recent_active)
+        });
+        if let Some(next) = next {
+            self.raft.transfer_leader(next);
         }
     }
 
@@ -170,8 +303,11 @@
             return true;
         }
         let Ok(message) = Message::parse_from_bytes(bytes) else { return false };
-        // It speaks for itself alone, and to us.
-        if message.from != id(from) || message.to != self.raft.raft.id {
+        // It speaks for itself alone, and to us. One that has just been given a place knows nobody's number but those of the
+        // first voters.
+        let knows = self.applied > 0;
+        let itself = self.name_of(message.from).map_or(!knows, |name| name == *from);
+        if !itself || message.to != self.raft.raft.id || (knows && !self.is_voter(message.from)) {
             return false;
         }
         self.raft.step(message).is_ok()
@@ -205,13 +341,13 @@
     }
 
     /// Whom it takes for the leader.
-    pub fn leader(&self) -> Option<&Name> {
-        if self.dead { None } else { self.names.get(&self.raft.raft.leader_id) }
+    pub fn leader(&self) -> Option<Name> {
+        if self.dead { None } else { self.name_of(self.raft.raft.leader_id) }
     }
 
     /// What the log comes to, as far as it is known here.
     pub fn steps(&self) -> &Steps {
-        &self.steps
+        &self.agreed.steps
     }
 
     /// Whether a command of its own term is in the log: before that a leader does not know all that was agreed.
@@ -229,7 +365,6 @@
         while !self.dead && self.raft.has_ready() {
             if let Err(e) = self.settle_one(persist, &mut settled) {
                 self.dead = true;
-                self.waiting.drain(..).for_each(|(ticket, _)| settled.ended.push((ticket, Ended::Unknown)));
                 return Err(e);
             }
         }
@@ -237,7 +372,9 @@
         settled.turned = std::mem::replace(&mut self.led, leads) != leads;
         if settled.turned && !leads {
             // They may still come to be in the log, by another leader.
-            self.waiting.drain(..).for_each(|(ticket, _)| settled.ended.push((ticket, Ended::Unknown)));
+            let waiting = self.waiting.drain(..).map(|(ticket, _)| ticket).chain(self.changing.take());
+            settled.ended.extend(waiting.map(|ticket| (ticket, Ended::Unknown)));
+            self.snapshots.clear();
         }
         Ok(settled)
     }
@@ -248,7 +385,7 @@
         settled: &mut Settled,
     ) -> Result<(), Unfit> {
         let mut ready = self.raft.ready();
-        send(ready.take_messages(), settled);
+        self.send(ready.take_messages(), settled);
         for read in ready.take_read_states() {
             settled.confirmed.extend(ticket(&read.request_ctx));
         }
@@ -259,11 +396,13 @@
             log.snapshot = snapshot.clone();
             self.applied = snapshot.get_metadata().index;
             self.conf = snapshot.get_metadata().get_conf_state().clone();
-            self.steps = parse(snapshot.get_data());
+            self.agreed = parse(snapshot.get_data());
+            self.behind = 0;
         }
-        self.play(ready.take_committed_entries(), settled);
+        self.play(ready.take_committed_entries(), settled)?;
         let entries = ready.take_entries();
         self.raft.store().memory.wl().append(&entries).map_err(|e| Unfit::Broken(e.to_string()))?;
+        self.behind += size(&entries);
         if let Some(hard) = ready.hs() {
             self.raft.store().memory.wl().set_hardstate(hard.clone());
         }
@@ -271,25 +410,29 @@
             persist(&Batch { hard: ready.hs(), snapshot: snapshot.as_ref(), entries: &entries })?;
         }
         // These rest on what has just been written.
-        send(ready.take_persisted_messages(), settled);
+        self.send(ready.take_persisted_messages(), settled);
         let mut light = self.raft.advance(ready);
         if let Some(commit) = light.commit_index() {
             self.raft.store().memory.wl().mut_hard_state().set_commit(commit);
         }
-        send(light.take_messages(), settled);
-        self.play(light.take_committed_entries(), settled);
+        self.send(light.take_messages(), settled);
+        self.play(light.take_committed_entries(), settled)?;
         self.raft.advance_apply();
         self.compact(persist)
     }
 
-    fn play(&mut self, entries: Vec<Entry>, settled: &mut Settled) {
+    fn play(&mut self, entries: Vec<Entry>, settled: &mut Settled) -> Result<(), Unfit> {
         for entry in entries {
             self.applied = entry.index;
+            if entry.get_entry_type() == EntryType::EntryConfChangeV2 {
+                self.reseat(&entry, settled)?;
+                continue;
+            }
             if entry.get_entry_type() != EntryType::EntryNormal || entry.data.is_empty() {
                 continue;
             }
             let played = match postcard::from_bytes::<Command>(&entry.data) {
-                Ok(command) => self.steps.play(&command),
+                Ok(command) => self.agreed.steps.play(&command),
                 // A command of a later program: every voter of this one passes it over alike.
                 Err(_) => Err(Refused::Nothing),
             };
@@ -299,37 +442,84 @@
                 settled.ended.push((ticket, Ended::Played(played)));
             }
         }
+        Ok(())
+    }
+
+    /// The voters change: first old and new ones together, as a majority of each (the joint consensus of Raft, section 6), then
+    /// the new ones; Raft writes the second entry itself, and that is empty.
+    fn reseat(&mut self, entry: &Entry, settled: &mut Settled) -> Result<(), Unfit> {
+        let broken = |e: &dyn std::fmt::Display| Unfit::Broken(e.to_string());
+        let change = ConfChangeV2::parse_from_bytes(&entry.data).map_err(|e| broken(&e))?;
+        self.conf = self.raft.apply_conf_change(&change).map_err(|e| broken(&e))?;
+        self.raft.store().memory.wl().set_conf_state(self.conf.clone());
+        if let Ok((id, name)) = postcard::from_bytes::<(u64, String)>(change.get_context()) {
+            self.agreed.seats.insert(id, name);
+        }
+        let conf = &self.conf;
+        let votes = |id: &u64| conf.get_voters().contains(id) || conf.get_voters_outgoing().contains(id);
+        self.agreed.seats.retain(|id, _| votes(id));
+        self.reseated = true;
+        if self.conf.get_voters_outgoing().is_empty()
+            && let Some(ticket) = self.changing.take()
+        {
+            settled.ended.push((ticket, Ended::Played(Ok(self.agreed.steps.in_force()))));
+        }
+        Ok(())
     }
 
     /// A log that only grows would fill the disk.
     fn compact(&mut self, persist: &mut dyn FnMut(&Batch<'_>) -> Result<(), Unfit>) -> Result<(), Unfit> {
         let first = self.raft.store().first_index().map_err(|e| Unfit::Broken(e.to_string()))?;
-        if self.applied < first + 2 * KEPT {
+        let grown = self.applied >= first + 2 * KEPT || (self.behind > BEHIND_MOST && self.applied >= first);
+        if !grown && !self.reseated {
             return Ok(());
         }
+        self.reseated = false;
         let mut snapshot = Snapshot::default();
         let term = self.raft.store().term(self.applied).map_err(|e| Unfit::Broken(e.to_string()))?;
         (snapshot.mut_metadata().index, snapshot.mut_metadata().term) = (self.applied, term);
         snapshot.mut_metadata().set_conf_state(self.conf.clone());
-        let data = postcard::to_stdvec(&self.steps).map_err(|e| Unfit::Broken(e.to_string()))?;
+        let data = postcard::to_stdvec(&self.agreed).map_err(|e| Unfit::Broken(e.to_string()))?;
         snapshot.set_data(data.into());
         let hard: HardState = self.raft.store().memory.rl().hard_state().clone();
         persist(&Batch { hard: Some(&hard), snapshot: Some(&snapshot), entries: &[] })?;
+        let broken = |e: raft::Error| Unfit::Broken(e.to_string());
         let log = self.raft.mut_store();
         log.snapshot = snapshot;
-        // Those behind that lag a little are still served from the log.
-        log.memory.wl().compact(self.applied - KEPT).map_err(|e| Unfit::Broken(e.to_string()))
+        // Those behind that lag a little are still served from the log, as far as it is short.
+        let last = log.memory.last_index().map_err(broken)?;
+        let entries =
+            log.memory.entries(first, last + 1, None, GetEntriesContext::empty(false)).map_err(broken)?;
+        let (mut from, mut kept) = (self.applied + 1, 0);
+        for entry in entries.iter().rev() {
+            kept += size(std::slice::from_ref(entry));
+            let spare = entry.index <= self.applied;
+            if spare && (kept > BEHIND_MOST / 2 || entry.index + KEPT <= self.applied) {
+                break;
+            }
+            from = from.min(entry.index);
+        }
+        // One stays, from which the term of the last can be told.
+        from = from.min(last);
+        if from > first {
+            log.memory.wl().compact(from).map_err(broken)?;
+        }
+        self.behind = size(&entries[(from - first) as usize..]);
+        Ok(())
+    }
+
+    fn send(&mut self, messages: Vec<Message>, settled: &mut Settled) {
+        for message in messages {
+            if message.get_msg_type() == MessageType::MsgSnapshot {
+                self.snapshots.insert(message.to, 0);
+            }
+            if let Ok(bytes) = message.write_to_bytes() {
+                settled.messages.push((message.to, bytes));
+            }
+        }
     }
 }
 
 fn ticket(context: &[u8]) -> Option<u64> {
     context.try_into().ok().map(u64::from_be_bytes)
 }
-
-fn send(messages: Vec<Message>, settled: &mut Settled) {
-    for message in messages {
-        if let Ok(bytes) = message.write_to_bytes() {
-            settled.messages.push((message.to, bytes));
-        }
-    }
-}
