--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod grants;
 pub mod holder;
+pub mod numbers;
 pub mod steps;
 pub mod strict;
--- /dev/null
+++ b/agreement/src/numbers.rs
@@ -0,0 +1,144 @@
+//! Numbers of classes, tenants and zones for the life of a process: a request under way means the same before a change and after
+//! it, whatever a version puts first.
+
+use lapisroute::{Class, ClassId, Settings, Tenant, TenantId, ZoneId};
+use maplehook_config::Proxy;
+use maplehook_routes::{Passage, Route, Rules};
+
+/// Names that have numbers.
+#[derive(Debug, Default)]
+pub struct Numbers {
+    classes: Vec<(String, Class, Passage)>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+}
+
+/// A version's rules, under this process's numbers.
+pub struct Numbered {
+    /// The decision module's settings.
+    pub settings: Settings,
+    /// The names of the classes, by their numbers.
+    pub classes: Vec<String>,
+    /// How heads are read.
+    pub rules: Rules,
+    /// How messages of each class pass.
+    pub passages: Vec<Passage>,
+    /// The numbers of the version's zones.
+    pub zones: Vec<ZoneId>,
+    /// Tenants that it does not name any more.
+    pub gone: Vec<TenantId>,
+}
+
+fn number(names: &mut Vec<String>, name: &str) -> usize {
+    names.iter().position(|known| known == name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    })
+}
+
+impl Numbered {
+    /// This process's number of one of the version's zones.
+    pub fn zone(&self, zone: ZoneId) -> ZoneId {
+        self.zones.get(usize::from(zone.0)).copied().unwrap_or(zone)
+    }
+}
+
+impl Numbers {
+    /// Names that stay keep their numbers; of what has vanished the number stays, and nothing comes under it.
+    pub fn take(&mut self, proxy: &Proxy) -> Numbered {
+        let mut of = Vec::new();
+        for (k, name) in proxy.classes.iter().enumerate() {
+            let class = (name.clone(), proxy.settings.classes[k].clone(), proxy.passages[k].clone());
+            match self.classes.iter().position(|(known, ..)| known == name) {
+                Some(n) => {
+                    self.classes[n] = class;
+                    of.push(n);
+                }
+                None => {
+                    self.classes.push(class);
+                    of.push(self.classes.len() - 1);
+                }
+            }
+        }
+        let route =
+            |route: &Route| Route { class: ClassId(of[usize::from(route.class.0)] as u16), ..route.clone() };
+        // Where no tenant has a name there is one that has none.
+        let unnamed = [String::new()];
+        let named = if proxy.tenants.is_empty() { &unnamed[..] } else { &proxy.tenants };
+        let numbers: Vec<usize> = named.iter().map(|name| number(&mut self.tenants, name)).collect();
+        let mut tenants = vec![Tenant { allowance_per_s: 0.0 }; self.tenants.len()];
+        for (n, tenant) in numbers.iter().zip(&proxy.settings.tenants) {
+            tenants[*n] = tenant.clone();
+        }
+        let gone = (0..tenants.len()).filter(|n| !numbers.contains(n)).map(|n| TenantId(n as u32)).collect();
+        // A name that nobody can utter keeps a place that nobody comes to.
+        let utterable = |(n, name): (usize, &String)| {
+            if numbers.contains(&n) { name.clone() } else { format!("\u{0}{name}") }
+        };
+        let names: Vec<String> = if proxy.tenants.is_empty() && self.tenants.len() == 1 {
+            Vec::new()
+        } else {
+            self.tenants.iter().enumerate().map(utterable).collect()
+        };
+        let zones =
+            proxy.zones.iter().map(|name| ZoneId(number(&mut self.zones, name).min(255) as u8)).collect();
+        let classes = self.classes.iter().map(|(_, class, _)| class.clone()).collect();
+        Numbered {
+            settings: Settings { classes, tenants, ..proxy.settings.clone() },
+            classes: self.classes.iter().map(|(name, ..)| name.clone()).collect(),
+            rules: Rules::new(proxy.routes.iter().map(route).collect(), names, proxy.headers.clone()),
+            passages: self.classes.iter().map(|(.., passage)| passage.clone()).collect(),
+            zones,
+            gone,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn proxy(classes: &[&str], tenants: &[&str]) -> Proxy {
+        let mut text =
+            "[listen]\naddress = '127.0.0.1:0'\n[[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\n"
+                .to_owned();
+        for name in classes {
+            text += &format!("[[class]]\nname = '{name}'\npath = '/{name}/**'\n");
+        }
+        for name in tenants {
+            text += &format!("[[tenant]]\nname = '{name}'\n");
+        }
+        maplehook_config::parse(&text).unwrap().proxy.unwrap()
+    }
+
+    fn some() -> impl Strategy<Value = Vec<&'static str>> {
+        let names = vec!["a", "b", "c", "d"];
+        prop::sample::subsequence(names, 1..=4).prop_shuffle()
+    }
+
+    proptest! {
+        /// Whatever versions follow one another: a name has one number for good, and what has vanished has no part.
+        #[test]
+        fn a_name_keeps_its_number(versions in prop::collection::vec((some(), some()), 1..8)) {
+            let mut numbers = Numbers::default();
+            let mut known: Vec<String> = Vec::new();
+            let mut tenants: std::collections::BTreeMap<String, usize> = Default::default();
+            for (classes, named) in &versions {
+                let numbered = numbers.take(&proxy(classes, named));
+                prop_assert_eq!(&numbered.classes[..known.len()], &known[..]);
+                known.clone_from(&numbered.classes);
+                prop_assert_eq!(numbered.settings.classes.len(), known.len());
+                prop_assert_eq!(numbered.passages.len(), known.len());
+                for (n, name) in numbers.tenants.iter().enumerate() {
+                    prop_assert_eq!(*tenants.entry(name.clone()).or_insert(n), n, "tenant {}", name);
+                    let gone = numbered.gone.contains(&TenantId(n as u32));
+                    prop_assert_eq!(gone, !named.contains(&name.as_str()));
+                }
+                for gone in &numbered.gone {
+                    prop_assert_eq!(numbered.settings.tenants[gone.0 as usize].allowance_per_s, 0.0);
+                }
+            }
+        }
+    }
+}
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -32,6 +32,13 @@
     pub drained: bool,
 }
 
+impl Upstream {
+    /// As lists take it, its zone by this number.
+    pub fn listed(&self, zone: ZoneId) -> (&str, SocketAddr, ZoneId, f64, bool) {
+        (&self.name, self.address, zone, self.weight, self.drained)
+    }
+}
+
 /// What a balancer of one's own serves.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Proxy {
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -5,6 +5,7 @@
 
 use crate::call::{Call, CallBody, Outcome, Piece, Refusal, Reply, ReplyBody, Streaming, Why};
 use crate::ledger::{Bounds, Identity};
+use crate::lists::Lists;
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::Outgoing;
 use crate::parts::body::{Fault, Pace, Payload, Upload, take_in};
@@ -12,14 +13,15 @@
 use crate::parts::desk::{Desk, Inside};
 use crate::parts::driver::{Answer, Asked, Driver, Trace};
 use crate::parts::room::Room;
-use crate::parts::upstream::Upstreams;
-use crate::source::{Fixed, News, Source};
+use crate::parts::upstream::{Lease, Upstreams};
+use crate::source::{Entry, Fixed, News, Source};
 use crate::tally::{Counting, Tally};
 use http_body_util::BodyExt;
 use hyper::Uri;
 use hyper::body::Body;
-use lapisroute::{Balancer, Effect, FleetScope, Settings};
+use lapisroute::{Balancer, Effect, FleetScope, Settings, TenantId};
 use maplehook_routes::{Forwarding, Passage};
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::fmt;
 use std::rc::Rc;
@@ -167,13 +169,8 @@
         if passages.len() != self.settings.classes.len() {
             return Err(wrong("a passage for each class, or none".into()));
         }
-        let classes = self.settings.classes.iter().zip(passages);
-        let classes = classes.map(|(class, passage)| Class {
-            effect: class.effect,
-            deadline: class.deadline,
-            passage: Rc::new(passage),
-        });
-        let classes = classes.collect();
+        let classes = RefCell::new(classes(&self.settings, passages));
+        let tenants = Cell::new(self.settings.tenants.len());
         let balancer = Balancer::new(self.settings.clone(), self.seed)
             .map_err(|e| wrong(format!("settings: {e}").into()))?;
         let descriptors = Descriptors::for_upstreams(self.connections).map_err(|e| wrong(e.into()))?;
@@ -196,12 +193,12 @@
             None => Rc::new(fixed),
         };
         spawn_local(descriptors.watch());
-        let driver = Driver::start(balancer, upstreams, source, known);
+        let driver = Driver::start(balancer, Rc::clone(&upstreams), source, known);
         let numbers: Vec<String> = (0..self.settings.classes.len()).map(|n| n.to_string()).collect();
         let counting = Counting::new(self.tally, &numbers);
         let desk = Desk::new(driver, counting, self.ledger, self.seed);
         let desk = desk.map_err(|e| wrong(format!("ledger: {e}").into()))?;
-        Ok(Rc::new(Core { desk, room, forwarding, classes }))
+        Ok(Rc::new(Core { desk, room, forwarding, upstreams, classes, tenants }))
     }
 }
 
@@ -213,7 +210,48 @@
     }
 }
 
+/// Rules that take the place of those that an engine has, while calls go on.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// The decision module's settings. Classes, tenants and zones keep their numbers; there are no fewer than before.
+    pub settings: Settings,
+    /// Tenants that are there no more, by their numbers.
+    pub gone: Vec<TenantId>,
+    /// How messages of each class pass.
+    pub passages: Vec<Passage>,
+    /// For how long it may be acted on.
+    pub lease: Lease,
+    /// The list of upstreams, where it is another one: it is set on the engine's thread, and acted on once the decisions have been
+    /// told it.
+    pub list: Option<(Lists, Vec<Entry>)>,
+}
+
+/// Why rules are not taken over; those before stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdoptError {
+    /// There are fewer classes or tenants than before: calls under way have numbers that would mean nothing.
+    Fewer,
+    /// There is not one passage for each class.
+    Passages,
+    /// The engine has ended.
+    Ended,
+}
+
+impl fmt::Display for AdoptError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Fewer => "there are fewer classes or tenants than before",
+            Self::Passages => "there is not one passage for each class",
+            Self::Ended => "the engine has ended",
+        })
+    }
+}
+
+impl Error for AdoptError {}
+
 enum Command {
+    Adopt { version: Box<Version>, reply: oneshot::Sender<Result<(), AdoptError>> },
+    Lease(Lease),
     Call { call: Box<Call>, sent: Instant, reply: oneshot::Sender<Outcome> },
     Shutdown(Instant),
 }
@@ -280,6 +318,21 @@
         outcome.await.unwrap_or(Outcome::Failed)
     }
 
+    /// Takes over other rules. Learned state, tokens and connections stay; calls under way keep their numbers. Returns when
+    /// they are acted on.
+    pub async fn adopt(&self, version: Version) -> Result<(), AdoptError> {
+        let (reply, adopted) = oneshot::channel();
+        let command = Command::Adopt { version: Box::new(version), reply };
+        self.commands.send(command).await.map_err(|_| AdoptError::Ended)?;
+        adopted.await.unwrap_or(Err(AdoptError::Ended))
+    }
+
+    /// For how long the rules may be acted on, from now on.
+    pub async fn lease(&self, lease: Lease) {
+        // An engine that has ended writes nothing.
+        let _ = self.commands.send(Command::Lease(lease)).await;
+    }
+
     /// Ends the engine: new calls are refused, what is held has until `within` from now for its answer, and
     /// whatever is left then gets its final answer at once. Returns when the engine has ended, however often
     /// and from wherever it is called; the shortest time counts.
@@ -295,16 +348,62 @@
     desk: Rc<Desk>,
     room: Room,
     forwarding: Forwarding,
-    classes: Vec<Class>,
+    upstreams: Rc<Upstreams>,
+    classes: RefCell<Vec<Class>>,
+    tenants: Cell<usize>,
 }
 
+#[derive(Clone)]
 struct Class {
     effect: Effect,
     deadline: Duration,
     passage: Rc<Passage>,
 }
 
+fn classes(settings: &Settings, passages: Vec<Passage>) -> Vec<Class> {
+    let classes = settings.classes.iter().zip(passages);
+    let class = |(class, passage): (&lapisroute::Class, Passage)| Class {
+        effect: class.effect,
+        deadline: class.deadline,
+        passage: Rc::new(passage),
+    };
+    classes.map(class).collect()
+}
+
 impl Core {
+    /// Takes over other rules, and says so once they are acted on.
+    fn adopt(self: &Rc<Self>, version: Version, reply: oneshot::Sender<Result<(), AdoptError>>) {
+        let Version { mut settings, gone, passages, lease, list } = version;
+        let fewer = settings.classes.len() < self.classes.borrow().len()
+            || settings.tenants.len() < self.tenants.get();
+        let refused = match passages.len() == settings.classes.len() {
+            _ if fewer => Some(AdoptError::Fewer),
+            true => None,
+            false => Some(AdoptError::Passages),
+        };
+        if let Some(refused) = refused {
+            // Whoever asked may have gone.
+            let _ = reply.send(Err(refused));
+            return;
+        }
+        settings.ask_for_fleet = true;
+        self.upstreams.lease(lease);
+        let driver = self.desk.driver();
+        let mut told = driver.lists();
+        let before = *told.borrow_and_update();
+        self.tenants.set(settings.tenants.len());
+        let next = classes(&settings, passages);
+        driver.retune(settings, gone);
+        *self.classes.borrow_mut() = next;
+        let listed = list.is_some_and(|(lists, entries)| lists.set(entries));
+        spawn_local(async move {
+            if listed {
+                let _ = told.wait_for(|lists| *lists > before).await;
+            }
+            let _ = reply.send(Ok(()));
+        });
+    }
+
     async fn serve(self: Rc<Self>, mut commands: mpsc::Receiver<Command>) {
         let mut end: Option<Instant> = None;
         loop {
@@ -315,6 +414,8 @@
                     Some(Command::Call { reply, .. }) if end.is_some() => {
                         let _ = reply.send(refused(Why::Ending));
                     }
+                    Some(Command::Adopt { version, reply }) => self.adopt(*version, reply),
+                    Some(Command::Lease(lease)) => self.upstreams.lease(lease),
                     Some(Command::Call { call, sent, reply }) => Rc::clone(&self).begin(*call, sent, reply),
                     Some(Command::Shutdown(at)) => end = Some(end.map_or(at, |end| end.min(at))),
                     // Nobody is left who could ask.
@@ -351,7 +452,7 @@
 
     async fn outcome(&self, call: Call, sent: Instant) -> Result<(Answer, Trace), Why> {
         let Call { class, tenant, wait, id, method, target, mut headers, body, peer } = call;
-        let rules = self.classes.get(usize::from(class.0)).ok_or(Why::Unfit)?;
+        let rules = self.classes.borrow().get(usize::from(class.0)).cloned().ok_or(Why::Unfit)?;
         let wait = wait.min(rules.deadline);
         let deadline = tokio::time::Instant::from_std(sent + wait);
         let passage = Rc::clone(&rules.passage);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -44,9 +44,11 @@
 pub mod call;
 pub mod engine;
 pub mod ledger;
+pub mod lists;
 pub mod parts;
 pub mod source;
 pub mod tally;
 
 pub use call::{Call, CallBody, Outcome, Refusal, Reply, ReplyBody, Why};
-pub use engine::{Builder, Engine, Handle, StartError};
+pub use engine::{AdoptError, Builder, Engine, Handle, StartError, Version};
+pub use parts::upstream::Lease;
--- a/node/src/lists.rs
+++ b/engine/src/lists.rs
@@ -1,36 +1,27 @@
-//! The upstreams that the operator's file lists, which may change while the balancer runs.
+//! A list of upstreams that is set while the engine runs.
 
-use lapisroute::{FleetScope, ZoneId};
-use maplehook::source::{Entry, Fixed, News, Source, Task};
-use maplehook_config::Upstream;
+use crate::source::{Entry, News, Source, Task};
+use lapisroute::FleetScope;
 use std::time::Instant;
 use tokio::sync::watch;
 
-/// A list that is set.
+/// A list that is set, from any thread; its copies are the same one.
+#[derive(Clone, Debug)]
 pub struct Lists(watch::Sender<Vec<Entry>>);
 
-/// As entries, with zones by these numbers.
-pub fn entries(upstreams: &[Upstream], zone: impl Fn(ZoneId) -> ZoneId) -> Vec<Entry> {
-    let listed = upstreams.iter().map(|upstream| {
-        let Upstream { name, address, zone: of, weight, drained } = upstream;
-        (name.as_str(), *address, zone(*of), *weight, *drained)
-    });
-    Fixed::listed(listed).news().entries
-}
-
 impl Lists {
     /// This one, until another is set.
     pub fn new(entries: Vec<Entry>) -> Self {
         Self(watch::Sender::new(entries))
     }
 
-    /// This one from now on.
-    pub fn set(&self, entries: Vec<Entry>) {
+    /// This one from now on; whether it is another one.
+    pub fn set(&self, entries: Vec<Entry>) -> bool {
         self.0.send_if_modified(|before| {
             let changed = *before != entries;
             *before = entries;
             changed
-        });
+        })
     }
 
     /// The list.
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -140,6 +140,8 @@
     follows: Cell<bool>,
     /// Whether a list is known.
     knows: watch::Sender<bool>,
+    /// Whole lists that the module has been told.
+    lists: watch::Sender<u64>,
     /// Set when what is held has to end.
     cut_off: watch::Sender<bool>,
 }
@@ -164,6 +166,7 @@
             watching: RefCell::default(),
             follows: Cell::new(false),
             knows: watch::Sender::new(false),
+            lists: watch::Sender::new(0),
             cut_off: watch::Sender::new(false),
         });
         let counter = Rc::clone(&driver);
@@ -224,6 +227,11 @@
         let _ = self.knows.subscribe().wait_for(|knows| *knows).await;
     }
 
+    /// Counts the whole lists that the module has been told: whoever changes the list sees here when that acts.
+    pub fn lists(&self) -> watch::Receiver<u64> {
+        self.lists.subscribe()
+    }
+
     /// The time on the module's clock.
     pub fn now(&self) -> Duration {
         self.clock.now()
@@ -261,6 +269,9 @@
                 }
                 let event = Event::Fleet { scope: news.scope, listed: &listed };
                 core.balancer.handle(now, event, &mut actions);
+                if news.scope == FleetScope::Full {
+                    self.lists.send_modify(|lists| *lists += 1);
+                }
             }
             Happening::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
--- a/middleware/src/setup.rs
+++ b/middleware/src/setup.rs
@@ -2,7 +2,7 @@
 
 use maplehook::source::Fixed;
 use maplehook::{Engine, Handle, StartError};
-use maplehook_config::{Faults, Proxy, Upstream};
+use maplehook_config::{Faults, Proxy};
 use maplehook_routes::{Own, Rules};
 use std::fmt;
 use std::hash::{BuildHasher, Hasher, RandomState};
@@ -58,10 +58,7 @@
 
     /// By what such a file says.
     pub fn of(proxy: &Proxy) -> Result<Self, SetupError> {
-        let upstreams = proxy.upstreams.iter().map(|upstream| {
-            let Upstream { name, address, zone, weight, drained } = upstream;
-            (name.as_str(), *address, *zone, *weight, *drained)
-        });
+        let upstreams = proxy.upstreams.iter().map(|upstream| upstream.listed(upstream.zone));
         let engine = Engine::builder(proxy.settings.clone())
             .seed(RandomState::new().build_hasher().finish())
             .upstreams(Fixed::listed(upstreams))
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,7 +29,6 @@
 mod handover;
 mod hearsay;
 pub mod inherited;
-mod lists;
 mod refusals;
 mod requests;
 mod retune;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -7,17 +7,17 @@
 use crate::handover::{Handover, Remembered};
 use crate::hearsay::Hearsay;
 use crate::inherited;
-use crate::lists::{self, Lists};
 use crate::requests::{Requests, Vouching};
 use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
 use crate::tier;
-use crate::versions::Versions;
+use crate::versions::{Versions, entries};
 use crate::wishes::Guard;
 use hyper::header::HeaderName;
 use lapisroute::{Balancer, FleetScope, Settings};
 use lapisroute_settings::Tuned;
 use maplehook::ledger::Bounds;
+use maplehook::lists::Lists;
 use maplehook::parts::descriptors::{self, Descriptors};
 use maplehook::parts::desk::Desk;
 use maplehook::parts::discovery::Discovery;
@@ -225,7 +225,7 @@
         requests.refuse(refuses);
         parts.entrance.know(proxy.clients.known.clone());
         parts.board.refuses.store(refuses, Ordering::Release);
-        let lists = Rc::new(Lists::new(lists::entries(&proxy.upstreams, |zone| zone)));
+        let lists = Rc::new(Lists::new(entries(&proxy.upstreams, |zone| zone)));
         let known = News { scope: FleetScope::Cached, ..lists.news() };
         let (source, registrar) = match &proxy.eureka {
             None => (Rc::clone(&lists) as Rc<dyn Source>, None),
@@ -320,7 +320,12 @@
             None => (false, listen(plan.listen, plan.operator.backlog)),
         };
         let listener = listener.map_err(|e| format!("listen on {}: {e}", plan.listen))?;
-        let mut member = plan.operator.tier.as_ref().map(tier::start).transpose()?;
+        let mut member = plan
+            .operator
+            .tier
+            .as_ref()
+            .map(|tier| maplehook_quorum::join(tier, env!("CARGO_PKG_VERSION")))
+            .transpose()?;
         let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
         let mut agreeing = None;
         if let (Some(member), Some(tier)) = (&mut member, &plan.operator.tier)
@@ -328,7 +333,7 @@
         {
             let file =
                 plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
-            let began = tier::agree(tier, agreement, file, member)?;
+            let began = maplehook_quorum::agree(tier, agreement, file, member)?;
             let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
             board.settings = Some(Arc::new(Guard::new(&secret, began.wishes())));
             agreeing = Some(began);
--- a/node/src/tier.rs
+++ b/node/src/tier.rs
@@ -6,11 +6,9 @@
 use hyper::header::HOST;
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use maplehook_agreement::grants::{CutOff, Times};
-use maplehook_config::{Agreement, Tier};
-use maplehook_link::{Member, Part, Secret, Status};
-use maplehook_quorum::{Agreeing, Setup};
-use maplehook_tier::{Program, Seen};
+use maplehook_config::Tier;
+use maplehook_link::Status;
+use maplehook_tier::Seen;
 use serde::{Deserialize, Serialize};
 use std::error::Error;
 use std::fmt::Write;
@@ -35,46 +33,6 @@
     DESCRIPTORS + 2 * linked
 }
 
-/// Begins to agree with the others, over what a member has to say; `file` is the balancer's own.
-pub fn agree(
-    tier: &Tier,
-    agreement: &Agreement,
-    file: String,
-    member: &mut Member,
-) -> Result<Agreeing, String> {
-    let talk = member.talk.take().ok_or("the tier's thread talks to somebody else")?;
-    let times = Times::new(agreement.contradiction).ok_or("agreement.contradiction_ms can't be kept")?;
-    let members = tier.peers.keys().chain([&tier.name]).cloned().collect();
-    let setup = Setup {
-        own: tier.name.clone(),
-        voters: agreement.voters.clone(),
-        members,
-        times,
-        cut_off: match agreement.when_cut_off {
-            maplehook_config::CutOff::Careful => CutOff::Careful,
-            maplehook_config::CutOff::Refuse => CutOff::Refuse,
-            maplehook_config::CutOff::WaitForAll => CutOff::WaitForAll,
-        },
-        directory: tier.state.as_ref().map(|state| state.join("agreement")),
-        file,
-    };
-    Agreeing::start(setup, talk)
-}
-
-/// Begins to take part.
-pub fn start(tier: &Tier) -> Result<Member, String> {
-    let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
-    let part = Part {
-        name: tier.name.clone(),
-        listen: tier.listen,
-        secret,
-        state: tier.state.clone(),
-        peers: tier.peers.clone(),
-        program: Program::parse(env!("CARGO_PKG_VERSION")),
-    };
-    Member::start(part).map_err(|e| format!("tier.listen: {}: {e}", tier.listen))
-}
-
 /// A member as `GET /control/tier` shows it.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct ShownMember {
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -4,97 +4,22 @@
 //! and after. Learned state, tokens and connections stay.
 
 use crate::entrance::Entrance;
-use crate::lists::{self, Lists};
 use crate::requests::Requests;
-use lapisroute::{Class, ClassId, Settings, Tenant, TenantId, ZoneId};
+use lapisroute::ZoneId;
+use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
 use maplehook::parts::upstream::{Lease, Upstreams};
+use maplehook::source::{Entry, Fixed};
 use maplehook::tally::Counting;
-use maplehook_config::Proxy;
-use maplehook_quorum::Acting;
-use maplehook_routes::{Passage, Route, Rules};
+use maplehook_agreement::numbers::Numbers;
+use maplehook_config::{Proxy, Upstream};
+use maplehook_quorum::{Acting, Mode};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-/// Names that have numbers.
-#[derive(Default)]
-struct Numbers {
-    classes: Vec<(String, Class, Passage)>,
-    tenants: Vec<String>,
-    zones: Vec<String>,
-}
-
-/// A version's rules, under this process's numbers.
-struct Numbered {
-    settings: Settings,
-    classes: Vec<String>,
-    rules: Rules,
-    passages: Vec<Passage>,
-    zones: Vec<ZoneId>,
-    gone: Vec<TenantId>,
-}
-
-fn number(names: &mut Vec<String>, name: &str) -> usize {
-    names.iter().position(|known| known == name).unwrap_or_else(|| {
-        names.push(name.to_owned());
-        names.len() - 1
-    })
-}
-
-impl Numbers {
-    /// Names that stay keep their numbers; of what has vanished the number stays, and nothing comes under it.
-    fn take(&mut self, proxy: &Proxy) -> Numbered {
-        let mut of = Vec::new();
-        for (k, name) in proxy.classes.iter().enumerate() {
-            let class = (name.clone(), proxy.settings.classes[k].clone(), proxy.passages[k].clone());
-            match self.classes.iter().position(|(known, ..)| known == name) {
-                Some(n) => {
-                    self.classes[n] = class;
-                    of.push(n);
-                }
-                None => {
-                    self.classes.push(class);
-                    of.push(self.classes.len() - 1);
-                }
-            }
-        }
-        let route =
-            |route: &Route| Route { class: ClassId(of[usize::from(route.class.0)] as u16), ..route.clone() };
-        // Where no tenant has a name there is one that has none.
-        let unnamed = [String::new()];
-        let named = if proxy.tenants.is_empty() { &unnamed[..] } else { &proxy.tenants };
-        let numbers: Vec<usize> = named.iter().map(|name| number(&mut self.tenants, name)).collect();
-        let mut tenants = vec![Tenant { allowance_per_s: 0.0 }; self.tenants.len()];
-        for (n, tenant) in numbers.iter().zip(&proxy.settings.tenants) {
-            tenants[*n] = tenant.clone();
-        }
-        let gone = (0..tenants.len()).filter(|n| !numbers.contains(n)).map(|n| TenantId(n as u32)).collect();
-        // A name that nobody can utter keeps a place that nobody comes to.
-        let utterable = |(n, name): (usize, &String)| {
-            if numbers.contains(&n) { name.clone() } else { format!("\u{0}{name}") }
-        };
-        let names: Vec<String> = if proxy.tenants.is_empty() && self.tenants.len() == 1 {
-            Vec::new()
-        } else {
-            self.tenants.iter().enumerate().map(utterable).collect()
-        };
-        let zones =
-            proxy.zones.iter().map(|name| ZoneId(number(&mut self.zones, name).min(255) as u8)).collect();
-        let classes = self.classes.iter().map(|(_, class, _)| class.clone()).collect();
-        Numbered {
-            settings: Settings { classes, tenants, ..proxy.settings.clone() },
-            classes: self.classes.iter().map(|(name, ..)| name.clone()).collect(),
-            rules: Rules::new(proxy.routes.iter().map(route).collect(), names, proxy.headers.clone()),
-            passages: self.classes.iter().map(|(.., passage)| passage.clone()).collect(),
-            zones,
-            gone,
-        }
-    }
-}
-
 /// Whom a version concerns.
 pub struct Versions {
     numbers: Numbers,
@@ -110,12 +35,10 @@
     pub refuses: Arc<AtomicBool>,
 }
 
-/// What is acted on.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Mode {
-    Rules,
-    Careful,
-    Refuses,
+/// As entries, with zones by these numbers.
+pub fn entries(upstreams: &[Upstream], zone: impl Fn(ZoneId) -> ZoneId) -> Vec<Entry> {
+    let listed = upstreams.iter().map(|upstream| upstream.listed(zone(upstream.zone)));
+    Fixed::listed(listed).news().entries
 }
 
 impl Versions {
@@ -142,56 +65,58 @@
         counting: Rc<Counting>,
     ) {
         let mut present: Option<(u64, Mode)> = None;
+        // A list that was set acts once the decisions have been told it, and only then is the step acted on.
+        let mut told = driver.lists();
+        let mut waits: Option<u64> = None;
         loop {
             let now = Instant::now();
             let wanted = acting.borrow_and_update().clone();
             let until = wanted.until.map(Instant::from_std);
-            let holds = !wanted.cut_off && until.is_none_or(|until| now < until);
-            let mode = match &wanted.careful {
-                _ if holds => Mode::Rules,
-                Some(_) => Mode::Careful,
-                None => Mode::Refuses,
-            };
+            let mode = wanted.mode(now.into_std());
+            let holds = mode == Mode::Rules;
             let lease = match (mode, until) {
                 (Mode::Rules, Some(until)) => Lease::Until { until, first_too: wanted.careful.is_none() },
                 _ => Lease::Free,
             };
             self.upstreams.lease(lease);
             if present.replace((wanted.epoch, mode)) != Some((wanted.epoch, mode)) {
-                self.apply(&wanted, mode, &driver, &counting);
+                let before = *told.borrow_and_update();
+                if self.apply(&wanted, mode, &driver, &counting) {
+                    waits = Some(before);
+                }
+            }
+            waits = waits.filter(|before| *told.borrow_and_update() <= *before);
+            if waits.is_none() {
+                // What is acted on careful reading is within the step, too.
+                applied.send_if_modified(|before| std::mem::replace(before, wanted.epoch) != wanted.epoch);
             }
-            // What is acted on careful reading is within the step, too.
-            applied.send_if_modified(|before| std::mem::replace(before, wanted.epoch) != wanted.epoch);
             tokio::select! {
                 changed = acting.changed() => {
                     if changed.is_err() {
                         return;
                     }
                 }
+                _ = told.changed(), if waits.is_some() => {}
                 () = sleep_until(until.unwrap_or(now)), if holds && until.is_some() => {}
             }
         }
     }
 
-    /// The decisions come first: no request may come by a class or tenant that they do not know.
-    fn apply(&mut self, acting: &Acting, mode: Mode, driver: &Rc<Driver>, counting: &Counting) {
-        let careful = acting.careful.as_ref().filter(|_| mode == Mode::Careful);
-        let proxy = careful.unwrap_or(&acting.rules);
+    /// The decisions come first: no request may come by a class or tenant that they do not know. Whether the list is another
+    /// one, which the decisions are still to be told.
+    fn apply(&mut self, acting: &Acting, mode: Mode, driver: &Rc<Driver>, counting: &Counting) -> bool {
+        let proxy = acting.of(mode);
         let numbered = self.numbers.take(proxy);
         let guarantees: Vec<f64> = numbered.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
-        driver.retune(numbered.settings, numbered.gone);
+        driver.retune(numbered.settings.clone(), numbered.gone.clone());
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
         self.entrance.know(proxy.clients.known.clone());
-        if let Some(lists) = &self.lists {
-            let zones = numbered.zones;
-            let zone = |zone: ZoneId| zones.get(usize::from(zone.0)).copied().unwrap_or(zone);
-            lists.set(lists::entries(&proxy.upstreams, zone));
-        }
-        let label = proxy.version.then(|| match mode {
-            Mode::Rules => acting.label.clone(),
-            _ => format!("{};careful", acting.label),
-        });
+        let listed = self
+            .lists
+            .as_ref()
+            .is_some_and(|lists| lists.set(entries(&proxy.upstreams, |zone| numbered.zone(zone))));
+        let label = proxy.version.then(|| acting.told(mode));
         let refused = proxy.clients.refused.clone();
         self.requests.replace(numbered.rules, numbered.passages, refused, label.as_deref());
         self.requests.refuse(mode == Mode::Refuses);
@@ -206,5 +131,6 @@
                 tracing::warn!(version = acting.label, "no word from the other balancers: all is refused")
             }
         }
+        listed
     }
 }
--- a/node/tests/agreement.rs
+++ b/node/tests/agreement.rs
@@ -398,3 +398,55 @@
     until("the list is gone", || settled(&world, 3));
     assert!((0..4).all(|n| asked(n) == "200"));
 }
+
+/// A voter whose disk is full says so and votes no more; the others go on; with room again it is one of them.
+#[test]
+fn a_full_disk_at_a_voter_stops_nobody() {
+    let script = std::env::temp_dir().join(format!("maplehook-narrow-{}", std::process::id()));
+    let narrow = |limit: &str| {
+        use std::os::unix::fs::PermissionsExt;
+        // Beyond the limit a write fails, as on a disk without room; the signal that comes with it is ignored.
+        let text = format!("#!/bin/sh\ntrap '' XFSZ\n{limit}\nexec {PROGRAM} \"$@\"\n");
+        std::fs::write(&script, text).unwrap();
+        std::fs::set_permissions(&script, std::fs::Permissions::from_mode(0o755)).unwrap();
+    };
+    narrow("");
+    // The second of them goes by the script.
+    let world = World::start(Setup { beside: Some(script.clone()), ..setup(3, "") }).unwrap();
+    until("all act on version 1", || settled(&world, 1));
+    world.kill(1);
+    let log = world.balancer(1).state().join("agreement/log.redb");
+    let blocks = std::fs::metadata(&log).unwrap().len() / 512 + 8;
+    narrow(&format!("ulimit -f {blocks}"));
+    world.start_one(1, Keeps::State).unwrap();
+    until("all act on version 1 again", || settled(&world, 1));
+    let full =
+        |world: &World| world.balancer(1).log().iter().any(|line| line.contains("log can't be written"));
+    let mut version = 1;
+    for round in 0..12u32 {
+        let networks: Vec<String> =
+            (0..9000u32).map(|n| format!("'10.{round}.{}.{}'", n / 200, n % 200)).collect();
+        let list = format!("[clients]\nrefused = [{}]\n[balancer]", networks.join(", "));
+        let file = changed(&world, "long.toml", "[balancer]", &list);
+        let done = command(&world, 0, &["propose", &file, "--wait", "30", "--json"]);
+        assert_eq!(done.status.code(), Some(0), "round {round}: {}", said(&done));
+        version += 1;
+        if full(&world) {
+            break;
+        }
+    }
+    assert!(full(&world), "its disk has room for all of it");
+    // It has the version all the same, and the others go on.
+    until("all act on it", || settled(&world, version));
+    let shown = status(&world, 1);
+    assert!(shown["trouble"].is_string(), "{shown}");
+    narrow("");
+    world.kill(1);
+    world.start_one(1, Keeps::State).unwrap();
+    until("it votes again", || status(&world, 1)["trouble"].is_null() && settled(&world, version));
+    world.kill(2);
+    let file = changed(&world, "next.toml", LOOK, "effect = \"keyed\"");
+    let done = command(&world, 0, &["propose", &file, "--wait", "30", "--json"]);
+    assert_eq!(done.status.code(), Some(0), "{}", said(&done));
+    std::fs::remove_file(script).unwrap();
+}
--- /dev/null
+++ b/quorum/src/join.rs
@@ -0,0 +1,47 @@
+//! From what a file says to a part in a tier, and in what it agrees on.
+
+use crate::run::{Agreeing, Setup};
+use maplehook_agreement::grants::{CutOff, Times};
+use maplehook_config::{Agreement, Tier};
+use maplehook_link::{Member, Part, Secret};
+use maplehook_tier::Program;
+
+/// Begins to agree with the others, over what a member has to say; `file` is the balancer's own.
+pub fn agree(
+    tier: &Tier,
+    agreement: &Agreement,
+    file: String,
+    member: &mut Member,
+) -> Result<Agreeing, String> {
+    let talk = member.talk.take().ok_or("the tier's thread talks to somebody else")?;
+    let times = Times::new(agreement.contradiction).ok_or("agreement.contradiction_ms can't be kept")?;
+    let members = tier.peers.keys().chain([&tier.name]).cloned().collect();
+    let setup = Setup {
+        own: tier.name.clone(),
+        voters: agreement.voters.clone(),
+        members,
+        times,
+        cut_off: match agreement.when_cut_off {
+            maplehook_config::CutOff::Careful => CutOff::Careful,
+            maplehook_config::CutOff::Refuse => CutOff::Refuse,
+            maplehook_config::CutOff::WaitForAll => CutOff::WaitForAll,
+        },
+        directory: tier.state.as_ref().map(|state| state.join("agreement")),
+        file,
+    };
+    Agreeing::start(setup, talk)
+}
+
+/// Begins to take part in a tier, as a file says; `program` is the version of the program.
+pub fn join(tier: &Tier, program: &str) -> Result<Member, String> {
+    let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
+    let part = Part {
+        name: tier.name.clone(),
+        listen: tier.listen,
+        secret,
+        state: tier.state.clone(),
+        peers: tier.peers.clone(),
+        program: Program::parse(program),
+    };
+    Member::start(part).map_err(|e| format!("tier.listen: {}: {e}", tier.listen))
+}
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod follow;
 mod founding;
+mod join;
 mod leader;
 mod run;
 pub mod store;
 pub mod talk;
 pub mod voter;
 
-pub use run::{Acting, Agreeing, Local, Setup, Wishes};
+pub use join::{agree, join};
+pub use run::{Acting, Agreeing, Local, Mode, Setup, Wishes};
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -71,6 +71,42 @@
     pub cut_off: bool,
 }
 
+/// Which of the rules are acted on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Those of the step.
+    Rules,
+    /// The careful reading of them.
+    Careful,
+    /// None: everything is refused.
+    Refuses,
+}
+
+impl Acting {
+    /// What is acted on now.
+    pub fn mode(&self, now: Instant) -> Mode {
+        let holds = !self.cut_off && self.until.is_none_or(|until| now < until);
+        match &self.careful {
+            _ if holds => Mode::Rules,
+            Some(_) => Mode::Careful,
+            None => Mode::Refuses,
+        }
+    }
+
+    /// The rules of a mode.
+    pub fn of(&self, mode: Mode) -> &Arc<Proxy> {
+        self.careful.as_ref().filter(|_| mode == Mode::Careful).unwrap_or(&self.rules)
+    }
+
+    /// How a mode is told to others.
+    pub fn told(&self, mode: Mode) -> String {
+        match mode {
+            Mode::Rules => self.label.clone(),
+            _ => format!("{};careful", self.label),
+        }
+    }
+}
+
 /// How it stands here.
 #[derive(Clone, Debug)]
 pub struct Local {
--- a/quorum/src/store.rs
+++ b/quorum/src/store.rs
@@ -4,6 +4,7 @@
 //! `redb` commits a transaction whole or not at all. A second file, written first and once, says that this directory has had a
 //! log: where that is there and the log is not, it was lost, and a voter that has lost its log must not vote.
 
+use fail::fail_point;
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, HardState, Snapshot};
 use redb::{Database, ReadableTable, TableDefinition};
@@ -69,6 +70,21 @@
     pub entries: &'a [Entry],
 }
 
+/// The points at which a process may be killed while it writes, for tests that do so.
+pub const WRITE_POINTS: [&str; 11] = [
+    "put: made",
+    "put: written",
+    "put: synced",
+    "put: renamed",
+    "create: made",
+    "create: written",
+    "write: begun",
+    "write: whole",
+    "write: synced",
+    "seat: clears",
+    "seat: cleared",
+];
+
 /// A voter's disk.
 pub struct Store {
     database: Database,
@@ -78,9 +94,13 @@
 fn put(path: &Path, text: &[u8]) -> std::io::Result<()> {
     let new = path.with_extension("new");
     let mut file = File::create(&new)?;
+    fail_point!("put: made");
     file.write_all(text)?;
+    fail_point!("put: written");
     file.sync_all()?;
+    fail_point!("put: synced");
     fs::rename(&new, path)?;
+    fail_point!("put: renamed");
     match path.parent() {
         Some(directory) => File::open(directory)?.sync_all(),
         None => Ok(()),
@@ -133,11 +153,13 @@
     fs::create_dir_all(directory).map_err(broken)?;
     // The mark goes first: what is left of the log without it is a creation that was torn.
     for name in [HAD, NAME, FOUNDERS, FOUNDING] {
+        fail_point!("seat: clears");
         match fs::remove_file(directory.join(name)) {
             Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(broken(e)),
             _ => {}
         }
     }
+    fail_point!("seat: cleared");
     put(&directory.join(SEAT), number.to_string().as_bytes()).map_err(broken)?;
     Ok((Store::create(directory, &Snapshot::default())?, Kept::default()))
 }
@@ -186,8 +208,10 @@
         let database =
             Database::create(&path).map_err(|e| Unfit::Broken(format!("{}: {e}", path.display())))?;
         let store = Self { database };
+        fail_point!("create: made");
         let Kept { hard, .. } = Kept::beginning(begins);
         store.write(&Batch { hard: Some(&hard), snapshot: Some(begins), entries: &[] })?;
+        fail_point!("create: written");
         // Only now may it vote.
         put(&directory.join(HAD), b"1\n").map_err(broken)?;
         Ok(store)
@@ -218,6 +242,7 @@
     fn try_write(&self, batch: &Batch<'_>) -> Result<(), Box<dyn std::error::Error>> {
         // Synced: the default, named since everything rests on it.
         let mut write = self.database.begin_write()?;
+        fail_point!("write: begun");
         write.set_durability(redb::Durability::Immediate);
         {
             let (mut log, mut state) = (write.open_table(LOG)?, write.open_table(STATE)?);
@@ -235,7 +260,9 @@
                 log.insert(entry.index, entry.write_to_bytes()?.as_slice())?;
             }
         }
+        fail_point!("write: whole");
         write.commit()?;
+        fail_point!("write: synced");
         Ok(())
     }
 }
--- /dev/null
+++ b/quorum/tests/killed.rs
@@ -0,0 +1,232 @@
+//! A voter that is killed (SIGKILL) at each point of its writing, again and again over one directory: what it had acknowledged is
+//! there afterwards, whole, and nothing is half in force.
+
+use maplehook_agreement::steps::{Command, Step, digest};
+use maplehook_quorum::store::{self, Kept, Store, WRITE_POINTS};
+use maplehook_quorum::voter::{Ended, Voter, begins, id, seat_id};
+use maplehook_tier::Name;
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+const PLACE: &str = "MAPLEHOOK_TEST_PLACE";
+const POINT: &str = "MAPLEHOOK_TEST_POINT";
+const PASS: &str = "MAPLEHOOK_TEST_PASS";
+/// Commands that a life has time for.
+const COMMANDS: u64 = 24;
+
+fn own() -> Name {
+    Name::new("b1").unwrap()
+}
+
+/// The voter of this directory: the only one, so that what it has on its disk is agreed.
+fn open(place: &Path) -> (Voter, Store) {
+    let (store, kept) = match Store::open(place).unwrap() {
+        Some(opened) => opened,
+        None => {
+            store::founding(place, 7).unwrap();
+            store::keep_founders(place, &[("b1".into(), 7)]).unwrap();
+            let begins = begins(&[own()]);
+            (Store::create(place, &begins).unwrap(), Kept::beginning(&begins))
+        }
+    };
+    let seat = store::seat(place).unwrap();
+    let id = seat.map_or_else(|| id(&own()), |number| seat_id(&own(), number));
+    (Voter::new(id, &[own()], kept).unwrap(), store)
+}
+
+fn settle(voter: &mut Voter, store: &Store) -> Vec<(u64, Ended)> {
+    voter.settle(&mut |batch| store.write(batch)).unwrap().ended
+}
+
+fn lead(voter: &mut Voter, store: &Store) {
+    for _ in 0..200 {
+        voter.tick();
+        settle(voter, store);
+        if voter.knows() {
+            return;
+        }
+    }
+    panic!("the only voter does not lead");
+}
+
+/// A text that can be told whole from cut short.
+fn text(number: u64) -> String {
+    let body = format!("version {number} ").repeat(200);
+    format!("{body}{}", digest(&body))
+}
+
+fn is_whole(text: &str) -> bool {
+    let (body, sum) = text.split_at(text.len().saturating_sub(64));
+    digest(body) == sum
+}
+
+/// Not a test of its own: the life of the process that is killed.
+#[test]
+#[ignore = "the other test starts it"]
+fn a_life() {
+    let Some(place) = std::env::var_os(PLACE).map(PathBuf::from) else { return };
+    let point = std::env::var(POINT).unwrap();
+    let pass: u32 = std::env::var(PASS).unwrap().parse().unwrap();
+    static PASSED: AtomicU32 = AtomicU32::new(0);
+    fail::cfg_callback(&point, move || {
+        if PASSED.fetch_add(1, Ordering::SeqCst) + 1 == pass {
+            let own = nix::unistd::Pid::this();
+            nix::sys::signal::kill(own, nix::sys::signal::Signal::SIGKILL).unwrap();
+        }
+    })
+    .unwrap();
+    let (mut voter, store) = open(&place);
+    lead(&mut voter, &store);
+    for ticket in 0..COMMANDS {
+        let epoch = voter.steps().epoch;
+        let next = voter.steps().versions.last().map_or(1, |version| version.number + 1);
+        let command = match voter.steps().step {
+            Step::Strictest { .. } => Command::Advance { epoch },
+            _ => Command::Propose { epoch, expect: None, text: text(next), by: "b1".into(), at_ms: 0 },
+        };
+        assert!(voter.propose(ticket, &command));
+        for (_, ended) in settle(&mut voter, &store) {
+            let Ended::Played(Ok(number)) = ended else { panic!("{ended:?}") };
+            println!("agreed {number} {}", voter.steps().epoch);
+        }
+    }
+}
+
+/// Starts a life; what it acknowledged, and whether it was killed.
+fn live(place: &Path, point: &str, pass: u32) -> (Vec<(u64, u64)>, bool) {
+    let mut child = std::process::Command::new(std::env::current_exe().unwrap())
+        .args(["a_life", "--exact", "--ignored", "--nocapture"])
+        .env(PLACE, place)
+        .env(POINT, point)
+        .env(PASS, pass.to_string())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
+    let agreed = lines
+        .filter_map(|line| {
+            let mut words = line.split("agreed ").nth(1)?.split(' ');
+            Some((words.next()?.parse().ok()?, words.next()?.parse().ok()?))
+        })
+        .collect();
+    let status = child.wait().unwrap();
+    assert!(status.success() || status.code().is_none(), "{point} {pass}: it failed by itself: {status}");
+    (agreed, status.code().is_none())
+}
+
+#[test]
+fn what_was_acknowledged_is_there_after_a_kill_at_any_write() {
+    let mut killed: BTreeMap<&str, usize> = BTreeMap::new();
+    for point in WRITE_POINTS.into_iter().filter(|point| !point.starts_with("seat")) {
+        let place = std::env::temp_dir().join(format!(
+            "maplehook-killed-{}-{}",
+            std::process::id(),
+            point.replace(": ", "-")
+        ));
+        let _ = std::fs::remove_dir_all(&place);
+        let mut acknowledged: BTreeMap<u64, u64> = BTreeMap::new();
+        for pass in [1, 2, 3, 5, 9, 14] {
+            let (agreed, was_killed) = live(&place, point, pass);
+            *killed.entry(point).or_default() += usize::from(was_killed);
+            acknowledged.extend(agreed);
+            let (mut voter, store) = open(&place);
+            lead(&mut voter, &store);
+            let steps = voter.steps();
+            let newest = steps.versions.last().map_or(0, |version| version.number);
+            for (number, epoch) in &acknowledged {
+                assert!(
+                    steps.epoch >= *epoch,
+                    "{point} {pass}: epoch {epoch} was acted on, {} is there",
+                    steps.epoch
+                );
+                // Only the last ones are kept.
+                let there = steps.version(*number).is_some_and(|version| version.text == text(*number));
+                assert!(there || number + 32 <= newest, "{point} {pass}: version {number} is lost");
+            }
+            for version in &steps.versions {
+                assert!(
+                    is_whole(&version.text) && version.digest == digest(&version.text),
+                    "{point} {pass}: half of one"
+                );
+            }
+        }
+        std::fs::remove_dir_all(&place).unwrap();
+    }
+    // Some points are passed but once, at the founding.
+    assert!(killed.values().all(|times| *times >= 1), "{killed:?}");
+    assert!(killed["write: whole"] == 6 && killed["write: synced"] == 6, "{killed:?}");
+}
+
+/// Killed while it takes a place: it never votes under the number that it had, with less than it had voted on.
+#[test]
+fn a_kill_while_a_place_is_taken_leaves_no_vote_behind() {
+    for point in [
+        "seat: clears",
+        "seat: cleared",
+        "put: made",
+        "put: synced",
+        "put: renamed",
+        "create: made",
+        "create: written",
+    ] {
+        for pass in 1..=3 {
+            let place = std::env::temp_dir().join(format!(
+                "maplehook-seated-{}-{}-{pass}",
+                std::process::id(),
+                point.replace(": ", "-")
+            ));
+            let _ = std::fs::remove_dir_all(&place);
+            drop(open(&place));
+            let seats = |point: &str| {
+                // The point decides whether a life takes a place; any other is passed on the way.
+                std::process::Command::new(std::env::current_exe().unwrap())
+                    .args(["a_seat", "--exact", "--ignored", "--nocapture"])
+                    .env(PLACE, &place)
+                    .env(POINT, point)
+                    .env(PASS, pass.to_string())
+                    .stdout(Stdio::null())
+                    .stderr(Stdio::null())
+                    .status()
+                    .unwrap()
+            };
+            let status = seats(point);
+            assert!(status.success() || status.code().is_none(), "{point} {pass}: {status}");
+            match Store::open(&place) {
+                // It has not begun, or is done.
+                Ok(Some((_, kept))) => {
+                    let seated = store::seat(&place).unwrap() == Some(99);
+                    assert_eq!(kept.hard.commit, u64::from(!seated), "{point} {pass}");
+                }
+                // In between it is nobody: it has no log, and says that it has none, or has lost it.
+                Ok(None) => {}
+                Err(e) => assert!(e.to_string().contains("lost"), "{point} {pass}: {e}"),
+            }
+            // The command is given again.
+            assert!(seats("none").success());
+            assert_eq!(store::seat(&place).unwrap(), Some(99));
+            assert!(Store::open(&place).unwrap().is_some_and(|(_, kept)| kept == Kept::default()));
+            std::fs::remove_dir_all(&place).unwrap();
+        }
+    }
+}
+
+/// Not a test of its own: a process that takes a place.
+#[test]
+#[ignore = "the other test starts it"]
+fn a_seat() {
+    let Some(place) = std::env::var_os(PLACE).map(PathBuf::from) else { return };
+    let pass: u32 = std::env::var(PASS).unwrap().parse().unwrap();
+    static PASSED: AtomicU32 = AtomicU32::new(0);
+    fail::cfg_callback(std::env::var(POINT).unwrap(), move || {
+        if PASSED.fetch_add(1, Ordering::SeqCst) + 1 == pass {
+            let own = nix::unistd::Pid::this();
+            nix::sys::signal::kill(own, nix::sys::signal::Signal::SIGKILL).unwrap();
+        }
+    })
+    .unwrap();
+    store::take_seat(&place, 99).unwrap();
+}
--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -115,6 +115,10 @@
 
     /// Starts it and waits until it serves.
     pub fn start(&mut self, keeps: Keeps) -> Result<(), String> {
+        // Somebody else may have started it meanwhile.
+        if self.runs() {
+            return Ok(());
+        }
         match keeps {
             Keeps::State => {}
             // It may not be there.
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -310,6 +310,103 @@
     longest
 }
 
+/// A call that somebody made of the agreement, and what came of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// When it was made.
+    pub from: Duration,
+    /// When its answer came.
+    pub to: Duration,
+    /// What it came to.
+    pub did: Did,
+}
+
+/// What a call of the agreement came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Did {
+    /// This text became this version.
+    Proposed {
+        /// The version.
+        version: u64,
+        /// The text, by its mark.
+        mark: String,
+    },
+    /// The answer is not known: it became a version, or will, or not.
+    Unknown {
+        /// The text, by its mark.
+        mark: String,
+    },
+    /// The epoch that was agreed, and the newest version of its step.
+    Saw {
+        /// The epoch.
+        epoch: u64,
+        /// The newest version.
+        newest: u64,
+    },
+}
+
+/// Whether calls took effect one after the other, each at a moment between its beginning and its end (linearizability, Herlihy
+/// and Wing 1990). Versions and epochs only rise, so that it is enough to look at each pair of which one had ended when the
+/// other began, and at where each version that was seen came from.
+pub fn linearizable(calls: &[Call]) -> Vec<Breach> {
+    let mut breaches = Vec::new();
+    let mut over =
+        |at: Duration, seen: String| breaches.push(Breach { at, rule: "one order of versions", seen });
+    let mut marks: BTreeMap<u64, &str> = BTreeMap::new();
+    for call in calls {
+        if let Did::Proposed { version, mark } = &call.did
+            && marks.insert(*version, mark).is_some_and(|before| before != mark)
+        {
+            over(call.to, format!("version {version} is two texts, {mark} among them"));
+        }
+    }
+    // By their ends: what is the most that has been seen when another one begins?
+    let mut ends: Vec<&Call> = calls.iter().collect();
+    ends.sort_by_key(|call| call.to);
+    let mut begins = ends.clone();
+    begins.sort_by_key(|call| call.from);
+    let mut ended = ends.iter().peekable();
+    let (mut epoch_seen, mut version_seen) = (0, 0);
+    for call in begins {
+        while let Some(before) = ended.next_if(|before| before.to < call.from) {
+            match &before.did {
+                Did::Proposed { version, .. } => version_seen = version_seen.max(*version),
+                Did::Saw { epoch, newest } => {
+                    (epoch_seen, version_seen) = (epoch_seen.max(*epoch), version_seen.max(*newest));
+                }
+                Did::Unknown { .. } => {}
+            }
+        }
+        match &call.did {
+            Did::Proposed { version, mark } if *version <= version_seen => {
+                over(
+                    call.to,
+                    format!("{mark} became version {version} after version {version_seen} was seen"),
+                );
+            }
+            Did::Saw { epoch, newest } if *epoch < epoch_seen || *newest < version_seen => over(
+                call.to,
+                format!("epoch {epoch}, version {newest} after epoch {epoch_seen}, version {version_seen}"),
+            ),
+            _ => {}
+        }
+    }
+    for call in calls {
+        let Did::Saw { newest, .. } = call.did else { continue };
+        // The first one is nobody's proposal.
+        let possible = newest <= 1
+            || calls.iter().any(|other| match &other.did {
+                Did::Proposed { version, .. } => *version == newest && other.from <= call.to,
+                Did::Unknown { .. } => other.from <= call.to,
+                Did::Saw { .. } => false,
+            });
+        if !possible {
+            over(call.to, format!("version {newest} was seen before anybody proposed it"));
+        }
+    }
+    breaches
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -454,6 +551,41 @@
         assert_eq!(of(&repeat), 0);
     }
 
+    #[test]
+    fn versions_have_one_order() {
+        let ms = Duration::from_millis;
+        let call = |from, to, did| Call { from: ms(from), to: ms(to), did };
+        let proposed =
+            |from, to, version, mark: &str| call(from, to, Did::Proposed { version, mark: mark.into() });
+        let saw = |from, to, epoch, newest| call(from, to, Did::Saw { epoch, newest });
+        let sound = [
+            saw(0, 1, 1, 1),
+            proposed(2, 9, 2, "a"),
+            // At the same time as the proposal: either is possible.
+            saw(3, 5, 1, 1),
+            saw(4, 8, 2, 2),
+            saw(10, 11, 3, 2),
+            proposed(12, 14, 3, "b"),
+        ];
+        assert!(linearizable(&sound).is_empty(), "{:?}", linearizable(&sound));
+        let with = |more: &[Call]| linearizable(&[&sound[..], more].concat()).len();
+        assert_eq!(with(&[saw(20, 21, 2, 2)]), 1, "an old epoch after a later one was seen");
+        assert_eq!(with(&[saw(20, 21, 3, 2)]), 1, "a version that was acknowledged is gone");
+        assert_eq!(
+            with(&[proposed(20, 21, 3, "c")]),
+            2,
+            "one number, two texts, and no later than what was seen"
+        );
+        assert_eq!(with(&[saw(20, 21, 9, 7)]), 1, "a version that nobody has proposed");
+        assert_eq!(
+            with(&[saw(20, 21, 9, 7), call(22, 30, Did::Unknown { mark: "z".into() })]),
+            1,
+            "or only later"
+        );
+        assert_eq!(with(&[saw(20, 21, 9, 7), call(15, 30, Did::Unknown { mark: "z".into() })]), 0);
+        assert_eq!(with(&[saw(6, 7, 1, 1)]), 0, "before the proposal's answer the old one is as good");
+    }
+
     #[test]
     fn starts_only_rise() {
         let shown = |ms, start| shows(ms, 0, 1, &[("b1", 1, "alive"), ("b2", start, "alive")]);
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -77,6 +77,12 @@
     /// They agree on versions, which are proposed all the time; contradictions may last so many milliseconds.
     #[arg(long, value_name = "MS", num_args = 0..=1, default_missing_value = "2000")]
     agreement: Option<u64>,
+    /// What one does that has lost touch, with an agreement: careful, refuse or wait_for_all.
+    #[arg(long, requires = "agreement")]
+    when_cut_off: Option<String>,
+    /// Versions all the time without an agreement: by files and restarts, one balancer after the other.
+    #[arg(long, conflicts_with = "agreement")]
+    by_files: bool,
     /// The program; the one beside this.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -99,9 +105,21 @@
         let program = self.program.clone().map_or_else(neighbour, Ok)?;
         let rate = self.rate.clamp(1.0, 2000.0);
         let (balancers, tier) = (self.balancers, !self.alone);
-        let agreement = self.agreement.map(|ms| format!("contradiction_ms = {ms}\n"));
+        let cut_off =
+            self.when_cut_off.as_ref().map_or(String::new(), |word| format!("when_cut_off = \"{word}\"\n"));
+        let agreement = self.agreement.map(|ms| format!("contradiction_ms = {ms}\n{cut_off}"));
+        let by_files = self.by_files;
         let beside = self.beside.clone();
-        Ok(Setup { balancers, rate, tier, agreement, beside, upstreams: UPSTREAMS, ..Setup::new(&program) })
+        Ok(Setup {
+            balancers,
+            rate,
+            tier,
+            agreement,
+            by_files,
+            beside,
+            upstreams: UPSTREAMS,
+            ..Setup::new(&program)
+        })
     }
 
     fn tell(&self, reports: &[storm::Report]) -> Result<bool, String> {
--- a/rig/src/storm.rs
+++ b/rig/src/storm.rs
@@ -1,7 +1,7 @@
 //! A storm: a tier under load, a time line of faults, the end of all of them, and the checkers.
 
-use crate::balancer::Keeps;
-use crate::check::{self, Breach, Promised, name};
+use crate::balancer::{Keeps, ask};
+use crate::check::{self, Breach, Call, Did, Promised, name};
 use crate::history::{Got, What};
 use crate::nemesis::{After, Fault, Line, Timed};
 use crate::relay::Trouble;
@@ -47,6 +47,8 @@
     pub converged_ms: Option<u64>,
     /// Versions that somebody was told are agreed on.
     pub agreed: usize,
+    /// Times that the agreed state was read.
+    pub looks: usize,
     /// The longest time for which two balancers acted on versions that contradict each other, and which.
     pub contradiction_ms: Option<(u64, String)>,
     /// How long it took.
@@ -61,7 +63,7 @@
 pub fn play(setup: Setup, line: &Line, seed: Option<u64>) -> Result<Report, String> {
     let begun = Instant::now();
     let promised = promised(setup.balancers);
-    let (tier, agrees) = (setup.tier, setup.agreement.is_some());
+    let (tier, agrees, by_files) = (setup.tier, setup.agreement.is_some(), setup.by_files);
     let contradiction = setup.contradiction();
     let program = setup.program.clone();
     let mut world = World::start(setup)?;
@@ -77,7 +79,17 @@
     world.ask();
     std::thread::sleep(Duration::from_millis(300));
     let proposer = agrees.then(|| Proposer::start(&world, program, seed.unwrap_or(0)));
-    let driven = drive(&world, line, agrees);
+    let by_files = by_files && !agrees;
+    let (stop, mut changes) = (AtomicBool::new(false), 0);
+    let driven = std::thread::scope(|scope| {
+        let roller = by_files.then(|| scope.spawn(|| roll(&world, &stop, seed.unwrap_or(0))));
+        let driven = drive(&world, line, agrees);
+        stop.store(true, Ordering::SeqCst);
+        if let Some(roller) = roller {
+            changes = roller.join().unwrap_or(0);
+        }
+        driven
+    });
     let proposed = proposer.map(Proposer::stop);
     driven?;
     world.history.note(What::Healed);
@@ -87,16 +99,28 @@
     world.quiet();
     let mut lost = Vec::new();
     let mut agreed = 0;
-    if let Some(proposed) = &proposed {
-        agreed = proposed.len();
-        lost = proposed_and_lost(&world, proposed);
+    let mut looks = 0;
+    agreed += changes;
+    if let Some(calls) = &proposed {
+        let versions: Vec<(u64, String)> = calls
+            .iter()
+            .filter_map(|call| match &call.did {
+                Did::Proposed { version, mark } => Some((*version, mark.clone())),
+                _ => None,
+            })
+            .collect();
+        agreed = versions.len();
+        looks = calls.iter().filter(|call| matches!(call.did, Did::Saw { .. })).count();
+        lost = proposed_and_lost(&world, &versions);
+        lost.extend(check::linearizable(calls));
     }
     let logs: BTreeMap<String, Vec<String>> = (0..n).map(|k| (name(k), world.balancer(k).log())).collect();
     let balancers = n;
     let history = world.end();
     let mut breaches = check::check(&history, &promised);
-    let contradicted = agrees.then(|| check::longest_contradiction(&history));
+    let contradicted = (agrees || by_files).then(|| check::longest_contradiction(&history));
     if let Some((longest, what)) = &contradicted
+        && agrees
         && *longest > contradiction
     {
         let (rule, seen) = ("no contradiction", format!("{longest:?}: {what}"));
@@ -112,6 +136,7 @@
         balancers,
         converged_ms: converged.map(|time| time.as_millis() as u64),
         agreed,
+        looks,
         contradiction_ms: contradicted.map(|(longest, what)| (longest.as_millis() as u64, what)),
         seconds: begun.elapsed().as_secs_f64(),
         breaches: breaches.iter().map(Breach::to_string).collect(),
@@ -197,10 +222,70 @@
     fault
 }
 
-/// Somebody who proposes one version after the other, at any balancer.
+/// What an operator does without an agreement: each version goes into all files, and one balancer after the other is started anew;
+/// whoever is away has it at its next start. How many versions.
+fn roll(world: &World, stop: &AtomicBool, seed: u64) -> usize {
+    let mut draw = fastrand::Rng::with_seed(seed);
+    let mut version = 1;
+    while !stop.load(Ordering::SeqCst) {
+        std::thread::sleep(Duration::from_millis(draw.u64(200..900)));
+        version += 1;
+        for n in 0..world.len() {
+            let text = world.file(n).replacen(
+                &format!("via = \"v{}-", version - 1),
+                &format!("via = \"v{version}-"),
+                1,
+            );
+            // Its next start reads it.
+            let _ = world.balancer(n).configure(&text);
+        }
+        for n in 0..world.len() {
+            if stop.load(Ordering::SeqCst) {
+                break;
+            }
+            if !world.balancer(n).serves() {
+                continue;
+            }
+            world.term(n);
+            if !world.balancer(n).ended(Duration::from_secs(8)) {
+                world.kill(n);
+            }
+            if let Err(e) = world.start_one(n, Keeps::State) {
+                eprintln!("{e}");
+            }
+        }
+    }
+    version - 1
+}
+
+/// Those who propose one version after the other, and look how it stands, at any balancer.
 struct Proposer {
     stop: Arc<AtomicBool>,
-    thread: JoinHandle<Vec<(u64, String)>>,
+    threads: Vec<JoinHandle<Vec<Call>>>,
+}
+
+/// Looks how it stands, all the time.
+fn look(world: &World, stop: &Arc<AtomicBool>, seed: u64) -> JoinHandle<Vec<Call>> {
+    let (stopped, operators, history) = (Arc::clone(stop), world.operators(), Arc::clone(&world.history));
+    std::thread::spawn(move || {
+        let mut draw = fastrand::Rng::with_seed(seed);
+        let mut calls = Vec::new();
+        while !stopped.load(Ordering::SeqCst) {
+            std::thread::sleep(Duration::from_millis(draw.u64(20..200)));
+            let n = draw.usize(..operators.len());
+            let operator = *operators[n].lock().unwrap_or_else(PoisonError::into_inner);
+            let from = history.now();
+            let shown = operator.and_then(|operator| ask(operator, "/control/settings"));
+            let shown = shown.and_then(|(_, text)| serde_json::from_str::<serde_json::Value>(&text).ok());
+            let Some(shown) = shown else { continue };
+            // Only what the leader has said is the agreed state; a balancer's own view may be an older one.
+            let newest = shown["agreed"].as_str().and_then(|label| label.rsplit('-').next()?.parse().ok());
+            if let (Some(epoch), Some(newest)) = (shown["epoch_agreed"].as_u64(), newest) {
+                calls.push(Call { from, to: history.now(), did: Did::Saw { epoch, newest } });
+            }
+        }
+        calls
+    })
 }
 
 impl Proposer {
@@ -208,6 +293,8 @@
         let stop = Arc::new(AtomicBool::new(false));
         let (stopped, operators) = (Arc::clone(&stop), world.operators());
         let (secret, text) = (world.secret(), world.file(0));
+        let history = Arc::clone(&world.history);
+        let looks = [look(world, &stop, seed ^ 1), look(world, &stop, seed ^ 2)];
         let thread = std::thread::spawn(move || {
             let mut draw = fastrand::Rng::with_seed(seed);
             let mut told = Vec::new();
@@ -235,6 +322,7 @@
                     continue;
                 }
                 let address = operator.to_string();
+                let (from, mark) = (history.now(), format!("mark-{round}"));
                 let asked = Command::new(&program)
                     .args(["settings", "--address", &address, "--secret-file"])
                     .arg(&secret)
@@ -244,21 +332,25 @@
                     .output();
                 let Ok(output) = asked else { continue };
                 let number = serde_json::from_slice::<serde_json::Value>(&output.stdout).ok();
-                if output.status.success()
-                    && let Some(number) = number.and_then(|json| json["version"].as_u64())
-                {
-                    told.push((number, format!("mark-{round}")));
-                }
+                let number = number.filter(|_| output.status.success());
+                let did = match number.and_then(|json| json["version"].as_u64()) {
+                    Some(version) => Did::Proposed { version, mark },
+                    // What was refused became nothing.
+                    None if output.status.code() == Some(3) => continue,
+                    None => Did::Unknown { mark },
+                };
+                told.push(Call { from, to: history.now(), did });
             }
             told
         });
-        Self { stop, thread }
+        let threads = looks.into_iter().chain([thread]).collect();
+        Self { stop, threads }
     }
 
-    fn stop(self) -> Vec<(u64, String)> {
+    fn stop(self) -> Vec<Call> {
         self.stop.store(true, Ordering::SeqCst);
-        // One that has panicked has proposed nothing that is known.
-        self.thread.join().unwrap_or_default()
+        // One that has panicked has done nothing that is known.
+        self.threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
     }
 }
 
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -44,6 +44,10 @@
     pub tier: bool,
     /// How they agree on versions: the lines of `[agreement]` but the voters.
     pub agreement: Option<String>,
+    /// There is no agreement, and versions go by files and restarts; attempts show them in `Via`.
+    pub by_files: bool,
+    /// Upstreams stand in the files; there is no registry.
+    pub listed: bool,
     /// What else stands in their files.
     pub extra: String,
 }
@@ -59,6 +63,8 @@
             rate: 40.0,
             tier: true,
             agreement: None,
+            by_files: false,
+            listed: false,
             extra: String::new(),
         }
     }
@@ -179,7 +185,8 @@
         let mut balancers = Vec::new();
         for k in 0..n {
             let place = directory.join(name(k));
-            let file = file(&setup, k, &directory, &relays[k], to_registry[k].address);
+            let upstreams: Vec<SocketAddr> = before_apps.iter().map(|relay| relay.address).collect();
+            let file = file(&setup, k, &directory, &relays[k], to_registry[k].address, &upstreams);
             let program = setup.beside.as_ref().filter(|_| k % 2 == 1).unwrap_or(&setup.program);
             let balancer = Balancer::new(&name(k), program, &place, &file);
             balancers.push(Mutex::new(balancer.map_err(|e| format!("{}: {e}", place.display()))?));
@@ -261,6 +268,15 @@
         Ok(())
     }
 
+    /// Somebody who is no process of the rig's goes by a balancer's name, and is reached there.
+    pub fn stands_in(&self, n: usize, tier: SocketAddr) {
+        for from in 0..self.len() {
+            if let Some(relay) = &self.relays[from][n] {
+                relay.leads_to(Some(tier));
+            }
+        }
+    }
+
     /// kill -9.
     pub fn kill(&self, n: usize) {
         self.history.note(What::Down { balancer: n });
@@ -476,7 +492,9 @@
             let via = header("via").and_then(|via| via.rsplit("b").next()?.parse::<usize>().ok());
             let at = seen.at.saturating_duration_since(self.history.begun);
             let balancer = via.and_then(|n| n.checked_sub(1));
-            let version = header("x-maplehook-version").map(str::to_owned);
+            let by_file = header("via").and_then(|via| via.rsplit("v").next()?.split('-').next());
+            let by_file = by_file.filter(|_| self.setup.by_files);
+            let version = header("x-maplehook-version").or(by_file).map(str::to_owned);
             self.history.note_at(at, What::Attempt { id, upstream, balancer, version });
         }
     }
@@ -494,14 +512,30 @@
 }
 
 /// The operator's file of a balancer.
-fn file(setup: &Setup, n: usize, directory: &Path, relays: &[Option<Relay>], registry: SocketAddr) -> String {
+fn file(
+    setup: &Setup,
+    n: usize,
+    directory: &Path,
+    relays: &[Option<Relay>],
+    registry: SocketAddr,
+    upstreams: &[SocketAddr],
+) -> String {
     let mut text = format!(
-        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}\"\n{}\
-         [balancer]\nsockets = 512\nmax_attempts = 3\n[eureka]\nservers = [\"{registry}\"]\napp = \"APP\"\npoll_ms = 200\n\
-         timeout_ms = 1000\n",
+        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}{}\"\n{}\
+         [balancer]\nsockets = 512\nmax_attempts = 3\n",
+        if setup.by_files { "v1-" } else { "" },
         name(n),
         if setup.agreement.is_some() { "version = true\n" } else { "" }
     );
+    if setup.listed {
+        for (k, address) in upstreams.iter().enumerate() {
+            text += &format!("[[upstream]]\nname = \"u{}\"\naddress = \"{address}\"\n", k + 1);
+        }
+    } else {
+        text += &format!(
+            "[eureka]\nservers = [\"{registry}\"]\napp = \"APP\"\npoll_ms = 200\ntimeout_ms = 1000\n"
+        );
+    }
     for (class, effect) in [("look", "idempotent"), ("book", "at_most_once"), ("keyed", "keyed")] {
         text += &format!(
             "[[class]]\nname = \"{class}\"\npath = \"/{class}/**\"\neffect = \"{effect}\"\ndeadline_ms = {}\n",
