Long lists are read in time in proportion to their length, and told with time for it

A file of 16,000 upstreams took 13.2 s to read: the line of each key was counted from the beginning of the text. A check of a 1 MB text over 120 members could not be answered in its 0.8 s, and was told again with each try.

--- a/config/src/reader.rs
+++ b/config/src/reader.rs
@@ -61,7 +61,7 @@
 
 /// A text that is being read.
 pub struct Reader<'a> {
-    text: &'a str,
+    breaks: Breaks,
     sections: BTreeMap<String, Table<'a>>,
     lists: BTreeMap<String, Vec<Table<'a>>>,
     /// Lines of the keys that were taken.
@@ -69,22 +69,33 @@
     faults: Vec<Fault>,
 }
 
-fn line_of(text: &str, at: usize) -> usize {
-    text.as_bytes()[..at.min(text.len())].iter().filter(|b| **b == b'\n').count() + 1
+/// Where a text's lines end: a list of thousands asks for the line of each of its keys.
+struct Breaks(Vec<usize>);
+
+impl Breaks {
+    fn of(text: &str) -> Self {
+        Self(text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at).collect())
+    }
+
+    /// The line of a place, from 1.
+    fn line(&self, at: usize) -> usize {
+        self.0.partition_point(|end| *end < at) + 1
+    }
 }
 
 impl<'a> Reader<'a> {
     /// Takes a text apart. What is no TOML has one fault only; what is not made of the sections that there are is
     /// named, and passed over.
     pub fn new(text: &'a str, form: Form) -> Result<Self, Faults> {
+        let breaks = Breaks::of(text);
         let all = DeTable::parse(text).map_err(|e| {
-            let line = e.span().map_or(1, |span| line_of(text, span.start));
+            let line = e.span().map_or(1, |span| breaks.line(span.start));
             Faults(vec![Fault { line, place: String::new(), what: e.message().to_owned() }])
         })?;
         let (sections, lists, lines) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let mut reader = Self { text, sections, lists, lines, faults: Vec::new() };
+        let mut reader = Self { breaks, sections, lists, lines, faults: Vec::new() };
         for (name, value) in all.into_inner() {
-            let line = line_of(text, name.span().start);
+            let line = reader.breaks.line(name.span().start);
             let name = name.into_inner().into_owned();
             let one = form.sections.contains(&name.as_str());
             let several = form.lists.contains(&name.as_str());
@@ -113,7 +124,7 @@
 
     fn table(&self, place: String, line: usize, table: DeTable<'a>) -> Table<'a> {
         let keys = table.into_iter().map(|(key, value)| {
-            let line = line_of(self.text, key.span().start);
+            let line = self.breaks.line(key.span().start);
             (key.into_inner().into_owned(), (line, value))
         });
         Table { place, line, keys: keys.collect() }
@@ -192,7 +203,7 @@
     fn tables(&mut self, name: &str, entries: toml::de::DeArray<'a>) -> Vec<Table<'a>> {
         let mut tables = Vec::new();
         for (n, entry) in entries.into_iter().enumerate() {
-            let (line, place) = (line_of(self.text, entry.span().start), format!("{name}[{}]", n + 1));
+            let (line, place) = (self.breaks.line(entry.span().start), format!("{name}[{}]", n + 1));
             match entry.into_inner() {
                 DeValue::Table(table) => tables.push(self.table(place, line, table)),
                 _ => self.fault_at(line, place, format!("it has to be a table, [[{name}]]")),
--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -13,6 +13,9 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+/// Texts whose rules are kept: two in force, one that is looked at.
+const READ: usize = 3;
+
 impl Runner {
     /// Asks whoever leads for a lease. The clock is read before anything is said.
     pub(crate) fn ask_for_a_lease(&mut self) {
@@ -116,9 +119,22 @@
         }
     }
 
-    /// Whether this text could be acted on here.
-    pub(crate) fn fits(&self, text: &str) -> Result<Arc<Proxy>, String> {
+    /// The rules of the own file with this shared part.
+    fn read(&mut self, text: &str, digest: &str) -> Result<Arc<Proxy>, String> {
+        if let Some((_, rules)) = self.read.iter().find(|(of, _)| of == digest) {
+            return Ok(Arc::clone(rules));
+        }
         let rules = read(&self.setup.file, text)?;
+        self.read.push_back((digest.to_owned(), Arc::clone(&rules)));
+        if self.read.len() > READ {
+            self.read.pop_front();
+        }
+        Ok(rules)
+    }
+
+    /// Whether this text could be acted on here.
+    pub(crate) fn fits(&mut self, text: &str) -> Result<Arc<Proxy>, String> {
+        let rules = self.read(text, &digest(text))?;
         let present = &self.acting.borrow().rules;
         if rules.tenants.first() != present.tenants.first() {
             return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
@@ -150,8 +166,10 @@
         if self.unfit.is_some() {
             return;
         }
-        let rules =
-            self.holder.told().map_or_else(|| Err("nothing is agreed".into()), |told| self.rules(told));
+        let rules = match self.holder.told().cloned() {
+            Some(told) => self.rules(&told),
+            None => Err("nothing is agreed".into()),
+        };
         match rules {
             Ok((rules, label)) => {
                 let careful = (self.setup.cut_off != CutOff::Refuse).then(|| Arc::new(careful(&rules)));
@@ -182,11 +200,11 @@
     }
 
     /// What a step comes to here.
-    pub(crate) fn rules(&self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
-        let of = |number: u64| {
+    pub(crate) fn rules(&mut self, told: &Told) -> Result<(Arc<Proxy>, String), String> {
+        let mut of = |number: u64| {
             let version = told.versions.iter().find(|version| version.number == number);
             let version = version.ok_or_else(|| format!("version {number} was not told"))?;
-            read(&self.setup.file, &version.text)
+            self.read(&version.text, &version.digest)
         };
         match told.step {
             Step::Unsettled => Err("nothing is agreed".into()),
--- a/quorum/src/leader.rs
+++ b/quorum/src/leader.rs
@@ -6,7 +6,11 @@
 use maplehook_link::unix_ms;
 use maplehook_tier::Name;
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Bytes of texts that pass between machines in a second, and that a small machine reads in one.
+const TOLD_PER_S: f64 = 40e6;
+const READ_PER_S: f64 = 2e6;
 
 impl Runner {
     /// Does what a leader does: the first version, the next step.
@@ -49,6 +53,13 @@
         }
     }
 
+    /// What it takes at the most to tell all members a wish's text, and them to read it.
+    fn telling(&self, op: &Op) -> Duration {
+        let Op::Propose { text, .. } = op else { return Duration::ZERO };
+        let told = (text.len() * self.setup.members.len()) as f64 / TOLD_PER_S;
+        Duration::from_secs_f64(told + text.len() as f64 / READ_PER_S)
+    }
+
     /// An operator wants something.
     pub(crate) fn wish(&mut self, op: Op, wisher: Wisher) {
         let knows = matches!(&self.part, Part::Voting { voter, .. } if voter.knows());
@@ -63,7 +74,8 @@
         match (leader.filter(|leader| *leader != self.setup.own), wisher) {
             (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
                 let ticket = fastrand::u64(..);
-                self.passed_on.insert(ticket, (Wisher::Here(reply), Instant::now() + WISH));
+                let until = Instant::now() + WISH + self.telling(&op);
+                self.passed_on.insert(ticket, (Wisher::Here(reply), until));
                 self.tell(&leader, &Say::Wish { ticket, op });
             }
             (_, wisher) => {
@@ -146,6 +158,12 @@
                     self.end(wisher, Reply::Unavailable(why));
                     return;
                 }
+                // The same again while it is looked at: whoever asked first has given up, and nobody is told it twice.
+                let op = Op::Propose { text: text.clone(), expect };
+                if let Some(check) = self.checks.values_mut().find(|check| check.op == op) {
+                    let before = std::mem::replace(&mut check.wisher, wisher);
+                    return self.end(before, Reply::Unavailable("it was asked for again".into()));
+                }
                 // Whoever holds a lease has to be able to act on it.
                 let own = self.setup.own.clone();
                 let asked: BTreeSet<Name> = self
@@ -155,12 +173,8 @@
                     .map(|(name, _)| name.clone())
                     .collect();
                 self.tell_all(&asked, &Say::Check { ticket, text: text.clone() });
-                let check = Checking {
-                    op: Op::Propose { text, expect },
-                    wisher,
-                    waits: asked,
-                    until: Instant::now() + CHECK,
-                };
+                let until = Instant::now() + CHECK + self.telling(&op);
+                let check = Checking { op, wisher, waits: asked, until };
                 self.checks.insert(ticket, check);
                 self.all_checked(ticket);
             }
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -15,7 +15,7 @@
 use maplehook_link::Talk;
 use maplehook_link::frames::Message;
 use maplehook_tier::Name;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -263,6 +263,8 @@
     pub(crate) epoch: Instant,
     pub(crate) holder: Holder,
     pub(crate) applied: u64,
+    /// What the last texts come to here, by their digests: a long one is not read again at each step.
+    pub(crate) read: VecDeque<(String, Arc<Proxy>)>,
     /// A step whose texts can't be acted on here is not acted on.
     pub(crate) unfit: Option<String>,
     pub(crate) leader: Option<Name>,
@@ -299,6 +301,7 @@
             epoch: Instant::now(),
             holder,
             applied: 0,
+            read: VecDeque::new(),
             unfit: None,
             leader: None,
             next_voter: 0,
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod balancer;
 pub mod check;
+pub mod fleet;
 pub mod flood;
 pub mod history;
 pub mod measure;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,8 +1,9 @@
 //! `maplehook-rig`: storms over real balancers.
 
+use clap::builder::TypedValueParser;
 use clap::{Parser, Subcommand};
 use maplehook_rig::nemesis::Line;
-use maplehook_rig::{Setup, measure, storm};
+use maplehook_rig::{Setup, fleet, measure, storm};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -49,6 +50,18 @@
         #[command(flatten)]
         played: Played,
     },
+    /// Measures what many balancers' agreement costs when nothing changes, and a long change: their parts alone, in this process.
+    Fleet {
+        /// How many: 4 to 500.
+        #[arg(long, default_value_t = 120, value_parser = clap::value_parser!(u64).range(4..=500).map(|n| n as usize))]
+        members: usize,
+        /// The length of the list that is proposed: up to 1,000,000.
+        #[arg(long, default_value_t = 1_000_000, value_parser = clap::value_parser!(u64).range(100..=1_000_000).map(|n| n as usize))]
+        bytes: usize,
+        /// For how long two may contradict each other.
+        #[arg(long, default_value_t = 20_000)]
+        contradiction_ms: u64,
+    },
     /// Shows the faults that a seed draws, as a file.
     Show {
         /// The seed.
@@ -189,6 +202,10 @@
             }
             Ok(true)
         }
+        Command::Fleet { members, bytes, contradiction_ms } => {
+            println!("{}", fleet::measure(members, bytes, Duration::from_millis(contradiction_ms))?);
+            Ok(true)
+        }
         Command::Show { seed, minutes, balancers } => {
             let line = Line::draw(seed, balancers, UPSTREAMS, span(minutes));
             print!("{}", toml::to_string(&line).map_err(|e| e.to_string())?);
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -286,6 +286,8 @@
     pub answers: f64,
     /// Processor's time of all balancers for an answer, in microseconds.
     pub cpu_us: f64,
+    /// The same, less what they use with nothing to do.
+    pub request_us: f64,
     /// Memory of a balancer, in KiB.
     pub memory_kb: u64,
     /// Processor's time of a balancer a second with nothing to do, in microseconds.
@@ -323,6 +325,7 @@
         p99: at(0.99),
         answers: took.len() as f64 / span.as_secs_f64(),
         cpu_us: (after - before).as_secs_f64() * 1e6 / took.len().max(1) as f64,
+        request_us: (after - before).saturating_sub(idle).as_secs_f64() * 1e6 / took.len().max(1) as f64,
         memory_kb: memory / n as u64,
         idle_written,
         idle_us: idle.as_secs_f64() * 1e6 / span.as_secs_f64() / n as f64,
