Plan, order and state of a change in stages; a verdict on a stage by confidence sequences

A change went to every balancer as fast as somebody could start it; nothing compared old with new. These are the pure parts: rollout/ reads a plan, orders balancers over the zones and is the state machine that voters play; verdict/ compares both sides over the same intervals, like with like, by sequences that may be looked at at any time.

Not yet in the daemon.

--- a/lab/src/members/faults.rs
+++ b/lab/src/members/faults.rs
@@ -226,7 +226,16 @@
 /// the balancer's own code a second.
 pub fn cost(members: usize, seed: u64) -> (f64, f64, f64) {
     let mut world = settled(members, seed);
-    world.play(world.now + Duration::from_secs(15));
+    // The news of all the starts goes round for a while after all have heard it.
+    let until = world.now + Duration::from_secs(900);
+    loop {
+        let before = world.counted.datagrams;
+        world.play(world.now + Duration::from_secs(5));
+        let each = (world.counted.datagrams - before) as f64 / (5.0 * members as f64);
+        if each < 5.0 || world.now > until {
+            break;
+        }
+    }
     let (datagrams, bytes) = (world.counted.datagrams, world.counted.bytes);
     let spent = world.counted.spent;
     world.play(world.now + Duration::from_secs(20));
--- a/rig/src/balancer.rs
+++ b/rig/src/balancer.rs
@@ -244,6 +244,11 @@
         view(self.operator?)
     }
 
+    /// The process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// What it has had written to disks, in bytes.
     pub fn written(&self) -> Option<u64> {
         let text = fs::read_to_string(format!("/proc/{}/io", self.child.as_ref()?.id())).ok()?;
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -6,6 +6,7 @@
 use crate::history::{Entry, What};
 use crate::world::{Setup, World};
 use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
 use std::time::{Duration, Instant};
 
 const MOST: Duration = Duration::from_secs(60);
@@ -51,7 +52,7 @@
             let (_, text) = balancer.ask("/control/tier")?;
             let shown: serde_json::Value = serde_json::from_str(&text).ok()?;
             let bytes = shown["link"]["bytes_sent"].as_u64()?;
-            Some((shown["incarnation"].as_u64()?, bytes, balancer.used()?.0))
+            Some((u64::from(balancer.pid()?), bytes, balancer.used()?.0))
         };
         (0..world.len()).map(one).collect()
     }
@@ -230,7 +231,8 @@
     sorted.get((sorted.len() as f64 * share) as usize).copied().unwrap_or_default()
 }
 
-/// Answers with a flood of garbage at all ports for others, and without one, in turn.
+/// Answers with a flood of garbage at all ports for others, and with the same at ports of nobody's, in turn: what the flood itself
+/// takes of the machine is the same in both.
 pub fn flood(setup: Setup, span: Duration) -> Result<String, String> {
     let rate = setup.rate.max(400.0);
     let world = World::start(Setup { tier: true, rate, ..setup })?;
@@ -238,19 +240,20 @@
         return Err("the tier does not come together".into());
     }
     world.ask();
+    let bound = |_| UdpSocket::bind("127.0.0.1:0").map_err(|e| e.to_string());
+    let sinks: Vec<UdpSocket> = (0..world.len()).map(bound).collect::<Result<_, _>>()?;
     let (mut spans, mut sent) = (Vec::new(), 0);
     for round in 0..4 {
         std::thread::sleep(Duration::from_millis(500));
-        let ports: Vec<_> = (0..world.len()).filter_map(|n| world.balancer(n).tier).collect();
-        let floods: Vec<Flood> = ports
-            .into_iter()
-            .filter(|_| round % 2 == 1)
-            .map(Flood::start)
-            .collect::<Result<_, _>>()
-            .map_err(|e| e.to_string())?;
+        let ports: Vec<SocketAddr> = match round % 2 {
+            1 => (0..world.len()).filter_map(|n| world.balancer(n).tier).collect(),
+            _ => sinks.iter().filter_map(|sink| sink.local_addr().ok()).collect(),
+        };
+        let floods: Vec<Flood> =
+            ports.into_iter().map(Flood::start).collect::<Result<_, _>>().map_err(|e| e.to_string())?;
         let from = world.history.now();
         std::thread::sleep(span);
-        sent += floods.iter().map(Flood::sent).sum::<u64>();
+        sent += floods.iter().filter(|_| round % 2 == 1).map(Flood::sent).sum::<u64>();
         spans.push((round % 2 == 1, from, world.history.now()));
     }
     let dead = dead_but_running(&world);
@@ -264,7 +267,7 @@
             .flat_map(|(_, from, to)| times(&history, *from, *to))
             .collect();
         took.sort_unstable();
-        let word = if flooded { "under the flood" } else { "calm" };
+        let word = if flooded { "under the flood" } else { "the flood elsewhere" };
         text += &format!(
             "{word}: {} answers, p50 {:?}, p99 {:?}\n",
             took.len(),
--- /dev/null
+++ b/rollout/src/state.rs
@@ -0,0 +1,573 @@
+//! Where a change stands: a state machine whose commands are entries of the voters' log, so that it outlives any process, and a side
+//! without a majority can't take it a step further.
+//!
+//! Each command but the members' own words names the step that its author has seen; one that comes late changes nothing. A stage is
+//! left only by a verdict on that very stage, given once all of it had been changed.
+
+use crate::order::{Member, Order};
+use crate::plan::{Plan, WhenCutOff};
+use maplehook_verdict::Side;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt;
+use std::time::Duration;
+
+/// Events that are kept.
+const EVENTS_MOST: usize = 256;
+
+/// Where it stands.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum State {
+    /// It has not begun.
+    Planned,
+    /// This stage is changed, and watched.
+    Running(usize),
+    /// It waits, at this stage: for an operator, or for trouble on both sides to end.
+    Held {
+        /// The stage.
+        stage: usize,
+        /// Why.
+        why: String,
+        /// Whether only an operator lets it go on.
+        operator: bool,
+    },
+    /// All go back.
+    Undoing {
+        /// Why.
+        why: String,
+    },
+    /// All are as before.
+    Undone {
+        /// Why.
+        why: String,
+    },
+    /// All are changed, but for those that were out of reach.
+    Done,
+    /// Some are not known to be as before.
+    FailedToUndo {
+        /// Why it was undone.
+        why: String,
+        /// Who.
+        who: Vec<String>,
+    },
+}
+
+impl State {
+    /// Its word.
+    pub fn word(&self) -> &'static str {
+        match self {
+            Self::Planned => "planned",
+            Self::Running(_) => "running",
+            Self::Held { .. } => "held",
+            Self::Undoing { .. } => "undoing",
+            Self::Undone { .. } => "undone",
+            Self::Done => "done",
+            Self::FailedToUndo { .. } => "failed to undo",
+        }
+    }
+
+    /// Whether another change may begin.
+    pub fn is_over(&self) -> bool {
+        matches!(self, Self::Undone { .. } | Self::Done)
+    }
+}
+
+/// What a verdict says.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Judged {
+    /// The stage is not worse.
+    Well,
+    /// It is.
+    Worse(String),
+    /// Both sides have trouble.
+    Shared(String),
+    /// They have none any more.
+    Clear,
+    /// There was too little for too long.
+    Short(String),
+}
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// It begins, or goes on after it was held.
+    Go {
+        /// The step that is known.
+        step: u64,
+    },
+    /// It is held by an operator.
+    Hold {
+        /// The step that is known.
+        step: u64,
+    },
+    /// It is undone.
+    Undo {
+        /// The step that is known.
+        step: u64,
+        /// Why.
+        why: String,
+    },
+    /// A member says on which side it is.
+    Stands {
+        /// Who.
+        name: String,
+        /// Where.
+        side: Side,
+    },
+    /// The stage is judged.
+    Judge {
+        /// The step that is known.
+        step: u64,
+        /// The stage.
+        stage: usize,
+        /// What the verdict is.
+        judged: Judged,
+    },
+    /// The time in which all should have gone back is over.
+    GiveUp {
+        /// The step that is known.
+        step: u64,
+    },
+}
+
+/// Why a command changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Refused {
+    /// Something else came first.
+    Late {
+        /// The step that holds.
+        step: u64,
+    },
+    /// Not in this state.
+    State(String),
+    /// The stage is not changed yet.
+    Unplaced {
+        /// Who is missing.
+        who: Vec<String>,
+    },
+    /// There is no such member.
+    Unknown(String),
+    /// Going back is not possible any more.
+    Floor(String),
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Late { step } => write!(f, "something else came first: step {step} holds"),
+            Self::State(word) => write!(f, "not while it is {word}"),
+            Self::Unplaced { who } => write!(f, "not changed yet: {}", who.join(", ")),
+            Self::Unknown(name) => write!(f, "there is no balancer {name:?}"),
+            Self::Floor(why) => write!(f, "there is no way back: {why}"),
+        }
+    }
+}
+
+/// What happened, for whoever asks later.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Event {
+    /// The step that it led to.
+    pub step: u64,
+    /// What.
+    pub said: String,
+}
+
+/// A change.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rollout {
+    /// Its number, which is given once.
+    pub number: u64,
+    /// Its plan.
+    pub plan: Plan,
+    /// Who is in which stage.
+    pub order: Order,
+    /// Counts changes of the state.
+    pub step: u64,
+    /// The state.
+    pub state: State,
+    /// On which side each was last known to be; none if it was never heard of.
+    pub sides: BTreeMap<String, Side>,
+    /// The furthest stage that has begun.
+    pub begun: Option<usize>,
+    /// How many stages were judged well.
+    pub judged: usize,
+    /// Since it was done a feature has been used that the program before does not know: which.
+    pub used: Option<String>,
+    /// What happened, the latest last.
+    pub events: VecDeque<Event>,
+}
+
+impl Rollout {
+    /// One that has not begun.
+    pub fn new(number: u64, plan: Plan, members: &[Member]) -> Result<Self, String> {
+        let order = Order::of(&plan, members, number)?;
+        Ok(Self {
+            number,
+            plan,
+            order,
+            step: 0,
+            state: State::Planned,
+            sides: BTreeMap::new(),
+            begun: None,
+            judged: 0,
+            used: None,
+            events: VecDeque::new(),
+        })
+    }
+
+    /// The stage that is changed now, if one is.
+    pub fn stage(&self) -> Option<usize> {
+        match &self.state {
+            State::Running(stage) | State::Held { stage, .. } => Some(*stage),
+            _ => None,
+        }
+    }
+
+    /// On which side a member is to be.
+    pub fn wanted(&self, name: &str) -> Side {
+        let new = match &self.state {
+            State::Running(stage) | State::Held { stage, .. } => self.order.is_in(*stage, name),
+            State::Done => true,
+            _ => false,
+        };
+        if new { Side::New } else { Side::Old }
+    }
+
+    /// Those of the present stage that are not known to be changed.
+    pub fn unplaced(&self) -> Vec<String> {
+        let Some(stage) = self.stage() else { return Vec::new() };
+        let members = self.order.stage(stage).iter();
+        let missing = members.filter(|member| self.sides.get(&member.name) != Some(&Side::New));
+        missing.map(|member| member.name.clone()).collect()
+    }
+
+    /// Whether the present stage may be judged: all of it is changed, but for the share that may be out of reach. Of a stage of
+    /// few nobody may be missing.
+    pub fn is_placed(&self) -> bool {
+        let Some(stage) = self.stage() else { return false };
+        let most = (self.order.stage(stage).len() as f64 * self.plan.missing_share) as usize;
+        self.unplaced().len() <= most
+    }
+
+    /// Those that are not known to be as before: whoever was ever to be changed and has not said that it is not, and whoever says
+    /// that it is.
+    pub fn doubtful(&self) -> Vec<String> {
+        let asked = self.begun.map_or(&[][..], |stage| self.order.stage(stage));
+        let doubtful = self.order.members().iter().filter(|member| match self.sides.get(&member.name) {
+            Some(side) => *side == Side::New,
+            None => asked.contains(member),
+        });
+        doubtful.map(|member| member.name.clone()).collect()
+    }
+
+    /// Plays a command; the same at every voter.
+    pub fn play(&mut self, command: &Command) -> Result<(), Refused> {
+        let known = match command {
+            Command::Stands { name, side } => return self.stands(name, *side),
+            Command::Go { step }
+            | Command::Hold { step }
+            | Command::Undo { step, .. }
+            | Command::Judge { step, .. }
+            | Command::GiveUp { step } => *step,
+        };
+        if known != self.step {
+            return Err(Refused::Late { step: self.step });
+        }
+        let wrong = || Refused::State(self.state.word().into());
+        match command {
+            Command::Go { .. } => match self.state {
+                State::Planned => self.go(State::Running(0), "it begins".into()),
+                State::Held { stage, .. } => {
+                    self.go(State::Running(stage), "it goes on by an operator's word".into())
+                }
+                _ => return Err(wrong()),
+            },
+            Command::Hold { .. } => match self.state {
+                State::Running(stage) | State::Held { stage, .. } => {
+                    let why = "by an operator's word".to_owned();
+                    self.go(State::Held { stage, why, operator: true }, "held by an operator's word".into());
+                }
+                _ => return Err(wrong()),
+            },
+            Command::Undo { why, .. } => match &self.state {
+                State::Running(_) | State::Held { .. } => self.undo(why.clone()),
+                State::Done => match &self.used {
+                    Some(feature) => return Err(Refused::Floor(format!("{feature} has been used since"))),
+                    None => self.undo(why.clone()),
+                },
+                State::Planned => self.undo(why.clone()),
+                // Said again, it is the same.
+                State::Undoing { .. } | State::Undone { .. } | State::FailedToUndo { .. } => return Ok(()),
+            },
+            Command::Judge { stage, judged, .. } => self.judge(*stage, judged)?,
+            Command::GiveUp { .. } => match self.state.clone() {
+                State::Undoing { why } => {
+                    let who = self.doubtful();
+                    let said = format!("not known to be as before: {}", who.join(", "));
+                    self.go(State::FailedToUndo { why, who }, said);
+                }
+                _ => return Err(wrong()),
+            },
+            Command::Stands { .. } => {}
+        }
+        Ok(())
+    }
+
+    fn judge(&mut self, stage: usize, judged: &Judged) -> Result<(), Refused> {
+        let (at, held) = match &self.state {
+            State::Running(at) => (*at, None),
+            State::Held { stage, operator, .. } => (*stage, Some(*operator)),
+            other => return Err(Refused::State(other.word().into())),
+        };
+        if at != stage {
+            return Err(Refused::Late { step: self.step });
+        }
+        match judged {
+            // Harm is harm, however little of the stage is changed and whoever holds it.
+            Judged::Worse(why) => self.undo(why.clone()),
+            Judged::Well if held.is_some() => return Err(Refused::State("held".into())),
+            Judged::Well if !self.is_placed() => return Err(Refused::Unplaced { who: self.unplaced() }),
+            Judged::Well => {
+                self.judged = stage + 1;
+                let next =
+                    if stage + 1 == self.order.stages() { State::Done } else { State::Running(stage + 1) };
+                self.go(next, format!("stage {} is not worse", stage + 1));
+            }
+            Judged::Shared(why) if held.is_none() => {
+                let said = format!("held: {why}");
+                self.go(State::Held { stage, why: why.clone(), operator: false }, said);
+            }
+            Judged::Clear if held == Some(false) => {
+                self.go(State::Running(stage), "it goes on: the trouble is over".into());
+            }
+            Judged::Short(why) if held.is_none() => match self.plan.when_short {
+                crate::plan::WhenShort::Hold => {
+                    let said = format!("held: {why}");
+                    self.go(State::Held { stage, why: why.clone(), operator: true }, said);
+                }
+                crate::plan::WhenShort::Undo => self.undo(why.clone()),
+            },
+            Judged::Shared(_) | Judged::Clear | Judged::Short(_) => {}
+        }
+        Ok(())
+    }
+
+    fn undo(&mut self, why: String) {
+        let said = format!("undone: {why}");
+        self.go(State::Undoing { why }, said);
+        self.settle();
+    }
+
+    /// Whether all are as before, where they are to be.
+    fn settle(&mut self) {
+        let who = self.doubtful();
+        match self.state.clone() {
+            State::Undoing { why } | State::FailedToUndo { why, .. } if who.is_empty() => {
+                self.go(State::Undone { why }, "all are as before".into());
+            }
+            // Somebody was out of reach, or has been started by hand.
+            State::Undone { why } if !who.is_empty() => {
+                let said = format!("changed all the same: {}", who.join(", "));
+                self.go(State::FailedToUndo { why, who }, said);
+            }
+            // Who stands where is said exactly; that is no new step.
+            State::FailedToUndo { why, who: before } if before != who => {
+                self.state = State::FailedToUndo { why, who };
+            }
+            _ => {}
+        }
+    }
+
+    fn stands(&mut self, name: &str, side: Side) -> Result<(), Refused> {
+        if !self.order.members().iter().any(|member| member.name == name) {
+            return Err(Refused::Unknown(name.into()));
+        }
+        self.sides.insert(name.to_owned(), side);
+        self.settle();
+        Ok(())
+    }
+
+    fn go(&mut self, state: State, said: String) {
+        if let State::Running(stage) = state {
+            // Where one was before says nothing of where it is once it is asked to change.
+            let first = self.begun.is_none_or(|begun| begun < stage);
+            self.begun = if first { Some(stage) } else { self.begun };
+            if first {
+                let asked: Vec<String> = self.order.stage(stage).iter().map(|m| m.name.clone()).collect();
+                self.sides.retain(|name, side| *side == Side::New || !asked.contains(name));
+            }
+        }
+        self.step += 1;
+        self.state = state;
+        self.events.push_back(Event { step: self.step, said });
+        if self.events.len() > EVENTS_MOST {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// On which side a member is to be that has heard for so long of nobody who leads: it is changed, and nobody judges it any more.
+pub fn cut_off(plan: &Plan, is: Side, done: bool, silent: Duration) -> Side {
+    match plan.when_cut_off {
+        WhenCutOff::GoBack if is == Side::New && !done && silent >= plan.cut_off => Side::Old,
+        _ => is,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const STAGES: &str = "[[stage]]\nnames = ['b0']\n[[stage]]\nshare = 0.5\n[[stage]]\nshare = 1.0\n";
+
+    fn rollout() -> Rollout {
+        let plan = crate::plan::read(&format!("[change]\nprogram = 'p'\n{STAGES}")).unwrap();
+        let members: Vec<Member> =
+            (0..4).map(|n| Member { name: format!("b{n}"), zone: format!("z{}", n % 2) }).collect();
+        Rollout::new(1, plan, &members).unwrap()
+    }
+
+    fn stand(rollout: &mut Rollout, side: Side) {
+        for name in (0..4).map(|n| format!("b{n}")) {
+            let is = if rollout.wanted(&name) == Side::New { side } else { Side::Old };
+            rollout.play(&Command::Stands { name, side: is }).unwrap();
+        }
+    }
+
+    fn judge(rollout: &mut Rollout, judged: Judged) -> Result<(), Refused> {
+        let (step, stage) = (rollout.step, rollout.stage().unwrap_or(0));
+        rollout.play(&Command::Judge { step, stage, judged })
+    }
+
+    #[test]
+    fn a_good_change_goes_through_stage_by_stage() {
+        let mut rollout = rollout();
+        assert_eq!(judge(&mut rollout, Judged::Well), Err(Refused::State("planned".into())));
+        rollout.play(&Command::Go { step: 0 }).unwrap();
+        for stage in 0..3 {
+            assert_eq!(rollout.state, State::Running(stage));
+            assert!(matches!(judge(&mut rollout, Judged::Well), Err(Refused::Unplaced { .. })));
+            stand(&mut rollout, Side::New);
+            assert_eq!(judge(&mut rollout, Judged::Well), Ok(()));
+        }
+        assert_eq!(rollout.state, State::Done);
+        assert!((0..4).all(|n| rollout.wanted(&format!("b{n}")) == Side::New));
+        // Back from there, as long as nothing rests on it.
+        let mut used = rollout.clone();
+        used.used = Some("wire version 2".into());
+        let step = rollout.step;
+        assert!(matches!(used.play(&Command::Undo { step, why: "x".into() }), Err(Refused::Floor(_))));
+        rollout.play(&Command::Undo { step, why: "x".into() }).unwrap();
+        stand(&mut rollout, Side::Old);
+        assert_eq!(rollout.state, State::Undone { why: "x".into() });
+    }
+
+    #[test]
+    fn what_is_worse_is_undone_and_it_is_said_who_is_left() {
+        let mut rollout = rollout();
+        rollout.play(&Command::Go { step: 0 }).unwrap();
+        stand(&mut rollout, Side::New);
+        judge(&mut rollout, Judged::Well).unwrap();
+        stand(&mut rollout, Side::New);
+        judge(&mut rollout, Judged::Worse("failed".into())).unwrap();
+        assert_eq!(rollout.state, State::Undoing { why: "failed".into() });
+        assert!((0..4).all(|n| rollout.wanted(&format!("b{n}")) == Side::Old));
+        // Undone while it is undone: the same.
+        let step = rollout.step;
+        rollout.play(&Command::Undo { step, why: "again".into() }).unwrap();
+        assert_eq!(rollout.step, step);
+        rollout.play(&Command::Stands { name: "b0".into(), side: Side::Old }).unwrap();
+        rollout.play(&Command::GiveUp { step }).unwrap();
+        let State::FailedToUndo { who, .. } = &rollout.state else { panic!("{:?}", rollout.state) };
+        assert!(who.len() == 1 && who[0] != "b0", "{who:?}");
+        // It comes back, and is as before.
+        stand(&mut rollout, Side::Old);
+        assert_eq!(rollout.state, State::Undone { why: "failed".into() });
+    }
+
+    #[test]
+    fn trouble_on_both_sides_holds_until_it_is_over_and_an_operators_hold_until_he_says_so() {
+        let mut rollout = rollout();
+        rollout.play(&Command::Go { step: 0 }).unwrap();
+        stand(&mut rollout, Side::New);
+        judge(&mut rollout, Judged::Shared("slow upstreams".into())).unwrap();
+        assert!(matches!(judge(&mut rollout, Judged::Well), Err(Refused::State(_))));
+        judge(&mut rollout, Judged::Clear).unwrap();
+        assert_eq!(rollout.state, State::Running(0));
+        let step = rollout.step;
+        rollout.play(&Command::Hold { step }).unwrap();
+        judge(&mut rollout, Judged::Clear).unwrap();
+        assert!(matches!(rollout.state, State::Held { operator: true, .. }));
+        let step = rollout.step;
+        rollout.play(&Command::Go { step }).unwrap();
+        judge(&mut rollout, Judged::Short("few requests".into())).unwrap();
+        assert!(matches!(rollout.state, State::Held { operator: true, .. }), "too little never advances");
+        // Held or not, harm is undone.
+        judge(&mut rollout, Judged::Worse("failed".into())).unwrap();
+        assert!(matches!(rollout.state, State::Undoing { .. }));
+    }
+
+    #[test]
+    fn whoever_is_cut_off_goes_back_or_stays_by_the_plan() {
+        let mut plan = rollout().plan;
+        let (short, long) = (Duration::from_secs(10), Duration::from_secs(60));
+        assert_eq!(cut_off(&plan, Side::New, false, short), Side::New);
+        assert_eq!(cut_off(&plan, Side::New, false, long), Side::Old);
+        assert_eq!(cut_off(&plan, Side::New, true, long), Side::New, "what is done is no trial any more");
+        assert_eq!(cut_off(&plan, Side::Old, false, long), Side::Old);
+        plan.when_cut_off = WhenCutOff::Stay;
+        assert_eq!(cut_off(&plan, Side::New, false, long), Side::New);
+    }
+
+    fn command() -> impl Strategy<Value = (u8, usize, bool, u64)> {
+        (0u8..9, 0usize..4, any::<bool>(), 0u64..3)
+    }
+
+    proptest! {
+        /// Whatever is said, in whatever order, late or not: nobody is wanted changed who is not in the first stage that was not
+        /// judged well, verdicts are never skipped, and after an undoing nobody is wanted changed.
+        #[test]
+        fn never_ahead_of_a_verdict(commands in prop::collection::vec(command(), 0..60)) {
+            let mut rollout = rollout();
+            let mut well = 0;
+            for (kind, n, new, late) in commands {
+                let step = rollout.step.saturating_sub(late);
+                let stage = n.min(2);
+                let side = if new { Side::New } else { Side::Old };
+                let command = match kind {
+                    0 => Command::Go { step },
+                    1 => Command::Hold { step },
+                    2 if late == 2 => Command::Undo { step, why: "x".into() },
+                    3 | 4 | 5 => Command::Stands { name: format!("b{n}"), side },
+                    6 => Command::Judge { step, stage, judged: Judged::Well },
+                    7 => Command::Judge { step, stage, judged: if new { Judged::Shared("x".into()) } else { Judged::Clear } },
+                    8 if late == 1 => Command::Judge { step, stage, judged: Judged::Worse("x".into()) },
+                    _ => Command::GiveUp { step },
+                };
+                let before = rollout.clone();
+                let played = rollout.play(&command);
+                if played.is_err() {
+                    prop_assert_eq!(&before, &rollout, "what is refused changes nothing");
+                }
+                if rollout.judged > well {
+                    prop_assert_eq!(rollout.judged, well + 1);
+                    prop_assert!(before.unplaced().is_empty());
+                    well = rollout.judged;
+                }
+                let ahead = rollout.stage().unwrap_or(0);
+                prop_assert!(ahead <= well);
+                for n in 0..4 {
+                    let name = format!("b{n}");
+                    if rollout.wanted(&name) == Side::New {
+                        prop_assert!(rollout.state == State::Done || rollout.order.is_in(well, &name));
+                    }
+                }
+                if let State::Undone { .. } = rollout.state {
+                    prop_assert!(rollout.doubtful().is_empty());
+                }
+                prop_assert!(rollout.events.len() <= EVENTS_MOST);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/verdict/src/lib.rs
@@ -0,0 +1,13 @@
+//! Does a stage do worse? Old and new balancers over the *same* time, from what each counts.
+//!
+//! [`report`] is what a balancer tells of an interval, bounded in bytes; [`sequence`] a confidence sequence over differences between
+//! the sides, good at whatever moment it is looked at; [`judge`] puts them together. `docs/design/rollout.md` has the options that
+//! were weighed.
+
+pub mod judge;
+pub mod report;
+pub mod sequence;
+mod strata;
+
+pub use judge::{Bounds, Judge, Measure, Verdict};
+pub use report::{Cell, Key, Report, Side};
