A balancer says which step it has heard of: one that may still change does not count as before

Thinking the exploration through: a balancer that was told to change, said that it was as before, and changed then, counted as undone. Words carry the step that was heard; who was ever asked and has not heard of the undoing is doubtful, and is named.

--- a/rollout/src/state.rs
+++ b/rollout/src/state.rs
@@ -113,6 +113,8 @@
         name: String,
         /// Where.
         side: Side,
+        /// The latest step that it has heard of: one that has not heard of an undoing may still change.
+        heard: u64,
     },
     /// The stage is judged.
     Judge {
@@ -185,8 +187,10 @@
     pub step: u64,
     /// The state.
     pub state: State,
-    /// On which side each was last known to be; none if it was never heard of.
-    pub sides: BTreeMap<String, Side>,
+    /// On which side each was last known to be, and of which step it had heard then; none if it was never heard of.
+    pub sides: BTreeMap<String, (Side, u64)>,
+    /// The step at which it was undone; 0 if it was not.
+    pub undone_at: u64,
     /// The furthest stage that has begun.
     pub begun: Option<usize>,
     /// How many stages were judged well.
@@ -208,6 +212,7 @@
             step: 0,
             state: State::Planned,
             sides: BTreeMap::new(),
+            undone_at: 0,
             begun: None,
             judged: 0,
             used: None,
@@ -237,7 +242,8 @@
     pub fn unplaced(&self) -> Vec<String> {
         let Some(stage) = self.stage() else { return Vec::new() };
         let members = self.order.stage(stage).iter();
-        let missing = members.filter(|member| self.sides.get(&member.name) != Some(&Side::New));
+        let new = |name: &str| self.sides.get(name).is_some_and(|(side, _)| *side == Side::New);
+        let missing = members.filter(|member| !new(&member.name));
         missing.map(|member| member.name.clone()).collect()
     }
 
@@ -254,7 +260,9 @@
     pub fn doubtful(&self) -> Vec<String> {
         let asked = self.begun.map_or(&[][..], |stage| self.order.stage(stage));
         let doubtful = self.order.members().iter().filter(|member| match self.sides.get(&member.name) {
-            Some(side) => *side == Side::New,
+            // An old one that has not heard of the undoing may be about to change.
+            Some((Side::Old, heard)) => asked.contains(member) && *heard < self.undone_at,
+            Some((Side::New, _)) => true,
             None => asked.contains(member),
         });
         doubtful.map(|member| member.name.clone()).collect()
@@ -263,7 +271,7 @@
     /// Plays a command; the same at every voter.
     pub fn play(&mut self, command: &Command) -> Result<(), Refused> {
         let known = match command {
-            Command::Stands { name, side } => return self.stands(name, *side),
+            Command::Stands { name, side, heard } => return self.stands(name, *side, *heard),
             Command::Go { step }
             | Command::Hold { step }
             | Command::Undo { step, .. }
@@ -354,6 +362,7 @@
 
     fn undo(&mut self, why: String) {
         let said = format!("undone: {why}");
+        self.undone_at = self.step + 1;
         self.go(State::Undoing { why }, said);
         self.settle();
     }
@@ -378,24 +387,21 @@
         }
     }
 
-    fn stands(&mut self, name: &str, side: Side) -> Result<(), Refused> {
+    fn stands(&mut self, name: &str, side: Side, heard: u64) -> Result<(), Refused> {
         if !self.order.members().iter().any(|member| member.name == name) {
             return Err(Refused::Unknown(name.into()));
         }
-        self.sides.insert(name.to_owned(), side);
-        self.settle();
+        // Words overtake one another.
+        if self.sides.get(name).is_none_or(|(_, before)| *before <= heard) {
+            self.sides.insert(name.to_owned(), (side, heard.min(self.step)));
+            self.settle();
+        }
         Ok(())
     }
 
     fn go(&mut self, state: State, said: String) {
         if let State::Running(stage) = state {
-            // Where one was before says nothing of where it is once it is asked to change.
-            let first = self.begun.is_none_or(|begun| begun < stage);
-            self.begun = if first { Some(stage) } else { self.begun };
-            if first {
-                let asked: Vec<String> = self.order.stage(stage).iter().map(|m| m.name.clone()).collect();
-                self.sides.retain(|name, side| *side == Side::New || !asked.contains(name));
-            }
+            self.begun = self.begun.max(Some(stage));
         }
         self.step += 1;
         self.state = state;
@@ -431,7 +437,8 @@
     fn stand(rollout: &mut Rollout, side: Side) {
         for name in (0..4).map(|n| format!("b{n}")) {
             let is = if rollout.wanted(&name) == Side::New { side } else { Side::Old };
-            rollout.play(&Command::Stands { name, side: is }).unwrap();
+            let heard = rollout.step;
+            rollout.play(&Command::Stands { name, side: is, heard }).unwrap();
         }
     }
 
@@ -477,7 +484,9 @@
         let step = rollout.step;
         rollout.play(&Command::Undo { step, why: "again".into() }).unwrap();
         assert_eq!(rollout.step, step);
-        rollout.play(&Command::Stands { name: "b0".into(), side: Side::Old }).unwrap();
+        rollout.play(&Command::Stands { name: "b0".into(), side: Side::Old, heard: step - 1 }).unwrap();
+        assert!(rollout.doubtful().contains(&"b0".into()), "it has not heard that it is undone");
+        rollout.play(&Command::Stands { name: "b0".into(), side: Side::Old, heard: step }).unwrap();
         rollout.play(&Command::GiveUp { step }).unwrap();
         let State::FailedToUndo { who, .. } = &rollout.state else { panic!("{:?}", rollout.state) };
         assert!(who.len() == 1 && who[0] != "b0", "{who:?}");
@@ -539,7 +548,7 @@
                     0 => Command::Go { step },
                     1 => Command::Hold { step },
                     2 if late == 2 => Command::Undo { step, why: "x".into() },
-                    3 | 4 | 5 => Command::Stands { name: format!("b{n}"), side },
+                    3 | 4 | 5 => Command::Stands { name: format!("b{n}"), side, heard: step },
                     6 => Command::Judge { step, stage, judged: Judged::Well },
                     7 => Command::Judge { step, stage, judged: if new { Judged::Shared("x".into()) } else { Judged::Clear } },
                     8 if late == 1 => Command::Judge { step, stage, judged: Judged::Worse("x".into()) },
--- a/verdict/src/report.rs
+++ b/verdict/src/report.rs
@@ -58,8 +58,8 @@
 }
 
 fn histogram() -> Option<Histogram<u32>> {
-    // Two digits are a hundredth of a time; the bounds are known to be good.
-    Histogram::new_with_bounds(1, LONGEST, 2).ok()
+    // One digit: a sixteenth of a time, in a kilobyte. The bounds are known to be good.
+    Histogram::new_with_bounds(1, LONGEST, 1).ok()
 }
 
 impl From<Told> for Cell {
