--- a/rollout/src/state.rs
+++ b/rollout/src/state.rs
@@ -517,6 +517,28 @@
         assert!(matches!(rollout.state, State::Undoing { .. }));
     }
 
+    /// A leader that was cut off judges by what it knew: its words come late, and change nothing.
+    #[test]
+    fn what_comes_late_changes_nothing() {
+        let mut rollout = rollout();
+        rollout.play(&Command::Go { step: 0 }).unwrap();
+        stand(&mut rollout, Side::New);
+        let late = rollout.step;
+        rollout.play(&Command::Hold { step: late }).unwrap();
+        let step = rollout.step;
+        rollout.play(&Command::Go { step }).unwrap();
+        let before = rollout.clone();
+        for command in [
+            Command::Judge { step: late, stage: 0, judged: Judged::Well },
+            Command::Judge { step: late, stage: 0, judged: Judged::Worse("x".into()) },
+            Command::Undo { step: late, why: "x".into() },
+            Command::Hold { step: late },
+        ] {
+            assert_eq!(rollout.play(&command), Err(Refused::Late { step: before.step }), "{command:?}");
+        }
+        assert_eq!(rollout, before);
+    }
+
     #[test]
     fn whoever_is_cut_off_goes_back_or_stays_by_the_plan() {
         let mut plan = rollout().plan;
--- a/verdict/src/judge.rs
+++ b/verdict/src/judge.rs
@@ -592,7 +592,12 @@
         let mut world = World::new();
         world.play(10, |_, _, _| true);
         assert!(matches!(world.verdict(), Verdict::Short(_)), "{}", world.verdict());
+        // Each of the two is needed.
         world.play(110, |_, _, _| true);
+        assert!(matches!(world.judge.verdict(500, 1000), Verdict::Short(_)));
+        assert!(matches!(world.judge.verdict(20, 1_000_000), Verdict::Short(_)));
+        let mut world = World::new();
+        world.play(120, |_, _, _| true);
         assert_eq!(world.verdict(), Verdict::Well);
     }
 
