A replaced voter hears of it through any voter, not by the leader alone

The one that was replaced stands for election among the voters that it knows; where the leader is none of them nobody told it, and it went on as a voter in its own eyes (following all the same). Seen as a test that failed now and then.

A follower that hears a voter which its log does not know says so to the leader, and that one tells it.

--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -81,8 +81,13 @@
                 && !voter.step(from, &message.body)
             {
                 tracing::debug!(%from, "a message of a voter makes no sense");
-                if voter.knows() && !voter.voters().contains(from) {
-                    self.tell(from, &Say::Unseated);
+                if !voter.voters().contains(from) {
+                    // Only whoever leads knows for certain; the one that was replaced may not know of it.
+                    match voter.leader() {
+                        _ if voter.knows() => self.tell(from, &Say::Unseated),
+                        Some(leader) => self.tell(&leader, &Say::Speaks { name: from.to_string() }),
+                        None => {}
+                    }
                 }
             }
             return;
@@ -116,6 +121,15 @@
             Say::Seat { ticket } => self.seat(from, ticket),
             Say::Seated { ticket, number } => self.seated(from, ticket, number),
             Say::Unseated => self.unseated(),
+            Say::Speaks { name } => {
+                let known = Name::new(&name).filter(|name| self.setup.members.contains(name));
+                if let (Part::Voting { voter, .. }, Some(name)) = (&self.part, known)
+                    && voter.knows()
+                    && !voter.voters().contains(&name)
+                {
+                    self.tell(&name, &Say::Unseated);
+                }
+            }
         }
     }
 
--- a/quorum/src/talk.rs
+++ b/quorum/src/talk.rs
@@ -202,4 +202,9 @@
     },
     /// Whoever hears this speaks as a voter, and is none any more.
     Unseated,
+    /// Somebody speaks as a voter whom the log of this one's author does not know as one: whoever leads is to say.
+    Speaks {
+        /// Who.
+        name: String,
+    },
 }
