A lagging voter hears leaders that came later; a leader gives its own place away unharmed

Three faults of replacing voters: a voter that lagged refused a leader whose number it did not know, for good; a leader that carried its own replacement out panicked in the raft crate; a leader that was cut off could tell a new voter that it votes no more. A fourth was the test's: it gave a member another number while the first might still come into the log.

An unknown number is heard, a known one that votes no more is not; a leader without a place steps down; 'votes no more' is said after a majority has confirmed the leader, and not while old and new voters count together; whoever waits for a place says its number again. The leader and what has expired are looked up in one place each.

--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -75,16 +75,28 @@
         self.digests.insert(from.clone(), (digest, Instant::now()));
     }
 
+    /// Tells somebody that it votes no more, if that is so by the word of a majority: a leader that was cut off may know less.
+    fn is_voter(&mut self, name: Name) {
+        if let Part::Voting { voter, .. } = &mut self.part
+            && voter.knows()
+        {
+            let ticket = fastrand::u64(..);
+            if voter.read(ticket) {
+                self.readings.insert(ticket, Reading::Voter(name));
+            }
+        }
+    }
+
     pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
         if message.topic == RAFT {
-            if let Part::Voting { voter, .. } = &mut self.part
-                && !voter.step(from, &message.body)
-            {
-                tracing::debug!(%from, "a message of a voter makes no sense");
-                if !voter.voters().contains(from) {
+            if let Part::Voting { voter, .. } = &mut self.part {
+                if !voter.step(from, &message.body) {
+                    tracing::debug!(%from, "a message of a voter makes no sense");
+                }
+                if !voter.waits() && !voter.names_voter(from) {
                     // Only whoever leads knows for certain; the one that was replaced may not know of it.
                     match voter.leader() {
-                        _ if voter.knows() => self.tell(from, &Say::Unseated),
+                        _ if voter.knows() => self.is_voter(from.clone()),
                         Some(leader) => self.tell(&leader, &Say::Speaks { name: from.to_string() }),
                         None => {}
                     }
@@ -123,12 +135,7 @@
             Say::Unseated => self.unseated(),
             Say::Speaks { name } => {
                 let known = Name::new(&name).filter(|name| self.setup.members.contains(name));
-                if let (Part::Voting { voter, .. }, Some(name)) = (&self.part, known)
-                    && voter.knows()
-                    && !voter.voters().contains(&name)
-                {
-                    self.tell(&name, &Say::Unseated);
-                }
+                known.into_iter().for_each(|name| self.is_voter(name));
             }
         }
     }
@@ -269,6 +276,13 @@
                     self.tell(&from, &Say::Grant { number, epoch: now_at, told });
                 }
             }
+            Some(Reading::Voter(name)) => {
+                if let Part::Voting { voter, .. } = &self.part
+                    && !voter.names_voter(&name)
+                {
+                    self.tell(&name, &Say::Unseated);
+                }
+            }
             Some(Reading::Status(wisher)) => {
                 let reply = match &self.part {
                     Part::Voting { voter, .. } => Reply::Overview(self.overview(voter.steps())),
--- a/quorum/src/founding.rs
+++ b/quorum/src/founding.rs
@@ -41,8 +41,15 @@
 
     /// The leader asks under which number this member would vote: one that nobody has had.
     pub(crate) fn seat(&mut self, from: &Name, ticket: u64) {
-        let votes = matches!(&self.part, Part::Voting { voter, .. } if !voter.unseated());
+        let (votes, waits) = match &self.part {
+            Part::Voting { voter, .. } => (!voter.unseated(), voter.waits()),
+            _ => (false, false),
+        };
         let number = match self.setup.directory.clone() {
+            // Whoever asked did not hear the number, or is another leader by now: it may be in the log already.
+            Some(directory) if waits => store::seat(&directory)
+                .map_err(|e| e.to_string())
+                .and_then(|number| number.ok_or_else(|| "its number is lost".to_owned())),
             _ if votes => Err("it votes already".to_owned()),
             None => Err("it has no tier.state, where a voter keeps its log".to_owned()),
             Some(directory) => {
--- a/quorum/src/leader.rs
+++ b/quorum/src/leader.rs
@@ -67,11 +67,7 @@
             self.at_the_leader(op, wisher);
             return;
         }
-        let leader = match &self.part {
-            Part::Voting { voter, .. } => voter.leader().or_else(|| self.leader.clone()),
-            _ => self.leader.clone(),
-        };
-        match (leader.filter(|leader| *leader != self.setup.own), wisher) {
+        match (self.known_leader().filter(|leader| *leader != self.setup.own), wisher) {
             (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
                 let ticket = fastrand::u64(..);
                 let until = Instant::now() + WISH + self.telling(&op);
@@ -240,6 +236,10 @@
         if !voters.contains(&old) {
             return self.end(wisher, Reply::Refused(format!("{old} does not vote")));
         }
+        if voter.changes() {
+            let why = "another change of voters is under way";
+            return self.end(wisher, Reply::Unavailable(why.into()));
+        }
         if old == self.setup.own {
             voter.hand_over();
             let why = format!("{old} leads, and hands that over now; ask again");
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -248,8 +248,15 @@
 
 /// What waits for the others' word that this voter leads.
 pub(crate) enum Reading {
-    Lease { from: Name, number: u64, epoch: u64, has: u64 },
+    Lease {
+        from: Name,
+        number: u64,
+        epoch: u64,
+        has: u64,
+    },
     Status(Wisher),
+    /// Whether this one votes, who speaks as if it did.
+    Voter(Name),
 }
 
 pub(crate) struct Runner {
@@ -281,6 +288,12 @@
     pub(crate) digests: BTreeMap<Name, (String, Instant)>,
 }
 
+/// Takes out those of which something holds.
+fn take_where<T>(of: &mut BTreeMap<u64, T>, mut holds: impl FnMut(&T) -> bool) -> Vec<T> {
+    let tickets: Vec<u64> = of.iter().filter(|(_, one)| holds(one)).map(|(ticket, _)| *ticket).collect();
+    tickets.into_iter().filter_map(|ticket| of.remove(&ticket)).collect()
+}
+
 impl Runner {
     pub(crate) fn new(
         setup: Setup,
@@ -389,40 +402,17 @@
             self.ask_for_a_lease();
         }
         let now = Instant::now();
-        let over: Vec<u64> = self
-            .passed_on
-            .iter()
-            .filter(|(_, (_, until))| *until <= now)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in over {
-            if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
-                self.end(
-                    wisher,
-                    Reply::Unavailable("the leader does not answer; it may be done or not".into()),
-                );
-            }
+        for (wisher, _) in take_where(&mut self.passed_on, |(_, until)| *until <= now) {
+            self.end(wisher, Reply::Unavailable("the leader does not answer; it may be done or not".into()));
         }
-        let over: Vec<u64> =
-            self.checks.iter().filter(|(_, check)| check.until <= now).map(|(ticket, _)| *ticket).collect();
-        for ticket in over {
-            if let Some(check) = self.checks.remove(&ticket) {
-                // Whoever holds a lease and does not answer may be one that can't act on it.
-                let names: Vec<String> = check.waits.iter().map(ToString::to_string).collect();
-                let why = format!("{} did not say whether it can act on this", names.join(", "));
-                self.end(check.wisher, Reply::Unavailable(why));
-            }
+        for check in take_where(&mut self.checks, |check| check.until <= now) {
+            // Whoever holds a lease and does not answer may be one that can't act on it.
+            let names: Vec<String> = check.waits.iter().map(ToString::to_string).collect();
+            let why = format!("{} did not say whether it can act on this", names.join(", "));
+            self.end(check.wisher, Reply::Unavailable(why));
         }
-        let over: Vec<u64> = self
-            .seats
-            .iter()
-            .filter(|(_, seating)| seating.until <= now)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        for ticket in over {
-            if let Some(Seating { new, wisher, .. }) = self.seats.remove(&ticket) {
-                self.end(wisher, Reply::Unavailable(format!("{new} does not answer")));
-            }
+        for Seating { new, wisher, .. } in take_where(&mut self.seats, |seating| seating.until <= now) {
+            self.end(wisher, Reply::Unavailable(format!("{new} does not answer")));
         }
         self.lead();
     }
@@ -507,6 +497,15 @@
         }
     }
 
+    /// Whom it takes for the leader, by its own vote or by the word of others.
+    pub(crate) fn known_leader(&self) -> Option<Name> {
+        let by_vote = match &self.part {
+            Part::Voting { voter, .. } => voter.leader(),
+            _ => None,
+        };
+        by_vote.or_else(|| self.leader.clone())
+    }
+
     pub(crate) fn local(&self) -> Local {
         let now = self.now();
         let told = self.holder.told();
@@ -520,10 +519,7 @@
             .map_or_else(|| self.digest.clone(), |version| version.digest.clone());
         let lease_left = self.holder.until().and_then(|until| until.checked_sub(now));
         let leads = matches!(&self.part, Part::Voting { voter, .. } if voter.leads());
-        let leader = match &self.part {
-            Part::Voting { voter, .. } => voter.leader().or_else(|| self.leader.clone()),
-            _ => self.leader.clone(),
-        };
+        let leader = self.known_leader();
         let voter = match &self.part {
             Part::Out(why) => Some(why.clone()),
             Part::Founding { heard, .. } => {
--- a/quorum/src/voter.rs
+++ b/quorum/src/voter.rs
@@ -243,25 +243,34 @@
 
     /// Whether the log, as far as it is known here, gives its place to somebody else.
     pub fn unseated(&self) -> bool {
-        let own = &self.raft.raft.id;
-        !self.conf.get_voters().is_empty()
-            && !self.conf.get_voters().contains(own)
-            && !self.conf.get_voters_outgoing().contains(own)
+        !self.conf.get_voters().is_empty() && !self.is_voter(self.raft.raft.id)
+    }
+
+    /// Whether somebody of this name votes, be it only until a change of voters has come to its end.
+    pub fn names_voter(&self, name: &Name) -> bool {
+        let ids = self.conf.get_voters().iter().chain(self.conf.get_voters_outgoing());
+        ids.into_iter().any(|id| self.name_of(*id).as_ref() == Some(name))
+    }
+
+    /// Whether a change of voters is under way.
+    pub fn changes(&self) -> bool {
+        self.changing.is_some() || !self.conf.get_voters_outgoing().is_empty()
+    }
+
+    /// Whether it has been given a place and has not heard of the log yet.
+    pub fn waits(&self) -> bool {
+        self.applied == 0
     }
 
     /// Whether whoever speaks for this number votes, by the log as far as it is known here.
     pub fn is_voter(&self, id: u64) -> bool {
-        self.conf.get_voters().contains(&id) || self.conf.get_voters_outgoing().contains(&id)
+        votes(&self.conf, id)
     }
 
     /// Gives a voter's place to another member, under the number that it says; its ticket comes back once that is done. `false`
     /// where this voter does not lead, or another change is under way.
     pub fn replace(&mut self, ticket: u64, old: &Name, new: &Name, number: u64) -> bool {
-        if self.dead
-            || !self.knows()
-            || self.changing.is_some()
-            || !self.conf.get_voters_outgoing().is_empty()
-        {
+        if self.dead || !self.knows() || self.changes() {
             return false;
         }
         let Some(gone) =
@@ -303,11 +312,11 @@
             return true;
         }
         let Ok(message) = Message::parse_from_bytes(bytes) else { return false };
-        // It speaks for itself alone, and to us. One that has just been given a place knows nobody's number but those of the
-        // first voters.
-        let knows = self.applied > 0;
-        let itself = self.name_of(message.from).map_or(!knows, |name| name == *from);
-        if !itself || message.to != self.raft.raft.id || (knows && !self.is_voter(message.from)) {
+        // It speaks for itself alone, and to us. A number that is not known here is that of a voter that has taken a place since:
+        // whoever lags must hear it, were it the leader. One that is known, and votes no more, is not heard.
+        let owner = self.name_of(message.from);
+        let voted = owner.is_some() && !self.waits() && !self.is_voter(message.from);
+        if owner.is_some_and(|name| name != *from) || voted || message.to != self.raft.raft.id {
             return false;
         }
         self.raft.step(message).is_ok()
@@ -455,10 +464,13 @@
         if let Ok((id, name)) = postcard::from_bytes::<(u64, String)>(change.get_context()) {
             self.agreed.seats.insert(id, name);
         }
-        let conf = &self.conf;
-        let votes = |id: &u64| conf.get_voters().contains(id) || conf.get_voters_outgoing().contains(id);
-        self.agreed.seats.retain(|id, _| votes(id));
+        self.agreed.seats.retain(|id, _| votes(&self.conf, *id));
         self.reseated = true;
+        if self.leads() && self.unseated() {
+            // Raft's crate goes on leading, and fails at its own place that is gone; the others elect one of them.
+            let term = self.raft.raft.term;
+            self.raft.raft.become_follower(term, raft::INVALID_ID);
+        }
         if self.conf.get_voters_outgoing().is_empty()
             && let Some(ticket) = self.changing.take()
         {
@@ -520,6 +532,11 @@
     }
 }
 
+/// Whether a number votes, be it only until a change of voters has come to its end.
+fn votes(conf: &ConfState, id: u64) -> bool {
+    conf.get_voters().contains(&id) || conf.get_voters_outgoing().contains(&id)
+}
+
 fn ticket(context: &[u8]) -> Option<u64> {
     context.try_into().ok().map(u64::from_be_bytes)
 }
--- a/quorum/tests/cluster.rs
+++ b/quorum/tests/cluster.rs
@@ -40,6 +40,8 @@
     names: Vec<Name>,
     /// The numbers that they have now.
     ids: Vec<u64>,
+    /// The numbers under which members took places.
+    numbers: BTreeMap<usize, u64>,
     /// Snapshots that are still to be lost.
     lose_snapshots: usize,
     disks: Vec<Disk>,
@@ -71,6 +73,7 @@
         Self {
             names,
             ids,
+            numbers: BTreeMap::new(),
             lose_snapshots: 0,
             disks,
             voters,
@@ -300,8 +303,32 @@
 }
 
 impl Cluster {
+    /// A member is asked to take a place: the number under which it would vote. As the thread round a voter does it: whoever waits
+    /// already says its number again, and whoever takes itself for a voter takes none.
+    fn asked(&mut self, leader: usize, n: usize, number: u64) -> Option<u64> {
+        let leads = self.voters[leader].as_ref()?;
+        let (named, changes) = (leads.names_voter(&self.names[n]), leads.changes());
+        if changes || named {
+            return None;
+        }
+        let voter = self.voters[n].as_ref();
+        if voter.is_some_and(Voter::waits) {
+            return self.numbers.get(&n).copied();
+        }
+        if voter.is_some_and(|voter| !voter.unseated()) {
+            return None;
+        }
+        // One that does not run can't answer, but for those that have had no part in votes yet.
+        if voter.is_none() && (self.disks[n].kept != Kept::default() || self.numbers.contains_key(&n)) {
+            return None;
+        }
+        self.comes(n, number);
+        Some(number)
+    }
+
     /// A member with an empty disk, which waits for a place under a number of its own.
     fn comes(&mut self, n: usize, number: u64) {
+        self.numbers.insert(n, number);
         self.ids[n] = seat_id(&self.names[n], number);
         self.disks[n].kept = Kept::default();
         self.voters[n] = None;
@@ -414,8 +441,9 @@
                         let new = (0..5).find(|n| !voters.contains(&name(*n)));
                         if let (Some(old), Some(new)) = (old, new) {
                             numbers += 1;
-                            cluster.comes(new, numbers);
-                            cluster.replace(seed * 1000 + 500 + round, old, new, numbers);
+                            if let Some(number) = cluster.asked(leader, new, numbers) {
+                                cluster.replace(seed * 1000 + 500 + round, old, new, number);
+                            }
                         }
                     }
                 }
@@ -461,3 +489,88 @@
     assert!(cluster.steps(0).unwrap().version(1).is_none(), "old ones go");
     assert!(cluster.acknowledged.len() > 10);
 }
+
+/// The voter that is being replaced comes to lead, and carries its own replacement out: it steps down, and another one leads.
+#[test]
+fn a_leader_that_gives_its_own_place_away_steps_down() {
+    let mut cluster = Cluster::new(4, 19, false);
+    let begins = begins(&cluster.names[..3]);
+    for n in 0..3 {
+        cluster.disks[n].kept.snapshot = begins.clone();
+        cluster.crash(n);
+        cluster.start(n);
+    }
+    cluster.crash(3);
+    cluster.play(40);
+    let leader = cluster.leader().unwrap();
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    let (replaced, rest) = (others[0], others[1]);
+    cluster.comes(3, 55);
+    assert!(cluster.replace(900, replaced, 3, 55));
+    cluster.settle(leader);
+    // The one that is replaced has the entry and nobody else; then its leader is gone: only it can win an election.
+    let ways = std::mem::take(&mut cluster.ways);
+    for (from, to, bytes) in ways.into_iter().filter(|(_, to, _)| *to == replaced) {
+        cluster.voters[to].as_mut().unwrap().step(&cluster.names[from], &bytes);
+        cluster.settle(to);
+    }
+    cluster.ways.clear();
+    cluster.crash(leader);
+    let mut led = false;
+    for round in 0..300 {
+        // There is always something behind the entry that takes its place away.
+        if cluster.leader() == Some(replaced) {
+            led = true;
+            cluster.propose(2000 + round);
+        }
+        cluster.play(1);
+        let voter = cluster.voters[replaced].as_mut().unwrap();
+        if voter.unseated() {
+            assert!(!voter.propose(1, &Command::Undo { epoch: 0 }), "it leads no more");
+        }
+    }
+    assert!(led, "it led");
+    let mut voters: Vec<String> = [leader, rest, 3].iter().map(|n| cluster.names[*n].to_string()).collect();
+    voters.sort();
+    assert_eq!(cluster.votes(rest), voters);
+    assert!(cluster.leader().is_some_and(|n| n == rest || n == 3), "{:?}", cluster.leader());
+    assert!(cluster.voters[replaced].as_ref().unwrap().unseated());
+}
+
+/// A voter that lags hears the leader, though that took its place after all that the lagging one knows.
+#[test]
+fn whoever_lags_hears_a_leader_that_came_later() {
+    let mut cluster = Cluster::new(5, 23, false);
+    let begins = begins(&cluster.names[..3]);
+    for n in 0..3 {
+        cluster.disks[n].kept.snapshot = begins.clone();
+        cluster.crash(n);
+        cluster.start(n);
+    }
+    (3..5).for_each(|n| cluster.crash(n));
+    cluster.play(40);
+    let leader = cluster.leader().unwrap();
+    let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
+    let (lags, replaced) = (others[0], others[1]);
+    cluster.crash(lags);
+    cluster.comes(3, 55);
+    assert!(cluster.replace(900, replaced, 3, 55));
+    cluster.play(200);
+    assert!(cluster.ended.contains_key(&900));
+    // Of the two that know of each other the new one leads.
+    for _ in 0..20 {
+        if let Some(leads) = cluster.leader().filter(|n| *n != 3) {
+            cluster.voters[leads].as_mut().unwrap().hand_over();
+        }
+        cluster.play(20);
+    }
+    assert_eq!(cluster.leader(), Some(3));
+    for ticket in 0..6 {
+        cluster.propose(ticket);
+        cluster.play(6);
+    }
+    cluster.start(lags);
+    cluster.play(120);
+    assert_eq!(cluster.leader(), Some(3));
+    assert_eq!(cluster.steps(lags), cluster.steps(3));
+}
