One list of upstreams, one reading of a number, one way to a balancer's settings

Reading the change again: the list of a file's upstreams was made in three places, an address's bits in three, a file's number in two, rows of the emulator's table in eleven, the rig's command in three, the doomed process of a test in two; settings were copied to be moved.

Each has one piece now; the judge keeps no interval that nobody reads. No behaviour changes; the tests keep their assertions.

--- a/admission/src/address.rs
+++ b/admission/src/address.rs
@@ -24,11 +24,16 @@
 
     /// The leading bits of an address: `v4` of them or `v6`.
     pub fn prefix(address: IpAddr, v4: u8, v6: u8) -> Self {
-        let (bits, length) = match address.to_canonical() {
-            IpAddr::V4(a) => (u128::from(a.to_ipv6_mapped()), MAPPED + v4.min(32)),
-            IpAddr::V6(a) => (u128::from(a), v6.min(128)),
-        };
-        Self { bits: bits & mask(length), length }
+        let length = if address.to_canonical().is_ipv4() { MAPPED + v4.min(32) } else { v6.min(128) };
+        Self { bits: bits(address) & mask(length), length }
+    }
+}
+
+/// An address as one of IPv6.
+fn bits(address: IpAddr) -> u128 {
+    match address.to_canonical() {
+        IpAddr::V4(a) => u128::from(a.to_ipv6_mapped()),
+        IpAddr::V6(a) => u128::from(a),
     }
 }
 
@@ -45,11 +50,7 @@
 impl Network {
     /// Whether an address lies in it.
     pub fn contains(&self, address: IpAddr) -> bool {
-        let bits = match address.to_canonical() {
-            IpAddr::V4(a) => u128::from(a.to_ipv6_mapped()),
-            IpAddr::V6(a) => u128::from(a),
-        };
-        bits & mask(self.key.length) == self.key.bits
+        bits(address) & mask(self.key.length) == self.key.bits
     }
 }
 
@@ -73,10 +74,7 @@
 impl Networks {
     /// Whether an address lies in one of them.
     pub fn contains(&self, address: IpAddr) -> bool {
-        let bits = match address.to_canonical() {
-            IpAddr::V4(a) => u128::from(a.to_ipv6_mapped()),
-            IpAddr::V6(a) => u128::from(a),
-        };
+        let bits = bits(address);
         let after = self.ranges.partition_point(|(first, _)| *first <= bits);
         after.checked_sub(1).is_some_and(|at| bits <= self.ranges[at].1)
     }
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -32,13 +32,6 @@
     pub drained: bool,
 }
 
-impl Upstream {
-    /// As lists take it, its zone by this number.
-    pub fn listed(&self, zone: ZoneId) -> (&str, SocketAddr, ZoneId, f64, bool) {
-        (&self.name, self.address, zone, self.weight, self.drained)
-    }
-}
-
 /// What a balancer of one's own serves.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Proxy {
@@ -81,6 +74,17 @@
 }
 
 impl Proxy {
+    /// The upstreams as lists take them, their zones by these numbers.
+    pub fn listed(
+        &self,
+        zone: impl Fn(ZoneId) -> ZoneId,
+    ) -> impl Iterator<Item = (&str, SocketAddr, ZoneId, f64, bool)> {
+        self.upstreams.iter().map(move |upstream| {
+            let Upstream { name, address, zone: of, weight, drained } = upstream;
+            (name.as_str(), *address, zone(*of), *weight, *drained)
+        })
+    }
+
     /// How heads are read.
     pub fn rules(&self) -> Rules {
         Rules::new(self.routes.clone(), self.tenants.clone(), self.headers.clone())
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -97,6 +97,11 @@
         Self(upstreams.into_iter().map(entry).collect())
     }
 
+    /// Its entries.
+    pub fn into_entries(self) -> Vec<Entry> {
+        self.0
+    }
+
     /// The list.
     pub fn news(&self) -> News {
         News { scope: FleetScope::Full, entries: self.0.clone() }
--- a/follow/src/lib.rs
+++ b/follow/src/lib.rs
@@ -5,13 +5,12 @@
 //! `listen.address`. [`Follower::followed`] says by which rules heads are read now; a call keeps the numbers that it was read
 //! under. `docs/AGREEMENT.md` has the rest.
 
-use lapisroute::ZoneId;
 use maplehook::lists::Lists;
-use maplehook::source::{Entry, Fixed};
+use maplehook::source::Fixed;
 use maplehook::{AdoptError, Engine, Handle, Lease, StartError, Version};
 use maplehook_agreement::numbers::Numbers;
 use maplehook_agreement::strict::careful;
-use maplehook_config::{Faults, Proxy, Upstream};
+use maplehook_config::{Faults, Proxy};
 use maplehook_link::Member;
 use maplehook_quorum::{Acting, Agreeing, Mode, Wishes};
 use maplehook_routes::Rules;
@@ -109,10 +108,6 @@
     }
 }
 
-fn entries(upstreams: &[Upstream], zone: impl Fn(ZoneId) -> ZoneId) -> Vec<Entry> {
-    Fixed::listed(upstreams.iter().map(|upstream| upstream.listed(zone(upstream.zone)))).news().entries
-}
-
 /// Starts an engine that follows what the tier of a file agrees on.
 pub fn start(file: &str, seed: u64) -> Result<(Engine, Follower), FollowError> {
     let operator = maplehook_config::parse(file).map_err(FollowError::File)?;
@@ -123,9 +118,9 @@
     let begins = careful(&proxy);
     let mut numbers = Numbers::default();
     let numbered = numbers.take(&begins);
-    let lists = Lists::new(entries(&begins.upstreams, |zone| zone));
+    let fixed = Fixed::listed(begins.listed(|zone| zone));
+    let lists = Lists::new(fixed.clone().into_entries());
     let listed = lists.clone();
-    let fixed = Fixed::listed(begins.upstreams.iter().map(|upstream| upstream.listed(upstream.zone)));
     let engine = Engine::builder(numbered.settings)
         .seed(seed)
         .upstreams(fixed)
@@ -214,7 +209,7 @@
     async fn adopt(&mut self, wanted: &Acting, mode: Mode, lease: Lease) -> Result<(), AdoptError> {
         let proxy: &Proxy = wanted.of(mode);
         let numbered = self.numbers.take(proxy);
-        let list = entries(&proxy.upstreams, |zone| numbered.zone(zone));
+        let list = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
         let version = Version {
             settings: numbered.settings,
             gone: numbered.gone,
--- a/lab/src/members/faults.rs
+++ b/lab/src/members/faults.rs
@@ -50,6 +50,18 @@
     world.events.iter().filter(|said| said.at >= since && dead(&said.event)).count()
 }
 
+/// Waits until all see one another again: the fault's figures, from the mark on.
+fn healed(
+    world: &mut World,
+    mark: Mark,
+    fault: &'static str,
+    seen: Option<Duration>,
+    false_deaths: impl Fn(&World) -> usize,
+) -> Row {
+    let converged = world.until(MOST, World::agrees);
+    Row { fault, seen, false_deaths: false_deaths(world), converged, spent: mark.to(world) }
+}
+
 /// Plays each fault once, in a world of so many.
 pub fn table(members: usize, seed: u64) -> Vec<Row> {
     let all: Vec<usize> = (0..members).collect();
@@ -60,80 +72,41 @@
 
     let mut world = settled(members, seed);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.kill(0);
     let seen = world.until(MOST, |w| all_hold(w, &others, &[0], State::Dead));
     world.start(0, true);
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one killed, and back",
-        seen,
-        false_deaths: deaths(&world, at, |n| n != 0),
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one killed, and back", seen, |w| deaths(w, mark.0, |n| n != 0)));
 
     let mut world = settled(members, seed + 1);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.leave(0);
     let seen = world.until(MOST, |w| all_hold(w, &others, &[0], State::Left));
     world.start(0, true);
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one leaves, and is back",
-        seen,
-        false_deaths: deaths(&world, at, |n| n != 0),
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one leaves, and is back", seen, |w| deaths(w, mark.0, |n| n != 0)));
 
     let mut world = settled(members, seed + 2);
     let mark = Mark::of(&world);
-    let at = world.now;
     half.iter().for_each(|n| world.kill(*n));
     let seen = world.until(MOST, |w| all_hold(w, &rest, &half, State::Dead));
     half.iter().for_each(|n| world.start(*n, true));
-    let converged = world.until(MOST, World::agrees);
-    let false_deaths = deaths(&world, at, |n| n >= members / 2);
-    rows.push(Row {
-        fault: "half killed at once, and back",
-        seen,
-        false_deaths,
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "half killed at once, and back", seen, |w| {
+        deaths(w, mark.0, |n| n >= members / 2)
+    }));
 
     let mut world = settled(members, seed + 3);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.stop(0);
     world.play(world.now + Duration::from_secs(10));
     let seen = all_hold(&world, &others, &[0], State::Dead).then_some(Duration::from_secs(10));
     world.go_on(0);
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one stopped for 10 s",
-        seen,
-        false_deaths: deaths(&world, at, |n| n != 0),
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one stopped for 10 s", seen, |w| deaths(w, mark.0, |n| n != 0)));
 
     let mut world = settled(members, seed + 4);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.stop(0);
     world.play(world.now + Duration::from_secs(3));
     world.go_on(0);
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one stopped for 3 s",
-        seen: None,
-        false_deaths: deaths(&world, at, |n| n != 0),
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one stopped for 3 s", None, |w| deaths(w, mark.0, |n| n != 0)));
 
     let mut world = settled(members, seed + 5);
     let mark = Mark::of(&world);
@@ -141,57 +114,32 @@
     let seen = world
         .until(MOST, |w| all_hold(w, &half, &rest, State::Dead) && all_hold(w, &rest, &half, State::Dead));
     world.heal();
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row { fault: "cut in two halves", seen, false_deaths: 0, converged, spent: mark.to(&world) });
+    rows.push(healed(&mut world, mark, "cut in two halves", seen, |_| 0));
 
     let mut world = settled(members, seed + 6);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.cut(&[0], &[1], false);
     world.play(world.now + Duration::from_secs(30));
-    let false_deaths = deaths(&world, at, |_| true);
+    let false_deaths = deaths(&world, mark.0, |_| true);
     world.heal();
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one way from one to another cut, 30 s",
-        seen: None,
-        false_deaths,
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one way from one to another cut, 30 s", None, |_| false_deaths));
 
     let mut world = settled(members, seed + 7);
     let mark = Mark::of(&world);
-    let at = world.now;
     world.cut(&half[..1], &rest, true);
     world.play(world.now + Duration::from_secs(30));
-    let false_deaths = deaths(&world, at, |_| true);
+    let false_deaths = deaths(&world, mark.0, |_| true);
     world.heal();
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "one cut from half of the others, 30 s",
-        seen: None,
-        false_deaths,
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "one cut from half of the others, 30 s", None, |_| false_deaths));
 
     let mut world = settled(members, seed + 8);
     let mark = Mark::of(&world);
-    let at = world.now;
     (world.ways.loss, world.ways.twice) = (0.3, 0.2);
     world.ways.delay.1 = Duration::from_millis(80);
     world.play(world.now + Duration::from_secs(30));
-    let false_deaths = deaths(&world, at, |_| true);
+    let false_deaths = deaths(&world, mark.0, |_| true);
     world.heal();
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "30 % lost, 20 % twice, reordered, 30 s",
-        seen: None,
-        false_deaths,
-        converged,
-        spent: mark.to(&world),
-    });
+    rows.push(healed(&mut world, mark, "30 % lost, 20 % twice, reordered, 30 s", None, |_| false_deaths));
 
     let mut world = World::new(members, seed + 9);
     let mark = Mark::of(&world);
@@ -199,26 +147,14 @@
     world.play(Duration::from_secs(30));
     let at = world.now;
     rest.iter().for_each(|n| world.start(*n, true));
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "twice as many within a moment",
-        seen: converged,
-        false_deaths: deaths(&world, at, |_| true),
-        converged,
-        spent: mark.to(&world),
-    });
+    let row = healed(&mut world, mark, "twice as many within a moment", None, |w| deaths(w, at, |_| true));
+    rows.push(Row { seen: row.converged, ..row });
 
     let mut world = World::new(members, seed + 10);
     let mark = Mark::of(&world);
     all.iter().for_each(|n| world.start(*n, true));
-    let converged = world.until(MOST, World::agrees);
-    rows.push(Row {
-        fault: "all start at once",
-        seen: converged,
-        false_deaths: 0,
-        converged,
-        spent: mark.to(&world),
-    });
+    let row = healed(&mut world, mark, "all start at once", None, |_| 0);
+    rows.push(Row { seen: row.converged, ..row });
     rows
 }
 
--- a/middleware/src/setup.rs
+++ b/middleware/src/setup.rs
@@ -58,10 +58,9 @@
 
     /// By what such a file says.
     pub fn of(proxy: &Proxy) -> Result<Self, SetupError> {
-        let upstreams = proxy.upstreams.iter().map(|upstream| upstream.listed(upstream.zone));
         let engine = Engine::builder(proxy.settings.clone())
             .seed(RandomState::new().build_hasher().finish())
-            .upstreams(Fixed::listed(upstreams))
+            .upstreams(Fixed::listed(proxy.listed(|zone| zone)))
             .passages(proxy.passages.clone())
             .forwarding(proxy.forwarding.clone())
             .bodies(proxy.bodies)
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -11,7 +11,7 @@
 use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
 use crate::tier;
-use crate::versions::{Versions, entries};
+use crate::versions::Versions;
 use crate::wishes::Guard;
 use hyper::header::HeaderName;
 use lapisroute::{Balancer, FleetScope, Settings};
@@ -24,7 +24,7 @@
 use maplehook::parts::driver::Driver;
 use maplehook::parts::room::Room;
 use maplehook::parts::upstream::Upstreams;
-use maplehook::source::{News, Source};
+use maplehook::source::{Fixed, News, Source};
 use maplehook::tally::Counting;
 use maplehook_admission::{Door, Part};
 use maplehook_config::{CutOff, Operator};
@@ -225,7 +225,7 @@
         requests.refuse(refuses);
         parts.entrance.know(proxy.clients.known.clone());
         parts.board.refuses.store(refuses, Ordering::Release);
-        let lists = Rc::new(Lists::new(entries(&proxy.upstreams, |zone| zone)));
+        let lists = Rc::new(Lists::new(Fixed::listed(proxy.listed(|zone| zone)).into_entries()));
         let known = News { scope: FleetScope::Cached, ..lists.news() };
         let (source, registrar) = match &proxy.eureka {
             None => (Rc::clone(&lists) as Rc<dyn Source>, None),
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -5,14 +5,13 @@
 
 use crate::entrance::Entrance;
 use crate::requests::Requests;
-use lapisroute::ZoneId;
 use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
 use maplehook::parts::upstream::{Lease, Upstreams};
-use maplehook::source::{Entry, Fixed};
+use maplehook::source::Fixed;
 use maplehook::tally::Counting;
 use maplehook_agreement::numbers::Numbers;
-use maplehook_config::{Proxy, Upstream};
+use maplehook_config::Proxy;
 use maplehook_quorum::{Acting, Mode};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,12 +34,6 @@
     pub refuses: Arc<AtomicBool>,
 }
 
-/// As entries, with zones by these numbers.
-pub fn entries(upstreams: &[Upstream], zone: impl Fn(ZoneId) -> ZoneId) -> Vec<Entry> {
-    let listed = upstreams.iter().map(|upstream| upstream.listed(zone(upstream.zone)));
-    Fixed::listed(listed).news().entries
-}
-
 impl Versions {
     /// With the numbers that a process has from its start on.
     pub fn new(
@@ -108,14 +101,12 @@
         let proxy = acting.of(mode);
         let numbered = self.numbers.take(proxy);
         let guarantees: Vec<f64> = numbered.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
-        driver.retune(numbered.settings.clone(), numbered.gone.clone());
+        let entries = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
+        driver.retune(numbered.settings, numbered.gone);
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
         self.entrance.know(proxy.clients.known.clone());
-        let listed = self
-            .lists
-            .as_ref()
-            .is_some_and(|lists| lists.set(entries(&proxy.upstreams, |zone| numbered.zone(zone))));
+        let listed = self.lists.as_ref().is_some_and(|lists| lists.set(entries));
         let label = proxy.version.then(|| acting.told(mode));
         let refused = proxy.clients.refused.clone();
         self.requests.replace(numbered.rules, numbered.passages, refused, label.as_deref());
--- a/node/tests/agreement.rs
+++ b/node/tests/agreement.rs
@@ -17,8 +17,7 @@
 }
 
 fn status(world: &World, n: usize) -> Value {
-    let answer = world.balancer(n).ask("/control/settings");
-    answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or(Value::Null)
+    world.settings_of(n)
 }
 
 /// Whether a balancer acts on this version alone, with a lease.
@@ -38,15 +37,7 @@
 }
 
 fn command(world: &World, n: usize, words: &[&str]) -> Output {
-    let address = world.balancer(n).operator.unwrap().to_string();
-    let secret = world.secret();
-    Command::new(PROGRAM)
-        .arg("settings")
-        .args(["--address", &address, "--secret-file"])
-        .arg(secret)
-        .args(words)
-        .output()
-        .unwrap()
+    world.settings(n, words).unwrap()
 }
 
 fn said(output: &Output) -> String {
--- a/node/tests/library.rs
+++ b/node/tests/library.rs
@@ -8,18 +8,11 @@
 use maplehook_rig::balancer::Keeps;
 use maplehook_rig::{Setup, World};
 use maplehook_standins::until;
-use serde_json::Value;
 use std::path::Path;
-use std::process::Command;
 use std::time::Duration;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_maplehook");
 
-fn status(world: &World, n: usize) -> Value {
-    let answer = world.balancer(n).ask("/control/settings");
-    answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or(Value::Null)
-}
-
 /// Three balancers, and this program as the fourth member.
 fn world(agreement: &str) -> (World, Engine, Follower) {
     let agreement = Some(format!("contradiction_ms = 2000\n{agreement}"));
@@ -40,7 +33,7 @@
 
 /// Whether the leader has the library at this step.
 fn stands(world: &World, label: &str) -> bool {
-    let shown = status(world, 0);
+    let shown = world.settings_of(0);
     let members = shown["members"].as_array().cloned().unwrap_or_default();
     shown["agreed"] == label && members.len() == 4 && members.iter().all(|member| member["waits"] == false)
 }
@@ -50,15 +43,8 @@
     assert!(text.contains(from), "{from:?} is not in {text}");
     let path = world.secret().with_file_name("next.toml");
     std::fs::write(&path, text.replacen(from, to, 1)).unwrap();
-    let address = world.balancer(0).operator.unwrap().to_string();
-    let done = Command::new(PROGRAM)
-        .args(["settings", "--address", &address, "--secret-file"])
-        .arg(world.secret())
-        .arg("propose")
-        .arg(path)
-        .args(["--wait", "20"])
-        .output()
-        .unwrap();
+    let path = path.display().to_string();
+    let done = world.settings(0, &["propose", &path, "--wait", "20"]).unwrap();
     let said = String::from_utf8_lossy(&done.stdout).into_owned() + &String::from_utf8_lossy(&done.stderr);
     (done.status.code(), said)
 }
@@ -166,6 +152,6 @@
 }
 
 fn stands_of(world: &World, label: &str) -> bool {
-    let shown = status(world, 0);
+    let shown = world.settings_of(0);
     shown["agreed"] == label && shown["careful"] == false
 }
--- a/quorum/src/store.rs
+++ b/quorum/src/store.rs
@@ -110,13 +110,22 @@
 /// The number by which a voter that has no log yet is known to the others; the same after a restart.
 pub fn founding(directory: &Path, drawn: u64) -> Result<u64, Unfit> {
     let path = directory.join(FOUNDING);
-    match fs::read_to_string(&path) {
-        Ok(text) => text.trim().parse().map_err(|_| Unfit::Broken(format!("{}: no number", path.display()))),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => {
-            fs::create_dir_all(directory).map_err(broken)?;
-            put(&path, drawn.to_string().as_bytes()).map_err(broken)?;
-            Ok(drawn)
+    if let Some(number) = number(&path)? {
+        return Ok(number);
+    }
+    fs::create_dir_all(directory).map_err(broken)?;
+    put(&path, drawn.to_string().as_bytes()).map_err(broken)?;
+    Ok(drawn)
+}
+
+/// The number that a file holds; `None` where there is no such file.
+fn number(path: &Path) -> Result<Option<u64>, Unfit> {
+    match fs::read_to_string(path) {
+        Ok(text) => {
+            let number = text.trim().parse();
+            number.map(Some).map_err(|_| Unfit::Broken(format!("{}: no number", path.display())))
         }
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
         Err(e) => Err(Unfit::Broken(format!("{}: {e}", path.display()))),
     }
 }
@@ -132,15 +141,7 @@
 
 /// The number under which this voter took its place, where it did so after the log had begun.
 pub fn seat(directory: &Path) -> Result<Option<u64>, Unfit> {
-    let path = directory.join(SEAT);
-    match fs::read_to_string(&path) {
-        Ok(text) => match text.trim().parse() {
-            Ok(number) => Ok(Some(number)),
-            Err(_) => Err(Unfit::Broken(format!("{}: no number", path.display()))),
-        },
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
-        Err(e) => Err(Unfit::Broken(format!("{}: {e}", path.display()))),
-    }
+    number(&directory.join(SEAT))
 }
 
 /// Whether there is a voter's log here, or was one.
--- a/quorum/tests/killed.rs
+++ b/quorum/tests/killed.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Command as Process, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 const PLACE: &str = "MAPLEHOOK_TEST_PLACE";
@@ -63,21 +63,35 @@
     digest(body) == sum
 }
 
-/// Not a test of its own: the life of the process that is killed.
-#[test]
-#[ignore = "the other test starts it"]
-fn a_life() {
-    let Some(place) = std::env::var_os(PLACE).map(PathBuf::from) else { return };
-    let point = std::env::var(POINT).unwrap();
+/// In a process that is started to be killed: has it killed at its point, and says where its directory is.
+fn doomed() -> Option<PathBuf> {
+    let place = std::env::var_os(PLACE).map(PathBuf::from)?;
     let pass: u32 = std::env::var(PASS).unwrap().parse().unwrap();
     static PASSED: AtomicU32 = AtomicU32::new(0);
-    fail::cfg_callback(&point, move || {
+    fail::cfg_callback(std::env::var(POINT).unwrap(), move || {
         if PASSED.fetch_add(1, Ordering::SeqCst) + 1 == pass {
             let own = nix::unistd::Pid::this();
             nix::sys::signal::kill(own, nix::sys::signal::Signal::SIGKILL).unwrap();
         }
     })
     .unwrap();
+    Some(place)
+}
+
+/// Such a process, which runs one of the ignored tests here.
+fn process(test: &str, place: &Path, point: &str, pass: u32) -> Process {
+    let mut command = Process::new(std::env::current_exe().unwrap());
+    command.args([test, "--exact", "--ignored", "--nocapture"]);
+    command.env(PLACE, place).env(POINT, point).env(PASS, pass.to_string());
+    command.stdout(Stdio::null()).stderr(Stdio::null());
+    command
+}
+
+/// Not a test of its own: the life of the process that is killed.
+#[test]
+#[ignore = "the other test starts it"]
+fn a_life() {
+    let Some(place) = doomed() else { return };
     let (mut voter, store) = open(&place);
     lead(&mut voter, &store);
     for ticket in 0..COMMANDS {
@@ -97,15 +111,7 @@
 
 /// Starts a life; what it acknowledged, and whether it was killed.
 fn live(place: &Path, point: &str, pass: u32) -> (Vec<(u64, u64)>, bool) {
-    let mut child = std::process::Command::new(std::env::current_exe().unwrap())
-        .args(["a_life", "--exact", "--ignored", "--nocapture"])
-        .env(PLACE, place)
-        .env(POINT, point)
-        .env(PASS, pass.to_string())
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
+    let mut child = process("a_life", place, point, pass).stdout(Stdio::piped()).spawn().unwrap();
     let lines = BufReader::new(child.stdout.take().unwrap()).lines().map_while(Result::ok);
     let agreed = lines
         .filter_map(|line| {
@@ -181,18 +187,7 @@
             ));
             let _ = std::fs::remove_dir_all(&place);
             drop(open(&place));
-            let seats = |point: &str| {
-                // The point decides whether a life takes a place; any other is passed on the way.
-                std::process::Command::new(std::env::current_exe().unwrap())
-                    .args(["a_seat", "--exact", "--ignored", "--nocapture"])
-                    .env(PLACE, &place)
-                    .env(POINT, point)
-                    .env(PASS, pass.to_string())
-                    .stdout(Stdio::null())
-                    .stderr(Stdio::null())
-                    .status()
-                    .unwrap()
-            };
+            let seats = |point: &str| process("a_seat", &place, point, pass).status().unwrap();
             let status = seats(point);
             assert!(status.success() || status.code().is_none(), "{point} {pass}: {status}");
             match Store::open(&place) {
@@ -218,15 +213,6 @@
 #[test]
 #[ignore = "the other test starts it"]
 fn a_seat() {
-    let Some(place) = std::env::var_os(PLACE).map(PathBuf::from) else { return };
-    let pass: u32 = std::env::var(PASS).unwrap().parse().unwrap();
-    static PASSED: AtomicU32 = AtomicU32::new(0);
-    fail::cfg_callback(std::env::var(POINT).unwrap(), move || {
-        if PASSED.fetch_add(1, Ordering::SeqCst) + 1 == pass {
-            let own = nix::unistd::Pid::this();
-            nix::sys::signal::kill(own, nix::sys::signal::Signal::SIGKILL).unwrap();
-        }
-    })
-    .unwrap();
+    let Some(place) = doomed() else { return };
     store::take_seat(&place, 99).unwrap();
 }
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -245,16 +245,18 @@
     let (mut spans, mut sent) = (Vec::new(), 0);
     for round in 0..4 {
         std::thread::sleep(Duration::from_millis(500));
-        let ports: Vec<SocketAddr> = match round % 2 {
-            1 => (0..world.len()).filter_map(|n| world.balancer(n).tier).collect(),
-            _ => sinks.iter().filter_map(|sink| sink.local_addr().ok()).collect(),
+        let flooded = round % 2 == 1;
+        let ports: Vec<SocketAddr> = if flooded {
+            (0..world.len()).filter_map(|n| world.balancer(n).tier).collect()
+        } else {
+            sinks.iter().filter_map(|sink| sink.local_addr().ok()).collect()
         };
         let floods: Vec<Flood> =
             ports.into_iter().map(Flood::start).collect::<Result<_, _>>().map_err(|e| e.to_string())?;
         let from = world.history.now();
         std::thread::sleep(span);
-        sent += floods.iter().filter(|_| round % 2 == 1).map(Flood::sent).sum::<u64>();
-        spans.push((round % 2 == 1, from, world.history.now()));
+        sent += floods.iter().filter(|_| flooded).map(Flood::sent).sum::<u64>();
+        spans.push((flooded, from, world.history.now()));
     }
     let dead = dead_but_running(&world);
     world.quiet();
--- a/rig/src/storm.rs
+++ b/rig/src/storm.rs
@@ -5,11 +5,10 @@
 use crate::history::{Got, What};
 use crate::nemesis::{After, Fault, Line, Timed};
 use crate::relay::Trouble;
-use crate::world::{PATIENCE, Setup, World};
+use crate::world::{PATIENCE, Setup, World, settings};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
-use std::process::Command;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::thread::JoinHandle;
@@ -98,9 +97,7 @@
     std::thread::sleep(Duration::from_millis(500));
     world.quiet();
     let mut lost = Vec::new();
-    let mut agreed = 0;
-    let mut looks = 0;
-    agreed += changes;
+    let (mut agreed, mut looks) = (changes, 0);
     if let Some(calls) = &proposed {
         let versions: Vec<(u64, String)> = calls
             .iter()
@@ -321,15 +318,9 @@
                 if std::fs::write(&file, next).is_err() {
                     continue;
                 }
-                let address = operator.to_string();
                 let (from, mark) = (history.now(), format!("mark-{round}"));
-                let asked = Command::new(&program)
-                    .args(["settings", "--address", &address, "--secret-file"])
-                    .arg(&secret)
-                    .arg("propose")
-                    .arg(&file)
-                    .arg("--json")
-                    .output();
+                let path = file.display().to_string();
+                let asked = settings(&program, operator, &secret, &["propose", &path, "--json"]);
                 let Ok(output) = asked else { continue };
                 let number = serde_json::from_slice::<serde_json::Value>(&output.stdout).ok();
                 let number = number.filter(|_| output.status.success());
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
@@ -228,6 +229,19 @@
         self.directory.join("secret")
     }
 
+    /// What a balancer shows of the versions; null where it shows nothing.
+    pub fn settings_of(&self, n: usize) -> serde_json::Value {
+        let answer = self.balancer(n).ask("/control/settings");
+        answer.and_then(|(_, text)| serde_json::from_str(&text).ok()).unwrap_or_default()
+    }
+
+    /// Runs `maplehook settings` with these words against a balancer.
+    pub fn settings(&self, n: usize, words: &[&str]) -> std::io::Result<Output> {
+        let operator = self.balancer(n).operator;
+        let operator = operator.ok_or_else(|| std::io::Error::other("it has no operators' address"))?;
+        settings(&self.setup.program, operator, &self.secret(), words)
+    }
+
     /// How many balancers there are.
     pub fn len(&self) -> usize {
         self.balancers.len()
@@ -259,22 +273,19 @@
         balancer.start(keeps)?;
         *lock(&self.addresses[n]) = balancer.listen;
         *lock(&self.operators[n]) = balancer.operator;
-        for from in 0..self.len() {
-            if let Some(relay) = &self.relays[from][n] {
-                relay.leads_to(balancer.tier);
-            }
-        }
+        self.leads_to(n, balancer.tier);
         self.history.note(What::Serves { balancer: n });
         Ok(())
     }
 
     /// Somebody who is no process of the rig's goes by a balancer's name, and is reached there.
     pub fn stands_in(&self, n: usize, tier: SocketAddr) {
-        for from in 0..self.len() {
-            if let Some(relay) = &self.relays[from][n] {
-                relay.leads_to(Some(tier));
-            }
-        }
+        self.leads_to(n, Some(tier));
+    }
+
+    /// Where all ways to a balancer lead.
+    fn leads_to(&self, n: usize, tier: Option<SocketAddr>) {
+        self.relays.iter().filter_map(|row| row[n].as_ref()).for_each(|relay| relay.leads_to(tier));
     }
 
     /// kill -9.
@@ -511,6 +522,18 @@
     }
 }
 
+/// Runs `maplehook settings` with these words.
+pub fn settings(
+    program: &Path,
+    operator: SocketAddr,
+    secret: &Path,
+    words: &[&str],
+) -> std::io::Result<Output> {
+    let mut command = Command::new(program);
+    command.args(["settings", "--address", &operator.to_string(), "--secret-file"]);
+    command.arg(secret).args(words).output()
+}
+
 /// The operator's file of a balancer.
 fn file(
     setup: &Setup,
--- a/verdict/src/judge.rs
+++ b/verdict/src/judge.rs
@@ -182,8 +182,8 @@
     bounds: Bounds,
     tests: BTreeMap<(Of, Measure), Test>,
     apart: BTreeSet<Of>,
-    /// The last interval in which each was heard of, and its requests in it.
-    heard: BTreeMap<Name, (u64, u64)>,
+    /// What each had in the last interval in which it was heard of.
+    heard: BTreeMap<Name, u64>,
     /// Requests that failed or were refused on the old side, as shares, of the last intervals.
     usual: VecDeque<f64>,
     recent: VecDeque<f64>,
@@ -227,7 +227,7 @@
     }
 
     /// The reports of an interval, and who is on which side. Whoever is on a side and has no report is silent.
-    pub fn interval(&mut self, number: u64, sides: &BTreeMap<Name, Side>, reports: &Reports) {
+    pub fn interval(&mut self, sides: &BTreeMap<Name, Side>, reports: &Reports) {
         self.intervals += 1;
         self.sides.clone_from(sides);
         self.silent.retain(|name, _| sides.contains_key(name));
@@ -236,7 +236,7 @@
             match reports.get(name) {
                 Some(report) => {
                     self.silent.remove(name);
-                    self.heard.insert(name.clone(), (number, report.total()));
+                    self.heard.insert(name.clone(), report.total());
                     self.crashes[*side as usize] =
                         self.crashes[*side as usize].saturating_add(report.crashes);
                     self.broken[*side as usize] =
@@ -247,13 +247,9 @@
             }
         }
         // What a silent new one would have had counts as failed; of a silent old one nothing is known, and nothing goes on.
-        let mut missing = Vec::new();
-        for name in self.silent.keys().filter(|name| sides.get(*name) == Some(&Side::New)) {
-            let expected = self.heard.get(name).map_or(0, |(_, requests)| *requests);
-            if expected > 0 {
-                missing.push(expected);
-            }
-        }
+        let silent = self.silent.keys().filter(|name| self.side_of(name) == Side::New);
+        let missing =
+            silent.filter_map(|name| self.heard.get(name)).fold(0u64, |sum, n| sum.saturating_add(*n));
         let [old, new] = &told;
         for (side, reports) in told.iter().enumerate() {
             self.requests[side] += reports.iter().map(|report| report.total()).sum::<u64>();
@@ -276,7 +272,7 @@
             if of == Of::All
                 && let Some((_, cell)) = found.first_mut()
             {
-                cell.failed = missing.iter().fold(cell.failed, |failed, more| failed.saturating_add(*more));
+                cell.failed = cell.failed.saturating_add(missing);
             }
             for measure in Measure::SHARES {
                 self.share(&of, measure, &found);
@@ -293,7 +289,6 @@
                 self.slow.insert(class.to_owned(), time);
             }
         }
-        self.slow.retain(|_, time| *time > 0);
         if self.slow.len() > crate::report::KEYS_MOST {
             self.slow.pop_first();
         }
@@ -434,17 +429,15 @@
                 return Verdict::Worse(self.words(of, *measure, test, low));
             }
         }
-        let silent = |side: Side, sides: &Judge| -> Option<String> {
-            let silent = sides
-                .silent
-                .iter()
-                .find(|(name, n)| **n >= sides.bounds.silence && (sides.side_of(name) == side));
+        let silent = |side: Side| {
+            let long = |(name, n): &(&Name, &u64)| **n >= self.bounds.silence && self.side_of(name) == side;
+            let silent = self.silent.iter().find(long);
             silent.map(|(name, n)| format!("{name} has told nothing for {n} intervals"))
         };
-        if let Some(why) = silent(Side::New, self) {
+        if let Some(why) = silent(Side::New) {
             return Verdict::Worse(why);
         }
-        if let Some(why) = silent(Side::Old, self) {
+        if let Some(why) = silent(Side::Old) {
             return Verdict::Shared(why);
         }
         if let Some(why) = self.unusual() {
@@ -573,7 +566,7 @@
                         reports.insert(name(n), told);
                     }
                 }
-                self.judge.interval(self.interval, &self.sides, &reports);
+                self.judge.interval(&self.sides, &reports);
             }
         }
 
