A balancer that is to refuse writes nothing of what it holds

With when_cut_off = refuse the daemon's lease was let go once it had run out: requests that had been taken before, and waited for an upstream, were still written, by rules that another balancer may no longer keep. The library's follower had it right.

Both use one function now, with a test that fails if a balancer that refuses is free to write.

--- a/follow/src/lib.rs
+++ b/follow/src/lib.rs
@@ -155,6 +155,18 @@
     Ok((engine, follower))
 }
 
+/// Until when attempts may be written by what is acted on, which is looked at when they are.
+pub fn lease(acting: &Acting, mode: Mode, now: Instant) -> Lease {
+    match (mode, acting.until) {
+        (Mode::Rules, Some(until)) => {
+            Lease::Until { until: until.into(), first_too: acting.careful.is_none() }
+        }
+        // Whoever is to refuse writes nothing, of what it holds neither.
+        (Mode::Refuses, _) => Lease::Until { until: now.into(), first_too: true },
+        _ => Lease::Free,
+    }
+}
+
 /// Has an engine follow.
 struct Follows {
     handle: Handle,
@@ -175,14 +187,7 @@
             let now = Instant::now();
             let wanted = acting.borrow_and_update().clone();
             let mode = wanted.mode(now);
-            let lease = match (mode, wanted.until) {
-                (Mode::Rules, Some(until)) => {
-                    Lease::Until { until: until.into(), first_too: wanted.careful.is_none() }
-                }
-                // Whoever is to refuse writes nothing.
-                (Mode::Refuses, _) => Lease::Until { until: now.into(), first_too: true },
-                _ => Lease::Free,
-            };
+            let lease = lease(&wanted, mode, now);
             if present == Some((wanted.epoch, mode)) {
                 self.handle.lease(lease).await;
             } else {
@@ -227,3 +232,44 @@
         adopted
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn whoever_is_to_refuse_writes_nothing_that_it_holds() {
+        let file = "[listen]\naddress = '127.0.0.1:0'\n[[class]]\nname = 'all'\npath = '/**'\n[[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\n";
+        let rules = Arc::new(maplehook_config::parse(file).unwrap().proxy.unwrap());
+        let now = Instant::now();
+        let until = now + Duration::from_secs(2);
+        let acting = |careful: bool| Acting {
+            epoch: 1,
+            label: "1".into(),
+            rules: Arc::clone(&rules),
+            until: Some(until),
+            careful: careful.then(|| Arc::clone(&rules)),
+            cut_off: false,
+        };
+        let after = until + Duration::from_millis(1);
+        let (careful, refuses) = (acting(true), acting(false));
+        assert_eq!(
+            lease(&careful, careful.mode(now), now),
+            Lease::Until { until: until.into(), first_too: false }
+        );
+        assert_eq!(
+            lease(&refuses, refuses.mode(now), now),
+            Lease::Until { until: until.into(), first_too: true }
+        );
+        assert_eq!(
+            lease(&careful, careful.mode(after), after),
+            Lease::Free,
+            "its rules are the careful ones"
+        );
+        assert_eq!(
+            lease(&refuses, refuses.mode(after), after),
+            Lease::Until { until: after.into(), first_too: true }
+        );
+    }
+}
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -7,7 +7,7 @@
 use crate::requests::Requests;
 use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
-use maplehook::parts::upstream::{Lease, Upstreams};
+use maplehook::parts::upstream::Upstreams;
 use maplehook::source::Fixed;
 use maplehook::tally::Counting;
 use maplehook_agreement::numbers::Numbers;
@@ -67,11 +67,7 @@
             let until = wanted.until.map(Instant::from_std);
             let mode = wanted.mode(now.into_std());
             let holds = mode == Mode::Rules;
-            let lease = match (mode, until) {
-                (Mode::Rules, Some(until)) => Lease::Until { until, first_too: wanted.careful.is_none() },
-                _ => Lease::Free,
-            };
-            self.upstreams.lease(lease);
+            self.upstreams.lease(maplehook_follow::lease(&wanted, mode, now.into_std()));
             if present.replace((wanted.epoch, mode)) != Some((wanted.epoch, mode)) {
                 let before = *told.borrow_and_update();
                 if self.apply(&wanted, mode, &driver, &counting) {
