Operators' calls: the seal of signed calls and the command line stand by themselves

Change: signed.rs (MAC, freshness, once), settings.rs (the command line), wishes.rs (the answers); nothing else moves.

--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -1,7 +1,7 @@
 //! The command line, and the operator's file that it names.
 
+use crate::settings::Settings;
 use crate::tier::{self, Shown};
-use crate::wishes::Settings;
 use clap::{Args, Parser, Subcommand};
 use maplehook_admission::token::Signer;
 use maplehook_config::Operator;
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -5,6 +5,7 @@
 //! they stand. Callers that send nothing or half a call have so much time and so many places, and make room.
 
 use crate::refusals::linger;
+use crate::signed;
 use crate::tier::Shown;
 use crate::wishes::{self, Guard};
 use bytes::Bytes;
@@ -174,7 +175,7 @@
 async fn settings(request: Request<Incoming>, guard: &Guard) -> (StatusCode, &'static str, String) {
     let (parts, body) = request.into_parts();
     let (status, text) = if parts.method == Method::POST {
-        let mac = parts.headers.get(wishes::MAC).and_then(|mac| mac.to_str().ok());
+        let mac = parts.headers.get(signed::MAC).and_then(|mac| mac.to_str().ok());
         match Limited::new(body, wishes::BODY_MOST).collect().await {
             Ok(body) => guard.wish(mac, &body.to_bytes()).await,
             Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into()),
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -34,6 +34,8 @@
 mod retune;
 pub mod serve;
 mod server;
+pub mod settings;
+mod signed;
 pub mod tier;
 mod versions;
 pub mod wishes;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -10,6 +10,7 @@
 use crate::requests::{Requests, Vouching};
 use crate::retune::{Grace, Retuner};
 use crate::server::{Phase, Server};
+use crate::signed::Seal;
 use crate::tier;
 use crate::versions::Versions;
 use crate::wishes::Guard;
@@ -335,7 +336,7 @@
                 plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
             let began = maplehook_quorum::agree(tier, agreement, file, member)?;
             let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
-            board.settings = Some(Arc::new(Guard::new(&secret, began.wishes())));
+            board.settings = Some(Arc::new(Guard::new(Arc::new(Seal::new(&secret)), began.wishes())));
             agreeing = Some(began);
         }
         if let Some(address) = plan.control {
--- a/node/src/tier.rs
+++ b/node/src/tier.rs
@@ -211,7 +211,7 @@
         let mut request = Request::get(path).header(HOST, address.to_string());
         let mut body = Vec::new();
         if let Some((mac, sent)) = signed {
-            request = request.method(Method::POST).header(crate::wishes::MAC, mac);
+            request = request.method(Method::POST).header(crate::signed::MAC, mac);
             body = sent;
         }
         let answer = sender.send_request(request.body(Full::new(Bytes::from(body)))?).await?;
