A common document beside versions: one body agreed on at once, with leases of its own

Zones and regions need a plan that all share within a second; a version takes two steps and waits for everybody. The log carries a third kind of entry: a number that rises by one, the body alone is kept. Members say by which number they act before they ask for a lease, are told with it and at once when it changes. Programs before pass the entries and words over.

--- a/agreement/src/grants.rs
+++ b/agreement/src/grants.rs
@@ -125,6 +125,16 @@
         self.members.iter().filter_map(waits).collect()
     }
 
+    /// Until when the lease of a member may hold, by this leader's clock; `None`: it granted none.
+    pub fn until(&self, name: &Name) -> Option<Duration> {
+        self.held.get(name).map(|held| held.until)
+    }
+
+    /// Who may hold a lease of this leader.
+    pub fn hold(&self, now: Duration) -> impl Iterator<Item = &Name> {
+        self.held.iter().filter(move |(_, held)| held.until > now).map(|(name, _)| name)
+    }
+
     /// Where each is that was heard of.
     pub fn heard(&self) -> impl Iterator<Item = (&Name, u64)> {
         self.held.iter().map(|(name, held)| (name, held.epoch))
--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -1,8 +1,10 @@
 //! Versions of settings and lists on which balancers agree, and a bound on how long two may contradict: no I/O.
 //!
-//! [`steps`] is what the voters' log comes to, [`grants`] the leader's side of leases, [`holder`] a balancer's. [`strict`] says
+//! [`steps`] is what the voters' log comes to, [`grants`] the leader's side of leases, [`holder`] a balancer's; [`common`] all three for one body
+//! of bytes beside them. [`strict`] says
 //! what contradicts what, and reads two versions as strictly as either. `docs/design/agreement.md` has the reasons.
 
+pub mod common;
 pub mod grants;
 pub mod holder;
 pub mod numbers;
--- a/agreement/src/steps.rs
+++ b/agreement/src/steps.rs
@@ -3,6 +3,7 @@
 //! A change goes in two steps, as online schema changes do: old, then the strictest reading of old and new, then new. Each
 //! step has an epoch. Everything here follows from the log alone, the same at every voter.
 
+use crate::common::{BODY_MOST, Document};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
@@ -111,6 +112,13 @@
         /// Whom.
         name: String,
     },
+    /// The common document has another body. Programs before it pass this over.
+    Common {
+        /// The number that has to be in force.
+        expect: u64,
+        /// The body.
+        body: Vec<u8>,
+    },
 }
 
 /// Why a command changes nothing.
@@ -135,6 +143,13 @@
     Nothing,
     /// The text is too long.
     TooLong,
+    /// Another common document is in force than was expected.
+    Common {
+        /// That one.
+        number: u64,
+    },
+    /// The common document is too long.
+    BodyTooLong,
 }
 
 impl fmt::Display for Refused {
@@ -145,6 +160,8 @@
             Self::Late { epoch } => write!(f, "something else came first: epoch {epoch} holds"),
             Self::Nothing => f.write_str("there is nothing to undo"),
             Self::TooLong => write!(f, "it is longer than {TEXT_MOST} bytes"),
+            Self::Common { number } => write!(f, "common document {number} is in force"),
+            Self::BodyTooLong => write!(f, "it is longer than {BODY_MOST} bytes"),
         }
     }
 }
@@ -162,6 +179,9 @@
     pub forgotten: BTreeMap<String, u64>,
     /// The step before this one.
     pub before: Step,
+    /// The common document. Whoever keeps these keeps it apart, last: programs before it read what they know.
+    #[serde(skip)]
+    pub common: Document,
 }
 
 impl Default for Steps {
@@ -172,6 +192,7 @@
             versions: Vec::new(),
             forgotten: BTreeMap::new(),
             before: Step::Unsettled,
+            common: Document::default(),
         }
     }
 }
@@ -224,6 +245,7 @@
                 self.forgotten.insert(name.clone(), self.epoch);
                 Ok(self.in_force())
             }
+            Command::Common { expect, body } => self.common.play(*expect, body),
         }
     }
 
--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -1,7 +1,9 @@
 //! A member's side: it asks for a lease, hears of steps, and reads what they come to here; and the answers that it gets as far as
 //! they need nothing but the leader's word that it leads.
 
-use crate::run::{Acting, Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
+use crate::acting::Acting;
+use crate::common::PLACES;
+use crate::run::{Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
 use crate::talk::{RAFT, Reply, Say, Telling};
 use maplehook_agreement::grants::CutOff;
 use maplehook_agreement::holder::Told;
@@ -21,9 +23,12 @@
     pub(crate) fn ask_for_a_lease(&mut self) {
         let now = self.now();
         let number = self.holder.ask(now);
+        self.share.holding.ask(number, now);
+        let (acts, held) = (self.share.acts, self.share.holding.newest().0);
         if let Part::Voting { voter, .. } = &self.part
             && voter.leads()
         {
+            self.acted(&self.setup.own.clone(), acts, held, None);
             self.asked(
                 &self.setup.own.clone(),
                 number,
@@ -52,6 +57,8 @@
             self.leader = None;
         }
         let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
+        // Before it, so that the leader knows of it when it answers; one of an earlier program can't read it, and answers alike.
+        self.tell(&to, &Say::Acts { acts, has: held, unfit: None });
         self.tell(&to, &Say::Ask { number, epoch, has, digest });
     }
 
@@ -88,6 +95,9 @@
     }
 
     pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
+        if message.topic == PLACES {
+            return self.share.hear_of_places(from, &message.body);
+        }
         if message.topic == RAFT {
             if let Part::Voting { voter, .. } = &mut self.part {
                 if !voter.step(from, &message.body) {
@@ -133,6 +143,8 @@
             Say::Seat { ticket } => self.seat(from, ticket),
             Say::Seated { ticket, number } => self.seated(from, ticket, number),
             Say::Unseated => self.unseated(),
+            Say::Acts { acts, has, unfit } => self.acted(from, acts, has, unfit),
+            Say::Common { request, number, body } => self.told_common(from, request, number, body),
             Say::Speaks { name } => {
                 let known = Name::new(&name).filter(|name| self.setup.members.contains(name));
                 known.into_iter().for_each(|name| self.is_voter(name));
@@ -242,8 +254,11 @@
 
     /// Whether texts may be told now; whoever is not told asks again soon.
     pub(crate) fn may_tell(&mut self, told: Option<&Telling>) -> bool {
-        let bytes: usize =
-            told.map_or(0, |told| told.versions.iter().map(|version| version.text.len()).sum());
+        let bytes = told.map_or(0, |told| told.versions.iter().map(|version| version.text.len()).sum());
+        self.may_tell_bytes(bytes)
+    }
+
+    pub(crate) fn may_tell_bytes(&mut self, bytes: usize) -> bool {
         let (before, since) = &mut self.texts_told;
         if since.elapsed() >= TICK {
             (*before, *since) = (0, Instant::now());
@@ -267,10 +282,11 @@
                 }
                 let now_at = steps.epoch;
                 let told = (has != now_at).then(|| Told::of(steps));
+                let before = if has + 1 == now_at { steps.before } else { Step::Unsettled };
+                self.grant_common(&from, number);
                 if from == self.setup.own {
                     return self.granted(number, now_at, told);
                 }
-                let before = if has + 1 == now_at { steps.before } else { Step::Unsettled };
                 let told = told.map(|told| Telling::from(told).after(before));
                 if self.may_tell(told.as_ref()) {
                     self.tell(&from, &Say::Grant { number, epoch: now_at, told });
--- a/quorum/src/join.rs
+++ b/quorum/src/join.rs
@@ -1,6 +1,6 @@
 //! From what a file says to a part in a tier, and in what it agrees on.
 
-use crate::run::{Agreeing, Setup};
+use crate::agreeing::{Agreeing, Setup};
 use maplehook_agreement::grants::{CutOff, Times};
 use maplehook_config::{Agreement, Tier};
 use maplehook_link::{Member, Part, Secret};
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -3,14 +3,21 @@
 //! [`voter`] is Raft by the `raft` crate over what the log comes to, [`store`] a voter's disk, [`talk`] what balancers say to one
 //! another, [`Agreeing`] the thread on which one takes part.
 
+mod acting;
+mod agreeing;
+mod common;
 mod follow;
 mod founding;
 mod join;
 mod leader;
+mod log;
 mod run;
+mod settle;
 pub mod store;
 pub mod talk;
 pub mod voter;
 
+pub use acting::{Acting, Local, Mode};
+pub use agreeing::{Agreeing, Setup, Wishes};
+pub use common::{Behind, Common, PLACES, Places, Put, Standing};
 pub use join::{agree, join};
-pub use run::{Acting, Agreeing, Local, Mode, Setup, Wishes};
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -4,21 +4,20 @@
 //! come to act on, and only then do the others hear of it. A voter's part runs here too: its disk may be slow, and no request
 //! waits for it.
 
+use crate::acting::{Acting, Local};
+use crate::agreeing::{Asked, Setup};
+use crate::common::{Hears, Share, Tells};
 use crate::store::Store;
 use crate::talk::{Op, RAFT, Reply, Say, VERSIONS};
 use crate::voter::{Ended, Voter};
-use maplehook_agreement::grants::{CutOff, Grants, Times};
+use maplehook_agreement::grants::{CutOff, Grants};
 use maplehook_agreement::holder::Holder;
 use maplehook_agreement::steps::{Step, digest};
-use maplehook_agreement::strict::careful;
 use maplehook_config::Proxy;
-use maplehook_link::Talk;
 use maplehook_link::frames::Message;
 use maplehook_tier::Name;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::path::PathBuf;
 use std::sync::Arc;
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval};
@@ -35,162 +34,6 @@
 /// Wishes that may be under way.
 pub(crate) const WISHES_MOST: usize = 64;
 
-/// Who agrees, and how.
-#[derive(Clone, Debug)]
-pub struct Setup {
-    /// This balancer.
-    pub own: Name,
-    /// The voters.
-    pub voters: Vec<Name>,
-    /// All that there may be, this one among them.
-    pub members: BTreeSet<Name>,
-    /// The times.
-    pub times: Times,
-    /// What one does that has lost touch.
-    pub cut_off: CutOff,
-    /// Where a voter keeps its log.
-    pub directory: Option<PathBuf>,
-    /// This balancer's file.
-    pub file: String,
-}
-
-/// By what to act.
-#[derive(Clone, Debug)]
-pub struct Acting {
-    /// The epoch.
-    pub epoch: u64,
-    /// The version in force, or the two between which a change stands: `3`, `3-4`; `0` before the first.
-    pub label: String,
-    /// The rules, as long as the lease lasts.
-    pub rules: Arc<Proxy>,
-    /// Until when; `None`: for good.
-    pub until: Option<Instant>,
-    /// The rules after that; `None`: everything is refused.
-    pub careful: Option<Arc<Proxy>>,
-    /// There is no lease at all.
-    pub cut_off: bool,
-}
-
-/// Which of the rules are acted on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
-    /// Those of the step.
-    Rules,
-    /// The careful reading of them.
-    Careful,
-    /// None: everything is refused.
-    Refuses,
-}
-
-impl Acting {
-    /// What is acted on now.
-    pub fn mode(&self, now: Instant) -> Mode {
-        let holds = !self.cut_off && self.until.is_none_or(|until| now < until);
-        match &self.careful {
-            _ if holds => Mode::Rules,
-            Some(_) => Mode::Careful,
-            None => Mode::Refuses,
-        }
-    }
-
-    /// The rules of a mode.
-    pub fn of(&self, mode: Mode) -> &Arc<Proxy> {
-        self.careful.as_ref().filter(|_| mode == Mode::Careful).unwrap_or(&self.rules)
-    }
-
-    /// How a mode is told to others.
-    pub fn told(&self, mode: Mode) -> String {
-        match mode {
-            Mode::Rules => self.label.clone(),
-            _ => format!("{};careful", self.label),
-        }
-    }
-}
-
-/// How it stands here.
-#[derive(Clone, Debug)]
-pub struct Local {
-    /// The version in force here; 0 if none.
-    pub in_force: u64,
-    /// The epoch that is acted on.
-    pub epoch: u64,
-    /// The step.
-    pub step: Step,
-    /// The digest of the version in force, or of the own file before the first.
-    pub digest: String,
-    /// What is left of the lease.
-    pub lease_left: Option<Duration>,
-    /// Whether there is none.
-    pub careful: bool,
-    /// Whom it takes for the leader.
-    pub leader: Option<String>,
-    /// What is wrong with its part in votes, if anything is.
-    pub voter: Option<String>,
-}
-
-type Asked = (Op, oneshot::Sender<(Local, Reply)>);
-
-/// A balancer's part, on a thread of its own; it ends when this is dropped.
-pub struct Agreeing {
-    /// By what to act.
-    pub acting: watch::Receiver<Acting>,
-    /// What the thread that serves acts on.
-    pub applied: watch::Sender<u64>,
-    asks: mpsc::Sender<Asked>,
-    stop: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-/// Tells operators, and takes their wishes.
-#[derive(Clone)]
-pub struct Wishes(mpsc::Sender<Asked>);
-
-impl Wishes {
-    /// `None` where the thread does not answer.
-    pub async fn ask(&self, op: Op) -> Option<(Local, Reply)> {
-        let (reply, ended) = oneshot::channel();
-        self.0.try_send((op, reply)).ok()?;
-        ended.await.ok()
-    }
-}
-
-impl Agreeing {
-    /// Begins to agree. The file is known to be good.
-    pub fn start(setup: Setup, talk: Talk) -> Result<Self, String> {
-        let (shared, _) = maplehook_config::shared(&setup.file).map_err(|e| e.to_string())?;
-        let own = read(&setup.file, &shared)?;
-        let (acting_to, acting) = watch::channel(first(&own, setup.cut_off));
-        let (applied, applies) = watch::channel(0);
-        let (asks, asked) = mpsc::channel(32);
-        let (stop, stopped) = oneshot::channel();
-        let runtime =
-            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-        let thread = std::thread::Builder::new()
-            .name("agreement".into())
-            .stack_size(1024 * 1024)
-            .spawn(move || {
-                let runner = Runner::new(setup, shared, own, talk.say, acting_to);
-                runtime.block_on(runner.run(talk.heard, applies, asked, stopped));
-            })
-            .map_err(|e| e.to_string())?;
-        Ok(Self { acting, applied, asks, stop: Some(stop), thread: Some(thread) })
-    }
-
-    /// By which operators ask.
-    pub fn wishes(&self) -> Wishes {
-        Wishes(self.asks.clone())
-    }
-}
-
-impl Drop for Agreeing {
-    fn drop(&mut self) {
-        drop(self.stop.take());
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
-    }
-}
-
 /// The rules of a file with this shared part.
 pub(crate) fn read(file: &str, shared: &str) -> Result<Arc<Proxy>, String> {
     let whole = maplehook_config::with_shared(file, shared).map_err(|e| e.to_string())?;
@@ -198,16 +41,12 @@
     operator.proxy.map(Arc::new).ok_or_else(|| "it names no class and no upstream".into())
 }
 
-/// Before anything was heard.
-fn first(own: &Arc<Proxy>, cut_off: CutOff) -> Acting {
-    let careful = (cut_off != CutOff::Refuse).then(|| Arc::new(careful(own)));
-    Acting { epoch: 0, label: "0".into(), rules: Arc::clone(own), until: None, careful, cut_off: true }
-}
-
 /// Who is to hear how a wish ended.
 pub(crate) enum Wisher {
     Here(oneshot::Sender<(Local, Reply)>),
     There(Name, u64),
+    /// Whoever makes the common document.
+    Put(oneshot::Sender<Result<u64, String>>),
     Nobody,
 }
 
@@ -286,6 +125,18 @@
     pub(crate) texts_told: (usize, Instant),
     pub(crate) advancing: Option<u64>,
     pub(crate) digests: BTreeMap<Name, (String, Instant)>,
+    /// Its part in the common document.
+    pub(crate) share: Share,
+}
+
+/// All that comes to the thread.
+pub(crate) struct Ears {
+    pub(crate) heard: mpsc::Receiver<(Name, Message)>,
+    pub(crate) applies: watch::Receiver<u64>,
+    pub(crate) acts: watch::Receiver<u64>,
+    pub(crate) asked: mpsc::Receiver<Asked>,
+    pub(crate) places: Hears,
+    pub(crate) stopped: oneshot::Receiver<()>,
 }
 
 /// Takes out those of which something holds.
@@ -301,7 +152,9 @@
         own: Arc<Proxy>,
         say: mpsc::Sender<(Name, Message)>,
         acting: watch::Sender<Acting>,
+        tells: Tells,
     ) -> Self {
+        let share = Share::new(setup.times, tells);
         let holder = Holder::new(setup.times, setup.cut_off);
         let digest = digest(&shared);
         let mut runner = Self {
@@ -327,6 +180,7 @@
             texts_told: (0, Instant::now()),
             advancing: None,
             digests: BTreeMap::new(),
+            share,
         };
         let has_voted = runner.setup.directory.as_deref().is_some_and(crate::store::has_voted);
         if has_voted || runner.setup.voters.contains(&runner.setup.own) {
@@ -339,13 +193,8 @@
         self.epoch.elapsed()
     }
 
-    async fn run(
-        mut self,
-        mut heard: mpsc::Receiver<(Name, Message)>,
-        mut applies: watch::Receiver<u64>,
-        mut asked: mpsc::Receiver<Asked>,
-        mut stopped: oneshot::Receiver<()>,
-    ) {
+    pub(crate) async fn run(mut self, ears: Ears) {
+        let Ears { mut heard, mut applies, mut acts, mut asked, mut places, mut stopped } = ears;
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -365,9 +214,20 @@
                     // The others wait to hear of it.
                     self.ask_for_a_lease();
                 }
+                changed = acts.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.share.acts = *acts.borrow_and_update();
+                    self.ask_for_a_lease();
+                }
                 Some((op, reply)) = asked.recv() => self.wish(op, Wisher::Here(reply)),
+                Some(put) = places.puts.recv() => self.put_common(put),
+                Some((to, message)) = places.said.recv() => self.tell_of_places(to, &message.body),
             }
             self.settle();
+            self.push_common();
+            self.stand();
         }
     }
 
@@ -415,6 +275,7 @@
             self.end(wisher, Reply::Unavailable(format!("{new} does not answer")));
         }
         self.lead();
+        self.share.due();
     }
 
     pub(crate) fn end(&self, wisher: Wisher, reply: Reply) {
@@ -422,6 +283,11 @@
             // It may have given up.
             Wisher::Here(to) => drop(to.send((self.local(), reply))),
             Wisher::There(name, ticket) => self.tell(&name, &Say::End { ticket, reply }),
+            Wisher::Put(to) => drop(to.send(match reply {
+                Reply::Done(number) => Ok(number),
+                Reply::Refused(why) | Reply::Unavailable(why) => Err(why),
+                _ => Err("it has no such end".into()),
+            })),
             Wisher::Nobody => {}
         }
     }
@@ -455,6 +321,7 @@
                 .then(|| Grants::new(self.setup.times, self.setup.cut_off, self.setup.members.clone(), now));
             self.digests.clear();
             self.advancing = None;
+            self.share.turned(leads, now, &self.setup);
             tracing::info!(leads, "leads the voters, or no more");
             let readings = std::mem::take(&mut self.readings);
             for reading in readings.into_values() {
--- a/quorum/src/talk.rs
+++ b/quorum/src/talk.rs
@@ -207,4 +207,22 @@
         /// Who.
         name: String,
     },
+    /// Said before `Ask`, by whoever knows the common document.
+    Acts {
+        /// The number of it that it acts on.
+        acts: u64,
+        /// The number whose body it has.
+        has: u64,
+        /// Why it can't act on the step of the epoch that it has been told, if that is so.
+        unfit: Option<(u64, String)>,
+    },
+    /// The common document: with a lease, or told when it changes.
+    Common {
+        /// The request for a lease that is granted, if one is.
+        request: Option<u64>,
+        /// The number in force; 0 is none.
+        number: u64,
+        /// Its body, where the member has not got it.
+        body: Option<Vec<u8>>,
+    },
 }
