--- /dev/null
+++ b/locality/src/language/print.rs
@@ -0,0 +1,121 @@
+//! The one way in which a text is printed: clauses in a fixed order, two spaces in, an empty line between rules.
+
+use super::ast::{Clause, Named, Percent, PlaceText, RuleText, StepText, Subject, Text};
+use super::clauses::UNITS;
+use super::lexer::quoted;
+use std::fmt::{self, Write};
+use std::time::Duration;
+
+impl fmt::Display for Text {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (n, rule) in self.rules.iter().enumerate() {
+            if n > 0 {
+                f.write_char('\n')?;
+            }
+            rule.fmt(f)?;
+        }
+        if !self.rules.is_empty() && !self.end.is_empty() {
+            f.write_char('\n')?;
+        }
+        comments(f, "", &self.end)
+    }
+}
+
+fn comments(f: &mut fmt::Formatter<'_>, indent: &str, comments: &[String]) -> fmt::Result {
+    comments.iter().try_for_each(|comment| writeln!(f, "{indent}#{comment}"))
+}
+
+fn line_end(f: &mut fmt::Formatter<'_>, comment: Option<&String>) -> fmt::Result {
+    match comment {
+        Some(comment) => writeln!(f, " #{comment}"),
+        None => f.write_char('\n'),
+    }
+}
+
+impl fmt::Display for RuleText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        comments(f, "", &self.before)?;
+        write!(f, "rule {} {{", self.name.node)?;
+        line_end(f, self.head.as_ref())?;
+        let mut clauses: Vec<_> = self.clauses.iter().collect();
+        clauses.sort_by_key(|clause| clause.clause.node.kind());
+        for clause in clauses {
+            comments(f, "  ", &clause.before)?;
+            write!(f, "  {};", clause.clause.node)?;
+            line_end(f, clause.after.as_ref())?;
+        }
+        comments(f, "  ", &self.end)?;
+        f.write_char('}')?;
+        line_end(f, self.after.as_ref())
+    }
+}
+
+fn joined<T: fmt::Display>(items: impl IntoIterator<Item = T>, between: &str) -> String {
+    items.into_iter().map(|item| item.to_string()).collect::<Vec<_>>().join(between)
+}
+
+impl fmt::Display for Clause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::For(subjects) => write!(f, "for {}", joined(subjects.iter().map(|at| &at.node), ", ")),
+            Self::Prefer(steps) => write!(f, "prefer {}", joined(steps.iter().map(|at| &at.node), " > ")),
+            Self::SpillOver(o) => {
+                write!(f, "spill over {} for {}", o.over.node, time(o.over_for.node))?;
+                write!(f, ", back under {} for {}", o.back.node, time(o.back_for.node))
+            }
+            Self::SpillBelow(least) => write!(f, "spill below {} usable", least.node),
+            Self::Beyond(most) => write!(f, "beyond region at most {}", most.node),
+            Self::Never(places) => write!(f, "never {}", joined(places.iter().map(|at| &at.node), ", ")),
+            Self::WhenLost(anywhere) => {
+                write!(f, "when lost {}", if *anywhere { "anywhere" } else { "refuse" })
+            }
+        }
+    }
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Class(name) => write!(f, "class {}", quoted(name)),
+            Self::Tenant(name) => write!(f, "tenant {}", quoted(name)),
+        }
+    }
+}
+
+impl fmt::Display for Named {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Zone(name) => write!(f, "zone {}", quoted(name)),
+            Self::Region(name) => write!(f, "region {}", quoted(name)),
+        }
+    }
+}
+
+impl fmt::Display for StepText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.place {
+            PlaceText::OwnZone => f.write_str("own zone"),
+            PlaceText::OwnRegion => f.write_str("own region"),
+            PlaceText::Named(named) => named.fmt(f),
+            PlaceText::Anywhere => f.write_str("anywhere"),
+        }?;
+        self.within.as_ref().map_or(Ok(()), |within| write!(f, " within {}", time(within.node)))
+    }
+}
+
+impl fmt::Display for Percent {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (whole, part) = (self.0 / 10_000, self.0 % 10_000);
+        if part == 0 {
+            return write!(f, "{whole}%");
+        }
+        write!(f, "{whole}.{}%", format!("{part:04}").trim_end_matches('0'))
+    }
+}
+
+/// A time in the longest unit of which it is a whole number.
+pub(crate) fn time(time: Duration) -> String {
+    let micros = time.as_micros() as u64;
+    let fits = UNITS.iter().find(|(_, unit)| micros.is_multiple_of(*unit)).unwrap_or(&UNITS[3]);
+    format!("{}{}", micros / fits.1, fits.0)
+}
