--- a/histories/src/record.rs
+++ b/histories/src/record.rs
@@ -28,6 +28,12 @@
     pub contradiction_us: u64,
     /// What the judge holds the run to.
     pub bounds: Bounds,
+    /// Balancers that vote on plans; none named: all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub voters: Vec<String>,
+    /// In a corpus: the rule that this history must show broken.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub expect: Option<String>,
 }
 
 /// An upstream in the header.
@@ -50,6 +56,9 @@
     pub withdrawn_within_us: u64,
     /// For how long at the most nobody may announce although a site is healthy.
     pub gap_us: u64,
+    /// How many sites go on announcing however ill they seem; 0 counts as 1.
+    #[serde(default)]
+    pub keep_at_least: usize,
 }
 
 /// What a run is held to.
@@ -69,6 +78,20 @@
     pub answer_us: u64,
     /// How long after a drain was told an upstream may still get something new.
     pub drain_us: u64,
+    /// Load of a zone, over its room, from which requests may leave it.
+    #[serde(default = "spill_over")]
+    pub spill_over: f64,
+    /// Load under which they have to stay again once it has lasted for `settle_us`.
+    #[serde(default = "spill_back")]
+    pub spill_back: f64,
+}
+
+fn spill_over() -> f64 {
+    0.8
+}
+
+fn spill_back() -> f64 {
+    0.6
 }
 
 impl Default for Bounds {
@@ -81,6 +104,8 @@
             swings_most: 2,
             answer_us: 4_000_000,
             drain_us: 2_000_000,
+            spill_over: spill_over(),
+            spill_back: spill_back(),
         }
     }
 }
@@ -190,7 +215,8 @@
         /// By which balancer.
         through: String,
     },
-    /// A place's upstreams came to this health, by the rig's doing: 1 well, 0 gone. `from`: as seen from these zones alone.
+    /// A place's upstreams came to this health, by the rig's doing: 1 well, 0 gone. `from`: as seen from these zones alone; such
+    /// a view stands beside the place's own health until one from the same zones ends it.
     Health {
         /// The zone.
         zone: String,
@@ -208,9 +234,11 @@
     },
     /// A balancer was started, killed, stopped, woken, cut off or joined again by the rig.
     Did {
-        /// `start`, `kill`, `stop`, `wake`, `cut`, `heal`, `term`.
+        /// `start`, `kill`, `stop`, `wake`, `cut`, `heal`, `term`; of a place: `evacuate`, `release`; of the run: `end`, after which
+        /// nothing is expected any more. Any other counts as a
+        /// disturbance of that moment.
         act: String,
-        /// To whom.
+        /// To whom: a balancer, or a zone or region for all of its balancers.
         to: String,
     },
     /// Something that people may want to read.
