--- /dev/null
+++ b/failover/src/acting.rs
@@ -0,0 +1,247 @@
+//! The balancer's side: which shares it acts on, with the agreement's lease and without.
+//!
+//! With the lease: the plan. Without: the last plan, and beside it own evidence, by which it moves no more than its part of what
+//! was agreed on as spare, so that the sum over all sides stays within the room. Without any plan ever: near first, and a fixed
+//! cautious part of what can be seen.
+
+use crate::document::{Document, PlaceState, WHOLE};
+use crate::evidence::Word;
+use crate::ladders::{Ladders, Zones, bit, each};
+use crate::names;
+use crate::report::{Demand, Sight};
+use maplehook_locality::{Rules, Topology, Zone};
+use std::time::Duration;
+
+/// For how long a zone has to be out of own reach until that is acted on.
+const OUT_AFTER: Duration = Duration::from_secs(1);
+/// For how long it has to be in reach again.
+const BACK_AFTER: Duration = Duration::from_secs(5);
+/// Longer pauses between two looks are counted as this.
+const LOOK_MOST: Duration = Duration::from_millis(500);
+/// Without any plan: part of what a zone can take that all who have none may send it, all together.
+const CAUTIOUS: f64 = 0.2;
+
+/// Where one rule's requests go that come in here.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Shares {
+    /// By zone, as parts of all.
+    pub to: Vec<(Zone, f64)>,
+    /// What is refused, as a part of all.
+    pub refused: f64,
+}
+
+/// What a balancer acts on.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Acts {
+    /// Whether it acts on what is agreed on in common.
+    pub in_common: bool,
+    /// Why, in words.
+    pub why: &'static str,
+    /// The epoch of the plan that it goes by.
+    pub epoch: u64,
+    /// By rule.
+    pub rules: Vec<Shares>,
+}
+
+/// What is seen of one zone from here.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Own {
+    out: bool,
+    out_for: Duration,
+    well_since: Option<Duration>,
+}
+
+/// The balancer's machine.
+#[derive(Clone, Debug)]
+pub struct Acting {
+    topology: Topology,
+    rules: Rules,
+    ladders: Ladders,
+    zone: Zone,
+    balancers: usize,
+    agreed: Option<Document>,
+    own: Vec<Own>,
+    looked: Duration,
+    acts: Acts,
+}
+
+impl Acting {
+    /// For a balancer of this zone.
+    pub fn new(topology: Topology, rules: Rules, zone: Zone, now: Duration) -> Self {
+        let ladders = Ladders::new(&topology, &rules);
+        let own = vec![Own::default(); ladders.region_of.len()];
+        let acts = Acts::default();
+        Self { topology, rules, ladders, zone, balancers: 1, agreed: None, own, looked: now, acts }
+    }
+
+    /// Other places or rules: what was agreed on is carried over by name.
+    pub fn retune(&mut self, topology: Topology, rules: Rules, zone: Zone) {
+        let ladders = Ladders::new(&topology, &rules);
+        let old = std::mem::replace(&mut self.topology, topology);
+        let own = |new: Zone| {
+            let before = old.zone(self.topology.zone_name(new));
+            before.and_then(|zone| self.own.get(usize::from(zone.0))).copied().unwrap_or_default()
+        };
+        self.own = self.topology.zones().map(own).collect();
+        (self.rules, self.ladders, self.zone) = (rules, ladders, zone);
+        if let Some(agreed) = self.agreed.take() {
+            self.agreed = Some(names::read_with(&agreed, &self.topology, &self.rules, &self.ladders));
+        }
+    }
+
+    /// A document is in force.
+    pub fn agreed(&mut self, document: &Document) {
+        self.agreed = Some(names::read_with(document, &self.topology, &self.rules, &self.ladders));
+    }
+
+    /// How many balancers share what is spare: all that there are, in touch or not, with places or without.
+    pub fn balancers(&mut self, count: usize) {
+        self.balancers = count.max(1);
+    }
+
+    /// What was acted on at the last tick.
+    pub fn acts(&self) -> &Acts {
+        &self.acts
+    }
+
+    /// What to act on now. `lease`: whether the agreement's lease holds; `sights` and `demand` are this balancer's own.
+    pub fn tick(&mut self, now: Duration, lease: bool, sights: &[Sight], demand: &[Demand]) -> &Acts {
+        self.look(now, sights);
+        let in_common = lease && self.agreed.is_some();
+        let why = match (&self.agreed, lease) {
+            (Some(_), true) => "the plan in common",
+            (Some(_), false) => "out of touch: the last plan, and own evidence within what is spare",
+            (None, _) => "no plan was agreed on yet: near first, and own evidence within a cautious part",
+        };
+        let mut rules: Vec<Shares> =
+            (0..self.rules.all().len() as u16).map(|rule| self.planned(rule, sights)).collect();
+        if !in_common {
+            self.go_alone(&mut rules, sights, demand);
+        }
+        let epoch = self.agreed.as_ref().map_or(0, |agreed| agreed.plan.epoch);
+        self.acts = Acts { in_common, why, epoch, rules };
+        &self.acts
+    }
+
+    fn look(&mut self, now: Duration, sights: &[Sight]) {
+        let passed = now.saturating_sub(self.looked).min(LOOK_MOST);
+        self.looked = self.looked.max(now);
+        for sight in sights {
+            let Some(own) = self.own.get_mut(usize::from(sight.zone.0)) else { continue };
+            if Word::of(sight) == Word::Out {
+                own.out_for = (own.out_for + passed).min(OUT_AFTER);
+                own.out |= own.out_for >= OUT_AFTER;
+                own.well_since = None;
+            } else {
+                own.out_for = own.out_for.saturating_sub(passed / 2);
+                let since = *own.well_since.get_or_insert(now);
+                own.out &= now.saturating_sub(since) < BACK_AFTER;
+            }
+        }
+    }
+
+    /// The plan's row, else the rule's first step by what is usable of its zones.
+    fn planned(&self, rule: u16, sights: &[Sight]) -> Shares {
+        if let Some(row) = self.agreed.as_ref().and_then(|agreed| agreed.plan.row(rule, self.zone)) {
+            let part = |part: u16| f64::from(part) / f64::from(WHOLE);
+            let to: Vec<(Zone, f64)> = row.to.iter().map(|share| (share.zone, part(share.part))).collect();
+            let sent: f64 = to.iter().map(|(_, part)| part).sum();
+            return Shares { to, refused: (1.0 - sent).max(0.0) };
+        }
+        let first = self.ladders.shape(rule, self.zone).and_then(|n| self.ladders.shapes[n].steps.first());
+        let step = first.copied().unwrap_or(0);
+        let usable = |zone: usize| {
+            let sight = sights.iter().find(|sight| usize::from(sight.zone.0) == zone);
+            sight.map_or(0.0, |sight| f64::from(sight.usable)).max(0.0)
+        };
+        let all: f64 = each(step).map(usable).sum();
+        let even = 1.0 / f64::from(step.count_ones().max(1));
+        let part = |zone: usize| if all > 0.0 { usable(zone) / all } else { even };
+        let to: Vec<(Zone, f64)> =
+            each(step).map(|zone| (Zone(zone as u16), part(zone))).filter(|(_, part)| *part > 0.0).collect();
+        Shares { refused: if to.is_empty() { 1.0 } else { 0.0 }, to }
+    }
+
+    /// Moves what can't be served where it is to where there is something to spare.
+    fn go_alone(&self, rules: &mut [Shares], sights: &[Sight], demand: &[Demand]) {
+        let zones = self.own.len();
+        let state = |zone: usize| {
+            self.agreed
+                .as_ref()
+                .and_then(|agreed| agreed.places.get(zone))
+                .map_or(PlaceState::Serving, |p| p.state)
+        };
+        let closed = |zone: usize| matches!(state(zone), PlaceState::Lost | PlaceState::Evacuated);
+        let seen = |zone: usize| sights.iter().find(|sight| usize::from(sight.zone.0) == zone);
+        let alive = |zone: usize| {
+            !self.own[zone].out
+                && seen(zone).is_some_and(|sight| !Word::of(sight).is_bad() && sight.listed > 0.0)
+        };
+        // Who sees nothing well has bad eyes: it stays with what it has.
+        if !(0..zones).any(alive) {
+            return;
+        }
+        let set = |holds: &dyn Fn(usize) -> bool| crate::flow::zones_where(zones, holds);
+        let (out, open) = (set(&|zone| self.own[zone].out), set(&|zone| alive(zone) && !closed(zone)));
+        let last = if open == 0 { set(&alive) } else { open };
+        let asked = |rule: usize| {
+            let found = demand.iter().find(|demand| usize::from(demand.rule) == rule);
+            found.map_or(0.0, |demand| f64::from(demand.asked)).max(0.0)
+        };
+        let total: f64 = (0..rules.len()).map(asked).sum();
+        let mut spare: Vec<f64> = (0..zones).map(|zone| self.spare(zone, seen(zone), total)).collect();
+        for (n, shares) in rules.iter_mut().enumerate() {
+            let Some(shape) = self.ladders.shape(n as u16, self.zone) else { continue };
+            let asked = asked(n);
+            let is_out = |zone: &Zone| out & bit(*zone) != 0;
+            let mut lost: f64 = shares.to.iter().filter(|(zone, _)| is_out(zone)).map(|(_, part)| part).sum();
+            if lost <= 0.0 {
+                continue;
+            }
+            shares.to.retain(|(zone, _)| !is_out(zone));
+            let shape = &self.ladders.shapes[shape];
+            let mut beyond = shape.beyond_most;
+            for (zone, part) in &shares.to {
+                beyond -= if shape.beyond & bit(*zone) != 0 { *part } else { 0.0 };
+            }
+            for step in &shape.steps {
+                let into: Zones = step & last;
+                for zone in each(into) {
+                    let outside = shape.beyond >> zone & 1 == 1;
+                    let room = if asked > 0.0 {
+                        spare[zone] / asked
+                    } else {
+                        f64::from(u8::from(spare[zone] > 0.0))
+                    };
+                    let most = if outside { beyond.max(0.0) } else { 1.0 };
+                    let part = lost.min(room).min(most);
+                    if part <= 0.0 {
+                        continue;
+                    }
+                    spare[zone] -= part * asked;
+                    lost -= part;
+                    beyond -= if outside { part } else { 0.0 };
+                    let zone = Zone(zone as u16);
+                    match shares.to.iter_mut().find(|(z, _)| *z == zone) {
+                        Some((_, old)) => *old += part,
+                        None => shares.to.push((zone, part)),
+                    }
+                }
+            }
+            shares.to.sort_by_key(|(zone, _)| *zone);
+            shares.refused = (1.0 - shares.to.iter().map(|(_, part)| part).sum::<f64>()).max(0.0);
+        }
+    }
+
+    /// What this balancer may send a zone beside the plan, in requests a second.
+    fn spare(&self, zone: usize, sight: Option<&Sight>, asked: f64) -> f64 {
+        let all = match (&self.agreed, sight) {
+            (Some(agreed), _) => agreed.plan.spare.get(zone).map_or(0.0, |lent| f64::from(*lent)),
+            (None, Some(sight)) if sight.stated => CAUTIOUS * f64::from(sight.usable),
+            // Rooms that nobody knows: a part of its own requests.
+            (None, Some(_)) => return CAUTIOUS * asked,
+            (None, None) => 0.0,
+        };
+        all / self.balancers as f64
+    }
+}
--- /dev/null
+++ b/failover/src/evidence.rs
@@ -0,0 +1,215 @@
+//! What reports say of zones, by the zone that they come from: each zone has one word on another, however many balancers it has.
+
+use crate::document::PlaceState;
+use crate::heard::Heard;
+use crate::report::{Report, Sight};
+use maplehook_locality::Zone;
+
+/// Part of what is listed that counts as nothing.
+const NOTHING: f32 = 0.02;
+/// Part of attempts that are not reached, from which a zone is out of reach.
+const UNREACHED: f32 = 0.6;
+/// Part of attempts that are slow, failed or not reached, from which a zone is ill.
+const BAD: f32 = 0.3;
+/// Attempts a second that say anything.
+const ATTEMPTS: f32 = 1.0;
+
+/// What one balancer, or one zone's balancers together, say of a zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Word {
+    /// It lists nothing there, or nobody speaks.
+    #[default]
+    None,
+    /// It has upstreams there, and sends nothing.
+    Quiet,
+    /// It is served well.
+    Well,
+    /// Slow or failing.
+    Ill,
+    /// Nothing usable, or not reached.
+    Out,
+}
+
+impl Word {
+    /// Ill or out.
+    pub fn is_bad(self) -> bool {
+        self >= Self::Ill
+    }
+
+    /// What a sight comes to.
+    pub fn of(sight: &Sight) -> Self {
+        if sight.listed <= 0.0 {
+            return Self::None;
+        }
+        if sight.usable + sight.cold <= NOTHING * sight.listed {
+            return Self::Out;
+        }
+        // Whoever says that more failed than it sent is taken at what it sent.
+        let sent = sight.sent.max(sight.ok);
+        if sent < ATTEMPTS {
+            return Self::Quiet;
+        }
+        if sight.unreached >= UNREACHED * sent {
+            Self::Out
+        } else if sight.slow + sight.failed + sight.unreached >= BAD * sent {
+            Self::Ill
+        } else {
+            Self::Well
+        }
+    }
+}
+
+/// What is seen of a zone at one instant.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Seen {
+    /// Serving, ill, lost or cut.
+    pub state: PlaceState,
+    /// Why, in words; empty while it serves.
+    pub why: String,
+    /// Zones whose balancers do not reach it, one bit each.
+    pub out_of: u64,
+    /// Zones that stand behind the state.
+    pub observers: u16,
+}
+
+/// One zone's balancers' words, one by one.
+#[derive(Clone, Copy, Debug, Default)]
+struct Votes {
+    quiet: u16,
+    well: u16,
+    ill: u16,
+    out: u16,
+}
+
+impl Votes {
+    fn add(&mut self, word: Word) {
+        match word {
+            Word::None => {}
+            Word::Quiet => self.quiet += 1,
+            Word::Well => self.well += 1,
+            Word::Ill => self.ill += 1,
+            Word::Out => self.out += 1,
+        }
+    }
+
+    /// What more than half of those say who say anything, if these are not too few; the milder where they are halves.
+    fn word(self) -> Word {
+        let said = self.well + self.ill + self.out;
+        let all = said + self.quiet;
+        if all == 0 {
+            Word::None
+        } else if said * 4 < all || said == 0 {
+            Word::Quiet
+        } else if self.out * 2 > said {
+            Word::Out
+        } else if (self.out + self.ill) * 2 > said {
+            Word::Ill
+        } else {
+            Word::Well
+        }
+    }
+}
+
+/// All words, by the zone that speaks and the zone that is spoken of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Views {
+    zones: usize,
+    words: Vec<Word>,
+    /// Balancers that are left out, for all that they see is bad and others see it well.
+    pub left_out: usize,
+}
+
+impl Views {
+    /// Counts the words of these reports; the second value holds those that are counted.
+    pub fn of<'a>(zones: usize, reports: &[&'a Report]) -> (Self, Vec<&'a Report>) {
+        let said: Vec<Vec<(usize, Word)>> = reports
+            .iter()
+            .map(|report| report.sights.iter().map(|s| (usize::from(s.zone.0), Word::of(s))).collect())
+            .collect();
+        let mut all = vec![Votes::default(); zones * zones];
+        for (report, words) in reports.iter().zip(&said) {
+            let at = usize::from(report.zone.0) * zones;
+            words.iter().for_each(|(zone, word)| all[at + zone].add(*word));
+        }
+        let first: Vec<Word> = all.iter().map(|votes| votes.word()).collect();
+        let mut votes = vec![Votes::default(); zones * zones];
+        let mut counted = Vec::with_capacity(reports.len());
+        for (report, words) in reports.iter().zip(&said) {
+            if is_ill_itself(zones, report.zone, words, &first) {
+                continue;
+            }
+            counted.push(*report);
+            let at = usize::from(report.zone.0) * zones;
+            words.iter().for_each(|(zone, word)| votes[at + zone].add(*word));
+        }
+        let words = votes.into_iter().map(Votes::word).collect();
+        (Self { zones, words, left_out: reports.len() - counted.len() }, counted)
+    }
+
+    /// What the balancers of one zone say of another.
+    pub fn word(&self, from: Zone, of: Zone) -> Word {
+        self.words.get(usize::from(from.0) * self.zones + usize::from(of.0)).copied().unwrap_or_default()
+    }
+
+    /// What is seen of each zone.
+    pub fn seen(&self, heard: &Heard, fresh: &[&Report]) -> Vec<Seen> {
+        let all = || (0..self.zones as u16).map(Zone);
+        let mut seen: Vec<Seen> =
+            all().map(|zone| self.seen_of(zone, heard.is_silent(zone, fresh))).collect();
+        // A zone that is itself out of touch with most others is what is cut, not each of those that it does not reach.
+        let off = |zone: Zone| {
+            let out = all().filter(|o| *o != zone && self.word(zone, *o) == Word::Out).count();
+            2 * out > self.zones - 1
+        };
+        let off: u64 = all().filter(|zone| off(*zone)).map(|zone| 1 << zone.0).sum();
+        for (n, place) in seen.iter_mut().enumerate() {
+            let by_others = place.out_of & !off != 0 || off >> n & 1 == 1;
+            if place.state == PlaceState::Cut && !by_others {
+                (place.state, place.why) = (PlaceState::Serving, String::new());
+            }
+        }
+        seen
+    }
+
+    fn seen_of(&self, zone: Zone, silent: bool) -> Seen {
+        let all = || (0..self.zones as u16).map(Zone);
+        let own = self.word(zone, zone);
+        let count = |what: fn(Word) -> bool| all().filter(|from| what(self.word(*from, zone))).count();
+        let (out, bad) = (count(|word| word == Word::Out), count(Word::is_bad));
+        let well = count(|word| word == Word::Well);
+        let out_of = all().filter(|from| self.word(*from, zone) == Word::Out).map(|from| 1 << from.0).sum();
+        let itself = matches!(own, Word::Out | Word::None);
+        let behind = out + usize::from(silent);
+        let (state, observers, why) = if itself && behind >= 2 && well * 2 <= behind && out > 0 {
+            let silent = if silent { ", its own balancers are silent" } else { "" };
+            (PlaceState::Lost, behind, format!("out of reach from {out} zones{silent}"))
+        } else if bad > well && (bad >= 2 && own != Word::Well || own.is_bad()) {
+            (PlaceState::Ill, bad, format!("slow or failing for {bad} zones, well for {well}"))
+        } else if out > 0 {
+            (PlaceState::Cut, out, format!("out of reach from {out} zones, well in itself"))
+        } else {
+            (PlaceState::Serving, well, String::new())
+        };
+        Seen { state, why, out_of, observers: observers as u16 }
+    }
+}
+
+/// Whether all that a balancer sees is bad, while most of it is not to all others.
+fn is_ill_itself(zones: usize, own: Zone, words: &[(usize, Word)], all: &[Word]) -> bool {
+    let said = words.iter().filter(|(_, word)| *word > Word::Quiet).count();
+    let bad: Vec<usize> = words.iter().filter(|(_, word)| word.is_bad()).map(|(zone, _)| *zone).collect();
+    if bad.len() < 2 || bad.len() * 5 < said * 4 {
+        return false;
+    }
+    let others_well = |zone: &&usize| {
+        let of = |from: usize| all[from * zones + **zone];
+        let from = (0..zones).filter(|from| *from != usize::from(own.0));
+        let (mut well, mut worse) = (0, 0);
+        for word in from.map(of) {
+            well += usize::from(matches!(word, Word::Well));
+            worse += usize::from(word.is_bad());
+        }
+        well > worse
+    };
+    bad.iter().filter(others_well).count() * 2 > bad.len()
+}
--- /dev/null
+++ b/failover/src/flow.rs
@@ -0,0 +1,265 @@
+//! The waterfall: who is sent where, the near first, and no zone over its room.
+//!
+//! What is promised: as much is served as can be by any split that keeps to the rooms and to what each rule may use (a maximum
+//! flow, found by augmenting paths: Edmonds and Karp 1972), but where [`crate::pouring`] takes away what two regions would pour
+//! into each other; with `beyond region` under the whole, at least no single change serves more. Of such splits the near one is
+//! taken: each step is filled for all before the next begins. Where a zone is short, all that ask for it at the same step get the
+//! same part, rules and sources alike: guarantees among classes and tenants are kept at the door, by admission, for what the plan
+//! leaves in.
+
+use crate::ladders::{Ladders, Shape, Zones, bit, each};
+
+/// Rounds in which a step's zones are shared out.
+const ROUNDS: usize = 4;
+/// Paths sought at the most; what is left is refused.
+const PATHS: usize = 64;
+
+/// What a plan is made for.
+#[derive(Clone, Debug)]
+pub struct Ground<'a> {
+    /// Rules and places.
+    pub ladders: &'a Ladders,
+    /// What each zone can be given, in requests a second.
+    pub room: &'a [f64],
+    /// What each can be given when nothing else is left: zones that are ill.
+    pub last: &'a [f64],
+    /// Zones that are reached, by the zone that reaches them.
+    pub reach: &'a [Zones],
+    /// Whether a shape spills already under a full step.
+    pub open: &'a [bool],
+    /// What is asked for, by shape.
+    pub asked: &'a [f64],
+}
+
+impl Ground<'_> {
+    /// Room of a zone, whichever.
+    pub fn cap(&self, zone: usize) -> f64 {
+        self.room[zone] + self.last[zone]
+    }
+
+    /// Zones that a shape may be sent to as things are.
+    pub fn usable(&self, shape: &Shape) -> Zones {
+        shape.allowed() & self.reach[usize::from(shape.from.0)]
+    }
+
+    /// Rates under this are nothing.
+    pub fn nothing(&self) -> f64 {
+        1e-9 * (1.0 + self.asked.iter().sum::<f64>())
+    }
+}
+
+/// Who is sent where, in requests a second, by shape.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Flows {
+    /// By shape, each zone once.
+    pub to: Vec<Vec<(usize, f64)>>,
+    /// What is refused, by shape.
+    pub left: Vec<f64>,
+    /// What each zone is sent.
+    pub load: Vec<f64>,
+}
+
+impl Flows {
+    /// Nothing is sent anywhere.
+    pub fn none(asked: &[f64], zones: usize) -> Self {
+        Self { to: vec![Vec::new(); asked.len()], left: asked.to_vec(), load: vec![0.0; zones] }
+    }
+
+    /// Sends more (or, with less than nothing, less) of a shape to a zone.
+    pub fn add(&mut self, shape: usize, zone: usize, rate: f64) {
+        self.load[zone] += rate;
+        let to = &mut self.to[shape];
+        match to.iter_mut().find(|(z, _)| *z == zone) {
+            Some((_, sent)) => *sent += rate,
+            None => to.push((zone, rate)),
+        }
+    }
+
+    /// What of a shape is sent to a zone.
+    pub fn sent(&self, shape: usize, zone: usize) -> f64 {
+        self.to[shape].iter().find(|(z, _)| *z == zone).map_or(0.0, |(_, sent)| *sent)
+    }
+
+    /// What of a shape leaves its region.
+    fn beyond(&self, n: usize, shape: &Shape) -> f64 {
+        self.to[n].iter().filter(|(zone, _)| shape.beyond >> zone & 1 == 1).map(|(_, sent)| sent).sum()
+    }
+}
+
+/// The best split there is.
+pub fn waterfall(ground: &Ground<'_>) -> Flows {
+    let zones = ground.room.len();
+    let mut flows = Flows::none(ground.asked, zones);
+    let (over, full): (Vec<f64>, Vec<f64>) =
+        ground.ladders.shapes.iter().map(|shape| (shape.over, 1.0)).unzip();
+    let deepest = ground.ladders.shapes.iter().map(|shape| shape.steps.len()).max().unwrap_or(0);
+    let none = vec![0.0; zones];
+    for level in 0..deepest {
+        let first: Vec<f64> = if level == 0 {
+            over.iter().zip(ground.open).map(|(over, open)| if *open { *over } else { 1.0 }).collect()
+        } else {
+            over.clone()
+        };
+        fill(ground, &mut flows, level, &first, &none, true);
+    }
+    for level in 0..deepest {
+        fill(ground, &mut flows, level, &full, &none, false);
+    }
+    for level in 0..deepest {
+        fill(ground, &mut flows, level, &full, ground.last, false);
+    }
+    augment(ground, &mut flows);
+    flows
+}
+
+/// Shares one step's zones out among all who ask for it, up to a part of the room.
+fn fill(ground: &Ground<'_>, flows: &mut Flows, level: usize, up_to: &[f64], last: &[f64], own: bool) {
+    let (nothing, zones) = (ground.nothing(), ground.room.len());
+    let cap: Vec<f64> = ground.room.iter().zip(last).map(|(room, last)| room + last).collect();
+    for _ in 0..ROUNDS {
+        let mut claims: Vec<(usize, usize, f64)> = Vec::new();
+        let (mut claimed, mut highest) = (vec![0.0; zones], vec![0.0f64; zones]);
+        for (n, shape) in ground.ladders.shapes.iter().enumerate() {
+            if flows.left[n] <= nothing || level >= shape.steps.len() || own && level >= shape.own {
+                continue;
+            }
+            let step = shape.steps[level] & ground.reach[usize::from(shape.from.0)];
+            let free = |zone: usize| (up_to[n] * cap[zone] - flows.load[zone]).max(0.0);
+            let mut beyond = shape.beyond_most * ground.asked[n];
+            if shape.beyond_most < 1.0 && step & shape.beyond != 0 {
+                beyond -= flows.beyond(n, shape);
+            }
+            let step = if beyond <= nothing { step & !shape.beyond } else { step };
+            let total: f64 = each(step).map(free).sum();
+            if total <= nothing {
+                continue;
+            }
+            let outside: f64 = each(step & shape.beyond).map(free).sum();
+            let mut part = flows.left[n].min(total) / total;
+            if shape.beyond_most < 1.0 && outside > 0.0 {
+                part = part.min(beyond / outside);
+            }
+            for zone in each(step) {
+                let claim = free(zone) * part;
+                if claim > 0.0 {
+                    claims.push((n, zone, claim));
+                    claimed[zone] += claim;
+                    highest[zone] = highest[zone].max(up_to[n]);
+                }
+            }
+        }
+        if claims.is_empty() {
+            return;
+        }
+        let scale: Vec<f64> = (0..zones)
+            .map(|zone| {
+                let free = (highest[zone] * cap[zone] - flows.load[zone]).max(0.0);
+                if claimed[zone] > free { free / claimed[zone] } else { 1.0 }
+            })
+            .collect();
+        let mut given = 0.0;
+        for (n, zone, claim) in claims {
+            let rate = claim * scale[zone];
+            flows.add(n, zone, rate);
+            flows.left[n] = (flows.left[n] - rate).max(0.0);
+            given += rate;
+        }
+        if given <= nothing {
+            return;
+        }
+    }
+}
+
+/// Serves what is left by sending others on, as long as there is a way.
+fn augment(ground: &Ground<'_>, flows: &mut Flows) {
+    let (nothing, zones) = (ground.nothing(), ground.room.len());
+    let shapes = &ground.ladders.shapes;
+    let usable: Vec<Zones> = shapes.iter().map(|shape| ground.usable(shape)).collect();
+    // How much of a shape can go to a zone, from another or (`None`) from what is left.
+    let movable = |flows: &Flows, n: usize, from: Option<usize>, to: usize| {
+        let shape = &shapes[n];
+        let rate = from.map_or(flows.left[n], |zone| flows.sent(n, zone));
+        let within = shape.beyond >> to & 1 == 0 || from.is_some_and(|zone| shape.beyond >> zone & 1 == 1);
+        if usable[n] >> to & 1 == 0 {
+            0.0
+        } else if within || shape.beyond_most >= 1.0 {
+            rate
+        } else {
+            rate.min((shape.beyond_most * ground.asked[n] - flows.beyond(n, shape)).max(0.0))
+        }
+    };
+    for _ in 0..PATHS {
+        let mut at: Vec<Vec<usize>> = vec![Vec::new(); zones];
+        for (n, to) in flows.to.iter().enumerate() {
+            to.iter().filter(|(_, sent)| *sent > nothing).for_each(|(zone, _)| at[*zone].push(n));
+        }
+        let waiting: Vec<usize> = (0..shapes.len()).filter(|n| flows.left[*n] > nothing).collect();
+        let free = |flows: &Flows, zone: usize| ground.cap(zone) - flows.load[zone];
+        // Breadth first over zones; `None` is what is left.
+        let mut from: Vec<Option<Option<usize>>> = vec![None; zones];
+        let mut queue = std::collections::VecDeque::from([None]);
+        let mut end = None;
+        while let Some(zone) = queue.pop_front() {
+            if let Some(zone) = zone
+                && free(flows, zone) > nothing
+            {
+                end = Some(zone);
+                break;
+            }
+            let who = zone.map_or(&waiting, |zone| &at[zone]);
+            let wanted = (0..zones).fold(0, |all, z| if from[z].is_none() { all | 1 << z } else { all });
+            let mut found: Zones = 0;
+            for n in who {
+                for to in each(usable[*n] & wanted & !found) {
+                    if movable(flows, *n, zone, to) > nothing {
+                        found |= 1 << to;
+                    }
+                }
+            }
+            for to in each(found) {
+                from[to] = Some(zone);
+                queue.push_back(Some(to));
+            }
+        }
+        let Some(mut to) = end else { return };
+        // From the end of the way, so that each zone gives away before it takes.
+        let mut rate = free(flows, to);
+        while let Some(Some(zone)) = from.get(to).copied() {
+            rate = shift(flows, zone, to, rate, zone.map_or(&waiting, |zone| &at[zone]), &movable);
+            let Some(next) = zone else { break };
+            to = next;
+        }
+    }
+}
+
+/// Sends up to this rate from one zone to another, and says how much it was.
+fn shift(
+    flows: &mut Flows,
+    from: Option<usize>,
+    to: usize,
+    rate: f64,
+    who: &[usize],
+    movable: &impl Fn(&Flows, usize, Option<usize>, usize) -> f64,
+) -> f64 {
+    let mut moved = 0.0;
+    for n in who {
+        let part = movable(flows, *n, from, to).min(rate - moved);
+        if part <= 0.0 {
+            continue;
+        }
+        match from {
+            Some(zone) => flows.add(*n, zone, -part),
+            None => flows.left[*n] -= part,
+        }
+        flows.add(*n, to, part);
+        moved += part;
+    }
+    moved
+}
+
+/// Zones as a set, where a test holds for them.
+pub fn zones_where(zones: usize, holds: impl Fn(usize) -> bool) -> Zones {
+    (0..zones)
+        .filter(|zone| holds(*zone))
+        .fold(0, |all, zone| all | bit(maplehook_locality::Zone(zone as u16)))
+}
--- /dev/null
+++ b/failover/src/heard.rs
@@ -0,0 +1,110 @@
+//! The newest report of each balancer, and which balancers there are.
+
+use crate::report::Report;
+use maplehook_locality::{Rules, Topology, Zone};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The most balancers whose reports are kept.
+pub const HEARD_MOST: usize = 1024;
+/// After this a balancer may begin anew with an older start: its clock was set back.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// By which zones and rules are counted: FNV-1a over their names and texts.
+pub fn digest(topology: &Topology, rules: &Rules) -> u64 {
+    let places: Vec<(&str, &str)> = topology
+        .zones()
+        .map(|zone| (topology.zone_name(zone), topology.region_name(topology.region_of(zone))))
+        .collect();
+    let bytes = postcard::to_allocvec(&(places, rules)).unwrap_or_default();
+    bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3))
+}
+
+#[derive(Clone, Debug, PartialEq)]
+struct Entry {
+    at: Duration,
+    report: Report,
+}
+
+/// Reports as they came.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Heard {
+    newest: BTreeMap<String, Entry>,
+    members: BTreeMap<String, Zone>,
+    without: usize,
+}
+
+impl Heard {
+    /// Which balancers there are, and how many besides have no places yet. Until it is told, whoever speaks is heard.
+    pub fn members(&mut self, all: &[(String, Zone)], without: usize) {
+        self.members = all.iter().take(HEARD_MOST).cloned().collect();
+        self.without = without;
+        let members = &self.members;
+        self.newest.retain(|name, entry| members.get(name) == Some(&entry.report.zone));
+    }
+
+    /// Balancers with places, and those without.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.members.len().max(self.newest.len()), self.without)
+    }
+
+    /// Takes a report, unless it counts by other places or rules, is older than the one there, bears a figure that none can
+    /// have, or comes from nobody that is known to be where it says. Says whether it was taken.
+    pub fn hear(&mut self, now: Duration, from: &str, mut report: Report, by: (u64, usize, usize)) -> bool {
+        let (digest, zones, rules) = by;
+        if report.digest != digest || usize::from(report.zone.0) >= zones || !is_fine(&report) {
+            return false;
+        }
+        if !self.members.is_empty() && self.members.get(from) != Some(&report.zone) {
+            return false;
+        }
+        if let Some(known) = self.newest.get(from) {
+            let newer = (report.start, report.number) > (known.report.start, known.report.number);
+            if !newer && now.saturating_sub(known.at) < FORGOTTEN {
+                return false;
+            }
+        } else if self.newest.len() >= HEARD_MOST {
+            self.newest.retain(|_, entry| now.saturating_sub(entry.at) < FORGOTTEN);
+            if self.newest.len() >= HEARD_MOST {
+                return false;
+            }
+        }
+        report.sights.retain(|sight| usize::from(sight.zone.0) < zones);
+        report.sights.sort_by_key(|sight| sight.zone);
+        report.sights.dedup_by_key(|sight| sight.zone);
+        report.demand.retain(|demand| usize::from(demand.rule) < rules);
+        report.demand.sort_by_key(|demand| demand.rule);
+        report.demand.dedup_by_key(|demand| demand.rule);
+        self.newest.insert(from.to_owned(), Entry { at: now, report });
+        true
+    }
+
+    /// Reports that are no older than this.
+    pub fn fresh(&self, now: Duration, stale: Duration) -> Vec<&Report> {
+        let young = |entry: &&Entry| now.saturating_sub(entry.at) <= stale;
+        self.newest.values().filter(young).map(|entry| &entry.report).collect()
+    }
+
+    /// Whether a zone has balancers and none of them is heard of.
+    pub fn is_silent(&self, zone: Zone, fresh: &[&Report]) -> bool {
+        self.members.values().any(|at| *at == zone) && !fresh.iter().any(|report| report.zone == zone)
+    }
+
+    /// Forgets all reports: they count by other places or rules.
+    pub fn forget(&mut self) {
+        self.newest.clear();
+        self.members.clear();
+    }
+}
+
+fn is_fine(report: &Report) -> bool {
+    let fine = |rate: &f32| rate.is_finite() && (0.0..=1e9).contains(rate);
+    let sight = |s: &crate::report::Sight| {
+        [s.listed, s.usable, s.cold, s.sent, s.ok, s.slow, s.failed, s.unreached, s.connect_ms, s.load]
+            .iter()
+            .all(fine)
+    };
+    report.sights.iter().all(sight) && report.demand.iter().all(|d| fine(&d.asked) && fine(&d.refused))
+}
--- /dev/null
+++ b/failover/src/judge.rs
@@ -0,0 +1,215 @@
+//! Which zones fall, within the bounds, and which orders are allowed: the parts of [`Decider`] that say no.
+
+use crate::damp::Fall;
+use crate::decider::Decider;
+use crate::document::{Evacuation, Held, PlaceState};
+use crate::flow::{Ground, waterfall};
+use crate::ladders::{Zones, bit, each};
+use crate::orders::{Order, Refusal};
+use crate::pouring;
+use maplehook_locality::Zone;
+use std::time::Duration;
+
+/// The most evacuations that stand at once.
+const EVACUATIONS_MOST: usize = 64;
+/// The most of an operator's name that is kept.
+const NAME_MOST: usize = 64;
+/// Part of what is asked for that an evacuation may cost.
+const COST: f64 = 0.005;
+
+impl Decider {
+    /// Takes what each zone is seen as, and lets fall what may.
+    pub(crate) fn judge(&mut self, now: Duration, passed: Duration) {
+        let seen = std::mem::take(&mut self.seen_now);
+        self.remember();
+        let bounds = self.bounds;
+        let wanted: Vec<Option<PlaceState>> = self
+            .standings
+            .iter_mut()
+            .zip(&seen)
+            .map(|(standing, seen)| standing.look(now, seen, &bounds))
+            .collect();
+        self.shared_cause = self.shared(now);
+        if self.shared_cause.is_none() {
+            let mut order: Vec<usize> = (0..wanted.len()).filter(|zone| wanted[*zone].is_some()).collect();
+            // What is lost before what is ill: bounds are used up by what is certain.
+            order.sort_by_key(|zone| (wanted[*zone] != Some(PlaceState::Lost), *zone));
+            for zone in order {
+                let Some(to) = wanted[zone] else { continue };
+                let how = self.how(zone, to);
+                let same = self.standings[zone].state == to && self.standings[zone].kept;
+                if !(same && matches!(how, Fall::Kept(_))) {
+                    self.standings[zone].fall(now, to, &seen[zone], how, &bounds);
+                }
+            }
+            self.mend(now, passed);
+        }
+        self.seen_now = seen;
+    }
+
+    /// Gives back what is due, and takes out what is ordered.
+    pub(crate) fn mend(&mut self, now: Duration, passed: Duration) {
+        let out = self.evacuated();
+        for (zone, standing) in self.standings.iter_mut().enumerate() {
+            standing.mend(now, passed, out >> zone & 1 == 1, &self.bounds);
+        }
+    }
+
+    /// Zones that operators have taken out.
+    fn evacuated(&self) -> Zones {
+        self.evacuations.iter().flat_map(|(e, _)| &e.zones).fold(0, |all, zone| all | bit(*zone))
+    }
+
+    fn remember(&mut self) {
+        for (zone, room) in self.situation.rooms.iter().enumerate() {
+            let standing = &self.standings[zone];
+            if standing.state == PlaceState::Serving && !standing.seems_bad() && room.usable > 0.0 {
+                self.remembered[zone] = room.usable;
+            }
+        }
+    }
+
+    /// What each zone has of all capacity; even parts while nothing is known.
+    fn capacity(&self) -> Vec<f64> {
+        let of = |zone: usize| {
+            let listed = self.situation.rooms.get(zone).map_or(0.0, |room| room.listed);
+            listed.max(self.remembered[zone])
+        };
+        let all: Vec<f64> = (0..self.standings.len()).map(of).collect();
+        let sum: f64 = all.iter().sum();
+        let even = 1.0 / all.len().max(1) as f64;
+        all.iter().map(|one| if sum > 0.0 { one / sum } else { even }).collect()
+    }
+
+    /// Why nothing moves, if so much seems ill within a moment that it has one cause.
+    fn shared(&self, now: Duration) -> Option<String> {
+        let capacity = self.capacity();
+        let fell = |zone: &usize| {
+            let standing = &self.standings[*zone];
+            let just = standing.is_bad() && standing.age(now) <= self.bounds.moment;
+            let out = matches!(standing.state, PlaceState::Evacuated) || standing.is_bad();
+            just || !out && standing.seems_bad() || standing.kept && standing.seems_bad()
+        };
+        let fallen: Vec<usize> = (0..capacity.len()).filter(fell).collect();
+        let part: f64 = fallen.iter().map(|zone| capacity[*zone]).sum();
+        let unmoved = fallen.iter().any(|zone| self.standings[*zone].given > 0.0);
+        (part > self.bounds.shared_cause + 1e-9 && unmoved).then(|| {
+            format!(
+                "{} of {} zones with {:.0} % of the capacity seem ill at once: nothing moves",
+                fallen.len(),
+                capacity.len(),
+                part * 100.0
+            )
+        })
+    }
+
+    /// How a zone falls without passing a bound.
+    fn how(&self, zone: usize, to: PlaceState) -> Fall {
+        let capacity = self.capacity();
+        let standing = &self.standings[zone];
+        let others = || (0..capacity.len()).filter(|other| *other != zone);
+        let away: f64 = others().map(|other| capacity[other] * (1.0 - self.standings[other].given)).sum();
+        let left = others().filter(|other| self.standings[*other].given > 0.0).count();
+        if away + capacity[zone] > self.bounds.most_away + 1e-9 {
+            return Fall::Kept(format!("no more than {:.0} % may be away", self.bounds.most_away * 100.0));
+        }
+        if left < self.bounds.least_in_service {
+            return Fall::Kept(format!("{} zones have to stay", self.bounds.least_in_service));
+        }
+        let spilled = self
+            .document()
+            .plan
+            .rows
+            .iter()
+            .any(|row| usize::from(row.from.0) != zone && row.part(Zone(zone as u16)) > 0);
+        if to == PlaceState::Ill && spilled && !standing.is_bad() { Fall::Relieved } else { Fall::Out }
+    }
+
+    /// Takes an order, or says why not.
+    pub(crate) fn allow(&mut self, now: Duration, order: Order) -> Result<(), Refusal> {
+        let short = |by: String| by.chars().take(NAME_MOST).collect::<String>();
+        match order {
+            Order::Hold { by } => self.held = Some(Held { by: short(by) }),
+            Order::Release { .. } if self.held.is_none() && self.evacuations.is_empty() => {
+                return Err(Refusal::NothingToRelease);
+            }
+            Order::Release { .. } => {
+                self.held = None;
+                self.evacuations.clear();
+            }
+            Order::Evacuate { mut zones, by, for_ms, anyway } => {
+                zones.sort();
+                zones.dedup();
+                self.bear(&zones, anyway)?;
+                let by = short(by);
+                // The same places again: the time counts anew.
+                self.evacuations.retain(|(e, _)| e.zones != zones);
+                if self.evacuations.len() >= EVACUATIONS_MOST {
+                    return Err(Refusal::TooMany);
+                }
+                let until = for_ms.map(|ms| now.saturating_add(Duration::from_millis(ms)));
+                self.evacuations.push((Evacuation { zones, by, left_ms: for_ms }, until));
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether the rest can bear it that these zones go, besides those that are out already.
+    fn bear(&self, zones: &[Zone], anyway: bool) -> Result<(), Refusal> {
+        let count = self.standings.len();
+        if zones.is_empty() || zones.iter().any(|zone| usize::from(zone.0) >= count) {
+            return Err(Refusal::NoSuchPlace);
+        }
+        let out = self.evacuated() | zones.iter().fold(0, |all, zone| all | bit(*zone));
+        let stays = |zone: &usize| out >> zone & 1 == 0 && self.standings[*zone].given > 0.0;
+        let left = (0..count).filter(stays).count();
+        let least = self.bounds.least_in_service;
+        if left < least {
+            return Err(Refusal::TooFew { left, least });
+        }
+        if anyway {
+            return Ok(());
+        }
+        if self.situation.rooms.is_empty() {
+            return Err(Refusal::NothingKnown);
+        }
+        let capacity = self.capacity();
+        let part = |zone: usize| if out >> zone & 1 == 1 { 1.0 } else { 1.0 - self.standings[zone].given };
+        let away: f64 = (0..count).map(|zone| capacity[zone] * part(zone)).sum();
+        if away > self.bounds.most_away + 1e-9 {
+            return Err(Refusal::TooMuchAway { away, most: self.bounds.most_away });
+        }
+        let (refused_now, _, asked) = self.refused(0);
+        let (refused, room, _) = self.refused(out);
+        if refused > refused_now + COST * asked {
+            return Err(Refusal::NoRoom { asked, refused, refused_now, room });
+        }
+        Ok(())
+    }
+
+    /// What would be refused without these zones, the room that there would be, and what is asked for.
+    fn refused(&self, out: Zones) -> (f64, f64, f64) {
+        let (mut room, mut last) = self.given();
+        each(out).for_each(|zone| (room[zone], last[zone]) = (0.0, 0.0));
+        let shapes = &self.ladders.shapes;
+        let mut asked = vec![0.0; shapes.len()];
+        for ((rule, from), rate) in &self.situation.demand {
+            if let Some(n) = self.ladders.shape(*rule, *from) {
+                asked[n] += rate;
+            }
+        }
+        let (reach, _) = self.ways();
+        let open = vec![true; shapes.len()];
+        let ground = Ground {
+            ladders: &self.ladders,
+            room: &room,
+            last: &last,
+            reach: &reach,
+            open: &open,
+            asked: &asked,
+        };
+        let mut flows = waterfall(&ground);
+        pouring::undo(&ground, &mut flows);
+        (flows.left.iter().sum(), room.iter().sum(), asked.iter().sum())
+    }
+}
--- /dev/null
+++ b/failover/src/plan.rs
@@ -0,0 +1,330 @@
+//! The plan: shares by rule and source, and when a new one takes the place of the one before.
+
+use crate::bounds::Bounds;
+use crate::document::{Plan, ROWS_MOST, Row, Share, WHOLE};
+use crate::flow::{Flows, Ground, waterfall};
+use crate::ladders::{Ladders, Zones, each};
+use crate::pouring;
+use maplehook_locality::Zone;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Shares of one shape, by zone.
+type Shares = Vec<(usize, f64)>;
+
+/// What the planner is told.
+#[derive(Clone, Debug)]
+pub struct Setting<'a> {
+    /// Rules and places.
+    pub ladders: &'a Ladders,
+    /// What each zone can be given.
+    pub room: &'a [f64],
+    /// What each zone that is ill can be given when nothing else is left.
+    pub last: &'a [f64],
+    /// What each zone lists.
+    pub listed: &'a [f64],
+    /// Zones that are reached, by the zone that reaches them.
+    pub reach: &'a [Zones],
+    /// Zones that are not simply serving.
+    pub troubled: Zones,
+    /// What is asked for, by rule and source.
+    pub demand: &'a BTreeMap<(u16, Zone), f64>,
+}
+
+/// Whether the next step is open for want of room.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Gate {
+    open: bool,
+    since: Option<Duration>,
+}
+
+/// What the planner keeps between two plans.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Planner {
+    gates: Vec<Gate>,
+    /// Share of all traffic that may be moved now.
+    may_move: f64,
+    at: Duration,
+}
+
+impl Planner {
+    /// Begins; whoever goes on from another's plan has to wait until it may move anything.
+    pub fn new(now: Duration, may_move: f64) -> Self {
+        Self { gates: Vec::new(), may_move, at: now }
+    }
+
+    /// The plan that takes the place of this one, if one does. `fresh_spare`: also for no more than a larger spare.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        setting: &Setting<'_>,
+        before: &Plan,
+        fresh_spare: bool,
+        bounds: &Bounds,
+    ) -> Option<Plan> {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.may_move = (self.may_move + bounds.most_moved_per_s * passed).min(bounds.most_moved_per_s);
+        self.at = self.at.max(now);
+        let asked = asked(setting);
+        self.turn_gates(now, setting, &asked);
+        let open: Vec<bool> = self.gates.iter().map(|gate| gate.open).collect();
+        let Setting { ladders, room, last, reach, .. } = *setting;
+        let ground = Ground { ladders, room, last, reach, open: &open, asked: &asked };
+        let old = shares_of(before, setting);
+        let mut flows = waterfall(&ground);
+        pouring::undo(&ground, &mut flows);
+        let old_flows = flows_of(&old, &asked, room.len());
+        let mut plan = before.clone();
+        if is_better(&ground, &flows, &old_flows, bounds) {
+            let total: f64 = asked.iter().sum();
+            let moved = moved(&flows, &old_flows) / total.max(1e-12);
+            let part = if moved > self.may_move { self.may_move / moved } else { 1.0 };
+            self.may_move = (self.may_move - moved * part).max(0.0);
+            if part < 1.0 {
+                flows = between(&old_flows, &flows, part);
+                pouring::undo(&ground, &mut flows);
+            }
+            plan.rows = rows(setting, &flows, &asked);
+        } else {
+            flows = old_flows;
+        }
+        let changed = plan.rows != before.rows;
+        let spare = spare(&ground, &flows, bounds);
+        let free = |zone: usize| (room[zone] - flows.load[zone]).max(0.0) as f32;
+        let lent = |zone: usize| before.spare.get(zone).copied().unwrap_or(0.0);
+        let over = (0..room.len()).any(|zone| lent(zone) > free(zone) * 1.001 + 0.001);
+        let less = (0..room.len()).any(|zone| lent(zone) < spare[zone] * 0.7);
+        if changed || over || before.spare.len() != spare.len() || fresh_spare && less {
+            plan.spare = spare;
+            plan.epoch = before.epoch.saturating_add(1);
+            return Some(plan);
+        }
+        None
+    }
+
+    /// Opens and closes the step after the first, with the times that the rules state.
+    fn turn_gates(&mut self, now: Duration, setting: &Setting<'_>, asked: &[f64]) {
+        let shapes = &setting.ladders.shapes;
+        self.gates.resize(shapes.len(), Gate::default());
+        let zones = setting.room.len();
+        let first = |n: usize| {
+            shapes[n].steps.first().map_or(0, |step| step & setting.reach[usize::from(shapes[n].from.0)])
+        };
+        let mut pressure = vec![0.0; zones];
+        for (n, asked) in asked.iter().enumerate() {
+            let step = first(n);
+            let room: f64 = each(step).map(|zone| setting.room[zone]).sum();
+            each(step).filter(|_| room > 0.0).for_each(|z| pressure[z] += asked * setting.room[z] / room);
+        }
+        for (n, gate) in self.gates.iter_mut().enumerate() {
+            let (shape, step) = (&shapes[n], first(n));
+            let sum = |of: &[f64], zones: Zones| each(zones).map(|zone| of[zone]).sum::<f64>();
+            let room = sum(setting.room, step);
+            let load = if room > 0.0 { sum(&pressure, step) / room } else { f64::INFINITY };
+            let listed = sum(setting.listed, shape.steps.first().copied().unwrap_or(0));
+            if room < shape.usable_least * listed {
+                *gate = Gate { open: true, since: None };
+                continue;
+            }
+            let (over, time) = if gate.open {
+                (load < shape.back.min(shape.over), shape.back_for)
+            } else {
+                (load > shape.over, shape.over_for)
+            };
+            if !over {
+                gate.since = None;
+            } else if now.saturating_sub(*gate.since.get_or_insert(now)).as_secs_f64() >= time {
+                *gate = Gate { open: !gate.open, since: None };
+            }
+        }
+    }
+}
+
+/// What is asked for by shape. Who asks for nothing and would be sent into trouble is planned for with next to nothing.
+fn asked(setting: &Setting<'_>) -> Vec<f64> {
+    let shapes = &setting.ladders.shapes;
+    let mut asked = vec![0.0; shapes.len()];
+    for ((rule, from), rate) in setting.demand {
+        if let Some(n) = setting.ladders.shape(*rule, *from) {
+            asked[n] += rate;
+        }
+    }
+    let little = 1e-6 * (1.0 + asked.iter().sum::<f64>());
+    for (asked, shape) in asked.iter_mut().zip(shapes) {
+        if is_troubled(setting, shape.from, shape.steps.first()) {
+            *asked = asked.max(little);
+        }
+    }
+    asked
+}
+
+fn is_troubled(setting: &Setting<'_>, from: Zone, first: Option<&Zones>) -> bool {
+    let reach = setting.reach[usize::from(from.0)];
+    first.is_none_or(|step| step & (setting.troubled | !reach) != 0)
+}
+
+/// Shares that a plan comes to by shape. Who has no row is in the first step, by its rooms.
+fn shares_of(plan: &Plan, setting: &Setting<'_>) -> Vec<Shares> {
+    let shapes = &setting.ladders.shapes;
+    let mut sums: Vec<(f64, Shares)> = vec![(0.0, Vec::new()); shapes.len()];
+    for (rule, from, n) in setting.ladders.all() {
+        let weight = setting.demand.get(&(rule, from)).copied().unwrap_or(0.0) + 1e-9;
+        let default = || first_step(setting, n);
+        let shares = plan.row(rule, from).map_or_else(default, |row| {
+            let part = |share: &Share| (usize::from(share.zone.0), f64::from(share.part) / f64::from(WHOLE));
+            row.to.iter().map(part).filter(|(zone, _)| *zone < setting.room.len()).collect()
+        });
+        let (all, sum) = &mut sums[n];
+        *all += weight;
+        for (zone, share) in shares {
+            match sum.iter_mut().find(|(z, _)| *z == zone) {
+                Some((_, part)) => *part += share * weight,
+                None => sum.push((zone, share * weight)),
+            }
+        }
+    }
+    let mean = |(all, sum): (f64, Shares)| sum.into_iter().map(|(zone, part)| (zone, part / all)).collect();
+    sums.into_iter().map(mean).collect()
+}
+
+fn first_step(setting: &Setting<'_>, shape: usize) -> Shares {
+    let step = setting.ladders.shapes[shape].steps.first().copied().unwrap_or(0);
+    let room: f64 = each(step).map(|zone| setting.room[zone]).sum();
+    let even = 1.0 / f64::from(step.count_ones().max(1));
+    each(step).map(|zone| (zone, if room > 0.0 { setting.room[zone] / room } else { even })).collect()
+}
+
+fn flows_of(shares: &[Shares], asked: &[f64], zones: usize) -> Flows {
+    let mut flows = Flows::none(asked, zones);
+    for (n, shares) in shares.iter().enumerate() {
+        for (zone, share) in shares {
+            flows.add(n, *zone, share * asked[n]);
+            flows.left[n] = (flows.left[n] - share * asked[n]).max(0.0);
+        }
+    }
+    flows
+}
+
+/// What is sent elsewhere than before.
+fn moved(new: &Flows, old: &Flows) -> f64 {
+    let more = |(n, to): (usize, &Shares)| {
+        to.iter().map(|(zone, sent)| (sent - old.sent(n, *zone)).max(0.0)).sum::<f64>()
+    };
+    new.to.iter().enumerate().map(more).sum()
+}
+
+/// A part of the way from one to the other.
+fn between(old: &Flows, new: &Flows, part: f64) -> Flows {
+    let mut flows =
+        Flows { to: vec![Vec::new(); old.to.len()], left: Vec::new(), load: vec![0.0; old.load.len()] };
+    for (of, part) in [(old, 1.0 - part), (new, part)] {
+        for (n, to) in of.to.iter().enumerate() {
+            to.iter().for_each(|(zone, sent)| flows.add(n, *zone, sent * part));
+        }
+    }
+    flows.left = old.left.iter().zip(&new.left).map(|(old, new)| old * (1.0 - part) + new * part).collect();
+    flows
+}
+
+/// Whether a plan gains enough over the one before, or that one sends where nothing can be or more than there is room for.
+fn is_better(ground: &Ground<'_>, new: &Flows, old: &Flows, bounds: &Bounds) -> bool {
+    let total: f64 = ground.asked.iter().sum();
+    let (served, near) = worth(ground, new);
+    let (served_old, near_old) = worth(ground, old);
+    if served - served_old > bounds.gain * total || near - near_old > bounds.gain * total {
+        return true;
+    }
+    let nothing = ground.nothing();
+    let over =
+        |zone: usize, flows: &Flows| flows.load[zone] > ground.cap(zone) * (1.0 + bounds.gain) + nothing;
+    if (0..new.load.len()).any(|zone| over(zone, old) && old.load[zone] > new.load[zone] + nothing) {
+        return true;
+    }
+    // Into what is closed, and would not be any more.
+    let closed = |n: usize, zone: usize| {
+        let shape = &ground.ladders.shapes[n];
+        ground.cap(zone) <= 0.0 || ground.usable(shape) >> zone & 1 == 0
+    };
+    old.to.iter().enumerate().any(|(n, to)| {
+        to.iter().any(|(zone, sent)| *sent > nothing && closed(n, *zone) && new.sent(n, *zone) < sent * 0.5)
+    })
+}
+
+/// What is served of a split as rooms are, and what of it in the first step.
+fn worth(ground: &Ground<'_>, flows: &Flows) -> (f64, f64) {
+    let part: Vec<f64> = (0..flows.load.len())
+        .map(|zone| {
+            let (load, cap) = (flows.load[zone], ground.cap(zone));
+            if load > cap { cap / load } else { 1.0 }
+        })
+        .collect();
+    let (mut served, mut near) = (0.0, 0.0);
+    for (n, to) in flows.to.iter().enumerate() {
+        let shape = &ground.ladders.shapes[n];
+        let usable = ground.usable(shape);
+        for (zone, sent) in to.iter().filter(|(zone, _)| usable >> zone & 1 == 1) {
+            served += sent * part[*zone];
+            if shape.level(*zone) == 0 {
+                near += sent * part[*zone];
+            }
+        }
+    }
+    (served, near)
+}
+
+/// What may be lent beside the plan: a part of what is free, of zones that are given all of their room.
+fn spare(ground: &Ground<'_>, flows: &Flows, bounds: &Bounds) -> Vec<f32> {
+    let of =
+        |zone: usize| ((ground.room[zone] - flows.load[zone]) * bounds.spare.clamp(0.0, 1.0)).max(0.0) as f32;
+    (0..ground.room.len()).map(of).collect()
+}
+
+/// Rows of what does not simply keep to its first step.
+fn rows(setting: &Setting<'_>, flows: &Flows, asked: &[f64]) -> Vec<Row> {
+    let shapes = &setting.ladders.shapes;
+    let parts: Vec<Vec<Share>> =
+        (0..shapes.len()).map(|n| parts(&flows.to[n], flows.left[n], asked[n])).collect();
+    let plain: Vec<bool> = shapes
+        .iter()
+        .zip(&parts)
+        .map(|(shape, parts)| {
+            let whole = parts.iter().map(|share| u32::from(share.part)).sum::<u32>() == u32::from(WHOLE);
+            let near = parts.iter().all(|share| shape.level(usize::from(share.zone.0)) == 0);
+            whole && near && !is_troubled(setting, shape.from, shape.steps.first())
+        })
+        .collect();
+    let mut rows: Vec<(f64, Row)> = Vec::new();
+    for (rule, from, n) in setting.ladders.all() {
+        let rate = setting.demand.get(&(rule, from)).copied().unwrap_or(0.0);
+        let troubled = is_troubled(setting, from, shapes[n].steps.first());
+        if !plain[n] && (rate > 0.0 || troubled) && asked[n] > 0.0 {
+            rows.push((rate, Row { rule, from, to: parts[n].clone() }));
+        }
+    }
+    if rows.len() > ROWS_MOST {
+        rows.sort_by(|a, b| b.0.total_cmp(&a.0));
+        rows.truncate(ROWS_MOST);
+        rows.sort_by_key(|(_, row)| (row.rule, row.from));
+    }
+    rows.into_iter().map(|(_, row)| row).collect()
+}
+
+/// A split in parts of [`WHOLE`]: rounded down, and what rounding leaves goes to the largest if nothing is refused.
+fn parts(to: &[(usize, f64)], left: f64, asked: f64) -> Vec<Share> {
+    if asked <= 0.0 {
+        return Vec::new();
+    }
+    let whole = f64::from(WHOLE);
+    let part = |sent: f64| (sent / asked * whole + 1e-6).floor().clamp(0.0, whole) as u16;
+    let mut shares: Vec<Share> =
+        to.iter().map(|(zone, sent)| Share { zone: Zone(*zone as u16), part: part(*sent) }).collect();
+    shares.retain(|share| share.part > 0);
+    shares.sort_by_key(|share| share.zone);
+    let sum: u16 = shares.iter().map(|share| share.part).fold(0, u16::saturating_add);
+    if left <= asked * 1e-6
+        && let Some(largest) = shares.iter_mut().rev().max_by_key(|share| share.part)
+    {
+        largest.part += WHOLE.saturating_sub(sum);
+    }
+    shares
+}
--- /dev/null
+++ b/failover/src/pouring.rs
@@ -0,0 +1,64 @@
+//! Two places never pour into each other: what would cross is swapped back, and where a rule forbids that, the lesser way is closed.
+
+use crate::flow::{Flows, Ground};
+
+/// A flow that crosses: shape and zone.
+type Crossing = (usize, usize);
+
+/// Takes out what regions, and then zones, would send each other both ways. What a rule names first is its wish and no spill.
+pub fn undo(ground: &Ground<'_>, flows: &mut Flows) {
+    let regions = &ground.ladders.region_of;
+    undo_between(ground, flows, regions, ground.ladders.regions.len());
+    let zones: Vec<usize> = (0..ground.room.len()).collect();
+    undo_between(ground, flows, &zones, zones.len());
+}
+
+fn undo_between(ground: &Ground<'_>, flows: &mut Flows, group_of: &[usize], groups: usize) {
+    let nothing = ground.nothing();
+    let mut crossing: Vec<Vec<Crossing>> = vec![Vec::new(); groups * groups];
+    for (n, to) in flows.to.iter().enumerate() {
+        let shape = &ground.ladders.shapes[n];
+        let here = group_of[usize::from(shape.from.0)];
+        for (zone, sent) in to {
+            let wished = shape.steps.first().is_some_and(|step| step >> zone & 1 == 1);
+            if *sent > nothing && !wished && group_of[*zone] != here {
+                crossing[here * groups + group_of[*zone]].push((n, *zone));
+            }
+        }
+    }
+    for a in 0..groups {
+        for b in a + 1..groups {
+            let (there, back) = (&crossing[a * groups + b], &crossing[b * groups + a]);
+            if there.is_empty() || back.is_empty() {
+                continue;
+            }
+            swap(ground, flows, there, back);
+            let rate =
+                |flows: &Flows, way: &[Crossing]| way.iter().map(|(n, z)| flows.sent(*n, *z)).sum::<f64>();
+            let (out, home) = (rate(flows, there), rate(flows, back));
+            if out > nothing && home > nothing {
+                for (n, zone) in if out < home { there } else { back } {
+                    let sent = flows.sent(*n, *zone);
+                    flows.add(*n, *zone, -sent);
+                    flows.left[*n] += sent;
+                }
+            }
+        }
+    }
+}
+
+/// Who crosses one way takes the place of who crosses the other: loads stay as they are.
+fn swap(ground: &Ground<'_>, flows: &mut Flows, there: &[Crossing], back: &[Crossing]) {
+    let usable = |n: usize, zone: usize| ground.usable(&ground.ladders.shapes[n]) >> zone & 1 == 1;
+    for (n, far) in there {
+        for (m, near) in back {
+            let rate = flows.sent(*n, *far).min(flows.sent(*m, *near));
+            if rate > 0.0 && usable(*n, *near) && usable(*m, *far) {
+                flows.add(*n, *far, -rate);
+                flows.add(*n, *near, rate);
+                flows.add(*m, *near, -rate);
+                flows.add(*m, *far, rate);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/failover/src/room.rs
@@ -0,0 +1,186 @@
+//! How many requests a second each zone can take, and how many are asked for: of figures that may be wrong or made up.
+//!
+//! A room is the median over zones of the medians over their balancers, so that whoever lies has one voice among its zone's, and a
+//! zone one among zones. What adds up over balancers (sent, asked) is capped by balancer.
+
+use crate::evidence::{Views, Word};
+use crate::report::{Report, Sight};
+use maplehook_locality::Zone;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The time over which what is learned of a room follows.
+const FOLLOWS: Duration = Duration::from_secs(20);
+/// What is learned and not seen again is no longer known after this.
+const FORGOTTEN: Duration = Duration::from_secs(900);
+/// Load under which too little is held to learn from.
+const LOAD_LEAST: f64 = 0.15;
+/// Where no room is known, it is taken to be this times what is asked for altogether.
+const CAUTIOUS: f64 = 1.25;
+/// Times the median that one balancer's figures may count.
+const TIMES_MEDIAN: f64 = 4.0;
+/// Times its even part of all room that one balancer's figures may always count.
+const TIMES_EVEN: f64 = 2.0;
+
+/// A zone's room, in requests a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Room {
+    /// What it can take now.
+    pub usable: f64,
+    /// What it could if all of it were well and warm.
+    pub listed: f64,
+    /// Its load over `usable`, as it is seen.
+    pub load: f64,
+}
+
+/// What has been learned of rooms so far.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rooms {
+    /// Requests a second for one of weight, when it was learned last, and when it was last seen.
+    learned: BTreeMap<Zone, (f64, Duration, Duration)>,
+}
+
+/// Figures of one zone before they are rooms.
+#[derive(Clone, Copy, Debug, Default)]
+struct Figures {
+    stated: bool,
+    listed: f64,
+    usable: f64,
+    load: f64,
+    sent: f64,
+}
+
+impl Rooms {
+    /// Rooms by zone, of the reports that are counted. `asked` is what is asked for altogether.
+    pub fn of(
+        &mut self,
+        now: Duration,
+        zones: usize,
+        views: &Views,
+        reports: &[&Report],
+        asked: f64,
+    ) -> Vec<Room> {
+        let figures: Vec<Figures> =
+            (0..zones as u16).map(|zone| figures(Zone(zone), zones, views, reports)).collect();
+        for (n, f) in figures.iter().enumerate().filter(|(_, f)| !f.stated) {
+            self.learn(now, Zone(n as u16), f);
+        }
+        let known = |n: usize| self.learned.get(&Zone(n as u16)).map(|(each, _, _)| *each);
+        let all: Vec<f64> = (0..zones).filter_map(known).collect();
+        let weights: f64 = figures.iter().filter(|f| !f.stated).map(|f| f.usable).sum();
+        // Of nothing known, all unknown zones together are a little more than what is asked for.
+        let unknown = match median(all) {
+            Some(each) => each * 0.5,
+            None if weights > 0.0 => asked.max(1.0) * CAUTIOUS / weights,
+            None => 0.0,
+        };
+        let room = |(n, f): (usize, &Figures)| {
+            let each = if f.stated { 1.0 } else { known(n).unwrap_or(unknown) };
+            let usable = f.usable * each;
+            let load = if f.load > 0.0 {
+                f.load
+            } else if usable > 0.0 {
+                f.sent / usable
+            } else {
+                0.0
+            };
+            Room { usable, listed: f.listed.max(f.usable) * each, load }
+        };
+        figures.iter().enumerate().map(room).collect()
+    }
+
+    fn learn(&mut self, now: Duration, zone: Zone, f: &Figures) {
+        self.learned.retain(|_, (_, _, seen)| now.saturating_sub(*seen) < FORGOTTEN);
+        if f.load < LOAD_LEAST || f.usable <= 0.0 || f.sent < 1.0 {
+            return;
+        }
+        let each = f.sent / (f.load * f.usable);
+        let entry = self.learned.entry(zone).or_insert((each, now, now));
+        let passed = now.saturating_sub(entry.1).as_secs_f64() / FOLLOWS.as_secs_f64();
+        entry.0 += (each - entry.0) * (1.0 - (-passed).exp());
+        (entry.1, entry.2) = (now, now);
+    }
+}
+
+/// The middle one; the lesser of two.
+fn median(mut all: Vec<f64>) -> Option<f64> {
+    all.sort_by(f64::total_cmp);
+    all.get(all.len().saturating_sub(1) / 2).copied()
+}
+
+fn figures(zone: Zone, zones: usize, views: &Views, reports: &[&Report]) -> Figures {
+    let sights: Vec<(Zone, &Sight)> =
+        reports.iter().filter_map(|report| Some((report.zone, sight_of(report, zone)?))).collect();
+    let stated = sights.iter().filter(|(_, sight)| sight.stated).count() * 2 > sights.len();
+    let (mut listed, mut usable, mut loads) = (Vec::new(), Vec::new(), Vec::new());
+    let reached = |from: Zone| views.word(from, zone) != Word::Out;
+    let any =
+        (0..zones as u16).any(|from| sights.iter().any(|(z, _)| *z == Zone(from)) && reached(Zone(from)));
+    for from in (0..zones as u16).map(Zone) {
+        let here: Vec<&Sight> =
+            sights.iter().filter(|(z, s)| *z == from && s.stated == stated).map(|(_, s)| *s).collect();
+        // Whoever does not reach it can't say how much of it is usable.
+        if here.is_empty() || any && !reached(from) {
+            continue;
+        }
+        let of = |figure: fn(&Sight) -> f32| median(here.iter().map(|s| f64::from(figure(s))).collect());
+        listed.extend(of(|s| s.listed));
+        usable.extend(of(|s| s.usable.min(s.listed)));
+        let used = here.iter().filter(|s| s.load > 0.0 && s.sent > 0.0).map(|s| f64::from(s.load)).collect();
+        loads.extend(median(used));
+    }
+    let sent = capped(reports, 0.0, |report| sight_of(report, zone).map_or(0.0, |s| f64::from(s.sent)));
+    Figures {
+        stated,
+        listed: median(listed).unwrap_or(0.0),
+        usable: median(usable).unwrap_or(0.0),
+        load: median(loads).unwrap_or(0.0),
+        sent: sent.iter().sum(),
+    }
+}
+
+fn sight_of(report: &Report, zone: Zone) -> Option<&Sight> {
+    let found = report.sights.binary_search_by_key(&zone, |sight| sight.zone);
+    found.ok().map(|n| &report.sights[n])
+}
+
+/// A figure of each balancer, none more than some times the median of its zone's (of all, where its zone has too few).
+fn capped(reports: &[&Report], floor: f64, figure: impl Fn(&Report) -> f64) -> Vec<f64> {
+    let mut by_zone: BTreeMap<Zone, Vec<f64>> = BTreeMap::new();
+    let all: Vec<f64> = reports.iter().map(|report| figure(report)).collect();
+    for (report, figure) in reports.iter().zip(&all) {
+        by_zone.entry(report.zone).or_default().push(*figure);
+    }
+    let fleet = median(all.iter().copied().filter(|figure| *figure > 0.0).collect()).unwrap_or(0.0);
+    let caps: BTreeMap<Zone, f64> = by_zone
+        .into_iter()
+        .map(|(zone, here)| {
+            let few = here.len() < 3;
+            let median = median(here).unwrap_or(0.0);
+            let of_zone = if few || median <= 0.0 { 2.0 * fleet } else { median };
+            (zone, (TIMES_MEDIAN * of_zone).max(floor))
+        })
+        .collect();
+    // Two voices have no median that says who lies.
+    if reports.len() < 3 {
+        return all;
+    }
+    reports.iter().zip(all).map(|(report, figure)| figure.min(caps[&report.zone])).collect()
+}
+
+/// What is asked for by rule and zone, of the reports that are counted; `room` is that of all zones.
+pub fn demand(reports: &[&Report], room: f64) -> BTreeMap<(u16, Zone), f64> {
+    let floor = TIMES_EVEN * room / reports.len().max(1) as f64;
+    let total = |report: &Report| report.demand.iter().map(|d| f64::from(d.asked)).sum();
+    let capped = capped(reports, floor, total);
+    let mut demand = BTreeMap::new();
+    for (report, capped) in reports.iter().zip(capped) {
+        let total = total(report);
+        if total > 0.0 {
+            for d in &report.demand {
+                *demand.entry((d.rule, report.zone)).or_insert(0.0) += f64::from(d.asked) * capped / total;
+            }
+        }
+    }
+    demand
+}
--- /dev/null
+++ b/failover/src/written.rs
@@ -0,0 +1,90 @@
+//! What stands, written down, and when that is worth being agreed on.
+
+use crate::decider::Decider;
+use crate::document::{Document, Evacuation, Place, PlaceState, Plan};
+use crate::ladders::each;
+use crate::reach::listed;
+use maplehook_locality::Zone;
+use std::time::Duration;
+
+/// A change of what a place is given that is agreed anew.
+const GIVEN: f32 = 0.05;
+
+/// The state shown of a zone, and since when.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Shown {
+    pub state: PlaceState,
+    pub since: Duration,
+    pub older: Duration,
+}
+
+impl Decider {
+    pub(crate) fn differs(&self, document: &Document) -> bool {
+        let agreed = &self.agreed;
+        let place = |(a, b): (&Place, &Place)| {
+            a.state != b.state
+                || a.cut_from != b.cut_from
+                || (a.given - b.given).abs() >= GIVEN
+                || a.given != b.given && (a.given >= 1.0 || b.given >= 1.0)
+        };
+        let same = |a: &Evacuation, b: &Evacuation| (&a.zones, &a.by) == (&b.zones, &b.by);
+        agreed.places.len() != document.places.len()
+            || agreed.places.iter().zip(&document.places).any(place)
+            || agreed.held != document.held
+            || agreed.shared_cause.is_some() != document.shared_cause.is_some()
+            || agreed.evacuations.len() != document.evacuations.len()
+            || !agreed.evacuations.iter().zip(&document.evacuations).all(|(a, b)| same(a, b))
+            || agreed.zones != document.zones
+            || agreed.rules != document.rules
+    }
+
+    /// What stands, written down.
+    pub(crate) fn compose(&mut self, now: Duration, plan: Plan) -> Document {
+        let count = self.standings.len();
+        let mut places = Vec::with_capacity(count);
+        for zone in 0..count {
+            let standing = &self.standings[zone];
+            let seen = self.seen_now.get(zone);
+            let cut = self.cut[zone];
+            let seen_cut = seen.is_some_and(|seen| seen.state == PlaceState::Cut);
+            let was_cut = self.shown[zone].state == PlaceState::Cut;
+            let is_cut = standing.state == PlaceState::Serving && cut != 0 && (seen_cut || was_cut);
+            let state = if is_cut { PlaceState::Cut } else { standing.state };
+            let shown = &mut self.shown[zone];
+            if shown.state != state {
+                *shown = Shown { state, since: now, older: Duration::ZERO };
+            }
+            let names: Vec<&str> = each(cut).map(|from| self.topology.zone_name(Zone(from as u16))).collect();
+            let why =
+                if is_cut { format!("out of reach from {}", names.join(", ")) } else { standing.why.clone() };
+            let room = self.situation.rooms.get(zone).copied().unwrap_or_default();
+            let age = shown.older.saturating_add(now.saturating_sub(shown.since));
+            places.push(Place {
+                state,
+                why,
+                since_ms: age.as_millis().min(u128::from(u64::MAX)) as u64,
+                usable: room.usable as f32,
+                load: room.load as f32,
+                given: standing.given as f32,
+                penalty: standing.penalty.figure(now, &self.bounds.damping) as f32,
+                cut_from: listed(cut),
+                observers: seen.map_or(standing.observers, |seen| seen.observers),
+            });
+        }
+        let left = |until: &Duration| until.saturating_sub(now).as_millis().min(u128::from(u64::MAX)) as u64;
+        let evacuations = self
+            .evacuations
+            .iter()
+            .map(|(e, until)| Evacuation { left_ms: until.as_ref().map(left), ..e.clone() });
+        Document {
+            digest: self.agreed.digest,
+            zones: self.agreed.zones.clone(),
+            rules: self.agreed.rules.clone(),
+            places,
+            plan,
+            evacuations: evacuations.collect(),
+            held: self.held.clone(),
+            shared_cause: self.shared_cause.clone(),
+        }
+    }
+}
