--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -13,8 +13,10 @@
 //! # Ok::<(), maplehook_config::Faults>(())
 //! ```
 
+mod class;
 mod clients;
 mod eureka;
+mod places;
 mod proxy;
 pub mod reader;
 mod shared;
@@ -23,6 +25,7 @@
 
 pub use clients::Clients;
 pub use eureka::{Eureka, Registration, Wanted};
+pub use places::Places;
 pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
 pub use shared::{shared, with_shared};
@@ -50,8 +53,10 @@
         "tier",
         "operator",
         "agreement",
+        "locality",
+        "places",
     ],
-    lists: &["class", "tenant", "upstream"],
+    lists: &["class", "tenant", "upstream", "region", "address"],
 };
 
 /// What an operator sets.
@@ -73,6 +78,8 @@
     pub control: Option<SocketAddr>,
     /// The other balancers.
     pub tier: Option<Tier>,
+    /// The file that a history of what it acts on is written to.
+    pub history: Option<PathBuf>,
 }
 
 /// The signed word of a known client.
@@ -104,6 +111,7 @@
             proxy: None,
             control: None,
             tier: None,
+            history: None,
         }
     }
 }
@@ -172,6 +180,11 @@
     if operator.control.is_some() && !served {
         reader.fault("operator", "address", "of no use without listen.address and [[class]]".into());
     }
+    operator.history = reader.take("operator", "history");
+    let places = operator.proxy.as_ref().is_some_and(|proxy| proxy.places.is_some());
+    if operator.history.is_some() && !places {
+        reader.fault("operator", "history", "of no use without [locality]".into());
+    }
     operator.tier = tier::read(&mut reader, served);
     reader.end()?;
     Ok(operator)
--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -2,11 +2,12 @@
 
 use crate::clients::Clients;
 use crate::eureka::Eureka;
+use crate::places::{self, Places};
 use crate::reader::{Reader, Table};
 use crate::values::{ms, ranged};
-use http::{HeaderName, HeaderValue, Method, StatusCode};
-use lapisroute::{Class, ClassId, DedupGroup, Effect, Settings, Tenant, ZoneId};
-use maplehook_routes::{Answers, Forwarding, Headers, HostRule, Passage, Pattern, Route, Rules};
+use http::{HeaderName, HeaderValue};
+use lapisroute::{Settings, Tenant, ZoneId};
+use maplehook_routes::{Forwarding, Headers, HostRule, Passage, Route, Rules};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -30,6 +31,8 @@
     pub weight: f64,
     /// Whether it gets nothing new, by the operator's word.
     pub drained: bool,
+    /// Requests a second that it can take, where that is stated.
+    pub room: Option<f64>,
 }
 
 /// What a balancer of one's own serves.
@@ -71,6 +74,8 @@
     pub clients: Clients,
     /// The registry that further upstreams are read from.
     pub eureka: Option<Eureka>,
+    /// Zones in regions, and whom its requests go to.
+    pub places: Option<Places>,
 }
 
 impl Proxy {
@@ -80,7 +85,7 @@
         zone: impl Fn(ZoneId) -> ZoneId,
     ) -> impl Iterator<Item = (&str, SocketAddr, ZoneId, f64, bool)> {
         self.upstreams.iter().map(move |upstream| {
-            let Upstream { name, address, zone: of, weight, drained } = upstream;
+            let Upstream { name, address, zone: of, weight, drained, .. } = upstream;
             (name.as_str(), *address, zone(*of), *weight, *drained)
         })
     }
@@ -144,13 +149,15 @@
     }
     for (k, mut table) in tables.into_iter().take(CLASSES_MOST).enumerate() {
         names.push(name(reader, &mut table, &mut seen));
-        let (class, passage) = class(reader, &mut table, k, &mut routes);
+        let (class, passage) = crate::class::read(reader, &mut table, k, &mut routes);
         settings.classes.push(class);
         passages.push(passage);
         reader.done(table);
     }
     let clients = crate::clients::read(reader);
     let eureka = crate::eureka::read(reader);
+    let known = places::Known { classes: &names, tenants: &tenants, zones: &zones };
+    let places = places::read(reader, &known);
     if !own_kind {
         return None;
     }
@@ -191,6 +198,7 @@
         zones,
         clients,
         eureka,
+        places,
     })
 }
 
@@ -312,117 +320,11 @@
             reader.fault_in(&table, "zone", "256 zones at most".into());
         }
         let drained = reader.take_in(&mut table, "drained").unwrap_or(false);
+        let room = ranged!(reader, &mut table, "room_per_s", 0.1..=1e6f64, "0.1 to 1,000,000");
         if let (Some(address), Some(zone)) = (address, zone) {
-            upstreams.push(Upstream { name, address, zone: ZoneId(zone), weight, drained });
+            upstreams.push(Upstream { name, address, zone: ZoneId(zone), weight, drained, room });
         }
         reader.done(table);
     }
     upstreams
 }
-
-fn class<'a>(
-    reader: &mut Reader<'a>,
-    table: &mut Table<'a>,
-    k: usize,
-    routes: &mut Vec<Route>,
-) -> (Class, Passage) {
-    let deadline = Duration::from_millis(
-        ranged!(reader, table, "deadline_ms", 1..=3_600_000u64, "1 to 3,600,000 ms").unwrap_or(30_000),
-    );
-    let aim = ranged!(reader, table, "aim_ms", 1..=3_600_000u64, "1 to 3,600,000 ms");
-    let aim = aim.map_or(deadline / 3, Duration::from_millis).clamp(Duration::from_millis(1), deadline);
-    let ttl = ranged!(reader, table, "key_ttl_ms", 1..=86_400_000u64, "1 to 86,400,000 ms");
-    let group: Option<String> = reader.take_in(table, "dedup");
-    let effect: Option<String> = reader.take_in(table, "effect");
-    let group = match group.as_deref() {
-        None | Some("all") => DedupGroup::All,
-        Some("zone") => DedupGroup::Zone,
-        Some(other) => {
-            reader.fault_in(table, "dedup", format!("{other:?} is neither \"all\" nor \"zone\""));
-            DedupGroup::All
-        }
-    };
-    let effect = match effect.as_deref() {
-        Some("idempotent") => Effect::Idempotent,
-        Some("keyed") => Effect::Deduplicated { group, ttl: Duration::from_millis(ttl.unwrap_or(60_000)) },
-        // What nothing is known of must not run twice.
-        None | Some("at_most_once") => Effect::AtMostOnce,
-        Some(other) => {
-            let what = format!("{other:?} is none of \"idempotent\", \"keyed\", \"at_most_once\"");
-            reader.fault_in(table, "effect", what);
-            Effect::AtMostOnce
-        }
-    };
-    if ttl.is_some() && !matches!(effect, Effect::Deduplicated { .. }) {
-        reader.fault_in(table, "key_ttl_ms", "of use with effect = \"keyed\" alone".into());
-    }
-    let methods: Vec<String> = reader.take_in(table, "methods").unwrap_or_default();
-    let mut read: Vec<Method> = Vec::new();
-    for method in &methods {
-        match method.parse::<Method>() {
-            Ok(m) if m != Method::CONNECT && method.bytes().all(|b| b.is_ascii_uppercase() || b == b'-') => {
-                read.push(m);
-            }
-            _ => reader.fault_in(table, "methods", format!("{method:?} is no method that can be passed on")),
-        }
-    }
-    let path: Option<String> = reader.take_in(table, "path");
-    match path.as_deref().map(Pattern::new) {
-        Some(Ok(pattern)) => {
-            routes.push(Route { class: ClassId(k as u16), pattern, methods: read, effect, deadline });
-        }
-        Some(Err(e)) => reader.fault_in(table, "path", e.to_string()),
-        None => reader.fault_in(table, "path", "it needs a path, as \"/**\"".into()),
-    }
-    let class = Class { aim, deadline, late_worth: 0.5, effect, ..Class::default() };
-    (class, passage(reader, table, effect))
-}
-
-fn passage<'a>(reader: &mut Reader<'a>, table: &mut Table<'a>, effect: Effect) -> Passage {
-    let mut passage = Passage::general(effect);
-    if let Some(n) = ranged!(reader, table, "buffer_bytes", 0..=16usize << 20, "0 to 16 MiB") {
-        passage.buffer = n;
-    }
-    if let Some(n) = ranged!(reader, table, "body_most_bytes", 0..=1u64 << 40, "0 to 2^40") {
-        passage.body_most = n;
-    }
-    let (mut idle, mut total) = passage.patience();
-    if let Some(ms) = ranged!(reader, table, "idle_ms", 1..=86_400_000u64, "1 to 86,400,000 ms") {
-        idle = Duration::from_millis(ms);
-    }
-    if let Some(ms) = ranged!(reader, table, "total_ms", 1..=604_800_000u64, "1 to 604,800,000 ms") {
-        total = Duration::from_millis(ms);
-    }
-    passage.answers = Answers { buffer: passage.buffer, idle, total, ..passage.answers };
-    for (key, statuses) in [
-        ("turned_away", &mut passage.meaning.turned_away),
-        ("overload", &mut passage.meaning.overload),
-        ("error", &mut passage.meaning.error),
-    ] {
-        let Some(codes) = reader.take_in::<Vec<u16>>(table, key) else { continue };
-        let read: Vec<StatusCode> =
-            codes.iter().filter(|c| (200..600).contains(*c)).flat_map(|c| StatusCode::from_u16(*c)).collect();
-        if read.len() != codes.len() {
-            reader.fault_in(table, key, "statuses are 200 to 599".into());
-        }
-        *statuses = read;
-    }
-    let marker: Option<String> = reader.take_in(table, "marker");
-    match marker.as_deref().map(|text| text.split_once(':')) {
-        None => {}
-        Some(Some((name, value))) => match (name.trim().parse(), HeaderValue::from_str(value.trim())) {
-            (Ok(name), Ok(value)) => passage.meaning.marker = Some((name, value)),
-            _ => reader.fault_in(table, "marker", "\"Header: value\"".into()),
-        },
-        Some(None) if marker.as_deref() == Some("") => passage.meaning.marker = None,
-        Some(None) => reader.fault_in(table, "marker", "\"Header: value\", or \"\" for none".into()),
-    }
-    if passage.meaning.marker.is_none()
-        && effect != Effect::Idempotent
-        && !passage.meaning.turned_away.is_empty()
-    {
-        let what = "without a marker, statuses that any failure may have would prove that nothing ran";
-        reader.fault_in(table, "marker", what.into());
-    }
-    passage
-}
--- a/config/src/shared.rs
+++ b/config/src/shared.rs
@@ -1,13 +1,14 @@
 //! The part of an operator's file that balancers share, and the part that is each one's own.
 //!
-//! Shared are classes, tenants, upstreams, headers, lists of clients and limits; each one's own is where it listens, its zone, its name to
+//! Shared are classes, tenants, upstreams, headers, lists of clients, zones in regions with their rules, service addresses and limits; each one's own is where it listens, its zone, its name to
 //! others, and what its machine allows. The shared part is kept as canonical text: the same settings are the same text.
 
 use crate::reader::{Fault, Faults};
 use toml::{Table, Value};
 
 /// Sections that are shared whole.
-const SHARED: [&str; 5] = ["class", "tenant", "upstream", "headers", "clients"];
+const SHARED: [&str; 9] =
+    ["class", "tenant", "upstream", "headers", "clients", "region", "locality", "address", "places"];
 /// Keys of `[balancer]` that are shared.
 const LIMITS: [&str; 5] =
     ["max_attempts", "hedging", "connect_timeout_ms", "upstream_idle_ms", "retry_after_ms"];
--- a/failover/src/document.rs
+++ b/failover/src/document.rs
@@ -168,7 +168,12 @@
     /// From the log; `None` for what is no document.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let document: Self = postcard::from_bytes(bytes).ok()?;
-        let sorted = document.plan.rows.is_sorted_by_key(|row| (row.rule, row.from));
-        (sorted && document.plan.rows.iter().all(Row::is_sound)).then_some(document)
+        document.is_sound().then_some(document)
+    }
+
+    /// Whether its plan is one: rows in order, and each of them sound.
+    pub fn is_sound(&self) -> bool {
+        let rows = &self.plan.rows;
+        rows.is_sorted_by_key(|row| (row.rule, row.from)) && rows.iter().all(Row::is_sound)
     }
 }
--- a/failover/src/evidence.rs
+++ b/failover/src/evidence.rs
@@ -45,13 +45,15 @@
             return Self::Out;
         }
         // Whoever says that more failed than it sent is taken at what it sent.
-        let sent = sight.sent.max(sight.ok);
+        // Probes are worth as much as attempts: zones that serve only their own have no other observers.
+        let sent = sight.sent.max(sight.ok) + sight.probed;
         if sent < ATTEMPTS {
             return Self::Quiet;
         }
-        if sight.unreached >= UNREACHED * sent {
+        let unreached = sight.unreached + sight.unprobed;
+        if unreached >= UNREACHED * sent {
             Self::Out
-        } else if sight.slow + sight.failed + sight.unreached >= BAD * sent {
+        } else if sight.slow + sight.failed + unreached >= BAD * sent {
             Self::Ill
         } else {
             Self::Well
--- a/failover/src/heard.rs
+++ b/failover/src/heard.rs
@@ -102,9 +102,22 @@
 fn is_fine(report: &Report) -> bool {
     let fine = |rate: &f32| rate.is_finite() && (0.0..=1e9).contains(rate);
     let sight = |s: &crate::report::Sight| {
-        [s.listed, s.usable, s.cold, s.sent, s.ok, s.slow, s.failed, s.unreached, s.connect_ms, s.load]
-            .iter()
-            .all(fine)
+        [
+            s.listed,
+            s.usable,
+            s.cold,
+            s.sent,
+            s.ok,
+            s.slow,
+            s.failed,
+            s.unreached,
+            s.connect_ms,
+            s.probed,
+            s.unprobed,
+            s.load,
+        ]
+        .iter()
+        .all(fine)
     };
     report.sights.iter().all(sight) && report.demand.iter().all(|d| fine(&d.asked) && fine(&d.refused))
 }
--- a/failover/src/lib.rs
+++ b/failover/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod reach;
 pub mod report;
 pub mod room;
+mod service;
 mod written;
 
 pub use acting::{Acting, Acts, Shares};
--- a/failover/src/report.rs
+++ b/failover/src/report.rs
@@ -37,6 +37,10 @@
     pub unreached: f32,
     /// Mean time of a new connection, in milliseconds; 0 if none was made.
     pub connect_ms: f32,
+    /// Of the last connections made for no other end than to see whether it is there: how many.
+    pub probed: f32,
+    /// How many of these came to nothing.
+    pub unprobed: f32,
     /// What it holds there against what could be held in good time: 1 is full. 0 if nothing was sent.
     pub load: f32,
 }
@@ -108,9 +112,22 @@
         report.demand.dedup_by_key(|demand| demand.rule);
         let fine = |rate: f32| rate.is_finite() && (0.0..=1e9).contains(&rate);
         let sights = report.sights.iter().all(|s| {
-            [s.listed, s.usable, s.cold, s.sent, s.ok, s.slow, s.failed, s.unreached, s.connect_ms, s.load]
-                .into_iter()
-                .all(fine)
+            [
+                s.listed,
+                s.usable,
+                s.cold,
+                s.sent,
+                s.ok,
+                s.slow,
+                s.failed,
+                s.unreached,
+                s.connect_ms,
+                s.probed,
+                s.unprobed,
+                s.load,
+            ]
+            .into_iter()
+            .all(fine)
         });
         (sights && report.demand.iter().all(|d| fine(d.asked) && fine(d.refused))).then_some(report)
     }
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line, and the operator's file that it names.
 
+use crate::places_command::{Addresses, Places};
 use crate::settings::Settings;
 use crate::tier::{self, Shown};
 use clap::{Args, Parser, Subcommand};
@@ -38,6 +39,11 @@
     /// Versions of settings and lists on which balancers agree. Ends with 0 if it is done, 1 without an answer, 2 if something is
     /// not everywhere yet, 3 if it is refused.
     Settings(Settings),
+    /// Zones, and where requests go. Ends with 0 if it is done or all is well, 1 without an answer, 2 if something is not well, 3 if it
+    /// is refused.
+    Places(Places),
+    /// Shared service addresses. Ends as `places` does.
+    Addresses(Addresses),
     /// Asks who is there of a balancer's tier.
     Tier {
         /// What to ask.
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -1,9 +1,10 @@
-//! Where operators call: `GET /control/ready`, `GET /control/counters` and, of a tier, `GET /control/tier`; HTTP/1.1, one
-//! call to a connection.
+//! Where operators call: `GET /control/ready`, `GET /control/counters`, of a tier `GET /control/tier`, of places what `places.rs`
+//! answers; HTTP/1.1, one call to a connection.
 //!
 //! It has a thread of its own, so that no client, tick or body can keep an operator waiting: the counts are read where
 //! they stand. Callers that send nothing or half a call have so much time and so many places, and make room.
 
+use crate::places::{self, Desk};
 use crate::refusals::linger;
 use crate::signed;
 use crate::tier::Shown;
@@ -57,6 +58,8 @@
     pub refuses: Arc<AtomicBool>,
     /// The versions, if it agrees on some.
     pub settings: Option<Arc<Guard>>,
+    /// Places and addresses, if it takes part in them.
+    pub places: Option<Desk>,
 }
 
 /// Binds the address and answers there until the process ends. Returns the address.
@@ -138,23 +141,31 @@
         "/control/ready" | "/control/counters" => true,
         "/control/tier" => board.tier.is_some(),
         wishes::PATH => board.settings.is_some(),
-        _ => false,
+        places::PLACES | places::ADDRESSES => board.places.is_some(),
+        path => board.places.is_some() && path.starts_with(places::ANNOUNCE),
     };
-    let posts = path == wishes::PATH && *request.method() == Method::POST;
+    let posts = matches!(path, wishes::PATH | places::PLACES) && *request.method() == Method::POST;
     let (status, kind, text) = if !there_is {
         let tier = if board.tier.is_some() { ", /control/tier" } else { "" };
         let settings = if board.settings.is_some() { ", /control/settings" } else { "" };
-        let text = format!("/control/ready, /control/counters{tier}{settings} are what there is\n");
+        let places =
+            if board.places.is_some() { ", /control/places, /control/addresses, /announce/NAME" } else { "" };
+        let text = format!("/control/ready, /control/counters{tier}{settings}{places} are what there is\n");
         (StatusCode::NOT_FOUND, TEXT, text)
     } else if !posts && !matches!(*request.method(), Method::GET | Method::HEAD) {
         (StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET alone\n".into())
     } else if !posts && !request.body().is_end_stream() {
         (StatusCode::BAD_REQUEST, TEXT, "a call has no body\n".into())
     } else {
-        match (path, &board.settings) {
-            ("/control/counters", _) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
-            ("/control/tier", _) => shown(board).await,
-            (wishes::PATH, Some(guard)) => settings(request, guard).await,
+        match (path, &board.settings, &board.places) {
+            ("/control/counters", ..) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
+            ("/control/tier", ..) => shown(board).await,
+            (wishes::PATH, Some(guard), _) => settings(request, guard).await,
+            (places::PLACES, _, Some(desk)) => desk_of(request, desk).await,
+            (places::ADDRESSES, _, Some(desk)) => kind(desk.addresses()),
+            (path, _, Some(desk)) if path.starts_with(places::ANNOUNCE) => {
+                kind(desk.announce(&path[places::ANNOUNCE.len()..]))
+            }
             _ if board.ready.load(Ordering::Acquire) && !board.refuses.load(Ordering::Acquire) => {
                 (StatusCode::OK, TEXT, "yes\n".into())
             }
@@ -173,18 +184,43 @@
 }
 
 async fn settings(request: Request<Incoming>, guard: &Guard) -> (StatusCode, &'static str, String) {
+    let query = request.uri().query().map(str::to_owned);
+    kind(match posted(request, wishes::BODY_MOST).await {
+        Some(Ok((mac, body))) => guard.wish(mac.as_deref(), &body).await,
+        Some(Err(too_long)) => too_long,
+        None => guard.show(query.as_deref()).await,
+    })
+}
+
+async fn desk_of(request: Request<Incoming>, desk: &Desk) -> (StatusCode, &'static str, String) {
+    let query = request.uri().query().map(str::to_owned);
+    kind(match posted(request, places::BODY_MOST).await {
+        Some(Ok((mac, body))) => desk.wish(mac.as_deref(), &body).await,
+        Some(Err(too_long)) => too_long,
+        None => desk.places(query.as_deref()),
+    })
+}
+
+/// The MAC and the body of a `POST`; `None` for what is none.
+async fn posted(
+    request: Request<Incoming>,
+    most: usize,
+) -> Option<Result<(Option<String>, Bytes), (StatusCode, String)>> {
     let (parts, body) = request.into_parts();
-    let (status, text) = if parts.method == Method::POST {
-        let mac = parts.headers.get(signed::MAC).and_then(|mac| mac.to_str().ok());
-        match Limited::new(body, wishes::BODY_MOST).collect().await {
-            Ok(body) => guard.wish(mac, &body.to_bytes()).await,
-            Err(_) => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into()),
-        }
-    } else {
-        guard.show(parts.uri.query()).await
-    };
-    let kind = if status == StatusCode::OK { "application/json" } else { "text/plain" };
-    (status, kind, text)
+    if parts.method != Method::POST {
+        return None;
+    }
+    let mac = parts.headers.get(signed::MAC).and_then(|mac| mac.to_str().ok()).map(str::to_owned);
+    Some(match Limited::new(body, most).collect().await {
+        Ok(body) => Ok((mac, body.to_bytes())),
+        Err(_) => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into())),
+    })
+}
+
+/// What is well is JSON, and so are the reasons that begin as such.
+fn kind((status, text): (StatusCode, String)) -> (StatusCode, &'static str, String) {
+    let json = status == StatusCode::OK || text.starts_with('{');
+    (status, if json { "application/json" } else { "text/plain" }, text)
 }
 
 async fn shown(board: &Board) -> (StatusCode, &'static str, String) {
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,6 +29,8 @@
 mod handover;
 mod hearsay;
 pub mod inherited;
+pub mod places;
+pub mod places_command;
 mod refusals;
 mod requests;
 mod retune;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,7 @@
 use clap::Parser;
 use maplehook_node::command::{self, Command, Line};
 use maplehook_node::config::Config;
+use maplehook_node::settings::Outcome;
 use maplehook_node::{inherited, serve};
 use std::error::Error;
 use std::io;
@@ -29,6 +30,11 @@
     }
 }
 
+fn said(outcome: Outcome) -> ExitCode {
+    print!("{}", outcome.text);
+    ExitCode::from(outcome.code)
+}
+
 fn run(line: &Line, inherited: Option<io::Result<TcpListener>>) -> Result<ExitCode, Box<dyn Error>> {
     match &line.command {
         Some(Command::Check { file }) => {
@@ -45,9 +51,13 @@
             println!("{}", sign.word()?);
         }
         Some(Command::Settings(settings)) => {
-            let outcome = settings.run(&command::operator(line.config.as_deref())?)?;
-            print!("{}", outcome.text);
-            return Ok(ExitCode::from(outcome.code));
+            return Ok(said(settings.run(&command::operator(line.config.as_deref())?)?));
+        }
+        Some(Command::Places(places)) => {
+            return Ok(said(places.run(&command::operator(line.config.as_deref())?)?));
+        }
+        Some(Command::Addresses(addresses)) => {
+            return Ok(said(addresses.run(&command::operator(line.config.as_deref())?)?));
         }
         Some(Command::Tier { what }) => {
             let (text, whole) = what.run()?;
--- /dev/null
+++ b/places/src/history.rs
@@ -0,0 +1,108 @@
+//! What a balancer acts on, written down as it happens, for a judge to read afterwards.
+//!
+//! A thread of its own writes: neither plans nor answers wait for a disk. What does not fit in the queue, or comes after the file
+//! has reached its bound, is left out and counted, and that is said in the file.
+
+use maplehook_histories::{Record, What};
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::Path;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Records that may wait.
+const WAIT_MOST: usize = 4096;
+/// Bytes of a file.
+const BYTES_MOST: u64 = 256 << 20;
+
+/// The machine's Unix clock in microseconds.
+pub fn unix_us() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Where records go; nowhere, where no file is wanted.
+#[derive(Clone, Debug, Default)]
+pub struct Writer(Option<Sink>);
+
+#[derive(Clone, Debug)]
+struct Sink {
+    by: Arc<str>,
+    // A sender is not for two threads at once.
+    queue: Arc<Mutex<SyncSender<Record>>>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl Writer {
+    /// To a file, which is appended to: a balancer that starts again goes on with it.
+    pub fn open(path: &Path, by: &str) -> std::io::Result<Self> {
+        let file = File::options().create(true).append(true).open(path)?;
+        let written = file.metadata()?.len();
+        let (queue, taken) = sync_channel(WAIT_MOST);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let (count, name) = (Arc::clone(&left_out), by.to_owned());
+        std::thread::Builder::new()
+            .name("history".into())
+            .stack_size(256 * 1024)
+            .spawn(move || write(BufWriter::new(file), written, &taken, &count, &name))?;
+        Ok(Self(Some(Sink { by: by.into(), queue: Arc::new(Mutex::new(queue)), left_out })))
+    }
+
+    /// Whether anybody reads what is written.
+    pub fn is_on(&self) -> bool {
+        self.0.is_some()
+    }
+
+    /// Writes down what happens now.
+    pub fn note(&self, what: What) {
+        self.note_at(unix_us(), what);
+    }
+
+    /// Writes down what happened at this time.
+    pub fn note_at(&self, at_us: u64, what: What) {
+        let Some(sink) = &self.0 else { return };
+        let record = Record { at_us, by: sink.by.to_string(), what };
+        let queue = sink.queue.lock().unwrap_or_else(PoisonError::into_inner);
+        if queue.try_send(record).is_err() {
+            sink.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn write(
+    mut file: BufWriter<File>,
+    mut written: u64,
+    taken: &Receiver<Record>,
+    left_out: &AtomicU64,
+    by: &str,
+) {
+    while let Ok(record) = taken.recv() {
+        let mut batch = vec![record];
+        batch.extend(taken.try_iter().take(WAIT_MOST));
+        let missing = left_out.swap(0, Ordering::Relaxed);
+        if missing > 0 {
+            let text = format!("{missing} records are missing here");
+            batch.push(Record { at_us: unix_us(), by: by.to_owned(), what: What::Note { text } });
+        }
+        for record in batch {
+            let Ok(line) = serde_json::to_string(&record) else { continue };
+            written += line.len() as u64 + 1;
+            if written > BYTES_MOST {
+                tracing::warn!("the history has reached its bound of {BYTES_MOST} bytes and ends here");
+                let _ = file.flush();
+                return;
+            }
+            if let Err(e) = writeln!(file, "{line}") {
+                tracing::warn!("the history ends here: {e}");
+                return;
+            }
+        }
+        // A killed process leaves what it has acted on.
+        if let Err(e) = file.flush() {
+            tracing::warn!("the history ends here: {e}");
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/places/src/lead.rs
@@ -0,0 +1,196 @@
+//! The leader's part: it hears reports, decides on places and addresses, and has what it decided agreed on. One body at a time is
+//! on its way to the log; what is decided meanwhile goes with the next.
+
+use crate::config::Config;
+use crate::talk::{Agreed, Reply, Wish};
+use maplehook_addresses::{self as addresses, SiteHealth};
+use maplehook_failover::{self as failover, Report};
+use maplehook_locality::{Region, Zone};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A leader's state. It begins with what stands in the log, whoever wrote it.
+pub struct Leading {
+    config: Config,
+    places: failover::Decider,
+    addresses: addresses::Decider,
+    /// What stands in the log, as far as this leader knows.
+    stands: Agreed,
+    /// What is on its way there.
+    proposed: Option<Agreed>,
+    /// The zone of each balancer that was heard of.
+    zones: BTreeMap<String, (Zone, bool, Duration)>,
+}
+
+/// How long a balancer's word is taken for its site's.
+const FRESH: Duration = Duration::from_secs(3);
+/// How long a silent balancer is still known to be of its zone.
+const REMEMBERED: Duration = Duration::from_secs(120);
+/// Balancers that are kept in mind.
+const HEARD_MOST: usize = 4096;
+
+impl Leading {
+    /// From an election on.
+    pub fn new(config: Config, stands: Agreed, now: Duration) -> Self {
+        let places = failover::Decider::new(
+            config.topology.clone(),
+            config.rules.clone(),
+            config.bounds,
+            Some(&stands.places).filter(|places| !places.zones.is_empty()),
+            now,
+        );
+        let addresses =
+            addresses::Decider::new(config.addresses.clone(), config.sites(), Some(&stands.addresses), now);
+        Self { config, places, addresses, stands, proposed: None, zones: BTreeMap::new() }
+    }
+
+    /// Other rules or places are in force.
+    pub fn retune(&mut self, config: Config, now: Duration) {
+        self.places.retune(config.topology.clone(), config.rules.clone(), now);
+        self.places.set_bounds(config.bounds);
+        self.addresses.retune(config.addresses.clone(), config.sites(), now);
+        self.config = config;
+        // Zones are counted anew.
+        self.zones.clear();
+    }
+
+    /// What a balancer sees.
+    pub fn hear(&mut self, now: Duration, from: &str, report: Report) {
+        let known = self.zones.len() < HEARD_MOST || self.zones.contains_key(from);
+        if known && report.digest == self.config.digest {
+            self.zones.insert(from.to_owned(), (report.zone, report.ready, now));
+        }
+        self.places.hear(now, from, report);
+    }
+
+    /// Time passes: what is to be agreed on, if there is anything new and nothing is on its way. `behind`: balancers that may
+    /// still act on what was agreed before; `in_touch`: those that hold a lease, and whether their program knows places.
+    pub fn tick(
+        &mut self,
+        now: Duration,
+        behind: &[(String, Duration)],
+        in_touch: &[(String, bool)],
+    ) -> Option<Vec<u8>> {
+        if self.proposed.is_some() {
+            return None;
+        }
+        let without = in_touch.iter().filter(|(_, knows)| !knows).count();
+        // Whoever is silent still is a member of its zone, for a while: that all of a zone are silent tells something.
+        self.zones.retain(|_, (.., at)| now.saturating_sub(*at) < REMEMBERED);
+        let members: Vec<(String, Zone)> =
+            self.zones.iter().map(|(name, (zone, ..))| (name.clone(), *zone)).collect();
+        self.places.members(&members, without);
+        let places = self.places.tick(now);
+        let sites = self.sites(now);
+        let behind = self.behind(behind);
+        let addresses = self.addresses.tick(now, &sites, &behind);
+        if places.is_none() && addresses.is_none() {
+            return None;
+        }
+        let stands = self.stands.clone();
+        Some(self.propose(Agreed {
+            places: places.unwrap_or(stands.places),
+            addresses: addresses.unwrap_or(stands.addresses),
+        }))
+    }
+
+    fn propose(&mut self, agreed: Agreed) -> Vec<u8> {
+        let bytes = agreed.encode();
+        self.proposed = Some(agreed);
+        bytes
+    }
+
+    /// An operator's wish: what is to be agreed on for it.
+    pub fn wish(&mut self, now: Duration, by: &str, wish: &Wish) -> Result<Vec<u8>, Reply> {
+        if self.proposed.is_some() {
+            return Err(Reply::Unavailable("another change is on its way; ask again".into()));
+        }
+        let (mut agreed, by) = (self.stands.clone(), by.to_owned());
+        match wish {
+            Wish::Evacuate { place, for_ms, anyway } => {
+                let zones = self.zones_of(place)?;
+                let order = failover::Order::Evacuate { zones, by, for_ms: *for_ms, anyway: *anyway };
+                agreed.places = self.places.order(now, order).map_err(refused)?;
+            }
+            Wish::Hold => {
+                agreed.places = self.places.order(now, failover::Order::Hold { by }).map_err(refused)?;
+            }
+            Wish::Release { place } => {
+                let _zones = place.as_ref().map(|place| self.zones_of(place)).transpose()?;
+                let order = failover::Order::Release { by };
+                agreed.places = self.places.order(now, order).map_err(refused)?;
+            }
+            Wish::Move { name, site, anyway } => {
+                let (name, site) = (name.clone(), site.clone());
+                let order = addresses::Order::Move { name, site, by, anyway: *anyway };
+                agreed.addresses = self.addresses.order(&order).map_err(refused)?;
+            }
+            Wish::Withdraw { name, site, anyway } => {
+                let (name, site) = (name.clone(), site.clone());
+                let order = addresses::Order::Withdraw { name, site, by, anyway: *anyway };
+                agreed.addresses = self.addresses.order(&order).map_err(refused)?;
+            }
+            Wish::Restore { name, site } => {
+                let (name, site) = (name.clone(), site.clone());
+                let order = addresses::Order::Restore { name, site, by };
+                agreed.addresses = self.addresses.order(&order).map_err(refused)?;
+            }
+        }
+        Ok(self.propose(agreed))
+    }
+
+    fn zones_of(&self, place: &str) -> Result<Vec<Zone>, Reply> {
+        let topology = &self.config.topology;
+        match (topology.zone(place), topology.region(place)) {
+            (Some(zone), _) => Ok(vec![zone]),
+            (None, Some(region)) => Ok(topology.zones_of(region).to_vec()),
+            (None, None) => Err(Reply::Refused(format!("there is no zone and no region {place:?}"))),
+        }
+    }
+
+    /// What was proposed stands in the log, or does not.
+    pub fn ended(&mut self, stands: bool) -> Option<&Agreed> {
+        let proposed = self.proposed.take()?;
+        if !stands {
+            return None;
+        }
+        self.places.accepted(&proposed.places);
+        self.addresses.accepted(&proposed.addresses);
+        self.stands = proposed;
+        Some(&self.stands)
+    }
+
+    /// How each site does: what it can serve of its demand by the plan, and who of it is there.
+    fn sites(&self, now: Duration) -> Vec<SiteHealth> {
+        let topology = &self.config.topology;
+        let fresh = |at: Duration| now.saturating_sub(at) < FRESH;
+        let health = |region: Region| {
+            let of_it: Vec<_> =
+                self.zones.values().filter(|(zone, ..)| topology.region_of(*zone) == region).collect();
+            let in_touch = of_it.iter().filter(|(.., at)| fresh(*at)).count();
+            let ready = of_it.iter().filter(|(_, ready, at)| *ready && fresh(*at)).count();
+            let (served, near) = self.places.served(region);
+            SiteHealth { region, served, near, ready, cut_off: in_touch == 0 }
+        };
+        topology.regions().map(health).collect()
+    }
+
+    /// Sites of which somebody may still act on what was agreed before. Whoever was never heard of may be anywhere.
+    fn behind(&self, behind: &[(String, Duration)]) -> BTreeMap<Region, Duration> {
+        let topology = &self.config.topology;
+        let mut regions: BTreeMap<Region, Duration> = BTreeMap::new();
+        for (name, left) in behind {
+            let known = self.zones.get(name).map(|(zone, ..)| topology.region_of(*zone));
+            let of: Vec<Region> = known.map_or_else(|| topology.regions().collect(), |region| vec![region]);
+            for region in of {
+                let most = regions.entry(region).or_default();
+                *most = (*most).max(*left);
+            }
+        }
+        regions
+    }
+}
+
+fn refused(why: impl std::fmt::Display) -> Reply {
+    Reply::Refused(why.to_string())
+}
--- a/places/src/lib.rs
+++ b/places/src/lib.rs
@@ -1,1 +1,20 @@
 //! A balancer reports what it sees of zones, and acts by the plan that is agreed on.
+//!
+//! [`Taking`] is the thread; [`rates`], [`lead`] and [`talk`] decide nothing by a clock of their own. `docs/design/places.md` has the
+//! reasons.
+
+mod act;
+pub mod board;
+pub mod config;
+mod history;
+pub mod lead;
+pub mod rates;
+mod run;
+pub mod shown;
+mod taking;
+pub mod talk;
+mod tell;
+
+pub use board::Board;
+pub use config::Config;
+pub use taking::{Acted, Link, Setup, Taking};
--- /dev/null
+++ b/places/src/run.rs
@@ -0,0 +1,348 @@
+//! The thread on which a balancer takes part in places: it reports what it sees, leads if it is the one to, and says by what to act.
+//!
+//! It shares watched values with the thread that serves: what is seen goes in, shares come out. No request waits for it.
+
+use crate::board::{Board, Stands, Wished};
+use crate::config::Config;
+use crate::lead::Leading;
+use crate::rates::Window;
+use crate::taking::{Acted, Link, Setup};
+use crate::talk::{Agreed, Reply};
+use bytes::Bytes;
+use maplehook_failover::Acting;
+use maplehook_histories::What;
+use maplehook_quorum::{Put, Standing};
+use maplehook_tier::Name;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
+
+/// How often evidence is looked at.
+const TICK: Duration = Duration::from_millis(200);
+/// Ticks between two reports.
+const REPORT_EACH: u64 = 2;
+/// How long a wish that was passed on may take, and a body on its way to the log.
+pub(crate) const WISH: Duration = Duration::from_millis(3000);
+
+/// A body on its way to the log.
+pub(crate) struct OnItsWay {
+    done: oneshot::Receiver<Result<u64, String>>,
+    until: Instant,
+    /// Who is to hear of it.
+    wisher: Option<Wisher>,
+}
+
+/// Who is to hear how a wish ended.
+pub(crate) enum Wisher {
+    Here(oneshot::Sender<Reply>),
+    There(Name, u64),
+}
+
+pub(crate) struct Runner {
+    pub(crate) setup: Setup,
+    pub(crate) board: Board,
+    pub(crate) stands: watch::Sender<Stands>,
+    pub(crate) acted: watch::Sender<Option<Arc<Acted>>>,
+    pub(crate) window: Window,
+    pub(crate) acting: Option<Acting>,
+    pub(crate) agreed: Option<Arc<Agreed>>,
+    pub(crate) number: u64,
+    pub(crate) leading: Option<Leading>,
+    /// When the standing that is looked at came: what it says of time left shrinks from then on.
+    pub(crate) stood_at: Instant,
+    pub(crate) on_its_way: Option<OnItsWay>,
+    pub(crate) passed_on: BTreeMap<u64, (oneshot::Sender<Reply>, Instant)>,
+    pub(crate) reports: u64,
+    pub(crate) ticks: u64,
+    /// The epoch that a history says is acted on.
+    pub(crate) noted: Option<(u64, bool)>,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        setup: Setup,
+        board: Board,
+        stands: watch::Sender<Stands>,
+        acted: watch::Sender<Option<Arc<Acted>>>,
+    ) -> Self {
+        Self {
+            setup,
+            board,
+            stands,
+            acted,
+            window: Window::default(),
+            acting: None,
+            agreed: None,
+            number: 0,
+            leading: None,
+            stood_at: Instant::now(),
+            on_its_way: None,
+            passed_on: BTreeMap::new(),
+            reports: 0,
+            ticks: 0,
+            noted: None,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.board.epoch.elapsed()
+    }
+
+    pub(crate) fn config(&self) -> Option<Arc<Config>> {
+        self.setup.config.borrow().clone()
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        self.setup.link.as_ref().map(|link| link.standing.borrow().clone()).unwrap_or_default()
+    }
+
+    pub(crate) async fn run(
+        mut self,
+        mut wished: mpsc::Receiver<Wished>,
+        mut stopped: oneshot::Receiver<()>,
+    ) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut seen = self.setup.seen.clone();
+        let mut config = self.setup.config.clone();
+        let mut standing = self.setup.link.as_ref().map(|link| link.standing.clone());
+        self.configured();
+        loop {
+            let until = self.standing().until.map(tokio::time::Instant::from_std);
+            let runs_out = until.filter(|until| *until > tokio::time::Instant::now());
+            tokio::select! {
+                _ = &mut stopped => break,
+                _ = ticks.tick() => self.tick(),
+                Ok(()) = seen.changed() => {
+                    let seen = seen.borrow_and_update().clone();
+                    self.window.push(seen);
+                }
+                Ok(()) = config.changed() => {
+                    config.borrow_and_update();
+                    self.configured();
+                }
+                Ok(()) = changed(&mut standing) => {
+                    self.stood_at = Instant::now();
+                    self.stood();
+                }
+                Some((from, body)) = heard(&mut self.setup.link) => self.hear(&from, &body),
+                Some((wish, reply)) = wished.recv() => self.wish(wish, Wisher::Here(reply), None),
+                ended = done(&mut self.on_its_way) => self.ended(ended),
+                // A lease that has run out is over at once, not at the next tick.
+                () = sleep_until(runs_out.unwrap_or_else(tokio::time::Instant::now)), if runs_out.is_some() => {
+                    self.act();
+                }
+            }
+        }
+        if let Some((epoch, _)) = self.noted {
+            self.board.writer.note(What::Ceases { epoch });
+        }
+    }
+
+    /// Another version, or the first.
+    fn configured(&mut self) {
+        let now = self.now();
+        let Some(config) = self.config() else {
+            (self.acting, self.leading) = (None, None);
+            self.acted.send_replace(None);
+            return;
+        };
+        match &mut self.acting {
+            Some(acting) => acting.retune(config.topology.clone(), config.rules.clone(), config.own),
+            None => {
+                let (topology, rules) = (config.topology.clone(), config.rules.clone());
+                let mut acting = Acting::new(topology, rules, config.own, now);
+                acting.balancers(self.setup.balancers);
+                if let Some(agreed) = &self.agreed {
+                    acting.agreed(&agreed.places);
+                }
+                self.acting = Some(acting);
+            }
+        }
+        if let Some(leading) = &mut self.leading {
+            leading.retune((*config).clone(), now);
+        }
+        self.act();
+    }
+
+    /// What is agreed on has changed, or who leads, or the lease.
+    fn stood(&mut self) {
+        let standing = self.standing();
+        if let Some(common) = standing.common.as_ref().filter(|common| common.number != self.number) {
+            match Agreed::decode(&common.body) {
+                Some(agreed) => {
+                    self.note_agreed(&agreed);
+                    if let Some(acting) = &mut self.acting {
+                        acting.agreed(&agreed.places);
+                    }
+                    (self.agreed, self.number) = (Some(Arc::new(agreed)), common.number);
+                    self.stands.send_modify(|stands| {
+                        stands.agreed = self.agreed.clone().map(|agreed| (agreed, self.stood_at));
+                        stands.number = self.number;
+                    });
+                }
+                None => {
+                    tracing::error!(number = common.number, "what is agreed on of places can't be read here");
+                }
+            }
+        }
+        self.lead(&standing);
+        self.act();
+        if let Some(link) = &self.setup.link {
+            let number = self.number;
+            link.acts.send_if_modified(|acts| std::mem::replace(acts, number) != number);
+        }
+    }
+
+    /// This one leads from now on, or no more.
+    fn lead(&mut self, standing: &Standing) {
+        let Some(config) = self.config().filter(|_| standing.leads) else {
+            if self.leading.take().is_some() {
+                tracing::info!("leads places no more");
+                self.give_up("the leader has lost its place");
+            }
+            return;
+        };
+        if self.leading.is_none() {
+            let stands = standing.agreed.as_ref().map(|agreed| Agreed::decode(&agreed.body));
+            let stands = match stands {
+                Some(None) => {
+                    tracing::error!(
+                        "what stands in the log of places can't be read here: it is written anew"
+                    );
+                    Agreed::default()
+                }
+                Some(Some(agreed)) => {
+                    self.note_agreed(&agreed);
+                    agreed
+                }
+                None => Agreed::default(),
+            };
+            tracing::info!("leads places");
+            self.leading = Some(Leading::new((*config).clone(), stands, self.now()));
+        }
+    }
+
+    fn note_agreed(&self, agreed: &Agreed) {
+        let plan = &agreed.places.plan;
+        if plan.epoch > 0 && self.board.writer.is_on() {
+            let digest = maplehook_agreement::steps::digest(&format!("{:?}", plan.rows));
+            self.board.writer.note(What::Agreed { epoch: plan.epoch, digest: digest[..16].to_owned() });
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        if self.ticks.is_multiple_of(REPORT_EACH) {
+            self.report();
+        }
+        self.served();
+        self.act();
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.passed_on.iter().filter(|(_, (_, until))| now > *until).map(|(ticket, _)| *ticket).collect();
+        for ticket in over {
+            if let Some((reply, _)) = self.passed_on.remove(&ticket) {
+                let _ = reply.send(Reply::Unavailable("the leader does not answer".into()));
+            }
+        }
+        if self.on_its_way.as_ref().is_some_and(|on| now > on.until) {
+            self.ended(Err("no answer".into()));
+        }
+        self.decide();
+    }
+
+    fn decide(&mut self) {
+        let (now, standing) = (self.now(), self.standing());
+        let Some(leading) = &mut self.leading else { return };
+        if self.on_its_way.is_some() {
+            return;
+        }
+        let aged = self.stood_at.elapsed();
+        let behind: Vec<(String, Duration)> = standing
+            .behind
+            .iter()
+            .map(|behind| (behind.name.to_string(), behind.left.saturating_sub(aged)))
+            .filter(|(_, left)| !left.is_zero())
+            .collect();
+        let in_touch: Vec<(String, bool)> =
+            standing.members.iter().map(|(name, acts)| (name.to_string(), acts.is_some())).collect();
+        if let Some(body) = leading.tick(now, &behind, &in_touch) {
+            self.put(body, None);
+        }
+    }
+
+    pub(crate) fn put(&mut self, body: Vec<u8>, wisher: Option<Wisher>) {
+        let expect = self.standing().agreed.map_or(0, |agreed| agreed.number);
+        let (done, ended) = oneshot::channel();
+        let sent = match &self.setup.link {
+            Some(link) => link.places.put.try_send(Put { expect, body, done }).is_ok(),
+            None => false,
+        };
+        self.on_its_way = Some(OnItsWay { done: ended, until: Instant::now() + WISH, wisher });
+        if !sent {
+            self.ended(Err("the agreement's thread is busy".into()));
+        }
+    }
+
+    fn ended(&mut self, ended: Result<u64, String>) {
+        let wisher = self.on_its_way.take().and_then(|on| on.wisher);
+        let reply = match &ended {
+            Ok(number) => Reply::Done(*number),
+            Err(why) => Reply::Unavailable(why.clone()),
+        };
+        if let Err(why) = &ended {
+            tracing::info!("a change of places is not agreed on: {why}");
+        }
+        match &mut self.leading {
+            Some(leading) if ended.is_ok() => {
+                let agreed = leading.ended(true).cloned();
+                if let Some(agreed) = agreed {
+                    self.note_agreed(&agreed);
+                }
+            }
+            // Whether it stands in the log is not known: the log is read again.
+            _ => {
+                self.leading = None;
+                let standing = self.standing();
+                self.lead(&standing);
+            }
+        }
+        if let Some(wisher) = wisher {
+            self.end(wisher, reply);
+        }
+    }
+
+    fn give_up(&mut self, why: &str) {
+        if let Some(wisher) = self.on_its_way.take().and_then(|on| on.wisher) {
+            self.end(wisher, Reply::Unavailable(why.into()));
+        }
+    }
+}
+
+async fn changed(standing: &mut Option<watch::Receiver<Standing>>) -> Result<(), watch::error::RecvError> {
+    match standing {
+        Some(standing) => {
+            standing.changed().await?;
+            standing.borrow_and_update();
+            Ok(())
+        }
+        None => std::future::pending().await,
+    }
+}
+
+async fn heard(link: &mut Option<Link>) -> Option<(Name, Bytes)> {
+    match link {
+        Some(link) => link.places.heard.recv().await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn done(on_its_way: &mut Option<OnItsWay>) -> Result<u64, String> {
+    match on_its_way {
+        Some(on) => (&mut on.done).await.unwrap_or_else(|_| Err("this voter leads no more".into())),
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/places/src/taking.rs
@@ -0,0 +1,111 @@
+//! A balancer's part in places as whoever serves sees it: a thread that is started, watched, and ends.
+
+use crate::board::{Board, Stands};
+use crate::config::Config;
+use crate::history::Writer;
+use crate::rates::Seen;
+use crate::run::Runner;
+use maplehook_failover::Acts;
+use maplehook_quorum::{Places, Standing};
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Instant;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Wishes that may be under way.
+pub(crate) const WISHES_MOST: usize = 16;
+
+/// A balancer's part in the agreement, as far as places go.
+pub struct Link {
+    /// How it stands with what is agreed on.
+    pub standing: watch::Receiver<Standing>,
+    /// By which number is acted.
+    pub acts: watch::Sender<u64>,
+    /// The ways.
+    pub places: Places,
+}
+
+/// What it takes part with.
+pub struct Setup {
+    /// Its name, in reports and histories.
+    pub name: String,
+    /// Its start, which rises with each.
+    pub start: u64,
+    /// What is in force; another one whenever a version changes it. `None`: this version has no places.
+    pub config: watch::Receiver<Option<Arc<Config>>>,
+    /// What is seen.
+    pub seen: watch::Receiver<Seen>,
+    /// The agreement, where there is one.
+    pub link: Option<Link>,
+    /// How many balancers there are, this one among them.
+    pub balancers: usize,
+    /// Whether this balancer takes clients.
+    pub ready: Arc<AtomicBool>,
+    /// The file that a history goes to.
+    pub history: Option<PathBuf>,
+}
+
+/// A balancer's part in places; it ends when this is dropped.
+pub struct Taking {
+    /// By what to act; `None` before there is anything, and where the version has no places.
+    pub acted: watch::Receiver<Option<Arc<Acted>>>,
+    /// Answers operators and routers.
+    pub board: Board,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// What is acted on here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Acted {
+    /// What it rests on.
+    pub config: Arc<Config>,
+    /// Shares, rule by rule.
+    pub acts: Acts,
+}
+
+impl Taking {
+    /// Begins.
+    pub fn start(setup: Setup) -> Result<Self, String> {
+        let writer = match &setup.history {
+            Some(path) => Writer::open(path, &setup.name)
+                .map_err(|e| format!("operator.history: {}: {e}", path.display()))?,
+            None => Writer::default(),
+        };
+        let (stands, shows) = watch::channel(Stands::default());
+        let (acted_to, acted) = watch::channel(None);
+        let (wishes, wished) = mpsc::channel(WISHES_MOST);
+        let (stop, stopped) = oneshot::channel();
+        let epoch = Instant::now();
+        let board = Board {
+            stands: shows,
+            standing: setup.link.as_ref().map(|link| link.standing.clone()),
+            wishes,
+            past: Arc::new(Mutex::new(VecDeque::new())),
+            writer: writer.clone(),
+            epoch,
+            ready: Arc::clone(&setup.ready),
+        };
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        let runner = Runner::new(setup, board.clone(), stands, acted_to);
+        let thread = std::thread::Builder::new()
+            .name("places".into())
+            .stack_size(1024 * 1024)
+            .spawn(move || runtime.block_on(runner.run(wished, stopped)))
+            .map_err(|e| e.to_string())?;
+        Ok(Self { acted, board, stop: Some(stop), thread: Some(thread) })
+    }
+}
+
+impl Drop for Taking {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/places/src/tell.rs
@@ -0,0 +1,118 @@
+//! What a balancer says to others of places, what it hears, and operators' wishes.
+
+use crate::run::{Runner, WISH, Wisher};
+use crate::taking::WISHES_MOST;
+use crate::talk::{Reply, Say, Wish};
+use bytes::Bytes;
+use maplehook_failover::{Report, Sight};
+use maplehook_link::frames::Message;
+use maplehook_quorum::PLACES;
+use maplehook_tier::Name;
+use std::time::Instant;
+
+impl Runner {
+    pub(crate) fn end(&mut self, wisher: Wisher, reply: Reply) {
+        match wisher {
+            // Whoever asked may have given up.
+            Wisher::Here(to) => drop(to.send(reply)),
+            Wisher::There(name, ticket) => self.tell(&name, &Say::End { ticket, reply }),
+        }
+    }
+
+    fn tell(&self, to: &Name, say: &Say) {
+        let Ok(body) = postcard::to_allocvec(say) else { return };
+        if let Some(link) = &self.setup.link {
+            // What does not fit is lost, as on a way.
+            let _ = link.places.say.try_send((to.clone(), Message { topic: PLACES, body: body.into() }));
+        }
+    }
+
+    pub(crate) fn report(&mut self) {
+        let (Some(config), Some(last)) = (self.config(), self.window.last()) else { return };
+        let ready = last.ready;
+        let (sights, demand) = self.window.rates();
+        self.reports += 1;
+        let report = Report {
+            number: self.reports,
+            start: self.setup.start,
+            zone: config.own,
+            digest: config.digest,
+            epoch: self.noted.filter(|(_, common)| *common).map_or(0, |(epoch, _)| epoch),
+            ready,
+            sights,
+            demand,
+        };
+        let now = self.now();
+        if let Some(leading) = &mut self.leading {
+            leading.hear(now, &self.setup.name, report);
+        } else if let Some(leader) = self.standing().leader {
+            self.tell(&leader, &Say::Report(report.encode()));
+        }
+    }
+
+    /// Share of the own clients' demand that is served, by own evidence.
+    pub(crate) fn served(&mut self) {
+        let (sights, demand) = self.window.rates();
+        let sum = |of: &dyn Fn(&Sight) -> f32| sights.iter().map(of).sum::<f32>();
+        let (asked, refused) = demand.iter().fold((0.0f32, 0.0f32), |(a, r), d| (a + d.asked, r + d.refused));
+        let admitted = if asked > 0.0 { ((asked - refused) / asked).clamp(0.0, 1.0) } else { 1.0 };
+        let (ok, bad) = (sum(&|s| s.ok), sum(&|s| s.slow + s.failed + s.unreached));
+        let answered = if ok + bad > 0.0 { ok / (ok + bad) } else { 1.0 };
+        let served = f64::from(admitted * answered);
+        self.stands.send_if_modified(|stands| std::mem::replace(&mut stands.served, served) != served);
+    }
+
+    pub(crate) fn hear(&mut self, from: &Name, body: &Bytes) {
+        let Ok(say) = postcard::from_bytes::<Say>(body) else {
+            tracing::debug!(%from, "a message on places can't be read");
+            return;
+        };
+        let now = self.now();
+        match say {
+            Say::Report(bytes) => {
+                if let (Some(leading), Some(report)) = (&mut self.leading, Report::decode(&bytes)) {
+                    leading.hear(now, from.as_str(), report);
+                }
+            }
+            Say::Wish { ticket, by, wish } => self.wish(wish, Wisher::There(from.clone(), ticket), Some(by)),
+            Say::End { ticket, reply } => {
+                if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
+                    let _ = wisher.send(reply);
+                }
+            }
+        }
+    }
+
+    /// An operator wants something, here or at another balancer.
+    pub(crate) fn wish(&mut self, wish: Wish, wisher: Wisher, by: Option<String>) {
+        let now = self.now();
+        if let Some(leading) = &mut self.leading {
+            let by = by.unwrap_or_else(|| self.setup.name.clone());
+            if self.on_its_way.is_some() {
+                return self
+                    .end(wisher, Reply::Unavailable("another change is on its way; ask again".into()));
+            }
+            match leading.wish(now, &by, &wish) {
+                Ok(body) => self.put(body, Some(wisher)),
+                Err(reply) => self.end(wisher, reply),
+            }
+            return;
+        }
+        let leader = self.standing().leader.filter(|leader| leader.as_str() != self.setup.name);
+        match (wisher, leader) {
+            (Wisher::Here(reply), Some(leader)) if self.passed_on.len() < WISHES_MOST => {
+                let ticket = fastrand::u64(..);
+                self.passed_on.insert(ticket, (reply, Instant::now() + WISH));
+                let by = self.setup.name.clone();
+                self.tell(&leader, &Say::Wish { ticket, by, wish });
+            }
+            (wisher, _) => {
+                let why = match &self.setup.link {
+                    Some(_) => "nobody leads: a majority of the voters can't be reached from here",
+                    None => "without [agreement] nothing is decided in common",
+                };
+                self.end(wisher, Reply::Unavailable(why.into()));
+            }
+        }
+    }
+}
