--- a/locality/src/language/check.rs
+++ b/locality/src/language/check.rs
@@ -3,7 +3,7 @@
 use super::ast::{At, Clause, Named, PlaceText, RuleText, StepText, Subject};
 use super::fault::{Faults, nearest};
 use super::parser::Parsed;
-use super::{NAME_MOST, Names, reach};
+use super::{NAME_MOST, Names, STEPS_MOST, reach};
 use crate::rules::{Place, RULES_MOST, Rule, Rules, Spill, Step, WhenLost};
 use crate::topology::{Topology, Zone};
 use std::collections::{BTreeMap, BTreeSet};
@@ -150,6 +150,9 @@
         if self.whole && steps.is_empty() {
             self.faults.add(at, || format!("rule `{}` has no `prefer`", text.name.node));
         }
+        if let Some(first) = steps.get(STEPS_MOST) {
+            self.faults.add(first.span.start, || format!("{STEPS_MOST} steps at most"));
+        }
         if subjects.is_some() && text.name.node == "default" {
             self.faults
                 .add(at, || "`default` is the name of the rule for all others, which has no `for`".into());
--- a/locality/src/language/lexer.rs
+++ b/locality/src/language/lexer.rs
@@ -44,9 +44,11 @@
 }
 
 fn name<'a>(input: &mut Input<'a>) -> ModalResult<Kind<'a>> {
-    let piece = alt((('\\', any).void(), one_of(|c| !matches!(c, '"' | '\\' | '\n')).void()));
+    // Never past the line: each line would be looked through again by the next.
+    let piece =
+        alt((('\\', one_of(|c| c != '\n')).void(), one_of(|c| !matches!(c, '"' | '\\' | '\n')).void()));
     let pieces = winnow::combinator::repeat::<_, _, (), _, _>(0.., piece).take();
-    let closed = delimited('"', pieces.verify(|inner: &str| !inner.contains('\n')), '"').map(Kind::Name);
+    let closed = delimited('"', pieces, '"').map(Kind::Name);
     alt((closed, ('"', take_till(0.., '\n')).map(|_| Kind::Open))).parse_next(input)
 }
 
--- a/locality/src/language/mod.rs
+++ b/locality/src/language/mod.rs
@@ -20,7 +20,7 @@
 //! - The rule without `for` is for whomever no other fits, wherever it stands, and is the last of [`Rules`]; there is one at most.
 //!   If none is written, [`Rule::near_first`] is added by the name `default`, which no rule with a `for` may bear. It is never
 //!   unreachable: it is also for classes and tenants that a request names and nobody knows.
-//! - [`RULES_MOST`] counts it, written or added.
+//! - [`RULES_MOST`] counts it, written or added; a rule has [`STEPS_MOST`] steps at the most.
 //! - Where a deployment has no class or no tenant by name, the tables have one each.
 //! - `own region` has the own zone too if no step before it led there; a step never leads to a zone twice.
 //! - A way whose time is not known when a text is compiled may turn out near: no step is called unreachable for it.
@@ -56,6 +56,8 @@
 pub const TEXT_MOST: usize = 64 * 1024;
 /// The most characters of a rule's name.
 pub const NAME_MOST: usize = 64;
+/// The most steps of one rule.
+pub const STEPS_MOST: usize = 64;
 
 /// The names that a text may use, by position as in the tables.
 #[derive(Clone, Copy, Debug)]
--- a/locality/src/language/reach.rs
+++ b/locality/src/language/reach.rs
@@ -2,8 +2,8 @@
 
 use super::ast::{At, StepText};
 use super::fault::Faults;
-use crate::rules::{Place, Rule};
-use crate::topology::{Topology, Zone};
+use crate::rules::Rule;
+use crate::topology::Topology;
 use std::ops::Range;
 use std::time::Duration;
 
@@ -44,7 +44,7 @@
         for (step, comes) in rule.steps.iter().zip(&mut comes) {
             // No bound is further than any that can be written.
             let within = step.within.unwrap_or(Duration::MAX);
-            for zone in led_to(step.place, from, topology) {
+            for zone in step.place.zones(topology, from) {
                 let trip = topology.trip(from, zone);
                 let place = &mut taken[usize::from(zone.0)];
                 // A known way is as good as any longer bound once it is within one.
@@ -80,13 +80,3 @@
         faults.add(step.span.start, || format!("step `{}` leads nowhere: {why}", step.node));
     }
 }
-
-fn led_to(place: Place, from: Zone, topology: &Topology) -> Vec<Zone> {
-    match place {
-        Place::OwnZone => vec![from],
-        Place::OwnRegion => topology.zones_of(topology.region_of(from)).to_vec(),
-        Place::Zone(zone) => vec![zone],
-        Place::Region(region) => topology.zones_of(region).to_vec(),
-        Place::Anywhere => topology.zones().collect(),
-    }
-}
--- a/locality/src/rules.rs
+++ b/locality/src/rules.rs
@@ -22,6 +22,19 @@
     Anywhere,
 }
 
+impl Place {
+    /// The zones that it names for requests that came into a zone.
+    pub fn zones(self, topology: &Topology, from: Zone) -> Vec<Zone> {
+        match self {
+            Self::OwnZone => vec![from],
+            Self::OwnRegion => topology.zones_of(topology.region_of(from)).to_vec(),
+            Self::Zone(zone) => vec![zone],
+            Self::Region(region) => topology.zones_of(region).to_vec(),
+            Self::Anywhere => topology.zones().collect(),
+        }
+    }
+}
+
 /// One step of `prefer`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Step {
@@ -98,13 +111,7 @@
     pub fn ladder(&self, topology: &Topology, from: Zone) -> Vec<Vec<Zone>> {
         let (mut taken, mut ladder) = (Vec::new(), Vec::new());
         for step in &self.steps {
-            let zones: Vec<Zone> = match step.place {
-                Place::OwnZone => vec![from],
-                Place::OwnRegion => topology.zones_of(topology.region_of(from)).to_vec(),
-                Place::Zone(zone) => vec![zone],
-                Place::Region(region) => topology.zones_of(region).to_vec(),
-                Place::Anywhere => topology.zones().collect(),
-            };
+            let zones = step.place.zones(topology, from);
             let near = |zone: &Zone| {
                 step.within.is_none_or(|most| topology.trip(from, *zone).is_some_and(|trip| trip <= most))
             };
--- a/locality/tests/language.rs
+++ b/locality/tests/language.rs
@@ -204,6 +204,9 @@
     let told = compile(&more, &names).unwrap_err();
     assert_eq!((told.len(), told[0].line, told[0].column), (1, RULES_MOST, 6), "{told:?}");
     assert!(compile(&format!("{most}rule rest {{ prefer own zone; }}"), &names).is_ok());
+    let steps: String = (1..=65).map(|n| format!("zone \"giza\" within {n}us > ")).collect();
+    let told = compile(&format!("rule a {{ prefer {steps} anywhere; }}"), &names).unwrap_err();
+    assert_eq!((told.len(), told[0].what.as_str()), (1, "64 steps at most"));
     let long = "#".repeat(65536);
     assert!(compile(&long, &names).is_ok());
     let told = compile(&format!("{long}\n"), &names).unwrap_err();
--- /dev/null
+++ b/locality/tests/round_trip.rs
@@ -0,0 +1,232 @@
+//! Printed and read again a text says the same; and whatever bytes come, faults lie inside them.
+
+use maplehook_locality::Topology;
+use maplehook_locality::language::ast::{
+    At, Clause, ClauseText, Named, Over, Percent, PlaceText, RuleText, StepText, Subject, Text,
+};
+use maplehook_locality::language::{FAULTS_MOST, Fault, Names, compile, format, parse};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::time::Duration;
+
+fn at<T>(node: T) -> At<T> {
+    At::nowhere(node)
+}
+
+fn comment() -> impl Strategy<Value = String> {
+    prop_oneof![Just(" plain".to_owned()), "[^\n]{0,12}".prop_map(|text| text.trim_end().to_owned())]
+}
+
+fn comments() -> impl Strategy<Value = Vec<String>> {
+    prop_oneof![3 => Just(Vec::new()), 1 => prop::collection::vec(comment(), 1..3)]
+}
+
+fn name() -> impl Strategy<Value = String> {
+    prop_oneof![Just("giza".to_owned()), "[^\n]{0,8}", "[\"\\\\a# ;]{0,5}"]
+}
+
+fn named() -> impl Strategy<Value = Named> {
+    prop_oneof![name().prop_map(Named::Zone), name().prop_map(Named::Region)]
+}
+
+fn percent() -> impl Strategy<Value = At<Percent>> {
+    prop_oneof![(0u32..=100).prop_map(|n| n * 10_000), 0u32..=1_000_000].prop_map(|n| at(Percent(n)))
+}
+
+fn time(most: u64) -> impl Strategy<Value = At<Duration>> {
+    prop_oneof![1..=most, (1..=most / 1000).prop_map(|ms| ms * 1000), Just(most)]
+        .prop_map(|micros| at(Duration::from_micros(micros)))
+}
+
+fn step() -> impl Strategy<Value = At<StepText>> {
+    let own = Just(at(StepText { place: PlaceText::OwnZone, within: None }));
+    let place = prop_oneof![
+        Just(PlaceText::OwnRegion),
+        Just(PlaceText::Anywhere),
+        named().prop_map(PlaceText::Named),
+    ];
+    let other = (place, prop::option::of(time(60_000_000)));
+    prop_oneof![own, other.prop_map(|(place, within)| at(StepText { place, within }))]
+}
+
+fn clauses() -> impl Strategy<Value = Vec<ClauseText>> {
+    let subject = prop_oneof![name().prop_map(Subject::Class), name().prop_map(Subject::Tenant)];
+    let over = (percent(), time(3_600_000_000), percent(), time(3_600_000_000));
+    let kinds = (
+        prop::option::of(prop::collection::vec(subject.prop_map(at), 1..4).prop_map(Clause::For)),
+        prop::option::of(prop::collection::vec(step(), 1..5).prop_map(Clause::Prefer)),
+        prop::option::of(over.prop_map(|(over, over_for, back, back_for)| {
+            Clause::SpillOver(Over { over, over_for, back, back_for })
+        })),
+        prop::option::of(percent().prop_map(Clause::SpillBelow)),
+        prop::option::of(percent().prop_map(Clause::Beyond)),
+        prop::option::of(prop::collection::vec(named().prop_map(at), 1..4).prop_map(Clause::Never)),
+        prop::option::of(any::<bool>().prop_map(Clause::WhenLost)),
+    );
+    let around = prop::collection::vec((comments(), prop::option::of(comment())), 7);
+    (kinds, around).prop_map(|((a, b, c, d, e, f, g), around)| {
+        let clauses = [a, b, c, d, e, f, g].into_iter().zip(around);
+        let text = |(clause, (before, after)): (Option<Clause>, (Vec<String>, Option<String>))| {
+            clause.map(|clause| ClauseText { before, clause: at(clause), after })
+        };
+        clauses.filter_map(text).collect()
+    })
+}
+
+fn text() -> impl Strategy<Value = Text> {
+    let rule =
+        (comments(), "[A-Za-z_][A-Za-z0-9_-]{0,9}", prop::option::of(comment()), clauses(), comments());
+    let rule = (rule, prop::option::of(comment())).prop_map(|((before, name, head, clauses, end), after)| {
+        RuleText { before, name: at(name), head, clauses, end, after }
+    });
+    (prop::collection::vec(rule, 0..4), comments()).prop_map(|(rules, end)| Text { rules, end })
+}
+
+/// Words and pieces of the language, so that chance comes further than the first letter.
+fn soup() -> impl Strategy<Value = String> {
+    let words = [
+        "rule",
+        "a",
+        "{",
+        "}",
+        ";",
+        ",",
+        ">",
+        "for",
+        "class",
+        "tenant",
+        "\"x\"",
+        "\"giza\"",
+        "prefer",
+        "own",
+        "zone",
+        "region",
+        "anywhere",
+        "within",
+        "3ms",
+        "spill",
+        "over",
+        "80%",
+        "for",
+        "1s",
+        "back",
+        "under",
+        "below",
+        "usable",
+        "beyond",
+        "at",
+        "most",
+        "never",
+        "when",
+        "lost",
+        "refuse",
+        "# c\n",
+        "\"",
+        "\n",
+        "é",
+        "\\",
+        "0.5%",
+        "99999999999999999999m",
+    ];
+    prop::collection::vec(prop::sample::select(words.to_vec()), 0..60).prop_map(|words| words.join(" "))
+}
+
+fn is_inside(text: &str, fault: &Fault) -> bool {
+    let lines: Vec<&str> = text.split('\n').collect();
+    let line = fault.line.checked_sub(1).and_then(|n| lines.get(n));
+    line.is_some_and(|line| (1..=line.chars().count() + 1).contains(&fault.column))
+}
+
+fn all_lie_inside(text: &str) -> Result<(), TestCaseError> {
+    let topology = Topology::new([("north", vec!["giza", "luxor"]), ("south", vec!["aswan"])]).unwrap();
+    let (classes, tenants) = (["x".to_owned()], ["lodge".to_owned()]);
+    let names = Names { topology: &topology, classes: &classes, tenants: &tenants };
+    for faults in [compile(text, &names).err(), format(text).err()].into_iter().flatten() {
+        prop_assert!(!faults.is_empty() && faults.len() <= FAULTS_MOST + 1);
+        for fault in &faults {
+            prop_assert!(is_inside(text, fault), "{} of {:?}", fault, text);
+            prop_assert!(!fault.what.is_empty() && fault.what.len() < 1000 && !fault.what.contains('\n'));
+        }
+    }
+    Ok(())
+}
+
+fn fixed(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        rng_seed: RngSeed::Fixed(34),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(512))]
+
+    #[test]
+    fn printed_and_read_again_it_says_the_same(text in text()) {
+        let printed = text.to_string();
+        let read = parse(&printed);
+        prop_assert_eq!(read.as_ref(), Ok(&text), "{}", printed);
+        prop_assert_eq!(read.unwrap().to_string(), printed);
+    }
+
+    #[test]
+    fn any_bytes_have_their_faults_inside(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        all_lie_inside(&String::from_utf8_lossy(&bytes))?;
+    }
+
+    #[test]
+    fn any_characters_have_their_faults_inside(text in "\\PC{0,100}|[\\s\\S]{0,100}") {
+        all_lie_inside(&text)?;
+    }
+
+    #[test]
+    fn any_words_have_their_faults_inside_and_what_is_read_is_printed_once(text in soup()) {
+        all_lie_inside(&text)?;
+        if let Ok(printed) = format(&text) {
+            prop_assert_eq!(format(&printed), Ok(printed.clone()));
+        }
+    }
+
+    #[test]
+    fn a_text_with_a_piece_cut_out_or_put_in(text in text(), from in 0usize..400, most in 0usize..30, put in "\\PC{0,3}") {
+        let printed = text.to_string();
+        let chars: Vec<char> = printed.chars().collect();
+        let from = from.min(chars.len());
+        let to = (from + most).min(chars.len());
+        let changed: String = chars[..from].iter().copied().chain(put.chars()).chain(chars[to..].iter().copied()).collect();
+        all_lie_inside(&changed)?;
+        if let Ok(printed) = format(&changed) {
+            prop_assert_eq!(format(&printed), Ok(printed.clone()));
+        }
+    }
+}
+
+#[test]
+fn the_longest_texts_of_the_worst_kinds_are_read_in_time() {
+    let topology = Topology::new([("north", vec!["giza"])]).unwrap();
+    let names = Names { topology: &topology, classes: &[], tenants: &[] };
+    let start = std::time::Instant::now();
+    let worst = [
+        "rule ",
+        "rule a {",
+        "\"",
+        "\"x\\",
+        "# \n",
+        "a",
+        "1",
+        "never ;",
+        "rule a { for class \"",
+        "{",
+        "é",
+        "}",
+        "> ",
+    ];
+    for piece in worst {
+        let text = piece.repeat(65536 / piece.len());
+        let _ = (compile(&text, &names), format(&text));
+    }
+    // A second in a debug build; minutes if any of it is read over and over.
+    assert!(start.elapsed() < Duration::from_secs(30), "{:?}", start.elapsed());
+}
