--- a/places/src/act.rs
+++ b/places/src/act.rs
@@ -17,7 +17,7 @@
         let (Some(config), now) = (self.config(), self.now()) else { return };
         let until = self.standing().until;
         let holds = until.is_some_and(|until| Instant::now() < until);
-        let (sights, demand) = self.window.rates();
+        let (sights, demand) = self.sights();
         let Some(acting) = &mut self.acting else { return };
         let acts = acting.tick(now, holds, &sights, &demand).clone();
         let acted = Arc::new(Acted { config: Arc::clone(&config), acts });
--- a/places/src/lib.rs
+++ b/places/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 mod history;
 pub mod lead;
+mod probe;
 pub mod rates;
 mod run;
 pub mod shown;
--- a/places/src/rates.rs
+++ b/places/src/rates.rs
@@ -113,6 +113,7 @@
                 unreached: rate(z.unreached, before.unreached),
                 connect_ms: z.connect_ms as f32,
                 load: z.load as f32,
+                ..Sight::default()
             }
         };
         let demand = |(rule, seen): (usize, &RuleSeen)| {
--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -5,11 +5,12 @@
 use crate::board::{Board, Stands, Wished};
 use crate::config::Config;
 use crate::lead::Leading;
+use crate::probe::{Prober, ROUND};
 use crate::rates::Window;
 use crate::taking::{Acted, Link, Setup};
 use crate::talk::{Agreed, Reply};
 use bytes::Bytes;
-use maplehook_failover::Acting;
+use maplehook_failover::{Acting, Demand, Sight};
 use maplehook_histories::What;
 use maplehook_quorum::{Put, Standing};
 use maplehook_tier::Name;
@@ -46,6 +47,7 @@
     pub(crate) stands: watch::Sender<Stands>,
     pub(crate) acted: watch::Sender<Option<Arc<Acted>>>,
     pub(crate) window: Window,
+    pub(crate) prober: Prober,
     pub(crate) acting: Option<Acting>,
     pub(crate) agreed: Option<Arc<Agreed>>,
     pub(crate) number: u64,
@@ -73,6 +75,7 @@
             stands,
             acted,
             window: Window::default(),
+            prober: Prober::new(),
             acting: None,
             agreed: None,
             number: 0,
@@ -105,6 +108,8 @@
     ) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut seen = self.setup.seen.clone();
         let mut config = self.setup.config.clone();
         let mut standing = self.setup.link.as_ref().map(|link| link.standing.clone());
@@ -115,6 +120,8 @@
             tokio::select! {
                 _ = &mut stopped => break,
                 _ = ticks.tick() => self.tick(),
+                _ = rounds.tick() => self.prober.round(),
+                Some(probed) = self.prober.told.recv() => self.prober.heard(probed),
                 Ok(()) = seen.changed() => {
                     let seen = seen.borrow_and_update().clone();
                     self.window.push(seen);
@@ -149,6 +156,7 @@
             self.acted.send_replace(None);
             return;
         };
+        self.prober.aim(&config);
         match &mut self.acting {
             Some(acting) => acting.retune(config.topology.clone(), config.rules.clone(), config.own),
             None => {
@@ -254,6 +262,13 @@
         self.decide();
     }
 
+    /// What is seen of zones and asked for by rules, by requests and by probes.
+    pub(crate) fn sights(&self) -> (Vec<Sight>, Vec<Demand>) {
+        let (mut sights, demand) = self.window.rates();
+        self.prober.add(&mut sights);
+        (sights, demand)
+    }
+
     fn decide(&mut self) {
         let (now, standing) = (self.now(), self.standing());
         let Some(leading) = &mut self.leading else { return };
--- a/places/src/tell.rs
+++ b/places/src/tell.rs
@@ -30,7 +30,7 @@
     pub(crate) fn report(&mut self) {
         let (Some(config), Some(last)) = (self.config(), self.window.last()) else { return };
         let ready = last.ready;
-        let (sights, demand) = self.window.rates();
+        let (sights, demand) = self.sights();
         self.reports += 1;
         let report = Report {
             number: self.reports,
@@ -52,7 +52,7 @@
 
     /// Share of the own clients' demand that is served, by own evidence.
     pub(crate) fn served(&mut self) {
-        let (sights, demand) = self.window.rates();
+        let (sights, demand) = self.sights();
         let sum = |of: &dyn Fn(&Sight) -> f32| sights.iter().map(of).sum::<f32>();
         let (asked, refused) = demand.iter().fold((0.0f32, 0.0f32), |(a, r), d| (a + d.asked, r + d.refused));
         let admitted = if asked > 0.0 { ((asked - refused) / asked).clamp(0.0, 1.0) } else { 1.0 };
