A proposal waits for a lost balancer's lease at the most, and then goes on without it

Within 2.6 s of a kill or a cut a proposal was refused with 503, since whoever held a lease a moment ago did not say whether it can act on it. The check now ends with the shorter of its word and its lease; wishes passed on may take as long. Whoever returns and can't act on what was agreed stays careful, says so, is named at the leader, and holds nobody up.

--- a/agreement/src/common.rs
+++ b/agreement/src/common.rs
@@ -95,6 +95,11 @@
         self.held.get(name).map(|held| (held.acts, held.has))
     }
 
+    /// Until when a member's lease may hold, by this leader's clock.
+    pub fn until(&self, name: &Name) -> Option<Duration> {
+        self.held.get(name).and_then(|held| held.until)
+    }
+
     /// Who holds a lease and lacks this body.
     pub fn lack(&self, now: Duration, number: u64) -> BTreeSet<Name> {
         let lacks = |held: &Held| held.has < number && held.until.is_some_and(|until| until > now);
--- a/agreement/src/grants.rs
+++ b/agreement/src/grants.rs
@@ -105,7 +105,6 @@
 
     /// Who may still act on an earlier step than the present one: as long as there is somebody, the next one may not begin.
     pub fn waits(&self, now: Duration, steps: &Steps) -> Vec<Waits> {
-        let elected = self.since + self.times.longest_lease();
         let waits = |name: &Name| {
             let held = self.held.get(name);
             if held.is_some_and(|held| held.epoch >= steps.epoch) {
@@ -118,21 +117,21 @@
                 let away = forgotten.is_some_and(|at| epoch.is_none_or(|epoch| epoch < *at));
                 return (!away).then(|| Waits { name: name.clone(), epoch, most: None });
             }
-            // It may hold a lease of the leader before.
-            let until = held.map_or(elected, |held| held.until.max(elected));
+            let until = self.ends(name);
             (until > now).then(|| Waits { name: name.clone(), epoch, most: Some(until - now) })
         };
         self.members.iter().filter_map(waits).collect()
     }
 
-    /// Until when the lease of a member may hold, by this leader's clock; `None`: it granted none.
+    /// Until when the lease that this leader granted may hold; `None`: it granted none.
     pub fn until(&self, name: &Name) -> Option<Duration> {
         self.held.get(name).map(|held| held.until)
     }
 
-    /// Who may hold a lease of this leader.
-    pub fn hold(&self, now: Duration) -> impl Iterator<Item = &Name> {
-        self.held.iter().filter(move |(_, held)| held.until > now).map(|(name, _)| name)
+    /// Until when a member may hold a lease, be it of the leader before, by this leader's clock.
+    pub fn ends(&self, name: &Name) -> Duration {
+        let elected = self.since + self.times.longest_lease();
+        self.held.get(name).map_or(elected, |held| held.until.max(elected))
     }
 
     /// Where each is that was heard of.
--- a/quorum/src/common.rs
+++ b/quorum/src/common.rs
@@ -147,6 +147,19 @@
         self.unfit.clear();
     }
 
+    /// Whether a member has said that it can't act on the step of this epoch.
+    pub(crate) fn is_unfit(&self, name: &Name, epoch: u64) -> bool {
+        self.unfit.get(name).is_some_and(|(of, _)| *of == epoch)
+    }
+
+    /// Who can't act on the step of this epoch, in words.
+    pub(crate) fn unfit(&self, epoch: u64) -> Option<String> {
+        let unfit = self.unfit.iter().filter(|(_, (of, _))| *of == epoch);
+        let words: Vec<String> =
+            unfit.map(|(name, (_, why))| format!("{name} can't act on it: {why}")).collect();
+        (!words.is_empty()).then(|| words.join("; "))
+    }
+
     /// Times run out without a word: it is looked at anew.
     pub(crate) fn due(&mut self) {
         self.news = true;
@@ -207,6 +220,9 @@
         number: u64,
         body: Option<Vec<u8>>,
     ) {
+        if request.is_some() {
+            self.leader = Some(from.clone());
+        }
         self.took(from.clone(), request, number, body.map(Arc::from));
     }
 
@@ -309,17 +325,19 @@
             let document = &voter.steps().common;
             standing.agreed = common(document.number, &document.body);
             let lately = until.is_some_and(|until| now < until);
-            if let (true, Some(given), Some(grants)) = (voter.knows(), &self.share.given, grants) {
+            if let (true, Some(given)) = (voter.knows(), &self.share.given) {
                 standing.leads = lately && self.share.granted_by.as_ref() == Some(&self.setup.own);
                 standing.behind = given
                     .behind(now, document.number)
                     .into_iter()
                     .map(|(name, left)| Behind { name, left })
                     .collect();
-                standing.members = grants
-                    .hold(now)
-                    .map(|name| (name.clone(), given.of(name).map(|(acts, _)| acts)))
-                    .collect();
+                let acts = |name: &Name| (name.clone(), given.of(name).map(|(acts, _)| acts));
+                let ends = |name: &Name| {
+                    (*grants).as_ref().is_some_and(|g| g.until(name).is_some_and(|u| u > now))
+                        || given.until(name).is_some_and(|u| u > now)
+                };
+                standing.members = self.setup.members.iter().filter(|name| ends(name)).map(acts).collect();
             }
         }
         self.share.tells.standing.send_if_modified(|before| {
--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -1,7 +1,7 @@
 //! A member's side: it asks for a lease, hears of steps, and reads what they come to here; and the answers that it gets as far as
 //! they need nothing but the leader's word that it leads.
 
-use crate::acting::Acting;
+use crate::acting::{Acting, Mode};
 use crate::common::PLACES;
 use crate::run::{Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
 use crate::talk::{RAFT, Reply, Say, Telling};
@@ -25,10 +25,13 @@
         let number = self.holder.ask(now);
         self.share.holding.ask(number, now);
         let (acts, held) = (self.share.acts, self.share.holding.newest().0);
+        // Once it acts carefully it contradicts nobody, and is not waited for; before that it may still act on the step before.
+        let rules = self.acting.borrow().mode(Instant::now()) == Mode::Rules;
+        let unfit = self.unfit.clone().filter(|_| !rules).map(|why| (self.holder.epoch(), why));
         if let Part::Voting { voter, .. } = &self.part
             && voter.leads()
         {
-            self.acted(&self.setup.own.clone(), acts, held, None);
+            self.acted(&self.setup.own.clone(), acts, held, unfit);
             self.asked(
                 &self.setup.own.clone(),
                 number,
@@ -58,7 +61,7 @@
         }
         let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
         // Before it, so that the leader knows of it when it answers; one of an earlier program can't read it, and answers alike.
-        self.tell(&to, &Say::Acts { acts, has: held, unfit: None });
+        self.tell(&to, &Say::Acts { acts, has: held, unfit });
         self.tell(&to, &Say::Ask { number, epoch, has, digest });
     }
 
@@ -168,6 +171,12 @@
     /// Whether this text could be acted on here.
     pub(crate) fn fits(&mut self, text: &str) -> Result<Arc<Proxy>, String> {
         let rules = self.read(text, &digest(text))?;
+        self.goes(&rules)?;
+        Ok(rules)
+    }
+
+    /// Whether these rules go with what is here.
+    fn goes(&self, rules: &Proxy) -> Result<(), String> {
         let present = &self.acting.borrow().rules;
         if rules.tenants.first() != present.tenants.first() {
             return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
@@ -175,7 +184,7 @@
         if self.own.eureka.is_some() && rules.upstreams != self.own.upstreams {
             return Err("upstream: beside [eureka] those of the file stay as they are".into());
         }
-        Ok(rules)
+        Ok(())
     }
 
     pub(crate) fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
@@ -200,7 +209,10 @@
             return;
         }
         let rules = match self.holder.told().cloned() {
-            Some(told) => self.rules(&told),
+            // Whoever was away when it was proposed was not asked.
+            Some(told) => {
+                self.rules(&told).and_then(|(rules, label)| self.goes(&rules).map(|()| (rules, label)))
+            }
             None => Err("nothing is agreed".into()),
         };
         match rules {
@@ -277,6 +289,10 @@
             Some(Reading::Lease { from, number, epoch, has }) => {
                 let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else { return };
                 let steps = voter.steps();
+                // A lease on a step that it can't act on would have the others wait.
+                if self.share.is_unfit(&from, steps.epoch) {
+                    return self.grant_common(&from, number);
+                }
                 if !grants.grant(now, &from, epoch) {
                     return;
                 }
--- a/quorum/src/leader.rs
+++ b/quorum/src/leader.rs
@@ -1,16 +1,12 @@
 //! What a leader does: the first version, the next step, and what operators want.
 
-use crate::run::{CHECK, Checking, Part, Reading, Runner, Seating, WISH, WISHES_MOST, Wisher};
+use crate::run::{CHECK, Part, Reading, Runner, Seating, WISH, WISHES_MOST, Wisher};
 use crate::talk::{Op, Overview, Reply, Say, Stands};
-use maplehook_agreement::steps::{Command, Step, Steps, Version, digest};
+use maplehook_agreement::steps::{Command, Step, Steps, Version};
 use maplehook_link::unix_ms;
 use maplehook_tier::Name;
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::{Duration, Instant};
-
-/// Bytes of texts that pass between machines in a second, and that a small machine reads in one.
-const TOLD_PER_S: f64 = 40e6;
-const READ_PER_S: f64 = 2e6;
+use std::collections::BTreeMap;
+use std::time::Instant;
 
 impl Runner {
     /// Does what a leader does: the first version, the next step.
@@ -53,13 +49,6 @@
         }
     }
 
-    /// What it takes at the most to tell all members a wish's text, and them to read it.
-    fn telling(&self, op: &Op) -> Duration {
-        let Op::Propose { text, .. } = op else { return Duration::ZERO };
-        let told = (text.len() * self.setup.members.len()) as f64 / TOLD_PER_S;
-        Duration::from_secs_f64(told + text.len() as f64 / READ_PER_S)
-    }
-
     /// An operator wants something.
     pub(crate) fn wish(&mut self, op: Op, wisher: Wisher) {
         let knows = matches!(&self.part, Part::Voting { voter, .. } if voter.knows());
@@ -70,7 +59,7 @@
         match (self.known_leader().filter(|leader| *leader != self.setup.own), wisher) {
             (Some(leader), Wisher::Here(reply)) if self.passed_on.len() < WISHES_MOST => {
                 let ticket = fastrand::u64(..);
-                let until = Instant::now() + WISH + self.telling(&op);
+                let until = Instant::now() + WISH + self.checking(&op);
                 self.passed_on.insert(ticket, (Wisher::Here(reply), until));
                 self.tell(&leader, &Say::Wish { ticket, op });
             }
@@ -82,9 +71,8 @@
     }
 
     pub(crate) fn at_the_leader(&mut self, op: Op, wisher: Wisher) {
-        let now = self.now();
         let ticket = fastrand::u64(..);
-        let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else {
+        let Part::Voting { voter, grants: Some(_), .. } = &mut self.part else {
             self.end(wisher, Reply::Unavailable("the leader has just begun".into()));
             return;
         };
@@ -139,78 +127,10 @@
                 }
                 Step::Unsettled => self.end(wisher, Reply::Refused("nothing is agreed yet".into())),
             },
-            Op::Propose { text, expect } => {
-                let waits = grants.waits(now, steps);
-                let step = steps.step;
-                let same = matches!(steps.step, Step::Settled(n) | Step::Strictest { to: n, .. }
-                    if steps.version(n).is_some_and(|v| v.digest == digest(&text)));
-                if let Err(e) = self.fits(&text) {
-                    self.end(wisher, Reply::Refused(format!("{}: {e}", self.setup.own)));
-                    return;
-                }
-                if !same && step != Step::Unsettled && !waits.is_empty() {
-                    let names: Vec<String> = waits.iter().map(|w| w.name.to_string()).collect();
-                    let why = format!("the last step is not everywhere yet: {}", names.join(", "));
-                    self.end(wisher, Reply::Unavailable(why));
-                    return;
-                }
-                // The same again while it is looked at: whoever asked first has given up, and nobody is told it twice.
-                let op = Op::Propose { text: text.clone(), expect };
-                if let Some(check) = self.checks.values_mut().find(|check| check.op == op) {
-                    let before = std::mem::replace(&mut check.wisher, wisher);
-                    return self.end(before, Reply::Unavailable("it was asked for again".into()));
-                }
-                // Whoever holds a lease has to be able to act on it.
-                let own = self.setup.own.clone();
-                let asked: BTreeSet<Name> = self
-                    .digests
-                    .iter()
-                    .filter(|(name, (_, at))| **name != own && at.elapsed() < self.setup.times.lease)
-                    .map(|(name, _)| name.clone())
-                    .collect();
-                self.tell_all(&asked, &Say::Check { ticket, text: text.clone() });
-                let until = Instant::now() + CHECK + self.telling(&op);
-                let check = Checking { op, wisher, waits: asked, until };
-                self.checks.insert(ticket, check);
-                self.all_checked(ticket);
-            }
+            Op::Propose { .. } => self.check(op, wisher),
         }
     }
 
-    pub(crate) fn checked(&mut self, from: &Name, ticket: u64, fault: Option<String>) {
-        let Some(check) = self.checks.get_mut(&ticket) else { return };
-        match fault {
-            None => drop(check.waits.remove(from)),
-            Some(fault) => {
-                if let Some(check) = self.checks.remove(&ticket) {
-                    self.end(check.wisher, Reply::Refused(format!("{from}: {fault}")));
-                }
-                return;
-            }
-        }
-        self.all_checked(ticket);
-    }
-
-    pub(crate) fn all_checked(&mut self, ticket: u64) {
-        if self.checks.get(&ticket).is_none_or(|check| !check.waits.is_empty()) {
-            return;
-        }
-        let Some(Checking { op: Op::Propose { text, expect }, wisher, .. }) = self.checks.remove(&ticket)
-        else {
-            return;
-        };
-        let Part::Voting { voter, .. } = &self.part else {
-            self.end(wisher, Reply::Unavailable("this voter leads no more".into()));
-            return;
-        };
-        let by = match &wisher {
-            Wisher::There(name, _) => name.to_string(),
-            _ => self.setup.own.to_string(),
-        };
-        let epoch = voter.steps().epoch;
-        self.put(Command::Propose { epoch, expect, text, by, at_ms: unix_ms() }, wisher);
-    }
-
     /// A voter's place goes to a member, which first says under which number it would vote.
     fn replace(&mut self, old: &str, new: &str, wisher: Wisher) {
         let Part::Voting { voter, .. } = &mut self.part else { return };
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod acting;
 mod agreeing;
+mod checks;
 mod common;
 mod follow;
 mod founding;
 mod join;
 mod leader;
+mod local;
 mod log;
 mod run;
 mod settle;
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -6,13 +6,14 @@
 
 use crate::acting::{Acting, Local};
 use crate::agreeing::{Asked, Setup};
+use crate::checks::Checking;
 use crate::common::{Hears, Share, Tells};
 use crate::store::Store;
-use crate::talk::{Op, RAFT, Reply, Say, VERSIONS};
+use crate::talk::{RAFT, Reply, Say, VERSIONS};
 use crate::voter::{Ended, Voter};
-use maplehook_agreement::grants::{CutOff, Grants};
+use maplehook_agreement::grants::Grants;
 use maplehook_agreement::holder::Holder;
-use maplehook_agreement::steps::{Step, digest};
+use maplehook_agreement::steps::digest;
 use maplehook_config::Proxy;
 use maplehook_link::frames::Message;
 use maplehook_tier::Name;
@@ -69,14 +70,6 @@
     Out(String),
 }
 
-/// A proposal that the members look at.
-pub(crate) struct Checking {
-    pub(crate) op: Op,
-    pub(crate) wisher: Wisher,
-    pub(crate) waits: BTreeSet<Name>,
-    pub(crate) until: Instant,
-}
-
 /// A member that is asked to take a voter's place.
 pub(crate) struct Seating {
     pub(crate) old: Name,
@@ -265,12 +258,7 @@
         for (wisher, _) in take_where(&mut self.passed_on, |(_, until)| *until <= now) {
             self.end(wisher, Reply::Unavailable("the leader does not answer; it may be done or not".into()));
         }
-        for check in take_where(&mut self.checks, |check| check.until <= now) {
-            // Whoever holds a lease and does not answer may be one that can't act on it.
-            let names: Vec<String> = check.waits.iter().map(ToString::to_string).collect();
-            let why = format!("{} did not say whether it can act on this", names.join(", "));
-            self.end(check.wisher, Reply::Unavailable(why));
-        }
+        self.look_at_all();
         for Seating { new, wisher, .. } in take_where(&mut self.seats, |seating| seating.until <= now) {
             self.end(wisher, Reply::Unavailable(format!("{new} does not answer")));
         }
@@ -306,6 +294,7 @@
                 self.part = Part::Out(e.to_string());
                 self.advancing = None;
                 self.readings.clear();
+                self.check_no_more("this voter's disk fails");
                 for (_, wisher) in std::mem::take(&mut self.proposals) {
                     self.end(
                         wisher,
@@ -329,10 +318,7 @@
                     self.end(wisher, Reply::Unavailable("the leader has changed".into()));
                 }
             }
-            let checks = std::mem::take(&mut self.checks);
-            for check in checks.into_values() {
-                self.end(check.wisher, Reply::Unavailable("the leader has changed".into()));
-            }
+            self.check_no_more("the leader has changed");
         }
         if let Part::Voting { voter, .. } = &self.part
             && voter.unseated()
@@ -363,56 +349,4 @@
             self.end(wisher, reply);
         }
     }
-
-    /// Whom it takes for the leader, by its own vote or by the word of others.
-    pub(crate) fn known_leader(&self) -> Option<Name> {
-        let by_vote = match &self.part {
-            Part::Voting { voter, .. } => voter.leader(),
-            _ => None,
-        };
-        by_vote.or_else(|| self.leader.clone())
-    }
-
-    pub(crate) fn local(&self) -> Local {
-        let now = self.now();
-        let told = self.holder.told();
-        let step = told.map_or(Step::Unsettled, |told| told.step);
-        let in_force = match step {
-            Step::Unsettled => 0,
-            Step::Settled(number) | Step::Strictest { from: number, .. } => number,
-        };
-        let digest = told
-            .and_then(|told| told.versions.iter().find(|version| version.number == in_force))
-            .map_or_else(|| self.digest.clone(), |version| version.digest.clone());
-        let lease_left = self.holder.until().and_then(|until| until.checked_sub(now));
-        let leads = matches!(&self.part, Part::Voting { voter, .. } if voter.leads());
-        let leader = self.known_leader();
-        let voter = match &self.part {
-            Part::Out(why) => Some(why.clone()),
-            Part::Founding { heard, .. } => {
-                let missing = self.others().filter(|name| !heard.contains_key(name));
-                let names: Vec<String> = missing.map(|name| name.to_string()).collect();
-                Some(format!("the first start waits for all voters; missing: {}", names.join(", ")))
-            }
-            _ => None,
-        };
-        let careful = match self.setup.cut_off {
-            CutOff::WaitForAll => in_force == 0,
-            _ => in_force == 0 || lease_left.is_none(),
-        };
-        Local {
-            in_force,
-            epoch: self.applied,
-            step,
-            digest,
-            lease_left,
-            careful,
-            leader: if leads {
-                Some(self.setup.own.to_string())
-            } else {
-                leader.map(|name| name.to_string())
-            },
-            voter: voter.or_else(|| self.unfit.clone()),
-        }
-    }
 }
--- /dev/null
+++ b/quorum/tests/common.rs
@@ -0,0 +1,197 @@
+//! The common document among balancers on their own threads: leaders that die, members that are cut off, many puts in a row.
+
+mod fleet;
+
+use fleet::{FILE, Fleet, until};
+use maplehook_agreement::grants::CutOff;
+use maplehook_link::frames::Message;
+use maplehook_quorum::PLACES;
+use std::time::{Duration, Instant};
+
+fn all_hold(fleet: &Fleet, number: u64) -> bool {
+    (0..fleet.names.len()).filter(|n| fleet.parts[*n].is_some()).all(|n| fleet.holds(n) == Some(number))
+}
+
+/// Put, held by all within a moment, named where it stands; a wrong number, a wrong place and a wrong length are refused.
+#[test]
+fn what_is_put_is_held_by_all_at_once() {
+    // Leases for it hold though there are none for versions.
+    for cut_off in [CutOff::Careful, CutOff::WaitForAll] {
+        let fleet = Fleet::new(5, 2000, cut_off);
+        let leader = fleet.leader();
+        let other = (0..5).find(|n| *n != leader).unwrap();
+        assert_eq!(fleet.put(leader, 0, b"one"), Ok(1));
+        let took = until("all hold it", || all_hold(&fleet, 1));
+        // Told at once, not with the next lease.
+        assert!(took < fleet.times.renew / 2, "{took:?}");
+        until("and say so", || fleet.standing(leader).behind.is_empty());
+        until("by name", || fleet.standing(leader).members.iter().all(|(_, acts)| *acts == Some(1)));
+        assert_eq!(fleet.standing(leader).members.len(), 5);
+        assert_eq!(fleet.put(leader, 0, b"two"), Err("common document 1 is in force".into()));
+        assert_eq!(fleet.put(leader, 2, b"two"), Err("common document 1 is in force".into()));
+        assert_eq!(fleet.put(other, 1, b"two"), Err(format!("{} leads", fleet.names[leader])));
+        assert!(fleet.put(leader, 1, &vec![0; (256 << 10) + 1]).unwrap_err().contains("longer"));
+        assert_eq!(fleet.put(leader, 1, &vec![7; 256 << 10]), Ok(2));
+        until("a long one, too", || all_hold(&fleet, 2));
+        assert_eq!(fleet.standing(other).common.unwrap().body.len(), 256 << 10);
+        if other < 3 {
+            until("a voter knows it", || {
+                fleet.standing(other).agreed.is_some_and(|agreed| agreed.number == 2)
+            });
+        }
+        assert!(fleet.standing(other).members.is_empty() && !fleet.standing(other).leads);
+    }
+}
+
+/// The leader is killed at any moment round a put: it is in force with its number, or not at all, and the next goes on from that.
+#[test]
+fn a_leader_that_dies_leaves_it_in_force_or_not_at_all() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let mut number = 0;
+    for (round, pause_ms) in [0, 2, 0, 5, 1].into_iter().enumerate() {
+        let leader = fleet.leader();
+        let body = format!("round {round}").into_bytes();
+        let ended = fleet.begin_put(leader, number, &body);
+        std::thread::sleep(Duration::from_millis(pause_ms));
+        fleet.kill(leader);
+        // Its thread may have gone without a word.
+        let answered = ended.blocking_recv();
+        let next = fleet.leader();
+        let agreed = fleet.standing(next).agreed;
+        let now = agreed.as_ref().map_or(0, |agreed| agreed.number);
+        match &agreed {
+            Some(agreed) if agreed.number == number + 1 => assert_eq!(agreed.body[..], body[..]),
+            _ => assert_eq!(now, number),
+        }
+        if let Ok(Ok(said)) = answered {
+            assert_eq!(said, now, "what was said to be in force is");
+        }
+        // A leader that has just come does not know who may act on what.
+        if now > 0 {
+            let behind = fleet.standing(next).behind;
+            assert!(behind.iter().any(|behind| behind.name == fleet.names[leader]), "{behind:?}");
+        }
+        assert_eq!(fleet.put(next, now, b"next"), Ok(now + 1));
+        number = now + 1;
+        let took = until("nobody acts on an earlier one", || fleet.standing(next).behind.is_empty());
+        assert!(took < fleet.times.longest_lease() + Duration::from_millis(200), "{took:?}");
+        fleet.start(leader, FILE);
+        until("all have it", || all_hold(&fleet, number));
+    }
+}
+
+/// Cut off: its lease ends before the leader takes it to have ended; on its return it is told.
+#[test]
+fn whoever_is_cut_off_holds_nothing_and_is_told_on_its_return() {
+    let fleet = Fleet::new(4, 2000, CutOff::Careful);
+    let leader = fleet.leader();
+    assert_eq!(fleet.put(leader, 0, b"one"), Ok(1));
+    until("all hold it", || all_hold(&fleet, 1) && fleet.standing(leader).behind.is_empty());
+    let cut = if leader == 3 { 0 } else { 3 };
+    fleet.cut(cut);
+    let begun = Instant::now();
+    assert_eq!(fleet.put(leader, 1, b"two"), Ok(2));
+    until("the others hold it", || (0..4).all(|n| n == cut || fleet.holds(n) == Some(2)));
+    until("it alone is behind", || {
+        let behind = fleet.standing(leader).behind;
+        behind.len() == 1 && behind[0].name == fleet.names[cut]
+    });
+    let left = fleet.standing(leader).behind[0].left;
+    let until_there = fleet.standing(cut).until.unwrap().duration_since(Instant::now());
+    assert!(until_there <= left && left <= fleet.times.longest_lease(), "{until_there:?} {left:?}");
+    // As long as the leader does not take it to be over it may act on it.
+    while fleet.holds(cut).is_some() {
+        assert!(!fleet.standing(leader).behind.is_empty(), "after {:?}", begun.elapsed());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(fleet.standing(cut).common.unwrap().number, 1);
+    let ended = begun.elapsed();
+    until("behind nobody", || fleet.standing(leader).behind.is_empty());
+    assert!(begun.elapsed() - ended < Duration::from_millis(300), "{:?}", begun.elapsed() - ended);
+    fleet.heal();
+    until("it is told", || fleet.holds(cut) == Some(2));
+}
+
+/// One that has been told and whose serving thread goes on as before is behind as long as it renews its lease.
+#[test]
+fn whoever_does_not_act_on_it_is_behind() {
+    let fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    let slow = if leader == 3 { 0 } else { 3 };
+    assert_eq!(fleet.put(leader, 0, b"one"), Ok(1));
+    until("all act on it", || fleet.standing(leader).behind.is_empty());
+    fleet.stuck.lock().unwrap().insert(slow);
+    assert_eq!(fleet.put(leader, 1, b"two"), Ok(2));
+    std::thread::sleep(fleet.times.longest_lease() + Duration::from_millis(300));
+    let behind = fleet.standing(leader).behind;
+    assert!(behind.len() == 1 && behind[0].name == fleet.names[slow], "{behind:?}");
+    fleet.stuck.lock().unwrap().clear();
+    until("then not", || fleet.standing(leader).behind.is_empty());
+}
+
+/// A member of an earlier program is told nothing, holds no lease on it, is named as such, and keeps nobody waiting.
+#[test]
+fn an_earlier_program_has_no_part_and_is_named() {
+    let fleet = Fleet::new(5, 1000, CutOff::Careful);
+    fleet.old(4);
+    let leader = fleet.leader();
+    // From the next election on nothing is known of it.
+    fleet.cut(leader);
+    std::thread::sleep(Duration::from_millis(1500));
+    fleet.heal();
+    until("somebody else leads, or again", || (0..5).any(|n| fleet.standing(n).leads));
+    let leader = fleet.leader();
+    assert_eq!(fleet.put(leader, 0, b"one"), Ok(1));
+    until("the others hold it", || (0..4).all(|n| fleet.holds(n) == Some(1)));
+    until("all act on it", || fleet.standing(leader).behind.is_empty());
+    until("it is named", || {
+        let members = fleet.standing(leader).members;
+        members.iter().any(|(name, acts)| *name == fleet.names[4] && acts.is_none()) && members.len() == 5
+    });
+    assert_eq!(fleet.holds(4), None);
+    assert_eq!(fleet.parts[4].as_ref().unwrap().acting.borrow().label, "1", "versions go on");
+}
+
+/// A thousand in a row: numbers, log and memory stay bounded.
+#[test]
+fn a_thousand_puts_in_a_row_stay_bounded() {
+    let fleet = Fleet::new(3, 2000, CutOff::Careful);
+    let leader = fleet.leader();
+    let body = vec![9; 16 << 10];
+    let begun = Instant::now();
+    let mut longest = Duration::ZERO;
+    for number in 0..1000 {
+        let put = Instant::now();
+        assert_eq!(fleet.put(leader, number, &body), Ok(number + 1));
+        longest = longest.max(put.elapsed());
+    }
+    let each = begun.elapsed() / 1000;
+    until("all have the last one", || all_hold(&fleet, 1000));
+    let disks: Vec<u64> = (0..3).map(|n| fleet.disk(n)).collect();
+    let resident = resident();
+    println!(
+        "a put of 16 KiB takes {each:?}, {longest:?} at the most; logs of {disks:?} bytes, {resident} KiB resident"
+    );
+    assert!(disks.iter().all(|bytes| *bytes < 24 << 20), "{disks:?}");
+    assert!(each < Duration::from_millis(50), "{each:?}");
+}
+
+/// KiB of this process in memory.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    line.trim().trim_end_matches(" kB").parse().unwrap()
+}
+
+/// What makers of it say to one another passes as it is.
+#[test]
+fn messages_between_makers_pass() {
+    let mut fleet = Fleet::new(3, 1000, CutOff::Careful);
+    // To an earlier program these bytes alone would be the word that it votes no more.
+    let body = bytes::Bytes::from_static(&[10]);
+    let to = fleet.names[2].clone();
+    let message = Message { topic: PLACES, body: body.clone() };
+    fleet.places[0].as_ref().unwrap().say.blocking_send((to, message)).unwrap();
+    let heard = fleet.places[2].as_mut().unwrap().heard.blocking_recv().unwrap();
+    assert_eq!(heard, (fleet.names[0].clone(), body));
+}
--- /dev/null
+++ b/quorum/tests/fleet/mod.rs
@@ -0,0 +1,211 @@
+//! Balancers' parts in an agreement, each on its own thread with its own disk, and ways between them that can be cut.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use maplehook_agreement::grants::{CutOff, Times};
+use maplehook_link::Talk;
+use maplehook_link::frames::Message;
+use maplehook_quorum::talk::{Op, Reply};
+use maplehook_quorum::{Agreeing, Local, Places, Put, Setup, Standing};
+use maplehook_tier::Name;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tokio::runtime::{Builder, Runtime};
+use tokio::sync::{mpsc, oneshot};
+
+pub const FILE: &str = "[listen]\naddress = \"127.0.0.1:0\"\n[[class]]\nname = \"all\"\npath = \"/**\"\n[[upstream]]\nname = \"u\"\naddress = \"127.0.0.1:9\"\n";
+
+#[derive(Default)]
+struct Ways {
+    ears: BTreeMap<Name, mpsc::Sender<(Name, Message)>>,
+    cut: BTreeSet<(Name, Name)>,
+    /// Whose program knows no common document: its word on it does not pass.
+    old: BTreeSet<Name>,
+}
+
+pub struct Fleet {
+    pub names: Vec<Name>,
+    pub parts: Vec<Option<Agreeing>>,
+    pub places: Vec<Option<Places>>,
+    pub times: Times,
+    pub runtime: Runtime,
+    /// Whose serving thread acts on nothing new.
+    pub stuck: Arc<Mutex<BTreeSet<usize>>>,
+    ways: Arc<Mutex<Ways>>,
+    voters: usize,
+    cut_off: CutOff,
+    place: PathBuf,
+}
+
+impl Fleet {
+    pub fn new(members: usize, contradiction_ms: u64, cut_off: CutOff) -> Self {
+        static FLEETS: AtomicU32 = AtomicU32::new(0);
+        let own = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let place = std::env::temp_dir().join(format!("maplehook-fleet-{}-{own}", std::process::id()));
+        let names: Vec<Name> = (1..=members).map(|n| Name::new(&format!("b{n}")).unwrap()).collect();
+        let mut fleet = Self {
+            parts: names.iter().map(|_| None).collect(),
+            places: names.iter().map(|_| None).collect(),
+            times: Times::new(Duration::from_millis(contradiction_ms)).unwrap(),
+            runtime: Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap(),
+            stuck: Arc::default(),
+            ways: Arc::default(),
+            voters: members.min(3),
+            cut_off,
+            place,
+            names,
+        };
+        (0..members).for_each(|n| fleet.start(n, FILE));
+        until("all act on version 1", || fleet.alive().all(|part| part.acting.borrow().epoch == 1));
+        fleet
+    }
+
+    /// One that goes on from what is on its disk.
+    pub fn start(&mut self, n: usize, file: &str) {
+        let ((say, mut said), (tell, heard)) = (mpsc::channel(1024), mpsc::channel(1024));
+        let own = self.names[n].clone();
+        self.ways.lock().unwrap().ears.insert(own.clone(), tell);
+        let setup = Setup {
+            own: own.clone(),
+            voters: self.names[..self.voters].to_vec(),
+            members: self.names.iter().cloned().collect(),
+            times: self.times,
+            cut_off: self.cut_off,
+            directory: (n < self.voters).then(|| self.place.join(own.as_str())),
+            file: file.into(),
+        };
+        let mut part = Agreeing::start(setup, Talk { say, heard }).unwrap();
+        let ways = Arc::clone(&self.ways);
+        self.runtime.spawn(async move {
+            while let Some((to, message)) = said.recv().await {
+                let ways = ways.lock().unwrap();
+                // `Say::Acts` and `Say::Common`, by their first byte.
+                let new = message.topic == 3 && matches!(message.body.first(), Some(12 | 13));
+                if new && (ways.old.contains(&own) || ways.old.contains(&to)) {
+                    continue;
+                }
+                if let Some(ear) = ways.ears.get(&to)
+                    && !ways.cut.contains(&(own.clone(), to))
+                {
+                    // As on a link, what does not fit is lost.
+                    let _ = ear.try_send((own.clone(), message));
+                }
+            }
+        });
+        let (mut acting, applied) = (part.acting.clone(), part.applied.clone());
+        let (mut standing, acts) = (part.standing.clone(), part.acts.clone());
+        let stuck = Arc::clone(&self.stuck);
+        self.runtime.spawn(async move {
+            loop {
+                let epoch = acting.borrow_and_update().epoch;
+                applied.send_if_modified(|before| std::mem::replace(before, epoch) != epoch);
+                let number = standing.borrow_and_update().common.as_ref().map_or(0, |common| common.number);
+                if !stuck.lock().unwrap().contains(&n) {
+                    acts.send_if_modified(|before| std::mem::replace(before, number) != number);
+                }
+                tokio::select! {
+                    changed = acting.changed() => if changed.is_err() { return },
+                    changed = standing.changed() => if changed.is_err() { return },
+                }
+            }
+        });
+        self.places[n] = part.places.take();
+        self.parts[n] = Some(part);
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.ways.lock().unwrap().ears.remove(&self.names[n]);
+        self.parts[n] = None;
+        self.places[n] = None;
+    }
+
+    pub fn cut(&self, n: usize) {
+        let mut ways = self.ways.lock().unwrap();
+        for other in self.names.iter().filter(|other| **other != self.names[n]) {
+            ways.cut.insert((other.clone(), self.names[n].clone()));
+            ways.cut.insert((self.names[n].clone(), other.clone()));
+        }
+    }
+
+    pub fn heal(&self) {
+        self.ways.lock().unwrap().cut.clear();
+    }
+
+    /// What it says of the common document, and what it is told of it, does not pass: as with an earlier program.
+    pub fn old(&self, n: usize) {
+        self.ways.lock().unwrap().old.insert(self.names[n].clone());
+    }
+
+    pub fn alive(&self) -> impl Iterator<Item = &Agreeing> {
+        self.parts.iter().flatten()
+    }
+
+    pub fn standing(&self, n: usize) -> Standing {
+        self.parts[n].as_ref().unwrap().standing.borrow().clone()
+    }
+
+    /// The number that is held here with a lease.
+    pub fn holds(&self, n: usize) -> Option<u64> {
+        let standing = self.standing(n);
+        standing.until.filter(|until| *until > Instant::now())?;
+        standing.common.map(|common| common.number)
+    }
+
+    pub fn leader(&self) -> usize {
+        let mut found = None;
+        until("somebody leads, and knows that", || {
+            found = (0..self.parts.len()).find(|n| self.parts[*n].is_some() && self.standing(*n).leads);
+            found.is_some()
+        });
+        found.unwrap()
+    }
+
+    pub fn put(&self, n: usize, expect: u64, body: &[u8]) -> Result<u64, String> {
+        self.begin_put(n, expect, body).blocking_recv().unwrap()
+    }
+
+    pub fn begin_put(&self, n: usize, expect: u64, body: &[u8]) -> oneshot::Receiver<Result<u64, String>> {
+        let (done, ended) = oneshot::channel();
+        let put = Put { expect, body: body.to_vec(), done };
+        self.places[n].as_ref().unwrap().put.blocking_send(put).unwrap();
+        ended
+    }
+
+    pub fn wish(&self, n: usize, op: Op) -> (Local, Reply) {
+        let wishes = self.parts[n].as_ref().unwrap().wishes();
+        self.runtime.block_on(wishes.ask(op)).unwrap()
+    }
+
+    pub fn propose(&self, n: usize, mark: &str) -> Reply {
+        self.wish(n, Op::Propose { text: shared(mark), expect: None }).1
+    }
+
+    pub fn disk(&self, n: usize) -> u64 {
+        let log = self.place.join(self.names[n].as_str()).join("log.redb");
+        std::fs::metadata(log).unwrap().len()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.parts.iter_mut().for_each(|part| *part = None);
+        let _ = std::fs::remove_dir_all(&self.place);
+    }
+}
+
+/// A shared text with this path in it.
+pub fn shared(mark: &str) -> String {
+    maplehook_config::shared(&FILE.replace("/**", &format!("/{mark}/**"))).unwrap().0
+}
+
+pub fn until(what: &str, mut is: impl FnMut() -> bool) -> Duration {
+    let begun = Instant::now();
+    while !is() {
+        assert!(begun.elapsed() < Duration::from_secs(15), "{what}: not within 15 s");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    begun.elapsed()
+}
--- /dev/null
+++ b/quorum/tests/lost.rs
@@ -0,0 +1,109 @@
+//! Whoever is lost keeps nobody from proposing for longer than its lease lasts.
+
+mod fleet;
+
+use fleet::{FILE, Fleet, shared, until};
+use maplehook_agreement::grants::CutOff;
+use maplehook_quorum::Mode;
+use maplehook_quorum::talk::{Op, Reply};
+use std::time::{Duration, Instant};
+
+fn everywhere(fleet: &Fleet, label: &str) -> bool {
+    fleet.alive().all(|part| part.acting.borrow().label == label)
+}
+
+/// Killed or cut off just now, a member, a voter or the leader; asked at whoever leads and at others.
+#[test]
+fn a_proposal_goes_on_without_whoever_is_lost() {
+    for (lost, kills, at_leader) in [(3, true, true), (3, false, false), (1, true, false), (2, false, true)] {
+        let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+        let leader = fleet.leader();
+        // Never the leader itself: that is another matter.
+        let lost = if lost == leader { 0 } else { lost };
+        // Its lease is as fresh as can be.
+        std::thread::sleep(Duration::from_millis(300));
+        if kills {
+            fleet.kill(lost)
+        } else {
+            fleet.cut(lost)
+        }
+        let at = if at_leader { leader } else { (0..4).find(|n| *n != leader && *n != lost).unwrap() };
+        let begun = Instant::now();
+        let reply = fleet.propose(at, "next");
+        let took = begun.elapsed();
+        assert_eq!(reply, Reply::Done(2), "lost {lost}, asked {at}, after {took:?}");
+        assert!(took < fleet.times.longest_lease() + Duration::from_millis(300), "{took:?}");
+        if kills {
+            fleet.start(lost, FILE);
+        } else {
+            let cut = fleet.parts[lost].as_ref().unwrap().acting.borrow().clone();
+            assert_eq!(cut.mode(Instant::now()), Mode::Careful, "its lease ended before the step began");
+            fleet.heal();
+        }
+        until("it is told when it returns", || everywhere(&fleet, "2"));
+    }
+}
+
+/// The leader is killed: the next one goes on as soon as the longest lease since its election is over.
+#[test]
+fn a_proposal_goes_on_after_the_leaders_death() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Refuse);
+    let first = fleet.leader();
+    fleet.kill(first);
+    let next = fleet.leader();
+    assert_ne!(next, first);
+    let begun = Instant::now();
+    assert_eq!(fleet.propose(next, "next"), Reply::Done(2));
+    assert!(begun.elapsed() < fleet.times.longest_lease() + Duration::from_millis(400));
+    until("all that are left have it", || everywhere(&fleet, "2"));
+}
+
+/// Whoever is there and refuses is heard, also while another one is lost.
+#[test]
+fn a_refusal_stays_one() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    let others: Vec<usize> = (0..4).filter(|n| *n != leader).collect();
+    // Its own file has [clients] known and no reserve for it, say: here, the first tenant has another name.
+    let text = shared("next") + "[[tenant]]\nname = \"other\"\n";
+    fleet.kill(others[0]);
+    let begun = Instant::now();
+    let reply = fleet.wish(leader, Op::Propose { text, expect: None }).1;
+    assert!(matches!(&reply, Reply::Refused(why) if why.contains("tenant")), "{reply:?}");
+    assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
+}
+
+/// One comes back that can't act on what was agreed without it: it stays careful, is named, and holds nobody up.
+#[test]
+fn whoever_returns_and_cannot_act_on_it_stays_careful_and_is_named() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    let away = 3;
+    fleet.kill(away);
+    assert_eq!(fleet.propose(leader, "next"), Reply::Done(2));
+    until("without it", || everywhere(&fleet, "2"));
+    // Beside [eureka] the upstreams of its file stay; those that were agreed on are others.
+    let file = FILE.replace("address = \"127.0.0.1:9\"", "address = \"127.0.0.1:10\"")
+        + "[eureka]\nservers = [\"127.0.0.1:9\"]\napp = \"DESKS\"\n";
+    fleet.start(away, &file);
+    until("it says what is wrong", || fleet.wish(away, Op::Status).0.voter.is_some());
+    let acting = fleet.parts[away].as_ref().unwrap().acting.borrow().clone();
+    assert_eq!(acting.mode(Instant::now()), Mode::Careful);
+    until("the leader names it", || {
+        fleet.wish(leader, Op::Status).0.voter.is_some_and(|why| why.starts_with("b4 can't act on it"))
+    });
+    until("nobody waits for it", || {
+        let reply = fleet.wish(leader, Op::Status).1;
+        matches!(reply, Reply::Overview(stands) if stands.members.iter().all(|member| !member.waits))
+    });
+    // It is there and refuses what it can't act on either.
+    let reply = fleet.propose(leader, "third");
+    assert!(matches!(&reply, Reply::Refused(why) if why.starts_with("b4: ")), "{reply:?}");
+    // What is under way is not held up by it.
+    fleet.cut(away);
+    assert_eq!(fleet.propose(leader, "third"), Reply::Done(3));
+    fleet.heal();
+    until("the others go on", || {
+        (0..3).all(|n| fleet.parts[n].as_ref().unwrap().acting.borrow().label == "3")
+    });
+}
