Whoever makes no common document has no part in it, and nobody waits for it

A member whose program knows it and whose thread that serves acts by none would be behind for good. Its word says so; an engine that follows drops the ways.

--- a/agreement/src/common.rs
+++ b/agreement/src/common.rs
@@ -48,6 +48,8 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Held {
+    /// It has a part in the common document, and not its program alone.
+    part: bool,
     acts: u64,
     has: u64,
     until: Option<Duration>,
@@ -68,31 +70,31 @@
         Self { times, since: elected, members, held: BTreeMap::new() }
     }
 
-    /// A member says the number that it acts on, and of which it has the body. `true`: it has come further.
-    pub fn heard(&mut self, name: &Name, acts: u64, has: u64) -> bool {
+    /// A member says the number that it acts on, and of which it has the body; `None`: it has no part. `true`: that is news.
+    pub fn heard(&mut self, name: &Name, acts: Option<u64>, has: u64) -> bool {
         if !self.members.contains(name) {
             return false;
         }
-        let held = self.held.entry(name.clone()).or_insert(Held { acts: 0, has, until: None });
-        // What it has may be less than before: it was started again. What it acted on, it acts on no more then.
-        held.has = has;
-        let further = acts > held.acts;
-        held.acts = held.acts.max(acts);
-        further
+        let fresh = Held { part: false, acts: 0, has, until: None };
+        let held = self.held.entry(name.clone()).or_insert(fresh);
+        let news = acts.is_some() != held.part || acts.is_some_and(|acts| acts > held.acts);
+        // What it has may be less than before: it was started again, and acts on nothing then.
+        (held.part, held.has) = (acts.is_some(), has);
+        held.acts = held.acts.max(acts.unwrap_or(0));
+        news
     }
 
-    /// Grants a lease, once it is certain that this leader still was one after the request. `None`: its program knows no common
-    /// document; else the number of which it has the body.
-    pub fn grant(&mut self, now: Duration, name: &Name) -> Option<u64> {
+    /// Grants a lease, once it is certain that this leader still was one after the request. `false`: it has no part.
+    pub fn grant(&mut self, now: Duration, name: &Name) -> bool {
         let until = now + self.times.longest_lease();
-        let held = self.held.get_mut(name)?;
+        let Some(held) = self.held.get_mut(name).filter(|held| held.part) else { return false };
         held.until = Some(held.until.map_or(until, |before| before.max(until)));
-        Some(held.has)
+        true
     }
 
-    /// The number that a member said it acts on, and of which it has the body; `None`: its program knows no common document.
+    /// The number that a member said it acts on, and of which it has the body; `None`: it has no part.
     pub fn of(&self, name: &Name) -> Option<(u64, u64)> {
-        self.held.get(name).map(|held| (held.acts, held.has))
+        self.held.get(name).filter(|held| held.part).map(|held| (held.acts, held.has))
     }
 
     /// Until when a member's lease may hold, by this leader's clock.
@@ -102,7 +104,8 @@
 
     /// Who holds a lease and lacks this body.
     pub fn lack(&self, now: Duration, number: u64) -> BTreeSet<Name> {
-        let lacks = |held: &Held| held.has < number && held.until.is_some_and(|until| until > now);
+        let lacks =
+            |held: &Held| held.part && held.has < number && held.until.is_some_and(|until| until > now);
         self.held.iter().filter(|(_, held)| lacks(held)).map(|(name, _)| name.clone()).collect()
     }
 
--- a/follow/src/lib.rs
+++ b/follow/src/lib.rs
@@ -132,7 +132,9 @@
         .map_err(FollowError::Engine)?;
     let mut member = maplehook_quorum::join(&tier, env!("CARGO_PKG_VERSION")).map_err(FollowError::Tier)?;
     let agreeing = maplehook_quorum::agree(&tier, &agreement, file.to_owned(), &mut member);
-    let agreeing = agreeing.map_err(FollowError::Tier)?;
+    let mut agreeing = agreeing.map_err(FollowError::Tier)?;
+    // It makes no common document, and acts by none.
+    agreeing.places = None;
     let first = Followed { epoch: 0, label: "0;careful".into(), mode: Mode::Careful, rules: numbered.rules };
     let (tell, followed) = watch::channel(Arc::new(first));
     let follows = Follows { handle: engine.handle(), numbers, lists, tell };
--- a/quorum/src/agreeing.rs
+++ b/quorum/src/agreeing.rs
@@ -43,7 +43,8 @@
     pub standing: watch::Receiver<Standing>,
     /// The number of the common document that the thread that serves acts on.
     pub acts: watch::Sender<u64>,
-    /// The ways of whoever makes the common document; taken once.
+    /// The ways of whoever makes the common document; taken once. Where they are dropped this balancer has no part in it: it is
+    /// told of none, and nobody waits for it.
     pub places: Option<Places>,
     asks: mpsc::Sender<Asked>,
     stop: Option<oneshot::Sender<()>>,
--- a/quorum/src/common.rs
+++ b/quorum/src/common.rs
@@ -111,7 +111,7 @@
 pub(crate) struct Share {
     pub(crate) holding: Holding,
     /// The number that is acted on here.
-    pub(crate) acts: u64,
+    pub(crate) acts: Option<u64>,
     given: Option<Given>,
     /// The newest number that was pushed, and to whom it is still to be.
     pushed: u64,
@@ -128,7 +128,7 @@
     pub(crate) fn new(times: Times, tells: Tells) -> Self {
         Self {
             holding: Holding::new(times),
-            acts: 0,
+            acts: Some(0),
             given: None,
             pushed: 0,
             push: BTreeSet::new(),
@@ -181,7 +181,7 @@
     }
 
     /// A member says by which common document it acts.
-    pub(crate) fn acted(&mut self, from: &Name, acts: u64, has: u64, unfit: Option<(u64, String)>) {
+    pub(crate) fn acted(&mut self, from: &Name, acts: Option<u64>, has: u64, unfit: Option<(u64, String)>) {
         let share = &mut self.share;
         let Some(given) = &mut share.given else { return };
         share.news |= given.heard(from, acts, has);
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -211,11 +211,16 @@
                     if changed.is_err() {
                         return;
                     }
-                    self.share.acts = *acts.borrow_and_update();
+                    let number = *acts.borrow_and_update();
+                    self.share.acts = self.share.acts.map(|_| number);
                     self.ask_for_a_lease();
                 }
                 Some((op, reply)) = asked.recv() => self.wish(op, Wisher::Here(reply)),
-                Some(put) = places.puts.recv() => self.put_common(put),
+                put = places.puts.recv(), if self.share.acts.is_some() => match put {
+                    Some(put) => self.put_common(put),
+                    // Nobody makes it here: it has no part.
+                    None => self.share.acts = None,
+                },
                 Some((to, message)) = places.said.recv() => self.tell_of_places(to, &message.body),
             }
             self.settle();
--- a/quorum/src/talk.rs
+++ b/quorum/src/talk.rs
@@ -209,8 +209,8 @@
     },
     /// Said before `Ask`, by whoever knows the common document.
     Acts {
-        /// The number of it that it acts on.
-        acts: u64,
+        /// The number of it that it acts on; `None`: it has no part in it.
+        acts: Option<u64>,
         /// The number whose body it has.
         has: u64,
         /// Why it can't act on the step of the epoch that it has been told, if that is so.
--- a/quorum/tests/common.rs
+++ b/quorum/tests/common.rs
@@ -152,6 +152,25 @@
     assert_eq!(fleet.parts[4].as_ref().unwrap().acting.borrow().label, "1", "versions go on");
 }
 
+/// Nobody makes it at a member of this program either: the same.
+#[test]
+fn whoever_has_no_part_keeps_nobody_waiting() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    assert_eq!(fleet.put(leader, 0, b"one"), Ok(1));
+    until("all act on it", || all_hold(&fleet, 1) && fleet.standing(leader).behind.is_empty());
+    let without = if leader == 3 { 0 } else { 3 };
+    fleet.places[without] = None;
+    fleet.stuck.lock().unwrap().insert(without);
+    assert_eq!(fleet.put(leader, 1, b"two"), Ok(2));
+    until("its lease ends, and then it is not waited for", || fleet.standing(leader).behind.is_empty());
+    until("it is named", || {
+        let members = fleet.standing(leader).members;
+        members.iter().any(|(name, acts)| *name == fleet.names[without] && acts.is_none())
+    });
+    until("nor holds it one", || fleet.holds(without).is_none());
+}
+
 /// A thousand in a row: numbers, log and memory stay bounded.
 #[test]
 fn a_thousand_puts_in_a_row_stay_bounded() {
