--- a/histories/src/judge/announce.rs
+++ b/histories/src/judge/announce.rs
@@ -138,6 +138,7 @@
     let live = Spans::of(vec![(facts.start, facts.end.saturating_add(1))]);
     for (name, address) in &history.header.addresses {
         let all = told.get(name.as_str()).map_or(&[][..], Vec::as_slice);
+        let longest = all.iter().map(|told| told.until.saturating_sub(told.from)).max().unwrap_or(0);
         let well = well(&facts, address.one, &address.sites);
         for site in &address.sites {
             let zones = facts.zones_of(site);
@@ -161,7 +162,10 @@
                         && told.until > due
                         && !facts.away(told.by, *since, told.from.max(due))
                 };
-                let Some(told) = all.iter().find(late) else { continue };
+                let from = all.partition_point(|told| told.from.saturating_add(longest) <= due);
+                let Some(told) = all[from..].iter().take_while(|told| told.from < *until).find(late) else {
+                    continue;
+                };
                 let by = told.by;
                 let what = format!(
                     "{by} announces {name} for {site}, of which nothing is left since {} us",
--- a/histories/src/judge/contradict.rs
+++ b/histories/src/judge/contradict.rs
@@ -1,6 +1,7 @@
 //! Contradictions: two plans that are acted on at a time, and of which one undoes the other.
 
 use super::facts::Facts;
+use super::spans::Spans;
 use super::{Breach, Finding};
 use crate::file::History;
 use crate::record::What;
@@ -68,14 +69,12 @@
     let mut close = |held: Option<Held<'h>>, at: u64| {
         let Some(held) = held else { return };
         // Whoever dies does not go on after its next start.
-        let down = facts
-            .lives
-            .down
-            .get(held.by)
-            .and_then(|spans| spans.list().iter().find(|span| span.0 >= held.from));
-        let until = down.map_or(at, |span| span.0.min(at));
-        let own = super::spans::Spans::of(vec![(held.from, until)]);
-        let own = facts.lives.stopped.get(held.by).map_or(own.clone(), |stopped| own.but(stopped));
+        let down = facts.lives.down.get(held.by).map_or(&[][..], Spans::list);
+        let next = down.get(down.partition_point(|span| span.0 < held.from));
+        let until = next.map_or(at, |span| span.0.min(at));
+        let own = Spans::of(vec![(held.from, until)]);
+        let stopped = facts.lives.stopped.get(held.by).filter(|stopped| stopped.meets(held.from, until));
+        let own = stopped.map_or(own.clone(), |stopped| own.but(stopped));
         all.extend(own.list().iter().map(|(from, until)| Held { from: *from, until: *until, ..held }));
     };
     for (n, record) in facts.history.records.iter().enumerate() {
--- a/histories/src/judge/facts.rs
+++ b/histories/src/judge/facts.rs
@@ -80,6 +80,12 @@
         self.history.header.regions.get(site).map_or(&[], Vec::as_slice)
     }
 
+    /// What all upstreams of a zone could take, were they well, in requests a second.
+    pub(crate) fn nominal(&self, zone: &str) -> f64 {
+        let upstreams = self.history.header.upstreams.values();
+        upstreams.filter(|upstream| upstream.zone == zone).map(|upstream| upstream.room_per_s).sum()
+    }
+
     /// The real room of a zone at a moment, in requests a second.
     pub(crate) fn room_at(&self, zone: &str, at: u64) -> f64 {
         let Some(steps) = self.room.get(zone) else { return 0.0 };
--- a/histories/src/judge/load.rs
+++ b/histories/src/judge/load.rs
@@ -48,18 +48,16 @@
     let (width, settle) = (facts.window(), facts.history.header.bounds.settle_us);
     let back = (settle / width).clamp(1, BACK_MOST);
     let mut spans = Vec::new();
+    // What was before the first record is not known, and no demand that rose.
+    let first = facts.start / width;
     for (zone, cells) in tally {
+        let room = facts.nominal(zone) * width as f64 / 1e6;
         for (window, cell) in cells {
             let at = window * width;
-            let room = facts.room_at(zone, at) * width as f64 / 1e6;
-            let before = window.saturating_sub(back)..*window;
+            let before = window.saturating_sub(back).max(first).min(*window)..*window;
             let known = cells.range(before.clone());
-            let some = known.clone().count() as u64;
-            let least = if some < before.end - before.start {
-                0
-            } else {
-                known.map(|(_, cell)| cell.sent).min().unwrap_or(0)
-            };
+            let all = known.clone().count() as u64 == before.end - before.start;
+            let least = known.map(|(_, cell)| cell.sent).min().filter(|_| all).unwrap_or(0);
             // Less than three deviations of a count and a fifth of the room are chance.
             if cell.sent.saturating_sub(least) as f64 > 0.2 * room + 3.0 * room.sqrt() {
                 spans.push((at, at.saturating_add(width).saturating_add(settle)));
--- a/histories/src/judge/requests.rs
+++ b/histories/src/judge/requests.rs
@@ -67,7 +67,7 @@
     }
     for (id, sent) in open {
         let due = sent.at.saturating_add(most);
-        if due < facts.end && !facts.gone(sent.to, sent.at, facts.end) {
+        if due < facts.end && !facts.gone(sent.to, sent.at, due) {
             let what = format!("request {id} to {} never ends", sent.to);
             breaches.push(Breach {
                 rule: RULE,
--- a/histories/src/shrink.rs
+++ b/histories/src/shrink.rs
@@ -2,12 +2,13 @@
 //!
 //! Delta debugging (Zeller and Hildebrandt, "Simplifying and isolating failure-inducing input", 2002): first whole processes and kinds
 //! of records, then spans of time, then single records. What is left out must not make a breach of another kind: an end that is left
-//! out looks like a request that was lost. So the same breach has to stand: by the same records, from the same moment, and for no longer.
+//! out looks like a request that was lost. So the same breach has to stand, by the same records, from the same moment and for no longer,
+//! and none may come that was not there before.
 
 use crate::file::History;
 use crate::judge::{Breach, Rule, named};
-use crate::record::{Record, What};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::record::{Header, Record, What};
+use std::collections::BTreeMap;
 
 /// The most judgements of one search.
 const TRIES_MOST: usize = 4_000;
@@ -16,18 +17,29 @@
 
 struct Search<'h> {
     history: &'h History,
+    header: Header,
     rule: &'static Rule,
-    breach: Breach,
+    /// All that was found in the whole; the first is the one to show.
+    known: Vec<Breach>,
+    /// Places of those in `known`, by when they begin and their records.
+    places: BTreeMap<(u64, Vec<usize>), usize>,
     tries: usize,
     work: usize,
 }
 
 /// The shortest part found that still shows the first breach of a rule; the whole if there is no such rule or breach.
 pub fn shrink(history: &History, rule: &str) -> History {
-    let found = named(rule).and_then(|rule| Some((rule, (rule.judge)(history).breaches.into_iter().next()?)));
-    let Some((rule, breach)) = found else { return history.clone() };
-    let mut search = Search { history, rule, breach, tries: 0, work: 0 };
+    let Some(rule) = named(rule) else { return history.clone() };
+    let known = (rule.judge)(history).breaches;
+    if known.is_empty() {
+        return history.clone();
+    }
+    let key = |(n, breach): (usize, &Breach)| ((breach.at_us, breach.records.clone()), n);
+    let places = known.iter().enumerate().rev().map(key).collect();
+    let header = history.header.clone();
+    let mut search = Search { history, header, rule, known, places, tries: 0, work: 0 };
     let mut kept: Vec<usize> = (0..history.records.len()).collect();
+    search.without_addresses(&kept);
     kept = search.without_groups(kept, |record| kind(&record.what).to_owned());
     kept = search.without_groups(kept, |record| record.by.clone());
     kept = search.within_span(kept);
@@ -39,10 +51,10 @@
 impl Search<'_> {
     fn part(&self, kept: &[usize]) -> History {
         let records = kept.iter().map(|n| self.history.records[*n].clone()).collect();
-        History { header: self.history.header.clone(), records }
+        History { header: self.header.clone(), records }
     }
 
-    /// Whether these records still show it. Says no once there was enough work.
+    /// Whether these records still show it and nothing else. Says no once there was enough work.
     fn shows(&mut self, kept: &[usize]) -> bool {
         if self.tries >= TRIES_MOST || self.work >= WORK_MOST {
             return false;
@@ -50,19 +62,34 @@
         self.tries += 1;
         self.work += kept.len().max(1);
         let found = (self.rule.judge)(&self.part(kept)).breaches;
-        found.iter().any(|found| self.same(found, kept))
+        let places: Option<Vec<usize>> = found.iter().map(|found| self.place(found, kept)).collect();
+        places.is_some_and(|places| places.contains(&0))
     }
 
-    fn same(&self, found: &Breach, kept: &[usize]) -> bool {
+    /// Which of the breaches of the whole this is.
+    fn place(&self, found: &Breach, kept: &[usize]) -> Option<usize> {
         let records: Vec<usize> = found.records.iter().map(|n| kept[*n]).collect();
         if self.rule.counts {
-            let known: BTreeSet<&usize> = self.breach.records.iter().collect();
-            let within = found.at_us >= self.breach.at_us && found.until_us <= self.breach.until_us;
-            return within && !records.is_empty() && records.iter().all(|n| known.contains(n));
+            let same = |known: &Breach| {
+                let within = found.at_us >= known.at_us && found.until_us <= known.until_us;
+                within
+                    && !records.is_empty()
+                    && records.iter().all(|n| known.records.binary_search(n).is_ok())
+            };
+            return self.known.iter().position(same);
+        }
+        let place = self.places.get(&(found.at_us, records)).copied();
+        place.filter(|place| found.until_us <= self.known[*place].until_us)
+    }
+
+    /// Leaves out addresses that have no part in it.
+    fn without_addresses(&mut self, kept: &[usize]) {
+        for name in self.history.header.addresses.keys() {
+            let address = self.header.addresses.remove(name);
+            if let Some(address) = address.filter(|_| !self.shows(kept)) {
+                self.header.addresses.insert(name.clone(), address);
+            }
         }
-        found.at_us == self.breach.at_us
-            && found.until_us <= self.breach.until_us
-            && records == self.breach.records
     }
 
     /// Leaves out groups of records: all at once where that goes, else by halves and in the end one by one.
