--- a/locality/src/alone.rs
+++ b/locality/src/alone.rs
@@ -26,9 +26,11 @@
     demand: f64,
     rooms: &[f64],
 ) -> Vec<(Zone, f64)> {
-    let ladder = rule.ladder(topology, from);
+    let known_zones = topology.zones().count();
+    let mut ladder = rule.ladder(topology, from);
+    ladder.iter_mut().for_each(|step| step.retain(|zone| usize::from(zone.0) < known_zones));
     let mut rooms: Vec<f64> = rooms.iter().map(|room| known(*room)).collect();
-    rooms.resize(topology.zones().count(), 0.0);
+    rooms.resize(known_zones, 0.0);
     for zone in ladder.first().into_iter().flatten() {
         rooms[usize::from(zone.0)] *= keeper.given();
     }
--- a/locality/src/contradict.rs
+++ b/locality/src/contradict.rs
@@ -97,7 +97,7 @@
     let mut made = distinct(&pairs, b);
     if made.len() > RULES_MOST {
         let mut by_second: BTreeMap<usize, Rule> = BTreeMap::new();
-        for ((y, x), _) in &pairs {
+        for (y, x) in pairs.keys() {
             let so_far = by_second.entry(*y).or_insert_with(|| b.all()[*y].clone());
             *so_far = as_strict(&a.all()[*x], so_far);
         }
--- a/locality/tests/alone.rs
+++ b/locality/tests/alone.rs
@@ -86,6 +86,14 @@
     close(&shares(&rule, &topology, Zone(0), &waiting, 100.0, &rooms), &[]);
 }
 
+#[test]
+fn a_zone_that_there_is_not_gets_nothing() {
+    let (topology, mut rule) = (topology(), Rule::near_first());
+    rule.steps.insert(0, Step { place: Place::Zone(Zone(77)), within: None });
+    let found = shares(&rule, &topology, Zone(99), &open(&rule, 4), 100.0, &[100.0; 200]);
+    assert!(found.iter().all(|(zone, _)| zone.0 < 5), "{found:?}");
+}
+
 #[test]
 fn a_step_that_returns_is_filled_by_what_is_given_back() {
     let (topology, rule) = (topology(), Rule::near_first());
