--- a/failover/src/room.rs
+++ b/failover/src/room.rs
@@ -40,6 +40,9 @@
     learned: BTreeMap<Zone, (f64, Duration, Duration)>,
 }
 
+/// Attempts a second of a balancer that knows what of a zone can be used.
+const SENDS: f32 = 0.5;
+
 /// Figures of one zone before they are rooms.
 #[derive(Clone, Copy, Debug, Default)]
 struct Figures {
@@ -116,7 +119,13 @@
     let reached = |from: Zone| views.word(from, zone) != Word::Out;
     let any =
         (0..zones as u16).any(|from| sights.iter().any(|(z, _)| *z == Zone(from)) && reached(Zone(from)));
+    // Who sends nothing there has not heard of what is ejected or gone: it lists what there should be.
+    let sends = |from: Zone| sights.iter().any(|(z, s)| *z == from && s.sent >= SENDS);
+    let any_sends = (0..zones as u16).map(Zone).any(|from| reached(from) && sends(from));
     for from in (0..zones as u16).map(Zone) {
+        if any_sends && !sends(from) {
+            continue;
+        }
         let here: Vec<&Sight> =
             sights.iter().filter(|(z, s)| *z == from && s.stated == stated).map(|(_, s)| *s).collect();
         // Whoever does not reach it can't say how much of it is usable.
--- a/failover/tests/world/mod.rs
+++ b/failover/tests/world/mod.rs
@@ -175,6 +175,7 @@
                 unreached: if up > 0.0 { 0.0 } else { sent as f32 },
                 connect_ms: 1.0,
                 load: if sent > 0.0 { load.min(10.0) as f32 } else { 0.0 },
+                ..Sight::default()
             }
         };
         Report {
