--- /dev/null
+++ b/node/src/serve/file.rs
@@ -0,0 +1,119 @@
+//! A balancer as the operator's file alone describes it.
+
+use super::parts::Parts;
+use super::{KILL_AFTER_DEADLINE, Plan, Told, block_on, serve, vouching};
+use crate::requests::Requests;
+use crate::versions::Versions;
+use lapisroute::FleetScope;
+use maplehook::lists::Lists;
+use maplehook::parts::room::Room;
+use maplehook::source::{Fixed, News, Source};
+use maplehook_config::{CutOff, Operator};
+use maplehook_eureka::{self as eureka, Eureka, Registrar, Registration};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::error::Error;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::spawn_local;
+
+/// Serves as the operator's file alone says, until SIGTERM.
+pub fn by_file(
+    mut operator: Operator,
+    file: Option<String>,
+    told: Option<Told>,
+) -> Result<(), Box<dyn Error>> {
+    let mut proxy =
+        operator.proxy.take().ok_or("it names no listen.address, no [[class]] and no [[upstream]]")?;
+    let agreement = operator.tier.as_ref().and_then(|tier| tier.agreement.as_ref());
+    let refuses = agreement.is_some_and(|agreement| agreement.when_cut_off == CutOff::Refuse);
+    let agrees = agreement.is_some();
+    if agrees {
+        // Until it is known what the others act on.
+        proxy = maplehook_agreement::strict::careful(&proxy);
+    }
+    let longest = proxy.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
+    let mut plan = Plan {
+        listen: proxy.listen,
+        inherited: None,
+        control: operator.control,
+        control_told: "operator_listen",
+        classes: proxy.classes.clone(),
+        settings: proxy.settings.clone(),
+        seed: RandomState::new().build_hasher().finish(),
+        sockets: proxy.sockets,
+        room: Room::new(proxy.bodies),
+        forwarding: proxy.forwarding.clone(),
+        own: proxy.own,
+        stall: proxy.stall,
+        grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
+        operator,
+        file,
+    };
+    block_on(async move {
+        let vouching = vouching(&plan.operator, &proxy.tenants)?;
+        let mut hangup = signal(SignalKind::hangup())?;
+        let mut parts = Parts::new(&mut plan)?;
+        let fronts = plan.operator.admission.fronts.clone();
+        let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
+        requests.refuse(refuses);
+        parts.entrance.know(proxy.clients.known.clone());
+        parts.board.refuses.store(refuses, Ordering::Release);
+        let lists = Rc::new(Lists::new(Fixed::listed(proxy.listed(|zone| zone)).into_entries()));
+        let known = News { scope: FleetScope::Cached, ..lists.news() };
+        let (source, registrar) = match &proxy.eureka {
+            None => (Rc::clone(&lists) as Rc<dyn Source>, None),
+            Some(file) => {
+                let settings = eureka::Settings::by_file(file, &proxy.zones)?;
+                let registrar = file.registration.as_ref().map(|own| {
+                    let address = own.address.map_or_else(|| parts.listener.local_addr(), Ok)?;
+                    let registration = Registration {
+                        app: own.app.clone(),
+                        id: own.id.clone(),
+                        address,
+                        vip: own.vip.clone(),
+                        renew: own.renew,
+                        metadata: BTreeMap::new(),
+                    };
+                    Ok::<_, std::io::Error>(Registrar::new(
+                        registration,
+                        &settings.manner,
+                        &settings.replicas,
+                    ))
+                });
+                let names: Vec<String> = proxy.upstreams.iter().map(|u| u.name.clone()).collect();
+                let source = Eureka::new(settings, &known.entries, &names);
+                (Rc::new(source) as Rc<dyn Source>, registrar.transpose()?)
+            }
+        };
+        let agreeing = parts.agreeing.take();
+        let versions = agreeing.as_ref().map(|agreeing| {
+            let lists = proxy.eureka.is_none().then_some(lists);
+            let versions = Versions::new(
+                &proxy,
+                lists,
+                Rc::clone(&requests),
+                Rc::clone(&parts.entrance),
+                Rc::clone(&parts.upstreams),
+                Arc::clone(&parts.board.refuses),
+            );
+            (versions, agreeing.acting.clone(), agreeing.applied.clone())
+        });
+        let begun = |driver, counting| {
+            spawn_local(async move {
+                while hangup.recv().await.is_some() {
+                    tracing::warn!("nothing is read anew: the file is read at the start");
+                }
+            });
+            if let Some((versions, acting, applied)) = versions {
+                spawn_local(versions.follow(acting, applied, driver, counting));
+            }
+        };
+        let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
+        drop(agreeing);
+        served
+    })
+}
--- /dev/null
+++ b/node/src/serve/parts.rs
@@ -0,0 +1,128 @@
+//! What is there before anybody is let in.
+
+use super::Plan;
+use crate::control::{self, Board};
+use crate::entrance::Entrance;
+use crate::signed::Seal;
+use crate::tier;
+use crate::wishes::Guard;
+use lapisroute::Balancer;
+use maplehook::parts::descriptors::{self, Descriptors};
+use maplehook::parts::upstream::Upstreams;
+use maplehook_admission::{Door, Part};
+use maplehook_link::{Member, Secret};
+use maplehook_quorum::Agreeing;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// What is there before anybody is let in.
+pub(super) struct Parts {
+    pub(super) term: Signal,
+    pub(super) listener: TcpListener,
+    pub(super) descriptors: Rc<Descriptors>,
+    pub(super) upstreams: Rc<Upstreams>,
+    pub(super) entrance: Rc<Entrance>,
+    pub(super) balancer: Balancer,
+    pub(super) board: Board,
+    /// Whether others accept on the listener too.
+    pub(super) shared: bool,
+    /// Its part in a tier. It says that it goes when this is dropped.
+    pub(super) member: Option<Member>,
+    /// Its part in agreeing on versions.
+    pub(super) agreeing: Option<Agreeing>,
+}
+
+impl Parts {
+    pub(super) fn new(plan: &mut Plan) -> Result<Self, Box<dyn Error>> {
+        if let Some(limit) = plan.operator.descriptors.limit {
+            descriptors::set_limit(limit).map_err(|e| format!("descriptors.limit: {e}"))?;
+        }
+        let balancer = Balancer::new(plan.settings.clone(), plan.seed)?;
+        // Before anybody can know that this process is ready: unhandled, it would kill.
+        let term = signal(SignalKind::terminate())?;
+        let operators = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
+        let aside = operators + plan.operator.tier.as_ref().map_or(0, tier::descriptors);
+        let descriptors = Descriptors::new(plan.sockets, aside, plan.operator.descriptors.upstream_share)?;
+        let (shared, listener) = match plan.inherited.take() {
+            Some(listener) => (true, TcpListener::from_std(listener)),
+            None => (false, listen(plan.listen, plan.operator.backlog)),
+        };
+        let listener = listener.map_err(|e| format!("listen on {}: {e}", plan.listen))?;
+        let mut member = plan
+            .operator
+            .tier
+            .as_ref()
+            .map(|tier| maplehook_quorum::join(tier, env!("CARGO_PKG_VERSION")))
+            .transpose()?;
+        let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
+        let mut agreeing = None;
+        if let (Some(member), Some(tier)) = (&mut member, &plan.operator.tier)
+            && let Some(agreement) = &tier.agreement
+        {
+            let file =
+                plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
+            let began = maplehook_quorum::agree(tier, agreement, file, member)?;
+            let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
+            board.settings = Some(Arc::new(Guard::new(Arc::new(Seal::new(&secret)), began.wishes())));
+            agreeing = Some(began);
+        }
+        if let Some(address) = plan.control {
+            let bound = control::serve(address, board.clone())
+                .map_err(|e| format!("operators' calls on {address}: {e}"))?;
+            tracing::info!("operators may call {}={bound}", plan.control_told);
+        }
+        let (room, forwarding) = (plan.room.clone(), plan.forwarding.clone());
+        let upstreams = Rc::new(Upstreams::new(
+            &plan.settings,
+            Rc::clone(&descriptors),
+            room,
+            forwarding,
+            Arc::clone(&board.tally),
+        ));
+        let guarantees: Vec<f64> = plan.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
+        let places = descriptors.of(Part::Clients);
+        let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
+        let entrance = Entrance::new(door, plan.stall);
+        share_descriptors(&descriptors, &upstreams, &entrance);
+        Ok(Self {
+            term,
+            listener,
+            descriptors,
+            upstreams,
+            entrance,
+            balancer,
+            board,
+            shared,
+            member,
+            agreeing,
+        })
+    }
+}
+
+fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    // As after a crash: the address may still have connections that are closing.
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(backlog)
+}
+
+/// Who gives descriptors up, and who has to know that there are fewer: an idle connection to an upstream
+/// costs less than a client.
+fn share_descriptors(descriptors: &Rc<Descriptors>, upstreams: &Rc<Upstreams>, entrance: &Rc<Entrance>) {
+    let idle = Rc::clone(upstreams);
+    descriptors.relieved_by(move || idle.close_oldest());
+    let clients = Rc::clone(entrance);
+    descriptors.relieved_by(move || clients.shed());
+    let (of, upstreams, entrance) = (Rc::downgrade(descriptors), Rc::clone(upstreams), Rc::clone(entrance));
+    descriptors.tells(move || {
+        if let Some(descriptors) = of.upgrade() {
+            entrance.resize(descriptors.of(Part::Clients));
+            upstreams.resized();
+        }
+    });
+}
