Rules of nearness are shared, and two versions of them are read strictly

Need: [locality] is part of the shared settings; while a version changes, balancers act on both. Change: agreement/src/places.rs maps rules by the names of classes, tenants and zones and takes what either forbids; the table says so.

--- a/agreement/src/lib.rs
+++ b/agreement/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod grants;
 pub mod holder;
 pub mod numbers;
+pub mod places;
 pub mod steps;
 pub mod strict;
--- a/agreement/src/numbers.rs
+++ b/agreement/src/numbers.rs
@@ -23,8 +23,12 @@
     pub rules: Rules,
     /// How messages of each class pass.
     pub passages: Vec<Passage>,
+    /// The names of the tenants, by their numbers.
+    pub tenants: Vec<String>,
     /// The numbers of the version's zones.
     pub zones: Vec<ZoneId>,
+    /// The names of all zones that there were, by their numbers.
+    pub zone_names: Vec<String>,
     /// Tenants that it does not name any more.
     pub gone: Vec<TenantId>,
 }
@@ -88,7 +92,9 @@
             classes: self.classes.iter().map(|(name, ..)| name.clone()).collect(),
             rules: Rules::new(proxy.routes.iter().map(route).collect(), names, proxy.headers.clone()),
             passages: self.classes.iter().map(|(.., passage)| passage.clone()).collect(),
+            tenants: self.tenants.clone(),
             zones,
+            zone_names: self.zones.clone(),
             gone,
         }
     }
--- a/agreement/src/strict.rs
+++ b/agreement/src/strict.rs
@@ -12,6 +12,7 @@
 //! | a tenant's guarantee | never for one tenant, since either keeps what is promised; the sum over the room does | the lesser |
 //! | refused clients | the lists differ | whoever either refuses |
 //! | known clients | never: they say who goes first at a crowded door | the new one's |
+//! | rules of nearness (`never`, `beyond region at most`, `when lost`) | they differ | see [`crate::places`] |
 //! | deadlines, aims, weights, limits on bodies, other headers | never: they say how well, not what may happen | the lesser time, the new one's otherwise |
 
 use lapisroute::{Class, Effect, Tenant};
@@ -56,6 +57,7 @@
             _ => found.push(format!("upstream {name}: listed differently")),
         }
     }
+    found.extend(crate::places::contradictions(a, b));
     found
 }
 
@@ -148,6 +150,7 @@
     let new_names = upstreams(new);
     let gone = old.upstreams.iter().filter(|upstream| !new_names.contains_key(upstream.name.as_str()));
     strict.upstreams.extend(gone.cloned().map(|upstream| Upstream { drained: true, ..upstream }));
+    strict.places = crate::places::strictest(old, new);
     strict
 }
 
--- a/places/src/config.rs
+++ b/places/src/config.rs
@@ -19,6 +19,12 @@
     pub bounds: Bounds,
     /// Service addresses.
     pub addresses: Vec<Address>,
+    /// Names of classes and tenants, by the numbers that the rules count them by.
+    pub classes: Vec<String>,
+    /// Where no tenant has a name there is one that has none.
+    pub tenants: Vec<String>,
+    /// Requests a second for one of weight, by zone; `None` where that is not stated for all upstreams of a zone.
+    pub rooms: Vec<Option<f64>>,
     /// Where upstreams listen, by zone.
     pub upstreams: Vec<(Zone, SocketAddr)>,
     /// Of the topology and the rules, whatever the numbers of classes and tenants are.
@@ -30,7 +36,14 @@
     pub fn of(proxy: &Proxy) -> Option<Self> {
         let places = proxy.places.as_ref()?;
         let Places { topology, own, rules, bounds, addresses, .. } = places;
-        let zone = |of: &Upstream| topology.zone(proxy.zones.get(usize::from(of.zone.0))?);
+        let zone = |of: &Upstream| self::zone(proxy, places, of);
+        let room = |zone: Zone| {
+            let of_it = || proxy.upstreams.iter().filter(|of| self::zone(proxy, places, of) == Some(zone));
+            let room: Option<f64> = of_it().map(|of| of.room).sum();
+            let weight: f64 = of_it().map(|of| of.weight).sum();
+            room.filter(|_| weight > 0.0).map(|room| room / weight)
+        };
+        let rooms = topology.zones().map(room).collect();
         let upstreams = proxy.upstreams.iter().filter_map(|of| Some((zone(of)?, of.address))).collect();
         Some(Self {
             topology: topology.clone(),
@@ -38,6 +51,9 @@
             own: *own,
             bounds: *bounds,
             addresses: addresses.clone(),
+            classes: proxy.classes.clone(),
+            tenants: if proxy.tenants.is_empty() { vec![String::new()] } else { proxy.tenants.clone() },
+            rooms,
             upstreams,
             digest: digest(topology, rules),
         })
@@ -48,3 +64,7 @@
         self.topology.regions().map(|region| self.topology.region_name(region).to_owned()).collect()
     }
 }
+
+fn zone(proxy: &Proxy, places: &Places, of: &Upstream) -> Option<Zone> {
+    places.topology.zone(proxy.zones.get(usize::from(of.zone.0))?)
+}
