--- a/src/heritage.rs
+++ b/src/heritage.rs
@@ -1,6 +1,7 @@
 //! What one balancer may leave to the next: what was learned, as plain figures. Times are seconds, as ages.
 
 use crate::interface::UpstreamId;
+use crate::state::{Balancer, Bucket, Learned, Upstream};
 
 /// What a balancer has learned.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -55,3 +56,28 @@
     /// See there.
     pub seen: f64,
 }
+
+impl Balancer {
+    /// What the next process may know of this one.
+    pub fn heritage(&self) -> Heritage {
+        let class = |l: &Learned| {
+            let Learned { latency, answers, least, usual, share, .. } = *l;
+            Some(ClassHeritage { latency, answers, least, usual, share })
+        };
+        let upstream = |u: &Upstream| UpstreamHeritage {
+            id: u.id,
+            cold_for: u.started.map(|s| (self.at - s).max(0.0)),
+            ejected_for: (u.ejected_until - self.at).max(0.0),
+            ejections: u.ejections,
+            pace: u.pace,
+            seen: u.seen,
+        };
+        let tenant = |b: &Bucket| Some(TenantHeritage { tokens: b.tokens.max(0.0), demand: b.demand });
+        Heritage {
+            rates: Some((self.rate, self.rate_now)),
+            classes: self.classes.iter().map(class).collect(),
+            tenants: self.buckets.iter().map(tenant).collect(),
+            upstreams: self.ring.iter().filter(|u| u.ready || u.draining).map(upstream).collect(),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,14 +67,19 @@
 //! one of them), and end an attempt as [`Outcome::TimedOut`] at its time-out or, at the latest, at the client's
 //! deadline. `Balancer` gives each request exactly one final answer on these terms.
 
+mod attempts;
 mod choice;
+mod grant;
 pub mod heritage;
 mod interface;
+mod learning;
 mod state;
 mod stats;
+mod subset;
+mod turns;
 
-pub use choice::Balancer;
 pub use interface::*;
+pub use state::Balancer;
 
 /// README's embedding example, kept honest by the tests.
 #[doc = include_str!("../README.md")]
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,69 @@
-//! What a balancer keeps: plain data, filled and read by `choice.rs`. Times are seconds; no decisions.
+//! What a balancer keeps: plain data, filled and read by the files of decisions. Times are seconds; no decisions.
 
-use crate::interface::{CellId, Effect, UpstreamId, ZoneId};
+use crate::interface::{Action, CellId, Effect, RequestId, Settings, UpstreamId, ZoneId};
+use crate::stats::Chance;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// One balancer's decisions. See the crate's page for its use.
+#[derive(Default)]
+pub struct Balancer {
+    pub(crate) set: Settings,
+    pub(crate) now: Duration, // of the event in hand
+    pub(crate) at: f64,       // the same in seconds
+    pub(crate) out: Vec<Action>,
+    pub(crate) rng: Chance,
+    pub(crate) ring: Vec<Upstream>, // all that are listed
+    pub(crate) index: FxHashMap<UpstreamId, usize>,
+    pub(crate) turns: Vec<usize>,   // the subset, in this balancer's own order
+    pub(crate) touched: Vec<usize>, // of the ring: something was sent or came back since they were weighed
+    pub(crate) weighed: usize,      // the turn up to which all have been weighed in this round
+    pub(crate) sums: Sums,
+    pub(crate) facts: Facts,
+    pub(crate) shortest: f64, // aim
+    pub(crate) subset_least: usize,
+    pub(crate) choose_at: f64,         // when the subset is looked at again
+    pub(crate) sigma: usize,           // the counter of the round robin
+    pub(crate) ahead: VecDeque<usize>, // the turns after it
+    pub(crate) requests: FxHashMap<RequestId, Request>,
+    pub(crate) silent: [f64; 2], // share of attempts never answered, on connections in use and on idle ones
+    pub(crate) reap: f64,        // idle time after which a connection may be dead
+    pub(crate) reap_until: f64,
+    pub(crate) due: BTreeSet<(Duration, RequestId, u8)>, // when attempts out become overdue
+    pub(crate) buckets: Vec<Bucket>,
+    pub(crate) classes: Vec<Learned>,
+    pub(crate) rate: f64,     // C for each unit of turn weight
+    pub(crate) done: f64,     // completions of the running tick
+    pub(crate) rate_now: f64, // completions a second, smoothed
+    pub(crate) room: f64,     // W
+    pub(crate) spill: f64,    // how far requests are let into other zones, for want of room in this one
+    pub(crate) asked: f64,    // requests of late, and how many of them were refused on arrival
+    pub(crate) turned: f64,
+    pub(crate) busy: f64, // share of the upstreams' cores in use, by their reports
+    pub(crate) busy_at: f64,
+    pub(crate) retries: f64,
+    pub(crate) ticking: bool,
+    pub(crate) last_tick: f64,
+    pub(crate) watching: bool,
+    pub(crate) ask_at: f64,
+    pub(crate) ask_failures: u32,
+}
+
+impl Balancer {
+    /// Entries of state held: upstreams, requests, attempts to look after. Bounded: see the tests.
+    pub fn entries(&self) -> usize {
+        self.ring.len() + self.index.len() + self.requests.len() + self.due.len()
+    }
+
+    /// How many upstreams are listed, and how many of them get nothing now: they drain, or are ejected.
+    pub fn listed(&self) -> (usize, usize) {
+        let listed = || self.ring.iter().filter(|u| u.ready || u.draining);
+        let spare = self.facts.spare_ejections;
+        let avoided = |u: &&Upstream| u.draining || (u.ejected_until > self.at && spare);
+        (listed().count(), listed().filter(avoided).count())
+    }
+}
 
 /// An upstream as one balancer sees it.
 #[derive(Default)]
@@ -129,3 +192,17 @@
     pub(crate) trials: u32,  // without success, of upstreams ejected for the class
     pub(crate) trial_at: f64,
 }
+
+/// Counts an attempt in among the overdue of its upstream, or out: once each, whatever comes in between.
+pub(crate) fn count_overdue(u: &mut Upstream, a: &mut Attempt, counts: bool) {
+    let was = std::mem::replace(&mut a.counted, counts);
+    u.overdue = (u.overdue + u32::from(counts)).saturating_sub(u32::from(was));
+}
+
+/// Something was sent to an upstream, or came back: it is weighed at the next tick. Past as many as there
+/// are, all of them will be.
+pub(crate) fn touch(touched: &mut Vec<usize>, most: usize, j: usize) {
+    if touched.len() <= most {
+        touched.push(j);
+    }
+}
