--- a/failover/src/flow.rs
+++ b/failover/src/flow.rs
@@ -48,11 +48,51 @@
     }
 }
 
+/// What one shape sends, by zone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Split {
+    zones: Zones,
+    /// In the order of the zones.
+    rates: Vec<f64>,
+}
+
+impl Split {
+    /// What is sent to a zone.
+    pub fn get(&self, zone: usize) -> f64 {
+        if self.zones >> zone & 1 == 0 { 0.0 } else { self.rates[self.before(zone)] }
+    }
+
+    /// Sends more, or less.
+    pub fn add(&mut self, zone: usize, rate: f64) {
+        let n = self.before(zone);
+        if self.zones >> zone & 1 == 1 {
+            self.rates[n] += rate;
+        } else {
+            self.zones |= 1 << zone;
+            self.rates.insert(n, rate);
+        }
+    }
+
+    /// Zones and what is sent there, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (usize, f64)> + '_ {
+        each(self.zones).zip(self.rates.iter().copied())
+    }
+
+    /// What is sent to zones of a set.
+    pub fn sum(&self, zones: Zones) -> f64 {
+        each(self.zones & zones).map(|zone| self.get(zone)).sum()
+    }
+
+    fn before(&self, zone: usize) -> usize {
+        (self.zones & ((1 << zone) - 1)).count_ones() as usize
+    }
+}
+
 /// Who is sent where, in requests a second, by shape.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Flows {
-    /// By shape, each zone once.
-    pub to: Vec<Vec<(usize, f64)>>,
+    /// By shape.
+    pub to: Vec<Split>,
     /// What is refused, by shape.
     pub left: Vec<f64>,
     /// What each zone is sent.
@@ -62,27 +102,23 @@
 impl Flows {
     /// Nothing is sent anywhere.
     pub fn none(asked: &[f64], zones: usize) -> Self {
-        Self { to: vec![Vec::new(); asked.len()], left: asked.to_vec(), load: vec![0.0; zones] }
+        Self { to: vec![Split::default(); asked.len()], left: asked.to_vec(), load: vec![0.0; zones] }
     }
 
     /// Sends more (or, with less than nothing, less) of a shape to a zone.
     pub fn add(&mut self, shape: usize, zone: usize, rate: f64) {
         self.load[zone] += rate;
-        let to = &mut self.to[shape];
-        match to.iter_mut().find(|(z, _)| *z == zone) {
-            Some((_, sent)) => *sent += rate,
-            None => to.push((zone, rate)),
-        }
+        self.to[shape].add(zone, rate);
     }
 
     /// What of a shape is sent to a zone.
     pub fn sent(&self, shape: usize, zone: usize) -> f64 {
-        self.to[shape].iter().find(|(z, _)| *z == zone).map_or(0.0, |(_, sent)| *sent)
+        self.to[shape].get(zone)
     }
 
     /// What of a shape leaves its region.
     fn beyond(&self, n: usize, shape: &Shape) -> f64 {
-        self.to[n].iter().filter(|(zone, _)| shape.beyond >> zone & 1 == 1).map(|(_, sent)| sent).sum()
+        self.to[n].sum(shape.beyond)
     }
 }
 
@@ -191,7 +227,7 @@
     for _ in 0..PATHS {
         let mut at: Vec<Vec<usize>> = vec![Vec::new(); zones];
         for (n, to) in flows.to.iter().enumerate() {
-            to.iter().filter(|(_, sent)| *sent > nothing).for_each(|(zone, _)| at[*zone].push(n));
+            to.iter().filter(|(_, sent)| *sent > nothing).for_each(|(zone, _)| at[zone].push(n));
         }
         let waiting: Vec<usize> = (0..shapes.len()).filter(|n| flows.left[*n] > nothing).collect();
         let free = |flows: &Flows, zone: usize| ground.cap(zone) - flows.load[zone];
--- a/failover/src/plan.rs
+++ b/failover/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::bounds::Bounds;
 use crate::document::{Plan, ROWS_MOST, Row, Share, WHOLE};
-use crate::flow::{Flows, Ground, waterfall};
+use crate::flow::{Flows, Ground, Split, waterfall};
 use crate::ladders::{Ladders, Zones, each};
 use crate::pouring;
 use maplehook_locality::Zone;
@@ -14,9 +14,6 @@
 /// Part of the stated gain that it never falls under.
 const LEAST_GAIN: f64 = 0.1;
 
-/// Shares of one shape, by zone.
-type Shares = Vec<(usize, f64)>;
-
 /// What the planner is told.
 #[derive(Clone, Debug)]
 pub struct Setting<'a> {
@@ -77,10 +74,9 @@
         let open: Vec<bool> = self.gates.iter().map(|gate| gate.open).collect();
         let Setting { ladders, room, last, reach, .. } = *setting;
         let ground = Ground { ladders, room, last, reach, open: &open, asked: &asked };
-        let old = shares_of(before, setting);
         let mut flows = waterfall(&ground);
         pouring::undo(&ground, &mut flows);
-        let old_flows = flows_of(&old, &asked, room.len());
+        let old_flows = flows_of(before, setting, &asked);
         let mut plan = before.clone();
         // A gain that is small is waited for, and taken in the end.
         let waited = now.saturating_sub(self.changed).as_secs_f64() / SETTLES.as_secs_f64();
@@ -176,43 +172,40 @@
     first.is_none_or(|step| step & (setting.troubled | !reach) != 0)
 }
 
-/// Shares that a plan comes to by shape. Who has no row is in the first step, by its rooms.
-fn shares_of(plan: &Plan, setting: &Setting<'_>) -> Vec<Shares> {
+/// What a plan comes to. Who has no row is in the first step, by its rooms; rules of one shape count as their mean.
+fn flows_of(plan: &Plan, setting: &Setting<'_>, asked: &[f64]) -> Flows {
+    let zones = setting.room.len();
     let shapes = &setting.ladders.shapes;
-    let mut sums: Vec<(f64, Shares)> = vec![(0.0, Vec::new()); shapes.len()];
-    for (rule, from, n) in setting.ladders.all() {
-        let weight = setting.demand.get(&(rule, from)).copied().unwrap_or(0.0) + 1e-9;
-        let default = || first_step(setting, n);
-        let shares = plan.row(rule, from).map_or_else(default, |row| {
-            let part = |share: &Share| (usize::from(share.zone.0), f64::from(share.part) / f64::from(WHOLE));
-            row.to.iter().map(part).filter(|(zone, _)| *zone < setting.room.len()).collect()
-        });
-        let (all, sum) = &mut sums[n];
-        *all += weight;
-        for (zone, share) in shares {
-            match sum.iter_mut().find(|(z, _)| *z == zone) {
-                Some((_, part)) => *part += share * weight,
-                None => sum.push((zone, share * weight)),
-            }
-        }
+    let rate = |rule: u16, from: Zone| setting.demand.get(&(rule, from)).copied().unwrap_or(0.0) + 1e-9;
+    let mut plain = vec![0.0; shapes.len()];
+    let mut all = vec![0.0; shapes.len()];
+    for (n, weight) in setting.ladders.all().map(|(rule, from, n)| (n, rate(rule, from))) {
+        plain[n] += weight;
+        all[n] += weight;
     }
-    let mean = |(all, sum): (f64, Shares)| sum.into_iter().map(|(zone, part)| (zone, part / all)).collect();
-    sums.into_iter().map(mean).collect()
-}
-
-fn first_step(setting: &Setting<'_>, shape: usize) -> Shares {
-    let step = setting.ladders.shapes[shape].steps.first().copied().unwrap_or(0);
-    let room: f64 = each(step).map(|zone| setting.room[zone]).sum();
-    let even = 1.0 / f64::from(step.count_ones().max(1));
-    each(step).map(|zone| (zone, if room > 0.0 { setting.room[zone] / room } else { even })).collect()
-}
-
-fn flows_of(shares: &[Shares], asked: &[f64], zones: usize) -> Flows {
     let mut flows = Flows::none(asked, zones);
-    for (n, shares) in shares.iter().enumerate() {
-        for (zone, share) in shares {
-            flows.add(n, *zone, share * asked[n]);
-            flows.left[n] = (flows.left[n] - share * asked[n]).max(0.0);
+    let mut send = |n: usize, zone: usize, part: f64| {
+        if part > 0.0 {
+            flows.add(n, zone, part * asked[n]);
+            flows.left[n] = (flows.left[n] - part * asked[n]).max(0.0);
+        }
+    };
+    for row in &plan.rows {
+        let Some(n) = setting.ladders.shape(row.rule, row.from) else { continue };
+        let weight = rate(row.rule, row.from);
+        plain[n] -= weight;
+        for share in row.to.iter().filter(|share| usize::from(share.zone.0) < zones) {
+            let part = f64::from(share.part) / f64::from(WHOLE);
+            send(n, usize::from(share.zone.0), part * weight / all[n]);
+        }
+    }
+    for (n, shape) in shapes.iter().enumerate().filter(|(n, _)| plain[*n] > 1e-12) {
+        let step = shape.steps.first().copied().unwrap_or(0);
+        let room: f64 = each(step).map(|zone| setting.room[zone]).sum();
+        let even = 1.0 / f64::from(step.count_ones().max(1));
+        for zone in each(step) {
+            let part = if room > 0.0 { setting.room[zone] / room } else { even };
+            send(n, zone, part * plain[n] / all[n]);
         }
     }
     flows
@@ -220,8 +213,8 @@
 
 /// What is sent elsewhere than before.
 fn moved(new: &Flows, old: &Flows) -> f64 {
-    let more = |(n, to): (usize, &Shares)| {
-        to.iter().map(|(zone, sent)| (sent - old.sent(n, *zone)).max(0.0)).sum::<f64>()
+    let more = |(n, to): (usize, &Split)| {
+        to.iter().map(|(zone, sent)| (sent - old.sent(n, zone)).max(0.0)).sum::<f64>()
     };
     new.to.iter().enumerate().map(more).sum()
 }
@@ -229,10 +222,10 @@
 /// A part of the way from one to the other.
 fn between(old: &Flows, new: &Flows, part: f64) -> Flows {
     let mut flows =
-        Flows { to: vec![Vec::new(); old.to.len()], left: Vec::new(), load: vec![0.0; old.load.len()] };
+        Flows { to: vec![Split::default(); old.to.len()], left: Vec::new(), load: vec![0.0; old.load.len()] };
     for (of, part) in [(old, 1.0 - part), (new, part)] {
         for (n, to) in of.to.iter().enumerate() {
-            to.iter().for_each(|(zone, sent)| flows.add(n, *zone, sent * part));
+            to.iter().for_each(|(zone, sent)| flows.add(n, zone, sent * part));
         }
     }
     flows.left = old.left.iter().zip(&new.left).map(|(old, new)| old * (1.0 - part) + new * part).collect();
@@ -257,7 +250,7 @@
     let mut limits: Vec<f64> = ground.room.to_vec();
     for (n, to) in old.to.iter().enumerate().filter(|(n, _)| ground.open[*n]) {
         for (zone, _) in to.iter().filter(|(_, sent)| *sent > nothing) {
-            limits[*zone] = limits[*zone].min(ground.ladders.shapes[n].over * ground.room[*zone]);
+            limits[zone] = limits[zone].min(ground.ladders.shapes[n].over * ground.room[zone]);
         }
     }
     let relieved =
@@ -271,7 +264,7 @@
         ground.cap(zone) <= 0.0 || ground.usable(shape) >> zone & 1 == 0
     };
     old.to.iter().enumerate().any(|(n, to)| {
-        to.iter().any(|(zone, sent)| *sent > nothing && closed(n, *zone) && new.sent(n, *zone) < sent * 0.5)
+        to.iter().any(|(zone, sent)| sent > nothing && closed(n, zone) && new.sent(n, zone) < sent * 0.5)
     })
 }
 
@@ -289,9 +282,9 @@
         let shape = &ground.ladders.shapes[n];
         let usable = ground.usable(shape);
         for (zone, sent) in to.iter().filter(|(zone, _)| usable >> zone & 1 == 1) {
-            served += sent * part[*zone];
-            if shape.level(*zone) == 0 {
-                near += sent * part[*zone];
+            served += sent * part[zone];
+            if shape.level(zone) == 0 {
+                near += sent * part[zone];
             }
         }
     }
@@ -336,7 +329,7 @@
 }
 
 /// A split in parts of [`WHOLE`]: rounded down, and if nothing is refused, what that leaves to those that lost most by it.
-fn parts(to: &[(usize, f64)], left: f64, asked: f64) -> Vec<Share> {
+fn parts(to: &Split, left: f64, asked: f64) -> Vec<Share> {
     if asked <= 0.0 {
         return Vec::new();
     }
@@ -345,8 +338,8 @@
     let mut shares: Vec<(f64, Share)> = to
         .iter()
         .map(|(zone, sent)| {
-            let part = exact(*sent).floor();
-            (exact(*sent) - part, Share { zone: Zone(*zone as u16), part: part as u16 })
+            let part = exact(sent).floor();
+            (exact(sent) - part, Share { zone: Zone(zone as u16), part: part as u16 })
         })
         .collect();
     let sum: u16 = shares.iter().map(|(_, share)| share.part).fold(0, u16::saturating_add);
--- a/failover/src/pouring.rs
+++ b/failover/src/pouring.rs
@@ -19,10 +19,10 @@
     for (n, to) in flows.to.iter().enumerate() {
         let shape = &ground.ladders.shapes[n];
         let here = group_of[usize::from(shape.from.0)];
-        for (zone, sent) in to {
+        for (zone, sent) in to.iter() {
             let wished = shape.steps.first().is_some_and(|step| step >> zone & 1 == 1);
-            if *sent > nothing && !wished && group_of[*zone] != here {
-                crossing[here * groups + group_of[*zone]].push((n, *zone));
+            if sent > nothing && !wished && group_of[zone] != here {
+                crossing[here * groups + group_of[zone]].push((n, zone));
             }
         }
     }
