--- a/histories/src/file.rs
+++ b/histories/src/file.rs
@@ -301,6 +301,15 @@
         assert!(matches!(read_part_from(&wrong[..], Path::new("p")).unwrap_err().wrong, Wrong::Record(_)));
     }
 
+    #[test]
+    fn all_words_of_the_schema_are_known() {
+        // Serde names what it expects where a word is none.
+        let error = serde_json::from_str::<What>(r#"{"what":"no such word"}"#).unwrap_err().to_string();
+        let (_, words) = error.split_once("expected one of ").unwrap();
+        let words: Vec<&str> = words.split(", ").map(|word| word.split('`').nth(1).unwrap()).collect();
+        assert_eq!(words, KNOWN);
+    }
+
     #[test]
     fn bounds_hold() {
         let long = vec![b' '; LINE_MOST + 1];
--- a/histories/tests/judge/planted.rs
+++ b/histories/tests/judge/planted.rs
@@ -57,6 +57,11 @@
     started.extend([rec(6 * S, "rig", did("kill", "b-a1")), rec(7 * S, "rig", did("start", "b-a1"))]);
     started.push(rec(8 * S, "b-a1", acts(1, calm())));
     none("epochs", started);
+    // So does one of its zone.
+    let mut group = two();
+    group.extend([rec(6 * S, "rig", did("kill", "a")), rec(7 * S, "rig", did("start", "a"))]);
+    group.push(rec(8 * S, "b-a1", acts(1, calm())));
+    none("epochs", group);
     // A leader was killed before it could say that 2 stands.
     let mut mute = two();
     mute.remove(2);
