--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -4,48 +4,31 @@
 //! Everything that happens is put in a queue and played from there, one event at a time, so that the module
 //! is never entered twice; tasks only ever add to the queue.
 
+mod clock;
+mod deeds;
+mod places;
+
+use clock::Clock;
+pub use places::{Connects, Sights};
+
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::{Ended, Outgoing};
-use crate::parts::body::Payload;
 use crate::parts::upstream::Upstreams;
 use crate::source::{Heard, News, Source};
 use lapisroute::heritage::Heritage;
 use lapisroute::{
-    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Listed, Outcome, RequestId, Settings, TenantId,
+    Action, AttemptNo, Balancer, ClassId, Event, FleetScope, Outcome, RequestId, Settings, Shares, TenantId,
     TimerId, UpstreamId,
 };
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{oneshot, watch};
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::{Instant, sleep};
 
-/// How far the module's clock has gone at the start: upstreams may have started before this balancer.
-const BEFORE_START: Duration = Duration::from_secs(3600);
-
-/// The module's clock: it only goes forward, from an hour before the start.
-struct Clock {
-    start: Instant,
-    /// Unix time of the start.
-    start_unix: Duration,
-}
-
-impl Clock {
-    fn now(&self) -> Duration {
-        BEFORE_START + self.start.elapsed()
-    }
-
-    /// A Unix time on this clock; the same one always comes out the same. `None`: long ago.
-    fn at_unix_ms(&self, ms: u64) -> Option<Duration> {
-        let at = (Duration::from_millis(ms) + BEFORE_START).checked_sub(self.start_unix)?;
-        // Not in the future, should clocks differ.
-        (!at.is_zero()).then(|| at.min(self.now()))
-    }
-}
-
 /// The final answer to a request.
 #[derive(Debug)]
 pub enum Answer {
@@ -94,6 +77,7 @@
     Gone(RequestId),
     Timer(TimerId),
     Retuned(Box<Settings>, Vec<TenantId>),
+    Shared(Option<Box<Shares>>),
     Inherited(Box<Heritage>),
 }
 
@@ -124,8 +108,6 @@
 
 /// How often the list is counted for the figures.
 const COUNT_EVERY: Duration = Duration::from_millis(200);
-/// How soon the watch on a pushed list is begun again: its agent is near and answers at no cost.
-const FOLLOW_AGAIN: Duration = Duration::from_millis(50);
 
 /// The driver of one `Balancer`.
 pub struct Driver {
@@ -154,10 +136,9 @@
         source: Rc<dyn Source>,
         known: News,
     ) -> Rc<Self> {
-        let start_unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let core = Core { balancer, requests: FxHashMap::default(), actions: Vec::new(), next_id: 0 };
         let driver = Rc::new(Self {
-            clock: Clock { start: Instant::now(), start_unix },
+            clock: Clock::start(),
             core: RefCell::new(core),
             queue: RefCell::default(),
             playing: Cell::new(false),
@@ -378,201 +359,14 @@
                 let event = Event::Retuned { settings: &settings, gone: &gone };
                 core.balancer.handle(now, event, &mut actions);
             }
+            Happening::Shared(shares) => {
+                let event = Event::Shares { shares: shares.as_deref() };
+                core.balancer.handle(now, event, &mut actions);
+            }
             Happening::Timer(timer) => core.balancer.handle(now, Event::Timer { timer }, &mut actions),
         }
         self.carry_out_all(core, actions);
     }
-
-    fn carry_out_all(self: &Rc<Self>, core: &mut Core, mut actions: Vec<Action>) {
-        for action in actions.drain(..) {
-            self.carry_out(core, action);
-        }
-        core.actions = actions;
-    }
-
-    /// Hands an answer to whoever waits for it, if it is one. How a stream ends is told later.
-    fn pass_on(
-        self: &Rc<Self>,
-        held: &mut Held,
-        id: RequestId,
-        no: AttemptNo,
-        upstream: UpstreamId,
-        served: Option<Served>,
-    ) {
-        let Some(mut served) = served else { return };
-        let Some(reply) = held.reply.take() else { return };
-        if let AnswerBody::Stream(stream) = &mut served.body {
-            let driver = Rc::clone(self);
-            stream.on_end(Box::new(move |outcome| {
-                driver.happened(Happening::StreamEnded(id, no, outcome));
-            }));
-        }
-        let trace = Trace { attempts: held.attempts.len() as u8, upstream: Some(upstream) };
-        // Where the client has just gone, nobody waits for it.
-        let _ = reply.send((Answer::Served(served), trace));
-    }
-
-    /// Applies news to the connections and words them for the module.
-    fn fleet(&self, news: &News) -> Vec<Listed> {
-        if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
-            let ids: FxHashSet<UpstreamId> = news.entries.iter().map(|e| e.id).collect();
-            self.upstreams.keep_only(|id| ids.contains(&id));
-        }
-        let listed = news.entries.iter().map(|entry| {
-            self.upstreams.place(entry.id, &entry.place);
-            Listed {
-                id: entry.id,
-                zone: entry.zone,
-                kind: entry.kind,
-                cell: entry.cell,
-                availability: entry.place.availability,
-                weight: entry.weight,
-                started: self.clock.at_unix_ms(entry.place.boot_ms),
-            }
-        });
-        listed.collect()
-    }
-
-    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
-        match action {
-            Action::Attempt { id, upstream, timeout } => self.attempt(core, id, upstream, timeout),
-            Action::Cancel { id, attempt } => {
-                let out = core.requests.get(&id).and_then(|held| held.attempts.get(usize::from(attempt.0)));
-                if let Some(out) = out.filter(|a| a.out) {
-                    out.task.abort();
-                    let cancelled = Happening::AttemptEnded(id, attempt, Outcome::Cancelled.into());
-                    self.queue.borrow_mut().push_back(cancelled);
-                }
-            }
-            Action::Refuse { id, retry_after } => self.answer(core, id, Answer::Refused(retry_after)),
-            Action::Fail { id } => self.answer(core, id, Answer::Failed),
-            Action::Timer { after, timer } => {
-                let driver = Rc::clone(self);
-                spawn_local(async move {
-                    sleep(after).await;
-                    driver.happened(Happening::Timer(timer));
-                });
-            }
-            Action::WatchFleet => self.watch(),
-            Action::FetchFleet => {
-                let driver = Rc::clone(self);
-                spawn_local(async move {
-                    let news = driver.source.fetch().await;
-                    driver.happened(Happening::Fleet(news));
-                });
-            }
-            Action::CloseIdle { upstream } => self.upstreams.close_idle(upstream),
-            Action::Probe { upstream } => {
-                let (driver, sent) = (Rc::clone(self), Instant::now());
-                spawn_local(async move {
-                    let ended = driver.upstreams.probe(upstream).await;
-                    driver.happened(Happening::ProbeEnded(upstream, sent.elapsed(), ended));
-                });
-            }
-            Action::Log { line } => tracing::info!("{line}"),
-        }
-    }
-
-    fn watch(self: &Rc<Self>) {
-        let driver = Rc::clone(self);
-        let watch = spawn_local(async move {
-            let mut tell = |news| driver.happened(Happening::Fleet(news));
-            driver.source.watch(&mut tell).await;
-            while driver.follows.get() {
-                sleep(FOLLOW_AGAIN).await;
-                driver.source.watch(&mut tell).await;
-            }
-        });
-        // The old one ends without a word: a planned move is no failure, and nothing that is said there later
-        // undoes it.
-        if let Some(before) = self.watching.borrow_mut().replace(watch.abort_handle()) {
-            before.abort();
-        }
-    }
-
-    /// Follows a list that is pushed to an agent on this machine. The module asks for none there, and all that the
-    /// agent holds counts as told, so the watch begins at once and is begun again soon after each end.
-    pub fn follow(self: &Rc<Self>) {
-        self.follows.set(true);
-        self.watch();
-    }
-
-    /// The source has moved. What the module asked for, or will ask for once a failed call is far enough back,
-    /// is asked anew at once: what it has to tell may not wait.
-    pub fn watch_anew(self: &Rc<Self>) {
-        let watched = self.watching.borrow().is_some();
-        if watched {
-            self.watch();
-        }
-    }
-
-    fn attempt(
-        self: &Rc<Self>,
-        core: &mut Core,
-        id: RequestId,
-        upstream: UpstreamId,
-        timeout: Option<Duration>,
-    ) {
-        let Some(held) = core.requests.get_mut(&id) else { return };
-        let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
-        // The time of a body that streams is its own.
-        let timeout = timeout.filter(|_| matches!(held.asked.outgoing.body, Payload::Whole(_)));
-        let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
-        let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
-        let mut cut_off = self.cut_off.subscribe();
-        let task = spawn_local(async move {
-            let ended = if *cut_off.borrow() {
-                Outcome::NotSent.into()
-            } else {
-                let uploads = async {
-                    if let Payload::Upload(upload) = &asked.outgoing.body {
-                        upload.begun().await;
-                        driver.happened(Happening::Uploads(id, no));
-                    }
-                    std::future::pending().await
-                };
-                let attempt = async {
-                    match no {
-                        AttemptNo(0) => driver.upstreams.attempt(upstream, &asked.outgoing, give_up).await,
-                        _ => driver.upstreams.repeat(upstream, &asked.outgoing, give_up).await,
-                    }
-                };
-                tokio::select! {
-                    biased;
-                    () = uploads => return,
-                    ended = attempt => ended,
-                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
-                }
-            };
-            driver.happened(Happening::AttemptEnded(id, no, ended));
-        });
-        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true, streams: false });
-    }
-
-    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
-        if let Some(held) = core.requests.get_mut(&id)
-            && let Some(reply) = held.reply.take()
-        {
-            let attempts = held.attempts.len() as u8;
-            // Nothing is left to try: an upstream's own words on why say more than ours.
-            let answer = match held.words.take() {
-                Some((words, upstream)) => {
-                    (Answer::Served(words), Trace { attempts, upstream: Some(upstream) })
-                }
-                None => (answer, Trace { attempts, upstream: None }),
-            };
-            let _ = reply.send(answer);
-        }
-        self.forget_if_over(core, id);
-    }
-
-    /// Lets go of a request that has its answer and no attempt out.
-    fn forget_if_over(&self, core: &mut Core, id: RequestId) {
-        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
-        if core.requests.get(&id).is_some_and(over) {
-            core.requests.remove(&id);
-        }
-    }
 }
 
 /// A request that is owed its final answer.
--- /dev/null
+++ b/engine/src/parts/driver/deeds.rs
@@ -0,0 +1,202 @@
+//! What a driver does: the module's actions, carried out in order.
+
+use super::{Answer, Attempt, Core, Driver, Happening, Held, Trace};
+use crate::parts::answer::{AnswerBody, Served};
+use crate::parts::body::Payload;
+use crate::source::News;
+use lapisroute::{Action, AttemptNo, FleetScope, Listed, Outcome, RequestId, UpstreamId};
+use rustc_hash::FxHashSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// How soon the watch on a pushed list is begun again: its agent is near and answers at no cost.
+const FOLLOW_AGAIN: Duration = Duration::from_millis(50);
+
+impl Driver {
+    pub(super) fn carry_out_all(self: &Rc<Self>, core: &mut Core, mut actions: Vec<Action>) {
+        for action in actions.drain(..) {
+            self.carry_out(core, action);
+        }
+        core.actions = actions;
+    }
+
+    /// Hands an answer to whoever waits for it, if it is one. How a stream ends is told later.
+    pub(super) fn pass_on(
+        self: &Rc<Self>,
+        held: &mut Held,
+        id: RequestId,
+        no: AttemptNo,
+        upstream: UpstreamId,
+        served: Option<Served>,
+    ) {
+        let Some(mut served) = served else { return };
+        let Some(reply) = held.reply.take() else { return };
+        if let AnswerBody::Stream(stream) = &mut served.body {
+            let driver = Rc::clone(self);
+            stream.on_end(Box::new(move |outcome| {
+                driver.happened(Happening::StreamEnded(id, no, outcome));
+            }));
+        }
+        let trace = Trace { attempts: held.attempts.len() as u8, upstream: Some(upstream) };
+        // Where the client has just gone, nobody waits for it.
+        let _ = reply.send((Answer::Served(served), trace));
+    }
+
+    /// Applies news to the connections and words them for the module.
+    pub(super) fn fleet(&self, news: &News) -> Vec<Listed> {
+        if matches!(news.scope, FleetScope::Full | FleetScope::Cached) {
+            let ids: FxHashSet<UpstreamId> = news.entries.iter().map(|e| e.id).collect();
+            self.upstreams.keep_only(|id| ids.contains(&id));
+        }
+        let listed = news.entries.iter().map(|entry| {
+            self.upstreams.place(entry.id, entry.zone, &entry.place);
+            Listed {
+                id: entry.id,
+                zone: entry.zone,
+                kind: entry.kind,
+                cell: entry.cell,
+                availability: entry.place.availability,
+                weight: entry.weight,
+                started: self.clock.at_unix_ms(entry.place.boot_ms),
+            }
+        });
+        listed.collect()
+    }
+
+    fn carry_out(self: &Rc<Self>, core: &mut Core, action: Action) {
+        match action {
+            Action::Attempt { id, upstream, timeout } => self.attempt(core, id, upstream, timeout),
+            Action::Cancel { id, attempt } => {
+                let out = core.requests.get(&id).and_then(|held| held.attempts.get(usize::from(attempt.0)));
+                if let Some(out) = out.filter(|a| a.out) {
+                    out.task.abort();
+                    let cancelled = Happening::AttemptEnded(id, attempt, Outcome::Cancelled.into());
+                    self.queue.borrow_mut().push_back(cancelled);
+                }
+            }
+            Action::Refuse { id, retry_after } => self.answer(core, id, Answer::Refused(retry_after)),
+            Action::Fail { id } => self.answer(core, id, Answer::Failed),
+            Action::Timer { after, timer } => {
+                let driver = Rc::clone(self);
+                spawn_local(async move {
+                    sleep(after).await;
+                    driver.happened(Happening::Timer(timer));
+                });
+            }
+            Action::WatchFleet => self.watch(),
+            Action::FetchFleet => {
+                let driver = Rc::clone(self);
+                spawn_local(async move {
+                    let news = driver.source.fetch().await;
+                    driver.happened(Happening::Fleet(news));
+                });
+            }
+            Action::CloseIdle { upstream } => self.upstreams.close_idle(upstream),
+            Action::Probe { upstream } => {
+                let (driver, sent) = (Rc::clone(self), Instant::now());
+                spawn_local(async move {
+                    let ended = driver.upstreams.probe(upstream).await;
+                    driver.happened(Happening::ProbeEnded(upstream, sent.elapsed(), ended));
+                });
+            }
+            Action::Log { line } => tracing::info!("{line}"),
+        }
+    }
+
+    pub(super) fn watch(self: &Rc<Self>) {
+        let driver = Rc::clone(self);
+        let watch = spawn_local(async move {
+            let mut tell = |news| driver.happened(Happening::Fleet(news));
+            driver.source.watch(&mut tell).await;
+            while driver.follows.get() {
+                sleep(FOLLOW_AGAIN).await;
+                driver.source.watch(&mut tell).await;
+            }
+        });
+        // The old one ends without a word: a planned move is no failure, and nothing that is said there later
+        // undoes it.
+        if let Some(before) = self.watching.borrow_mut().replace(watch.abort_handle()) {
+            before.abort();
+        }
+    }
+
+    /// Follows a list that is pushed to an agent on this machine. The module asks for none there, and all that the
+    /// agent holds counts as told, so the watch begins at once and is begun again soon after each end.
+    pub fn follow(self: &Rc<Self>) {
+        self.follows.set(true);
+        self.watch();
+    }
+
+    /// The source has moved. What the module asked for, or will ask for once a failed call is far enough back,
+    /// is asked anew at once: what it has to tell may not wait.
+    pub fn watch_anew(self: &Rc<Self>) {
+        let watched = self.watching.borrow().is_some();
+        if watched {
+            self.watch();
+        }
+    }
+
+    fn attempt(
+        self: &Rc<Self>,
+        core: &mut Core,
+        id: RequestId,
+        upstream: UpstreamId,
+        timeout: Option<Duration>,
+    ) {
+        let Some(held) = core.requests.get_mut(&id) else { return };
+        let (sent, no) = (Instant::now(), AttemptNo(held.attempts.len() as u8));
+        // The time of a body that streams is its own.
+        let timeout = timeout.filter(|_| matches!(held.asked.outgoing.body, Payload::Whole(_)));
+        let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
+        let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
+        let mut cut_off = self.cut_off.subscribe();
+        let task = spawn_local(async move {
+            let ended = if *cut_off.borrow() {
+                Outcome::NotSent.into()
+            } else {
+                let uploads = async {
+                    if let Payload::Upload(upload) = &asked.outgoing.body {
+                        upload.begun().await;
+                        driver.happened(Happening::Uploads(id, no));
+                    }
+                    std::future::pending().await
+                };
+                tokio::select! {
+                    biased;
+                    () = uploads => return,
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up, no.0 > 0) => ended,
+                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
+                }
+            };
+            driver.happened(Happening::AttemptEnded(id, no, ended));
+        });
+        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true, streams: false });
+    }
+
+    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
+        if let Some(held) = core.requests.get_mut(&id)
+            && let Some(reply) = held.reply.take()
+        {
+            let attempts = held.attempts.len() as u8;
+            // Nothing is left to try: an upstream's own words on why say more than ours.
+            let answer = match held.words.take() {
+                Some((words, upstream)) => {
+                    (Answer::Served(words), Trace { attempts, upstream: Some(upstream) })
+                }
+                None => (answer, Trace { attempts, upstream: None }),
+            };
+            let _ = reply.send(answer);
+        }
+        self.forget_if_over(core, id);
+    }
+
+    /// Lets go of a request that has its answer and no attempt out.
+    pub(super) fn forget_if_over(&self, core: &mut Core, id: RequestId) {
+        let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
+        if core.requests.get(&id).is_some_and(over) {
+            core.requests.remove(&id);
+        }
+    }
+}
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -2,15 +2,17 @@
 
 use crate::parts::connection::Connection;
 use crate::parts::descriptors::{self, Descriptors, out_of_descriptors, own_fault};
+use crate::parts::driver::Connects;
 use crate::parts::headers;
 use crate::parts::pool::Pool;
 use crate::parts::room::Room;
 use crate::parts::seldom::Seldom;
 use crate::tally::Tally;
-use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId};
+use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId, ZoneId};
 use maplehook_routes::{Forwarding, Passage};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,6 +37,7 @@
 pub(crate) struct Upstream {
     endpoint: Cell<Option<SocketAddr>>,
     boot_ms: Cell<u64>,
+    zone: Cell<ZoneId>,
     /// Cleared once it drains or is gone: attempts that still wait for a connection look here.
     pub(crate) ready: Cell<bool>,
 }
@@ -54,6 +57,8 @@
     odd_reports: Seldom,
     short: Seldom,
     lease: Cell<Lease>,
+    /// Connections made, by zone.
+    connects: RefCell<BTreeMap<u8, Connects>>,
 }
 
 /// Until when the rules hold by which requests were decided.
@@ -93,6 +98,7 @@
             odd_reports: Seldom::default(),
             short: Seldom::default(),
             lease: Cell::new(Lease::Free),
+            connects: RefCell::default(),
         }
     }
 
@@ -119,7 +125,7 @@
     }
 
     /// Takes in what the list says of one.
-    pub fn place(&self, id: UpstreamId, place: &Place) {
+    pub fn place(&self, id: UpstreamId, zone: ZoneId, place: &Place) {
         let mut known = self.known.borrow_mut();
         if place.availability == Availability::Gone {
             if let Some(upstream) = known.remove(&id) {
@@ -132,9 +138,11 @@
             Rc::new(Upstream {
                 endpoint: Cell::new(None),
                 boot_ms: Cell::new(place.boot_ms),
+                zone: Cell::new(zone),
                 ready: Cell::new(false),
             })
         });
+        upstream.zone.set(zone);
         let moved = place.endpoint.is_some() && upstream.endpoint.get() != place.endpoint;
         if moved {
             upstream.endpoint.set(place.endpoint);
@@ -201,8 +209,14 @@
         loop {
             // Out of descriptors or of time says nothing of the upstream.
             let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
+            let begun = Instant::now();
             match timeout_at(until, Connection::open(endpoint, slot)).await {
-                Ok(Ok(connection)) => return Ok((connection, false)),
+                Ok(Ok(connection)) => {
+                    let connects = &mut *self.connects.borrow_mut();
+                    let of = connects.entry(upstream.zone.get().0).or_default();
+                    (of.made, of.took) = (of.made + 1, of.took + begun.elapsed());
+                    return Ok((connection, false));
+                }
                 Ok(Err(e)) if out_of_descriptors(&e) => {
                     self.descriptors.starved("connect");
                     if Instant::now() + descriptors::PAUSE >= until {
@@ -224,6 +238,11 @@
         }
     }
 
+    /// Connections made, by zone.
+    pub(crate) fn connects(&self) -> Vec<(ZoneId, Connects)> {
+        self.connects.borrow().iter().map(|(zone, of)| (ZoneId(*zone), *of)).collect()
+    }
+
     pub(crate) fn get(&self, id: UpstreamId) -> Option<Rc<Upstream>> {
         self.known.borrow().get(&id).map(Rc::clone)
     }
--- a/src/sight.rs
+++ b/src/sight.rs
@@ -1,7 +1,8 @@
 //! What a balancer sees of each zone and each group of requests: counters and sums, no decisions.
 
-use crate::interface::{Outcome, UpstreamId, ZoneId};
+use crate::interface::{Outcome, ZoneId};
 use crate::state::{Balancer, Upstream, climb};
+use std::time::Duration;
 
 /// Seconds over which a zone's load is averaged where answers are few, and weight of one where not.
 const LOAD_OVER: f64 = 3.0;
@@ -138,27 +139,28 @@
 impl Balancer {
     /// Each zone of which an upstream is listed, or to which anything was sent, in order. One look over the fleet:
     /// for a periodic report, not for each request.
-    pub fn sights(&self) -> Vec<ZoneSight> {
+    pub fn sights(&self, now: Duration) -> Vec<ZoneSight> {
+        let at = now.as_secs_f64().max(self.at);
         let mut slots = [const { None }; 256];
         for (n, c) in self.sight.zones.iter().enumerate().filter(|(_, c)| c.sent > 0) {
-            slots[n] = Some(self.zone_sight(ZoneId(n as u8), c));
+            slots[n] = Some(zone_sight(ZoneId(n as u8), c, at));
         }
         let shares: f64 = self.classes.iter().map(|l| l.share).sum();
         for u in &self.ring {
             let slot = &mut slots[usize::from(u.zone.0)];
-            let sight = slot.get_or_insert_with(|| self.zone_sight(u.zone, &Counts::default()));
+            let sight = slot.get_or_insert_with(|| zone_sight(u.zone, &Counts::default(), at));
             sight.held += u64::from(u.in_flight);
             if !u.ready {
                 continue;
             }
             sight.listed += u.size;
-            if u.ejected_until > self.at {
+            if u.ejected_until > at {
                 continue;
             }
             // Ejected for a class, it is of use to the others.
             let ill = u.health.iter().zip(&self.classes).filter(|(h, _)| h.ejected);
             let well = 1.0 - ill.map(|(_, l)| l.share).sum::<f64>() / shares.max(1e-9);
-            let climb = climb(&self.set, self.at, u);
+            let climb = climb(&self.set, at, u);
             sight.usable += u.size * climb * well.max(0.0);
             sight.cold += u.size * (1.0 - climb);
         }
@@ -169,27 +171,10 @@
     pub fn group_sights(&self) -> &[GroupSight] {
         &self.sight.groups
     }
+}
 
-    /// Where an upstream lies, if it is listed.
-    pub fn zone_of(&self, id: UpstreamId) -> Option<ZoneId> {
-        self.index.get(&id).map(|j| self.ring[*j].zone)
-    }
-
-    fn zone_sight(&self, zone: ZoneId, c: &Counts) -> ZoneSight {
-        let Counts { sent, ok, slow, failed, unreached, .. } = *c;
-        let load = c.load(self.at);
-        ZoneSight {
-            zone,
-            listed: 0.0,
-            usable: 0.0,
-            cold: 0.0,
-            held: 0,
-            sent,
-            ok,
-            slow,
-            failed,
-            unreached,
-            load,
-        }
-    }
+fn zone_sight(zone: ZoneId, c: &Counts, at: f64) -> ZoneSight {
+    let Counts { sent, ok, slow, failed, unreached, .. } = *c;
+    let load = c.load(at);
+    ZoneSight { zone, listed: 0.0, usable: 0.0, cold: 0.0, held: 0, sent, ok, slow, failed, unreached, load }
 }
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -199,7 +199,7 @@
     let mut world = World::new(&[1, 2], 3);
     world.share(&[(1, 0.9), (2, 0.1)]);
     world.run(450.0, 20);
-    let sights = world.balancer.sights();
+    let sights = world.balancer.sights(world.now);
     let [near, far] = &sights[..] else { panic!("two zones: {sights:?}") };
     assert_eq!((near.zone, far.zone, near.listed, far.listed), (ZoneId(1), ZoneId(2), 3.0, 3.0));
     assert_eq!((near.usable, far.cold), (3.0, 0.0));
@@ -209,5 +209,5 @@
     // Nothing sent any more: no load.
     world.share(&[(2, 1.0)]);
     world.run(100.0, 60);
-    assert!(world.balancer.sights()[0].load < 0.001);
+    assert!(world.balancer.sights(world.now)[0].load < 0.001);
 }
