--- /dev/null
+++ b/engine/tests/places.rs
@@ -0,0 +1,102 @@
+//! Shares on their way to the module, and sights on their way back, over real sockets.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use lapisroute::{
+    Availability, Balancer, CellId, Class, ClassId, Effect, FleetScope, GroupShares, GroupSight, KindId,
+    Settings, Shares, SharesError, Tenant, TenantId, UpstreamId, ZoneId,
+};
+use maplehook::parts::attempt::Outgoing;
+use maplehook::parts::body::Payload;
+use maplehook::parts::descriptors::Descriptors;
+use maplehook::parts::driver::{Answer, Asked, Driver};
+use maplehook::parts::room::Room;
+use maplehook::parts::upstream::{Place, Upstreams};
+use maplehook::source::{Entry, Fixed, News};
+use maplehook_routes::{Forwarding, Passage};
+use maplehook_standins::{LONG, OK, Then, Upstream};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+fn start(addresses: &[(SocketAddr, u8)]) -> Rc<Driver> {
+    let settings = Settings {
+        zone: ZoneId(1),
+        classes: vec![Class { aim: LONG, deadline: LONG, effect: Effect::Idempotent, ..Class::default() }],
+        tenants: vec![Tenant { allowance_per_s: 1e4 }],
+        ..Settings::default()
+    };
+    let descriptors = Descriptors::for_upstreams(64).unwrap();
+    let upstreams =
+        Upstreams::new(&settings, descriptors, Room::new(1 << 20), Forwarding::platform(), Arc::default());
+    let entry = |(n, (address, zone)): (usize, &(SocketAddr, u8))| Entry {
+        id: UpstreamId(n as u64),
+        zone: ZoneId(*zone),
+        kind: KindId(0),
+        cell: CellId(0),
+        weight: 1.0,
+        place: Place { endpoint: Some(*address), availability: Availability::Ready, boot_ms: 0 },
+    };
+    let entries = addresses.iter().enumerate().map(entry).collect();
+    let balancer = Balancer::new(settings, 7).unwrap();
+    let known = News { scope: FleetScope::Cached, entries };
+    Driver::start(balancer, Rc::new(upstreams), Rc::new(Fixed::default()), known)
+}
+
+async fn ask(driver: &Rc<Driver>) -> Answer {
+    let outgoing = Outgoing {
+        method: Method::GET,
+        target: Uri::from_static("/look"),
+        headers: HeaderMap::new(),
+        body: Payload::Whole(Bytes::new()),
+        passage: Rc::new(Passage::general(Effect::Idempotent)),
+    };
+    let asked = Asked {
+        class: ClassId(0),
+        tenant: TenantId(0),
+        deadline: Instant::now() + LONG,
+        work_ms: None,
+        repeat: false,
+        outgoing,
+    };
+    driver.ask(asked).answer().await.0
+}
+
+fn shares(to: &[(u8, f64)]) -> Shares {
+    let to = to.iter().map(|(zone, share)| (ZoneId(*zone), *share)).collect();
+    let row = GroupShares { to, region: vec![ZoneId(1)], never: Vec::new(), beyond_most: 1.0 };
+    Shares { groups: vec![0], tenants: 1, rows: vec![row] }
+}
+
+#[tokio::test(flavor = "local")]
+async fn requests_go_where_the_shares_say_and_are_seen_there() {
+    let (near, far) = (Upstream::start(Then::Answer(OK)), Upstream::start(Then::Answer(OK)));
+    let driver = start(&[(near.address, 1), (far.address, 2)]);
+    driver.share(Some(shares(&[(2, 0.75)]))).unwrap();
+    let mut refused = 0;
+    for _ in 0..40 {
+        refused += u64::from(matches!(ask(&driver).await, Answer::Refused(_)));
+    }
+    assert_eq!((near.seen().len(), far.seen().len(), refused), (0, 30, 10));
+    let sights = driver.sights();
+    assert_eq!(sights.groups, [GroupSight { asked: 40, refused: 10 }]);
+    let seen: Vec<(u8, f64, u64, u64)> =
+        sights.zones.iter().map(|z| (z.zone.0, z.usable, z.sent, z.ok)).collect();
+    assert_eq!(seen, [(1, 1.0, 0, 0), (2, 1.0, 30, 30)]);
+    let [(ZoneId(2), connects)] = sights.connects[..] else { panic!("{:?}", sights.connects) };
+    assert!(connects.made >= 1 && connects.took > Duration::ZERO, "{connects:?}");
+
+    // What can't be acted on is refused, and changes nothing.
+    assert_eq!(driver.share(Some(shares(&[(1, 2.0)]))), Err(SharesError::OutOfRange(0)));
+    driver.share(Some(shares(&[(1, 1.0)]))).unwrap();
+    ask(&driver).await;
+    assert_eq!((near.seen().len(), far.seen().len()), (1, 30));
+    driver.share(None).unwrap();
+    for _ in 0..20 {
+        ask(&driver).await;
+    }
+    assert!(near.seen().len() > 5 && far.seen().len() > 35, "both take turns again");
+    assert!(driver.sights().groups.is_empty());
+}
