--- a/locality/tests/round_trip.rs
+++ b/locality/tests/round_trip.rs
@@ -222,6 +222,7 @@
         "é",
         "}",
         "> ",
+        "\\\"\\\n",
     ];
     for piece in worst {
         let text = piece.repeat(65536 / piece.len());
