Failover: orders, leaders that follow, alone without the lease, any order of evidence

Found by the tests and mended: a room that goes before its zone is called lost moved all at once past dwell times and bounds; an ill zone that was relieved could be left past the most that may be away; a list that empties everywhere refused everything; a woken leader decided on the first two it heard.

--- a/failover/src/bounds.rs
+++ b/failover/src/bounds.rs
@@ -71,7 +71,7 @@
             gain: 0.02,
             spare: 0.5,
             stale: Duration::from_secs(5),
-            lost_after: Duration::from_secs(1),
+            lost_after: Duration::from_millis(1250),
             ill_after: Duration::from_secs(2),
             well_after: Duration::from_secs(12),
             return_over: Duration::from_secs(20),
--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -144,7 +144,7 @@
         self.heard.hear(now, from, report, by)
     }
 
-    /// Other places or rules: what stands is carried over by name.
+    /// Other places or rules: what stands is carried over by name. Who is a member has to be told anew.
     pub fn retune(&mut self, topology: Topology, rules: Rules, now: Duration) {
         if digest(&topology, &rules) == self.agreed.digest {
             self.ladders = Ladders::new(&topology, &rules);
@@ -215,6 +215,10 @@
         let zones = self.standings.len();
         let fresh = self.heard.fresh(now, self.bounds.stale);
         self.looked = Some(now);
+        if passed > self.bounds.stale {
+            // Stopped and woken: it listens first, as whoever begins.
+            self.settled = now + SETTLES;
+        }
         if fresh.is_empty() || now < self.settled && fresh.len() < self.heard.counts().0.max(2) {
             return false;
         }
@@ -257,7 +261,9 @@
     pub(crate) fn given(&self) -> (Vec<f64>, Vec<f64>) {
         let of = |(zone, room): (usize, &Room)| {
             let standing = &self.standings[zone];
-            let usable = if standing.kept { room.usable.max(self.remembered[zone]) } else { room.usable };
+            // What seems bad and is not called so yet has its room: dwell times and bounds hold for rooms as well.
+            let held = standing.kept || standing.seems_bad() && !standing.is_bad();
+            let usable = if held { room.usable.max(self.remembered[zone]) } else { room.usable };
             let given = usable * standing.given;
             let last = if standing.state == PlaceState::Ill { (usable * 0.5 - given).max(0.0) } else { 0.0 };
             (given, last)
@@ -282,6 +288,7 @@
         if self.held.is_none() && self.shared_cause.is_none() && !self.situation.rooms.is_empty() {
             let (room, last) = self.given();
             let (reach, troubled) = self.ways();
+            let any = room.iter().chain(&last).any(|room| *room > 0.0);
             let listed: Vec<f64> = self.situation.rooms.iter().map(|room| room.listed).collect();
             let setting = Setting {
                 ladders: &self.ladders,
@@ -292,7 +299,9 @@
                 troubled,
                 demand: &self.situation.demand,
             };
-            plan = self.planner.plan(now, &setting, &self.agreed.plan, due, &self.bounds);
+            // Where there is no room anywhere, no plan is better than another.
+            plan =
+                any.then(|| self.planner.plan(now, &setting, &self.agreed.plan, due, &self.bounds)).flatten();
         }
         let replanned = plan.is_some();
         let mut document = self.compose(now, plan.unwrap_or_else(|| self.agreed.plan.clone()));
--- a/failover/src/evidence.rs
+++ b/failover/src/evidence.rs
@@ -154,21 +154,7 @@
     /// What is seen of each zone.
     pub fn seen(&self, heard: &Heard, fresh: &[&Report]) -> Vec<Seen> {
         let all = || (0..self.zones as u16).map(Zone);
-        let mut seen: Vec<Seen> =
-            all().map(|zone| self.seen_of(zone, heard.is_silent(zone, fresh))).collect();
-        // A zone that is itself out of touch with most others is what is cut, not each of those that it does not reach.
-        let off = |zone: Zone| {
-            let out = all().filter(|o| *o != zone && self.word(zone, *o) == Word::Out).count();
-            2 * out > self.zones - 1
-        };
-        let off: u64 = all().filter(|zone| off(*zone)).map(|zone| 1 << zone.0).sum();
-        for (n, place) in seen.iter_mut().enumerate() {
-            let by_others = place.out_of & !off != 0 || off >> n & 1 == 1;
-            if place.state == PlaceState::Cut && !by_others {
-                (place.state, place.why) = (PlaceState::Serving, String::new());
-            }
-        }
-        seen
+        all().map(|zone| self.seen_of(zone, heard.is_silent(zone, fresh))).collect()
     }
 
     fn seen_of(&self, zone: Zone, silent: bool) -> Seen {
--- a/failover/src/orders.rs
+++ b/failover/src/orders.rs
@@ -36,6 +36,13 @@
     NoSuchPlace,
     /// Nothing is known yet of rooms and of what is asked for.
     NothingKnown,
+    /// The plan is held: what is ordered would not be done.
+    Held {
+        /// By whom.
+        by: String,
+    },
+    /// Nothing moves, for so much seems ill at once.
+    SharedCause(String),
     /// The rest can't bear it.
     NoRoom {
         /// What is asked for, in requests a second.
@@ -72,6 +79,8 @@
         match self {
             Self::NoSuchPlace => f.write_str("there is no such place"),
             Self::NothingKnown => f.write_str("nothing is known yet of rooms and demand"),
+            Self::Held { by } => write!(f, "the plan is held by {by}: release it first"),
+            Self::SharedCause(why) => f.write_str(why),
             Self::NoRoom { asked, refused, refused_now, room } => write!(
                 f,
                 "the rest can't bear it: of {asked:.0} requests a second {refused:.0} would be refused \
--- a/failover/src/written.rs
+++ b/failover/src/written.rs
@@ -41,22 +41,28 @@
     /// What stands, written down.
     pub(crate) fn compose(&mut self, now: Duration, plan: Plan) -> Document {
         let count = self.standings.len();
+        // A zone that reaches most others no more is what is cut, and not each of those.
+        let off = crate::flow::zones_where(count, |zone| {
+            let out = (0..count).filter(|other| *other != zone && self.cut[*other] >> zone & 1 == 1).count();
+            2 * out > count - 1
+        });
         let mut places = Vec::with_capacity(count);
         for zone in 0..count {
             let standing = &self.standings[zone];
             let seen = self.seen_now.get(zone);
             let cut = self.cut[zone];
-            let seen_cut = seen.is_some_and(|seen| seen.state == PlaceState::Cut);
-            let was_cut = self.shown[zone].state == PlaceState::Cut;
-            let is_cut = standing.state == PlaceState::Serving && cut != 0 && (seen_cut || was_cut);
+            let is_cut = standing.state == PlaceState::Serving && (off >> zone & 1 == 1 || cut & !off != 0);
             let state = if is_cut { PlaceState::Cut } else { standing.state };
             let shown = &mut self.shown[zone];
             if shown.state != state {
                 *shown = Shown { state, since: now, older: Duration::ZERO };
             }
             let names: Vec<&str> = each(cut).map(|from| self.topology.zone_name(Zone(from as u16))).collect();
-            let why =
-                if is_cut { format!("out of reach from {}", names.join(", ")) } else { standing.why.clone() };
+            let why = match (is_cut, names.is_empty()) {
+                (true, true) => "reaches most others no more".to_owned(),
+                (true, false) => format!("out of reach from {}", names.join(", ")),
+                _ => standing.why.clone(),
+            };
             let room = self.situation.rooms.get(zone).copied().unwrap_or_default();
             let age = shown.older.saturating_add(now.saturating_sub(shown.since));
             places.push(Place {
--- /dev/null
+++ b/failover/tests/alone.rs
@@ -0,0 +1,158 @@
+//! A balancer's side: with the lease, without, and without any plan.
+
+mod world;
+
+use maplehook_failover::{Acting, Demand, Shares, Sight};
+use maplehook_locality::{Rule, Rules, Topology, Zone};
+use std::time::Duration;
+use world::{World, topology};
+
+const STEP: Duration = Duration::from_millis(250);
+
+fn near() -> Rules {
+    Rules::near_first(1, 1)
+}
+
+fn sight(zone: u16, usable: f32) -> Sight {
+    Sight { zone: Zone(zone), stated: true, listed: 1000.0, usable, ..Sight::default() }
+}
+
+fn sights(usable: [f32; 4]) -> Vec<Sight> {
+    usable.iter().enumerate().map(|(zone, usable)| sight(zone as u16, *usable)).collect()
+}
+
+fn asked(rate: f32) -> Vec<Demand> {
+    vec![Demand { rule: 0, asked: rate, refused: 0.0 }]
+}
+
+/// Two seconds of the same.
+fn after(
+    acting: &mut Acting,
+    now: &mut Duration,
+    lease: bool,
+    sights: &[Sight],
+    demand: &[Demand],
+) -> Shares {
+    for _ in 0..8 {
+        *now += STEP;
+        acting.tick(*now, lease, sights, demand);
+    }
+    acting.acts().rules[0].clone()
+}
+
+fn part(shares: &Shares, zone: u16) -> f64 {
+    shares.to.iter().find(|(z, _)| *z == Zone(zone)).map_or(0.0, |(_, part)| *part)
+}
+
+#[test]
+fn with_the_lease_the_plan_is_acted_on_whatever_is_seen() {
+    let mut world = World::new();
+    world.run(10.0);
+    world.zones[0].up = 0.0;
+    world.run(6.0);
+    let mut now = Duration::ZERO;
+    let mut acting = Acting::new(topology(), near(), Zone(0), now);
+    acting.agreed(&world.force);
+    let shares = after(&mut acting, &mut now, true, &sights([1000.0, 0.0, 0.0, 0.0]), &asked(150.0));
+    assert!((part(&shares, 1) - world.part(0, 1)).abs() < 1e-9 && part(&shares, 0) == 0.0, "{shares:?}");
+    assert!(acting.acts().in_common && acting.acts().epoch == world.force.plan.epoch);
+    // By name, where zones are counted otherwise.
+    let other = Topology::new([("south", vec!["d", "c"]), ("north", vec!["b", "a"])]).unwrap();
+    let mut acting = Acting::new(other, near(), Zone(3), now);
+    acting.agreed(&world.force);
+    let shares = after(&mut acting, &mut now, true, &[], &asked(150.0));
+    assert!((part(&shares, 2) - world.part(0, 1)).abs() < 1e-9, "{shares:?}");
+}
+
+#[test]
+fn out_of_touch_all_together_stay_within_the_room() {
+    let mut world = World::new();
+    world.zones[1].demand = 700.0;
+    world.run(10.0);
+    let (document, spare) = (world.force.clone(), world.force.plan.spare.clone());
+    assert!(document.plan.rows.is_empty() && spare[1] > 100.0);
+    // a's upstreams go after the last plan, and all of its three balancers are out of touch, as are c's and d's.
+    let (mut into, mut refused) = ([0.0; 4], 0.0);
+    for zone in [0u16, 2, 3] {
+        for _ in 0..3 {
+            let mut now = Duration::ZERO;
+            let mut acting = Acting::new(topology(), near(), Zone(zone), now);
+            acting.agreed(&document);
+            acting.balancers(12);
+            let rate = 470.0 / 3.0;
+            let shares =
+                after(&mut acting, &mut now, false, &sights([0.0, 1000.0, 1000.0, 1000.0]), &asked(rate));
+            assert!(!acting.acts().in_common);
+            let sum: f64 = shares.to.iter().map(|(_, part)| part).sum();
+            assert!((sum + shares.refused - 1.0).abs() < 1e-9, "{shares:?}");
+            for zone in 0..4 {
+                into[usize::from(zone)] += part(&shares, zone) * f64::from(rate);
+            }
+            refused += shares.refused * f64::from(rate);
+        }
+    }
+    assert_eq!(into[0], 0.0);
+    assert!(into[1] > 0.0 && into[1] <= f64::from(spare[1]) / 12.0 * 3.0 + 1e-3, "{into:?} {spare:?}");
+    for zone in 1..4 {
+        let planned = if zone == 1 { 700.0 } else { 0.0 };
+        assert!(into[zone] + planned <= 1000.0, "{into:?}");
+    }
+    assert!(refused > 0.0, "what is not spare is not sent");
+}
+
+#[test]
+fn what_the_last_plan_called_lost_is_used_only_when_nothing_else_is_left() {
+    let mut world = World::new();
+    world.run(10.0);
+    world.zones[1].up = 0.0;
+    world.run(6.0);
+    let mut document = world.force.clone();
+    document.plan.spare = vec![400.0; 4];
+    let (mut now, demand) = (Duration::ZERO, asked(1.0));
+    let mut acting = Acting::new(topology(), near(), Zone(0), now);
+    acting.agreed(&document);
+    // It sees b well, and its own lost.
+    let shares = after(&mut acting, &mut now, false, &sights([0.0, 1000.0, 1000.0, 1000.0]), &demand);
+    assert!(part(&shares, 1) == 0.0 && part(&shares, 2) > 0.9, "{shares:?}");
+    let shares = after(&mut acting, &mut now, false, &sights([0.0, 1000.0, 0.0, 0.0]), &demand);
+    assert!(part(&shares, 1) > 0.9, "{shares:?}");
+    // Who sees nothing at all keeps to what it has.
+    let mut acting = Acting::new(topology(), near(), Zone(0), now);
+    acting.agreed(&document);
+    let shares = after(&mut acting, &mut now, false, &sights([0.0; 4]), &demand);
+    assert_eq!(part(&shares, 0), 1.0);
+}
+
+#[test]
+fn without_any_plan_it_is_near_and_a_cautious_part_moves() {
+    let mut now = Duration::ZERO;
+    let mut acting = Acting::new(topology(), near(), Zone(0), now);
+    acting.balancers(4);
+    let well = sights([1000.0; 4]);
+    let shares = after(&mut acting, &mut now, true, &well, &asked(200.0));
+    assert_eq!((part(&shares, 0), acting.acts().in_common), (1.0, false));
+    let shares = after(&mut acting, &mut now, false, &sights([0.0, 1000.0, 1000.0, 1000.0]), &asked(200.0));
+    let each = 0.2 * 1000.0 / 4.0 / 200.0;
+    assert!((1..4).all(|zone| (part(&shares, zone) - each).abs() < 1e-9), "{shares:?}");
+    // One glitch of half a second moves nothing.
+    let mut acting = Acting::new(topology(), near(), Zone(0), now);
+    for usable in [1000.0, 0.0, 0.0, 1000.0] {
+        now += STEP;
+        acting.tick(now, false, &sights([usable, 1000.0, 1000.0, 1000.0]), &asked(200.0));
+        assert_eq!(part(&acting.acts().rules[0], 0), 1.0);
+    }
+}
+
+#[test]
+fn rules_hold_for_whoever_is_alone() {
+    let mut now = Duration::ZERO;
+    let mut rule = Rule::near_first();
+    rule.never = vec![Zone(1)];
+    rule.beyond_region_most = 0.1;
+    let rules = Rules::new(vec![rule], 1, 1, |_, _| 0);
+    let mut acting = Acting::new(topology(), rules, Zone(0), now);
+    let shares = after(&mut acting, &mut now, false, &sights([0.0, 1000.0, 1000.0, 1000.0]), &asked(1.0));
+    assert!(part(&shares, 1) == 0.0, "{shares:?}");
+    assert!((part(&shares, 2) + part(&shares, 3) - 0.1).abs() < 1e-9, "{shares:?}");
+    assert!((shares.refused - 0.9).abs() < 1e-9);
+}
--- a/failover/tests/world/mod.rs
+++ b/failover/tests/world/mod.rs
@@ -193,8 +193,8 @@
         }
     }
 
-    /// One step: requests, reports every half second, the leader's look, and what it says in force.
-    pub fn step(&mut self) {
+    /// Requests, and reports every half second.
+    fn pass(&mut self) {
         self.now += STEP;
         self.send();
         if self.now.as_millis().is_multiple_of(500) {
@@ -211,11 +211,27 @@
             let (_, name, report) = self.on_the_way.pop_front().unwrap();
             self.decider.hear(self.now, &name, report);
         }
+    }
+
+    /// One step: requests, reports every half second, the leader's look, and what it says in force.
+    pub fn step(&mut self) {
+        self.pass();
         if let Some(document) = self.decider.tick(self.now) {
             self.take(document);
         }
     }
 
+    /// A step in which nothing that the leader says is agreed on.
+    pub fn step_silently(&mut self, said: &mut Vec<Document>) {
+        self.pass();
+        said.extend(self.decider.tick(self.now));
+    }
+
+    /// A report with another digest.
+    pub fn report_as(&self, zone: usize, digest: u64) -> Report {
+        Report { digest, number: u64::MAX, ..self.report(zone) }
+    }
+
     pub fn take(&mut self, document: Document) {
         assert_eq!(Document::decode(&document.encode()).as_ref(), Some(&document));
         self.decider.accepted(&document);
