--- a/failover/tests/planner.rs
+++ b/failover/tests/planner.rs
@@ -195,7 +195,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 2000, failure_persistence: None, rng_seed: RngSeed::Fixed(34), ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 700, failure_persistence: None, rng_seed: RngSeed::Fixed(34), ..ProptestConfig::default() })]
 
     #[test]
     fn any_split_is_sound_and_as_much_as_can_be(case in a_case()) {
