--- a/addresses/src/decide.rs
+++ b/addresses/src/decide.rs
@@ -25,7 +25,7 @@
     /// Agreed.
     state: State,
     now: Duration,
-    offered: Option<(u64, Duration)>,
+    offered: Option<Duration>,
     health: BTreeMap<Region, SiteHealth>,
     behind: BTreeMap<Region, Duration>,
     /// By address and site.
@@ -145,18 +145,18 @@
         self.observe();
         self.wait();
         let next = self.decided();
-        let changed = next.addresses.len() != self.state.addresses.len()
-            || next.addresses.iter().any(|(name, standing)| {
+        let changed = next.len() != self.state.addresses.len()
+            || next.iter().any(|(name, standing)| {
                 self.state.addresses.get(name).is_none_or(|before| before.differs(standing))
             });
         if !changed {
             return None;
         }
-        if self.offered.is_some_and(|(number, at)| number == next.number && now < at + AGAIN) {
+        if self.offered.is_some_and(|at| now < at + AGAIN) {
             return None;
         }
-        self.offered = Some((next.number, now));
-        Some(next)
+        self.offered = Some(now);
+        Some(self.written(next))
     }
 
     fn observe(&mut self) {
@@ -216,7 +216,7 @@
         Some(self.scene_of(address, self.state.addresses.get(name)?, true))
     }
 
-    fn decided(&self) -> State {
+    fn decided(&self) -> BTreeMap<String, Standing> {
         let mut addresses = BTreeMap::new();
         self.each(|scene| {
             let decided = match scene.address.announce {
@@ -225,7 +225,7 @@
             };
             addresses.insert(scene.address.name.clone(), decided);
         });
-        self.written(addresses)
+        addresses
     }
 
     /// The next state: with epochs, and with what a next leader has to know.
@@ -234,7 +234,7 @@
             let Some(standing) = addresses.get_mut(&address.name) else { continue };
             let before = self.state.addresses.get(&address.name);
             let changed = before.is_none_or(|before| before.differs(standing));
-            standing.epoch = before.map_or(0, |before| before.epoch) + u64::from(changed);
+            standing.epoch = before.map_or(0, |before| before.epoch).saturating_add(u64::from(changed));
             for (site, record) in &mut standing.sites {
                 let Some(memory) = self.memory.get(&(address.name.clone(), site.clone())) else { continue };
                 let old = before.and_then(|before| before.sites.get(site)).map(|record| record.phase);
@@ -248,7 +248,7 @@
                 *record = memory.write(record.phase, self.now, half_life(address));
             }
         }
-        State { number: self.state.number + 1, addresses }
+        State { number: self.state.number.saturating_add(1), addresses }
     }
 
     /// A state stands in the log, from this leader or from another one.
@@ -287,6 +287,24 @@
     }
 }
 
+#[cfg(test)]
+impl Decider {
+    /// What of it can matter from now on, as ages; penalties but for being kept back are left out.
+    pub(crate) fn essence(&self) -> Vec<u64> {
+        let age = |at: Duration| self.now.saturating_sub(at).min(Duration::from_secs(4)).as_millis() as u64;
+        let mut essence = vec![self.offered.map_or(9999, age)];
+        for memory in self.memory.values() {
+            let flags = [memory.ill, memory.in_touch, memory.rested, memory.phase_since.is_some()];
+            essence.extend(flags.map(u64::from));
+            essence.push(age(memory.since).min(600));
+        }
+        for wait in self.waits.values() {
+            essence.extend(wait.essence(self.now));
+        }
+        essence
+    }
+}
+
 /// What a change of phase costs: a withdrawal is two steps, as long as it is for illness.
 fn cost(from: Phase, to: Phase, ill: bool) -> f64 {
     let step = |phase| match phase {
--- a/addresses/src/health.rs
+++ b/addresses/src/health.rs
@@ -63,7 +63,8 @@
         let fine = record.penalty.is_finite();
         Self {
             ill: record.ill,
-            since: ago(record.ill_for_ms),
+            // An illness that was written down may be over by now: it has to be seen as long as any other.
+            since: if record.ill { now } else { ago(record.ill_for_ms) },
             in_touch: false,
             rested: !record.ill && record.penalty <= 0.0,
             // Whether what was written has come to anybody is not known: it stands from now on.
--- a/addresses/src/lib.rs
+++ b/addresses/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod answer;
 pub mod decide;
+#[cfg(test)]
+mod explore;
 pub mod health;
 mod many;
 mod one;
--- a/addresses/src/one.rs
+++ b/addresses/src/one.rs
@@ -49,6 +49,15 @@
     }
 }
 
+#[cfg(test)]
+impl Wait {
+    pub fn essence(&self, now: Duration) -> [u64; 3] {
+        let age = |at: Duration| now.saturating_sub(at).min(Duration::from_secs(4)).as_millis() as u64;
+        let left = self.bound.saturating_sub(now).as_millis() as u64;
+        [age(self.first), self.clear.map_or(9999, age), left]
+    }
+}
+
 /// The sites that may still announce it.
 pub(crate) fn waited_for(scene: &Scene<'_>) -> BTreeSet<Region> {
     let last = scene.base.last.as_ref().and_then(|last| scene.region(last));
@@ -66,7 +75,11 @@
     let Some(wait) = wait else { return false };
     // A site that is named no more is among nobody's figures.
     let named_no_more = scene.base.last.is_some() && !last_known;
-    let lease = if named_no_more { wait.first + scene.longest_lease + most } else { Duration::ZERO };
+    let lease = if named_no_more {
+        wait.first.saturating_add(scene.longest_lease).saturating_add(most)
+    } else {
+        Duration::ZERO
+    };
     wait.over(most).is_some_and(|over| scene.now >= over.max(lease))
 }
 
--- a/addresses/src/state.rs
+++ b/addresses/src/state.rs
@@ -2,7 +2,9 @@
 //!
 //! Sites stand in it by name, so that whoever has another topology can read it. Times are ages at the moment of writing.
 
-use crate::Announce;
+use crate::order::BY_MOST;
+use crate::{ADDRESSES_MOST, Announce};
+use maplehook_locality::topology::REGIONS_MOST;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -97,19 +99,29 @@
         }
     }
 
-    /// What matters of it to anybody but the next leader.
-    fn bare(&self) -> Self {
-        let mut bare = self.clone();
-        (bare.epoch, bare.for_ms) = (0, 0);
-        for site in bare.sites.values_mut() {
-            *site = SiteRecord { phase: site.phase, ..SiteRecord::default() };
-        }
-        bare
+    fn is_sound(&self) -> bool {
+        let few = [self.announcing.len(), self.unheard.len(), self.withdrawn.len(), self.sites.len()];
+        let short = |by: &String| by.chars().count() <= BY_MOST;
+        let one = match &self.holder {
+            Some(holder) => self.next.is_none() && self.announcing.keys().eq([holder]),
+            None => self.announce == Announce::Many || self.announcing.is_empty(),
+        };
+        one && few.into_iter().all(|len| len <= REGIONS_MOST)
+            && self.withdrawn.values().chain(&self.pinned).all(short)
+            && self.sites.values().all(|site| site.penalty.is_finite() && site.penalty >= 0.0)
     }
 
-    /// Whether it is another one than this, but for ages and figures.
+    /// Whether it is another one than this, but for ages and figures: those matter to the next leader alone.
     pub fn differs(&self, other: &Self) -> bool {
-        self.bare() != other.bare()
+        let phases = |standing: &Self| standing.sites.values().map(|site| site.phase).collect::<Vec<_>>();
+        self.announce != other.announce
+            || self.announcing != other.announcing
+            || (&self.holder, &self.last, &self.next) != (&other.holder, &other.last, &other.next)
+            || self.unheard != other.unheard
+            || self.withdrawn != other.withdrawn
+            || (&self.pinned, &self.all_stay) != (&other.pinned, &other.all_stay)
+            || !self.sites.keys().eq(other.sites.keys())
+            || phases(self) != phases(other)
     }
 }
 
@@ -123,6 +135,12 @@
 }
 
 impl State {
+    /// Whether it can be one: bounded, and with one holder at the most where one site may announce. What comes from elsewhere is
+    /// asked this before it is acted on.
+    pub fn is_sound(&self) -> bool {
+        self.addresses.len() <= ADDRESSES_MOST && self.addresses.values().all(Standing::is_sound)
+    }
+
     /// Whether it may be played after this one. Whoever plays the log has to ask: a state that was made of an earlier one, or by a
     /// leader that is none any more, would bring back a holder that has given way.
     pub fn follows(&self, before: Option<&State>) -> bool {
