--- a/addresses/src/decide.rs
+++ b/addresses/src/decide.rs
@@ -166,8 +166,14 @@
                 let Some(site) = self.site_names.get(usize::from(region.0)) else { continue };
                 let key = (address.name.clone(), site.clone());
                 let memory = self.memory.entry(key).or_insert_with(|| Memory::new(now));
+                let was_ill = memory.ill;
                 memory.observe(self.health.get(region), address.announce == Announce::One, now);
-                memory.decay(now, half_life(address));
+                let standing = self.state.addresses.get(&address.name);
+                let phase = standing.and_then(|standing| standing.sites.get(site)).map(|site| site.phase);
+                let away = address.announce == Announce::Many && phase == Some(Phase::Away);
+                // One that is kept back and goes on flapping is kept back for longer.
+                let cost = if away && memory.ill && !was_ill { COST } else { 0.0 };
+                memory.punish(now, half_life(address), cost);
                 memory.phase_since.get_or_insert(now);
             }
         }
--- a/addresses/src/health.rs
+++ b/addresses/src/health.rs
@@ -19,7 +19,7 @@
 /// No more than this: a site comes back after four half-lives at the latest.
 pub const CEILING: f64 = REUSE * 16.0;
 /// A half-life, in times of `return_after`.
-pub const HALF_LIFE: u32 = 4;
+pub const HALF_LIFE: u32 = 8;
 
 /// What is known of a site. It comes from the plan and from balancers that are ready there, not from a ping.
 #[derive(Clone, Copy, Debug, PartialEq)]
