--- a/addresses/src/decide.rs
+++ b/addresses/src/decide.rs
@@ -5,7 +5,7 @@
 
 use crate::health::{COST, Memory, SiteHealth, half_life};
 use crate::one::Wait;
-use crate::state::{Phase, Standing, State};
+use crate::state::{Phase, Standing, State, TAKES};
 use crate::{ADDRESSES_MOST, Address, Announce, many, one};
 use maplehook_locality::Region;
 use std::collections::BTreeMap;
@@ -175,6 +175,8 @@
                 let cost = if away && memory.ill && !was_ill { COST } else { 0.0 };
                 memory.punish(now, half_life(address), cost);
                 memory.phase_since.get_or_insert(now);
+                let takes = standing.and_then(|standing| standing.announcing.get(site)) == Some(&TAKES);
+                memory.takes_since = takes.then(|| memory.takes_since.unwrap_or(now));
             }
         }
     }
--- a/addresses/src/health.rs
+++ b/addresses/src/health.rs
@@ -47,6 +47,8 @@
     pub rested: bool,
     /// Since when the phase stands, from the first moment at which it was known to be agreed.
     pub phase_since: Option<Duration>,
+    /// Since when it is agreed that it takes over from others.
+    pub takes_since: Option<Duration>,
     penalty: f64,
     penalty_at: Duration,
     suppressed: bool,
@@ -69,6 +71,7 @@
             rested: !record.ill && record.penalty <= 0.0,
             // Whether what was written has come to anybody is not known: it stands from now on.
             phase_since: None,
+            takes_since: None,
             penalty: if fine { record.penalty.clamp(0.0, CEILING) } else { 0.0 },
             penalty_at: now,
             suppressed: record.suppressed,
@@ -130,6 +133,10 @@
         self.phase_since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
     }
 
+    pub fn takes_for(&self, now: Duration) -> Option<Duration> {
+        self.takes_since.map(|since| now.saturating_sub(since))
+    }
+
     pub fn decay(&mut self, now: Duration, half_life: Duration) {
         let lives = now.saturating_sub(self.penalty_at).as_secs_f64() / half_life.as_secs_f64().max(0.001);
         self.penalty *= 0.5f64.powf(lives);
--- a/addresses/src/many.rs
+++ b/addresses/src/many.rs
@@ -82,7 +82,7 @@
         *other != site
             && scene.well(other)
             && agreed(scene, other) == Phase::Well
-            && scene.base.announcing.get(*other) == Some(&TAKES)
+            && scene.memory(other).and_then(|it| it.takes_for(scene.now)).is_some_and(|time| time >= STANDS)
             && !scene.behind.contains_key(region)
     })
 }
