--- a/addresses/src/explore/mod.rs
+++ b/addresses/src/explore/mod.rs
@@ -88,17 +88,17 @@
 
 #[test]
 fn whatever_befalls_the_holder_never_two_announce_and_one_does_again() {
-    holds(3, &HOLDER, 1);
+    holds(3, &HOLDER, 7_000);
 }
 
 #[test]
 fn whatever_befalls_both_sites_never_two_announce_and_one_does_again() {
-    holds(3, &BOTH, 1);
+    holds(3, &BOTH, 5_000);
 }
 
 #[test]
 fn whatever_befalls_the_log_never_two_announce_and_one_does_again() {
-    holds(5, &ORDERS, 1);
+    holds(5, &ORDERS, 700);
 }
 
 #[track_caller]
