--- a/histories/src/judge/swings.rs
+++ b/histories/src/judge/swings.rs
@@ -85,7 +85,8 @@
                 }
                 path.found = plan.at.saturating_add(1);
                 let what = format!("the share of {zone} turns {} times within a minute", path.turns.len());
-                let records = path.turns.iter().map(|(_, record)| *record).collect();
+                let mut records: Vec<usize> = path.turns.iter().map(|(_, record)| *record).collect();
+                records.sort_unstable();
                 finding.breaches.push(Breach {
                     rule: "swings",
                     at_us: from,
