--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -1,23 +1,28 @@
 //! A tier of real processes, with relays on every way between them, to discovery and to the upstreams.
 
-use crate::balancer::{Balancer, Keeps, view};
+mod clients;
+mod file;
+mod looks;
+mod ways;
+
+pub use file::settings;
+
+use crate::balancer::{Balancer, Keeps};
 use crate::check::name;
-use crate::history::{Got, History, Kind, What};
-use crate::relay::{Relay, Trouble, Way};
+use crate::history::{History, What};
+use crate::relay::{Relay, Way};
+use file::file;
 use maplehook_standins::app::{App, Keys};
 use maplehook_standins::eureka::Eureka;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Command, Output};
+use std::process::Output;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use std::time::Duration;
 use tokio::runtime::Runtime;
-use tokio::time::{sleep, timeout};
 
 /// A request's deadline at the balancers.
 pub const DEADLINE: Duration = Duration::from_secs(2);
@@ -316,163 +321,6 @@
         self.history.note(What::Serves { balancer: n });
     }
 
-    /// The way from one balancer to another.
-    pub fn way(&self, from: usize, to: usize) -> &Way {
-        &self.ways[from][to]
-    }
-
-    /// Does something to all ways between some and some.
-    pub fn between(&self, from: &[usize], to: &[usize], change: impl Fn(&mut Trouble)) {
-        for (a, b) in from.iter().flat_map(|a| to.iter().map(move |b| (*a, *b))).filter(|(a, b)| a != b) {
-            self.ways[a][b].set(&change);
-        }
-    }
-
-    /// Does something to all ways between balancers.
-    pub fn everywhere(&self, change: impl Fn(&mut Trouble)) {
-        let all: Vec<usize> = (0..self.len()).collect();
-        self.between(&all, &all, change);
-    }
-
-    /// Resets all connections between balancers.
-    pub fn reset(&self) {
-        self.ways.iter().flatten().for_each(|way| way.reset());
-    }
-
-    /// The way of a balancer to discovery.
-    pub fn to_discovery(&self, n: usize) -> &Way {
-        &self.discovery[n]
-    }
-
-    /// The ways of all to an upstream.
-    pub fn to_upstream(&self, n: usize) -> &Way {
-        &self.to_apps[n]
-    }
-
-    /// Discovery says that an upstream drains.
-    pub fn drain(&self, upstream: usize) {
-        self.registry.mark("APP", &format!("u{}", upstream + 1), "OUT_OF_SERVICE");
-        self.history.note(What::Drains { upstream });
-    }
-
-    /// All ways are as they were at the start.
-    pub fn heal_ways(&self) {
-        for way in self.ways.iter().flatten().chain(&self.discovery).chain(&self.to_apps) {
-            way.set(|trouble| *trouble = Trouble::default());
-        }
-    }
-
-    /// What all who serve show now; `None` where one of them shows nothing.
-    pub fn views(&self) -> BTreeMap<usize, Option<crate::balancer::View>> {
-        (0..self.len())
-            .filter_map(|n| {
-                let operator = *lock(&self.operators[n]);
-                let serves = lock(&self.balancers[n]).serves();
-                serves.then(|| (n, operator.and_then(view)))
-            })
-            .collect()
-    }
-
-    /// Whether all who serve see just one another, alive.
-    pub fn agrees(&self) -> bool {
-        let views = self.views();
-        let right: BTreeMap<String, u64> =
-            views.iter().filter_map(|(n, view)| Some((name(*n), view.as_ref()?.incarnation))).collect();
-        right.len() == views.len()
-            && views.values().flatten().all(|view| {
-                let alive = view.members.iter().filter(|member| member.state == "alive");
-                alive.map(|m| (m.name.clone(), m.incarnation)).collect::<BTreeMap<_, _>>() == right
-            })
-    }
-
-    /// Waits until something holds; the time that it took.
-    pub fn until(&self, most: Duration, mut holds: impl FnMut(&Self) -> bool) -> Option<Duration> {
-        let begun = Instant::now();
-        loop {
-            if holds(self) {
-                return Some(begun.elapsed());
-            }
-            if begun.elapsed() > most {
-                return None;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    }
-
-    /// Waits until one holds another to be so.
-    pub fn until_holds(&self, most: Duration, n: usize, of: usize, state: &str) -> Option<Duration> {
-        self.until(most, |world| {
-            let operator = *lock(&world.operators[n]);
-            let view = operator.and_then(view);
-            view.is_some_and(|v| v.members.iter().any(|m| m.name == name(of) && m.state == state))
-        })
-    }
-
-    /// Begins to look at what balancers show.
-    pub fn watch(&mut self) {
-        for n in 0..self.len() {
-            let (history, operators, ends) =
-                (Arc::clone(&self.history), Arc::clone(&self.operators), Arc::clone(&self.ends));
-            self.threads.push(std::thread::spawn(move || {
-                while !ends.load(Ordering::SeqCst) {
-                    let operator = *lock(&operators[n]);
-                    if let Some(view) = operator.and_then(view) {
-                        // Not what a process showed that was taken down meanwhile.
-                        if *lock(&operators[n]) == operator {
-                            history.note(What::Shows { balancer: n, view });
-                        }
-                    }
-                    std::thread::sleep(LOOK);
-                }
-            }));
-        }
-    }
-
-    /// Clients begin to ask, at their own pace.
-    pub fn ask(&self) {
-        let (rate, n) = (self.setup.rate, self.len());
-        let (history, addresses, next, ends, asking) = (
-            Arc::clone(&self.history),
-            Arc::clone(&self.addresses),
-            Arc::clone(&self.next_id),
-            Arc::clone(&self.ends),
-            Arc::clone(&self.asking),
-        );
-        self.runtime.spawn(async move {
-            let open = Arc::new(AtomicUsize::new(0));
-            let begun = Instant::now();
-            let mut sent = 0u64;
-            while !ends.load(Ordering::SeqCst) && asking.load(Ordering::SeqCst) {
-                let due = Duration::from_secs_f64(sent as f64 / rate);
-                if let Some(wait) = due.checked_sub(begun.elapsed()) {
-                    sleep(wait).await;
-                }
-                sent += 1;
-                let number = next.fetch_add(1, Ordering::SeqCst);
-                let balancer = (number % n as u64) as usize;
-                let Some(address) = *lock(&addresses[balancer]) else { continue };
-                if open.load(Ordering::SeqCst) >= OPEN_MOST {
-                    continue;
-                }
-                let kind = [Kind::Look, Kind::Book, Kind::Keyed][(number / n as u64 % 3) as usize];
-                let (id, history, open) = (format!("r{number}"), Arc::clone(&history), Arc::clone(&open));
-                history.note(What::Asked { id: id.clone(), kind, balancer });
-                open.fetch_add(1, Ordering::SeqCst);
-                tokio::spawn(async move {
-                    let got = request(address, &id, kind).await;
-                    history.note(What::Got { id, got });
-                    open.fetch_sub(1, Ordering::SeqCst);
-                });
-            }
-        });
-    }
-
-    /// Clients ask no more, and what they have asked has had its time.
-    pub fn quiet(&self) {
-        self.asking.store(false, Ordering::SeqCst);
-        std::thread::sleep(PATIENCE);
-    }
-
     /// Ends all, and returns what was seen.
     pub fn end(mut self) -> Vec<crate::history::Entry> {
         self.ends.store(true, Ordering::SeqCst);
@@ -521,122 +369,3 @@
         let _ = std::fs::remove_dir_all(&self.directory);
     }
 }
-
-/// Runs `maplehook settings` with these words.
-pub fn settings(
-    program: &Path,
-    operator: SocketAddr,
-    secret: &Path,
-    words: &[&str],
-) -> std::io::Result<Output> {
-    let mut command = Command::new(program);
-    command.args(["settings", "--address", &operator.to_string(), "--secret-file"]);
-    command.arg(secret).args(words).output()
-}
-
-/// The operator's file of a balancer.
-fn file(
-    setup: &Setup,
-    n: usize,
-    directory: &Path,
-    relays: &[Option<Relay>],
-    registry: SocketAddr,
-    upstreams: &[SocketAddr],
-) -> String {
-    let mut text = format!(
-        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}{}\"\n{}\
-         [balancer]\nsockets = 512\nmax_attempts = 3\n",
-        if setup.by_files { "v1-" } else { "" },
-        name(n),
-        if setup.agreement.is_some() { "version = true\n" } else { "" }
-    );
-    if setup.listed {
-        for (k, address) in upstreams.iter().enumerate() {
-            text += &format!("[[upstream]]\nname = \"u{}\"\naddress = \"{address}\"\n", k + 1);
-        }
-    } else {
-        text += &format!(
-            "[eureka]\nservers = [\"{registry}\"]\napp = \"APP\"\npoll_ms = 200\ntimeout_ms = 1000\n"
-        );
-    }
-    for (class, effect) in [("look", "idempotent"), ("book", "at_most_once"), ("keyed", "keyed")] {
-        text += &format!(
-            "[[class]]\nname = \"{class}\"\npath = \"/{class}/**\"\neffect = \"{effect}\"\ndeadline_ms = {}\n",
-            DEADLINE.as_millis()
-        );
-    }
-    if setup.tier {
-        text += &format!(
-            "[tier]\nname = \"{}\"\nlisten = \"127.0.0.1:0\"\nsecret_file = \"{}\"\nstate = \"{}\"\n",
-            name(n),
-            directory.join("secret").display(),
-            directory.join(name(n)).join("state").display()
-        );
-        for (other, relay) in relays.iter().enumerate() {
-            if let Some(relay) = relay {
-                text +=
-                    &format!("[[tier.peer]]\nname = \"{}\"\naddress = \"{}\"\n", name(other), relay.address);
-            }
-        }
-    }
-    if let Some(agreement) = &setup.agreement {
-        let voters: Vec<String> = (0..3).map(|n| format!("\"{}\"", name(n))).collect();
-        text += &format!("[agreement]\nvoters = [{}]\n{agreement}", voters.join(", "));
-    }
-    text + &setup.extra
-}
-
-async fn request(address: SocketAddr, id: &str, kind: Kind) -> Got {
-    let (method, path, key) = match kind {
-        Kind::Look => ("GET", "look", String::new()),
-        Kind::Book => ("POST", "book", String::new()),
-        Kind::Keyed => ("POST", "keyed", format!("Idempotency-Key: {id}\r\n")),
-    };
-    let text = format!(
-        "{method} /{path}/{id} HTTP/1.1\r\nHost: rig\r\nX-Correlation-Id: {id}\r\n{key}Content-Length: 0\r\n\
-         Connection: close\r\n\r\n"
-    );
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
-        stream.write_all(text.as_bytes()).await?;
-        let mut answer = Vec::new();
-        stream.take(1 << 20).read_to_end(&mut answer).await?;
-        Ok::<_, std::io::Error>(answer)
-    };
-    match timeout(PATIENCE, exchange).await {
-        Err(_) => Got::Nothing,
-        Ok(Err(_)) => Got::Broken,
-        Ok(Ok(answer)) => read(&answer),
-    }
-}
-
-/// What an answer is, once its connection has ended.
-fn read(answer: &[u8]) -> Got {
-    let text = String::from_utf8_lossy(answer);
-    let Some((head, body)) = text.split_once("\r\n\r\n") else { return Got::Broken };
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok());
-    let Some(status) = status else { return Got::Broken };
-    let length = head.lines().find_map(|line| {
-        let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
-    });
-    match length {
-        Some(length) if body.len() < length => Got::Broken,
-        Some(length) if body.len() > length => Got::Twice,
-        _ => Got::Status(status),
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn answers_are_told_apart() {
-        assert_eq!(read(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"), Got::Status(200));
-        assert_eq!(read(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no"), Got::Broken);
-        assert_eq!(read(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK"), Got::Twice);
-        assert_eq!(read(b"HTTP/1.1 20"), Got::Broken);
-        assert_eq!(read(b""), Got::Broken);
-    }
-}
