Stand-ins: a router that polls announcements, and applications with a room

Nothing before balancers followed what they announce, and upstreams bore any load. The router polls each operators' address, counts an answer from before it asked, converges in its own drawn time, loses polls and holds answers back as it is told.

--- a/standins/src/app.rs
+++ b/standins/src/app.rs
@@ -20,14 +20,15 @@
 //!
 //! A first part `look`, `book` or `keyed` is passed over: it names a class to the balancer.
 
+pub use crate::echo::{Echo, Seen, pattern, patterned};
 use crate::hosted::Hosted;
+use crate::room::{Behaviour, Does, Room, Run};
 use http_body_util::{BodyExt, Full, StreamBody, combinators::BoxBody};
 use hyper::body::{Bytes, Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::rt::TokioIo;
-use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::future::Future;
@@ -45,53 +46,6 @@
 
 type AnyBody = BoxBody<Bytes, std::io::Error>;
 
-/// Byte `n` of a long body: no two near one another are alike, so that a part that is missing shows.
-pub fn pattern(n: usize) -> u8 {
-    ((n as u64).wrapping_mul(2_654_435_761) >> 13) as u8
-}
-
-/// So many bytes of it.
-pub fn patterned(length: usize) -> Vec<u8> {
-    (0..length).map(pattern).collect()
-}
-
-/// What `/echo` tells.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Echo {
-    /// The method.
-    pub method: String,
-    /// The target as it came.
-    pub target: String,
-    /// The headers in their order, names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// The body's length.
-    pub length: usize,
-    /// Whether it was [`pattern`] throughout.
-    pub patterned: bool,
-    /// The trailers.
-    pub trailers: Vec<(String, String)>,
-}
-
-impl Echo {
-    /// The value of the first header of this name.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
-    }
-}
-
-/// A request as it came.
-#[derive(Clone, Debug)]
-pub struct Seen {
-    /// Its method.
-    pub method: String,
-    /// Its target.
-    pub target: String,
-    /// Its headers.
-    pub headers: HeaderMap,
-    /// When its head came.
-    pub at: Instant,
-}
-
 /// Keys that several applications have seen: a repeat of a class `keyed` runs at none of them again.
 #[derive(Clone, Default)]
 pub struct Keys(Arc<Mutex<HashSet<String>>>);
@@ -105,6 +59,7 @@
     connections: AtomicUsize,
     bytes: AtomicUsize,
     draining: AtomicBool,
+    room: Option<Room>,
 }
 
 /// An application. It ends when it is dropped, and ends its connections.
@@ -123,7 +78,12 @@
 
     /// The same, with the keys that others have seen.
     pub fn sharing(keys: Keys) -> Self {
-        let state = Arc::new(State { keys, ..State::default() });
+        Self::with(keys, None)
+    }
+
+    /// The same; it bears no more than its room, as [`App::behaves`] says, and [`App::runs`] tells when it began to work for whom.
+    pub fn with(keys: Keys, room: Option<Room>) -> Self {
+        let state = Arc::new(State { keys, room, ..State::default() });
         let shared = Arc::clone(&state);
         let hosted = Hosted::start(move |listener, ended| serve(listener, shared, ended));
         Self { address: hosted.address, state, hosted }
@@ -164,6 +124,16 @@
         self.state.draining.store(true, Ordering::SeqCst);
     }
 
+    /// How it behaves from now on, if it has a room.
+    pub fn behaves(&self, behaviour: Behaviour) {
+        self.state.room.iter().for_each(|room| room.behaves(behaviour));
+    }
+
+    /// When it began to work for whom, if it has a room.
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.room.as_ref().map(Room::runs).unwrap_or_default()
+    }
+
     /// Dies: its connections end at once, new ones are refused.
     pub fn kill(&mut self) {
         self.hosted.end();
@@ -217,6 +187,27 @@
     BodyExt::boxed(StreamBody::new(stream))
 }
 
+/// Waits for its turn; an answer, if it was turned away or has failed.
+async fn worked(state: &State, headers: &HeaderMap) -> Option<Response<AnyBody>> {
+    let room = state.room.as_ref()?;
+    let value = |name: &str| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let through = value("via").rsplit(' ').next().unwrap_or_default();
+    match room.takes(Instant::now(), value("x-correlation-id"), through) {
+        Does::Works(takes) => tokio::time::sleep(takes).await,
+        Does::Fails(takes) => {
+            tokio::time::sleep(takes).await;
+            return Some(text(500, "an error of its own"));
+        }
+        Does::Full => {
+            let mut response = text(503, "full");
+            response.headers_mut().insert("x-unprocessed", "1".parse().unwrap());
+            return Some(response);
+        }
+    }
+    room.goes_on().await;
+    None
+}
+
 async fn respond(
     state: &Arc<State>,
     request: Request<Incoming>,
@@ -260,6 +251,9 @@
     let Ok(body) = body.collect().await else { return text(400, "broke off") };
     let trailers = body.trailers().cloned().unwrap_or_default();
     let body = body.to_bytes();
+    if let Some(refused) = worked(state, &parts.headers).await {
+        return refused;
+    }
     let run = || {
         let value = |name: &str| parts.headers.get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let id = value("idempotency-key").or_else(|| value("x-correlation-id")).unwrap_or(target.clone());
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,9 +2,12 @@
 //! waits are on conditions, up to [`LONG`].
 
 pub mod app;
+mod echo;
 pub mod eureka;
 mod hosted;
 pub mod process;
+pub mod room;
+pub mod router;
 pub mod station;
 
 use std::io::{BufRead, BufReader, Write};
