Rig: worlds with zones, regions, rooms and routers; faults by zone; histories as files

Nothing showed what balancers do between zones. A map says where balancers and upstreams stand and what their files say, in common, by rules alone, or as any program does. Each balancer has ways of its own to each upstream, so that a zone can be out of reach from some. maplehook-rig places draws faults by zone, writes one history a storm and prints times from each fault; judge reads them.

--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -2,8 +2,9 @@
 
 use clap::builder::TypedValueParser;
 use clap::{Parser, Subcommand};
-use maplehook_rig::nemesis::Line;
-use maplehook_rig::{Setup, fleet, measure, storm};
+use maplehook_rig::nemesis::{Line, ZoneLine};
+use maplehook_rig::places::{self, Conduct, Front, Map};
+use maplehook_rig::{Setup, fleet, judge, measure, storm};
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -62,6 +63,54 @@
         #[arg(long, default_value_t = 20_000)]
         contradiction_ms: u64,
     },
+    /// Plays storms over zones and regions, writes a history of each, and prints what became of each kind of fault.
+    Places {
+        /// How many storms, each with the next seed: 1 to 1000.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1000))]
+        storms: u64,
+        /// The first seed.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The directory of the histories.
+        #[arg(long)]
+        out: PathBuf,
+        /// Faults in each storm, one after the other: 0 to 20.
+        #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(0..=20).map(|n| n as usize))]
+        faults: usize,
+        /// A file with one storm, instead of drawn ones.
+        #[arg(long, conflicts_with = "faults")]
+        line: Option<PathBuf>,
+        /// How many balancers, in four zones: 4 to 32.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(4..=32).map(|n| n as usize))]
+        balancers: usize,
+        /// Upstreams by zone: 1 to 16.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(1..=16).map(|n| n as usize))]
+        upstreams: usize,
+        /// Requests a second that each upstream can take: up to 500.
+        #[arg(long, default_value_t = 40.0)]
+        room: f64,
+        /// Each balancer for itself, without rules: what any program does.
+        #[arg(long)]
+        alone: bool,
+        /// Rules, and each balancer for itself: fixed priorities and thresholds.
+        #[arg(long, conflicts_with = "alone")]
+        textbook: bool,
+        /// Clients go to a balancer of their zone that runs, not through routers.
+        #[arg(long)]
+        direct: bool,
+        /// The program; the one beside this.
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Judges histories from their files, without the run.
+    Judge {
+        /// The shortest part that still shows what is wrong, too.
+        #[arg(long)]
+        shrink: bool,
+        /// The histories.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Shows the faults that a seed draws, as a file.
     Show {
         /// The seed.
@@ -107,15 +156,20 @@
     json: bool,
 }
 
+/// The program to run: the one beside this, unless another one is told.
+fn program(told: Option<&PathBuf>) -> Result<PathBuf, String> {
+    let neighbour = || {
+        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+        Ok(own.with_file_name("maplehook"))
+    };
+    told.cloned().map_or_else(neighbour, Ok)
+}
+
 const UPSTREAMS: usize = 4;
 
 impl Played {
     fn setup(&self) -> Result<Setup, String> {
-        let neighbour = || {
-            let own = std::env::current_exe().map_err(|e| e.to_string())?;
-            Ok::<_, String>(own.with_file_name("maplehook"))
-        };
-        let program = self.program.clone().map_or_else(neighbour, Ok)?;
+        let program = program(self.program.as_ref())?;
         let rate = self.rate.clamp(1.0, 2000.0);
         let (balancers, tier) = (self.balancers, !self.alone);
         let cut_off =
@@ -206,6 +260,50 @@
             println!("{}", fleet::measure(members, bytes, Duration::from_millis(contradiction_ms))?);
             Ok(true)
         }
+        Command::Places {
+            storms,
+            seed,
+            out,
+            faults,
+            line,
+            balancers,
+            upstreams,
+            room,
+            alone,
+            textbook,
+            direct,
+            program: told,
+        } => {
+            let conduct = match (alone, textbook) {
+                (true, _) => Conduct::Alone,
+                (_, true) => Conduct::Textbook,
+                _ => Conduct::Common,
+            };
+            let map = Map { conduct, ..Map::new(upstreams, room.clamp(1.0, 500.0)) };
+            let setup = map.setup(&program(told.as_ref())?, balancers);
+            let front = if direct || conduct != Conduct::Common { Front::Direct } else { Front::Routers };
+            let regions = map.regions.iter().cloned().collect();
+            let read = |file: PathBuf| {
+                let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+                toml::from_str::<ZoneLine>(&text).map_err(|e| format!("{}: {e}", file.display()))
+            };
+            let stated = line.map(read).transpose()?;
+            let mut played = Vec::new();
+            for seed in (seed..).take(storms as usize) {
+                let drawn = || ZoneLine::draw(seed, &regions, faults);
+                let line = stated.clone().unwrap_or_else(drawn);
+                let storm = places::storm::play(setup.clone(), seed, &line, front, &out)?;
+                eprintln!("seed {seed}: {}", storm.file.display());
+                played.push(storm);
+            }
+            print!("{}", places::storm::markdown(&played));
+            Ok(true)
+        }
+        Command::Judge { shrink, files } => {
+            let judged = judge::report(&files, shrink)?;
+            print!("{}", judged.text);
+            Ok(judged.sound)
+        }
         Command::Show { seed, minutes, balancers } => {
             let line = Line::draw(seed, balancers, UPSTREAMS, span(minutes));
             print!("{}", toml::to_string(&line).map_err(|e| e.to_string())?);
--- a/rig/src/nemesis.rs
+++ b/rig/src/nemesis.rs
@@ -1,5 +1,9 @@
 //! What is done to a tier, and when: a time line, from a file or drawn from a seed.
 
+pub mod zones;
+
+pub use zones::{ZoneFault, ZoneLine, ZoneTimed};
+
 use crate::balancer::Keeps;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -3,6 +3,7 @@
 //! A [`Way`] is one direction. A relay forwards the datagrams that come to its port one way, and connections both ways:
 //! what the caller says goes by the first way, what it is answered by the second. Nothing leaves loopback.
 
+use maplehook_standins::router::unix_us;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -17,6 +18,8 @@
 /// Datagrams that may be on their way at once, and connections of a relay.
 const PENDING_MOST: usize = 4096;
 const CONNECTIONS_MOST: usize = 256;
+/// Tries in vain that are kept.
+const TRIED_MOST: usize = 100_000;
 /// What a lost segment of a connection costs: it is sent again.
 const SENT_AGAIN: Duration = Duration::from_millis(200);
 /// How often a way that is silent is looked at.
@@ -47,11 +50,18 @@
     trouble: Mutex<Trouble>,
     resets: watch::Sender<u64>,
     pending: AtomicUsize,
+    /// When somebody tried to use it though it let nothing pass, in microseconds of the Unix clock.
+    tried: Mutex<Vec<u64>>,
 }
 
 impl Default for Way {
     fn default() -> Self {
-        Self { trouble: Mutex::default(), resets: watch::Sender::new(0), pending: AtomicUsize::new(0) }
+        Self {
+            trouble: Mutex::default(),
+            resets: watch::Sender::new(0),
+            pending: AtomicUsize::new(0),
+            tried: Mutex::default(),
+        }
     }
 }
 
@@ -75,6 +85,18 @@
         self.resets.send_modify(|n| *n += 1);
     }
 
+    /// When somebody tried to use it though it let nothing pass: new connections, and requests on old ones.
+    pub fn tried(&self) -> Vec<u64> {
+        lock(&self.tried).clone()
+    }
+
+    fn tries(&self) {
+        let mut tried = lock(&self.tried);
+        if tried.len() < TRIED_MOST {
+            tried.push(unix_us());
+        }
+    }
+
     fn delay(&self) -> Duration {
         let (least, most) = self.trouble().delay;
         least + most.saturating_sub(least).mul_f64(fastrand::f64())
@@ -163,7 +185,11 @@
             continue;
         };
         let to = *lock(&target);
-        if forward.trouble().refuse || to.is_none() || open.load(Ordering::SeqCst) >= CONNECTIONS_MOST {
+        let trouble = forward.trouble();
+        if trouble.refuse || trouble.silent {
+            forward.tries();
+        }
+        if trouble.refuse || to.is_none() || open.load(Ordering::SeqCst) >= CONNECTIONS_MOST {
             end(&stream);
             continue;
         }
@@ -198,7 +224,7 @@
     let (from_caller, to_caller) = caller.into_split();
     let (from_called, to_called) = called.into_split();
     let passing = async {
-        tokio::join!(pump(from_caller, to_called, forward), pump(from_called, to_caller, back));
+        tokio::join!(pump(from_caller, to_called, forward, true), pump(from_called, to_caller, back, false));
     };
     tokio::select! {
         () = passing => {}
@@ -207,12 +233,16 @@
     }
 }
 
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: &Way) {
+/// `calls`: what passes are requests.
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: &Way, calls: bool) {
     let mut buffer = vec![0; 16 * 1024];
     loop {
         let slow = way.trouble().slow;
         let most = if slow > 0 { (slow as usize / 20).clamp(1, buffer.len()) } else { buffer.len() };
         let Ok(length) = from.read(&mut buffer[..most]).await else { return };
+        if calls && length > 0 && way.trouble().silent {
+            way.tries();
+        }
         way.speaks().await;
         let Trouble { loss, slow, .. } = way.trouble();
         let mut wait = way.delay();
--- a/rig/src/storm/faults.rs
+++ b/rig/src/storm/faults.rs
@@ -74,8 +74,9 @@
             numbers(balancers).iter().for_each(|n| world.to_discovery(*n).set(|t| t.silent = true));
         }
         Fault::Upstream { upstream, delay_ms } => {
-            let way = world.to_upstream(upstream - 1);
-            way.set(|trouble| trouble.delay = (Duration::ZERO, ms(*delay_ms)));
+            for way in world.to_upstream(upstream - 1) {
+                way.set(|trouble| trouble.delay = (Duration::ZERO, ms(*delay_ms)));
+            }
         }
         Fault::Unwritable { balancers } => {
             for n in numbers(balancers) {
@@ -134,9 +135,10 @@
             numbers(balancers).iter().for_each(|n| world.to_discovery(*n).set(|t| t.silent = false));
         }
         Fault::Upstream { upstream, .. } => {
-            let way = world.to_upstream(upstream - 1);
-            way.set(|trouble| trouble.delay = (Duration::ZERO, Duration::ZERO));
-            way.reset();
+            for way in world.to_upstream(upstream - 1) {
+                way.set(|trouble| trouble.delay = (Duration::ZERO, Duration::ZERO));
+                way.reset();
+            }
         }
         Fault::Unwritable { balancers } => {
             for n in numbers(balancers) {
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -5,11 +5,13 @@
 mod looks;
 mod ways;
 
+pub(crate) use clients::exchange;
 pub use file::settings;
 
 use crate::balancer::{Balancer, Keeps};
 use crate::check::name;
 use crate::history::{History, What};
+use crate::places::Map;
 use crate::relay::{Relay, Way};
 use file::file;
 use maplehook_standins::app::{App, Keys};
@@ -56,6 +58,8 @@
     pub listed: bool,
     /// What else stands in their files.
     pub extra: String,
+    /// Zones, regions and rooms: each balancer has ways of its own to listed upstreams.
+    pub map: Option<Map>,
 }
 
 impl Setup {
@@ -72,11 +76,10 @@
             by_files: false,
             listed: false,
             extra: String::new(),
+            map: None,
         }
     }
-}
 
-impl Setup {
     /// The longest contradiction that is promised.
     pub fn contradiction(&self) -> Duration {
         let line = self
@@ -103,7 +106,8 @@
     relays: Vec<Vec<Option<Relay>>>,
     /// The ways to discovery, by balancer.
     discovery: Vec<Arc<Way>>,
-    to_apps: Vec<Arc<Way>>,
+    /// By balancer where there is a map, else one row that all share.
+    to_apps: Vec<Vec<Arc<Way>>>,
     addresses: Arc<Vec<Mutex<Option<SocketAddr>>>>,
     operators: Arc<Vec<Mutex<Option<SocketAddr>>>>,
     next_id: Arc<AtomicU64>,
@@ -151,12 +155,14 @@
         std::fs::write(directory.join("secret"), "the secret of the rig's tier")
             .map_err(|e| e.to_string())?;
         let keys = Keys::default();
-        let apps: Vec<App> = (0..setup.upstreams).map(|_| App::sharing(keys.clone())).collect();
+        let room = |k: usize| setup.map.as_ref().map(|map| map.room(k));
+        let apps: Vec<App> = (0..setup.upstreams).map(|k| App::with(keys.clone(), room(k))).collect();
+        let rows = if setup.map.is_some() { n } else { 1 };
         let registry = Eureka::start();
         let way = || Arc::new(Way::default());
         let ways: Vec<Vec<Arc<Way>>> = (0..n).map(|_| (0..n).map(|_| way()).collect()).collect();
-        let (discovery, to_apps): (Vec<_>, Vec<_>) =
-            ((0..n).map(|_| way()).collect(), apps.iter().map(|_| way()).collect());
+        let discovery: Vec<Arc<Way>> = (0..n).map(|_| way()).collect();
+        let to_apps: Vec<Vec<Arc<Way>>> = (0..rows).map(|_| apps.iter().map(|_| way()).collect()).collect();
         let mut relays: Vec<Vec<Option<Relay>>> = Vec::new();
         let (mut to_registry, mut before_apps) = (Vec::new(), Vec::new());
         runtime
@@ -175,8 +181,12 @@
                 for way in &discovery {
                     to_registry.push(Relay::start(Arc::clone(way), Arc::clone(way)).await?);
                 }
-                for way in &to_apps {
-                    before_apps.push(Relay::start(Arc::clone(way), Arc::clone(way)).await?);
+                for row in &to_apps {
+                    let mut relayed = Vec::new();
+                    for way in row {
+                        relayed.push(Relay::start(Arc::clone(way), Arc::clone(way)).await?);
+                    }
+                    before_apps.push(relayed);
                 }
                 Ok::<_, std::io::Error>(())
             })
@@ -184,14 +194,17 @@
         for relay in &to_registry {
             relay.leads_to(Some(registry.address));
         }
-        for (k, relay) in before_apps.iter().enumerate() {
-            relay.leads_to(Some(apps[k].address));
+        for row in &before_apps {
+            row.iter().zip(&apps).for_each(|(relay, app)| relay.leads_to(Some(app.address)));
+        }
+        for (k, relay) in before_apps[0].iter().enumerate() {
             registry.register("APP", &format!("u{}", k + 1), relay.address, &[]);
         }
         let mut balancers = Vec::new();
         for k in 0..n {
             let place = directory.join(name(k));
-            let upstreams: Vec<SocketAddr> = before_apps.iter().map(|relay| relay.address).collect();
+            let upstreams: Vec<SocketAddr> =
+                before_apps[k % rows].iter().map(|relay| relay.address).collect();
             let file = file(&setup, k, &directory, &relays[k], to_registry[k].address, &upstreams);
             let program = setup.beside.as_ref().filter(|_| k % 2 == 1).unwrap_or(&setup.program);
             let balancer = Balancer::new(&name(k), program, &place, &file);
@@ -219,6 +232,21 @@
         })
     }
 
+    /// Where clients come to each, as long as it serves.
+    pub fn addresses(&self) -> Arc<Vec<Mutex<Option<SocketAddr>>>> {
+        Arc::clone(&self.addresses)
+    }
+
+    /// Runs something beside all else, as long as the world is there.
+    pub(crate) fn spawn(&self, what: impl Future<Output = ()> + Send + 'static) {
+        self.runtime.spawn(what);
+    }
+
+    /// A balancer's own directory.
+    pub(crate) fn place(&self, n: usize) -> PathBuf {
+        self.directory.join(name(n))
+    }
+
     /// Where operators call each, as long as it runs.
     pub fn operators(&self) -> Arc<Vec<Mutex<Option<SocketAddr>>>> {
         Arc::clone(&self.operators)
--- a/rig/src/world/clients.rs
+++ b/rig/src/world/clients.rs
@@ -58,6 +58,17 @@
 }
 
 async fn request(address: SocketAddr, id: &str, kind: Kind) -> Got {
+    let asked = async {
+        match TcpStream::connect(address).await {
+            Ok(stream) => exchange(stream, id, kind).await,
+            Err(_) => Got::Broken,
+        }
+    };
+    timeout(PATIENCE, asked).await.unwrap_or(Got::Nothing)
+}
+
+/// One request by a connection of its own, until that ends.
+pub(crate) async fn exchange(mut stream: TcpStream, id: &str, kind: Kind) -> Got {
     let (method, path, key) = match kind {
         Kind::Look => ("GET", "look", String::new()),
         Kind::Book => ("POST", "book", String::new()),
@@ -67,17 +78,14 @@
         "{method} /{path}/{id} HTTP/1.1\r\nHost: rig\r\nX-Correlation-Id: {id}\r\n{key}Content-Length: 0\r\n\
          Connection: close\r\n\r\n"
     );
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
+    let mut answer = Vec::new();
+    let read_all = async {
         stream.write_all(text.as_bytes()).await?;
-        let mut answer = Vec::new();
-        stream.take(1 << 20).read_to_end(&mut answer).await?;
-        Ok::<_, std::io::Error>(answer)
+        stream.take(1 << 20).read_to_end(&mut answer).await
     };
-    match timeout(PATIENCE, exchange).await {
-        Err(_) => Got::Nothing,
-        Ok(Err(_)) => Got::Broken,
-        Ok(Ok(answer)) => read(&answer),
+    match read_all.await {
+        Ok(_) => read(&answer),
+        Err(_) => Got::Broken,
     }
 }
 
--- a/rig/src/world/file.rs
+++ b/rig/src/world/file.rs
@@ -28,14 +28,19 @@
     registry: SocketAddr,
     upstreams: &[SocketAddr],
 ) -> String {
+    let map = setup.map.as_ref();
     let mut text = format!(
-        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n[headers]\nvia = \"{}{}\"\n{}\
-         [balancer]\nsockets = 512\nmax_attempts = 3\n",
+        "[listen]\naddress = \"127.0.0.1:0\"\n[operator]\naddress = \"127.0.0.1:0\"\n{}[headers]\nvia = \"{}{}\"\n{}\
+         [balancer]\nsockets = 512\nmax_attempts = 3\n{}",
+        map.map_or(String::new(), |map| map.in_operator(&directory.join(name(n)))),
         if setup.by_files { "v1-" } else { "" },
         name(n),
-        if setup.agreement.is_some() { "version = true\n" } else { "" }
+        if setup.agreement.is_some() { "version = true\n" } else { "" },
+        map.map_or(String::new(), |map| map.in_balancer(n)),
     );
-    if setup.listed {
+    if let Some(map) = map {
+        text += &map.lists(upstreams);
+    } else if setup.listed {
         for (k, address) in upstreams.iter().enumerate() {
             text += &format!("[[upstream]]\nname = \"u{}\"\naddress = \"{address}\"\n", k + 1);
         }
@@ -68,5 +73,8 @@
         let voters: Vec<String> = (0..3).map(|n| format!("\"{}\"", name(n))).collect();
         text += &format!("[agreement]\nvoters = [{}]\n{agreement}", voters.join(", "));
     }
+    if let Some(map) = map {
+        text += &map.states();
+    }
     text + &setup.extra
 }
--- a/rig/src/world/ways.rs
+++ b/rig/src/world/ways.rs
@@ -34,8 +34,13 @@
     }
 
     /// The ways of all to an upstream.
-    pub fn to_upstream(&self, n: usize) -> &Way {
-        &self.to_apps[n]
+    pub fn to_upstream(&self, n: usize) -> impl Iterator<Item = &Way> {
+        self.to_apps.iter().map(move |row| &*row[n])
+    }
+
+    /// The way of one balancer to an upstream; without a map all share it.
+    pub fn from_to_upstream(&self, balancer: usize, n: usize) -> &Way {
+        &self.to_apps[balancer % self.to_apps.len()][n]
     }
 
     /// Discovery says that an upstream drains.
@@ -46,7 +51,7 @@
 
     /// All ways are as they were at the start.
     pub fn heal_ways(&self) {
-        for way in self.ways.iter().flatten().chain(&self.discovery).chain(&self.to_apps) {
+        for way in self.ways.iter().flatten().chain(&self.discovery).chain(self.to_apps.iter().flatten()) {
             way.set(|trouble| *trouble = Trouble::default());
         }
     }
