--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -1,7 +1,9 @@
 //! A member's side: it asks for a lease, hears of steps, and reads what they come to here; and the answers that it gets as far as
 //! they need nothing but the leader's word that it leads.
 
-use crate::run::{Acting, Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
+use crate::acting::{Acting, Mode};
+use crate::common::PLACES;
+use crate::run::{Part, Reading, Runner, TEXTS_AT_ONCE, TICK, Wisher, read};
 use crate::talk::{RAFT, Reply, Say, Telling};
 use maplehook_agreement::grants::CutOff;
 use maplehook_agreement::holder::Told;
@@ -21,9 +23,15 @@
     pub(crate) fn ask_for_a_lease(&mut self) {
         let now = self.now();
         let number = self.holder.ask(now);
+        self.share.holding.ask(number, now);
+        let (acts, held) = (self.share.acts, self.share.holding.newest().0);
+        // Once it acts carefully it contradicts nobody, and is not waited for; before that it may still act on the step before.
+        let rules = self.acting.borrow().mode(Instant::now()) == Mode::Rules;
+        let unfit = self.unfit.clone().filter(|_| !rules).map(|why| (self.holder.epoch(), why));
         if let Part::Voting { voter, .. } = &self.part
             && voter.leads()
         {
+            self.acted(&self.setup.own.clone(), acts, held, unfit);
             self.asked(
                 &self.setup.own.clone(),
                 number,
@@ -52,6 +60,8 @@
             self.leader = None;
         }
         let (epoch, has, digest) = (self.applied, self.holder.epoch(), self.digest.clone());
+        // Before it, so that the leader knows of it when it answers; one of an earlier program can't read it, and answers alike.
+        self.tell(&to, &Say::Acts { acts, has: held, unfit });
         self.tell(&to, &Say::Ask { number, epoch, has, digest });
     }
 
@@ -88,6 +98,9 @@
     }
 
     pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
+        if message.topic == PLACES {
+            return self.share.hear_of_places(from, &message.body);
+        }
         if message.topic == RAFT {
             if let Part::Voting { voter, .. } = &mut self.part {
                 if !voter.step(from, &message.body) {
@@ -133,6 +146,8 @@
             Say::Seat { ticket } => self.seat(from, ticket),
             Say::Seated { ticket, number } => self.seated(from, ticket, number),
             Say::Unseated => self.unseated(),
+            Say::Acts { acts, has, unfit } => self.acted(from, acts, has, unfit),
+            Say::Common { request, number, body } => self.told_common(from, request, number, body),
             Say::Speaks { name } => {
                 let known = Name::new(&name).filter(|name| self.setup.members.contains(name));
                 known.into_iter().for_each(|name| self.is_voter(name));
@@ -156,6 +171,12 @@
     /// Whether this text could be acted on here.
     pub(crate) fn fits(&mut self, text: &str) -> Result<Arc<Proxy>, String> {
         let rules = self.read(text, &digest(text))?;
+        self.goes(&rules)?;
+        Ok(rules)
+    }
+
+    /// Whether these rules go with what is here.
+    fn goes(&self, rules: &Proxy) -> Result<(), String> {
         let present = &self.acting.borrow().rules;
         if rules.tenants.first() != present.tenants.first() {
             return Err("tenant: the first [[tenant]] has to stay the first: whoever names none is it".into());
@@ -163,7 +184,7 @@
         if self.own.eureka.is_some() && rules.upstreams != self.own.upstreams {
             return Err("upstream: beside [eureka] those of the file stay as they are".into());
         }
-        Ok(rules)
+        Ok(())
     }
 
     pub(crate) fn granted(&mut self, number: u64, epoch: u64, told: Option<Told>) {
@@ -188,7 +209,10 @@
             return;
         }
         let rules = match self.holder.told().cloned() {
-            Some(told) => self.rules(&told),
+            // Whoever was away when it was proposed was not asked.
+            Some(told) => {
+                self.rules(&told).and_then(|(rules, label)| self.goes(&rules).map(|()| (rules, label)))
+            }
             None => Err("nothing is agreed".into()),
         };
         match rules {
@@ -242,8 +266,11 @@
 
     /// Whether texts may be told now; whoever is not told asks again soon.
     pub(crate) fn may_tell(&mut self, told: Option<&Telling>) -> bool {
-        let bytes: usize =
-            told.map_or(0, |told| told.versions.iter().map(|version| version.text.len()).sum());
+        let bytes = told.map_or(0, |told| told.versions.iter().map(|version| version.text.len()).sum());
+        self.may_tell_bytes(bytes)
+    }
+
+    pub(crate) fn may_tell_bytes(&mut self, bytes: usize) -> bool {
         let (before, since) = &mut self.texts_told;
         if since.elapsed() >= TICK {
             (*before, *since) = (0, Instant::now());
@@ -262,15 +289,20 @@
             Some(Reading::Lease { from, number, epoch, has }) => {
                 let Part::Voting { voter, grants: Some(grants), .. } = &mut self.part else { return };
                 let steps = voter.steps();
+                // A lease on a step that it can't act on would have the others wait.
+                if self.share.is_unfit(&from, steps.epoch) {
+                    return self.grant_common(&from, number);
+                }
                 if !grants.grant(now, &from, epoch) {
                     return;
                 }
                 let now_at = steps.epoch;
                 let told = (has != now_at).then(|| Told::of(steps));
+                let before = if has + 1 == now_at { steps.before } else { Step::Unsettled };
+                self.grant_common(&from, number);
                 if from == self.setup.own {
                     return self.granted(number, now_at, told);
                 }
-                let before = if has + 1 == now_at { steps.before } else { Step::Unsettled };
                 let told = told.map(|told| Telling::from(told).after(before));
                 if self.may_tell(told.as_ref()) {
                     self.tell(&from, &Say::Grant { number, epoch: now_at, told });
