--- a/rig/src/places/map.rs
+++ b/rig/src/places/map.rs
@@ -15,6 +15,9 @@
 const WITHDRAWN_WITHIN: Duration = Duration::from_secs(15);
 const GAP: Duration = Duration::from_secs(15);
 
+/// The first so many vote.
+const VOTERS: usize = 3;
+
 /// By what balancers decide between zones.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Conduct {
@@ -220,6 +223,7 @@
                     let address = Address {
                         one: service.one,
                         sites: sites.clone(),
+                        keep_at_least: 1,
                         withdrawn_within_us: us(WITHDRAWN_WITHIN),
                         gap_us: us(GAP),
                     };
@@ -227,6 +231,11 @@
                 })
                 .collect::<BTreeMap<_, _>>(),
             contradiction_us: us(contradiction),
+            voters: (0..VOTERS.min(balancers))
+                .filter(|_| self.conduct == Conduct::Common)
+                .map(crate::check::name)
+                .collect(),
+            expect: None,
             bounds: Bounds::default(),
         }
     }
--- a/rig/src/places/scene.rs
+++ b/rig/src/places/scene.rs
@@ -211,6 +211,7 @@
             let text = format!("{held} requests were not sent: too many were open");
             self.recorder.note("rig", What::Note { text });
         }
+        self.recorder.did("end", "run");
         let running: Vec<usize> =
             (0..self.world.len()).filter(|n| self.world.balancer(*n).serves()).collect();
         for n in &running {
