--- a/quorum/src/log.rs
+++ b/quorum/src/log.rs
@@ -108,3 +108,57 @@
 pub(crate) fn size(entries: &[Entry]) -> usize {
     entries.iter().map(|entry| entry.data.len() + 64).sum()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplehook_agreement::steps::Command;
+
+    /// What the program of before knew of it.
+    #[derive(Serialize, Deserialize)]
+    struct Before {
+        steps: Steps,
+        seats: BTreeMap<u64, String>,
+    }
+
+    fn agreed() -> Agreed {
+        let mut agreed = Agreed::default();
+        let text = "one".to_owned();
+        let propose = Command::Propose { epoch: 0, expect: None, text, by: "b1".into(), at_ms: 0 };
+        agreed.steps.play(&propose).unwrap();
+        agreed.seats.insert(7, "b4".into());
+        agreed
+    }
+
+    #[test]
+    fn a_log_of_the_program_before_is_read_and_may_lack_some() {
+        let Agreed { steps, seats } = agreed();
+        let old = postcard::to_stdvec(&Before { steps: steps.clone(), seats: seats.clone() }).unwrap();
+        let read = parse(&old);
+        assert!(read.steps.common.gap && read.steps.common.number == 0);
+        assert_eq!((&read.steps.versions, &read.seats), (&steps.versions, &seats));
+        // Before voters could be replaced.
+        let older = parse(&postcard::to_stdvec(&steps).unwrap());
+        assert!(older.steps.versions == steps.versions && older.steps.common.gap);
+    }
+
+    #[test]
+    fn the_program_before_reads_this_ones_log() {
+        let mut agreed = agreed();
+        agreed.steps.play(&Command::Common { expect: 0, body: b"plan".to_vec() }).unwrap();
+        let data = keep(&agreed).unwrap();
+        let before: Before = postcard::from_bytes(&data).unwrap();
+        assert_eq!(
+            (before.steps.versions, before.seats),
+            (agreed.steps.versions.clone(), agreed.seats.clone())
+        );
+        assert_eq!(parse(&data), agreed);
+    }
+
+    /// A new program's log that holds no common document yet.
+    #[test]
+    fn an_empty_log_lacks_nothing() {
+        assert_eq!(parse(&[]), Agreed::default());
+        assert!(!parse(&keep(&Agreed::default()).unwrap()).steps.common.gap);
+    }
+}
