--- a/quorum/tests/lost.rs
+++ b/quorum/tests/lost.rs
@@ -16,67 +16,88 @@
     fleet.alive().all(|part| part.acting.borrow().label == label)
 }
 
-/// Killed or cut off just now, a member, a voter or the leader; asked at whoever leads and at others.
 #[test]
-fn a_proposal_goes_on_without_whoever_is_lost() {
-    // At one that passes it on, for longer than any other wish may take.
-    let cases =
-        [(3000, 3, true, false), (1000, 3, false, true), (1000, 1, true, true), (1000, 2, false, false)];
-    for (contradiction_ms, lost, kills, at_leader) in cases {
-        let mut fleet = Fleet::new(4, contradiction_ms, CutOff::Careful);
-        let leader = fleet.leader();
-        // Never the leader itself: that is another matter.
-        let lost = if lost == leader { 0 } else { lost };
-        // Its lease is as fresh as can be.
-        std::thread::sleep(Duration::from_millis(300));
-        if kills {
-            fleet.kill(lost)
-        } else {
-            fleet.cut(lost)
-        }
-        let at = if at_leader { leader } else { (0..4).find(|n| *n != leader && *n != lost).unwrap() };
-        let begun = Instant::now();
-        let reply = fleet.propose(at, "next");
-        let took = begun.elapsed();
-        assert_eq!(reply, Reply::Done(2), "lost {lost}, asked {at}, after {took:?}");
-        assert!(took < fleet.times.longest_lease() + Duration::from_millis(300), "{took:?}");
-        if kills {
-            fleet.start(lost, FILE);
-        } else {
-            let cut = fleet.parts[lost].as_ref().unwrap().acting.borrow().clone();
-            assert_eq!(cut.mode(Instant::now()), Mode::Careful, "its lease ended before the step began");
-            fleet.heal();
-        }
-        until("it is told when it returns", || everywhere(&fleet, "2"));
+fn a_proposal_that_is_passed_on_goes_on_without_one_that_is_killed() {
+    // A lease that lasts longer than any other wish may take.
+    goes_on(3000, 3, true, false);
+}
+
+#[test]
+fn a_proposal_goes_on_without_one_that_is_cut_off() {
+    goes_on(1000, 3, false, true);
+}
+
+#[test]
+fn a_proposal_goes_on_without_a_voter_that_is_killed() {
+    goes_on(1000, 1, true, true);
+}
+
+#[test]
+fn a_proposal_that_is_passed_on_goes_on_without_a_voter_that_is_cut_off() {
+    goes_on(1000, 2, false, false);
+}
+
+fn goes_on(contradiction_ms: u64, lost: usize, kills: bool, at_leader: bool) {
+    let mut fleet = Fleet::new(4, contradiction_ms, CutOff::Careful);
+    let leader = fleet.leader();
+    // Never the leader itself: that is another matter.
+    let lost = if lost == leader { 0 } else { lost };
+    // Its lease is as fresh as can be.
+    std::thread::sleep(Duration::from_millis(300));
+    if kills {
+        fleet.kill(lost)
+    } else {
+        fleet.cut(lost)
+    }
+    let at = if at_leader { leader } else { (0..4).find(|n| *n != leader && *n != lost).unwrap() };
+    let begun = Instant::now();
+    let reply = fleet.propose(at, "next");
+    let took = begun.elapsed();
+    assert_eq!(reply, Reply::Done(2), "lost {lost}, asked {at}, after {took:?}");
+    assert!(took < fleet.times.longest_lease() + Duration::from_millis(300), "{took:?}");
+    if kills {
+        fleet.start(lost, FILE);
+    } else {
+        let cut = fleet.parts[lost].as_ref().unwrap().acting.borrow().clone();
+        assert_eq!(cut.mode(Instant::now()), Mode::Careful, "its lease ended before the step began");
+        fleet.heal();
     }
+    until("it is told when it returns", || everywhere(&fleet, "2"));
 }
 
 /// The leader is killed: the next one goes on as soon as the longest lease since its election is over.
 #[test]
 fn a_proposal_goes_on_after_the_leaders_death() {
-    for kills in [true, false] {
-        let mut fleet = Fleet::new(4, 3000, CutOff::Refuse);
-        let first = fleet.leader();
-        if kills {
-            fleet.kill(first)
-        } else {
-            fleet.cut(first)
-        }
-        let mut next = None;
-        until("another one leads", || {
-            next = (0..4).find(|n| *n != first && fleet.standing(*n).leads);
-            next.is_some()
-        });
-        let begun = Instant::now();
-        assert_eq!(fleet.propose(next.unwrap(), "next"), Reply::Done(2));
-        assert!(begun.elapsed() < fleet.times.longest_lease() + Duration::from_millis(400));
-        if !kills {
-            let before = fleet.parts[first].as_ref().unwrap().acting.borrow().clone();
-            assert_eq!(before.mode(Instant::now()), Mode::Refuses, "its lease had ended");
-        }
-        let all = || (0..4).filter(|n| *n != first).all(|n| label(&fleet, n) == "2");
-        until("all that are left have it", all);
+    goes_on_without_the_leader(true);
+}
+
+#[test]
+fn a_proposal_goes_on_after_the_leader_is_cut_off() {
+    goes_on_without_the_leader(false);
+}
+
+fn goes_on_without_the_leader(kills: bool) {
+    let mut fleet = Fleet::new(4, 3000, CutOff::Refuse);
+    let first = fleet.leader();
+    if kills {
+        fleet.kill(first)
+    } else {
+        fleet.cut(first)
+    }
+    let mut next = None;
+    until("another one leads", || {
+        next = (0..4).find(|n| *n != first && fleet.standing(*n).leads);
+        next.is_some()
+    });
+    let begun = Instant::now();
+    assert_eq!(fleet.propose(next.unwrap(), "next"), Reply::Done(2));
+    assert!(begun.elapsed() < fleet.times.longest_lease() + Duration::from_millis(400));
+    if !kills {
+        let before = fleet.parts[first].as_ref().unwrap().acting.borrow().clone();
+        assert_eq!(before.mode(Instant::now()), Mode::Refuses, "its lease had ended");
     }
+    let all = || (0..4).filter(|n| *n != first).all(|n| label(&fleet, n) == "2");
+    until("all that are left have it", all);
 }
 
 /// Whoever is there and refuses is heard, also while another one is lost.
