The daemon takes part in places: it reports, leads, acts by the plan, answers routers

Change: nearness.rs turns a plan into shares by this process's numbers and what is seen into reports; the start begins the thread; versions tell it of other places. Off on the platform, where there is no operator's file of that kind.

--- a/failover/tests/any.rs
+++ b/failover/tests/any.rs
@@ -14,7 +14,7 @@
 }
 
 fn any_sight() -> impl Strategy<Value = Sight> {
-    (0u16..70, any::<bool>(), prop::collection::vec(figure(), 10)).prop_map(|(zone, stated, f)| Sight {
+    (0u16..70, any::<bool>(), prop::collection::vec(figure(), 12)).prop_map(|(zone, stated, f)| Sight {
         zone: Zone(zone),
         stated,
         listed: f[0],
@@ -27,6 +27,8 @@
         unreached: f[7],
         connect_ms: f[8],
         load: f[9],
+        probed: f[10],
+        unprobed: f[11],
     })
 }
 
--- /dev/null
+++ b/node/src/nearness.rs
@@ -0,0 +1,236 @@
+//! Places on the thread that serves: what is seen goes out, shares come in, by this process's numbers of classes, tenants and zones.
+
+use crate::versions::PlacesOf;
+use lapisroute::{GroupShares, Shares, ZoneId};
+use maplehook::parts::driver::Driver;
+use maplehook_agreement::numbers::{Numbered, Numbers};
+use maplehook_config::Proxy;
+use maplehook_locality::Zone;
+use maplehook_places::rates::{RuleSeen, Seen, ZoneSeen};
+use maplehook_places::{Acted, Config, Link, Setup, Taking};
+use maplehook_quorum::Agreeing;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+use tokio::sync::watch;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// How often what is seen is told.
+const LOOK: Duration = Duration::from_millis(200);
+
+/// This process's numbers, which only ever grow.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    /// Classes.
+    pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
+    /// Zones.
+    pub zones: Vec<String>,
+}
+
+impl Names {
+    /// Of what a version comes to here.
+    pub fn of(numbered: &Numbered) -> Self {
+        Self {
+            classes: numbered.classes.clone(),
+            tenants: numbered.tenants.clone(),
+            zones: numbered.zone_names.clone(),
+        }
+    }
+
+    fn zone(&self, name: &str) -> Option<ZoneId> {
+        let n = self.zones.iter().position(|known| known == name)?;
+        u8::try_from(n).ok().map(ZoneId)
+    }
+}
+
+/// Descriptors of its own: probes under way, its poller's, a history.
+pub const DESCRIPTORS: usize = 40;
+
+/// A part in places, before anybody is let in.
+pub struct Part {
+    /// The thread, as long as this lives.
+    pub taking: Taking,
+    /// Where versions tell of themselves.
+    pub of: PlacesOf,
+    /// What the thread that serves is to run.
+    pub follow: Follow,
+}
+
+/// What passes between the two threads, at the one that serves.
+pub struct Follow {
+    acted: watch::Receiver<Option<Arc<Acted>>>,
+    names: watch::Receiver<Names>,
+    seen: watch::Sender<Seen>,
+    ready: Arc<AtomicBool>,
+}
+
+/// What a part is begun with.
+pub struct Begin<'a> {
+    /// The balancer's name.
+    pub name: String,
+    /// What is in force at the start.
+    pub proxy: &'a Proxy,
+    /// Whether this balancer takes clients.
+    pub ready: Arc<AtomicBool>,
+    /// How many balancers there are.
+    pub balancers: usize,
+    /// The file that a history goes to.
+    pub history: Option<PathBuf>,
+}
+
+impl Part {
+    /// Begins it; with a part in the agreement, where there is one.
+    pub fn begin(begin: Begin<'_>, agreeing: Option<&mut Agreeing>) -> Result<Self, String> {
+        let Begin { name, proxy, ready, balancers, history } = begin;
+        let (config, configs) = watch::channel(None);
+        let (names_to, names) = watch::channel(Names::default());
+        let (seen, sees) = watch::channel(Seen::default());
+        let of = PlacesOf { config, names: names_to };
+        // Numbers from the start on, as versions go on with them.
+        of.tell(proxy, &Numbers::default().take(proxy));
+        let link = agreeing.and_then(|agreeing| {
+            let places = agreeing.places.take()?;
+            let (standing, acts) = (agreeing.standing.clone(), agreeing.acts.clone());
+            Some(Link { standing, acts, places })
+        });
+        let start = maplehook_link::unix_ms();
+        let setup = Setup {
+            name,
+            start,
+            config: configs,
+            seen: sees,
+            link,
+            balancers,
+            ready: Arc::clone(&ready),
+            history,
+        };
+        let taking = Taking::start(setup)?;
+        let follow = Follow { acted: taking.acted.clone(), names, seen, ready };
+        Ok(Self { taking, of, follow })
+    }
+}
+
+/// What the module is to act on.
+pub fn shares(acted: &Acted, names: &Names) -> Shares {
+    let Config { topology, rules, own, classes, tenants, .. } = &*acted.config;
+    let zone = |zone: Zone| names.zone(topology.zone_name(zone));
+    let position = |names: &[String], name: &String| names.iter().position(|known| known == name);
+    let mut groups = Vec::with_capacity(names.classes.len() * names.tenants.len());
+    for class in &names.classes {
+        let class = position(classes, class).unwrap_or(usize::MAX);
+        for tenant in &names.tenants {
+            let tenant = position(tenants, tenant).unwrap_or(usize::MAX);
+            groups.push(if class == usize::MAX { u16::MAX } else { rules.of(class, tenant) as u16 });
+        }
+    }
+    let region: Vec<ZoneId> =
+        topology.zones_of(topology.region_of(*own)).iter().filter_map(|of| zone(*of)).collect();
+    let row = |(n, rule): (usize, &maplehook_locality::Rule)| {
+        let never: Vec<ZoneId> = rule.never.iter().filter_map(|of| zone(*of)).collect();
+        let parts = acted.acts.rules.get(n).map_or(&[][..], |shares| &shares.to);
+        let to = parts.iter().filter_map(|(to, part)| Some((zone(*to)?, *part)));
+        GroupShares {
+            to: to.filter(|(zone, _)| !never.contains(zone)).collect(),
+            region: region.iter().filter(|zone| !never.contains(zone)).copied().collect(),
+            beyond_most: rule.beyond_region_most,
+            never,
+        }
+    };
+    Shares { groups, tenants: names.tenants.len(), rows: rules.all().iter().enumerate().map(row).collect() }
+}
+
+/// What is seen, counted by a version's zones and rules.
+pub fn seen(driver: &Driver, config: &Config, names: &Names, at: Duration, ready: bool) -> Seen {
+    let sights = driver.sights();
+    let zone = |zone: Zone| {
+        let id = names.zone(config.topology.zone_name(zone));
+        let sight = sights.zones.iter().find(|sight| Some(sight.zone) == id);
+        let each = config.rooms.get(usize::from(zone.0)).copied().flatten();
+        let of = |weight: f64| weight * each.unwrap_or(1.0);
+        let mut seen = ZoneSeen { zone, stated: each.is_some(), ..ZoneSeen::default() };
+        if let Some(sight) = sight {
+            (seen.listed, seen.usable, seen.cold) = (of(sight.listed), of(sight.usable), of(sight.cold));
+            (seen.sent, seen.ok, seen.slow) = (sight.sent, sight.ok, sight.slow);
+            (seen.failed, seen.unreached, seen.load) = (sight.failed, sight.unreached, sight.load);
+        }
+        seen
+    };
+    Seen {
+        at,
+        digest: config.digest,
+        ready,
+        zones: config.topology.zones().map(zone).collect(),
+        rules: sights.groups.iter().map(|g| RuleSeen { asked: g.asked, refused: g.refused }).collect(),
+    }
+}
+
+impl Follow {
+    /// Goes on as long as the process lives.
+    pub async fn run(mut self, driver: Rc<Driver>) {
+        let begun = Instant::now();
+        let mut looks = interval(LOOK);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut present: Option<Arc<Config>> = None;
+        loop {
+            tokio::select! {
+                changed = self.acted.changed() => if changed.is_err() { return },
+                changed = self.names.changed() => if changed.is_err() { return },
+                _ = looks.tick(), if present.is_some() => {
+                    if let Some(config) = &present {
+                        let ready = self.ready.load(Ordering::Acquire);
+                        let seen = seen(&driver, config, &self.names.borrow(), begun.elapsed(), ready);
+                        self.seen.send_replace(seen);
+                    }
+                    continue;
+                }
+            }
+            let acting = self.acted.borrow_and_update().clone();
+            let shares = acting.as_ref().map(|acted| shares(acted, &self.names.borrow_and_update()));
+            present = acting.map(|acted| Arc::clone(&acted.config));
+            if let Err(e) = driver.share(shares) {
+                tracing::error!("the plan can't be acted on, what was before goes on: {e}");
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use maplehook_failover::{Acts, Shares as ByZone};
+
+    /// The numbers of a process that has seen other versions before are not the file's.
+    #[test]
+    fn shares_go_by_names() {
+        let text = "[listen]\naddress = '127.0.0.1:0'\n[balancer]\nzone = 'b'\n[[region]]\nname = 'n'\nzones = ['a', 'b']\n\
+            [[region]]\nname = 's'\nzones = ['c']\n[[class]]\nname = 'look'\npath = '/l'\n[[class]]\nname = 'book'\npath = '/b'\n\
+            [[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\nzone = 'b'\nroom_per_s = 30.0\nweight = 2.0\n[locality]\nrules = '''\n\
+            rule x { for class \"book\"; prefer own zone > anywhere; never zone \"c\"; beyond region at most 20%; }\n'''\n";
+        let proxy = maplehook_config::parse(text).unwrap().proxy.unwrap();
+        let config = Arc::new(Config::of(&proxy).unwrap());
+        assert_eq!(config.rooms, [None, Some(15.0), None]);
+        let names = Names {
+            classes: ["gone", "book", "look"].map(String::from).into(),
+            tenants: vec![String::new()],
+            zones: ["b", "gone", "c", "a"].map(String::from).into(),
+        };
+        let by = |to: &[(u16, f64)]| ByZone {
+            to: to.iter().map(|(zone, part)| (Zone(*zone), *part)).collect(),
+            refused: 0.0,
+        };
+        let rules = vec![by(&[(0, 0.25), (1, 0.75)]), by(&[(1, 0.5), (2, 0.5)])];
+        let acted = Acted { config, acts: Acts { rules, ..Acts::default() } };
+        let shares = shares(&acted, &names);
+        assert_eq!(shares.check(), Ok(()));
+        assert_eq!(shares.groups, [u16::MAX, 0, 1], "what there is no more has the last row");
+        let (a, b, c) = (ZoneId(3), ZoneId(0), ZoneId(2));
+        assert_eq!(shares.rows[0].to, [(a, 0.25), (b, 0.75)]);
+        assert_eq!((&shares.rows[0].never[..], shares.rows[0].beyond_most), (&[c][..], 0.2));
+        assert_eq!(shares.rows[1].to, [(b, 0.5), (c, 0.5)]);
+        assert_eq!(shares.rows[1].region, [a, b]);
+    }
+}
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -2,10 +2,12 @@
 
 use super::parts::Parts;
 use super::{KILL_AFTER_DEADLINE, Plan, Told, block_on, serve, vouching};
+use crate::nearness::Part;
 use crate::requests::Requests;
 use crate::versions::Versions;
 use lapisroute::FleetScope;
 use maplehook::lists::Lists;
+use maplehook::parts::driver::Driver;
 use maplehook::parts::room::Room;
 use maplehook::source::{Fixed, News, Source};
 use maplehook_config::{CutOff, Operator};
@@ -56,7 +58,7 @@
     block_on(async move {
         let vouching = vouching(&plan.operator, &proxy.tenants)?;
         let mut hangup = signal(SignalKind::hangup())?;
-        let mut parts = Parts::new(&mut plan)?;
+        let mut parts = Parts::new(&mut plan, Some(&proxy))?;
         let fronts = plan.operator.admission.fronts.clone();
         let requests = Rc::new(Requests::of(&proxy, fronts, vouching, plan.room.clone()));
         requests.refuse(refuses);
@@ -90,7 +92,12 @@
             }
         };
         let agreeing = parts.agreeing.take();
-        let versions = agreeing.as_ref().map(|agreeing| {
+        // The thread of places ends when this does, and hears of versions as long as this lives.
+        let (taking, mut of, follow) = match parts.places.take() {
+            Some(Part { taking, of, follow }) => (Some(taking), Some(of), Some(follow)),
+            None => (None, None, None),
+        };
+        let versions = agreeing.as_ref().zip(of.take_if(|_| agreeing.is_some())).map(|(agreeing, of)| {
             let lists = proxy.eureka.is_none().then_some(lists);
             let versions = Versions::new(
                 &proxy,
@@ -99,10 +106,14 @@
                 Rc::clone(&parts.entrance),
                 Rc::clone(&parts.upstreams),
                 Arc::clone(&parts.board.refuses),
+                of,
             );
             (versions, agreeing.acting.clone(), agreeing.applied.clone())
         });
-        let begun = |driver, counting| {
+        let begun = |driver: Rc<Driver>, counting| {
+            if let Some(follow) = follow {
+                spawn_local(follow.run(Rc::clone(&driver)));
+            }
             spawn_local(async move {
                 while hangup.recv().await.is_some() {
                     tracing::warn!("nothing is read anew: the file is read at the start");
@@ -113,7 +124,7 @@
             }
         };
         let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
-        drop(agreeing);
+        drop((taking, of, agreeing));
         served
     })
 }
--- a/node/src/serve/parts.rs
+++ b/node/src/serve/parts.rs
@@ -3,6 +3,8 @@
 use super::Plan;
 use crate::control::{self, Board};
 use crate::entrance::Entrance;
+use crate::nearness::{self, Begin};
+use crate::places::Desk;
 use crate::signed::Seal;
 use crate::tier;
 use crate::wishes::Guard;
@@ -10,6 +12,7 @@
 use maplehook::parts::descriptors::{self, Descriptors};
 use maplehook::parts::upstream::Upstreams;
 use maplehook_admission::{Door, Part};
+use maplehook_config::Proxy;
 use maplehook_link::{Member, Secret};
 use maplehook_quorum::Agreeing;
 use std::error::Error;
@@ -34,10 +37,13 @@
     pub(super) member: Option<Member>,
     /// Its part in agreeing on versions.
     pub(super) agreeing: Option<Agreeing>,
+    /// Its part in places.
+    pub(super) places: Option<nearness::Part>,
 }
 
 impl Parts {
-    pub(super) fn new(plan: &mut Plan) -> Result<Self, Box<dyn Error>> {
+    /// `proxy`: what a balancer of one's own serves; on the platform there are no places.
+    pub(super) fn new(plan: &mut Plan, proxy: Option<&Proxy>) -> Result<Self, Box<dyn Error>> {
         if let Some(limit) = plan.operator.descriptors.limit {
             descriptors::set_limit(limit).map_err(|e| format!("descriptors.limit: {e}"))?;
         }
@@ -45,7 +51,11 @@
         // Before anybody can know that this process is ready: unhandled, it would kill.
         let term = signal(SignalKind::terminate())?;
         let operators = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
-        let aside = operators + plan.operator.tier.as_ref().map_or(0, tier::descriptors);
+        let agrees = plan.operator.tier.as_ref().is_some_and(|tier| tier.agreement.is_some());
+        // A version may bring places, where versions are agreed on.
+        let proxy = proxy.filter(|proxy| agrees || proxy.places.is_some());
+        let near = if proxy.is_some() { nearness::DESCRIPTORS } else { 0 };
+        let aside = operators + near + plan.operator.tier.as_ref().map_or(0, tier::descriptors);
         let descriptors = Descriptors::new(plan.sockets, aside, plan.operator.descriptors.upstream_share)?;
         let (shared, listener) = match plan.inherited.take() {
             Some(listener) => (true, TcpListener::from_std(listener)),
@@ -59,7 +69,7 @@
             .map(|tier| maplehook_quorum::join(tier, env!("CARGO_PKG_VERSION")))
             .transpose()?;
         let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
-        let mut agreeing = None;
+        let (mut agreeing, mut seal) = (None, None);
         if let (Some(member), Some(tier)) = (&mut member, &plan.operator.tier)
             && let Some(agreement) = &tier.agreement
         {
@@ -67,9 +77,23 @@
                 plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
             let began = maplehook_quorum::agree(tier, agreement, file, member)?;
             let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
-            board.settings = Some(Arc::new(Guard::new(Arc::new(Seal::new(&secret)), began.wishes())));
-            agreeing = Some(began);
+            let sealed = Arc::new(Seal::new(&secret));
+            board.settings = Some(Arc::new(Guard::new(Arc::clone(&sealed), began.wishes())));
+            (agreeing, seal) = (Some(began), Some(sealed));
         }
+        let places = proxy.map(|proxy| {
+            let tier = plan.operator.tier.as_ref();
+            let begin = Begin {
+                name: tier.map_or_else(|| "balancer".into(), |tier| tier.name.to_string()),
+                proxy,
+                ready: Arc::clone(&board.ready),
+                balancers: tier.map_or(1, |tier| tier.peers.len() + 1),
+                history: plan.operator.history.clone(),
+            };
+            nearness::Part::begin(begin, agreeing.as_mut())
+        });
+        let places = places.transpose()?;
+        board.places = places.as_ref().map(|part| Desk::new(part.taking.board.clone(), seal));
         if let Some(address) = plan.control {
             let bound = control::serve(address, board.clone())
                 .map_err(|e| format!("operators' calls on {address}: {e}"))?;
@@ -84,8 +108,8 @@
             Arc::clone(&board.tally),
         ));
         let guarantees: Vec<f64> = plan.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
-        let places = descriptors.of(Part::Clients);
-        let door = Door::new(plan.operator.admission.clone(), places, &guarantees, plan.seed);
+        let clients = descriptors.of(Part::Clients);
+        let door = Door::new(plan.operator.admission.clone(), clients, &guarantees, plan.seed);
         let entrance = Entrance::new(door, plan.stall);
         share_descriptors(&descriptors, &upstreams, &entrance);
         Ok(Self {
@@ -99,6 +123,7 @@
             shared,
             member,
             agreeing,
+            places,
         })
     }
 }
--- a/node/src/serve/platform.rs
+++ b/node/src/serve/platform.rs
@@ -62,7 +62,7 @@
         let vouching = vouching(&plan.operator, &config.tuned.site().names.tenants)?;
         let hangup = signal(SignalKind::hangup())?;
         let mut plan = plan;
-        let parts = Parts::new(&mut plan)?;
+        let parts = Parts::new(&mut plan, None)?;
         let discovery = Rc::new(Discovery::new(
             config.discovery,
             config.tuned.site().names.clone(),
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -4,14 +4,16 @@
 //! and after. Learned state, tokens and connections stay.
 
 use crate::entrance::Entrance;
+use crate::nearness::Names;
 use crate::requests::Requests;
 use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
 use maplehook::parts::upstream::Upstreams;
 use maplehook::source::Fixed;
 use maplehook::tally::Counting;
-use maplehook_agreement::numbers::Numbers;
+use maplehook_agreement::numbers::{Numbered, Numbers};
 use maplehook_config::Proxy;
+use maplehook_places::Config;
 use maplehook_quorum::{Acting, Mode};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -32,6 +34,34 @@
     pub upstreams: Rc<Upstreams>,
     /// Whether everything is refused, as operators hear.
     pub refuses: Arc<AtomicBool>,
+    /// The places of the version in force, and the names that numbers have.
+    pub places: PlacesOf,
+}
+
+/// Whoever has a part in places hears of versions by these.
+pub struct PlacesOf {
+    /// What places rest on.
+    pub config: watch::Sender<Option<Arc<Config>>>,
+    /// Names of classes, tenants and zones.
+    pub names: watch::Sender<Names>,
+}
+
+impl PlacesOf {
+    /// A version is in force from now on, or a file from the start on.
+    pub fn tell(&self, proxy: &Proxy, numbered: &Numbered) {
+        let names = Names::of(numbered);
+        self.names.send_if_modified(|before| {
+            let news = *before != names;
+            *before = names;
+            news
+        });
+        let config = Config::of(proxy).map(Arc::new);
+        self.config.send_if_modified(|before| {
+            let news = *before != config;
+            *before = config;
+            news
+        });
+    }
 }
 
 impl Versions {
@@ -43,10 +73,11 @@
         entrance: Rc<Entrance>,
         upstreams: Rc<Upstreams>,
         refuses: Arc<AtomicBool>,
+        places: PlacesOf,
     ) -> Self {
         let mut numbers = Numbers::default();
-        numbers.take(began_with);
-        Self { numbers, lists, requests, entrance, upstreams, refuses }
+        places.tell(began_with, &numbers.take(began_with));
+        Self { numbers, lists, requests, entrance, upstreams, refuses, places }
     }
 
     /// Follows what is to be acted on, as long as the process lives.
@@ -96,6 +127,7 @@
     fn apply(&mut self, acting: &Acting, mode: Mode, driver: &Rc<Driver>, counting: &Counting) -> bool {
         let proxy = acting.of(mode);
         let numbered = self.numbers.take(proxy);
+        self.places.tell(proxy, &numbered);
         let guarantees: Vec<f64> = numbered.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
         let entries = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
         driver.retune(numbered.settings, numbered.gone);
