--- a/quorum/src/common.rs
+++ b/quorum/src/common.rs
@@ -1,7 +1,14 @@
 //! The common document beside versions: whoever leads puts it, all that hold a lease are told at once, and say by which they act.
 //!
-//! Leases on it go with those of versions and hold whatever `when_cut_off` says. A member of a program that knows no common
-//! document says no number: it is given none, holds no lease on it, and is named as such.
+//! Leases on it go with those of versions and hold whatever `when_cut_off` says: where versions have none (`wait_for_all`) this
+//! one's are asked for, granted and run out all the same.
+//!
+//! Beside programs that know no common document: a member of one says no number, is given none, holds no lease on it, and is named
+//! as such. A voter of one passes the entries over and counts for their majority; while it leads nothing is put and no lease
+//! granted. What it has compacted it lacks when it is upgraded: its log says so ([`Document::gap`]), goes on with the next entry,
+//! and while it leads before that it waits for the longest lease and puts on the highest number that members say.
+//!
+//! [`Document::gap`]: maplehook_agreement::common::Document::gap
 
 use crate::agreeing::Setup;
 use crate::run::{Part, Runner, Wisher};
--- a/quorum/tests/common.rs
+++ b/quorum/tests/common.rs
@@ -175,6 +175,35 @@
     assert_eq!(fleet.parts[4].as_ref().unwrap().acting.borrow().label, "1", "versions go on");
 }
 
+/// All voters were of an earlier program for a while, which compacted it away: whoever leads then hears from the members which
+/// number is in force, puts on that, and all voters have it again.
+#[test]
+fn what_earlier_programs_compacted_away_is_gone_on_from() {
+    let mut fleet = Fleet::new(4, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    for number in 0..3 {
+        assert_eq!(fleet.put(leader, number, b"before"), Ok(number + 1));
+    }
+    until("all hold it, and know it", || all_hold(&fleet, 3) && (0..3).all(|n| agreed(&fleet, n) == Some(3)));
+    // So that they know that it is committed, too.
+    std::thread::sleep(Duration::from_millis(300));
+    (0..3).for_each(|n| fleet.kill(n));
+    (0..3).for_each(|n| fleet.age(n));
+    (0..3).for_each(|n| fleet.start(n, FILE));
+    let leader = fleet.leader();
+    assert_eq!(agreed(&fleet, leader), None);
+    let early = fleet.put(leader, 0, b"early").unwrap_err();
+    assert!(early.contains("may lack some"), "{early}");
+    std::thread::sleep(fleet.times.longest_lease());
+    assert_eq!(fleet.put(leader, 0, b"early"), Err("common document 3 is in force".into()));
+    assert_eq!(fleet.put(leader, 3, b"after"), Ok(4));
+    until("all hold it", || all_hold(&fleet, 4) && (0..3).all(|n| agreed(&fleet, n) == Some(4)));
+}
+
+fn agreed(fleet: &Fleet, n: usize) -> Option<u64> {
+    fleet.standing(n).agreed.map(|agreed| agreed.number)
+}
+
 /// Nobody makes it at a member of this program either: the same.
 #[test]
 fn whoever_has_no_part_keeps_nobody_waiting() {
@@ -236,7 +265,11 @@
     let to = fleet.names[2].clone();
     let message = Message { topic: PLACES, body: body.clone() };
     fleet.places[0].as_ref().unwrap().say.blocking_send((to, message)).unwrap();
-    let heard = fleet.places[2].as_mut().unwrap().heard.blocking_recv().unwrap();
-    assert_eq!(heard, (fleet.names[0].clone(), body));
+    let mut heard = None;
+    until("it is heard", || {
+        heard = fleet.places[2].as_mut().unwrap().heard.try_recv().ok();
+        heard.is_some()
+    });
+    assert_eq!(heard, Some((fleet.names[0].clone(), body)));
     assert!(!fleet.mistaken());
 }
--- a/quorum/tests/fleet/mod.rs
+++ b/quorum/tests/fleet/mod.rs
@@ -5,7 +5,9 @@
 use maplehook_agreement::grants::{CutOff, Times};
 use maplehook_link::Talk;
 use maplehook_link::frames::Message;
+use maplehook_quorum::store::{Batch, Store};
 use maplehook_quorum::talk::{Op, Reply, Say};
+use maplehook_quorum::voter::{Voter, id};
 use maplehook_quorum::{Agreeing, Local, PLACES, Places, Put, Setup, Standing};
 use maplehook_tier::Name;
 use std::collections::{BTreeMap, BTreeSet};
@@ -191,6 +193,21 @@
         self.wish(n, Op::Propose { text: shared(mark), expect: None }).1
     }
 
+    /// Its log as an earlier program would have compacted it: without the common document.
+    pub fn age(&self, n: usize) {
+        let (store, kept) = Store::open(&self.place.join(self.names[n].as_str())).unwrap().unwrap();
+        let mut voter = Voter::new(id(&self.names[n]), &self.names, kept.clone()).unwrap();
+        voter.settle(&mut |_| Ok(())).unwrap();
+        let seats: BTreeMap<u64, String> = BTreeMap::new();
+        let mut snapshot = kept.snapshot.clone();
+        let commit = kept.hard.commit;
+        if let Some(entry) = kept.entries.iter().find(|entry| entry.index == commit) {
+            (snapshot.mut_metadata().index, snapshot.mut_metadata().term) = (entry.index, entry.term);
+        }
+        snapshot.set_data(postcard::to_stdvec(&(voter.steps(), seats)).unwrap().into());
+        store.write(&Batch { hard: None, snapshot: Some(&snapshot), entries: &[] }).unwrap();
+    }
+
     pub fn disk(&self, n: usize) -> u64 {
         let log = self.place.join(self.names[n].as_str()).join("log.redb");
         std::fs::metadata(log).unwrap().len()
