Operators wait for a wish as long as the lease of whoever is lost

Need: a proposal may wait for 0.8 of contradiction_ms and more; the command gave up after 4 s, the operators' address after 5 s. Change: 20 s for the answer to a wish; a head and a body still have 5 s each to come.

--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -16,7 +16,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper_util::rt::{TokioIo, TokioTimer};
 use maplehook::tally::{self, Tally};
 use maplehook_link::Asks;
 use std::collections::VecDeque;
@@ -36,6 +36,8 @@
 pub const DESCRIPTORS: usize = CALLS + 5;
 /// How long a call may take to come whole.
 const HEAD_MOST: Duration = Duration::from_secs(5);
+/// How long it may take to be answered after that: a wish may wait for a lease.
+const ANSWER_MOST: Duration = Duration::from_secs(20);
 /// How long a caller is left its place, whoever waits: any that means it has asked by then.
 const PROMPT: Duration = Duration::from_millis(200);
 /// The longest head.
@@ -126,10 +128,12 @@
         async move { Ok::<_, Infallible>(answer(request, &board).await) }
     });
     let mut builder = http1::Builder::new();
-    // The time of the whole call is the head's too.
-    builder.keep_alive(false).max_buf_size(BUFFER).header_read_timeout(None);
-    let served =
-        timeout(HEAD_MOST, builder.serve_connection(TokioIo::new(stream), service).without_shutdown());
+    builder.timer(TokioTimer::new());
+    builder.keep_alive(false).max_buf_size(BUFFER).header_read_timeout(HEAD_MOST);
+    let served = timeout(
+        HEAD_MOST + ANSWER_MOST,
+        builder.serve_connection(TokioIo::new(stream), service).without_shutdown(),
+    );
     let Ok(Ok(parts)) = served.await else { return };
     linger(parts.io.into_inner()).await;
 }
@@ -211,9 +215,11 @@
         return None;
     }
     let mac = parts.headers.get(signed::MAC).and_then(|mac| mac.to_str().ok()).map(str::to_owned);
-    Some(match Limited::new(body, most).collect().await {
-        Ok(body) => Ok((mac, body.to_bytes())),
-        Err(_) => Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into())),
+    Some(match timeout(HEAD_MOST, Limited::new(body, most).collect()).await {
+        Ok(Ok(body)) => Ok((mac, body.to_bytes())),
+        Ok(Err(_)) | Err(_) => {
+            Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long, or broke off\n".into()))
+        }
     })
 }
 
--- a/node/src/tier.rs
+++ b/node/src/tier.rs
@@ -21,8 +21,9 @@
 const DESCRIPTORS: usize = 24;
 /// Others that there may be links to at once, as far as descriptors are set aside for them.
 const LINKED: usize = 20;
-/// How long an operator waits for an answer, and the longest one.
+/// How long an operator waits for an answer, for one to a wish (a proposal waits for the lease of whoever is lost), and the longest.
 const ANSWER: Duration = Duration::from_secs(4);
+const ANSWER_TO_WISH: Duration = Duration::from_secs(20);
 const ANSWER_MOST: usize = 4 << 20;
 
 /// Descriptors that it may hold.
@@ -204,6 +205,7 @@
     signed: Option<(&str, Vec<u8>)>,
 ) -> Result<Answered, Box<dyn Error>> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let most = if signed.is_some() { ANSWER_TO_WISH } else { ANSWER };
     let asked = async {
         let stream = TcpStream::connect(address).await?;
         let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -219,7 +221,7 @@
         let body = Limited::new(answer.into_body(), ANSWER_MOST).collect().await?.to_bytes();
         Ok::<_, Box<dyn Error + Send + Sync>>(Answered { status, body })
     };
-    let answered = runtime.block_on(async { timeout(ANSWER, asked).await });
+    let answered = runtime.block_on(async { timeout(most, asked).await });
     let answered = answered.map_err(|_| format!("{address} does not answer"))?;
     Ok(answered.map_err(|e| format!("{address}: {e}"))?)
 }
