--- a/config/src/places.rs
+++ b/config/src/places.rs
@@ -259,3 +259,65 @@
     }
     addresses
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const FILE: &str = "[listen]\naddress = '127.0.0.1:0'\n[balancer]\nzone = 'a'\n[[class]]\nname = 'all'\npath = '/**'\n\
+        [[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\nzone = 'c'\n";
+
+    fn faults(text: &str) -> String {
+        crate::parse(&format!("{FILE}{text}")).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn zones_lie_in_regions_and_rules_go_by_their_names() {
+        let text = "[[region]]\nname = 'n'\nzones = ['b', 'a']\n[[region]]\nname = 's'\nzones = ['c']\n[locality]\n\
+            trips_ms = { 'a b' = 1.5 }\nrules = 'rule x { prefer own zone > own region within 2ms > region \"s\"; }'\n\
+            [places]\nmost_away = 0.3\n[[address]]\nname = 'book'\naddress = '203.0.113.10:443'\nannounce = 'one'\n\
+            sites = ['s', 'n']\n";
+        let proxy = crate::parse(&format!("{FILE}{text}")).unwrap().proxy.unwrap();
+        let places = proxy.places.unwrap();
+        assert_eq!(places.topology.zone_name(places.own), "a");
+        assert_eq!(places.topology.trip(Zone(0), Zone(1)), Some(Duration::from_micros(1500)));
+        assert_eq!(places.bounds.most_away, 0.3);
+        assert_eq!(places.addresses[0].sites, [Region(1), Region(0)]);
+        // Without regions all zones lie in one, in the order of their names, whichever the own one is.
+        let alone = crate::parse(&format!("{FILE}[locality]\n")).unwrap().proxy.unwrap().places.unwrap();
+        assert_eq!((alone.topology.zone_name(Zone(0)), alone.own), ("a", Zone(0)));
+        assert_eq!(alone.rules.all()[0], maplehook_locality::Rule::near_first());
+    }
+
+    #[test]
+    fn each_fault_has_its_line() {
+        let shown = faults(
+            "[[region]]\nname = 'n'\nzones = ['a', 'a']\n[[region]]\nname = 'n'\nzones = []\n[locality]\ntrips_ms = { 'a' = 1 }\n\
+             rules = 'rule x { prefer own zone; never zone \"luxor\"; }'\n[places]\nmost_away = 2.0\nmost = 1\n\
+             [[address]]\nname = 'a b'\naddress = 'here'\nannounce = 'all'\nkeep_at_least = 9\nsites = ['x']\n\
+             withdraw_after_ms = 1\n",
+        );
+        for part in [
+            "line 1: region: zone \"c\" lies in no [[region]]",
+            "line 14: region[1].zones: \"a\" is empty, or stands twice",
+            "line 16: region[2].name: \"n\" is empty, or the name of another",
+            "line 17: region[2].zones: it needs zones",
+            "line 19: locality.trips_ms: \"a\" does not name two zones",
+            "line 20: locality.rules: line 1, column ",
+            "line 22: places.most_away: it has to be 0 to 1",
+            "line 23: places.most: no such key",
+            "line 25: address[1].name: it needs a name of its own",
+            "line 26: address[1].address: an IP address and a port are needed",
+            "line 27: address[1].announce: \"all\" is neither",
+            "line 28: address[1].keep_at_least: it has to be 1 to 1",
+            "line 29: address[1].sites: there is no region \"x\"",
+            "line 30: address[1].withdraw_after_ms: it has to be 100 to 3,600,000 ms",
+        ] {
+            assert!(shown.contains(part), "{part:?} is not in\n{shown}");
+        }
+        let idle = faults("[[region]]\nname = 'n'\nzones = ['a', 'c']\n");
+        assert!(idle.contains("region: of no use without [locality]"), "{idle}");
+        let history = faults("[operator]\naddress = '127.0.0.1:0'\nhistory = 'h'\n");
+        assert!(history.contains("operator.history: of no use without [locality]"), "{history}");
+    }
+}
--- a/config/src/shared.rs
+++ b/config/src/shared.rs
@@ -74,6 +74,26 @@
     Ok(whole.to_string())
 }
 
+/// The file that `locality.rules_file` names, where a text is TOML and does.
+pub fn rules_file(text: &str) -> Option<String> {
+    let whole: Table = text.parse().ok()?;
+    whole.get("locality")?.get("rules_file")?.as_str().map(str::to_owned)
+}
+
+/// A text whose `locality.rules_file` has given way to the text of that file, on the same line: faults elsewhere keep theirs.
+pub fn with_rules(text: &str, rules: &str) -> String {
+    let named = |line: &&str| {
+        line.trim_start().strip_prefix("rules_file").is_some_and(|rest| rest.trim_start().starts_with('='))
+    };
+    let Some(line) = text.lines().find(named) else { return text.to_owned() };
+    let escaped = rules.chars().fold(String::new(), |text, c| match c {
+        '"' | '\\' => text + &format!("\\{c}"),
+        c if c.is_control() => text + &format!("\\u{:04x}", u32::from(c)),
+        c => text + &c.to_string(),
+    });
+    text.replacen(line, &format!("rules = \"{escaped}\""), 1)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -107,6 +127,24 @@
         assert_ne!(whole.routes, crate::parse(FILE).unwrap().proxy.unwrap().routes);
     }
 
+    #[test]
+    fn rules_of_a_file_of_their_own_are_read_into_the_settings() {
+        let named = format!("{FILE}[locality]\nrules_file = 'near.rules'\n");
+        assert_eq!(rules_file(&named).as_deref(), Some("near.rules"));
+        assert!(rules_file(FILE).is_none());
+        let rules = "rule x { prefer own zone; }";
+        let read = crate::parse(&with_rules(&named, rules)).unwrap().proxy.unwrap();
+        assert_eq!(read.places.unwrap().rules.all()[0].name, "x");
+        let odd = "rule x { # \\ \"\u{1}\n  prefer own zone;\n}";
+        let text = with_rules(&named, odd);
+        assert_eq!(text.lines().count(), named.lines().count(), "faults keep their lines");
+        assert_eq!(table(&text).unwrap()["locality"]["rules"].as_str(), Some(odd));
+        // What was not read in can't be acted on, nor can both.
+        assert!(crate::parse(&named).unwrap_err().to_string().contains("locality.rules_file"));
+        let both = named.replace("rules_file", "rules = ''\nrules_file");
+        assert!(crate::parse(&with_rules(&both, rules)).is_err());
+    }
+
     #[test]
     fn a_bad_file_is_refused_with_its_line() {
         let faults = shared(&FILE.replace("path = '/**'", "path = 7")).unwrap_err().to_string();
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -1,5 +1,6 @@
 //! The command line, and the operator's file that it names.
 
+use crate::locality_command::Locality;
 use crate::places_command::{Addresses, Places};
 use crate::settings::Settings;
 use crate::tier::{self, Shown};
@@ -44,6 +45,8 @@
     Places(Places),
     /// Shared service addresses. Ends as `places` does.
     Addresses(Addresses),
+    /// Rules of nearness. Ends with 0 if they are good, 1 if they can't be read, 3 if something is wrong with them.
+    Locality(Locality),
     /// Asks who is there of a balancer's tier.
     Tier {
         /// What to ask.
@@ -112,9 +115,23 @@
     path.map_or_else(|| Ok(Operator::default()), |path| Ok(with_text(path)?.0))
 }
 
+/// Puts the text of the file that `locality.rules_file` names in its place, beside the operator's file: what balancers share must
+/// not depend on a disk.
+pub fn with_rules(path: &Path, text: String) -> Result<String, Box<dyn Error>> {
+    let read = |file: &str| {
+        let file = path.parent().unwrap_or(Path::new("")).join(file);
+        std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))
+    };
+    match maplehook_config::rules_file(&text) {
+        Some(file) => Ok(maplehook_config::with_rules(&text, &read(&file)?)),
+        None => Ok(text),
+    }
+}
+
 /// Reads an operator's file, and keeps its text.
 pub fn with_text(path: &Path) -> Result<(Operator, String), Box<dyn Error>> {
     let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = with_rules(path, text)?;
     let operator = maplehook_config::parse(&text).map_err(|e| format!("{}:\n{e}", path.display()))?;
     Ok((operator, text))
 }
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod handover;
 mod hearsay;
 pub mod inherited;
+pub mod locality_command;
 mod nearness;
 pub mod places;
 pub mod places_command;
--- a/node/src/settings.rs
+++ b/node/src/settings.rs
@@ -1,5 +1,6 @@
 //! The command line of versions: `maplehook settings ...`.
 
+use crate::command::with_rules;
 use crate::signed::signed;
 use crate::tier::{Answered, ask, ask_with};
 use crate::wishes::{Done, PATH, Shown};
@@ -168,6 +169,7 @@
         wait: Option<u64>,
     ) -> Result<Outcome, Box<dyn Error>> {
         let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let text = with_rules(file, text)?;
         // With its lines, before anybody else sees it.
         let (shared, left) = match maplehook_config::shared(&text) {
             Ok(shared) => shared,
