--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -132,6 +132,9 @@
             let counts = first || (a.counted && !a.lost && h.sent > a.sent);
             count_overdue(u, a, counts);
             u.lost += u32::from(a.lost);
+            if first {
+                self.sight.overdue(u.zone);
+            }
         }
         if !a.lost {
             self.due.insert((self.now + Duration::from_secs_f64(LOST_LOOK * usual), id, attempt));
--- a/src/sight.rs
+++ b/src/sight.rs
@@ -27,7 +27,7 @@
     pub sent: u64,
     /// Answered within the aim.
     pub ok: u64,
-    /// Answered later, or given up while the upstream answered others.
+    /// Answered later, or out for longer than is usual while the upstream answered others; some of these are answered in time yet.
     pub slow: u64,
     /// Errors, and turned away.
     pub failed: u64,
@@ -111,12 +111,20 @@
         reached.map(|(z, _)| z.load(now)).fold(0.0, f64::max)
     }
 
+    /// An attempt is out for longer than is usual. Counted now: a zone that hangs would be seen a whole deadline later else.
+    pub(crate) fn overdue(&mut self, zone: ZoneId) {
+        if let Some(z) = self.zones.get_mut(usize::from(zone.0)) {
+            z.slow += 1;
+        }
+    }
+
     /// An attempt has ended at an upstream, of which nothing newer than that is known.
     pub(crate) fn ended(&mut self, u: &Upstream, now: f64, e: &Ended) {
         let Some(z) = self.zones.get_mut(usize::from(u.zone.0)) else { return };
         match e.outcome {
             Outcome::Ok if e.latency <= e.aim => z.ok += 1,
-            Outcome::Ok => z.slow += 1,
+            // Who was overdue has been counted.
+            Outcome::Ok => z.slow += u64::from(!e.overdue),
             Outcome::Error | Outcome::Rejected | Outcome::Overloaded => z.failed += 1,
             Outcome::ConnectFailed | Outcome::Reset => z.unreached += 1,
             // Called back before its time, or never sent: says nothing.
@@ -125,7 +133,7 @@
             Outcome::TimedOut | Outcome::Cancelled if e.lost || u.alive_at < now - e.latency => {
                 z.unreached += 1
             }
-            Outcome::TimedOut | Outcome::Cancelled => z.slow += 1,
+            Outcome::TimedOut | Outcome::Cancelled => z.slow += u64::from(!e.overdue),
         }
         let queued = matches!(e.outcome, Outcome::Ok) || (e.outcome == Outcome::TimedOut && !e.lost);
         if queued {
