--- a/locality/src/state.rs
+++ b/locality/src/state.rs
@@ -202,7 +202,8 @@
         let apart = self.opened.is_none_or(|opened| self.own - opened >= wait);
         if let (true, true, Some(next)) = (ripe, apart, next) {
             self.open += next + 1;
-            (self.opened, self.pressed, self.easy) = (Some(self.own), None, None);
+            // None of those before is easy: `narrow` waits anew too.
+            (self.opened, self.pressed) = (Some(self.own), None);
         }
     }
 
--- a/locality/tests/language.rs
+++ b/locality/tests/language.rs
@@ -190,6 +190,8 @@
     // One whose own list has a fault takes nothing from others, and is not called a second default.
     let broken = rule("a", "for clss \"browse\";") + &rule("b", "for class \"browse\";") + &rule("c", "");
     assert_eq!(faults(&broken).len(), 1);
+    let unknown = rule("a", "for class \"brows\";") + &rule("b", "for class \"browse\";") + &rule("c", "");
+    assert_eq!(faults(&unknown).len(), 1);
 }
 
 #[test]
@@ -211,6 +213,9 @@
     assert!(compile(&long, &names).is_ok());
     let told = compile(&format!("{long}\n"), &names).unwrap_err();
     assert_eq!((told.len(), told[0].line, told[0].column), (1, 1, 65537));
+    // The bound lies within a character.
+    let told = compile(&format!("#{}", "é".repeat(40_000)), &names).unwrap_err();
+    assert_eq!((told.len(), told[0].line, told[0].column), (1, 1, 32769));
 }
 
 #[test]
