--- a/locality/src/lib.rs
+++ b/locality/src/lib.rs
@@ -1,7 +1,7 @@
 //! Zones in regions, and rules that say which zones serve whom: no I/O, no clock.
 //!
 //! [`topology`] has the places, [`language`] the text of rules, [`rules`] what it comes to, [`state`] how a rule stands for a zone,
-//! [`alone`] what a balancer does of itself, [`explain`] why a request goes where it goes, [`contradict`] what of two texts can't
+//! [`alone`] what a balancer does of itself, [`mod@explain`] why a request goes where it goes, [`contradict`] what of two texts can't
 //! stand side by side. `docs/design/places.md` has the reasons.
 
 pub mod alone;
