--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -8,7 +8,7 @@
 use crate::ladders::{Ladders, Zones};
 use crate::names;
 use crate::orders::{Order, Refusal};
-use crate::plan::{Planner, Setting};
+use crate::plan::{Planner, Setting, by_rule};
 use crate::reach::Reach;
 use crate::report::Report;
 use crate::room::{Room, Rooms, demand};
@@ -290,6 +290,7 @@
             let (reach, troubled) = self.ways();
             let any = room.iter().chain(&last).any(|room| *room > 0.0);
             let listed: Vec<f64> = self.situation.rooms.iter().map(|room| room.listed).collect();
+            let table = by_rule(&self.situation.demand, room.len());
             let setting = Setting {
                 ladders: &self.ladders,
                 room: &room,
@@ -297,7 +298,7 @@
                 listed: &listed,
                 reach: &reach,
                 troubled,
-                demand: &self.situation.demand,
+                demand: &table,
             };
             // Where there is no room anywhere, no plan is better than another.
             plan =
--- a/failover/src/ladders.rs
+++ b/failover/src/ladders.rs
@@ -130,10 +130,10 @@
     }
 
     /// All rules and sources, each with the position of its shape.
-    pub fn all(&self) -> impl Iterator<Item = (u16, Zone, usize)> + '_ {
-        let of_rule = |(rule, of): (usize, &'_ Vec<usize>)| {
-            let of: Vec<usize> = of.clone();
-            of.into_iter().enumerate().map(move |(from, shape)| (rule as u16, Zone(from as u16), shape))
+    pub fn all<'a>(&'a self) -> impl Iterator<Item = (u16, Zone, usize)> + 'a {
+        let of_rule = |(rule, of): (usize, &'a Vec<usize>)| {
+            let zone = move |(from, shape): (usize, &usize)| (rule as u16, Zone(from as u16), *shape);
+            of.iter().enumerate().map(zone)
         };
         self.by_rule.iter().enumerate().flat_map(of_rule)
     }
--- a/failover/src/plan.rs
+++ b/failover/src/plan.rs
@@ -29,8 +29,25 @@
     pub reach: &'a [Zones],
     /// Zones that are not simply serving.
     pub troubled: Zones,
-    /// What is asked for, by rule and source.
-    pub demand: &'a BTreeMap<(u16, Zone), f64>,
+    /// What is asked for: all zones of the first rule, of the second, and so on, as [`by_rule`] has it.
+    pub demand: &'a [f64],
+}
+
+impl Setting<'_> {
+    fn rate(&self, rule: u16, from: Zone) -> f64 {
+        let at = usize::from(rule) * self.room.len() + usize::from(from.0);
+        self.demand.get(at).copied().unwrap_or(0.0)
+    }
+}
+
+/// What is asked for by rule and source, as a table.
+pub fn by_rule(demand: &BTreeMap<(u16, Zone), f64>, zones: usize) -> Vec<f64> {
+    let rules = demand.keys().map(|(rule, _)| usize::from(*rule) + 1).max().unwrap_or(0);
+    let mut table = vec![0.0; rules * zones];
+    for ((rule, from), rate) in demand.iter().filter(|((_, from), _)| usize::from(from.0) < zones) {
+        table[usize::from(*rule) * zones + usize::from(from.0)] = *rate;
+    }
+    table
 }
 
 /// Whether the next step is open for want of room.
@@ -153,10 +170,8 @@
 fn asked(setting: &Setting<'_>) -> Vec<f64> {
     let shapes = &setting.ladders.shapes;
     let mut asked = vec![0.0; shapes.len()];
-    for ((rule, from), rate) in setting.demand {
-        if let Some(n) = setting.ladders.shape(*rule, *from) {
-            asked[n] += rate;
-        }
+    for (rule, from, n) in setting.ladders.all() {
+        asked[n] += setting.rate(rule, from);
     }
     let little = 1e-6 * (1.0 + asked.iter().sum::<f64>());
     for (asked, shape) in asked.iter_mut().zip(shapes) {
@@ -176,7 +191,7 @@
 fn flows_of(plan: &Plan, setting: &Setting<'_>, asked: &[f64]) -> Flows {
     let zones = setting.room.len();
     let shapes = &setting.ladders.shapes;
-    let rate = |rule: u16, from: Zone| setting.demand.get(&(rule, from)).copied().unwrap_or(0.0) + 1e-9;
+    let rate = |rule: u16, from: Zone| setting.rate(rule, from) + 1e-9;
     let mut plain = vec![0.0; shapes.len()];
     let mut all = vec![0.0; shapes.len()];
     for (n, weight) in setting.ladders.all().map(|(rule, from, n)| (n, rate(rule, from))) {
@@ -301,23 +316,24 @@
 /// Rows of what does not simply keep to its first step.
 fn rows(setting: &Setting<'_>, flows: &Flows, asked: &[f64]) -> Vec<Row> {
     let shapes = &setting.ladders.shapes;
-    let parts: Vec<Vec<Share>> =
-        (0..shapes.len()).map(|n| parts(&flows.to[n], flows.left[n], asked[n])).collect();
-    let plain: Vec<bool> = shapes
+    let parts: Vec<Option<Vec<Share>>> = shapes
         .iter()
-        .zip(&parts)
-        .map(|(shape, parts)| {
-            let whole = parts.iter().map(|share| u32::from(share.part)).sum::<u32>() == u32::from(WHOLE);
-            let near = parts.iter().all(|share| shape.level(usize::from(share.zone.0)) == 0);
-            whole && near && !is_troubled(setting, shape.from, shape.steps.first())
+        .enumerate()
+        .map(|(n, shape)| {
+            let little = asked[n] * 1e-6;
+            let near = |(zone, sent): (usize, f64)| sent <= little || shape.level(zone) == 0;
+            let plain = flows.left[n] <= little
+                && flows.to[n].iter().all(near)
+                && !is_troubled(setting, shape.from, shape.steps.first());
+            (!plain && asked[n] > 0.0).then(|| parts(&flows.to[n], flows.left[n], asked[n]))
         })
         .collect();
     let mut rows: Vec<(f64, Row)> = Vec::new();
     for (rule, from, n) in setting.ladders.all() {
-        let rate = setting.demand.get(&(rule, from)).copied().unwrap_or(0.0);
-        let troubled = is_troubled(setting, from, shapes[n].steps.first());
-        if !plain[n] && (rate > 0.0 || troubled) && asked[n] > 0.0 {
-            rows.push((rate, Row { rule, from, to: parts[n].clone() }));
+        let Some(to) = &parts[n] else { continue };
+        let rate = setting.rate(rule, from);
+        if rate > 0.0 || is_troubled(setting, from, shapes[n].steps.first()) {
+            rows.push((rate, Row { rule, from, to: to.clone() }));
         }
     }
     if rows.len() > ROWS_MOST {
--- a/failover/tests/alone.rs
+++ b/failover/tests/all/alone.rs
@@ -1,11 +1,9 @@
 //! A balancer's side: with the lease, without, and without any plan.
 
-mod world;
-
+use crate::world::{World, topology};
 use maplehook_failover::{Acting, Demand, Shares, Sight};
 use maplehook_locality::{Rule, Rules, Topology, Zone};
 use std::time::Duration;
-use world::{World, topology};
 
 const STEP: Duration = Duration::from_millis(250);
 
--- /dev/null
+++ b/failover/tests/all/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the decision in common: one program, so that it is built once.
+
+mod alone;
+mod any;
+mod bounds;
+mod decisions;
+mod dwell;
+mod planner;
+mod storms;
+mod world;
--- a/failover/tests/storms.rs
+++ b/failover/tests/all/storms.rs
@@ -1,11 +1,9 @@
 //! Zones that are lost, ill, cut, cold, flap, and all at once.
 
-mod world;
-
+use crate::world::World;
 use maplehook_failover::{Bounds, PlaceState};
 use maplehook_locality::{Rules, Topology};
 use std::time::Duration;
-use world::World;
 
 #[test]
 fn calm_is_near_and_plans_nothing() {
