--- a/failover/src/bounds.rs
+++ b/failover/src/bounds.rs
@@ -72,7 +72,7 @@
             spare: 0.5,
             stale: Duration::from_secs(5),
             lost_after: Duration::from_millis(1250),
-            ill_after: Duration::from_secs(2),
+            ill_after: Duration::from_millis(1500),
             well_after: Duration::from_secs(12),
             return_over: Duration::from_secs(20),
             damping: Damping::default(),
--- a/failover/src/room.rs
+++ b/failover/src/room.rs
@@ -114,13 +114,14 @@
     let stated = sights.iter().filter(|(_, sight)| sight.stated).count() * 2 > sights.len();
     let (mut listed, mut usable, mut loads) = (Vec::new(), Vec::new(), Vec::new());
     let reached = |from: Zone| views.word(from, zone) != Word::Out;
-    let any =
-        (0..zones as u16).any(|from| sights.iter().any(|(z, _)| *z == Zone(from)) && reached(Zone(from)));
-    for from in (0..zones as u16).map(Zone) {
-        let here: Vec<&Sight> =
-            sights.iter().filter(|(z, s)| *z == from && s.stated == stated).map(|(_, s)| *s).collect();
+    let any = sights.iter().any(|(from, _)| reached(*from));
+    let mut by_zone: Vec<Vec<&Sight>> = vec![Vec::new(); zones];
+    for (from, sight) in sights.iter().filter(|(_, sight)| sight.stated == stated) {
+        by_zone[usize::from(from.0)].push(sight);
+    }
+    for (from, here) in by_zone.iter().enumerate() {
         // Whoever does not reach it can't say how much of it is usable.
-        if here.is_empty() || any && !reached(from) {
+        if here.is_empty() || any && !reached(Zone(from as u16)) {
             continue;
         }
         let of = |figure: fn(&Sight) -> f32| median(here.iter().map(|s| f64::from(figure(s))).collect());
--- a/failover/tests/all/dwell.rs
+++ b/failover/tests/all/dwell.rs
@@ -96,6 +96,21 @@
     assert!(world.part(0, 2) > 0.1);
 }
 
+#[test]
+fn a_pause_of_the_leader_is_no_evidence() {
+    let mut world = World::new();
+    world.run(10.0);
+    world.zones[0].up = 0.0;
+    world.run(0.5);
+    world.zones[0].up = 1.0;
+    world.count_anew();
+    // Four seconds in which it hears and says nothing: what it heard last is not yet stale.
+    world.now += Duration::from_secs(4);
+    world.step();
+    world.run(5.0);
+    assert!(world.documents.iter().all(|(_, d)| d.places[0].given == 1.0 && d.plan.rows.is_empty()));
+}
+
 #[test]
 fn reports_that_overtake_each_other_do_not_go_back() {
     let mut world = World::new();
--- a/failover/tests/all/main.rs
+++ b/failover/tests/all/main.rs
@@ -5,6 +5,7 @@
 mod bounds;
 mod decisions;
 mod dwell;
+mod large;
 mod planner;
 mod storms;
 mod world;
