--- a/failover/src/room.rs
+++ b/failover/src/room.rs
@@ -117,19 +117,17 @@
     let stated = sights.iter().filter(|(_, sight)| sight.stated).count() * 2 > sights.len();
     let (mut listed, mut usable, mut loads) = (Vec::new(), Vec::new(), Vec::new());
     let reached = |from: Zone| views.word(from, zone) != Word::Out;
-    let any =
-        (0..zones as u16).any(|from| sights.iter().any(|(z, _)| *z == Zone(from)) && reached(Zone(from)));
+    let any = sights.iter().any(|(from, _)| reached(*from));
+    let mut by_zone: Vec<Vec<&Sight>> = vec![Vec::new(); zones];
+    for (from, sight) in sights.iter().filter(|(_, sight)| sight.stated == stated) {
+        by_zone[usize::from(from.0)].push(sight);
+    }
     // Who sends nothing there has not heard of what is ejected or gone: it lists what there should be.
-    let sends = |from: Zone| sights.iter().any(|(z, s)| *z == from && s.sent >= SENDS);
-    let any_sends = (0..zones as u16).map(Zone).any(|from| reached(from) && sends(from));
-    for from in (0..zones as u16).map(Zone) {
-        if any_sends && !sends(from) {
-            continue;
-        }
-        let here: Vec<&Sight> =
-            sights.iter().filter(|(z, s)| *z == from && s.stated == stated).map(|(_, s)| *s).collect();
+    let sends = |from: usize| by_zone[from].iter().any(|sight| sight.sent >= SENDS);
+    let any_sends = (0..zones).any(|from| sends(from) && reached(Zone(from as u16)));
+    for (from, here) in by_zone.iter().enumerate().filter(|(from, _)| !any_sends || sends(*from)) {
         // Whoever does not reach it can't say how much of it is usable.
-        if here.is_empty() || any && !reached(from) {
+        if here.is_empty() || any && !reached(Zone(from as u16)) {
             continue;
         }
         let of = |figure: fn(&Sight) -> f32| median(here.iter().map(|s| f64::from(figure(s))).collect());
--- a/places/src/act.rs
+++ b/places/src/act.rs
@@ -32,7 +32,11 @@
             tracing::info!(epoch, in_common, "acts by: {}", acted.acts.why);
         }
         if self.board.writer.is_on() {
-            self.note_acts(before, epoch, in_common, &rows);
+            // Of what is agreed on, the plan's own rows: what an absent row comes to follows each balancer's evidence.
+            let plan = self.agreed.as_ref().map(|agreed| &agreed.places.plan);
+            let planned = |rule: usize| plan.is_some_and(|plan| plan.row(rule as u16, config.own).is_some());
+            let noted = rows.iter().enumerate().filter(|(rule, _)| !in_common || planned(*rule));
+            self.note_acts(before, epoch, in_common, noted.map(|(_, row)| row));
         }
         self.stands.send_modify(|stands| {
             stands.config = Some(config);
@@ -45,7 +49,13 @@
         self.acted.send_replace(Some(acted));
     }
 
-    fn note_acts(&self, before: Option<(u64, bool)>, epoch: u64, in_common: bool, rows: &[ShownRow]) {
+    fn note_acts<'a>(
+        &self,
+        before: Option<(u64, bool)>,
+        epoch: u64,
+        in_common: bool,
+        rows: impl Iterator<Item = &'a ShownRow>,
+    ) {
         if let Some((before, _)) = before.filter(|(_, common)| *common && !in_common) {
             self.board.writer.note(What::Ceases { epoch: before });
         }
@@ -58,7 +68,7 @@
                 .map(|share| (share.zone.clone(), (share.share * f64::from(WHOLE)).round() as u16))
                 .collect(),
         };
-        let rows = rows.iter().map(row).collect();
+        let rows = rows.map(row).collect();
         self.board.writer.note(What::Acts { epoch, rows, in_common });
     }
 }
