--- a/addresses/src/many.rs
+++ b/addresses/src/many.rs
@@ -106,7 +106,7 @@
     // A phase that is not agreed has not lasted yet.
     let begun = scene.base.announce == Announce::Many && scene.base.sites.contains_key(site);
     let Some(memory) = scene.memory(site).filter(|_| begun) else { return phase };
-    let ill = memory.ill_for(scene.now).filter(|_| memory.in_touch && any_well);
+    let ill = memory.ill_for(scene.now).filter(|_| any_well);
     let ill_for = |time: Duration| ill.is_some_and(|ill| ill >= time);
     let after = scene.address.withdraw_after;
     match phase {
@@ -115,9 +115,7 @@
             Phase::Well
         }
         Phase::Worse if memory.may_return(scene.address, scene.now) => Phase::Well,
-        Phase::Worse if ill_for(after) && memory.phase_for(scene.now) >= STANDS && taken(scene, site) => {
-            Phase::Away
-        }
+        Phase::Worse if ill_for(after) && taken(scene, site) => Phase::Away,
         Phase::Away if memory.may_return(scene.address, scene.now) => Phase::Returning,
         phase => phase,
     }
--- a/addresses/src/one.rs
+++ b/addresses/src/one.rs
@@ -143,10 +143,9 @@
                 }
                 next.next = found.or_else(fallback);
             }
-            // Only what was agreed may be acted on: `next` as it stands there, after a wait for `last` as it stands there.
-            let agreed = scene.agreed && scene.base.announce == Announce::One && next.next == scene.base.next;
-            let own = scene.base.last.is_some() && scene.base.last == scene.base.next;
-            if agreed && next.unheard.is_empty() && next.next.is_some() && (own || released(scene, wait)) {
+            // `last` stands as it was agreed, and nobody has held it since: it need not be waited for by itself.
+            let own = next.last.is_some() && next.last == next.next;
+            if next.unheard.is_empty() && next.next.is_some() && (own || released(scene, wait)) {
                 next.holder = next.next.take();
                 next.last = next.holder.clone();
             }
--- a/addresses/tests/answer.rs
+++ b/addresses/tests/answer.rs
@@ -101,6 +101,11 @@
     // But not against an order.
     let standing = away.state.as_mut().unwrap().addresses.get_mut("front").unwrap();
     standing.withdrawn.insert("a".into(), "ops".into());
+    let mut leaving = cut.clone();
+    let standing = leaving.state.as_mut().unwrap().addresses.get_mut("front").unwrap();
+    standing.withdrawn.insert("a".into(), "ops".into());
+    assert!(!good_for(&leaving.answer("front", s(50))).is_zero(), "it goes once the takers have risen");
+    assert!(good_for(&leaving.answer("front", s(5000))).is_zero());
     for now in [50, 5000] {
         let withdrawn = Answer::Withdrawn { why: "withdrawn by ops".into() };
         assert_eq!(away.answer("front", s(now)), withdrawn);
--- a/addresses/tests/one.rs
+++ b/addresses/tests/one.rs
@@ -273,3 +273,20 @@
         "the second half of a hand-over is not begun before the first is agreed"
     );
 }
+
+#[test]
+fn one_hand_over_right_after_another_is_waited_for_anew() {
+    let mut run = three();
+    let state = run.decider.order(&to("b", false)).unwrap();
+    run.accept(state);
+    while stands(&run)[0] != "b" {
+        run.tick();
+    }
+    // Agreed a moment ago, and some may have been answered by it already.
+    let state = run.decider.order(&to("a", false)).unwrap();
+    run.accept(state);
+    run.run(ms(1000));
+    assert_eq!(stands(&run), ["-", "b", "a"]);
+    run.run(ms(200));
+    assert_eq!(stands(&run), ["a", "a", "-"]);
+}
