--- a/rig/src/nemesis/zones.rs
+++ b/rig/src/nemesis/zones.rs
@@ -77,6 +77,23 @@
         /// How long after.
         after_ms: u64,
     },
+    /// One balancer reaches no upstream outside of its zone, nor does it speak with others; all is well but its own network.
+    Blind {
+        /// Which, from 1.
+        balancer: usize,
+    },
+    /// What balancers say to one another comes late.
+    Late {
+        /// By how much at the most.
+        most_ms: u64,
+    },
+    /// Routers lose polls, and answers are held back from them.
+    Routers {
+        /// Share of polls.
+        lost: f64,
+        /// For how long.
+        held_back_ms: u64,
+    },
 }
 
 impl ZoneFault {
@@ -95,6 +112,9 @@
             Self::Killed { .. } => "balancers killed",
             Self::Stopped { .. } => "balancers stopped",
             Self::LeaderKilled { .. } => "lost, leader killed",
+            Self::Blind { .. } => "balancer blind",
+            Self::Late { .. } => "late words",
+            Self::Routers { .. } => "routers ill",
         }
     }
 
@@ -187,7 +207,7 @@
             of[draw.usize(..of.len())].clone()
         };
         let rest = |of: &[String]| zones.iter().filter(|z| !of.contains(z)).cloned().collect::<Vec<_>>();
-        match draw.usize(..13) {
+        match draw.usize(..16) {
             0 => ZoneFault::Lost { zones: zone(draw) },
             1 => ZoneFault::Lost { zones: region(draw) },
             2 => ZoneFault::Hanging { zones: zone(draw) },
@@ -217,6 +237,9 @@
             }
             9 => ZoneFault::Flapping { zones: zone(draw), period_ms: [2_000, 10_000][draw.usize(..2)] },
             10 => ZoneFault::AllAtOnce { times: 3.0 + 5.0 * draw.f64() },
+            13 => ZoneFault::Blind { balancer: draw.usize(1..=zones.len()) },
+            14 => ZoneFault::Late { most_ms: draw.u64(500..5_000) },
+            15 => ZoneFault::Routers { lost: 0.2 + 0.6 * draw.f64(), held_back_ms: draw.u64(0..3_000) },
             11 if draw.bool() => ZoneFault::Killed { zones: zone(draw) },
             11 => ZoneFault::Stopped { zones: zone(draw) },
             _ => ZoneFault::LeaderKilled { zones: zone(draw), after_ms: draw.u64(0..3_000) },
@@ -255,6 +278,6 @@
                 }
             }
         }
-        assert_eq!(kinds.len(), 12, "{kinds:?}");
+        assert_eq!(kinds.len(), 15, "{kinds:?}");
     }
 }
--- a/rig/src/places/faults.rs
+++ b/rig/src/places/faults.rs
@@ -7,6 +7,7 @@
 use crate::relay::Trouble;
 use maplehook_histories::What;
 use maplehook_standins::room::Behaviour;
+use std::time::Duration;
 
 impl Scene {
     /// Zones came to this health, as seen from some, or from everywhere.
@@ -74,6 +75,34 @@
         self.behave(zones, behaviour);
     }
 
+    /// One balancer reaches nobody outside of its zone, or does again.
+    fn blinds(&self, balancer: usize, blind: bool) {
+        let (own, change) = (self.map.zone_of(balancer), |trouble: &mut Trouble| trouble.silent = blind);
+        self.recorder.did(if blind { "cut" } else { "heal" }, &name(balancer));
+        let all: Vec<usize> = (0..self.world.len()).collect();
+        self.world.between(&[balancer], &all, change);
+        self.world.between(&all, &[balancer], change);
+        for upstream in (0..self.map.upstreams.len()).filter(|n| self.map.upstreams[*n].zone != own) {
+            self.world.from_to_upstream(balancer, upstream).set(change);
+        }
+    }
+
+    fn late(&self, most: Duration) {
+        self.world.everywhere(|trouble| trouble.delay = (Duration::ZERO, most));
+        self.recorder.note(
+            "rig",
+            What::Note { text: format!("words between balancers: late by {most:?} at the most") },
+        );
+    }
+
+    fn routers_are(&self, lost: f64, held_back: Duration) {
+        for router in &self.routers {
+            router.behaves(|manner| (manner.lost, manner.held_back) = (lost, held_back));
+        }
+        let text = format!("routers: {lost:.2} of polls lost, answers held back for {held_back:?}");
+        self.recorder.note("rig", What::Note { text });
+    }
+
     /// The two sides of a bridge: without the zone between them.
     fn sides(&self, through: &String, side: &[String]) -> (Vec<String>, Vec<String>) {
         let other = self.all_zones().into_iter().filter(|zone| zone != through && !side.contains(zone));
@@ -104,6 +133,11 @@
                 self.cuts(&one, &other, true);
                 self.cuts(&other, &one, true);
             }
+            ZoneFault::Blind { balancer } => self.blinds(balancer - 1, true),
+            ZoneFault::Late { most_ms } => self.late(Duration::from_millis(*most_ms)),
+            ZoneFault::Routers { lost, held_back_ms } => {
+                self.routers_are(*lost, Duration::from_millis(*held_back_ms));
+            }
             ZoneFault::Killed { zones } => self.balancers_of(zones).into_iter().for_each(|n| self.kill(n)),
             ZoneFault::Stopped { zones } => self.balancers_of(zones).into_iter().for_each(|n| self.stop(n)),
         }
@@ -136,6 +170,9 @@
                 self.cuts(&one, &other, false);
                 self.cuts(&other, &one, false);
             }
+            ZoneFault::Blind { balancer } => self.blinds(balancer - 1, false),
+            ZoneFault::Late { .. } => self.late(Duration::ZERO),
+            ZoneFault::Routers { .. } => self.routers_are(0.0, Duration::ZERO),
             ZoneFault::Killed { zones } => self.starts(&self.balancers_of(zones), Keeps::State)?,
             ZoneFault::Stopped { zones } => self.balancers_of(zones).into_iter().for_each(|n| self.wake(n)),
         }
--- a/rig/src/places/figures.rs
+++ b/rig/src/places/figures.rs
@@ -132,6 +132,9 @@
         .filter(|(_, zone)| !away.contains(zone))
         .map(|(name, _)| name.as_str())
         .collect();
+    if let ZoneFault::Blind { balancer } = span.fault {
+        touch.remove(crate::check::name(balancer - 1).as_str());
+    }
     let gone = span.fault.gone();
     let mut before = 0;
     // Epoch by balancer, and whether nothing goes into what is gone.
