--- a/addresses/src/many.rs
+++ b/addresses/src/many.rs
@@ -82,7 +82,7 @@
         *other != site
             && scene.well(other)
             && agreed(scene, other) == Phase::Well
-            && scene.base.announcing.get(*other) == Some(&TAKES)
+            && scene.memory(other).and_then(|it| it.takes_for(scene.now)).is_some_and(|time| time >= STANDS)
             && !scene.behind.contains_key(region)
     })
 }
@@ -103,7 +103,9 @@
 /// Where a site goes by how well it is.
 fn step(scene: &Scene<'_>, site: &str, any_well: bool) -> Phase {
     let phase = agreed(scene, site);
-    let Some(memory) = scene.memory(site) else { return phase };
+    // A phase that is not agreed has not lasted yet.
+    let begun = scene.base.announce == Announce::Many && scene.base.sites.contains_key(site);
+    let Some(memory) = scene.memory(site).filter(|_| begun) else { return phase };
     let ill = memory.ill_for(scene.now).filter(|_| memory.in_touch && any_well);
     let ill_for = |time: Duration| ill.is_some_and(|ill| ill >= time);
     let after = scene.address.withdraw_after;
