--- a/addresses/tests/state.rs
+++ b/addresses/tests/state.rs
@@ -126,3 +126,40 @@
     run.run(s(600));
     assert_eq!(run.decider.state().number, u64::MAX);
 }
+
+#[test]
+fn an_illness_that_was_written_down_has_to_be_seen_again() {
+    let mut run = run(Announce::One);
+    (0..2).for_each(|site| run.serves(site, 0.0));
+    run.run(s(60));
+    let before = run.decider.state().clone();
+    assert!(before.addresses["front"].sites["a"].ill);
+    run.decider =
+        Decider::new(vec![address(Announce::One, 2, 1)], names(&["a", "b"]), Some(&before), run.now);
+    // The other one is heard of first.
+    run.serves(1, 1.0);
+    run.sites.remove(0);
+    run.run(s(3));
+    assert_eq!(run.standing().holder.as_deref(), Some("a"));
+    run.run(s(4));
+    assert_eq!(run.standing().holder.as_deref(), Some("b"));
+}
+
+#[test]
+fn a_penalty_has_a_ceiling_and_a_name_has_an_end() {
+    let mut run = run(Announce::Many);
+    let slow = maplehook_addresses::Address { return_after: s(10_000), ..address(Announce::Many, 2, 1) };
+    run.decider.retune(vec![slow], names(&["a", "b"]), run.now);
+    for _ in 0..100 {
+        run.serves(0, 0.0);
+        run.run(s(6));
+        run.serves(0, 1.0);
+        run.run(ms(200));
+    }
+    let (name, site, by) = ("front".into(), "a".into(), "x".repeat(300));
+    let state = run.decider.order(&Order::Withdraw { name, site, by, anyway: false }).unwrap();
+    let penalty = state.addresses["front"].sites["a"].penalty;
+    assert!((11.0..=12.0).contains(&penalty), "{penalty}");
+    assert_eq!(state.addresses["front"].withdrawn["a"].len(), 64);
+    assert!(state.is_sound());
+}
