--- a/addresses/src/decide.rs
+++ b/addresses/src/decide.rs
@@ -130,7 +130,8 @@
 
     /// A moment passes. `sites` is what is known of each; one that is missing is cut off. `behind` are the sites some of whose
     /// balancers may still act on a state earlier than the one that was accepted last, with the time that this can last at the
-    /// most: for a new leader, the longest lease for everybody it has not heard of. What is returned is to be proposed, to be
+    /// most: for a new leader, the longest lease for everybody it has not heard of. A lease that is granted together with the newer
+    /// state must not add to it, else a holder that hears nothing and is heard is waited for without end. What is returned is to be proposed, to be
     /// played where [`State::follows`] lets it.
     pub fn tick(
         &mut self,
