--- a/places/src/talk.rs
+++ b/places/src/talk.rs
@@ -23,7 +23,7 @@
     /// From the log; `None` for what is none, as of a later program.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let agreed: Self = postcard::from_bytes(bytes).ok()?;
-        agreed.places.is_sound().then_some(agreed)
+        (agreed.places.is_sound() && agreed.addresses.is_sound()).then_some(agreed)
     }
 }
 
