--- a/failover/src/judge.rs
+++ b/failover/src/judge.rs
@@ -177,13 +177,13 @@
         Ok(())
     }
 
-    /// Whether the rest can bear it that these zones go, besides those that are out already.
+    /// Whether the rest can bear it that these zones go, besides those that are out already and so are given nothing.
     fn bear(&self, zones: &[Zone], anyway: bool) -> Result<(), Refusal> {
         let count = self.standings.len();
         if zones.is_empty() || zones.iter().any(|zone| usize::from(zone.0) >= count) {
             return Err(Refusal::NoSuchPlace);
         }
-        let out = self.evacuated() | zones.iter().fold(0, |all, zone| all | bit(*zone));
+        let out = zones.iter().fold(0, |all, zone| all | bit(*zone));
         let stays = |zone: &usize| out >> zone & 1 == 0 && self.standings[*zone].given > 0.0;
         let left = (0..count).filter(stays).count();
         let least = self.bounds.least_in_service;
--- a/failover/src/plan.rs
+++ b/failover/src/plan.rs
@@ -285,11 +285,10 @@
 
 /// What is served of a split as rooms are, and what of it in the first step.
 fn worth(ground: &Ground<'_>, flows: &Flows) -> (f64, f64) {
-    // Half of what goes where it is ill is taken to fail.
     let part: Vec<f64> = (0..flows.load.len())
         .map(|zone| {
-            let (load, room, last) = (flows.load[zone], ground.room[zone], ground.last[zone]);
-            if load > room { (room + 0.5 * (load - room).min(last)) / load } else { 1.0 }
+            let (load, cap) = (flows.load[zone], ground.cap(zone));
+            if load > cap { cap / load } else { 1.0 }
         })
         .collect();
     let (mut served, mut near) = (0.0, 0.0);
--- a/failover/src/room.rs
+++ b/failover/src/room.rs
@@ -104,8 +104,8 @@
 
 /// The middle one; the lesser of two.
 fn median(mut all: Vec<f64>) -> Option<f64> {
-    all.sort_by(f64::total_cmp);
-    all.get(all.len().saturating_sub(1) / 2).copied()
+    let middle = all.len().checked_sub(1)? / 2;
+    Some(*all.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
 
 fn figures(zone: Zone, zones: usize, views: &Views, reports: &[&Report]) -> Figures {
@@ -147,12 +147,14 @@
 
 /// A figure of each balancer, none more than some times the median of its zone's (of all, where its zone has too few).
 fn capped(reports: &[&Report], floor: f64, figure: impl Fn(&Report) -> f64) -> Vec<f64> {
-    let mut by_zone: BTreeMap<Zone, Vec<f64>> = BTreeMap::new();
     let all: Vec<f64> = reports.iter().map(|report| figure(report)).collect();
+    let Some(fleet) = median(all.iter().copied().filter(|figure| *figure > 0.0).collect()) else {
+        return all;
+    };
+    let mut by_zone: BTreeMap<Zone, Vec<f64>> = BTreeMap::new();
     for (report, figure) in reports.iter().zip(&all) {
         by_zone.entry(report.zone).or_default().push(*figure);
     }
-    let fleet = median(all.iter().copied().filter(|figure| *figure > 0.0).collect()).unwrap_or(0.0);
     let caps: BTreeMap<Zone, f64> = by_zone
         .into_iter()
         .map(|(zone, here)| {
@@ -174,14 +176,18 @@
     let floor = TIMES_EVEN * room / reports.len().max(1) as f64;
     let total = |report: &Report| report.demand.iter().map(|d| f64::from(d.asked)).sum();
     let capped = capped(reports, floor, total);
-    let mut demand = BTreeMap::new();
+    let rules = reports.iter().flat_map(|report| &report.demand).map(|d| usize::from(d.rule) + 1).max();
+    let zones = reports.iter().map(|report| usize::from(report.zone.0) + 1).max().unwrap_or(0);
+    let mut table = vec![0.0; rules.unwrap_or(0) * zones];
     for (report, capped) in reports.iter().zip(capped) {
         let total = total(report);
         if total > 0.0 {
             for d in &report.demand {
-                *demand.entry((d.rule, report.zone)).or_insert(0.0) += f64::from(d.asked) * capped / total;
+                let at = usize::from(d.rule) * zones + usize::from(report.zone.0);
+                table[at] += f64::from(d.asked) * capped / total;
             }
         }
     }
-    demand
+    let cell = |(n, rate): (usize, f64)| (((n / zones) as u16, Zone((n % zones) as u16)), rate);
+    table.into_iter().enumerate().filter(|(_, rate)| *rate > 0.0).map(cell).collect()
 }
--- a/failover/tests/all/bounds.rs
+++ b/failover/tests/all/bounds.rs
@@ -121,3 +121,43 @@
     }
     assert!(world.documents.iter().all(|(_, d)| d.plan.rows.is_empty() && d.places[0].given == 1.0));
 }
+
+#[test]
+fn so_many_zones_stay_in_service_whatever_is_seen() {
+    let bounds = Bounds { most_away: 1.0, shared_cause: 1.0, least_in_service: 2, ..Bounds::default() };
+    let mut world = World::with(crate::world::topology(), Rules::near_first(1, 1), bounds);
+    world.run(10.0);
+    for zone in 0..3 {
+        world.zones[zone].up = 0.0;
+        world.run(5.0);
+    }
+    let given: Vec<f32> = world.force.places.iter().map(|place| place.given).collect();
+    assert_eq!(given, [0.0, 0.0, 1.0, 1.0], "{:?}", world.force.places);
+    assert_eq!(world.state(2), PlaceState::Lost, "it is said");
+    assert!(world.force.places[2].why.contains("2 zones have to stay"), "{}", world.force.places[2].why);
+    assert_eq!(world.part(2, 2), 1.0, "and not moved");
+    // When another is back, it is let go.
+    world.zones[0].up = 1.0;
+    world.run(20.0);
+    assert_eq!((world.force.places[2].given, world.part(2, 2)), (0.0, 0.0), "{:?}", world.force.places);
+}
+
+#[test]
+fn what_is_relieved_counts_as_away() {
+    let bounds = Bounds { most_away: 0.7, shared_cause: 1.0, ..Bounds::default() };
+    let mut world = World::with(crate::world::topology(), Rules::near_first(1, 1), bounds);
+    world.run(10.0);
+    world.zones[0].up = 0.0;
+    world.run(5.0);
+    // b falls ill under the spill and then c at once: b is not cured, and then as good as gone.
+    world.zones[1].failing = 0.5;
+    world.run(2.5);
+    assert_eq!(world.force.places[1].given, 0.5);
+    world.zones[2].failing = 0.5;
+    world.run(20.0);
+    for (_, document) in &world.documents {
+        let away: f32 = document.places.iter().map(|place| 0.25 * (1.0 - place.given)).sum();
+        assert!(away <= 0.7, "{:?}", document.places);
+    }
+    assert_eq!((world.force.places[1].given, world.force.places[2].given), (0.0, 1.0));
+}
