--- /dev/null
+++ b/lab/src/commands/mod.rs
@@ -0,0 +1,5 @@
+//! What single commands do.
+
+pub mod balancers;
+pub mod measures;
+pub mod places;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`paper`] is the experiment of the paper that the design rests on.
 //! - [`members`] emulates balancers that know each other.
 //! - [`agreed`] explores how they agree on versions.
+//! - [`places`] emulates zones and regions, and explores how plans and addresses come into force.
 //! - [`rules`] explores what may come between a request and its answer, exhaustively.
 
 mod agenda;
@@ -29,6 +30,7 @@
 pub mod members;
 pub mod page;
 pub mod paper;
+pub mod places;
 mod play;
 pub mod policies;
 mod report;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,20 +1,20 @@
 //! The laboratory's command line.
 
+mod commands;
+
 use clap::builder::TypedValueParser;
 use clap::{Args, Parser, Subcommand};
+use commands::{balancers, measures, places};
 use indicatif::{ProgressBar, ProgressStyle};
 use maplehook_lab::experiment::{self, How, Verdict};
 use maplehook_lab::file::{Plan, read};
-use maplehook_lab::paper::{self, Paper, Rates, Reading};
 use maplehook_lab::results::{self, Line, Table, words};
-use maplehook_lab::{World, agreed, calibrate, hunt, load, members, page, policies, rules};
-use rayon::prelude::*;
+use maplehook_lab::{World, calibrate, hunt, load, page, policies, rules};
 use std::error::Error;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
 
 /// Plays designs of load balancing in emulated time, asks real servers as emulated clients would, and draws what came.
 #[derive(Parser)]
@@ -152,6 +152,8 @@
         #[arg(long, value_delimiter = ',')]
         explore: Option<Vec<u8>>,
     },
+    /// Zones and regions: faults, by who decides; and how orders of events are explored.
+    Places(places::Asked),
     /// Measures how fast worlds are played, at 3, 120 and 10,000 upstreams.
     Speed {
         /// Requests of each.
@@ -162,7 +164,7 @@
     Policies,
 }
 
-type Failure = Box<dyn Error>;
+pub(crate) type Failure = Box<dyn Error>;
 
 fn plan_of(file: &Path) -> Result<Plan, Failure> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
@@ -345,141 +347,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn papers(replicates: u64) {
-    let seeds = 1..=replicates.max(1);
-    let mean = |paper: &Paper| {
-        let all: Vec<_> = seeds.clone().map(|seed| paper::play(&Paper { seed, ..paper.clone() })).collect();
-        move |of: &dyn Fn(&paper::Outcome) -> f64| all.iter().map(of).sum::<f64>() / all.len() as f64
-    };
-    println!(
-        "{:<8} {:<9} {:>7} {:>8} {:>5} {:>7} {:>8} {:>8} {:>9} {:>8} {:>10}",
-        "reading",
-        "rates",
-        "proxies",
-        "in step",
-        "late",
-        "use",
-        "refused",
-        "lost",
-        "delay ms",
-        "most ms",
-        "over room"
-    );
-    let mut rows = Vec::new();
-    for reading in [Reading::Printed, Reading::Plain] {
-        for rates in [Rates::Static, Rates::Adaptive] {
-            rows.push(Paper { reading, rates, ..Paper::default() });
-        }
-    }
-    // The troubles show where there is too little: with twice the traffic the room is what counts.
-    for proxies in [1, 4, 16, 120] {
-        let base = Paper { proxies, crowd: 2.0, ..Paper::default() };
-        rows.push(base.clone());
-        rows.push(Paper { in_step: true, ..base.clone() });
-        rows.push(Paper { late: 5, ..base.clone() });
-        rows.push(Paper { rates: Rates::Shared, ..base });
-    }
-    for row in &rows {
-        let of = mean(row);
-        println!(
-            "{:<8} {:<9} {:>7} {:>8} {:>5} {:>7.4} {:>8.4} {:>8.4} {:>9.2} {:>8.1} {:>10.2}",
-            if row.crowd > 1.0 { "crowded".into() } else { format!("{:?}", row.reading).to_lowercase() },
-            format!("{:?}", row.rates).to_lowercase(),
-            row.proxies,
-            row.in_step,
-            row.late,
-            of(&|o| o.use_of),
-            of(&|o| o.refused / o.asked),
-            of(&|o| o.lost / o.asked),
-            of(&|o| o.delay_ms),
-            of(&|o| o.delay_most_ms),
-            of(&|o| o.over_room),
-        );
-    }
-    for reading in [Reading::Printed, Reading::Plain] {
-        let both: Vec<_> = seeds
-            .clone()
-            .map(|seed| {
-                let of = |rates| paper::play(&Paper { reading, rates, seed, ..Paper::default() });
-                paper::ratios(&of(Rates::Static), &of(Rates::Adaptive))
-            })
-            .collect();
-        let mean = |of: &dyn Fn(&(f64, f64)) -> f64| both.iter().map(of).sum::<f64>() / both.len() as f64;
-        println!(
-            "{reading:?}: gain in throughput {:.2} % (printed: 8.38), ratio of losses Y {:.2} (printed: 5.43)",
-            mean(&|b| b.0),
-            mean(&|b| b.1)
-        );
-    }
-}
-
-fn speed(requests: u64) -> Result<(), Failure> {
-    println!(
-        "{:>9} {:>9} {:>14} {:>12} {:>10}",
-        "upstreams", "balancers", "policy", "requests/s", "events/s"
-    );
-    for (upstreams, balancers) in [(3, 1), (120, 18), (10_000, 120)] {
-        for policy in ["maplehook", "round_robin", "least_request"] {
-            let world = calibrate::calm(upstreams, balancers, requests);
-            let named = policies::named(policy).ok_or("no such policy")?;
-            let start = Instant::now();
-            let report = experiment::one(&world, &named.make)?;
-            let took = start.elapsed().max(Duration::from_nanos(1)).as_secs_f64();
-            println!(
-                "{upstreams:>9} {balancers:>9} {policy:>14} {:>12.0} {:>10.0}",
-                report.asked as f64 / took,
-                report.events as f64 / took
-            );
-        }
-    }
-    Ok(())
-}
-
-/// Storms over balancers that know each other, or single faults.
-fn known(members: usize, storms: u64, seed: u64, cost: bool) -> Result<ExitCode, Failure> {
-    if cost {
-        let resident = || {
-            let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-            let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:").map(str::to_owned));
-            line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok()).unwrap_or(0)
-        };
-        let before = resident();
-        let (datagrams, bytes, us) = members::faults::cost(members, seed);
-        let each = resident().saturating_sub(before) / members as u64;
-        println!(
-            "{members} balancers, each a second: {datagrams:.1} datagrams, {bytes:.0} bytes, {us:.0} us of this machine; \
-             each has {each} KiB, the emulator's part included"
-        );
-        return Ok(ExitCode::SUCCESS);
-    }
-    if storms == 0 {
-        print!("{}", members::faults::markdown(members, &members::faults::table(members, seed)));
-        return Ok(ExitCode::SUCCESS);
-    }
-    let played: Vec<(u64, members::storm::Storm)> = (seed..seed + storms)
-        .into_par_iter()
-        .map(|seed| (seed, members::storm::play(members, seed)))
-        .collect();
-    let broken: Vec<_> = played.iter().filter(|(_, storm)| !storm.breaches.is_empty()).collect();
-    for (seed, storm) in &broken {
-        storm.breaches.iter().for_each(|breach| println!("seed {seed}: {breach}"));
-    }
-    let faults: u32 = played.iter().flat_map(|(_, storm)| storm.faults.values()).sum();
-    let mut times: Vec<Duration> = played.iter().filter_map(|(_, storm)| storm.converged).collect();
-    times.sort_unstable();
-    let at =
-        |share: f64| times.get(((times.len() as f64 - 1.0) * share) as usize).copied().unwrap_or_default();
-    println!(
-        "{members} balancers, {storms} storms, {faults} faults: {} with breaches; all saw one another again after {:.1} s \
-         (median), {:.1} s (longest; {:.1} s are promised)",
-        broken.len(),
-        at(0.5).as_secs_f64(),
-        at(1.0).as_secs_f64(),
-        members::storm::converges_within(members).as_secs_f64()
-    );
-    Ok(if broken.is_empty() { ExitCode::SUCCESS } else { ExitCode::from(2) })
-}
-
 fn go(command: Command) -> Result<ExitCode, Failure> {
     match command {
         Command::Check { file } => {
@@ -504,33 +371,21 @@
             let runtime = tokio::runtime::Runtime::new()?;
             print!("{}", runtime.block_on(calibrate::run(&plan_of(&file)?, &daemon))?);
         }
-        Command::Paper { replicates } => papers(replicates),
-        Command::Members { members, storms, seed, cost } => return known(members, storms, seed, cost),
-        Command::Versions { explore: Some(bounds), .. } => {
-            let &[changes, elections, time, asks] = &bounds[..] else { return Err("four numbers".into()) };
-            let bounds = agreed::Bounds { changes, elections, time, asks };
-            let (states, found) = agreed::Agreement { bounds, flaw: None }.explore();
-            println!(
-                "{bounds:?}: {states} states, {}",
-                if found.is_none() { "no contradiction" } else { "a contradiction" }
-            );
-            return Ok(if found.is_none() { ExitCode::SUCCESS } else { ExitCode::from(2) });
+        Command::Paper { replicates } => measures::papers(replicates),
+        Command::Members { members, storms, seed, cost } => {
+            return balancers::known(members, storms, seed, cost);
         }
+        Command::Versions { explore: Some(bounds), .. } => return balancers::explored(&bounds),
         Command::Versions { members, storms, seed, calm, explore: None } => {
-            let played: Vec<agreed::storm::Storm> = (seed..seed + storms)
-                .into_par_iter()
-                .map(|seed| agreed::storm::play(members, seed, calm))
-                .collect();
-            let (text, sound) = agreed::storm::words(members, &played);
-            println!("{text}");
-            return Ok(if sound { ExitCode::SUCCESS } else { ExitCode::from(2) });
+            return Ok(balancers::agreed(members, storms, seed, calm));
         }
+        Command::Places(asked) => return places::places(&asked),
         Command::Rules => {
             let (report, sound) = rules::explore_all();
             print!("{report}");
             return Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE });
         }
-        Command::Speed { requests } => speed(requests)?,
+        Command::Speed { requests } => measures::speed(requests)?,
         Command::Policies => {
             policies::all().iter().for_each(|p| println!("{:<14} {}", p.name, p.what));
         }
