A body agreed on for another matter no longer holds up a hand-over of an address

Cause: a body holds plan and addresses together; where only the plan changed, the state of addresses came back with its own number, was taken for one that does not follow, and all waiting began anew. While plans changed more often than a hand-over lasts (a failover), an address of kind one stayed with nobody. Change: the same state again is nothing new. Test: a hand-over with another body every 400 ms.

--- a/addresses/src/decide.rs
+++ b/addresses/src/decide.rs
@@ -253,7 +253,8 @@
 
     /// A state stands in the log, from this leader or from another one.
     pub fn accepted(&mut self, state: &State) {
-        if state.number < self.state.number {
+        // One body holds more than addresses: of the same state nothing has come to pass, and what is waited for goes on.
+        if state.number < self.state.number || *state == self.state {
             return;
         }
         let before = std::mem::replace(&mut self.state, state.clone());
