--- a/lab/src/places/mod.rs
+++ b/lab/src/places/mod.rs
@@ -5,6 +5,7 @@
 //! is printed, [`explore`] every order of events over three members and two sites.
 
 pub mod agreeing;
+pub mod explore;
 pub mod faults;
 pub mod fleet;
 pub mod ground;
--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -52,6 +52,8 @@
     pub(crate) agreed: Option<Arc<Agreed>>,
     pub(crate) number: u64,
     pub(crate) leading: Option<Leading>,
+    /// The number in the log that what it decides rests on.
+    pub(crate) rests_on: u64,
     /// When the standing that is looked at came: what it says of time left shrinks from then on.
     pub(crate) stood_at: Instant,
     pub(crate) on_its_way: Option<OnItsWay>,
@@ -80,6 +82,7 @@
             agreed: None,
             number: 0,
             leading: None,
+            rests_on: 0,
             stood_at: Instant::now(),
             on_its_way: None,
             passed_on: BTreeMap::new(),
@@ -213,7 +216,13 @@
             }
             return;
         };
+        let number = standing.agreed.as_ref().map_or(0, |agreed| agreed.number);
+        if self.on_its_way.is_none() && number > self.rests_on {
+            // A body that was given up, or another one's, has come to stand there after all.
+            self.leading = None;
+        }
         if self.leading.is_none() {
+            self.rests_on = number;
             let stands = standing.agreed.as_ref().map(|agreed| Agreed::decode(&agreed.body));
             let stands = match stands {
                 Some(None) => {
@@ -272,7 +281,9 @@
     fn decide(&mut self) {
         let (now, standing) = (self.now(), self.standing());
         let Some(leading) = &mut self.leading else { return };
-        if self.on_its_way.is_some() {
+        // Who is behind is said of what stands in the log: of an earlier body than this rests on it says nothing.
+        let number = standing.agreed.as_ref().map_or(0, |agreed| agreed.number);
+        if self.on_its_way.is_some() || number != self.rests_on {
             return;
         }
         let aged = self.stood_at.elapsed();
@@ -290,7 +301,7 @@
     }
 
     pub(crate) fn put(&mut self, body: Vec<u8>, wisher: Option<Wisher>) {
-        let expect = self.standing().agreed.map_or(0, |agreed| agreed.number);
+        let expect = self.rests_on;
         let (done, ended) = oneshot::channel();
         let sent = match &self.setup.link {
             Some(link) => link.places.put.try_send(Put { expect, body, done }).is_ok(),
@@ -313,6 +324,7 @@
         }
         match &mut self.leading {
             Some(leading) if ended.is_ok() => {
+                self.rests_on = ended.unwrap_or(self.rests_on);
                 let agreed = leading.ended(true).cloned();
                 if let Some(agreed) = agreed {
                     self.note_agreed(&agreed);
