--- a/rig/src/places/figures/tests.rs
+++ b/rig/src/places/figures/tests.rs
@@ -36,6 +36,8 @@
     let mut records = vec![acts(S, "b1", 3, 5000), acts(S, "b2", 3, 5000)];
     let of = |records: &[Record]| in_force(&header(), records, &span());
     assert_eq!(of(&records), None, "the plan of before is none");
+    let again = [acts(S, "b1", 3, 0), acts(S, "b2", 3, 0), acts(11 * S, "b1", 3, 0)];
+    assert_eq!(of(&again), None, "nor is it if it happens to spare what is gone");
     records.extend([acts(11 * S, "b1", 4, 0), acts(12 * S, "b2", 4, 10)]);
     assert_eq!(of(&records), None, "it still sends something there");
     records.extend([acts(13 * S, "b1", 5, 0), acts(14 * S, "b2", 5, 0)]);
