--- a/rig/src/places/map.rs
+++ b/rig/src/places/map.rs
@@ -15,9 +15,6 @@
 const WITHDRAWN_WITHIN: Duration = Duration::from_secs(15);
 const GAP: Duration = Duration::from_secs(15);
 
-/// A place that was away is given back slowly, whatever made it go.
-const SETTLE: Duration = Duration::from_secs(25);
-
 /// The first so many vote.
 const VOTERS: usize = 3;
 
@@ -72,6 +69,8 @@
     pub places: String,
     /// Service addresses.
     pub services: Vec<Service>,
+    /// How long after a change of a place's health its histories are not judged for nearness and load: not so long that nothing is.
+    pub settle: Duration,
 }
 
 impl Map {
@@ -94,6 +93,7 @@
                 .to_owned(),
             places: String::new(),
             services: vec![Service { name: "book".into(), address: "203.0.113.10:443".into(), one: false, sites: Vec::new() }],
+            settle: Duration::from_secs(5),
         }
     }
 
@@ -244,7 +244,7 @@
                 .map(crate::check::name)
                 .collect(),
             expect: None,
-            bounds: Bounds { settle_us: us(SETTLE), ..Bounds::default() },
+            bounds: Bounds { settle_us: us(self.settle), ..Bounds::default() },
         }
     }
 }
--- a/rig/tests/places.rs
+++ b/rig/tests/places.rs
@@ -36,6 +36,8 @@
 /// Four zones, as many balancers as are told, 40 % asked for.
 fn scene(balancers: usize, seed: u64, one: bool) -> Scene {
     let mut map = Map::new(2, 20.0);
+    // A place that was away is given back slowly.
+    map.settle = Duration::from_secs(25);
     if one {
         // Of three that vote one stands in the south: north can go on without it.
         map.services[0].one = true;
