A silent zone that another sees well is cut, not lost; a shared cause ends piece by piece

Cause: a silent zone counted as out by two of three others; the shared cause ended while the last zone still recovered. Change: whoever sees a silent zone well is right; a shared cause lingers for 3 s. Evacuations are released by place; nothing known yet is 503.

--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -53,6 +53,8 @@
     pub(crate) situation: Situation,
     pub(crate) evacuations: Vec<(Evacuation, Option<Duration>)>,
     pub(crate) shared_cause: Option<String>,
+    /// When it was last seen.
+    pub(crate) shared_at: Option<Duration>,
     pub(crate) agreed: Document,
     proposed: Option<(Document, Duration)>,
     pub(crate) held: Option<crate::document::Held>,
@@ -91,6 +93,7 @@
             situation: Situation::default(),
             evacuations: Vec::new(),
             shared_cause: None,
+            shared_at: None,
             agreed: Document::default(),
             proposed: None,
             held: None,
@@ -118,6 +121,7 @@
         let until = |e: &Evacuation| e.left_ms.map(|left| now + Duration::from_millis(left));
         self.evacuations = agreed.evacuations.iter().map(|e| (e.clone(), until(e))).collect();
         self.shared_cause.clone_from(&agreed.shared_cause);
+        self.shared_at = self.shared_cause.is_some().then_some(now);
         self.held.clone_from(&agreed.held);
         self.agreed = agreed;
         self.proposed = None;
--- a/failover/src/evidence.rs
+++ b/failover/src/evidence.rs
@@ -166,9 +166,14 @@
         let (out, bad) = (count(|word| word == Word::Out), count(Word::is_bad));
         let well = count(|word| word == Word::Well);
         let out_of = all().filter(|from| self.word(*from, zone) == Word::Out).map(|from| 1 << from.0).sum();
-        let itself = matches!(own, Word::Out | Word::None);
         let behind = out + usize::from(silent);
-        let (state, observers, why) = if itself && behind >= 2 && well * 2 <= behind && out > 0 {
+        // Whose own balancers are only silent may be well, and out of touch: then whoever sees it well is right.
+        let gone = match own {
+            Word::Out => well * 2 <= behind,
+            Word::None => well == 0,
+            _ => false,
+        };
+        let (state, observers, why) = if gone && behind >= 2 && out > 0 {
             let silent = if silent { ", its own balancers are silent" } else { "" };
             (PlaceState::Lost, behind, format!("out of reach from {out} zones{silent}"))
         } else if bad > well && (bad >= 2 && own != Word::Well || own.is_bad()) {
--- a/failover/src/judge.rs
+++ b/failover/src/judge.rs
@@ -18,6 +18,8 @@
 const REMEMBERED: Duration = Duration::from_secs(30);
 /// Part of what is asked for that an evacuation may cost.
 const COST: f64 = 0.005;
+/// For how long nothing moves after a shared cause was last seen: a few looks and the time for which rates are counted.
+const LINGERS: Duration = Duration::from_secs(3);
 
 impl Decider {
     /// Takes what each zone is seen as, and lets fall what may.
@@ -31,7 +33,13 @@
             .zip(&seen)
             .map(|(standing, seen)| standing.look(now, seen, &bounds))
             .collect();
-        self.shared_cause = self.shared(now);
+        // What one cause has taken comes back piece by piece: the pieces that are late are not ill by themselves.
+        let shared = self.shared(now);
+        if shared.is_some() {
+            self.shared_at = Some(now);
+        }
+        let lingers = self.shared_at.is_some_and(|at| now.saturating_sub(at) < LINGERS);
+        self.shared_cause = shared.or_else(|| self.shared_cause.take().filter(|_| lingers));
         if self.shared_cause.is_none() {
             let mut order: Vec<usize> = (0..wanted.len()).filter(|zone| wanted[*zone].is_some()).collect();
             // What is lost before what is ill: bounds are used up by what is certain.
@@ -147,12 +155,18 @@
         let short = |by: String| by.chars().take(NAME_MOST).collect::<String>();
         match order {
             Order::Hold { by } => self.held = Some(Held { by: short(by) }),
-            Order::Release { .. } if self.held.is_none() && self.evacuations.is_empty() => {
-                return Err(Refusal::NothingToRelease);
-            }
-            Order::Release { .. } => {
-                self.held = None;
-                self.evacuations.clear();
+            Order::Release { zones, .. } => {
+                let (held, before) = (self.held.is_some() && zones.is_empty(), self.evacuated());
+                for (evacuation, _) in &mut self.evacuations {
+                    evacuation.zones.retain(|zone| !zones.is_empty() && !zones.contains(zone));
+                }
+                self.evacuations.retain(|(evacuation, _)| !evacuation.zones.is_empty());
+                if !held && self.evacuated() == before {
+                    return Err(Refusal::NothingToRelease);
+                }
+                if zones.is_empty() {
+                    self.held = None;
+                }
             }
             Order::Evacuate { mut zones, by, for_ms, anyway } => {
                 zones.sort();
--- a/failover/src/orders.rs
+++ b/failover/src/orders.rs
@@ -22,10 +22,12 @@
         /// By whom.
         by: String,
     },
-    /// Ends all evacuations and the hold.
+    /// Ends evacuations.
     Release {
         /// By whom.
         by: String,
+        /// Of these zones; if there are none, all of them, and the hold.
+        zones: Vec<Zone>,
     },
 }
 
--- a/failover/tests/all/decisions.rs
+++ b/failover/tests/all/decisions.rs
@@ -1,7 +1,9 @@
 //! Operators' orders, leaders that follow each other, and places and rules that change meanwhile.
 
 use crate::world::{World, topology};
-use maplehook_failover::{Bounds, Decider, Order, PlaceState, Refusal, digest};
+use maplehook_failover::evidence::Views;
+use maplehook_failover::heard::Heard;
+use maplehook_failover::{Bounds, Decider, Order, PlaceState, Refusal, Report, Sight, digest};
 use maplehook_locality::{Rule, Rules, Topology, Zone};
 use std::time::Duration;
 
@@ -79,11 +81,17 @@
     // The first one's time ends; the other's stays.
     world.run(60.0);
     assert_eq!((world.force.evacuations.len(), world.state(1)), (1, PlaceState::Evacuated));
-    let released = world.decider.order(world.now, Order::Release { by: "ann".into() }).unwrap();
+    let release = |zones: &[u16]| Order::Release {
+        by: "ann".into(),
+        zones: zones.iter().map(|zone| Zone(*zone)).collect(),
+    };
+    let other = world.decider.order(world.now, release(&[0]));
+    assert_eq!(other, Err(Refusal::NothingToRelease), "that one stands no more");
+    let released = world.decider.order(world.now, release(&[1])).unwrap();
     world.take(released);
     world.run(5.0);
     assert_eq!(world.state(1), PlaceState::Returning);
-    let again = world.decider.order(world.now, Order::Release { by: "ann".into() });
+    let again = world.decider.order(world.now, Order::Release { by: "ann".into(), zones: Vec::new() });
     assert_eq!(again, Err(Refusal::NothingToRelease));
 }
 
@@ -103,7 +111,8 @@
         (PlaceState::Lost, epoch),
         "it is said and not moved"
     );
-    let released = world.decider.order(world.now, Order::Release { by: "ann".into() }).unwrap();
+    let released =
+        world.decider.order(world.now, Order::Release { by: "ann".into(), zones: Vec::new() }).unwrap();
     world.take(released);
     world.run(3.0);
     assert_eq!(world.part(0, 0), 0.0);
@@ -296,3 +305,47 @@
     world.run(20.0);
     assert!(world.share_served() > 0.99 && world.worst <= 1.05, "{} {}", world.share_served(), world.worst);
 }
+
+/// Guards against a plan that moves a whole zone for the half second by which it comes back later than the others.
+#[test]
+fn what_one_cause_has_taken_comes_back_piece_by_piece_and_nothing_moves() {
+    let mut world = World::new();
+    world.run(10.0);
+    let epoch = world.force.plan.epoch;
+    world.zones.iter_mut().for_each(|zone| zone.up = 0.0);
+    world.run(8.0);
+    assert!(world.force.shared_cause.is_some());
+    for zone in 0..4 {
+        world.zones[zone].up = 1.0;
+        world.run(0.8);
+        assert_eq!(world.force.plan.epoch, epoch, "zone {zone} is back, the others follow");
+    }
+    world.run(20.0);
+    assert!(world.force.shared_cause.is_none());
+    assert_eq!(world.part(3, 3), 1.0);
+}
+
+/// Guards against a zone called lost that only its own region still reaches: its balancers may be out of touch with the leader.
+#[test]
+fn a_silent_zone_that_one_other_sees_well_is_cut_and_not_lost() {
+    let sees = |from: u16, reaches: bool| Report {
+        zone: Zone(from),
+        number: 1,
+        sights: vec![Sight {
+            zone: Zone(2),
+            listed: 100.0,
+            usable: 100.0,
+            probed: 3.0,
+            unprobed: if reaches { 0.0 } else { 3.0 },
+            ..Sight::default()
+        }],
+        ..Report::default()
+    };
+    let state = |d_reaches: bool| {
+        let reports = [sees(0, false), sees(1, false), sees(3, d_reaches)];
+        let reports: Vec<&Report> = reports.iter().collect();
+        let (views, _) = Views::of(4, &reports);
+        views.seen(&Heard::default(), &reports)[2].state
+    };
+    assert_eq!((state(true), state(false)), (PlaceState::Cut, PlaceState::Lost));
+}
--- a/places/src/lead.rs
+++ b/places/src/lead.rs
@@ -110,15 +110,15 @@
             Wish::Evacuate { place, for_ms, anyway } => {
                 let zones = self.zones_of(place)?;
                 let order = failover::Order::Evacuate { zones, by, for_ms: *for_ms, anyway: *anyway };
-                agreed.places = self.places.order(now, order).map_err(refused)?;
+                agreed.places = self.places.order(now, order).map_err(not_now)?;
             }
             Wish::Hold => {
-                agreed.places = self.places.order(now, failover::Order::Hold { by }).map_err(refused)?;
+                agreed.places = self.places.order(now, failover::Order::Hold { by }).map_err(not_now)?;
             }
             Wish::Release { place } => {
-                let _zones = place.as_ref().map(|place| self.zones_of(place)).transpose()?;
-                let order = failover::Order::Release { by };
-                agreed.places = self.places.order(now, order).map_err(refused)?;
+                let zones = place.as_ref().map(|place| self.zones_of(place)).transpose()?.unwrap_or_default();
+                let order = failover::Order::Release { by, zones };
+                agreed.places = self.places.order(now, order).map_err(not_now)?;
             }
             Wish::Move { name, site, anyway } => {
                 let (name, site) = (name.clone(), site.clone());
@@ -191,6 +191,14 @@
     }
 }
 
+/// What is not known yet may be soon.
+fn not_now(why: failover::Refusal) -> Reply {
+    match why {
+        failover::Refusal::NothingKnown => Reply::Unavailable(why.to_string()),
+        _ => refused(why),
+    }
+}
+
 fn refused(why: impl std::fmt::Display) -> Reply {
     Reply::Refused(why.to_string())
 }
