--- a/lab/src/commands/measures.rs
+++ b/lab/src/commands/measures.rs
@@ -1,8 +1,10 @@
-//! The paper's experiment, and how fast worlds are played.
+//! The paper's experiment, how fast worlds are played, and what came of an experiment, drawn.
 
-use crate::Failure;
+use crate::{Failure, plan_of};
 use maplehook_lab::paper::{self, Paper, Rates, Reading};
-use maplehook_lab::{calibrate, experiment, policies};
+use maplehook_lab::{calibrate, experiment, page, policies, results};
+use std::path::Path;
+use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 pub fn papers(replicates: u64) {
@@ -94,3 +96,17 @@
     }
     Ok(())
 }
+
+/// Draws results as SVG files.
+pub fn plot(file: &Path, lines: &Path, out: &Path) -> Result<ExitCode, Failure> {
+    let plan = plan_of(file)?;
+    let lines = results::read(lines)?;
+    std::fs::create_dir_all(out)?;
+    for (name, chart) in page::charts(&plan, &lines) {
+        if let Some(svg) = chart.svg() {
+            std::fs::write(out.join(format!("{name}.svg")), svg)?;
+            println!("{}", out.join(format!("{name}.svg")).display());
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -166,7 +166,7 @@
 
 pub(crate) type Failure = Box<dyn Error>;
 
-fn plan_of(file: &Path) -> Result<Plan, Failure> {
+pub(crate) fn plan_of(file: &Path) -> Result<Plan, Failure> {
     let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
     read(&text).map_err(|e| format!("{}:\n{e}", file.display()).into())
 }
@@ -318,19 +318,6 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn plot(file: &Path, lines: &Path, out: &Path) -> Result<ExitCode, Failure> {
-    let plan = plan_of(file)?;
-    let lines = results::read(lines)?;
-    std::fs::create_dir_all(out)?;
-    for (name, chart) in page::charts(&plan, &lines) {
-        if let Some(svg) = chart.svg() {
-            std::fs::write(out.join(format!("{name}.svg")), svg)?;
-            println!("{}", out.join(format!("{name}.svg")).display());
-        }
-    }
-    Ok(ExitCode::SUCCESS)
-}
-
 fn loaded(file: &Path, target: &str, json: Option<PathBuf>) -> Result<ExitCode, Failure> {
     let plan = plan_of(file)?;
     let target = load::Target::new(target, plan.classes.clone())?;
@@ -365,7 +352,7 @@
                 results.iter().map(|path| results::read(path)).collect::<Result<_, _>>()?;
             print!("{}", page::comparison(&all, &measure, &own, 0.95, low));
         }
-        Command::Plot { file, results, out } => return plot(&file, &results, &out),
+        Command::Plot { file, results, out } => return measures::plot(&file, &results, &out),
         Command::Load { file, target, json } => return loaded(&file, &target, json),
         Command::Calibrate { file, daemon } => {
             let runtime = tokio::runtime::Runtime::new()?;
--- a/lab/src/places/explore/mod.rs
+++ b/lab/src/places/explore/mod.rs
@@ -6,6 +6,8 @@
 //! the decision on the address, and what members answer and act on are the daemon's own parts. What the plan says is left open: it
 //! turns round again and again.
 
+mod leads;
+mod members;
 mod world;
 
 pub use world::{Act, Flaw, World};
--- a/lab/src/places/fleet.rs
+++ b/lab/src/places/fleet.rs
@@ -13,6 +13,8 @@
 const PROBES: usize = 3;
 /// Attempts a second that tell what runs there.
 const TELLS: f64 = 0.2;
+/// Share of what is over a zone's room that is not refused at the door.
+const WAITS: f64 = 0.2;
 /// Share of what is wrong in what is known that a step's attempts mend, and that a step without any forgets.
 const LEARNS: f64 = 0.25;
 const FORGETS: f64 = 0.04;
@@ -201,11 +203,16 @@
             let (fails, late) = (truth.failing, truth.slow);
             let ok = arrived * part * (1.0 - fails) * (1.0 - late);
             let failed = arrived * part * fails;
+            // What is over the room is refused at the door, as admission does, but for a part that waits in vain.
+            let over = arrived * (1.0 - part);
+            let slow = arrived * part - ok - failed + over * WAITS;
+            let unreached = sent - arrived;
             let c = &mut counts[zone];
-            *c = Counts { sent, ok, failed, unreached: sent - arrived, slow: arrived - ok - failed };
+            *c = Counts { sent: ok + failed + slow + unreached, ok, failed, unreached, slow };
             step.served += ok;
             step.near += if zone == post.zone { ok } else { 0.0 };
-            eyes.load[zone] = step.load[zone] / bears[zone].max(1e-6);
+            let felt = step.load[zone].min(bears[zone]) + WAITS * (step.load[zone] - bears[zone]).max(0.0);
+            eyes.load[zone] = felt / bears[zone].max(1e-6);
             let up = if post.blind || !ground.reach[post.zone][zone] { 0.0 } else { truth.up };
             if sent > TELLS {
                 eyes.know[zone] += (up - eyes.know[zone]) * LEARNS;
