--- a/lab/src/places/agreeing.rs
+++ b/lab/src/places/agreeing.rs
@@ -366,7 +366,7 @@
                 }
             }
         }
-        if steps % LOOK_EACH == 0 && sound {
+        if steps.is_multiple_of(LOOK_EACH) && sound {
             let behind: Vec<(String, Duration)> = leader
                 .given
                 .behind(now, self.log.number)
--- a/lab/src/places/explore/members.rs
+++ b/lab/src/places/explore/members.rs
@@ -73,7 +73,7 @@
     /// Routers ask, and keep to what they hear.
     pub(super) fn polls(&mut self) {
         let (t, now, flaw) = (self.t, self.now(), self.flaw);
-        for n in 0..SITES.len() {
+        for (n, site) in SITES.into_iter().enumerate() {
             if self.runs(n) {
                 let good = self.answer(n);
                 let member = &mut self.members[n];
@@ -89,7 +89,7 @@
             let (due, rest): (Vec<_>, Vec<_>) = member.polls.drain(..).partition(|(due, _)| *due <= t);
             member.polls = rest;
             for (_, until) in due {
-                let held = &mut self.held[SITES[n]];
+                let held = &mut self.held[site];
                 *held = until.map_or(*held, |until| until.max(*held));
             }
         }
--- a/lab/src/places/explore/mod.rs
+++ b/lab/src/places/explore/mod.rs
@@ -38,16 +38,17 @@
 }
 
 type Path = Vec<(u32, Act)>;
-type Layer = Vec<(World, u32, Path)>;
+/// A world, the acts that are left, and those that were.
+type Branch = (World, u32, Path);
 
 /// Explores; an error tells what broke, by what acts.
 pub fn explore(flaw: Option<Flaw>, bounds: &Bounds) -> Result<Seen, String> {
     let mut seen = Seen::default();
-    let mut layer: Layer = vec![(World::new(flaw)?, bounds.acts, Vec::new())];
+    let mut layer: Vec<Branch> = vec![(World::new(flaw)?, bounds.acts, Vec::new())];
     for _ in 0..bounds.steps {
-        let stepped: Vec<Result<Vec<(u64, (World, u32, Path))>, String>> =
+        let stepped: Vec<Result<Vec<(u64, Branch)>, String>> =
             layer.into_par_iter().map(|one| branches(one, bounds)).collect();
-        let mut next: BTreeMap<(u64, u32), (World, u32, Path)> = BTreeMap::new();
+        let mut next: BTreeMap<(u64, u32), Branch> = BTreeMap::new();
         for branches in stepped {
             for (digest, one) in branches? {
                 next.entry((digest, one.1)).or_insert(one);
@@ -60,15 +61,12 @@
         layer = next.into_values().collect();
     }
     seen.ends = layer.len();
-    let rest = |(world, _, path): (World, u32, Path)| world.rest().map_err(|wrong| words(&path, &wrong));
+    let rest = |(world, _, path): Branch| world.rest().map_err(|wrong| words(&path, &wrong));
     let rested: Vec<Result<(), String>> = layer.into_par_iter().map(rest).collect();
     rested.into_iter().collect::<Result<(), String>>().map(|()| seen)
 }
 
-fn branches(
-    (world, left, path): (World, u32, Path),
-    bounds: &Bounds,
-) -> Result<Vec<(u64, (World, u32, Path))>, String> {
+fn branches((world, left, path): Branch, bounds: &Bounds) -> Result<Vec<(u64, Branch)>, String> {
     let mut all = Vec::new();
     let acts = bounds.of.iter().copied().map(Some).filter(|_| left > 0);
     for act in std::iter::once(None).chain(acts) {
--- a/lab/src/places/table.rs
+++ b/lab/src/places/table.rs
@@ -18,7 +18,7 @@
     for balancers in balancers {
         for seed in seeds.clone() {
             for (n, fault) in Fault::ALL.into_iter().enumerate() {
-                if (n as u64 + seed) % stride.max(1) == 0 {
+                if (n as u64 + seed).is_multiple_of(stride.max(1)) {
                     cases.push((*balancers, fault, seed));
                 }
             }
