Without the lease a zone that is gone is tried out less and less often

Cause: who sends nothing to a zone sees nothing wrong with it, took that for well after 5 s, and sent its clients back for a second and a half, again and again (laboratory: zone lost while nobody leads, 9 swings a minute). Change: where nothing is known, the wait doubles each time, up to 160 s.

--- a/failover/src/acting.rs
+++ b/failover/src/acting.rs
@@ -14,8 +14,11 @@
 
 /// For how long a zone has to be out of own reach until that is acted on.
 const OUT_AFTER: Duration = Duration::from_secs(1);
-/// For how long it has to be in reach again.
+/// For how long it has to be in reach again. Where nothing is known of it any more, each time twice as long, five times at most.
 const BACK_AFTER: Duration = Duration::from_secs(5);
+const DOUBLED_MOST: u32 = 5;
+/// Who has been well for so long begins anew.
+const FORGIVEN: Duration = Duration::from_secs(60);
 /// Longer pauses between two looks are counted as this.
 const LOOK_MOST: Duration = Duration::from_millis(500);
 /// Without any plan: part of what a zone can take that all who have none may send it, all together.
@@ -49,6 +52,8 @@
     out: bool,
     out_for: Duration,
     well_since: Option<Duration>,
+    /// How often it fell out lately.
+    falls: u32,
 }
 
 /// The balancer's machine.
@@ -128,14 +133,25 @@
         self.looked = self.looked.max(now);
         for sight in sights {
             let Some(own) = self.own.get_mut(usize::from(sight.zone.0)) else { continue };
-            if Word::of(sight) == Word::Out {
+            let word = Word::of(sight);
+            if word == Word::Out {
                 own.out_for = (own.out_for + passed).min(OUT_AFTER);
-                own.out |= own.out_for >= OUT_AFTER;
+                if !own.out && own.out_for >= OUT_AFTER {
+                    own.out = true;
+                    own.falls = (own.falls + 1).min(DOUBLED_MOST + 1);
+                }
                 own.well_since = None;
             } else {
                 own.out_for = own.out_for.saturating_sub(passed / 2);
                 let since = *own.well_since.get_or_insert(now);
-                own.out &= now.saturating_sub(since) < BACK_AFTER;
+                // Whoever sends nothing there sees nothing wrong with it, and would try it out again and again.
+                let silent = word <= Word::Quiet;
+                let doubled = if silent { own.falls.saturating_sub(1) } else { 0 };
+                if own.out && now.saturating_sub(since) >= BACK_AFTER * (1 << doubled) {
+                    (own.out, own.well_since) = (false, Some(now));
+                } else if !own.out && now.saturating_sub(since) >= FORGIVEN {
+                    own.falls = 0;
+                }
             }
         }
     }
