Out of reach for some and there for others is cut, whatever its own last report was

Cause: the last report of c's own balancer was from before its clients came; it counted for 5 s as one that sends nothing, and a zone with two out and one that finds it there was then ill. Ruled out: the reports after the cut, which did not come (leader unknown there). Change: ill needs a word of its own balancers, or a failing answer.

--- a/failover/src/evidence.rs
+++ b/failover/src/evidence.rs
@@ -184,7 +184,7 @@
             _ => false,
         };
         // What is out of reach for some and there for others is ill only for those that reached it.
-        let failing = bad > out || own != Word::None && out > there;
+        let failing = bad > out || own == Word::Out;
         let (state, observers, why) = if gone && behind >= 2 && out > 0 {
             let silent = if silent { ", its own balancers are silent" } else { "" };
             (PlaceState::Lost, behind, format!("out of reach from {out} zones{silent}"))
--- a/failover/tests/all/decisions.rs
+++ b/failover/tests/all/decisions.rs
@@ -348,4 +348,14 @@
         views.seen(&Heard::default(), &reports)[2].state
     };
     assert_eq!((state(true), state(false)), (PlaceState::Cut, PlaceState::Lost));
+    // Its last report is from before its clients came: that it sends nothing says nothing either.
+    let quiet = Report { zone: Zone(2), number: 1, ..sees(2, true) };
+    let quiet = Report {
+        sights: vec![Sight { zone: Zone(2), listed: 100.0, usable: 100.0, ..Sight::default() }],
+        ..quiet
+    };
+    let reports = [sees(0, false), sees(1, false), sees(3, true), quiet];
+    let reports: Vec<&Report> = reports.iter().collect();
+    let (views, _) = Views::of(4, &reports);
+    assert_eq!(views.seen(&Heard::default(), &reports)[2].state, PlaceState::Cut);
 }
