--- a/histories/src/judge/near.rs
+++ b/histories/src/judge/near.rs
@@ -43,6 +43,7 @@
     let facts = Facts::of(history);
     let (bounds, width) = (&history.header.bounds, facts.window());
     let mut finding = Finding::default();
+    let lately = facts.wrong.wider(0, bounds.return_us.saturating_sub(bounds.settle_us));
     for (zone, cells) in &tally(&facts) {
         let (mut busy, mut chunk) = (Busy::default(), Chunk::default());
         for (window, cell) in cells {
@@ -51,7 +52,7 @@
             let room = facts.room_at(zone, at) * width as f64 / 1e6;
             let load = load_of(cell);
             busy.see(at, bounds.settle_us, load, room, bounds.spill_over, bounds.spill_back);
-            let calm = room > 0.0 && !busy.busy && !facts.wrong.meets(at, end);
+            let calm = room > 0.0 && !busy.busy && !lately.meets(at, end);
             if !calm || at.saturating_sub(chunk.from) >= bounds.settle_us.max(width) {
                 flush(&mut chunk, zone, bounds.near_least, &mut finding);
             }
--- a/histories/src/record.rs
+++ b/histories/src/record.rs
@@ -72,6 +72,10 @@
     pub window_us: u64,
     /// How long after a change of a place's health nearness and load are not judged.
     pub settle_us: u64,
+    /// How long after such a change requests may still leave a zone that is well again: it is given back slowly. As long as
+    /// `settle_us`, if that is longer.
+    #[serde(default)]
+    pub return_us: u64,
     /// Swings of one zone's plan in a minute, at the most.
     pub swings_most: u32,
     /// Requests: how long a final answer may take.
@@ -101,6 +105,7 @@
             load_most: 1.1,
             window_us: 1_000_000,
             settle_us: 5_000_000,
+            return_us: 0,
             swings_most: 2,
             answer_us: 4_000_000,
             drain_us: 2_000_000,
