--- a/failover/src/heard.rs
+++ b/failover/src/heard.rs
@@ -54,7 +54,7 @@
     /// have, or comes from nobody that is known to be where it says. Says whether it was taken.
     pub fn hear(&mut self, now: Duration, from: &str, mut report: Report, by: (u64, usize, usize)) -> bool {
         let (digest, zones, rules) = by;
-        if report.digest != digest || usize::from(report.zone.0) >= zones || !is_fine(&report) {
+        if report.digest != digest || usize::from(report.zone.0) >= zones || !report.is_fine() {
             return false;
         }
         if !self.members.is_empty() && self.members.get(from) != Some(&report.zone) {
@@ -72,11 +72,8 @@
             }
         }
         report.sights.retain(|sight| usize::from(sight.zone.0) < zones);
-        report.sights.sort_by_key(|sight| sight.zone);
-        report.sights.dedup_by_key(|sight| sight.zone);
         report.demand.retain(|demand| usize::from(demand.rule) < rules);
-        report.demand.sort_by_key(|demand| demand.rule);
-        report.demand.dedup_by_key(|demand| demand.rule);
+        report.tidy();
         self.newest.insert(from.to_owned(), Entry { at: now, report });
         true
     }
@@ -98,26 +95,3 @@
         self.members.clear();
     }
 }
-
-fn is_fine(report: &Report) -> bool {
-    let fine = |rate: &f32| rate.is_finite() && (0.0..=1e9).contains(rate);
-    let sight = |s: &crate::report::Sight| {
-        [
-            s.listed,
-            s.usable,
-            s.cold,
-            s.sent,
-            s.ok,
-            s.slow,
-            s.failed,
-            s.unreached,
-            s.connect_ms,
-            s.probed,
-            s.unprobed,
-            s.load,
-        ]
-        .iter()
-        .all(fine)
-    };
-    report.sights.iter().all(sight) && report.demand.iter().all(|d| fine(&d.asked) && fine(&d.refused))
-}
--- a/failover/src/report.rs
+++ b/failover/src/report.rs
@@ -106,30 +106,27 @@
             return None;
         }
         let mut report: Self = postcard::from_bytes(bytes).ok()?;
-        report.sights.sort_by_key(|sight| sight.zone);
-        report.sights.dedup_by_key(|sight| sight.zone);
-        report.demand.sort_by_key(|demand| demand.rule);
-        report.demand.dedup_by_key(|demand| demand.rule);
+        report.tidy();
+        report.is_fine().then_some(report)
+    }
+
+    /// Zones and rules in order, each once.
+    pub(crate) fn tidy(&mut self) {
+        self.sights.sort_by_key(|sight| sight.zone);
+        self.sights.dedup_by_key(|sight| sight.zone);
+        self.demand.sort_by_key(|demand| demand.rule);
+        self.demand.dedup_by_key(|demand| demand.rule);
+    }
+
+    /// Whether all its figures are such as can be.
+    pub(crate) fn is_fine(&self) -> bool {
         let fine = |rate: f32| rate.is_finite() && (0.0..=1e9).contains(&rate);
-        let sights = report.sights.iter().all(|s| {
-            [
-                s.listed,
-                s.usable,
-                s.cold,
-                s.sent,
-                s.ok,
-                s.slow,
-                s.failed,
-                s.unreached,
-                s.connect_ms,
-                s.probed,
-                s.unprobed,
-                s.load,
-            ]
-            .into_iter()
-            .all(fine)
-        });
-        (sights && report.demand.iter().all(|d| fine(d.asked) && fine(d.refused))).then_some(report)
+        let sight = |s: &Sight| {
+            let rooms = [s.listed, s.usable, s.cold, s.load];
+            let rates = [s.sent, s.ok, s.slow, s.failed, s.unreached, s.connect_ms, s.probed, s.unprobed];
+            rooms.into_iter().chain(rates).all(fine)
+        };
+        self.sights.iter().all(sight) && self.demand.iter().all(|d| fine(d.asked) && fine(d.refused))
     }
 }
 
