--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -118,12 +118,14 @@
         let mut standing = self.setup.link.as_ref().map(|link| link.standing.clone());
         self.configured();
         loop {
+            // A version without places leaves nothing to look at.
+            let looks = self.acting.is_some() || !self.passed_on.is_empty();
             let until = self.standing().until.map(tokio::time::Instant::from_std);
             let runs_out = until.filter(|until| *until > tokio::time::Instant::now());
             tokio::select! {
                 _ = &mut stopped => break,
-                _ = ticks.tick() => self.tick(),
-                _ = rounds.tick() => self.prober.round(),
+                _ = ticks.tick(), if looks => self.tick(),
+                _ = rounds.tick(), if looks => self.prober.round(),
                 Some(probed) = self.prober.told.recv() => self.prober.heard(probed),
                 Ok(()) = seen.changed() => {
                     let seen = seen.borrow_and_update().clone();
--- /dev/null
+++ b/places/tests/leading.rs
@@ -0,0 +1,136 @@
+//! The leader's part, without its thread: what it has agreed on, one body at a time, and operators' wishes by name.
+
+use maplehook_failover::{Demand, PlaceState, Report, Sight};
+use maplehook_locality::Zone;
+use maplehook_places::Config;
+use maplehook_places::lead::Leading;
+use maplehook_places::talk::{Agreed, Reply, Wish};
+use std::time::Duration;
+
+fn config() -> Config {
+    let mut text =
+        "[listen]\naddress = '127.0.0.1:0'\n[balancer]\nzone = 'a'\n[[class]]\nname = 'all'\npath = '/**'\n\
+        [[region]]\nname = 'n'\nzones = ['a', 'b']\n[[region]]\nname = 's'\nzones = ['c', 'd']\n[locality]\n\
+        [[address]]\nname = 'book'\naddress = '203.0.113.10:443'\nannounce = 'one'\n"
+            .to_owned();
+    for (n, zone) in ["a", "b", "c", "d"].iter().enumerate() {
+        text += &format!(
+            "[[upstream]]\nname = 'u{n}'\naddress = '127.0.0.1:{}'\nzone = '{zone}'\nroom_per_s = 100.0\n",
+            9000 + n
+        );
+    }
+    Config::of(&maplehook_config::parse(&text).unwrap().proxy.unwrap()).unwrap()
+}
+
+/// A leader that has heard all zones for some seconds.
+struct Led {
+    leading: Leading,
+    config: Config,
+    now: Duration,
+    number: u64,
+    agreed: Agreed,
+}
+
+impl Led {
+    fn new() -> Self {
+        let config = config();
+        let now = Duration::from_secs(100);
+        let leading = Leading::new(config.clone(), Agreed::default(), now);
+        let mut led = Self { leading, config, now, number: 0, agreed: Agreed::default() };
+        led.run(20);
+        led
+    }
+
+    /// So many looks, each with a report of every balancer.
+    fn run(&mut self, looks: u32) {
+        for _ in 0..looks {
+            self.now += Duration::from_millis(400);
+            self.number += 1;
+            for zone in 0..4u16 {
+                for n in 0..2 {
+                    let report = self.report(Zone(zone));
+                    self.leading.hear(self.now, &format!("b{zone}{n}"), report);
+                }
+            }
+            let in_touch: Vec<(String, bool)> =
+                (0..4).flat_map(|zone| (0..2).map(move |n| (format!("b{zone}{n}"), true))).collect();
+            if let Some(body) = self.leading.tick(self.now, &[], &in_touch) {
+                self.agreed = Agreed::decode(&body).unwrap();
+                assert_eq!(self.leading.ended(true), Some(&self.agreed));
+            }
+        }
+    }
+
+    fn report(&self, zone: Zone) -> Report {
+        let sight = |to: u16| Sight {
+            zone: Zone(to),
+            stated: true,
+            listed: 100.0,
+            usable: 100.0,
+            sent: if Zone(to) == zone { 20.0 } else { 0.0 },
+            ok: if Zone(to) == zone { 20.0 } else { 0.0 },
+            probed: if Zone(to) == zone { 0.0 } else { 3.0 },
+            ..Sight::default()
+        };
+        Report {
+            number: self.number,
+            start: 1,
+            zone,
+            digest: self.config.digest,
+            ready: true,
+            sights: (0..4).map(sight).collect(),
+            demand: vec![Demand { rule: 0, asked: 20.0, refused: 0.0 }],
+            ..Report::default()
+        }
+    }
+
+    fn wish(&mut self, wish: &Wish) -> Result<Agreed, Reply> {
+        self.leading.wish(self.now, "b00", wish).map(|body| Agreed::decode(&body).unwrap())
+    }
+}
+
+fn evacuate(place: &str) -> Wish {
+    Wish::Evacuate { place: place.into(), for_ms: None, anyway: false }
+}
+
+#[test]
+fn calm_is_agreed_on_and_one_site_announces() {
+    let led = Led::new();
+    assert!(led.agreed.places.places.iter().all(|place| place.state == PlaceState::Serving));
+    assert!(led.agreed.places.plan.rows.is_empty());
+    assert_eq!(led.agreed.addresses.addresses["book"].holder.as_deref(), Some("n"));
+}
+
+#[test]
+fn wishes_go_by_names_and_one_at_a_time() {
+    let mut led = Led::new();
+    for unknown in [evacuate("x"), Wish::Move { name: "book".into(), site: "x".into(), anyway: false }] {
+        assert!(matches!(led.wish(&unknown), Err(Reply::Refused(_))), "{unknown:?}");
+    }
+    let agreed = led.wish(&evacuate("b")).unwrap();
+    assert_eq!(agreed.places.evacuations[0].zones, [Zone(1)]);
+    assert!(matches!(led.wish(&Wish::Hold), Err(Reply::Unavailable(_))), "one is on its way");
+    assert!(led.leading.tick(led.now, &[], &[]).is_none());
+    led.agreed = led.leading.ended(true).cloned().unwrap();
+    led.run(10);
+    assert_eq!(led.agreed.places.places[1].state, PlaceState::Evacuated);
+    let row = led.agreed.places.plan.row(0, Zone(1)).unwrap();
+    assert_eq!((row.part(Zone(0)), row.part(Zone(1))), (10_000, 0), "the neighbour has room");
+    let other = led.wish(&Wish::Release { place: Some("a".into()) });
+    assert!(matches!(other, Err(Reply::Refused(_))), "{other:?}");
+    assert!(led.wish(&Wish::Release { place: Some("n".into()) }).unwrap().places.evacuations.is_empty());
+}
+
+#[test]
+fn what_is_not_known_yet_may_be_asked_for_again() {
+    let mut leading = Leading::new(config(), Agreed::default(), Duration::from_secs(1));
+    let early = leading.wish(Duration::from_secs(1), "b00", &evacuate("b"));
+    assert!(matches!(early, Err(Reply::Unavailable(_))), "{early:?}");
+}
+
+#[test]
+fn a_body_of_another_kind_is_none() {
+    assert!(Agreed::decode(b"\xff\xff\xff").is_none());
+    let led = Led::new();
+    assert_eq!(Agreed::decode(&led.agreed.encode()).as_ref(), Some(&led.agreed));
+}
