--- a/node/src/nearness.rs
+++ b/node/src/nearness.rs
@@ -154,7 +154,7 @@
         let mut seen = ZoneSeen { zone, stated: each.is_some(), ..ZoneSeen::default() };
         if let Some(sight) = sight {
             (seen.listed, seen.usable, seen.cold) = (of(sight.listed), of(sight.usable), of(sight.cold));
-            (seen.sent, seen.ok, seen.slow) = (sight.sent, sight.ok, sight.slow);
+            (seen.sent, seen.ok, seen.slow) = (sight.sent, sight.ok, sight.lagged);
             (seen.failed, seen.unreached, seen.load) = (sight.failed, sight.unreached, sight.load);
         }
         seen
--- a/src/sight.rs
+++ b/src/sight.rs
@@ -27,8 +27,11 @@
     pub sent: u64,
     /// Answered within the aim.
     pub ok: u64,
-    /// Answered later, or out for longer than is usual while the upstream answered others; some of these are answered in time yet.
+    /// Answered later, or given up while the upstream answered others.
     pub slow: u64,
+    /// Out for longer than is usual, whatever became of them; and those of `slow` that were not. Counted at once: what hangs would
+    /// be seen a whole deadline later else.
+    pub lagged: u64,
     /// Errors, and turned away.
     pub failed: u64,
     /// No connection, a broken one, or nothing heard from the upstream since.
@@ -52,6 +55,7 @@
     sent: u64,
     ok: u64,
     slow: u64,
+    lagged: u64,
     failed: u64,
     unreached: u64,
     load: f64,
@@ -65,6 +69,14 @@
     }
 }
 
+impl Counts {
+    /// One that was overdue lags already.
+    fn slow_one(&mut self, e: &Ended) {
+        self.slow += 1;
+        self.lagged += u64::from(!e.overdue);
+    }
+}
+
 /// How an attempt ended, as it is counted.
 pub(crate) struct Ended {
     pub(crate) outcome: Outcome,
@@ -111,10 +123,10 @@
         reached.map(|(z, _)| z.load(now)).fold(0.0, f64::max)
     }
 
-    /// An attempt is out for longer than is usual. Counted now: a zone that hangs would be seen a whole deadline later else.
+    /// An attempt is out for longer than is usual.
     pub(crate) fn overdue(&mut self, zone: ZoneId) {
         if let Some(z) = self.zones.get_mut(usize::from(zone.0)) {
-            z.slow += 1;
+            z.lagged += 1;
         }
     }
 
@@ -123,8 +135,7 @@
         let Some(z) = self.zones.get_mut(usize::from(u.zone.0)) else { return };
         match e.outcome {
             Outcome::Ok if e.latency <= e.aim => z.ok += 1,
-            // Who was overdue has been counted.
-            Outcome::Ok => z.slow += u64::from(!e.overdue),
+            Outcome::Ok => z.slow_one(e),
             Outcome::Error | Outcome::Rejected | Outcome::Overloaded => z.failed += 1,
             Outcome::ConnectFailed | Outcome::Reset => z.unreached += 1,
             // Called back before its time, or never sent: says nothing.
@@ -133,7 +144,7 @@
             Outcome::TimedOut | Outcome::Cancelled if e.lost || u.alive_at < now - e.latency => {
                 z.unreached += 1
             }
-            Outcome::TimedOut | Outcome::Cancelled => z.slow += u64::from(!e.overdue),
+            Outcome::TimedOut | Outcome::Cancelled => z.slow_one(e),
         }
         let queued = matches!(e.outcome, Outcome::Ok) || (e.outcome == Outcome::TimedOut && !e.lost);
         if queued {
@@ -182,7 +193,20 @@
 }
 
 fn zone_sight(zone: ZoneId, c: &Counts, at: f64) -> ZoneSight {
-    let Counts { sent, ok, slow, failed, unreached, .. } = *c;
+    let Counts { sent, ok, slow, lagged, failed, unreached, .. } = *c;
     let load = c.load(at);
-    ZoneSight { zone, listed: 0.0, usable: 0.0, cold: 0.0, held: 0, sent, ok, slow, failed, unreached, load }
+    ZoneSight {
+        zone,
+        listed: 0.0,
+        usable: 0.0,
+        cold: 0.0,
+        held: 0,
+        sent,
+        ok,
+        slow,
+        lagged,
+        failed,
+        unreached,
+        load,
+    }
 }
--- a/tests/reach.rs
+++ b/tests/reach.rs
@@ -206,8 +206,24 @@
     assert!(near.load > 2.0 * far.load && far.load > 0.0, "{near:?} {far:?}");
     assert_eq!(near.sent, near.ok + near.slow + near.failed + near.unreached + near.held);
     assert!(near.sent > 8 * far.sent && near.held > 0);
+    assert!(near.lagged >= near.slow, "what is slow has lagged: {near:?}");
     // Nothing sent any more: no load.
     world.share(&[(2, 1.0)]);
     world.run(100.0, 60);
     assert!(world.balancer.sights(world.now)[0].load < 0.001);
 }
+
+/// Guards against a zone that hangs and is seen only when the deadlines of what it holds have passed.
+#[test]
+fn what_hangs_lags_long_before_it_ends() {
+    let mut world = World::new(&[1, 2], 3);
+    world.share(&[(1, 1.0)]);
+    world.run(100.0, 5);
+    let before = world.balancer.sights(world.now)[0].clone();
+    // Nothing comes back any more.
+    world.free_at.values_mut().for_each(|free| *free += Duration::from_secs(3600));
+    world.run(100.0, 1);
+    let after = world.balancer.sights(world.now)[0].clone();
+    assert!(after.slow - before.slow <= 1, "none has ended: {after:?}");
+    assert!(after.lagged - before.lagged >= 10, "{before:?} {after:?}");
+}
