--- a/failover/src/bounds.rs
+++ b/failover/src/bounds.rs
@@ -73,7 +73,7 @@
             stale: Duration::from_secs(5),
             lost_after: Duration::from_millis(1250),
             ill_after: Duration::from_millis(1500),
-            well_after: Duration::from_secs(6),
+            well_after: Duration::from_secs(12),
             return_over: Duration::from_secs(12),
             damping: Damping::default(),
         }
