Links of the docs name what they mean

Need: cargo doc fails on links that the split of interface.rs and a module named as a macro left open. Change: links alone. Result: cargo doc over the workspace with warnings denied ends well.

--- a/histories/src/lib.rs
+++ b/histories/src/lib.rs
@@ -1,6 +1,6 @@
 //! Histories of many processes as files, and a judge that reads them afterwards, without the run.
 //!
-//! [`record`] is the schema, [`file`] reads, writes and merges, [`judge`](mod@judge) holds a history to its rules, [`shrink`](mod@shrink)
+//! [`record`] is the schema, [`file`](mod@file) reads, writes and merges, [`judge`](mod@judge) holds a history to its rules, [`shrink`](mod@shrink)
 //! finds the shortest part that still breaks one, [`report`](mod@report) is what a command prints. `docs/design/places.md` has the reasons.
 
 pub mod file;
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -18,7 +18,7 @@
     pub late_worth: f64,
     /// What a repeat may do.
     pub effect: Effect,
-    /// The answer is a stream: [`Event::StreamStarted`] is told.
+    /// The answer is a stream: [`Event::StreamStarted`](crate::Event::StreamStarted) is told.
     pub streamed: bool,
 }
 
@@ -119,7 +119,8 @@
     pub over_share_worth: f64,
     /// A request's worth is in proportion to its work.
     pub worth_by_work: bool,
-    /// The list of upstreams must be asked for: [`Action::WatchFleet`], [`Action::FetchFleet`].
+    /// The list of upstreams must be asked for: [`Action::WatchFleet`](crate::Action::WatchFleet),
+    /// [`Action::FetchFleet`](crate::Action::FetchFleet).
     pub ask_for_fleet: bool,
     /// A balancer silent for this long counts as told of all that was listed then.
     pub ask_every: Duration,
