--- a/quorum/tests/seats.rs
+++ b/quorum/tests/seats.rs
@@ -7,20 +7,25 @@
 use maplehook_quorum::voter::{Ended, begins};
 use voters::Cluster;
 
+/// Three voters; the fourth is a member and no voter: its disk has no log.
+fn three_of_four(seed: u64) -> Cluster {
+    let mut cluster = Cluster::new(4, seed, false);
+    let begins = begins(&cluster.names[..3]);
+    for n in 0..3 {
+        cluster.disks[n].kept.snapshot = begins.clone();
+        cluster.crash(n);
+        cluster.start(n);
+    }
+    cluster.crash(3);
+    cluster.play(40);
+    cluster
+}
+
 /// A voter that is gone for good is replaced; the new one has all that was agreed, and its vote counts.
 #[test]
 fn a_voter_is_replaced() {
     for lost in [0, 1, 3] {
-        let mut cluster = Cluster::new(4, 13, false);
-        // The fourth is a member and no voter: its disk has no log.
-        let begins = begins(&cluster.names[..3]);
-        for n in 0..3 {
-            cluster.disks[n].kept.snapshot = begins.clone();
-            cluster.crash(n);
-            cluster.start(n);
-        }
-        cluster.crash(3);
-        cluster.play(40);
+        let mut cluster = three_of_four(13);
         for ticket in 0..40 {
             cluster.propose(ticket);
             cluster.play(4);
@@ -124,15 +129,7 @@
 /// The voter that is being replaced comes to lead, and carries its own replacement out: it steps down, and another one leads.
 #[test]
 fn a_leader_that_gives_its_own_place_away_steps_down() {
-    let mut cluster = Cluster::new(4, 19, false);
-    let begins = begins(&cluster.names[..3]);
-    for n in 0..3 {
-        cluster.disks[n].kept.snapshot = begins.clone();
-        cluster.crash(n);
-        cluster.start(n);
-    }
-    cluster.crash(3);
-    cluster.play(40);
+    let mut cluster = three_of_four(19);
     let leader = cluster.leader().unwrap();
     let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
     let (replaced, rest) = (others[0], others[1]);
