The common document has a part for each of its makers

Need: changes in stages want an agreed document beside that of places, and one put must not cost the other maker its own. Change: the body is a shelf of parts with the number at which each changed last; a put names its part's number, one that meets another part's waits for it; standings, leases and words between makers go by part. Parts that this program does not know are kept.

--- a/agreement/src/common.rs
+++ b/agreement/src/common.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// The longest body, in bytes.
-pub const BODY_MOST: usize = 256 << 10;
+/// The longest body, in bytes: two parts of 256 KiB, and what they are bound by.
+pub const BODY_MOST: usize = (512 << 10) + 256;
 /// The most requests for a lease that may be under way.
 const ASKED_MOST: usize = 16;
 
--- a/places/src/taking.rs
+++ b/places/src/taking.rs
@@ -6,7 +6,7 @@
 use crate::rates::Seen;
 use crate::run::Runner;
 use maplehook_failover::Acts;
-use maplehook_quorum::{Places, Standing};
+use maplehook_quorum::{Standing, Ways};
 use std::collections::VecDeque;
 use std::path::PathBuf;
 use std::sync::atomic::AtomicBool;
@@ -25,7 +25,7 @@
     /// By which number is acted.
     pub acts: watch::Sender<u64>,
     /// The ways.
-    pub places: Places,
+    pub places: Ways,
 }
 
 /// What it takes part with.
--- a/quorum/src/agreeing.rs
+++ b/quorum/src/agreeing.rs
@@ -1,8 +1,9 @@
 //! A balancer's part in what is agreed on, as whoever serves sees it: a thread that is started, asked, and ends.
 
 use crate::acting::{Acting, Local, first};
-use crate::common::{Places, Standing, ways};
+use crate::common::{Standing, Ways, ways};
 use crate::run::{Ears, Runner, read};
+use crate::shelf::Topic;
 use crate::talk::{Op, Reply};
 use maplehook_agreement::grants::{CutOff, Times};
 use maplehook_link::Talk;
@@ -39,13 +40,17 @@
     pub acting: watch::Receiver<Acting>,
     /// What the thread that serves acts on.
     pub applied: watch::Sender<u64>,
-    /// How it stands with the common document.
+    /// How it stands with the common document's part of places.
     pub standing: watch::Receiver<Standing>,
-    /// The number of the common document that the thread that serves acts on.
+    /// The number of that part that the thread that serves acts on.
     pub acts: watch::Sender<u64>,
-    /// The ways of whoever makes the common document; taken once. Where they are dropped this balancer has no part in it: it is
-    /// told of none, and nobody waits for it.
-    pub places: Option<Places>,
+    /// The ways of whoever makes that part; taken once. Where they are dropped this balancer has no part in the common document:
+    /// it is told of none, and nobody waits for it.
+    pub places: Option<Ways>,
+    /// How it stands with the common document's part of changes in stages.
+    pub rollout_standing: watch::Receiver<Standing>,
+    /// The ways of whoever makes that part; taken once.
+    pub rollout: Option<Ways>,
     asks: mpsc::Sender<Asked>,
     stop: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -73,6 +78,7 @@
         let (applied, applies) = watch::channel(0);
         let (acts, acted) = watch::channel(0);
         let (places, standing, inner) = ways();
+        let (rollout, rollout_standing, staged) = ways();
         let (asks, asked) = mpsc::channel(32);
         let (stop, stopped) = oneshot::channel();
         let runtime =
@@ -81,14 +87,25 @@
             .name("agreement".into())
             .stack_size(1024 * 1024)
             .spawn(move || {
-                let runner = Runner::new(setup, shared, own, talk.say, acting_to, inner.tells);
-                let ears =
-                    Ears { heard: talk.heard, applies, acts: acted, asked, places: inner.hears, stopped };
+                let tells = [(Topic::Places, inner.tells), (Topic::Rollout, staged.tells)].into();
+                let runner = Runner::new(setup, shared, own, talk.say, acting_to, tells);
+                let (places, rollout) = (inner.hears, staged.hears);
+                let ears = Ears { heard: talk.heard, applies, acts: acted, asked, places, rollout, stopped };
                 runtime.block_on(runner.run(ears));
             })
             .map_err(|e| e.to_string())?;
-        let places = Some(places);
-        Ok(Self { acting, applied, standing, acts, places, asks, stop: Some(stop), thread: Some(thread) })
+        Ok(Self {
+            acting,
+            applied,
+            standing,
+            acts,
+            places: Some(places),
+            rollout_standing,
+            rollout: Some(rollout),
+            asks,
+            stop: Some(stop),
+            thread: Some(thread),
+        })
     }
 
     /// By which operators ask.
--- a/quorum/src/common.rs
+++ b/quorum/src/common.rs
@@ -12,9 +12,10 @@
 
 use crate::agreeing::Setup;
 use crate::run::{Part, Runner, Wisher};
+use crate::shelf::{PART_MOST, Shelf, Topic};
 use crate::talk::Say;
 use bytes::Bytes;
-use maplehook_agreement::common::{BODY_MOST, Given, Holding};
+use maplehook_agreement::common::{Given, Holding};
 use maplehook_agreement::grants::Times;
 use maplehook_agreement::steps::Command;
 use maplehook_link::frames::Message;
@@ -26,16 +27,14 @@
 
 /// The topic of what makers of the common document say to one another.
 pub const PLACES: u8 = 4;
-/// What such a message begins with: an earlier program takes every message for one on versions, and must not understand it.
-const APART: u8 = 0x7f;
 /// Messages of that topic that may wait, and puts.
 const WAITING: usize = 256;
 const PUTS: usize = 4;
 
-/// A body that was agreed on.
+/// A part's body that was agreed on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Common {
-    /// Its number: each is the next one, from 1 on.
+    /// Its number: each later one is higher, from 1 on.
     pub number: u64,
     /// Its bytes.
     pub body: Arc<[u8]>,
@@ -69,10 +68,10 @@
     pub members: Vec<(Name, Option<u64>)>,
 }
 
-/// A body that is to take the place of the one in force.
+/// A body that is to take the place of a part's in force.
 #[derive(Debug)]
 pub struct Put {
-    /// The number that has to be in force.
+    /// The number at which the part has to have changed last.
     pub expect: u64,
     /// The body, at most 256 KiB.
     pub body: Vec<u8>,
@@ -80,9 +79,9 @@
     pub done: oneshot::Sender<Result<u64, String>>,
 }
 
-/// The ways of whoever makes the common document.
+/// The ways of whoever makes a part of the common document.
 #[derive(Debug)]
-pub struct Places {
+pub struct Ways {
     /// What it says to its like; the topic is set to [`PLACES`].
     pub say: mpsc::Sender<(Name, Message)>,
     /// What they say.
@@ -107,11 +106,11 @@
     pub(crate) tells: Tells,
 }
 
-pub(crate) fn ways() -> (Places, watch::Receiver<Standing>, Inner) {
+pub(crate) fn ways() -> (Ways, watch::Receiver<Standing>, Inner) {
     let ((say, said), (tell, heard)) = (mpsc::channel(WAITING), mpsc::channel(WAITING));
     let ((put, puts), (standing, stands)) = (mpsc::channel(PUTS), watch::channel(Standing::default()));
     let tells = Tells { heard: tell, standing };
-    (Places { say, heard, put }, stands, Inner { hears: Hears { said, puts }, tells })
+    (Ways { say, heard, put }, stands, Inner { hears: Hears { said, puts }, tells })
 }
 
 /// A balancer's part in the common document.
@@ -119,20 +118,22 @@
     pub(crate) holding: Holding,
     /// The number that is acted on here.
     pub(crate) acts: Option<u64>,
-    given: Option<Given>,
+    pub(crate) given: Option<Given>,
     /// The newest number that was pushed, and to whom it is still to be.
     pushed: u64,
     push: BTreeSet<Name>,
     /// Who granted the last lease.
-    granted_by: Option<Name>,
+    pub(crate) granted_by: Option<Name>,
     /// Members that can't act on a step, since when they said so.
     unfit: BTreeMap<Name, (u64, String)>,
-    news: bool,
-    tells: Tells,
+    pub(crate) news: bool,
+    tells: BTreeMap<Topic, Tells>,
+    /// A put for which another part's makes way first.
+    next: Option<(Topic, Put)>,
 }
 
 impl Share {
-    pub(crate) fn new(times: Times, tells: Tells) -> Self {
+    pub(crate) fn new(times: Times, tells: BTreeMap<Topic, Tells>) -> Self {
         Self {
             holding: Holding::new(times),
             acts: Some(0),
@@ -143,6 +144,7 @@
             unfit: BTreeMap::new(),
             news: true,
             tells,
+            next: None,
         }
     }
 
@@ -173,16 +175,21 @@
     }
 
     /// What does not fit is lost, as on a way.
-    pub(crate) fn hear_of_places(&self, from: &Name, body: &Bytes) {
-        if body.first() == Some(&APART) {
-            let _ = self.tells.heard.try_send((from.clone(), body.slice(1..)));
+    pub(crate) fn hear_of_common(&self, from: &Name, body: &Bytes) {
+        let topic = Topic::ALL.into_iter().find(|topic| body.first() == Some(&topic.apart()));
+        if let Some(tells) = topic.and_then(|topic| self.tells.get(&topic)) {
+            let _ = tells.heard.try_send((from.clone(), body.slice(1..)));
         }
     }
+
+    pub(crate) fn told(&self, topic: Topic) -> &watch::Sender<Standing> {
+        &self.tells[&topic].standing
+    }
 }
 
 impl Runner {
-    pub(crate) fn tell_of_places(&self, to: Name, body: &[u8]) {
-        let body = [&[APART], body].concat().into();
+    pub(crate) fn tell_of_common(&self, topic: Topic, to: Name, body: &[u8]) {
+        let body = [&[topic.apart()], body].concat().into();
         // What does not fit is lost, as on a way.
         let _ = self.say.try_send((to, Message { topic: PLACES, body }));
     }
@@ -268,18 +275,43 @@
         }
     }
 
-    /// Whoever makes the common document wants this one to be in force.
-    pub(crate) fn put_common(&mut self, put: Put) {
-        let Put { expect, body, done } = put;
-        match self.may_put(expect, body.len()) {
-            Ok(()) => self.put(Command::Common { expect, body }, Wisher::Put(done)),
+    /// Whoever makes a part of the common document wants this one to be in force. One is under way at a time; that of another
+    /// part waits for it.
+    pub(crate) fn put_common(&mut self, topic: Topic, put: Put) {
+        if self.puts() {
+            if self.putting == Some(topic) || self.share.next.is_some() {
+                return drop(put.done.send(Err("another one is under way".into())));
+            }
+            self.share.next = Some((topic, put));
+            return;
+        }
+        match self.may_put(topic, put.expect, put.body.len()) {
+            Ok((expect, shelf)) => {
+                let body = shelf.with(topic, expect + 1, put.body).encode();
+                self.putting = Some(topic);
+                self.put(Command::Common { expect, body }, Wisher::Put(put.done));
+            }
             // It may have given up.
-            Err(why) => drop(done.send(Err(why))),
+            Err(why) => drop(put.done.send(Err(why))),
+        }
+    }
+
+    fn puts(&self) -> bool {
+        self.proposals.values().any(|wisher| matches!(wisher, Wisher::Put(_)))
+    }
+
+    /// The put that has waited for another part's, once that has ended.
+    pub(crate) fn put_next(&mut self) {
+        if !self.puts()
+            && let Some((topic, put)) = self.share.next.take()
+        {
+            self.put_common(topic, put);
         }
     }
 
-    /// A leader puts on what is in force alone: on that rests whoever lacks a part of the log.
-    fn may_put(&self, expect: u64, long: usize) -> Result<(), String> {
+    /// A leader puts on what is in force alone: on that rests whoever lacks a part of the log. The number in force, and what lies
+    /// there.
+    fn may_put(&self, topic: Topic, expect: u64, long: usize) -> Result<(u64, Shelf), String> {
         let leads = match &self.part {
             Part::Voting { voter, .. } if voter.knows() => {
                 self.share.given.as_ref().map(|given| (voter, given))
@@ -293,64 +325,27 @@
             });
         };
         let document = &voter.steps().common;
-        let mut number = document.number;
+        let (mut number, mut known, mut body) = (document.number, document.number, &document.body);
         if document.gap {
             if !given.alone(self.now()) {
                 return Err("this voter's log may lack some: it waits to hear by which the others act".into());
             }
+            // All parts go on from the newest that is known here.
+            let (told, newest) = self.share.holding.newest();
+            if told > number {
+                (known, body) = (told, newest);
+            }
             number = number.max(given.highest());
         }
-        if expect != number {
-            return Err(format!("common document {number} is in force"));
-        }
-        if long > BODY_MOST {
-            return Err(format!("it is longer than {BODY_MOST} bytes"));
-        }
-        if self.proposals.values().any(|wisher| matches!(wisher, Wisher::Put(_))) {
-            return Err("another one is under way".into());
-        }
-        Ok(())
-    }
-
-    /// Says how it stands, where that has changed.
-    pub(crate) fn stand(&mut self) {
-        if !std::mem::take(&mut self.share.news) {
-            return;
+        let shelf = Shelf::decode(body).ok_or("what is in force was written by another program")?;
+        // What nobody here knows may be of any part.
+        let in_force = if known < number { number } else { shelf.number(topic) };
+        if expect != in_force {
+            return Err(format!("common document {in_force} is in force"));
         }
-        let now = self.now();
-        let common =
-            |number: u64, body: &Arc<[u8]>| (number > 0).then(|| Common { number, body: Arc::clone(body) });
-        let (number, body) = self.share.holding.newest();
-        let until = self.share.holding.until();
-        let mut standing = Standing {
-            common: common(number, body),
-            until: until.map(|until| self.epoch + until),
-            leader: self.known_leader(),
-            ..Standing::default()
-        };
-        if let Part::Voting { voter, grants, .. } = &self.part {
-            let document = &voter.steps().common;
-            standing.agreed = common(document.number, &document.body);
-            let lately = until.is_some_and(|until| now < until);
-            if let (true, Some(given)) = (voter.knows(), &self.share.given) {
-                standing.leads = lately && self.share.granted_by.as_ref() == Some(&self.setup.own);
-                standing.behind = given
-                    .behind(now, document.number)
-                    .into_iter()
-                    .map(|(name, left)| Behind { name, left })
-                    .collect();
-                let acts = |name: &Name| (name.clone(), given.of(name).map(|(acts, _)| acts));
-                let ends = |name: &Name| {
-                    (*grants).as_ref().is_some_and(|g| g.until(name).is_some_and(|u| u > now))
-                        || given.until(name).is_some_and(|u| u > now)
-                };
-                standing.members = self.setup.members.iter().filter(|name| ends(name)).map(acts).collect();
-            }
+        if long > PART_MOST {
+            return Err(format!("it is longer than {PART_MOST} bytes"));
         }
-        self.share.tells.standing.send_if_modified(|before| {
-            let news = *before != standing;
-            *before = standing;
-            news
-        });
+        Ok((number, shelf))
     }
 }
--- a/quorum/src/follow.rs
+++ b/quorum/src/follow.rs
@@ -99,7 +99,7 @@
 
     pub(crate) fn hear(&mut self, from: &Name, message: &Message) {
         if message.topic == PLACES {
-            return self.share.hear_of_places(from, &message.body);
+            return self.share.hear_of_common(from, &message.body);
         }
         if message.topic == RAFT {
             if let Part::Voting { voter, .. } = &mut self.part {
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -15,11 +15,14 @@
 mod log;
 mod run;
 mod settle;
+mod shelf;
+mod standing;
 pub mod store;
 pub mod talk;
 pub mod voter;
 
 pub use acting::{Acting, Local, Mode};
 pub use agreeing::{Agreeing, Setup, Wishes};
-pub use common::{Behind, Common, PLACES, Places, Put, Standing};
+pub use common::{Behind, Common, PLACES, Put, Standing, Ways};
 pub use join::{agree, join};
+pub use shelf::{PART_MOST, Topic};
--- a/quorum/src/run.rs
+++ b/quorum/src/run.rs
@@ -8,6 +8,7 @@
 use crate::agreeing::{Asked, Setup};
 use crate::checks::Checking;
 use crate::common::{Hears, Share, Tells};
+use crate::shelf::Topic;
 use crate::store::Store;
 use crate::talk::{RAFT, Reply, Say, VERSIONS};
 use crate::voter::{Ended, Voter};
@@ -120,6 +121,8 @@
     pub(crate) digests: BTreeMap<Name, (String, Instant)>,
     /// Its part in the common document.
     pub(crate) share: Share,
+    /// Whose part of it the put is of that is under way, or was the last.
+    pub(crate) putting: Option<Topic>,
 }
 
 /// All that comes to the thread.
@@ -129,6 +132,7 @@
     pub(crate) acts: watch::Receiver<u64>,
     pub(crate) asked: mpsc::Receiver<Asked>,
     pub(crate) places: Hears,
+    pub(crate) rollout: Hears,
     pub(crate) stopped: oneshot::Receiver<()>,
 }
 
@@ -145,7 +149,7 @@
         own: Arc<Proxy>,
         say: mpsc::Sender<(Name, Message)>,
         acting: watch::Sender<Acting>,
-        tells: Tells,
+        tells: BTreeMap<Topic, Tells>,
     ) -> Self {
         let share = Share::new(setup.times, tells);
         let holder = Holder::new(setup.times, setup.cut_off);
@@ -174,6 +178,7 @@
             advancing: None,
             digests: BTreeMap::new(),
             share,
+            putting: None,
         };
         let has_voted = runner.setup.directory.as_deref().is_some_and(crate::store::has_voted);
         if has_voted || runner.setup.voters.contains(&runner.setup.own) {
@@ -187,7 +192,7 @@
     }
 
     pub(crate) async fn run(mut self, ears: Ears) {
-        let Ears { mut heard, mut applies, mut acts, mut asked, mut places, mut stopped } = ears;
+        let Ears { mut heard, mut applies, mut acts, mut asked, mut places, mut rollout, mut stopped } = ears;
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -217,13 +222,16 @@
                 }
                 Some((op, reply)) = asked.recv() => self.wish(op, Wisher::Here(reply)),
                 put = places.puts.recv(), if self.share.acts.is_some() => match put {
-                    Some(put) => self.put_common(put),
+                    Some(put) => self.put_common(Topic::Places, put),
                     // Nobody makes it here: it has no part.
                     None => self.share.acts = None,
                 },
-                Some((to, message)) = places.said.recv() => self.tell_of_places(to, &message.body),
+                Some((to, message)) = places.said.recv() => self.tell_of_common(Topic::Places, to, &message.body),
+                Some(put) = rollout.puts.recv() => self.put_common(Topic::Rollout, put),
+                Some((to, message)) = rollout.said.recv() => self.tell_of_common(Topic::Rollout, to, &message.body),
             }
             self.settle();
+            self.put_next();
             self.push_common();
             self.stand();
         }
--- a/quorum/tests/common.rs
+++ b/quorum/tests/common.rs
@@ -2,7 +2,7 @@
 
 mod fleet;
 
-use fleet::{FILE, Fleet, until};
+use fleet::{FILE, Fleet, begin_put, until};
 use maplehook_agreement::grants::CutOff;
 use maplehook_link::frames::Message;
 use maplehook_quorum::PLACES;
@@ -273,3 +273,37 @@
     assert_eq!(heard, Some((fleet.names[0].clone(), body)));
     assert!(!fleet.mistaken());
 }
+
+/// Two makers put at once, again and again: neither is refused for the other's sake, each goes on by its own numbers, and what one
+/// has put stays when the other puts. A word of one is not heard by the other.
+#[test]
+fn two_parts_do_not_get_in_each_others_way() {
+    let mut fleet = Fleet::new(3, 1000, CutOff::Careful);
+    let leader = fleet.leader();
+    let (mut places, mut rollout) = (0, 0);
+    for n in 0..20u8 {
+        let one = fleet.begin_put(leader, places, &[n]);
+        let two = begin_put(fleet.rollout[leader].as_ref().unwrap(), rollout, &[n, n]);
+        places = one.blocking_recv().unwrap().unwrap();
+        rollout = two.blocking_recv().unwrap().unwrap();
+        assert_ne!(places, rollout);
+    }
+    let other = (0..3).find(|n| *n != leader).unwrap();
+    let staged = |n: usize| fleet.parts[n].as_ref().unwrap().rollout_standing.borrow().common.clone();
+    until("both are held", || {
+        staged(other).is_some_and(|part| part.number == rollout) && fleet.holds(other) == Some(places)
+    });
+    assert_eq!(&staged(other).unwrap().body[..], [19, 19]);
+    assert_eq!(&fleet.standing(other).common.unwrap().body[..], [19]);
+    // One's number is not the other's.
+    let wrong = begin_put(fleet.rollout[leader].as_ref().unwrap(), places.min(rollout) - 1, b"x");
+    assert_eq!(wrong.blocking_recv().unwrap(), Err(format!("common document {rollout} is in force")));
+    // Who acts on a part's newest body is not behind for another part's sake.
+    until("nobody is behind", || fleet.standing(leader).behind.is_empty());
+    let told = Message { topic: PLACES, body: b"hear"[..].into() };
+    let (name, to) = (fleet.names[other].clone(), fleet.names[leader].clone());
+    fleet.rollout[leader].as_ref().unwrap().say.blocking_send((name, told)).unwrap();
+    let heard = fleet.rollout[other].as_mut().unwrap().heard.blocking_recv();
+    assert_eq!(heard, Some((to, b"hear"[..].into())));
+    assert!(fleet.places[other].as_mut().unwrap().heard.try_recv().is_err());
+}
--- a/quorum/tests/fleet/mod.rs
+++ b/quorum/tests/fleet/mod.rs
@@ -8,7 +8,7 @@
 use maplehook_quorum::store::{Batch, Store};
 use maplehook_quorum::talk::{Op, Reply, Say};
 use maplehook_quorum::voter::{Voter, id};
-use maplehook_quorum::{Agreeing, Local, PLACES, Places, Put, Setup, Standing};
+use maplehook_quorum::{Agreeing, Local, PLACES, Put, Setup, Standing, Ways as Maker};
 use maplehook_tier::Name;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
@@ -33,7 +33,8 @@
 pub struct Fleet {
     pub names: Vec<Name>,
     pub parts: Vec<Option<Agreeing>>,
-    pub places: Vec<Option<Places>>,
+    pub places: Vec<Option<Maker>>,
+    pub rollout: Vec<Option<Maker>>,
     pub times: Times,
     pub runtime: Runtime,
     /// Whose serving thread acts on nothing new.
@@ -53,6 +54,7 @@
         let mut fleet = Self {
             parts: names.iter().map(|_| None).collect(),
             places: names.iter().map(|_| None).collect(),
+            rollout: names.iter().map(|_| None).collect(),
             times: Times::new(Duration::from_millis(contradiction_ms)).unwrap(),
             runtime: Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap(),
             stuck: Arc::default(),
@@ -119,6 +121,7 @@
             }
         });
         self.places[n] = part.places.take();
+        self.rollout[n] = part.rollout.take();
         self.parts[n] = Some(part);
     }
 
@@ -126,6 +129,7 @@
         self.ways.lock().unwrap().ears.remove(&self.names[n]);
         self.parts[n] = None;
         self.places[n] = None;
+        self.rollout[n] = None;
     }
 
     pub fn cut(&self, n: usize) {
@@ -178,10 +182,7 @@
     }
 
     pub fn begin_put(&self, n: usize, expect: u64, body: &[u8]) -> oneshot::Receiver<Result<u64, String>> {
-        let (done, ended) = oneshot::channel();
-        let put = Put { expect, body: body.to_vec(), done };
-        self.places[n].as_ref().unwrap().put.blocking_send(put).unwrap();
-        ended
+        begin_put(self.places[n].as_ref().unwrap(), expect, body)
     }
 
     pub fn wish(&self, n: usize, op: Op) -> (Local, Reply) {
@@ -214,6 +215,12 @@
     }
 }
 
+pub fn begin_put(maker: &Maker, expect: u64, body: &[u8]) -> oneshot::Receiver<Result<u64, String>> {
+    let (done, ended) = oneshot::channel();
+    maker.put.blocking_send(Put { expect, body: body.to_vec(), done }).unwrap();
+    ended
+}
+
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.parts.iter_mut().for_each(|part| *part = None);
