A test of two parts tells whose number members act on

Need: with the wrong number looked at the test passed by chance, where the other part's put came first. Change: one more put of the other part at the end. Measured: seen to fail with the wrong number, to pass with the right one.

--- a/quorum/tests/common.rs
+++ b/quorum/tests/common.rs
@@ -288,6 +288,9 @@
         rollout = two.blocking_recv().unwrap().unwrap();
         assert_ne!(places, rollout);
     }
+    // The newest of all is not the one that members say they act on.
+    let last = begin_put(fleet.rollout[leader].as_ref().unwrap(), rollout, &[19, 19]);
+    rollout = last.blocking_recv().unwrap().unwrap();
     let other = (0..3).find(|n| *n != leader).unwrap();
     let staged = |n: usize| fleet.parts[n].as_ref().unwrap().rollout_standing.borrow().common.clone();
     until("both are held", || {
