--- a/test.sh
+++ b/test.sh
@@ -3,9 +3,8 @@
 set -eu
 cd "$(dirname "$0")"
 cargo fmt --all --check
-cargo clippy --workspace --all-targets --locked -- -D warnings
-cargo test --workspace --locked
-# Several processes and faults between their zones; the program has been built for the tests above.
-cargo test -p maplehook-rig --features places --test places --locked
+# The feature brings the tests of several processes and faults between their zones; by then the program has been built.
+cargo clippy --workspace --all-targets --features maplehook-rig/places --locked -- -D warnings
+cargo test --workspace --features maplehook-rig/places --locked
 RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked --quiet
 cargo build --release --locked
