--- a/locality/src/explain.rs
+++ b/locality/src/explain.rs
@@ -1,6 +1,6 @@
 //! Why a request goes where it goes: which rule, which step, and why each one before it was passed over.
 //!
-//! It goes by what is seen now. A keeper that is still waiting out a dwell time may have fewer or more steps open.
+//! It goes by what is seen now. The planner, while it waits out a dwell time, may have fewer or more steps open.
 
 use crate::language::Names;
 use crate::language::ast::{At, Named, PlaceText, StepText};
--- a/locality/src/lib.rs
+++ b/locality/src/lib.rs
@@ -1,10 +1,9 @@
 //! Zones in regions, and rules that say which zones serve whom: no I/O, no clock.
 //!
-//! [`topology`] has the places, [`language`] the text of rules, [`rules`] what it comes to, [`state`] how a rule stands for a zone,
-//! [`alone`] what a balancer does of itself, [`mod@explain`] why a request goes where it goes, [`contradict`] what of two texts can't
-//! stand side by side. `docs/design/places.md` has the reasons.
+//! [`topology`] has the places, [`language`] the text of rules, [`rules`] what it comes to, [`state`] how a step stands at an
+//! instant, [`mod@explain`] why a request goes where it goes, [`contradict`] what of two texts can't stand side by side.
+//! `docs/design/places.md` has the reasons.
 
-pub mod alone;
 pub mod contradict;
 pub mod explain;
 pub mod language;
@@ -16,5 +15,5 @@
 pub use explain::{Explanation, explain};
 pub use language::{Fault, Names, compile};
 pub use rules::{Place, Rule, Rules, Spill, Step, WhenLost};
-pub use state::{Keeper, Phase, Seen};
+pub use state::Seen;
 pub use topology::{Region, Topology, Wrong, Zone};
--- a/locality/tests/contradict.rs
+++ b/locality/tests/contradict.rs
@@ -1,10 +1,12 @@
 //! Two texts beside each other, and the strictest reading of both.
 
+mod common;
+
+use common::fixed;
 use maplehook_locality::contradict::TOLD_MOST;
 use maplehook_locality::rules::RULES_MOST;
 use maplehook_locality::{Rule, Rules, WhenLost, Zone, contradictions, strictest};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 
 const CLASSES: usize = 3;
 const TENANTS: usize = 2;
@@ -113,15 +115,6 @@
     (rule.never.clone(), rule.beyond_region_most, rule.when_lost)
 }
 
-fn fixed(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(34),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed(1024))]
 
--- a/locality/tests/round_trip.rs
+++ b/locality/tests/round_trip.rs
@@ -1,12 +1,14 @@
 //! Printed and read again a text says the same; and whatever bytes come, faults lie inside them.
 
+mod common;
+
+use common::fixed;
 use maplehook_locality::Topology;
 use maplehook_locality::language::ast::{
     At, Clause, ClauseText, Named, Over, Percent, PlaceText, RuleText, StepText, Subject, Text,
 };
 use maplehook_locality::language::{FAULTS_MOST, Fault, Names, compile, format, parse};
 use proptest::prelude::*;
-use proptest::test_runner::RngSeed;
 use std::time::Duration;
 
 fn at<T>(node: T) -> At<T> {
@@ -151,15 +153,6 @@
     Ok(())
 }
 
-fn fixed(cases: u32) -> ProptestConfig {
-    ProptestConfig {
-        cases,
-        rng_seed: RngSeed::Fixed(34),
-        failure_persistence: None,
-        ..ProptestConfig::default()
-    }
-}
-
 proptest! {
     #![proptest_config(fixed(512))]
 
