One question serves the refusals of orders and the laboratory's all-knowing way

Both built the planner's ground by hand from what is asked for. Now pouring::split takes rooms and demand, and gives the best split and what was asked for by shape; the figures are the same.

--- a/failover/src/judge.rs
+++ b/failover/src/judge.rs
@@ -3,10 +3,9 @@
 use crate::damp::Fall;
 use crate::decider::Decider;
 use crate::document::{Evacuation, Held, PlaceState};
-use crate::flow::{Ground, waterfall};
 use crate::ladders::{Zones, bit, each};
 use crate::orders::{Order, Refusal};
-use crate::pouring;
+use crate::pouring::{self, Rooms};
 use maplehook_locality::Zone;
 use std::time::Duration;
 
@@ -243,25 +242,10 @@
     fn refused(&self, out: Zones) -> (f64, f64, f64) {
         let (mut room, mut last) = self.given();
         each(out).for_each(|zone| (room[zone], last[zone]) = (0.0, 0.0));
-        let shapes = &self.ladders.shapes;
-        let mut asked = vec![0.0; shapes.len()];
-        for ((rule, from), rate) in &self.situation.demand {
-            if let Some(n) = self.ladders.shape(*rule, *from) {
-                asked[n] += rate;
-            }
-        }
         let (reach, _) = self.ways();
-        let open = vec![true; shapes.len()];
-        let ground = Ground {
-            ladders: &self.ladders,
-            room: &room,
-            last: &last,
-            reach: &reach,
-            open: &open,
-            asked: &asked,
-        };
-        let mut flows = waterfall(&ground);
-        pouring::undo(&ground, &mut flows);
+        let rooms = Rooms { room: &room, last: &last, reach: &reach };
+        let demand = self.situation.demand.iter().map(|(at, rate)| (*at, *rate));
+        let (flows, asked) = pouring::split(&self.ladders, rooms, true, demand);
         (flows.left.iter().sum(), room.iter().sum(), asked.iter().sum())
     }
 }
--- a/failover/src/pouring.rs
+++ b/failover/src/pouring.rs
@@ -1,10 +1,50 @@
 //! Two places never pour into each other: what would cross is swapped back, and where a rule forbids that, the lesser way is closed.
 
-use crate::flow::{Flows, Ground};
+use crate::flow::{Flows, Ground, waterfall};
+use crate::ladders::{Ladders, Zones};
+use maplehook_locality::Zone;
 
 /// A flow that crosses: shape and zone.
 type Crossing = (usize, usize);
 
+/// Rooms as a question takes them: what each zone can be given, what at last, and who reaches whom.
+#[derive(Clone, Copy, Debug)]
+pub struct Rooms<'a> {
+    /// See [`Ground::room`].
+    pub room: &'a [f64],
+    /// See [`Ground::last`].
+    pub last: &'a [f64],
+    /// See [`Ground::reach`].
+    pub reach: &'a [Zones],
+}
+
+/// The best split of what is asked for by rule and source, and what that comes to by shape: no plan before it binds it. `open`:
+/// whether full first steps spill at their thresholds.
+pub fn split(
+    ladders: &Ladders,
+    rooms: Rooms<'_>,
+    open: bool,
+    demand: impl IntoIterator<Item = ((u16, Zone), f64)>,
+) -> (Flows, Vec<f64>) {
+    let mut asked = vec![0.0; ladders.shapes.len()];
+    for ((rule, from), rate) in demand {
+        if let Some(n) = ladders.shape(rule, from) {
+            asked[n] += rate;
+        }
+    }
+    let open = vec![open; asked.len()];
+    let Rooms { room, last, reach } = rooms;
+    let ground = Ground { ladders, room, last, reach, open: &open, asked: &asked };
+    (best(&ground), asked)
+}
+
+/// The waterfall, without what would pour both ways.
+pub fn best(ground: &Ground<'_>) -> Flows {
+    let mut flows = waterfall(ground);
+    undo(ground, &mut flows);
+    flows
+}
+
 /// Takes out what regions, and then zones, would send each other both ways. What a rule names first is its wish and no spill.
 pub fn undo(ground: &Ground<'_>, flows: &mut Flows) {
     let regions = &ground.ladders.region_of;
--- a/lab/src/places/ways.rs
+++ b/lab/src/places/ways.rs
@@ -2,9 +2,8 @@
 
 use super::fleet::Eyes;
 use super::ground::Ground;
-use maplehook_failover::flow::{Ground as Rooms, waterfall};
 use maplehook_failover::ladders::{Ladders, bit};
-use maplehook_failover::pouring;
+use maplehook_failover::pouring::{self, Rooms};
 use maplehook_locality::{Rules, Zone};
 
 /// How balancers decide.
@@ -97,23 +96,10 @@
         };
         let reach: Vec<u64> = (0..count).map(set).collect();
         let (each, _) = ground.demand();
-        let mut asked = vec![0.0; self.ladders.shapes.len()];
-        for post in ground.posts.iter().filter(|post| post.serves()) {
-            if let Some(shape) = self.ladders.shape(0, Zone(post.zone as u16)) {
-                asked[shape] += each[post.zone];
-            }
-        }
-        let open = vec![false; asked.len()];
-        let rooms = Rooms {
-            ladders: &self.ladders,
-            room: &room,
-            last: &last,
-            reach: &reach,
-            open: &open,
-            asked: &asked,
-        };
-        let mut flows = waterfall(&rooms);
-        pouring::undo(&rooms, &mut flows);
+        let posts = ground.posts.iter().filter(|post| post.serves());
+        let demand = posts.map(|post| ((0, Zone(post.zone as u16)), each[post.zone]));
+        let rooms = Rooms { room: &room, last: &last, reach: &reach };
+        let (flows, asked) = pouring::split(&self.ladders, rooms, false, demand);
         let shares = |zone: usize| match self.ladders.shape(0, Zone(zone as u16)) {
             Some(n) if asked[n] > 0.0 => flows.to[n].iter().map(|(z, sent)| (z, sent / asked[n])).collect(),
             _ => vec![(zone, 1.0)],
