Who lost touch takes its zone's part of what is lent, and zones lend more of what is free

Each balancer had 1/N of the spare, the zone's own among them, and half of what was free was lent: a zone that was lost while nobody led was served by about half. The plan now says by zone what weight its balancers have in what is lent (by what comes in there, a tenth by heads) and how many they are; a zone's own have no part in its own room; nine tenths of what is free are lent. A program before this reads the first part of the list alone, and takes its 1/N.

--- a/failover/src/acting.rs
+++ b/failover/src/acting.rs
@@ -251,13 +251,12 @@
 
     /// What this balancer may send a zone beside the plan, in requests a second.
     fn spare(&self, zone: usize, sight: Option<&Sight>, asked: f64) -> f64 {
-        let all = match (&self.agreed, sight) {
-            (Some(agreed), _) => agreed.plan.spare.get(zone).map_or(0.0, |lent| f64::from(*lent)),
-            (None, Some(sight)) if sight.stated => CAUTIOUS * f64::from(sight.usable),
+        match (&self.agreed, sight) {
+            (Some(agreed), _) => agreed.plan.lent(self.own.len(), self.zone, zone, self.balancers),
+            (None, Some(sight)) if sight.stated => CAUTIOUS * f64::from(sight.usable) / self.balancers as f64,
             // Rooms that nobody knows: a part of its own requests.
-            (None, Some(_)) => return CAUTIOUS * asked,
+            (None, Some(_)) => CAUTIOUS * asked,
             (None, None) => 0.0,
-        };
-        all / self.balancers as f64
+        }
     }
 }
--- a/failover/src/bounds.rs
+++ b/failover/src/bounds.rs
@@ -69,7 +69,7 @@
             shared_cause: 0.6,
             moment: Duration::from_secs(10),
             gain: 0.02,
-            spare: 0.5,
+            spare: 0.9,
             stale: Duration::from_secs(5),
             lost_after: Duration::from_millis(1250),
             ill_after: Duration::from_millis(1500),
--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -4,7 +4,7 @@
 use crate::damp::Standing;
 use crate::document::{Document, Evacuation, Place, PlaceState, Plan};
 use crate::evidence::Views;
-use crate::heard::{Heard, digest};
+use crate::heard::{HEARD_MOST, Heard, digest};
 use crate::ladders::{Ladders, Zones, bit};
 use crate::names;
 use crate::orders::{Order, Refusal};
@@ -26,6 +26,9 @@
 /// How long whoever begins to lead listens, unless all have spoken before.
 const SETTLES: Duration = Duration::from_secs(2);
 
+/// How long whoever begins may not have heard of a balancer that there is.
+const KNOWS: Duration = Duration::from_secs(120);
+
 /// What was seen and asked for at the last look.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Situation {
@@ -61,6 +64,10 @@
     settled: Duration,
     looked: Option<Duration>,
     figures_at: Duration,
+    /// How many balancers each zone has; whoever begins takes the larger of what it hears and what was agreed.
+    crews: Vec<usize>,
+    /// From when on it has heard of all that there are.
+    knows: Duration,
 }
 
 impl Decider {
@@ -100,6 +107,8 @@
             settled: now + SETTLES,
             looked: None,
             figures_at: now,
+            crews: Vec::new(),
+            knows: now + KNOWS,
         };
         decider.take(agreed, now);
         decider
@@ -118,6 +127,9 @@
         self.shown = agreed.places.iter().map(shown).collect();
         self.reach = Reach::of(&agreed.places, now);
         self.cut = vec![0; agreed.places.len()];
+        let crews = agreed.plan.spare_part(2, agreed.places.len());
+        self.crews = crews.iter().map(|crew| crew.clamp(0.0, HEARD_MOST as f32) as usize).collect();
+        self.crews.resize(agreed.places.len(), 0);
         let until = |e: &Evacuation| e.left_ms.map(|left| now + Duration::from_millis(left));
         self.evacuations = agreed.evacuations.iter().map(|e| (e.clone(), until(e))).collect();
         self.shared_cause.clone_from(&agreed.shared_cause);
@@ -167,6 +179,7 @@
         self.planner = Planner::new(now, 0.0);
         self.take(read, now);
         self.settled = now + SETTLES;
+        self.knows = now + KNOWS;
     }
 
     /// A document stands in the log.
@@ -226,6 +239,11 @@
         if fresh.is_empty() || now < self.settled && fresh.len() < self.heard.counts().0.max(2) {
             return false;
         }
+        let known = self.heard.crews(zones);
+        let knows = now >= self.knows;
+        for (crew, known) in self.crews.iter_mut().zip(known) {
+            *crew = if knows { known } else { known.max(*crew) };
+        }
         let (views, counted) = Views::of(zones, &fresh);
         self.seen_now = views.seen(&self.heard, &fresh);
         let room: f64 = self.situation.rooms.iter().map(|room| room.usable).sum();
@@ -314,6 +332,7 @@
                 listed: &listed,
                 reach: &reach,
                 troubled,
+                crews: &self.crews,
                 demand: &table,
             };
             // Where there is no room anywhere, no plan is better than another.
--- a/failover/src/document.rs
+++ b/failover/src/document.rs
@@ -107,7 +107,9 @@
     pub epoch: u64,
     /// Sorted by rule and zone.
     pub rows: Vec<Row>,
-    /// What each zone may be given beside the plan by balancers that have lost touch, all together, in requests a second.
+    /// What each zone may be given beside the plan by balancers that have lost touch, all together, in requests a second; then,
+    /// again by zone, the weight of its balancers in that; and then how many they are. A program that knows the first part alone
+    /// takes an even part of it. Read it by [`Plan::lent`].
     pub spare: Vec<f32>,
 }
 
@@ -117,6 +119,30 @@
         let found = self.rows.binary_search_by_key(&(rule, from), |row| (row.rule, row.from));
         found.ok().map(|n| &self.rows[n])
     }
+
+    /// A part of [`Plan::spare`]: 0 what zones may be given, 1 weights, 2 how many balancers; nothing where it is not known.
+    pub fn spare_part(&self, part: usize, zones: usize) -> &[f32] {
+        self.spare.get(part * zones..(part + 1) * zones).unwrap_or_default()
+    }
+
+    /// What one balancer of a zone may send to another beside the plan once it has lost touch, in requests a second. A zone's own
+    /// balancers have its room by the plan, and no part in what it lends. `balancers`: how many there are, for a plan that does
+    /// not say how many each zone has.
+    pub fn lent(&self, zones: usize, from: Zone, to: usize, balancers: usize) -> f64 {
+        let part = |part: usize| self.spare_part(part, zones);
+        let (weights, crews) = (part(1), part(2));
+        let spare = part(0).get(to).map_or(0.0, |spare| f64::from(*spare));
+        let (Some(crew), Some(own)) = (crews.get(usize::from(from.0)), weights.get(usize::from(from.0)))
+        else {
+            return spare / balancers.max(1) as f64;
+        };
+        let others = weights.iter().enumerate().filter(|(zone, _)| *zone != to);
+        let all: f64 = others.map(|(_, weight)| f64::from(*weight)).sum();
+        if usize::from(from.0) == to || all <= 0.0 || *crew < 1.0 {
+            return 0.0;
+        }
+        spare * f64::from(*own) / all / f64::from(*crew)
+    }
 }
 
 /// A zone or region that an operator has taken out.
--- a/failover/src/heard.rs
+++ b/failover/src/heard.rs
@@ -50,6 +50,19 @@
         (self.members.len().max(self.newest.len()), self.without)
     }
 
+    /// How many balancers with places each zone has: those that are known, or else those that have spoken.
+    pub fn crews(&self, zones: usize) -> Vec<usize> {
+        let mut crews = vec![0; zones];
+        let heard = || self.newest.values().map(|entry| entry.report.zone);
+        let mut add = |zone: Zone| crews.get_mut(usize::from(zone.0)).into_iter().for_each(|crew| *crew += 1);
+        if self.members.is_empty() {
+            heard().for_each(&mut add);
+        } else {
+            self.members.values().copied().for_each(&mut add);
+        }
+        crews
+    }
+
     /// Takes a report, unless it counts by other places or rules, is older than the one there, bears a figure that none can
     /// have, or comes from nobody that is known to be where it says. Says whether it was taken.
     pub fn hear(&mut self, now: Duration, from: &str, mut report: Report, by: (u64, usize, usize)) -> bool {
--- a/failover/src/names.rs
+++ b/failover/src/names.rs
@@ -30,14 +30,18 @@
 
     let count = topology.zones().count();
     let mut places = vec![Place { given: 1.0, ..Place::default() }; count];
-    let mut spare = vec![0.0; count];
+    // Weights and numbers of balancers are only known if those of all zones are.
+    let parts = if document.plan.spare.len() == 3 * zone_of.len() { 3 } else { 1 };
+    let mut spare = vec![0.0; parts * count];
     for (old, new) in zone_of.iter().enumerate() {
         let Some(new) = new.map(|new| usize::from(new.0)) else { continue };
         if let Some(place) = document.places.get(old) {
             places[new] = Place { cut_from: zones(&place.cut_from), ..place.clone() };
         }
-        let lent = document.plan.spare.get(old).copied().unwrap_or(0.0);
-        spare[new] = if lent.is_finite() { lent.max(0.0) } else { 0.0 };
+        for part in 0..parts {
+            let figure = document.plan.spare.get(part * zone_of.len() + old).copied().unwrap_or(0.0);
+            spare[part * count + new] = if figure.is_finite() { figure.max(0.0) } else { 0.0 };
+        }
     }
     let mut rows: BTreeMap<(u16, Zone), Row> = BTreeMap::new();
     for row in document.plan.rows.iter().filter(|row| row.is_sound()) {
--- a/failover/src/plan.rs
+++ b/failover/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::bounds::Bounds;
 use crate::document::{Plan, ROWS_MOST, Row, Share, WHOLE};
-use crate::flow::{Flows, Ground, Split, waterfall};
+use crate::flow::{Flows, Ground, Split};
 use crate::ladders::{Ladders, Zones, each};
 use crate::pouring;
 use maplehook_locality::Zone;
@@ -14,6 +14,9 @@
 /// Part of the stated gain that it never falls under.
 const LEAST_GAIN: f64 = 0.1;
 
+/// Weight of the number of balancers beside that of what is asked of them, in what is lent.
+const BY_HEADS: f64 = 0.1;
+
 /// What the planner is told.
 #[derive(Clone, Debug)]
 pub struct Setting<'a> {
@@ -29,6 +32,8 @@
     pub reach: &'a [Zones],
     /// Zones that are not simply serving.
     pub troubled: Zones,
+    /// How many balancers each zone has.
+    pub crews: &'a [usize],
     /// What is asked for: all zones of the first rule, of the second, and so on, as [`by_rule`] has it.
     pub demand: &'a [f64],
 }
@@ -91,8 +96,7 @@
         let open: Vec<bool> = self.gates.iter().map(|gate| gate.open).collect();
         let Setting { ladders, room, last, reach, .. } = *setting;
         let ground = Ground { ladders, room, last, reach, open: &open, asked: &asked };
-        let mut flows = waterfall(&ground);
-        pouring::undo(&ground, &mut flows);
+        let mut flows = pouring::best(&ground);
         let old_flows = flows_of(before, setting, &asked);
         let mut plan = before.clone();
         // A gain that is small is waited for, and taken in the end.
@@ -112,16 +116,20 @@
             flows = old_flows;
         }
         let changed = plan.rows != before.rows;
-        let spare = spare(&ground, &flows, bounds);
+        let zones = room.len();
+        let lends = Plan { spare: spare(&ground, &flows, setting, bounds), ..Plan::default() };
+        // Part 0: more may be lent than there is by now; part 2: more balancers share in it.
         let free = |zone: usize| (room[zone] - flows.load[zone]).max(0.0) as f32;
-        let lent = |zone: usize| before.spare.get(zone).copied().unwrap_or(0.0);
-        let over = (0..room.len()).any(|zone| lent(zone) > free(zone) * 1.001 + 0.001);
-        let less = (0..room.len()).any(|zone| lent(zone) < spare[zone] * 0.7);
+        let over = |(zone, lent): (usize, &f32)| *lent > free(zone) * 1.001 + 0.001;
+        let pairs = |part: usize| before.spare_part(part, zones).iter().zip(lends.spare_part(part, zones));
+        let over = before.spare_part(0, zones).iter().enumerate().any(over)
+            || pairs(2).any(|(before, crew)| crew > before);
+        let less = pairs(0).chain(pairs(1)).any(|(before, lent)| *before < lent * 0.7);
         if changed {
             self.changed = self.changed.max(now);
         }
-        if changed || over || before.spare.len() != spare.len() || fresh_spare && less {
-            plan.spare = spare;
+        if changed || over || before.spare.len() != lends.spare.len() || fresh_spare && less {
+            plan.spare = lends.spare;
             plan.epoch = before.epoch.saturating_add(1);
             return Some(plan);
         }
@@ -305,11 +313,24 @@
     (served, near)
 }
 
-/// What may be lent beside the plan: a part of what is free, of zones that are given all of their room.
-fn spare(ground: &Ground<'_>, flows: &Flows, bounds: &Bounds) -> Vec<f32> {
-    let of =
+/// What may be lent beside the plan: a part of what is free, of zones that are given all of their room; weights, by what comes into
+/// a zone and a little by how many balancers it has, so that whoever was asked for nothing is not left with nothing; and these.
+fn spare(ground: &Ground<'_>, flows: &Flows, setting: &Setting<'_>, bounds: &Bounds) -> Vec<f32> {
+    let zones = ground.room.len();
+    let lent =
         |zone: usize| ((ground.room[zone] - flows.load[zone]) * bounds.spare.clamp(0.0, 1.0)).max(0.0) as f32;
-    (0..ground.room.len()).map(of).collect()
+    let crew = |zone: usize| setting.crews.get(zone).copied().unwrap_or(0) as f64;
+    let mut comes = vec![0.0; zones];
+    for (shape, asked) in ground.ladders.shapes.iter().zip(ground.asked) {
+        comes[usize::from(shape.from.0)] += asked;
+    }
+    let (asked, crews): (f64, f64) = (comes.iter().sum(), (0..zones).map(crew).sum());
+    let part = |of: f64, all: f64| if all > 0.0 { of / all } else { 0.0 };
+    let weight = |zone: usize| {
+        let heads = part(crew(zone), crews);
+        if heads > 0.0 { (part(comes[zone], asked) + BY_HEADS * heads) as f32 } else { 0.0 }
+    };
+    (0..zones).map(lent).chain((0..zones).map(weight)).chain((0..zones).map(|z| crew(z) as f32)).collect()
 }
 
 /// Rows of what does not simply keep to its first step.
