The tier's probes tell how long the way to each other balancer takes

Round trips between zones were stated alone, since nothing measured them. A probe and its answer now give a sample: the least of the last four stands for a balancer (a busy machine only ever adds), one of a probe that was sent twice gives none, and the sixteen that answered last are told beside the words. failover/ has the pure part of a table for all zones: it moves only as far as observers of both ends say, by more than 1 ms and a quarter, kept for 5 s. The thread of the tier's file is split in two. Property tests: any order of words, liars by the zone, jitter, bounds.

--- a/failover/src/acting.rs
+++ b/failover/src/acting.rs
@@ -9,6 +9,7 @@
 use crate::ladders::{Ladders, Zones, bit, each};
 use crate::names;
 use crate::report::{Demand, Sight};
+use crate::trips::Measured;
 use maplehook_locality::{Rules, Topology, Zone};
 use std::time::Duration;
 
@@ -65,6 +66,7 @@
     zone: Zone,
     balancers: usize,
     agreed: Option<Document>,
+    measured: Measured,
     own: Vec<Own>,
     looked: Duration,
     acts: Acts,
@@ -76,11 +78,32 @@
         let ladders = Ladders::new(&topology, &rules);
         let own = vec![Own::default(); ladders.region_of.len()];
         let acts = Acts::default();
-        Self { topology, rules, ladders, zone, balancers: 1, agreed: None, own, looked: now, acts }
+        Self {
+            topology,
+            rules,
+            ladders,
+            zone,
+            balancers: 1,
+            agreed: None,
+            measured: Measured::default(),
+            own,
+            looked: now,
+            acts,
+        }
+    }
+
+    /// Ways between zones as they are agreed on; before the document that comes with them.
+    pub fn measured(&mut self, measured: &Measured) {
+        if self.measured != *measured {
+            self.measured = measured.clone();
+            let (topology, rules) = (self.topology.clone(), self.rules.clone());
+            self.retune(topology, rules, self.zone);
+        }
     }
 
     /// Other places or rules: what was agreed on is carried over by name.
-    pub fn retune(&mut self, topology: Topology, rules: Rules, zone: Zone) {
+    pub fn retune(&mut self, mut topology: Topology, rules: Rules, zone: Zone) {
+        topology.set_measured(self.measured.of(&topology.clone()));
         let ladders = Ladders::new(&topology, &rules);
         let old = std::mem::replace(&mut self.topology, topology);
         let own = |new: Zone| {
--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -12,6 +12,7 @@
 use crate::reach::Reach;
 use crate::report::Report;
 use crate::room::{Room, Rooms, demand};
+use crate::trips::Measured;
 use crate::written::Shown;
 use maplehook_locality::{Rules, Topology, Zone};
 use std::collections::BTreeMap;
@@ -40,6 +41,7 @@
     pub(crate) ladders: Ladders,
     pub(crate) bounds: Bounds,
     rules: Rules,
+    measured: Measured,
     heard: Heard,
     rooms: Rooms,
     /// What each zone listed and could take when it was last well.
@@ -81,6 +83,7 @@
             ladders,
             bounds,
             rules,
+            measured: Measured::default(),
             heard: Heard::default(),
             rooms: Rooms::default(),
             remembered: Vec::new(),
@@ -148,8 +151,23 @@
         self.heard.hear(now, from, report, by)
     }
 
+    /// Ways between zones as they are agreed on: where they move a step, what stands is planned for anew.
+    pub fn measured(&mut self, measured: &Measured) {
+        if self.measured == *measured {
+            return;
+        }
+        self.measured = measured.clone();
+        self.topology.set_measured(measured.of(&self.topology.clone()));
+        let ladders = Ladders::new(&self.topology, &self.rules);
+        if ladders != self.ladders {
+            self.ladders = ladders;
+            self.planner = Planner::new(self.looked.unwrap_or_default(), 0.0);
+        }
+    }
+
     /// Other places or rules: what stands is carried over by name. Who is a member has to be told anew.
-    pub fn retune(&mut self, topology: Topology, rules: Rules, now: Duration) {
+    pub fn retune(&mut self, mut topology: Topology, rules: Rules, now: Duration) {
+        topology.set_measured(self.measured.of(&topology.clone()));
         if digest(&topology, &rules) == self.agreed.digest {
             self.ladders = Ladders::new(&topology, &rules);
             (self.topology, self.rules) = (topology, rules);
--- a/failover/src/lib.rs
+++ b/failover/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod report;
 pub mod room;
 mod service;
+pub mod trips;
 mod written;
 
 pub use acting::{Acting, Acts, Shares};
--- a/link/src/lib.rs
+++ b/link/src/lib.rs
@@ -6,10 +6,12 @@
 pub mod connection;
 pub mod frames;
 pub mod hub;
+mod member;
 pub mod queue;
 mod run;
 mod secret;
 pub mod state;
 
-pub use run::{Asks, Member, Part, Status, Talk, Told, unix_ms};
+pub use member::{Asks, Member, Part, Status, Talk, Told, unix_ms};
+pub use run::Measured;
 pub use secret::{Datagrams, Secret};
--- a/locality/src/topology.rs
+++ b/locality/src/topology.rs
@@ -65,6 +65,8 @@
     zones: Vec<ZoneEntry>,
     regions: Vec<RegionEntry>,
     trips: BTreeMap<(Zone, Zone), Duration>,
+    /// What was measured of ways that nobody has stated.
+    measured: BTreeMap<(Zone, Zone), Duration>,
 }
 
 impl Topology {
@@ -104,9 +106,23 @@
         self.trips.insert((a.min(b), a.max(b)), time);
     }
 
-    /// The time of the way between two zones, there and back; nothing within one zone, `None` if it is not known.
+    /// What was measured of ways, there and back, instead of what was before. It stands only where nothing is stated.
+    pub fn set_measured(&mut self, trips: impl IntoIterator<Item = (Zone, Zone, Duration)>) {
+        self.measured = trips.into_iter().map(|(a, b, time)| ((a.min(b), a.max(b)), time)).collect();
+    }
+
+    /// The time of the way between two zones, there and back, stated or else measured; nothing within one zone, `None` if it is
+    /// not known.
     pub fn trip(&self, a: Zone, b: Zone) -> Option<Duration> {
-        if a == b { Some(Duration::ZERO) } else { self.trips.get(&(a.min(b), a.max(b))).copied() }
+        if a == b {
+            return Some(Duration::ZERO);
+        }
+        self.stated(a, b).or_else(|| self.measured.get(&(a.min(b), a.max(b))).copied())
+    }
+
+    /// What is stated of that, if anything is.
+    pub fn stated(&self, a: Zone, b: Zone) -> Option<Duration> {
+        self.trips.get(&(a.min(b), a.max(b))).copied()
     }
 
     /// All zones.
@@ -163,6 +179,12 @@
         assert_eq!((topology.trip(a, c), topology.trip(a, a)), (None, Some(Duration::ZERO)));
         topology.set_trip(c, a, Duration::from_millis(9));
         assert_eq!(topology.trip(a, c), Some(Duration::from_millis(9)));
+        let (b, ms) = (topology.zone("b").unwrap(), Duration::from_millis);
+        topology.set_measured([(a, c, ms(2)), (b, a, ms(1))]);
+        assert_eq!(topology.trip(a, c), Some(ms(9)), "what is stated stands");
+        assert_eq!((topology.trip(a, b), topology.trip(b, a)), (Some(ms(1)), Some(ms(1))));
+        topology.set_measured([]);
+        assert_eq!((topology.trip(a, c), topology.trip(a, b)), (Some(ms(9)), None));
         assert_eq!(topology.zone_name(Zone(9)), "");
     }
 
