--- a/rollout/src/plan.rs
+++ b/rollout/src/plan.rs
@@ -7,6 +7,7 @@
 //! short_s = 1800
 //! when_cut_off = "go_back"        # or "stay": what a changed balancer does that has lost touch for cut_off_s
 //! cut_off_s = 60
+//! interval_ms = 1000              # over which each balancer counts what it reports
 //! zone_share = 0.34               # of a zone's balancers that may be away at once
 //! missing_share = 0.1             # of a stage that may be out of reach
 //!
@@ -95,6 +96,8 @@
     pub when_cut_off: WhenCutOff,
     /// After this time.
     pub cut_off: Duration,
+    /// Over which each balancer counts what it reports.
+    pub interval: Duration,
     /// Share of a zone's balancers that may be away at once.
     pub zone_share: f64,
     /// Share of a stage's balancers that may be out of reach.
@@ -138,6 +141,11 @@
         Duration::from_secs(seconds)
     };
     let (short, cut_off) = (seconds("short_s", 1800), seconds("cut_off_s", 60));
+    let interval = reader.take("change", "interval_ms").unwrap_or(1000u64);
+    if !(100..=10_000).contains(&interval) {
+        reader.fault("change", "interval_ms", "it has to be 100 to 10,000 ms".into());
+    }
+    let interval = Duration::from_millis(interval);
     let mut part = |key: &str, or: f64, least: f64| -> f64 {
         let part = reader.take("change", key).unwrap_or(or);
         if !(least..=1.0).contains(&part) {
@@ -225,7 +233,18 @@
     reader.end()?;
     let nothing = Fault { line: 1, place: "change".into(), what: "nothing changes".into() };
     let change = change.ok_or_else(|| Faults(vec![nothing]))?;
-    Ok(Plan { change, stages, bounds, when_short, short, when_cut_off, cut_off, zone_share, missing_share })
+    Ok(Plan {
+        change,
+        stages,
+        bounds,
+        when_short,
+        short,
+        when_cut_off,
+        cut_off,
+        interval,
+        zone_share,
+        missing_share,
+    })
 }
 
 #[cfg(test)]
@@ -243,6 +262,7 @@
         assert_eq!((plan.when_short, plan.when_cut_off), (WhenShort::Undo, WhenCutOff::GoBack));
         assert_eq!((plan.stages.len(), plan.bounds.stages), (3, 3));
         assert_eq!(plan.stages[0].least, Duration::from_secs(3));
+        assert_eq!(plan.interval, Duration::from_secs(1));
         assert_eq!(plan.bounds.allowed[&Measure::Failed], 0.1);
         assert_eq!(plan.bounds.allowed[&Measure::Refused], Bounds::default().allowed[&Measure::Refused]);
     }
@@ -250,7 +270,7 @@
     #[test]
     fn each_fault_has_its_line() {
         let shown = read(
-            "[change]\nsettings = 'a'\nprogram = 'b'\nwhen_short = 'go'\nzone_share = 0\n[[stage]]\nnames = ['b 1']\nshare = 0.1\n\
+            "[change]\nsettings = 'a'\nprogram = 'b'\nwhen_short = 'go'\nzone_share = 0\ninterval_ms = 5\n[[stage]]\nnames = ['b 1']\nshare = 0.1\n\
              [[stage]]\nshare = 0.5\nwho = 'me'\n[[stage]]\nshare = 0.2\n[bounds]\nfailed = -1\nslower = 2\n",
         )
         .unwrap_err()
@@ -259,11 +279,12 @@
             "line 3: change.program: either settings",
             "line 4: change.when_short: \"go\" is none of \"hold\", \"undo\"",
             "line 5: change.zone_share: it has to be 0.01 to 1",
-            "line 8: stage[1].share: it needs a share or names, one of them",
-            "line 11: stage[2].who: no such key",
+            "line 6: change.interval_ms: it has to be 100 to 10,000 ms",
+            "line 9: stage[1].share: it needs a share or names, one of them",
+            "line 12: stage[2].who: no such key",
             "stage: each share has to be larger",
-            "line 15: bounds.failed: it has to be 0 to 10",
-            "line 16: bounds.slower: no such key",
+            "line 16: bounds.failed: it has to be 0 to 10",
+            "line 17: bounds.slower: no such key",
         ] {
             assert!(shown.contains(part), "{part:?} is not in\n{shown}");
         }
--- a/verdict/src/lib.rs
+++ b/verdict/src/lib.rs
@@ -4,10 +4,13 @@
 //! the sides, good at whatever moment it is looked at; [`judge`] puts them together. `docs/design/rollout.md` has the options that
 //! were weighed.
 
+pub mod bounds;
+mod ending;
 pub mod judge;
 pub mod report;
 pub mod sequence;
 mod strata;
 
-pub use judge::{Bounds, Judge, Measure, Verdict};
+pub use bounds::{Bounds, Measure, Verdict};
+pub use judge::Judge;
 pub use report::{Cell, Key, Report, Side};
--- a/verdict/src/report.rs
+++ b/verdict/src/report.rs
@@ -186,6 +186,29 @@
         self.cells.entry(key).or_default()
     }
 
+    /// Several as one: what was counted together, what was measured on the average. Of several zones it names none.
+    pub fn together<'a>(reports: impl IntoIterator<Item = &'a Self>) -> Option<Self> {
+        let mut reports = reports.into_iter();
+        let mut whole = reports.next()?.clone();
+        let mut many = 1u64;
+        for report in reports {
+            many += 1;
+            if whole.zone != report.zone {
+                whole.zone.clear();
+            }
+            for (key, cell) in &report.cells {
+                whole.cell(&key.class, &key.tenant).add(cell);
+            }
+            whole.cpu_us = whole.cpu_us.saturating_add(report.cpu_us);
+            whole.memory_kb = whole.memory_kb.saturating_add(report.memory_kb);
+            whole.descriptors = whole.descriptors.saturating_add(report.descriptors);
+            whole.crashes = whole.crashes.saturating_add(report.crashes);
+            whole.drains_broken = whole.drains_broken.saturating_add(report.drains_broken);
+        }
+        (whole.memory_kb, whole.descriptors) = (whole.memory_kb / many, whole.descriptors / many);
+        Some(whole)
+    }
+
     /// Requests.
     pub fn total(&self) -> u64 {
         self.cells.values().fold(0, |sum, cell| sum.saturating_add(cell.total()))
