maplehook run takes a listening socket that it inherits

A parent that puts one program in the place of another has to keep the socket for both; only the platform's form took NODE_SOCKET_FD. Now the operator's form does, by the same variable, the same checks and the same end of connections on a shared socket.

--- a/node/src/inherited.rs
+++ b/node/src/inherited.rs
@@ -42,8 +42,16 @@
     Ok(socket.into())
 }
 
+/// What was taken, if it is where clients connect; else the balancer's own socket does as well, unless somebody holds that address.
+pub fn fit(taken: Option<io::Result<TcpListener>>, listen: SocketAddr) -> Option<TcpListener> {
+    taken?
+        .and_then(|listener| serves(&listener, listen).map(|()| listener))
+        .map_err(|e| tracing::warn!("{VARIABLE}: {e}; binding {listen} instead"))
+        .ok()
+}
+
 /// Whether it is where clients connect, by the configuration.
-pub fn serves(listener: &TcpListener, listen: SocketAddr) -> io::Result<()> {
+fn serves(listener: &TcpListener, listen: SocketAddr) -> io::Result<()> {
     let local = listener.local_addr()?;
     let same = local.port() == listen.port() && (local.ip() == listen.ip() || local.ip().is_unspecified());
     if same || listen.port() == 0 {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -45,7 +45,8 @@
         Some(Command::Run) => {
             let file = line.config.as_deref().ok_or("which file? maplehook run --config FILE")?;
             let (operator, text) = command::with_text(file)?;
-            serve::by_file(operator, Some(text), None).map_err(|e| format!("{}: {e}", file.display()))?;
+            serve::by_file(operator, Some(text), inherited, None)
+                .map_err(|e| format!("{}: {e}", file.display()))?;
         }
         Some(Command::Sign(sign)) => {
             println!("{}", sign.word()?);
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -2,6 +2,7 @@
 
 use super::parts::Parts;
 use super::{KILL_AFTER_DEADLINE, Plan, Told, block_on, serve, vouching};
+use crate::inherited;
 use crate::nearness::Part;
 use crate::requests::Requests;
 use crate::versions::Versions;
@@ -26,6 +27,7 @@
 pub fn by_file(
     mut operator: Operator,
     file: Option<String>,
+    inherited: Option<std::io::Result<std::net::TcpListener>>,
     told: Option<Told>,
 ) -> Result<(), Box<dyn Error>> {
     let mut proxy =
@@ -40,7 +42,7 @@
     let longest = proxy.settings.classes.iter().map(|class| class.deadline).max().unwrap_or_default();
     let mut plan = Plan {
         listen: proxy.listen,
-        inherited: None,
+        inherited: inherited::fit(inherited, proxy.listen),
         control: operator.control,
         control_told: "operator_listen",
         classes: proxy.classes.clone(),
--- a/node/src/serve/platform.rs
+++ b/node/src/serve/platform.rs
@@ -31,12 +31,7 @@
     inherited: Option<std::io::Result<std::net::TcpListener>>,
     told: Option<Told>,
 ) -> Result<(), Box<dyn Error>> {
-    let inherited = inherited.and_then(|taken| {
-        let fit = taken.and_then(|listener| inherited::serves(&listener, config.listen).map(|()| listener));
-        // The balancer's own socket does as well, unless somebody holds that address.
-        fit.map_err(|e| tracing::warn!("{}: {e}; binding {} instead", inherited::VARIABLE, config.listen))
-            .ok()
-    });
+    let inherited = inherited::fit(inherited, config.listen);
     if operator.tier.take().is_some() {
         tracing::warn!("[tier] has no effect on the platform, which says who speaks to whom");
     }
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -105,6 +105,11 @@
 
 /// A balancer that the operator's file alone describes; `extra` goes before its upstreams.
 pub fn run(upstreams: &[SocketAddr], extra: &str) -> Node {
+    run_on(upstreams, extra, None)
+}
+
+/// The same on a socket that it inherits as descriptor 7.
+pub fn run_on(upstreams: &[SocketAddr], extra: &str, inherits: Option<&OwnedFd>) -> Node {
     static COUNT: AtomicUsize = AtomicUsize::new(0);
     let number = COUNT.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("maplehook-run-{}-{number}.toml", std::process::id()));
@@ -114,7 +119,12 @@
     }
     std::fs::write(&path, text).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_maplehook"));
-    command.env_remove("NODE_CONFIG").arg("run").arg("--config").arg(&path);
+    command.env_remove("NODE_CONFIG").env_remove("NODE_SOCKET_FD").arg("run").arg("--config").arg(&path);
+    if let Some(socket) = inherits {
+        let parent_fd = socket.try_clone().unwrap();
+        command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 7 }]).unwrap();
+        command.env("NODE_SOCKET_FD", "7");
+    }
     Node::spawn(command, path)
 }
 
