A tier's part in four files: what it takes and says, what comes, what is due

Change: interface, hearing and turning have files of their own, the gossip's side rests on the interface; no line of what they do is another.

--- a/tier/src/gossip.rs
+++ b/tier/src/gossip.rs
@@ -1,8 +1,8 @@
 //! The side that is turned to `foca`: what it asks for, the words that it passes on, and its settings.
 
 use crate::identity::Identity;
+use crate::interface::PERIOD;
 use crate::name::Name;
-use crate::tier::PERIOD;
 use crate::wire::Envelope;
 use crate::words::{Word, Words};
 use foca::{BroadcastHandler, Invalidates, Notification, Runtime, Timer};
--- a/tier/src/lib.rs
+++ b/tier/src/lib.rs
@@ -25,7 +25,9 @@
 
 pub mod care;
 mod gossip;
+mod hearing;
 mod identity;
+mod interface;
 mod name;
 mod peers;
 mod roster;
@@ -33,14 +35,16 @@
 mod suspicion;
 mod tier;
 pub mod trips;
+mod turning;
 mod window;
 mod wire;
 pub mod words;
 
 pub use identity::{Identity, Mismatch, Program, WIRE, Wire};
+pub use interface::{Counts, Event, Output, PERIOD, Refused, Settings};
 pub use name::{LONGEST, Name};
 pub use roster::{Apart, Seen, State};
-pub use tier::{Counts, Event, Output, PERIOD, Refused, Settings, Tier};
+pub use tier::Tier;
 pub use trips::Trips;
 pub use window::Stale;
 pub use wire::{DATAGRAM_MOST, MAC, PAYLOAD_MOST, tells_of_a_death};
--- a/tier/src/trips.rs
+++ b/tier/src/trips.rs
@@ -87,7 +87,8 @@
 mod tests {
     use super::*;
     use crate::identity::{Identity, Program, WIRE};
-    use crate::tier::{Output, Settings, Tier};
+    use crate::interface::{Output, Settings};
+    use crate::tier::Tier;
     use proptest::prelude::*;
 
     fn name(text: &str) -> Name {
