--- /dev/null
+++ b/staging/src/document.rs
@@ -0,0 +1,191 @@
+//! What is agreed on of changes in stages: one part of the common document.
+
+use maplehook_quorum::PART_MOST;
+use maplehook_rollout::{Rollout, State};
+use maplehook_verdict::Report;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The longest text of settings, in bytes: with all the rest it fits into the part.
+pub const TEXT_MOST: usize = 128 << 10;
+/// Changes that are remembered.
+const PAST_MOST: usize = 16;
+/// Lines of evidence that are kept of a stage.
+pub(crate) const EVIDENCE_MOST: usize = 8;
+
+/// What changes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Content {
+    /// The shared sections of an operator's file.
+    Settings {
+        /// Their text.
+        text: String,
+        /// The version that is in force meanwhile.
+        rests_on: u64,
+    },
+    /// A program.
+    Program {
+        /// Its path.
+        path: String,
+        /// SHA-256 of its bytes, in hexadecimal.
+        digest: String,
+    },
+}
+
+/// A stage as it went.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Watched {
+    /// Which, from 0 on.
+    pub stage: usize,
+    /// Since when, in Unix milliseconds.
+    pub since_ms: u64,
+    /// Until when; none while it runs.
+    pub until_ms: Option<u64>,
+    /// What was known at its end, measure by measure.
+    pub evidence: Vec<String>,
+    /// What it came to.
+    pub verdict: String,
+}
+
+/// The change that runs, or ran last.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Plan and state.
+    pub rollout: Rollout,
+    /// What changes.
+    pub content: Content,
+    /// At which balancer an operator began it.
+    pub by: String,
+    /// When, in Unix milliseconds.
+    pub at_ms: u64,
+    /// The stages that have begun.
+    pub watched: Vec<Watched>,
+    /// What the old ones did just before the last of them was changed.
+    pub before: Option<Report>,
+    /// Of a program: who may be away now to be changed, or has been.
+    pub released: BTreeSet<String>,
+    /// Of settings: the version that they have become.
+    pub version: Option<u64>,
+}
+
+impl Change {
+    /// Whether no other change may begin.
+    pub fn runs(&self) -> bool {
+        let settings = matches!(self.content, Content::Settings { .. });
+        let unsaid = settings && self.rollout.state == State::Done && self.version.is_none();
+        unsaid || !self.rollout.state.is_over()
+    }
+
+    /// Whether everybody is in a stage: nobody is left to compare with.
+    pub fn is_everybody(&self, stage: usize) -> bool {
+        self.rollout.order.stage(stage).len() == self.rollout.order.members().len()
+    }
+}
+
+/// A change that is over.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Past {
+    /// Its number.
+    pub number: u64,
+    /// When it began, in Unix milliseconds.
+    pub at_ms: u64,
+    /// At which balancer it was begun.
+    pub by: String,
+    /// What changed.
+    pub what: String,
+    /// How it ended.
+    pub ended: String,
+}
+
+/// All of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Document {
+    /// The number of the last change.
+    pub number: u64,
+    /// The change that runs, or ran last.
+    pub change: Option<Change>,
+    /// Those before, the latest last.
+    pub past: Vec<Past>,
+}
+
+impl Document {
+    /// For the log; an error where it is too long.
+    pub fn encode(&self) -> Result<Vec<u8>, String> {
+        let bytes = postcard::to_allocvec(self).map_err(|e| e.to_string())?;
+        if bytes.len() > PART_MOST {
+            return Err(format!("{} bytes are more than the {PART_MOST} that may be agreed on", bytes.len()));
+        }
+        Ok(bytes)
+    }
+
+    /// From the log; `None` for what is none, as of a later program.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+
+    /// Another change takes the place of the last one, which is remembered.
+    pub fn begin(&mut self, change: Change) {
+        self.number = change.rollout.number;
+        if let Some(last) = self.change.replace(change) {
+            self.past.push(past(&last));
+        }
+        let spare = self.past.len().saturating_sub(PAST_MOST);
+        self.past.drain(..spare);
+    }
+
+    /// All changes, the one that runs among them, the latest last.
+    pub fn history(&self) -> Vec<Past> {
+        self.past.iter().cloned().chain(self.change.as_ref().map(past)).collect()
+    }
+}
+
+impl Content {
+    /// In words.
+    pub fn words(&self) -> String {
+        match self {
+            Self::Settings { rests_on, .. } => format!("settings on version {rests_on}"),
+            Self::Program { path, digest } => format!("program {path} ({})", &digest[..digest.len().min(12)]),
+        }
+    }
+}
+
+/// How a state is said.
+pub fn words(state: &State) -> String {
+    match state {
+        State::Running(stage) => format!("running stage {}", stage + 1),
+        State::Held { stage, why, .. } => format!("held at stage {}: {why}", stage + 1),
+        State::Undoing { why } => format!("undoing: {why}"),
+        State::Undone { why } => format!("undone: {why}"),
+        State::FailedToUndo { why, who } => {
+            format!("undone ({why}), but not known to be as before: {}", who.join(", "))
+        }
+        State::Planned | State::Done => state.word().into(),
+    }
+}
+
+fn past(change: &Change) -> Past {
+    let version = change.version.map_or(String::new(), |version| format!(", version {version}"));
+    Past {
+        number: change.rollout.number,
+        at_ms: change.at_ms,
+        by: change.by.clone(),
+        what: change.content.words(),
+        ended: words(&change.rollout.state) + &version,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        /// No panic on what the log holds.
+        #[test]
+        fn garbage_is_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+            if let Some(document) = Document::decode(&bytes) {
+                let _ = document.history();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/staging/src/lead.rs
@@ -0,0 +1,367 @@
+//! The leader's part: it hears where balancers stand and what they report, judges the stage, and says what is to be agreed on.
+//!
+//! It begins with what stands in the log, whoever wrote it, and goes on from the same stage. One document at a time is on its way.
+
+use crate::document::{Change, Content, Document, EVIDENCE_MOST, TEXT_MOST, Watched, words};
+use crate::judging::{Heard, Judging};
+use crate::parts::parts;
+use crate::talk::{Preview, Reply, Stands, What, Wish};
+use maplehook_config::Proxy;
+use maplehook_rollout::order::Member;
+use maplehook_rollout::{Command, Rollout, State};
+use maplehook_verdict::Side;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// How long after the time for whoever is cut off all have to have gone back.
+const GIVE_UP: Duration = Duration::from_secs(30);
+
+/// What a plan rests on.
+pub struct Ground<'a> {
+    /// The version in force, if one is and none is on its way.
+    pub in_force: Option<u64>,
+    /// Its rules.
+    pub rules: &'a Proxy,
+    /// Reads a text as it would be acted on here.
+    pub read: &'a dyn Fn(&str) -> Result<Proxy, String>,
+    /// The time, in Unix milliseconds.
+    pub unix_ms: u64,
+}
+
+/// A leader's state.
+pub struct Leading {
+    /// All balancers that there may be.
+    names: Vec<String>,
+    stands: Document,
+    proposed: Option<Document>,
+    heard: BTreeMap<String, Heard>,
+    judging: Option<Judging>,
+    /// When the next interval is over.
+    next: Duration,
+    /// Since when which change is undone.
+    undoing: Option<(u64, Duration)>,
+}
+
+impl Leading {
+    /// From an election on.
+    pub fn new(names: Vec<String>, stands: Document, now: Duration) -> Self {
+        let (heard, judging) = (BTreeMap::new(), None);
+        Self { names, stands, proposed: None, heard, judging, next: now, undoing: None }
+    }
+
+    /// What stands in the log, as far as this leader knows.
+    pub fn stands(&self) -> &Document {
+        &self.stands
+    }
+
+    /// A balancer says where it stands.
+    pub fn hear(&mut self, now: Duration, from: &str, stands: Stands) {
+        if self.names.iter().any(|name| name == from) {
+            self.heard.entry(from.to_owned()).or_default().hear(now, stands);
+        }
+    }
+
+    /// What is known of the stage that runs.
+    pub fn lines(&self) -> Option<(u64, Vec<String>)> {
+        let change = self.stands.change.as_ref().filter(|change| change.runs())?;
+        Some((change.rollout.number, self.judging.as_ref().map(Judging::lines).unwrap_or_default()))
+    }
+
+    /// Time passes: what is to be agreed on, if there is anything new and nothing is on its way.
+    pub fn tick(&mut self, now: Duration, in_force: Option<u64>, unix_ms: u64) -> Option<Vec<u8>> {
+        if self.proposed.is_some() {
+            return None;
+        }
+        let mut change = self.stands.change.clone().filter(Change::runs)?;
+        self.place(&mut change);
+        self.foreign(&mut change, in_force);
+        self.judge(now, &mut change);
+        self.give_up(now, &mut change);
+        self.release(now, &mut change);
+        watch(&mut change, self.judging.as_ref(), unix_ms);
+        if self.stands.change.as_ref() == Some(&change) {
+            return None;
+        }
+        let document = Document { change: Some(change), ..self.stands.clone() };
+        self.propose(document).ok()
+    }
+
+    /// Where balancers say that they stand.
+    fn place(&self, change: &mut Change) {
+        let number = change.rollout.number;
+        let undoes = change.rollout.undone_at > 0;
+        for (name, heard) in &self.heard {
+            let Some((of, side, step)) = heard.stands else { continue };
+            let known = change.rollout.sides.get(name);
+            // Which step one has heard of matters for what is undone alone: the log need not have it each time.
+            let news = known
+                .is_none_or(|(before, had)| *before != side || (undoes && *had < change.rollout.undone_at));
+            if of == number && news {
+                let stands = Command::Stands { name: name.clone(), side, heard: step };
+                play(change, &stands);
+            }
+        }
+    }
+
+    /// Another version came into force: the change rests on nothing any more.
+    fn foreign(&self, change: &mut Change, in_force: Option<u64>) {
+        let Content::Settings { rests_on, .. } = change.content else { return };
+        let undone = change.rollout.undone_at > 0 || change.rollout.state == State::Done;
+        if let Some(version) = in_force.filter(|version| *version > rests_on && !undone) {
+            let (step, why) =
+                (change.rollout.step, format!("version {version} has come into force meanwhile"));
+            play(change, &Command::Undo { step, why });
+        }
+    }
+
+    fn judge(&mut self, now: Duration, change: &mut Change) {
+        let (number, Some(stage)) = (change.rollout.number, change.rollout.stage()) else {
+            self.judging = None;
+            return;
+        };
+        if !self.judging.as_ref().is_some_and(|judging| judging.is_of(number, stage)) {
+            let usual = self.judging.as_ref().map(Judging::usual).unwrap_or_default();
+            self.judging = Some(Judging::new(change, stage, &usual, now));
+        }
+        let Some(judging) = &mut self.judging else { return };
+        if now < self.next {
+            return;
+        }
+        self.next = (self.next + change.rollout.plan.interval).max(now);
+        if let Some(judged) = judging.interval(now, change, &mut self.heard) {
+            let last = change.before.is_none() && stage + 1 < change.rollout.order.stages();
+            let before = judging.before().filter(|_| last && change.is_everybody(stage + 1));
+            let step = change.rollout.step;
+            if play(change, &Command::Judge { step, stage, judged }) && change.rollout.judged > stage {
+                change.before = before;
+            }
+        }
+    }
+
+    fn give_up(&mut self, now: Duration, change: &mut Change) {
+        let number = change.rollout.number;
+        if !matches!(change.rollout.state, State::Undoing { .. }) {
+            self.undoing = None;
+            return;
+        }
+        let (of, since) = *self.undoing.get_or_insert((number, now));
+        if of == number && now.saturating_sub(since) >= change.rollout.plan.cut_off + GIVE_UP {
+            let step = change.rollout.step;
+            play(change, &Command::GiveUp { step });
+        }
+    }
+
+    /// Who may be away now, to be started with another program.
+    fn release(&self, now: Duration, change: &mut Change) {
+        let (Content::Program { .. }, State::Running(stage)) = (&change.content, &change.rollout.state)
+        else {
+            return;
+        };
+        let is_new =
+            |name: &String| change.rollout.sides.get(name).is_some_and(|(side, _)| *side == Side::New);
+        let of_stage: BTreeSet<String> =
+            change.rollout.order.stage(*stage).iter().map(|member| member.name.clone()).collect();
+        let wanted = of_stage.difference(&change.released).cloned().collect();
+        let silent = |name: &String| {
+            self.heard.get(name).is_some_and(|heard| now.saturating_sub(heard.at) > Duration::from_secs(5))
+        };
+        let names = change.rollout.order.members().iter().map(|member| member.name.clone());
+        let away =
+            names.filter(|name| silent(name) || (change.released.contains(name) && !is_new(name))).collect();
+        let goes = change.rollout.order.may_go(&change.rollout.plan, &wanted, &away);
+        change.released.extend(goes);
+    }
+
+    fn propose(&mut self, document: Document) -> Result<Vec<u8>, String> {
+        let bytes = document.encode()?;
+        self.proposed = Some(document);
+        Ok(bytes)
+    }
+
+    /// What was proposed stands in the log, or does not.
+    pub fn ended(&mut self, stands: bool) {
+        if let Some(proposed) = self.proposed.take().filter(|_| stands) {
+            self.stands = proposed;
+        }
+    }
+
+    /// Settings that all stages were judged well with: the text, and the version that it rests on. They are to be the next version.
+    pub fn finished(&self) -> Option<(&str, u64)> {
+        let change = self.stands.change.as_ref().filter(|change| change.version.is_none())?;
+        match &change.content {
+            Content::Settings { text, rests_on } if change.rollout.state == State::Done => {
+                Some((text, *rests_on))
+            }
+            _ => None,
+        }
+    }
+
+    /// These settings are a version now, or can't be one.
+    pub fn finish(&mut self, version: Result<u64, String>) -> Option<Vec<u8>> {
+        let mut document = self.stands.clone();
+        let change = document.change.as_mut().filter(|_| self.proposed.is_none())?;
+        match version {
+            Ok(version) => {
+                change.version = Some(version);
+                change.rollout.used =
+                    Some(format!("version {version}, which `maplehook settings undo` takes back"));
+            }
+            Err(why) => {
+                let step = change.rollout.step;
+                play(change, &Command::Undo { step, why: format!("it can't be the next version: {why}") });
+            }
+        }
+        self.propose(document).ok()
+    }
+
+    /// An operator's wish: what is to be agreed on for it, with the change's number; or its end.
+    pub fn wish(&mut self, by: &str, wish: &Wish, ground: &Ground<'_>) -> Result<(Vec<u8>, u64), Reply> {
+        if self.proposed.is_some() {
+            return Err(Reply::Unavailable("another step is on its way; ask again".into()));
+        }
+        let mut document = self.stands.clone();
+        let number = match wish {
+            Wish::Plan { plan, what } => {
+                let (change, preview) = self.plan(by, plan, what, ground).map_err(Reply::Refused)?;
+                drop(change);
+                return Err(Reply::Planned(preview));
+            }
+            Wish::Start { plan, what } => {
+                let (mut change, _) =
+                    self.plan(by, plan, what, ground).map_err(|why| match self.same(plan, what) {
+                        // Its answer was lost.
+                        Some(number) => Reply::Done(number),
+                        None => Reply::Refused(why),
+                    })?;
+                play(&mut change, &Command::Go { step: 0 });
+                watch(&mut change, None, ground.unix_ms);
+                document.begin(change);
+                document.number
+            }
+            Wish::Hold | Wish::Go | Wish::Undo => {
+                let none = || Reply::Refused("there was no change yet".into());
+                let change = document.change.as_mut().ok_or_else(none)?;
+                let (step, number) = (change.rollout.step, change.rollout.number);
+                let command = match wish {
+                    Wish::Hold if matches!(change.rollout.state, State::Held { operator: true, .. }) => {
+                        return Err(Reply::Done(number));
+                    }
+                    Wish::Go if matches!(change.rollout.state, State::Running(_)) => {
+                        return Err(Reply::Done(number));
+                    }
+                    Wish::Hold => Command::Hold { step },
+                    Wish::Go => Command::Go { step },
+                    _ => Command::Undo { step, why: format!("by an operator at {by}") },
+                };
+                change.rollout.play(&command).map_err(|why| Reply::Refused(why.to_string()))?;
+                if document == self.stands {
+                    return Err(Reply::Done(number));
+                }
+                number
+            }
+        };
+        let bytes = self.propose(document).map_err(Reply::Refused)?;
+        Ok((bytes, number))
+    }
+
+    /// The change that runs, if it is this one.
+    fn same(&self, plan: &str, what: &What) -> Option<u64> {
+        let change = self.stands.change.as_ref().filter(|change| change.runs())?;
+        let plan = maplehook_rollout::plan::read(plan).ok()?;
+        let content = match (what, &change.content) {
+            (What::Settings { text }, Content::Settings { text: of, .. }) => text == of,
+            (What::Program { path, digest }, Content::Program { path: at, digest: of }) => {
+                path == at && digest == of
+            }
+            _ => false,
+        };
+        (content && plan == change.rollout.plan).then_some(change.rollout.number)
+    }
+
+    fn plan(
+        &self,
+        by: &str,
+        plan: &str,
+        what: &What,
+        ground: &Ground<'_>,
+    ) -> Result<(Change, Preview), String> {
+        if let Some(change) = self.stands.change.as_ref().filter(|change| change.runs()) {
+            return Err(format!("change {} is {}", change.rollout.number, words(&change.rollout.state)));
+        }
+        let plan = maplehook_rollout::plan::read(plan).map_err(|faults| faults.to_string())?;
+        let mut preview = Preview::default();
+        let content = match what {
+            What::Settings { text } => {
+                if text.len() > TEXT_MOST {
+                    return Err(format!("the settings are longer than {TEXT_MOST} bytes"));
+                }
+                let rests_on = ground.in_force.filter(|version| *version > 0);
+                let rests_on =
+                    rests_on.ok_or("no version is in force everywhere: maplehook settings status")?;
+                let parts = parts(ground.rules, &(ground.read)(text)?)?;
+                (preview.staged, preview.kept_back) = (parts.staged, parts.kept_back);
+                Content::Settings { text: text.clone(), rests_on }
+            }
+            What::Program { path, digest } => {
+                let hex = digest.len() == 64 && digest.bytes().all(|byte| byte.is_ascii_hexdigit());
+                if !hex || path.len() > 4096 {
+                    return Err("a program has a path and the SHA-256 of its bytes in hexadecimal".into());
+                }
+                preview.staged.push(format!("the program, with all that it does: {path}"));
+                Content::Program { path: path.clone(), digest: digest.to_ascii_lowercase() }
+            }
+        };
+        let zone = |name: &String| self.heard.get(name).map_or(String::new(), |heard| heard.zone.clone());
+        let members: Vec<Member> =
+            self.names.iter().map(|name| Member { name: name.clone(), zone: zone(name) }).collect();
+        let rollout = Rollout::new(self.stands.number + 1, plan, &members)?;
+        let change = Change {
+            rollout,
+            content,
+            by: by.to_owned(),
+            at_ms: ground.unix_ms,
+            watched: Vec::new(),
+            before: None,
+            released: BTreeSet::new(),
+            version: None,
+        };
+        if change.is_everybody(0) {
+            return Err("the first stage is everybody: nobody is left to compare with".into());
+        }
+        let mut told = 0;
+        for stage in 0..change.rollout.order.stages() {
+            let members = change.rollout.order.stage(stage);
+            preview.stages.push(members[told..].iter().map(|member| member.name.clone()).collect());
+            told = members.len();
+        }
+        Ok((change, preview))
+    }
+}
+
+/// Whether it was played.
+fn play(change: &mut Change, command: &Command) -> bool {
+    let played = change.rollout.play(command);
+    if let Err(why) = &played {
+        tracing::debug!("{command:?}: {why}");
+    }
+    played.is_ok()
+}
+
+/// Notes which stages begin and end.
+fn watch(change: &mut Change, judging: Option<&Judging>, unix_ms: u64) {
+    let running = change.rollout.stage();
+    let verdict = words(&change.rollout.state);
+    if let Some(last) =
+        change.watched.last_mut().filter(|last| last.until_ms.is_none() && running != Some(last.stage))
+    {
+        last.until_ms = Some(unix_ms);
+        last.verdict = if change.rollout.judged > last.stage { "not worse".into() } else { verdict };
+        last.evidence = judging.map(Judging::lines).unwrap_or_default();
+        last.evidence.truncate(EVIDENCE_MOST);
+    }
+    if let Some(stage) = running.filter(|stage| change.watched.last().is_none_or(|last| last.stage < *stage))
+    {
+        let (evidence, verdict) = (Vec::new(), String::new());
+        change.watched.push(Watched { stage, since_ms: unix_ms, until_ms: None, evidence, verdict });
+    }
+}
--- /dev/null
+++ b/staging/src/machine.rs
@@ -0,0 +1,53 @@
+//! What the own process uses, as the system tells it.
+
+use std::time::Duration;
+
+/// The system counts processors' time for `/proc` in hundredths of a second (`USER_HZ`, proc(5)).
+const TICK: Duration = Duration::from_millis(10);
+
+/// What the own process uses.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Used {
+    /// Processor's time since its start.
+    pub(crate) cpu: Duration,
+    /// Memory that it holds, in KiB.
+    pub(crate) memory_kb: u64,
+    /// Descriptors that are open.
+    pub(crate) descriptors: u64,
+}
+
+/// Looks; what can't be read is 0, and compared with nothing.
+pub(crate) fn used() -> Used {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let descriptors = std::fs::read_dir("/proc/self/fd").map_or(0, |entries| entries.count() as u64);
+    Used { cpu: cpu(&stat), memory_kb: memory_kb(&status), descriptors }
+}
+
+/// `utime` and `stime`, the 14th and 15th word; the 2nd, the name, may hold anything but ends with the last bracket.
+fn cpu(stat: &str) -> Duration {
+    let after = stat.rsplit_once(')').map_or("", |(_, after)| after);
+    let ticks: u32 =
+        after.split_whitespace().skip(11).take(2).filter_map(|word| word.parse::<u32>().ok()).sum();
+    TICK * ticks
+}
+
+fn memory_kb(status: &str) -> u64 {
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_system_is_understood() {
+        let stat = "7 (a) b) R 1 1 1 0 -1 4 0 0 0 0 150 50 0 0 20";
+        assert_eq!(cpu(stat), Duration::from_secs(2));
+        assert_eq!(memory_kb("Name:\tx\nVmRSS:\t  2048 kB\n"), 2048);
+        assert_eq!((cpu(""), memory_kb("VmRSS:")), (Duration::ZERO, 0));
+        let used = used();
+        assert!(used.memory_kb > 0 && used.descriptors > 2, "{used:?}");
+    }
+}
--- /dev/null
+++ b/staging/src/member.rs
@@ -0,0 +1,91 @@
+//! On which side a balancer is to be.
+
+use crate::document::{Content, Document, words};
+use maplehook_rollout::state::cut_off;
+use maplehook_rollout::{Rollout, State};
+use maplehook_verdict::Side;
+use std::time::Duration;
+
+/// Where a balancer is to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The change.
+    pub number: u64,
+    /// The step that this is by.
+    pub step: u64,
+    /// The side.
+    pub side: Side,
+    /// Of a program: its path and digest.
+    pub program: Option<(String, String)>,
+    /// The state, in words.
+    pub word: String,
+}
+
+/// Where a balancer is to be by what is agreed on, when it has held no lease for so long; `None` where there never was a change.
+pub fn wanted(document: &Document, own: &str, silent: Duration) -> Option<Wanted> {
+    let change = document.change.as_ref()?;
+    let Rollout { number, step, state, plan, .. } = &change.rollout;
+    let mut side = change.rollout.wanted(own);
+    let program = match &change.content {
+        Content::Settings { .. } => None,
+        Content::Program { path, digest } => {
+            // One after the other, as many of a zone as may be away.
+            if !change.released.contains(own) && *state != State::Done {
+                side = Side::Old;
+            }
+            Some((path.clone(), digest.clone()))
+        }
+    };
+    let mut word = words(state);
+    if cut_off(plan, side, *state == State::Done, silent) != side {
+        side = Side::Old;
+        word = format!("cut off for {} s: as before ({word})", silent.as_secs());
+    }
+    Some(Wanted { number: *number, step: *step, side, program, word })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::document::Change;
+    use maplehook_rollout::Command;
+    use maplehook_rollout::order::Member;
+
+    fn document(content: Content) -> Document {
+        let plan =
+            "[change]\nsettings = 'x'\ncut_off_s = 5\n[[stage]]\nnames = ['b1']\n[[stage]]\nshare = 1.0\n";
+        let members = ["b1", "b2"].map(|name| Member { name: name.into(), zone: "a".into() });
+        let mut rollout = Rollout::new(7, maplehook_rollout::plan::read(plan).unwrap(), &members).unwrap();
+        rollout.play(&Command::Go { step: 0 }).unwrap();
+        let change = Change {
+            rollout,
+            content,
+            by: "b1".into(),
+            at_ms: 0,
+            watched: Vec::new(),
+            before: None,
+            released: Default::default(),
+            version: None,
+        };
+        Document { number: 7, change: Some(change), past: Vec::new() }
+    }
+
+    #[test]
+    fn whoever_is_of_the_stage_is_new_until_it_is_cut_off() {
+        let document = document(Content::Settings { text: String::new(), rests_on: 1 });
+        let side = |own: &str, s: u64| wanted(&document, own, Duration::from_secs(s)).unwrap().side;
+        assert_eq!((side("b1", 0), side("b2", 0)), (Side::New, Side::Old));
+        assert_eq!((side("b1", 4), side("b1", 5)), (Side::New, Side::Old));
+        assert_eq!(wanted(&Document::default(), "b1", Duration::ZERO), None);
+    }
+
+    #[test]
+    fn a_program_waits_until_it_may_be_away() {
+        let mut document = document(Content::Program { path: "p".into(), digest: "d".into() });
+        let wanted = |document: &Document| wanted(document, "b1", Duration::ZERO).unwrap();
+        assert_eq!(wanted(&document).side, Side::Old);
+        document.change.as_mut().unwrap().released.insert("b1".into());
+        let wanted = wanted(&document);
+        assert_eq!((wanted.side, wanted.program), (Side::New, Some(("p".into(), "d".into()))));
+    }
+}
--- /dev/null
+++ b/staging/src/parts.rs
@@ -0,0 +1,212 @@
+//! What of new settings may differ between stages: what contradicts nothing by the agreement's table ([`strict`]). The rest holds in
+//! its strictest reading on both sides until the last stage has been judged.
+//!
+//! [`strict`]: maplehook_agreement::strict
+
+use maplehook_agreement::strict::{contradictions, strictest};
+use maplehook_config::Proxy;
+use std::collections::BTreeMap;
+
+/// What one side acts on while the other acts on `other`: its own times, weights and guarantees, and for the rest the strictest
+/// reading of both.
+pub fn staged(own: &Proxy, other: &Proxy) -> Proxy {
+    let mut staged = strictest(other, own);
+    // Of these the reading of both has the lesser; they say how well, and never contradict.
+    for (class, own) in staged.settings.classes.iter_mut().zip(&own.settings.classes) {
+        (class.deadline, class.aim) = (own.deadline, own.aim);
+    }
+    for route in &mut staged.routes {
+        if let Some(class) = staged.settings.classes.get(usize::from(route.class.0)) {
+            route.deadline = class.deadline;
+        }
+    }
+    staged.settings.tenants.clone_from(&own.settings.tenants);
+    // Which answers may be tried again goes with the effect that both have.
+    for (k, name) in own.classes.iter().enumerate() {
+        let Some(n) = other.classes.iter().position(|of| of == name) else { continue };
+        let strict = staged.settings.classes[k].effect;
+        if own.settings.classes[k].effect != strict && other.settings.classes[n].effect == strict {
+            staged.passages[k].meaning.error.clone_from(&other.passages[n].meaning.error);
+        }
+    }
+    staged
+}
+
+/// What may be staged and what not.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Parts {
+    /// What differs between the stages, in words.
+    pub staged: Vec<String>,
+    /// What contradicts, in words.
+    pub kept_back: Vec<String>,
+}
+
+/// What of a change may be staged; an error where none of it may, or where even its strictest reading contradicts.
+pub fn parts(old: &Proxy, new: &Proxy) -> Result<Parts, String> {
+    const ORDINARY: &str = "propose it the ordinary way: maplehook settings propose FILE";
+    let kept_back = contradictions(old, new);
+    let (before, after) = (staged(old, new), staged(new, old));
+    let left = contradictions(&before, &after);
+    if !left.is_empty() {
+        return Err(format!("even read strictly this contradicts: {}; {ORDINARY}", left.join("; ")));
+    }
+    let staged = differences(&before, &after);
+    if staged.is_empty() {
+        let why = match &kept_back[..] {
+            [] => "nothing changes".into(),
+            parts => format!("none of it may differ between balancers ({})", parts.join("; ")),
+        };
+        return Err(format!("{why}; {ORDINARY}"));
+    }
+    Ok(Parts { staged, kept_back })
+}
+
+fn named<'a, T>(names: &'a [String], of: &'a [T]) -> BTreeMap<&'a str, &'a T> {
+    names.iter().map(String::as_str).zip(of).collect()
+}
+
+/// How two readings differ, in words.
+fn differences(old: &Proxy, new: &Proxy) -> Vec<String> {
+    let mut found = Vec::new();
+    let ms = |time: std::time::Duration| time.as_millis();
+    let (ours, theirs) =
+        (named(&old.classes, &old.settings.classes), named(&new.classes, &new.settings.classes));
+    for (name, class) in &theirs {
+        match ours.get(name) {
+            None => found.push(format!("class {name}: new")),
+            Some(before) => {
+                if before.deadline != class.deadline {
+                    found.push(format!(
+                        "class {name}: deadline {} to {} ms",
+                        ms(before.deadline),
+                        ms(class.deadline)
+                    ));
+                }
+                if before.aim != class.aim {
+                    found.push(format!("class {name}: aim {} to {} ms", ms(before.aim), ms(class.aim)));
+                }
+            }
+        }
+    }
+    found.extend(
+        ours.keys().filter(|name| !theirs.contains_key(*name)).map(|name| format!("class {name}: gone")),
+    );
+    let (ours, theirs) =
+        (named(&old.tenants, &old.settings.tenants), named(&new.tenants, &new.settings.tenants));
+    for (name, tenant) in &theirs {
+        match ours.get(name) {
+            None => found.push(format!("tenant {name}: new")),
+            Some(before) if before.allowance_per_s != tenant.allowance_per_s => found.push(format!(
+                "tenant {name}: guarantee {} to {} a second",
+                before.allowance_per_s, tenant.allowance_per_s
+            )),
+            Some(_) => {}
+        }
+    }
+    found.extend(
+        ours.keys().filter(|name| !theirs.contains_key(*name)).map(|name| format!("tenant {name}: gone")),
+    );
+    for upstream in &new.upstreams {
+        let before = old.upstreams.iter().find(|before| before.name == upstream.name);
+        if before.is_some_and(|before| before.weight != upstream.weight) {
+            found.push(format!("upstream {}: weight", upstream.name));
+        }
+    }
+    if found.is_empty() && !alike(old, new) {
+        found.push("limits, headers or other settings".into());
+    }
+    found
+}
+
+/// Whether two readings are the same, whatever the order in which they list upstreams.
+fn alike(old: &Proxy, new: &Proxy) -> bool {
+    let sorted = |proxy: &Proxy| {
+        let mut proxy = proxy.clone();
+        proxy.upstreams.sort_by(|a, b| a.name.cmp(&b.name));
+        proxy
+    };
+    sorted(old) == sorted(new)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// An operator's file with these words in it.
+    fn proxy(effect: &str, deadline: u64, rate: u32, upstreams: &[(&str, bool)]) -> Proxy {
+        let upstreams: String = upstreams
+            .iter()
+            .enumerate()
+            .map(|(n, (name, drain))| {
+                format!(
+                    "[[upstream]]\nname = '{name}'\naddress = '127.0.0.1:{}'\ndrained = {drain}\n",
+                    9000 + n
+                )
+            })
+            .collect();
+        let text = format!(
+            "[listen]\naddress = '127.0.0.1:0'\n[[tenant]]\nname = 'acme'\nallowance_per_s = {rate}.0\n[[class]]\nname = 'look'\n\
+             path = '/l'\neffect = '{effect}'\ndeadline_ms = {deadline}\n{upstreams}"
+        );
+        maplehook_config::parse(&text).unwrap_or_else(|e| panic!("{e}\n{text}")).proxy.unwrap()
+    }
+
+    const TWO: &[(&str, bool)] = &[("u", false), ("v", false)];
+
+    #[test]
+    fn times_and_guarantees_are_staged_and_effects_are_kept_back() {
+        let (old, new) = (proxy("idempotent", 2000, 50, TWO), proxy("at_most_once", 300, 5, TWO));
+        let parts = parts(&old, &new).unwrap();
+        assert_eq!(
+            parts.staged,
+            [
+                "class look: deadline 2000 to 300 ms",
+                "class look: aim 666 to 100 ms",
+                "tenant acme: guarantee 50 to 5 a second"
+            ]
+        );
+        assert!(parts.kept_back.len() == 1 && parts.kept_back[0].contains("effect"), "{parts:?}");
+        // Each side keeps its own times, a longer one too, and both the stricter effect.
+        let (before, after) = (staged(&old, &new), staged(&new, &old));
+        assert_eq!(before.settings.classes[0].deadline, old.settings.classes[0].deadline);
+        assert_eq!(after.settings.classes[0].deadline, new.settings.classes[0].deadline);
+        assert_eq!(before.settings.classes[0].effect, after.settings.classes[0].effect);
+        assert_eq!(after.settings.classes[0].effect, new.settings.classes[0].effect);
+        assert_eq!(before.routes[0].deadline, old.settings.classes[0].deadline);
+    }
+
+    #[test]
+    fn what_contradicts_altogether_goes_the_ordinary_way() {
+        let (old, new) = (proxy("idempotent", 2000, 50, TWO), proxy("at_most_once", 2000, 50, TWO));
+        let why = parts(&old, &new).unwrap_err();
+        assert!(why.contains("none of it may differ") && why.contains("settings propose"), "{why}");
+        assert!(parts(&old, &old).unwrap_err().contains("nothing changes"));
+        // A list alone, too.
+        let longer = proxy("idempotent", 2000, 50, &[("u", false), ("v", false), ("w", false)]);
+        assert!(parts(&old, &longer).is_err());
+    }
+
+    fn any_proxy() -> impl Strategy<Value = Proxy> {
+        let effect = prop::sample::select(vec!["idempotent", "at_most_once", "keyed"]);
+        let listed = prop::sample::subsequence(vec!["u", "v", "w"], 1..=3);
+        (effect, 1u64..5, 1u32..4, listed, any::<bool>()).prop_map(
+            |(effect, deadline, rate, listed, drain)| {
+                let listed: Vec<(&str, bool)> = listed.into_iter().map(|name| (name, drain)).collect();
+                proxy(effect, deadline * 500, rate, &listed)
+            },
+        )
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(64))]
+        /// Whatever changes, the two sides never contradict one another where a change is let through.
+        #[test]
+        fn the_sides_never_contradict(old in any_proxy(), new in any_proxy()) {
+            if parts(&old, &new).is_ok() {
+                let found = contradictions(&staged(&old, &new), &staged(&new, &old));
+                prop_assert!(found.is_empty(), "{found:?}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/staging/src/put.rs
@@ -0,0 +1,151 @@
+//! The leader's part on the thread: what it decides is put, and settings that went through all stages are proposed.
+
+use crate::document::Document;
+use crate::lead::{Ground, Leading};
+use crate::run::{CALM, OnItsWay, Runner, WISH, Wisher, read};
+use crate::talk::{Reply, Wish};
+use maplehook_agreement::steps::digest;
+use maplehook_link::unix_ms;
+use maplehook_quorum::talk::{Op, Reply as Said};
+use maplehook_quorum::{Mode, Put, Standing, Wishes};
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::sync::oneshot;
+
+impl Runner {
+    /// This one leads from now on, or no more.
+    pub(crate) fn lead(&mut self, standing: &Standing) {
+        if !standing.leads {
+            if self.leading.take().is_some() {
+                tracing::info!("leads changes in stages no more");
+                if let Some((wisher, _)) = self.on_its_way.take().and_then(|on| on.wisher) {
+                    self.end(wisher, Reply::Unavailable("the leader has lost its place".into()));
+                }
+                self.proposing = None;
+            }
+            return;
+        }
+        let number = standing.agreed.as_ref().map_or(0, |agreed| agreed.number);
+        if self.on_its_way.is_none() && number > self.rests_on {
+            // A document that was given up, or another one's, has come to stand there after all.
+            self.leading = None;
+        }
+        if self.leading.is_none() {
+            self.rests_on = number;
+            let stands = standing.agreed.as_ref().map(|agreed| Document::decode(&agreed.body));
+            let Some(stands) = stands.unwrap_or_else(|| Some(Document::default())) else {
+                // Written by a later program: whoever understands it has to lead.
+                return;
+            };
+            tracing::info!("leads changes in stages");
+            self.leading = Some(Leading::new(self.setup.names.clone(), stands, self.now()));
+        }
+    }
+
+    /// The version in force, if one is here and none is on its way.
+    fn in_force(&self) -> Option<u64> {
+        let acting = self.setup.link.acting.borrow();
+        (acting.mode(Instant::now()) == Mode::Rules).then(|| acting.label.parse().ok()).flatten()
+    }
+
+    pub(crate) fn decide(&mut self) {
+        let (now, in_force) = (self.now(), self.in_force());
+        if self.on_its_way.is_some() || !self.standing().leads {
+            return;
+        }
+        let Some(leading) = &mut self.leading else { return };
+        if let Some(body) = leading.tick(now, in_force, unix_ms()) {
+            return self.put(body, None);
+        }
+        if self.proposing.is_none()
+            && let Some((text, rests_on)) = leading.finished()
+        {
+            let (tell, told) = oneshot::channel();
+            let (wishes, text) = (self.setup.link.wishes.clone(), text.to_owned());
+            self.proposing = Some(told);
+            tokio::spawn(async move {
+                let _ = tell.send(propose(&wishes, text, rests_on).await);
+            });
+        }
+    }
+
+    pub(crate) fn proposed(&mut self, version: Option<Result<u64, String>>) {
+        let Some(version) = version else { return };
+        if self.on_its_way.is_none()
+            && let Some(leading) = &mut self.leading
+            && let Some(body) = leading.finish(version)
+        {
+            self.put(body, None);
+        }
+    }
+
+    fn put(&mut self, body: Vec<u8>, wisher: Option<(Wisher, u64)>) {
+        let (done, ended) = oneshot::channel();
+        let sent = self.setup.link.ways.put.try_send(Put { expect: self.rests_on, body, done }).is_ok();
+        self.on_its_way = Some(OnItsWay { done: ended, until: Instant::now() + WISH, wisher });
+        if !sent {
+            self.ended(Err("the agreement's thread is busy".into()));
+        }
+    }
+
+    pub(crate) fn ended(&mut self, ended: Result<u64, String>) {
+        let wisher = self.on_its_way.take().and_then(|on| on.wisher);
+        if let Err(why) = &ended {
+            tracing::info!("a step of a change in stages is not agreed on: {why}");
+        }
+        match &mut self.leading {
+            Some(leading) if ended.is_ok() => {
+                self.rests_on = *ended.as_ref().unwrap_or(&self.rests_on);
+                leading.ended(true);
+            }
+            // Whether it stands in the log is not known: the log is read again.
+            _ => {
+                self.leading = None;
+                let standing = self.standing();
+                self.lead(&standing);
+            }
+        }
+        if let Some((wisher, number)) = wisher {
+            self.end(wisher, ended.map_or_else(Reply::Unavailable, |_| Reply::Done(number)));
+        }
+    }
+
+    /// An operator wants something, here or at another balancer.
+    pub(crate) fn wish(&mut self, wish: Wish, wisher: Wisher, by: Option<String>) {
+        if self.leading.is_some() && self.standing().leads {
+            if self.on_its_way.is_some() {
+                return self.end(wisher, Reply::Unavailable("another step is on its way; ask again".into()));
+            }
+            let by = by.unwrap_or_else(|| self.setup.name.clone());
+            let in_force = self.in_force();
+            let rules = Arc::clone(&self.setup.link.acting.borrow().rules);
+            let file = &self.setup.file;
+            let of_file = |text: &str| read(file, text);
+            let ground = Ground { in_force, rules: &rules, read: &of_file, unix_ms: unix_ms() };
+            let Some(leading) = &mut self.leading else { return };
+            return match leading.wish(&by, &wish, &ground) {
+                Ok((body, number)) => self.put(body, Some((wisher, number))),
+                Err(reply) => self.end(wisher, reply),
+            };
+        }
+        self.pass_on(wish, wisher);
+    }
+}
+
+/// Proposes settings as the next version: its number, or why it can't be one; `None`: nobody knows, and it is tried again.
+async fn propose(wishes: &Wishes, text: String, rests_on: u64) -> Option<Result<u64, String>> {
+    let of = digest(&text);
+    let (_, reply) = wishes.ask(Op::Propose { text, expect: Some(rests_on) }).await?;
+    match reply {
+        Said::Done(version) => Some(Ok(version)),
+        Said::Refused(why) => match wishes.ask(Op::Status).await {
+            // A leader before this one has proposed it.
+            Some((local, _)) if local.digest == of => Some(Ok(local.in_force)),
+            _ => Some(Err(why)),
+        },
+        _ => {
+            tokio::time::sleep(CALM / 2).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/staging/src/run.rs
@@ -0,0 +1,300 @@
+//! The thread on which a balancer takes part in changes in stages: it says by what to act, reports, and leads if it is the one to.
+//!
+//! It shares watched values with the thread that serves. No request waits for it, and while no change runs nothing is counted.
+
+use crate::board::{Stands as Shows, Wished};
+use crate::document::{Content, Document};
+use crate::lead::Leading;
+use crate::machine::{Used, used};
+use crate::member::{Wanted, wanted};
+use crate::parts::staged;
+use crate::taking::{Acked, Setup, Staged};
+use crate::talk::Reply;
+use maplehook_config::Proxy;
+use maplehook_quorum::Standing;
+use maplehook_tier::Name;
+use maplehook_verdict::{Report, Side};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+/// How often it is looked at.
+const TICK: Duration = Duration::from_millis(50);
+/// How often one says where it is while no change runs, and the leader tells what it knows.
+pub(crate) const CALM: Duration = Duration::from_secs(1);
+/// How long a wish that was passed on may take, and a document on its way to the log.
+pub(crate) const WISH: Duration = Duration::from_millis(3000);
+
+/// Who is to hear how a wish ended.
+pub(crate) enum Wisher {
+    Here(oneshot::Sender<Reply>),
+    There(Name, u64),
+}
+
+/// A document on its way to the log.
+pub(crate) struct OnItsWay {
+    pub(crate) done: oneshot::Receiver<Result<u64, String>>,
+    pub(crate) until: Instant,
+    /// Who is to hear of it, and of which change.
+    pub(crate) wisher: Option<(Wisher, u64)>,
+}
+
+pub(crate) struct Runner {
+    pub(crate) setup: Setup,
+    pub(crate) stands: watch::Sender<Shows>,
+    staged: watch::Sender<Option<Arc<Staged>>>,
+    acks: watch::Receiver<Option<Acked>>,
+    counts: watch::Sender<Option<Duration>>,
+    begun: Instant,
+    pub(crate) document: Arc<Document>,
+    pub(crate) number: u64,
+    pub(crate) wanted: Option<Wanted>,
+    /// What the last text comes to: the change, the version that it rests on, and the new rules; `None`: it can't be read here.
+    read: Option<(u64, Option<Arc<Proxy>>)>,
+    pub(crate) leading: Option<Leading>,
+    /// The number in the log that what it decides rests on.
+    pub(crate) rests_on: u64,
+    pub(crate) on_its_way: Option<OnItsWay>,
+    pub(crate) passed_on: BTreeMap<u64, (oneshot::Sender<Reply>, Instant)>,
+    /// The end of a proposal of settings that went through all stages.
+    pub(crate) proposing: Option<oneshot::Receiver<Option<Result<u64, String>>>>,
+    pub(crate) used: Used,
+    pub(crate) said_at: Option<Instant>,
+    pub(crate) told_at: Instant,
+    pub(crate) crashes: u32,
+}
+
+impl Runner {
+    pub(crate) fn new(
+        setup: Setup,
+        stands: watch::Sender<Shows>,
+        staged: watch::Sender<Option<Arc<Staged>>>,
+        acks: watch::Receiver<Option<Acked>>,
+        counts: watch::Sender<Option<Duration>>,
+    ) -> Self {
+        let crashes = setup.crashes;
+        Self {
+            setup,
+            stands,
+            staged,
+            acks,
+            counts,
+            begun: Instant::now(),
+            document: Arc::default(),
+            number: 0,
+            wanted: None,
+            read: None,
+            leading: None,
+            rests_on: 0,
+            on_its_way: None,
+            passed_on: BTreeMap::new(),
+            proposing: None,
+            used: used(),
+            said_at: None,
+            told_at: Instant::now(),
+            crashes,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.begun.elapsed()
+    }
+
+    pub(crate) fn standing(&self) -> Standing {
+        self.setup.link.standing.borrow().clone()
+    }
+
+    pub(crate) async fn run(
+        mut self,
+        mut reports: mpsc::Receiver<Report>,
+        mut wished: mpsc::Receiver<Wished>,
+        mut stopped: oneshot::Receiver<()>,
+    ) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut standing = self.setup.link.standing.clone();
+        let mut acting = self.setup.link.acting.clone();
+        let mut acks = self.acks.clone();
+        loop {
+            tokio::select! {
+                _ = &mut stopped => break,
+                _ = ticks.tick() => self.tick(),
+                Ok(()) = standing.changed() => {
+                    standing.borrow_and_update();
+                    self.stood();
+                }
+                Ok(()) = acting.changed() => {
+                    acting.borrow_and_update();
+                    self.act();
+                }
+                Ok(()) = acks.changed() => {
+                    acks.borrow_and_update();
+                    self.say(None);
+                }
+                Some(report) = reports.recv() => self.say(Some(report)),
+                Some((from, body)) = self.setup.link.ways.heard.recv() => self.hear(&from, &body),
+                Some((wish, reply)) = wished.recv() => self.wish(wish, Wisher::Here(reply), None),
+                ended = done(&mut self.on_its_way) => self.ended(ended),
+                proposed = proposed(&mut self.proposing) => self.proposed(proposed),
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        self.act();
+        if self.said_at.is_none_or(|at| at.elapsed() >= CALM) {
+            self.say(None);
+        }
+        let now = Instant::now();
+        let over: Vec<u64> =
+            self.passed_on.iter().filter(|(_, (_, until))| now > *until).map(|(ticket, _)| *ticket).collect();
+        for ticket in over {
+            if let Some((reply, _)) = self.passed_on.remove(&ticket) {
+                let _ = reply.send(Reply::Unavailable("the leader does not answer".into()));
+            }
+        }
+        if self.on_its_way.as_ref().is_some_and(|on| now > on.until) {
+            self.ended(Err("no answer".into()));
+        }
+        self.decide();
+        if self.told_at.elapsed() >= CALM {
+            self.told_at = now;
+            self.tell_what_is_known();
+        }
+    }
+
+    /// What is agreed on has changed, or who leads, or the lease.
+    fn stood(&mut self) {
+        let standing = self.standing();
+        if let Some(common) = standing.common.as_ref().filter(|common| common.number != self.number) {
+            self.number = common.number;
+            match Document::decode(&common.body) {
+                Some(document) => self.document = Arc::new(document),
+                None => tracing::error!(
+                    number = self.number,
+                    "what is agreed on of changes in stages can't be read here"
+                ),
+            }
+        }
+        let leader = standing.leader.as_ref().map(ToString::to_string);
+        self.stands.send_if_modified(|stands| {
+            let news = stands.leader != leader || !Arc::ptr_eq(&stands.document, &self.document);
+            (stands.leader, stands.document) = (leader, Arc::clone(&self.document));
+            news
+        });
+        self.lead(&standing);
+        self.act();
+    }
+
+    /// By what to act here, and whether to count.
+    fn act(&mut self) {
+        let until = self.standing().until;
+        let silent =
+            until.map_or(self.begun.elapsed(), |until| Instant::now().saturating_duration_since(until));
+        let wanted = wanted(&self.document, &self.setup.name, silent);
+        if wanted != self.wanted {
+            if let Some(wanted) = &wanted {
+                tracing::info!(change = wanted.number, step = wanted.step, side = ?wanted.side, "{}", wanted.word);
+            }
+            self.wanted.clone_from(&wanted);
+            self.stands.send_modify(|stands| stands.wanted = wanted);
+        }
+        let counts = self.document.change.as_ref().filter(|change| change.runs());
+        let counts = counts.map(|change| change.rollout.plan.interval);
+        self.counts.send_if_modified(|before| std::mem::replace(before, counts) != counts);
+        let staged = self.staging();
+        self.staged.send_if_modified(|before| {
+            let news = *before != staged;
+            *before = staged;
+            news
+        });
+    }
+
+    /// By what settings to act: until they are undone on all sides, or are the version in force.
+    fn staging(&mut self) -> Option<Arc<Staged>> {
+        let change = self
+            .document
+            .change
+            .as_ref()
+            .filter(|change| change.runs() || change.rollout.state == maplehook_rollout::State::Done)?;
+        let wanted = self.wanted.as_ref()?;
+        let Content::Settings { text, rests_on } = &change.content else { return None };
+        let acting = self.setup.link.acting.borrow();
+        let before = self.staged.borrow().clone();
+        let rests_on = rests_on.to_string();
+        if acting.label != rests_on {
+            return None;
+        }
+        let (number, step, side) = (wanted.number, wanted.step, wanted.side);
+        let same =
+            |staged: &Staged| (staged.number, staged.side) == (number, side) && staged.rests_on == rests_on;
+        if let Some(before) = before.filter(|before| same(before)) {
+            return Some(if before.step == step {
+                before
+            } else {
+                Arc::new(Staged { step, ..(*before).clone() })
+            });
+        }
+        if self.read.as_ref().is_none_or(|(of, _)| *of != number) {
+            let new = read(&self.setup.file, text);
+            if let Err(e) = &new {
+                tracing::error!(change = number, "the new settings can't be acted on here: {e}");
+            }
+            self.read = Some((number, new.ok().map(Arc::new)));
+        }
+        let new = self.read.as_ref().and_then(|(_, new)| new.clone())?;
+        let old = &acting.rules;
+        let rules = Arc::new(match side {
+            Side::Old => staged(old, &new),
+            Side::New => staged(&new, old),
+        });
+        Some(Arc::new(Staged { number, step, side, rests_on, rules }))
+    }
+
+    /// Where this one stands: what the thread that serves acts on, or which program it is.
+    pub(crate) fn side(&self) -> Option<(u64, Side, u64)> {
+        let change = self.document.change.as_ref().filter(|change| change.runs())?;
+        let (number, step) = (change.rollout.number, change.rollout.step);
+        match &change.content {
+            Content::Program { digest, .. } => {
+                let is = self.setup.digest.as_ref().is_some_and(|own| own.eq_ignore_ascii_case(digest));
+                Some((number, if is { Side::New } else { Side::Old }, step))
+            }
+            Content::Settings { .. } => {
+                let acked = (*self.acks.borrow()).filter(|acked| acked.number == number);
+                acked.map(|acked| (number, acked.side, acked.step)).or_else(|| {
+                    // It can't act on the new ones, or on none at all: as before.
+                    let cannot = matches!(&self.read, Some((of, None)) if *of == number);
+                    cannot.then_some((number, Side::Old, step))
+                })
+            }
+        }
+    }
+}
+
+/// The rules of the own file with this shared part.
+pub(crate) fn read(file: &str, shared: &str) -> Result<Proxy, String> {
+    let whole = maplehook_config::with_shared(file, shared).map_err(|e| e.to_string())?;
+    let operator = maplehook_config::parse(&whole).map_err(|e| e.to_string())?;
+    operator.proxy.ok_or_else(|| "it names no class and no upstream".into())
+}
+
+async fn done(on_its_way: &mut Option<OnItsWay>) -> Result<u64, String> {
+    match on_its_way {
+        Some(on) => (&mut on.done).await.unwrap_or_else(|_| Err("this voter leads no more".into())),
+        None => std::future::pending().await,
+    }
+}
+
+async fn proposed(
+    proposing: &mut Option<oneshot::Receiver<Option<Result<u64, String>>>>,
+) -> Option<Result<u64, String>> {
+    let told = match proposing {
+        Some(told) => told.await.ok().flatten(),
+        None => std::future::pending().await,
+    };
+    *proposing = None;
+    told
+}
--- /dev/null
+++ b/staging/src/taking.rs
@@ -0,0 +1,127 @@
+//! A balancer's part in changes in stages as whoever serves sees it: a thread that is started, watched, and ends.
+
+use crate::board::{Board, Stands};
+use crate::run::Runner;
+use maplehook_config::Proxy;
+use maplehook_quorum::{Acting, Standing, Ways, Wishes};
+use maplehook_verdict::{Report, Side};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Wishes that may be under way.
+pub(crate) const WISHES_MOST: usize = 16;
+/// Reports that may wait for the thread.
+const REPORTS: usize = 4;
+
+/// A balancer's part in the agreement, as far as changes in stages go.
+pub struct Link {
+    /// How it stands with what is agreed on.
+    pub standing: watch::Receiver<Standing>,
+    /// The ways.
+    pub ways: Ways,
+    /// The version in force.
+    pub acting: watch::Receiver<Acting>,
+    /// Takes proposals.
+    pub wishes: Wishes,
+}
+
+/// What it takes part with.
+pub struct Setup {
+    /// Its name.
+    pub name: String,
+    /// All balancers that there may be, this one among them.
+    pub names: Vec<String>,
+    /// Its zone.
+    pub zone: String,
+    /// The operator's file, into which texts of settings are read.
+    pub file: String,
+    /// The own program's SHA-256, in hexadecimal, where whoever started it has said so.
+    pub digest: Option<String>,
+    /// How often processes of this balancer have crashed, where whoever started it has said so.
+    pub crashes: u32,
+    /// The agreement.
+    pub link: Link,
+}
+
+/// By what settings to act while they are changed in stages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Staged {
+    /// The change.
+    pub number: u64,
+    /// The step that this is by.
+    pub step: u64,
+    /// The side.
+    pub side: Side,
+    /// The label of the version that it takes the place of: it counts as long as that one is in force.
+    pub rests_on: String,
+    /// The rules.
+    pub rules: Arc<Proxy>,
+}
+
+/// What the thread that serves has come to act on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acked {
+    /// The change.
+    pub number: u64,
+    /// The step.
+    pub step: u64,
+    /// The side.
+    pub side: Side,
+}
+
+/// What passes between the two threads, at the one that serves.
+pub struct Serving {
+    /// By what to act; `None`: by the version in force alone.
+    pub staged: watch::Receiver<Option<Arc<Staged>>>,
+    /// What is acted on.
+    pub acked: watch::Sender<Option<Acked>>,
+    /// Over which interval to count; `None`: nothing is counted.
+    pub counts: watch::Receiver<Option<Duration>>,
+    /// What was counted.
+    pub counted: mpsc::Sender<Report>,
+}
+
+/// A balancer's part in changes in stages; it ends when this is dropped.
+pub struct Taking {
+    /// Answers operators and whoever starts programs.
+    pub board: Board,
+    /// For the thread that serves; taken once.
+    pub serving: Option<Serving>,
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Taking {
+    /// Begins.
+    pub fn start(setup: Setup) -> Result<Self, String> {
+        let (stands, shows) = watch::channel(Stands::default());
+        let (staged_to, staged) = watch::channel(None);
+        let (acked, acks) = watch::channel(None);
+        let (counts_to, counts) = watch::channel(None);
+        let (counted, reports) = mpsc::channel(REPORTS);
+        let (wishes, wished) = mpsc::channel(WISHES_MOST);
+        let (stop, stopped) = oneshot::channel();
+        let board = Board { stands: shows, wishes };
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        let runner = Runner::new(setup, stands, staged_to, acks, counts_to);
+        let thread = std::thread::Builder::new()
+            .name("staging".into())
+            .stack_size(1024 * 1024)
+            .spawn(move || runtime.block_on(runner.run(reports, wished, stopped)))
+            .map_err(|e| e.to_string())?;
+        let serving = Some(Serving { staged, acked, counts, counted });
+        Ok(Self { board, serving, stop: Some(stop), thread: Some(thread) })
+    }
+}
+
+impl Drop for Taking {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
--- /dev/null
+++ b/staging/src/tell.rs
@@ -0,0 +1,128 @@
+//! What a balancer says to others of a change in stages, what it hears, and operators' wishes.
+
+use crate::machine::used;
+use crate::run::{Runner, WISH, Wisher};
+use crate::taking::WISHES_MOST;
+use crate::talk::{Reply, Say, Stands, Wish};
+use bytes::Bytes;
+use maplehook_link::frames::Message;
+use maplehook_quorum::PLACES;
+use maplehook_tier::Name;
+use maplehook_verdict::Report;
+use std::time::Instant;
+
+/// Lines that a leader tells, and how long each may be.
+const LINES: usize = 24;
+const LINE: usize = 1024;
+
+impl Runner {
+    fn tell(&self, to: &Name, say: &Say) {
+        let Ok(body) = postcard::to_allocvec(say) else { return };
+        // What does not fit is lost, as on a way.
+        let _ = self.setup.link.ways.say.try_send((to.clone(), Message { topic: PLACES, body: body.into() }));
+    }
+
+    pub(crate) fn end(&self, wisher: Wisher, reply: Reply) {
+        match wisher {
+            // Whoever asked may have given up.
+            Wisher::Here(to) => drop(to.send(reply)),
+            Wisher::There(name, ticket) => self.tell(&name, &Say::End { ticket, reply }),
+        }
+    }
+
+    /// Says where this one stands, and what it has counted if it has.
+    pub(crate) fn say(&mut self, counted: Option<Report>) {
+        let report = counted.map(|mut report| {
+            let now = used();
+            report.cpu_us = now.cpu.saturating_sub(self.used.cpu).as_micros() as u64;
+            (report.memory_kb, report.descriptors) = (now.memory_kb, now.descriptors);
+            report.zone.clone_from(&self.setup.zone);
+            self.used = now;
+            report
+        });
+        let leader = self.standing().leader;
+        let (now, side) = (self.now(), self.side());
+        let mut stands = Stands { zone: self.setup.zone.clone(), side, report };
+        self.said_at = Some(Instant::now());
+        // Said once, to whoever leads then.
+        let crashes = |stands: &mut Stands, crashes: &mut u32| {
+            if let Some(report) = &mut stands.report {
+                report.crashes = std::mem::take(crashes);
+            }
+        };
+        if let Some(leading) = &mut self.leading {
+            crashes(&mut stands, &mut self.crashes);
+            leading.hear(now, &self.setup.name, stands);
+        } else if let Some(leader) = leader {
+            crashes(&mut stands, &mut self.crashes);
+            self.tell(&leader, &Say::Stands(Box::new(stands)));
+        }
+    }
+
+    /// The leader tells all what is known of the stage that runs.
+    pub(crate) fn tell_what_is_known(&mut self) {
+        let Some((number, mut lines)) = self.leading.as_ref().and_then(|leading| leading.lines()) else {
+            return;
+        };
+        lines.truncate(LINES);
+        let say = Say::Known { number, lines: lines.clone() };
+        for name in self.setup.names.iter().filter(|name| **name != self.setup.name) {
+            if let Some(name) = Name::new(name) {
+                self.tell(&name, &say);
+            }
+        }
+        self.know(number, lines);
+    }
+
+    fn know(&mut self, number: u64, mut lines: Vec<String>) {
+        lines.retain(|line| line.len() <= LINE);
+        lines.truncate(LINES);
+        if self.document.change.as_ref().is_some_and(|change| change.rollout.number == number) {
+            self.stands
+                .send_if_modified(|stands| std::mem::replace(&mut stands.known, lines) != stands.known);
+        }
+    }
+
+    pub(crate) fn hear(&mut self, from: &Name, body: &Bytes) {
+        let Ok(say) = postcard::from_bytes::<Say>(body) else {
+            tracing::debug!(%from, "a message on changes in stages can't be read");
+            return;
+        };
+        let now = self.now();
+        match say {
+            Say::Stands(stands) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.hear(now, from.as_str(), *stands);
+                }
+            }
+            Say::Known { number, lines } => {
+                if self.standing().leader.as_ref() == Some(from) {
+                    self.know(number, lines);
+                }
+            }
+            Say::Wish { ticket, by, wish } => self.wish(wish, Wisher::There(from.clone(), ticket), Some(by)),
+            Say::End { ticket, reply } => {
+                if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
+                    let _ = wisher.send(reply);
+                }
+            }
+        }
+    }
+
+    /// Whoever leads is to answer it.
+    pub(crate) fn pass_on(&mut self, wish: Wish, wisher: Wisher) {
+        let leader = self.standing().leader.filter(|leader| leader.as_str() != self.setup.name);
+        match (wisher, leader) {
+            (Wisher::Here(reply), Some(leader)) if self.passed_on.len() < WISHES_MOST => {
+                let ticket = fastrand::u64(..);
+                self.passed_on.insert(ticket, (reply, Instant::now() + WISH));
+                let by = self.setup.name.clone();
+                self.tell(&leader, &Say::Wish { ticket, by, wish });
+            }
+            (wisher, _) => {
+                let why = "nobody leads: a majority of the voters can't be reached from here";
+                self.end(wisher, Reply::Unavailable(why.into()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/staging/tests/leading.rs
@@ -0,0 +1,264 @@
+//! A leader over members that are played: what it has agreed on, whoever leads.
+
+use maplehook_config::Proxy;
+use maplehook_rollout::State;
+use maplehook_staging::document::Document;
+use maplehook_staging::lead::{Ground, Leading};
+use maplehook_staging::member::wanted;
+use maplehook_staging::talk::{Reply, Stands, What, Wish};
+use maplehook_verdict::{Report, Side};
+use std::time::Duration;
+
+const PLAN: &str = "[change]\nsettings = 'x'\ninterval_ms = 500\nshort_s = 60\n[[stage]]\nnames = ['b0']\nleast_s = 8\nleast_requests = 100\n\
+    [[stage]]\nshare = 0.5\nleast_s = 8\nleast_requests = 100\n[[stage]]\nshare = 1.0\nleast_s = 8\nleast_requests = 100\n\
+    [bounds]\nfailed = 0.1\nrefused = 0.1\nlate = 0.1\nslow = 0.5\ncpu = 1.0\nmemory = 1.0\ndescriptors = 1.0\n";
+
+fn text(deadline: u64) -> String {
+    format!(
+        "[[class]]\nname = 'look'\npath = '/l'\ndeadline_ms = {deadline}\n[[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\n"
+    )
+}
+
+fn read(text: &str) -> Result<Proxy, String> {
+    let whole = format!("[listen]\naddress = '127.0.0.1:0'\n{text}");
+    maplehook_config::parse(&whole).map_err(|e| e.to_string())?.proxy.ok_or_else(|| "nothing".into())
+}
+
+fn names() -> Vec<String> {
+    (0..4).map(|n| format!("b{n}")).collect()
+}
+
+/// Four balancers, whoever leads, and what stands in the log.
+struct World {
+    now: Duration,
+    leading: Leading,
+    log: Document,
+    in_force: u64,
+    /// Who is out of reach.
+    away: Vec<String>,
+}
+
+impl World {
+    fn new() -> Self {
+        let leading = Leading::new(names(), Document::default(), Duration::ZERO);
+        let mut world =
+            Self { now: Duration::ZERO, leading, log: Document::default(), in_force: 1, away: Vec::new() };
+        world.play(1.0, &|_, _| {});
+        world
+    }
+
+    fn wish(&mut self, wish: &Wish) -> Result<u64, Reply> {
+        let rules = read(&text(2000)).unwrap();
+        let ground = Ground { in_force: Some(self.in_force), rules: &rules, read: &read, unix_ms: 5 };
+        let (body, number) = self.leading.wish("b1", wish, &ground)?;
+        self.put(body);
+        Ok(number)
+    }
+
+    fn start(&mut self) -> Result<u64, Reply> {
+        self.wish(&Wish::Start { plan: PLAN.into(), what: What::Settings { text: text(500) } })
+    }
+
+    fn put(&mut self, body: Vec<u8>) {
+        self.log = Document::decode(&body).unwrap();
+        self.leading.ended(true);
+    }
+
+    fn state(&self) -> State {
+        self.log.change.as_ref().unwrap().rollout.state.clone()
+    }
+
+    /// So many seconds; `does`: what a member does with a report, by its side.
+    fn play(&mut self, seconds: f64, does: &dyn Fn(Side, &mut Report)) {
+        let until = self.now + Duration::from_secs_f64(seconds);
+        while self.now < until {
+            self.now += Duration::from_millis(500);
+            let all = names();
+            for name in all.iter().filter(|name| !self.away.contains(name)) {
+                let wanted = wanted(&self.log, name, Duration::ZERO);
+                let side = wanted.as_ref().map(|wanted| (wanted.number, wanted.side, wanted.step));
+                let mut report = Report::new(0, "a");
+                (report.cpu_us, report.memory_kb, report.descriptors) = (10_000, 9000, 60);
+                for k in 0..50 {
+                    report.cell("look", "").served_after(1000 + 100 * k, false);
+                }
+                does(side.map_or(Side::Old, |(_, side, _)| side), &mut report);
+                let stands = Stands { zone: "a".into(), side, report: Some(report) };
+                self.leading.hear(self.now, name, stands);
+            }
+            if let Some(body) = self.leading.tick(self.now, Some(self.in_force), 7) {
+                self.put(body);
+            }
+        }
+    }
+}
+
+fn good(_: Side, _: &mut Report) {}
+
+fn bad(side: Side, report: &mut Report) {
+    if side == Side::New {
+        let cell = report.cell("look", "");
+        (cell.served, cell.failed) = (cell.served / 2, cell.served / 2);
+    }
+}
+
+#[test]
+fn a_good_change_goes_through_all_stages_and_is_to_be_the_next_version() {
+    let mut world = World::new();
+    assert_eq!(world.start().unwrap(), 1);
+    world.play(6.0, &good);
+    assert_eq!(world.state(), State::Running(0), "each stage has its least time");
+    world.play(6.0, &good);
+    assert!(matches!(world.state(), State::Running(n) if n > 0), "{:?}", world.state());
+    world.play(60.0, &good);
+    assert_eq!(world.state(), State::Done);
+    let change = world.log.change.as_ref().unwrap();
+    assert!(change.runs() && change.watched.len() == 3, "{:?}", change.watched);
+    assert!(
+        change.watched[2].evidence.iter().any(|line| line.starts_with("failed: new")),
+        "{:?}",
+        change.watched
+    );
+    assert_eq!(world.leading.finished(), Some((&text(500)[..], 1)));
+    let body = world.leading.finish(Ok(2)).unwrap();
+    world.put(body);
+    assert!(!world.log.change.as_ref().unwrap().runs());
+    assert!(matches!(world.wish(&Wish::Undo), Err(Reply::Refused(why)) if why.contains("settings undo")));
+}
+
+#[test]
+fn a_bad_one_stops_at_the_first_stage_and_others_never_have_it() {
+    let mut world = World::new();
+    world.start().unwrap();
+    world.play(6.0, &bad);
+    assert!(matches!(world.state(), State::Undone { why } if why.contains("failed")));
+    let change = world.log.change.as_ref().unwrap();
+    assert_eq!((change.rollout.begun, change.watched.len()), (Some(0), 1));
+    assert!(change.watched[0].verdict.contains("failed"), "{:?}", change.watched);
+    // The next one may begin, and this one is remembered.
+    assert_eq!(world.start().unwrap(), 2);
+    assert!(world.log.history()[0].ended.contains("undone"));
+}
+
+#[test]
+fn the_next_leader_goes_on_from_the_same_stage() {
+    let mut world = World::new();
+    world.start().unwrap();
+    for _ in 0..80 {
+        world.play(0.5, &good);
+        if matches!(world.state(), State::Running(1)) {
+            break;
+        }
+    }
+    assert_eq!(world.state(), State::Running(1));
+    world.leading = Leading::new(names(), world.log.clone(), world.now);
+    world.play(5.0, &good);
+    assert_eq!(world.state(), State::Running(1), "what another has seen of it does not count");
+    world.play(60.0, &good);
+    assert_eq!(world.state(), State::Done);
+}
+
+#[test]
+fn a_leader_that_begins_in_the_last_stage_knows_what_was_before() {
+    let mut world = World::new();
+    world.start().unwrap();
+    for _ in 0..200 {
+        world.play(0.5, &good);
+        if matches!(world.state(), State::Running(2)) {
+            break;
+        }
+    }
+    assert_eq!(world.state(), State::Running(2));
+    world.leading = Leading::new(names(), world.log.clone(), world.now);
+    world.play(6.0, &bad);
+    assert!(matches!(world.state(), State::Undone { why } if why.contains("failed")), "{:?}", world.state());
+}
+
+#[test]
+fn a_second_plan_is_refused_and_the_same_again_is_the_same() {
+    let mut world = World::new();
+    let number = world.start().unwrap();
+    assert_eq!(world.start(), Err(Reply::Done(number)));
+    let other = Wish::Start { plan: PLAN.into(), what: What::Settings { text: text(700) } };
+    assert!(matches!(world.wish(&other), Err(Reply::Refused(why)) if why.contains("change 1 is running")));
+    let plan = Wish::Plan { plan: PLAN.into(), what: What::Settings { text: text(700) } };
+    assert!(matches!(world.wish(&plan), Err(Reply::Refused(_))));
+    assert_eq!(world.wish(&Wish::Hold).unwrap(), number);
+    assert_eq!(world.wish(&Wish::Hold), Err(Reply::Done(number)));
+    world.play(30.0, &good);
+    assert!(matches!(world.state(), State::Held { operator: true, .. }));
+    assert_eq!(world.wish(&Wish::Go).unwrap(), number);
+    assert_eq!(world.wish(&Wish::Undo).unwrap(), number);
+    assert_eq!(world.wish(&Wish::Undo), Err(Reply::Done(number)), "undone while it is undone");
+    world.play(2.0, &good);
+    assert!(matches!(world.state(), State::Undone { .. }));
+}
+
+#[test]
+fn a_plan_is_said_before_anything_starts() {
+    let mut world = World::new();
+    let plan = |text: &str| Wish::Plan { plan: PLAN.into(), what: What::Settings { text: text.into() } };
+    let Err(Reply::Planned(preview)) = world.wish(&plan(&text(500))) else { panic!() };
+    assert_eq!((preview.stages.len(), &preview.stages[0][..]), (3, &["b0".to_owned()][..]));
+    assert_eq!(preview.staged, ["class look: deadline 2000 to 500 ms", "class look: aim 666 to 166 ms"]);
+    assert_eq!(world.log, Document::default());
+    let strict = text(2000).replace("deadline_ms", "effect = 'at_most_once'\ndeadline_ms");
+    for (text, why) in [(&text(2000), "nothing changes"), (&strict, "settings propose")] {
+        assert!(matches!(world.wish(&plan(text)), Err(Reply::Refused(said)) if said.contains(why)));
+    }
+    let alone = Wish::Plan {
+        plan: "[change]\nsettings = 'x'\n[[stage]]\nshare = 1.0\n".into(),
+        what: What::Settings { text: text(500) },
+    };
+    assert!(
+        matches!(world.wish(&alone), Err(Reply::Refused(why)) if why.contains("nobody is left to compare with"))
+    );
+}
+
+/// The changed one is silent: that counts against it. One that was out of reach from the beginning and is as before does not.
+#[test]
+fn silence_counts_against_the_changed_side_alone() {
+    let mut world = World::new();
+    world.start().unwrap();
+    world.play(4.0, &good);
+    world.away.push("b0".into());
+    world.play(8.0, &good);
+    assert!(
+        matches!(world.state(), State::Undoing { why } if why.contains("b0 has told nothing")),
+        "{:?}",
+        world.state()
+    );
+    world.play(100.0, &good);
+    assert!(matches!(world.state(), State::FailedToUndo { who, .. } if who == ["b0"]));
+    world.away.clear();
+    world.play(2.0, &good);
+    assert!(matches!(world.state(), State::Undone { .. }));
+}
+
+#[test]
+fn another_version_ends_it() {
+    let mut world = World::new();
+    world.start().unwrap();
+    world.in_force = 2;
+    world.play(2.0, &good);
+    assert!(matches!(world.state(), State::Undone { why } if why.contains("version 2")));
+}
+
+/// A program: as many of a zone as may be away at once, and all in the end.
+#[test]
+fn a_program_goes_to_as_many_of_a_zone_as_may_be_away() {
+    let mut world = World::new();
+    let plan = PLAN.replace("settings", "program").replace("share = 0.5", "names = ['b1', 'b2']");
+    let what = What::Program { path: "/p".into(), digest: "a".repeat(64) };
+    world.wish(&Wish::Start { plan, what }).unwrap();
+    let mut most = 0;
+    for _ in 0..200 {
+        let change = world.log.change.clone().unwrap();
+        let new =
+            |name: &&String| change.rollout.sides.get(*name).is_some_and(|(side, _)| *side == Side::New);
+        let away = change.released.iter().filter(|name| !new(name)).count();
+        most = most.max(away);
+        world.play(0.5, &good);
+    }
+    assert_eq!((world.state(), most), (State::Done, 1));
+}
