What a balancer's parent does next, as a state machine

Changes in stages need somebody on each machine who puts a program in the place of another and back. This is what that parent decides, without I/O or clock: a process is tried beside the one that serves and accepts only then; a program that was never good gives way after so many deaths; deaths in a row wait twice as long each, with chance; whoever was cut off goes back; what outlives the supervisor is a versioned record. Played by drawn orders of events, deaths of the supervisor in the middle of its actions among them (200 cases): one always serves once one did, never two are tried at once, and when all behave again what is wanted serves.

--- /dev/null
+++ b/supervise/tests/machine.rs
@@ -0,0 +1,415 @@
+//! The decisions against a world that does what it likes.
+
+use maplehook_supervise::machine::Machine;
+use maplehook_supervise::memory::{Digest, Memory, Role};
+use maplehook_supervise::words::{Action, Event, Found, Own, Phase, Settings};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn settings() -> Settings {
+    Settings {
+        ready: ms(5000),
+        trial: ms(2000),
+        grace: ms(3000),
+        backoff: ms(200),
+        backoff_most: ms(30_000),
+        crashes: 3,
+        good: ms(10_000),
+        cut_off: ms(20_000),
+    }
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn program(n: u8) -> Digest {
+    Digest::new(&format!("{n:064x}")).unwrap()
+}
+
+/// A process of the world.
+#[derive(Clone, Debug)]
+struct One {
+    program: Digest,
+    /// Told to be tried.
+    tried: bool,
+    told_to_accept: bool,
+    accepts: bool,
+    told_to_end: bool,
+    ended_at: Duration,
+}
+
+struct World {
+    now: Duration,
+    machine: Machine,
+    processes: BTreeMap<u64, One>,
+    /// What is on disk.
+    memory: Memory,
+    /// What is yet to be done.
+    due: Vec<Action>,
+    starts: Vec<(Duration, Digest)>,
+    served_once: bool,
+    ended: bool,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let memory = Memory::new(program(0));
+        let machine = Machine::resume(settings(), memory.clone(), &[], seed, Duration::ZERO);
+        let (processes, due, starts) = (BTreeMap::new(), Vec::new(), Vec::new());
+        let now = Duration::ZERO;
+        let mut world =
+            Self { now, machine, processes, memory, due, starts, served_once: false, ended: false };
+        world.happens(Event::Tick);
+        world
+    }
+
+    /// The memory is written, then all is done but what `spares` the supervisor's end.
+    fn happens_and_does(&mut self, event: Event, most: usize) {
+        let actions = self.machine.handle(self.now, event);
+        self.memory = self.machine.memory(|_| None);
+        self.due.extend(actions);
+        let due = std::mem::take(&mut self.due);
+        for action in due.into_iter().take(most) {
+            match action {
+                Action::Start { id, program, .. } => {
+                    let gone = |p: &One| p.told_to_end && self.now >= p.ended_at + ms(10_000);
+                    let raw = self.processes.values().filter(|p| !p.told_to_accept && !gone(p)).count();
+                    assert_eq!(raw, 0, "two are tried at once");
+                    self.starts.push((self.now, program.clone()));
+                    let one = One {
+                        program,
+                        tried: false,
+                        told_to_accept: false,
+                        accepts: false,
+                        told_to_end: false,
+                        ended_at: self.now,
+                    };
+                    assert!(self.processes.insert(id, one).is_none(), "a number twice");
+                }
+                Action::Try { id, .. } => self.one(id).tried = true,
+                Action::Accept(id) => self.one(id).told_to_accept = true,
+                Action::Term(id, _) | Action::Kill(id) => {
+                    if let Some(one) = self.processes.get_mut(&id) {
+                        one.ended_at = if one.told_to_end { one.ended_at } else { self.now };
+                        one.told_to_end = true;
+                    }
+                }
+                Action::End => self.ended = true,
+                Action::Beside(..) | Action::Note(_) => {}
+            }
+        }
+    }
+
+    fn happens(&mut self, event: Event) {
+        self.happens_and_does(event, usize::MAX);
+    }
+
+    fn one(&mut self, id: u64) -> &mut One {
+        self.processes.get_mut(&id).expect("one that was started")
+    }
+
+    fn serving(&self) -> usize {
+        self.processes.values().filter(|p| p.accepts && !p.told_to_end).count()
+    }
+
+    /// The supervisor is killed after `most` actions, and another one comes.
+    fn supervisor_dies(&mut self, event: Event, most: usize, seed: u64) {
+        self.happens_and_does(event, most);
+        self.due.clear();
+        // One that was told to accept does; one that was not goes with its supervisor.
+        self.processes.retain(|_, p| p.told_to_accept);
+        self.processes.values_mut().for_each(|p| p.accepts = true);
+        let found: Vec<Found> = self
+            .memory
+            .processes
+            .iter()
+            .filter_map(|known| {
+                let one = self.processes.get(&known.id)?;
+                Some(Found {
+                    id: known.id,
+                    program: one.program.clone(),
+                    role: known.role,
+                    accepted: one.accepts,
+                })
+            })
+            .collect();
+        assert_eq!(found.len(), self.processes.len(), "one is not on record");
+        self.machine = Machine::resume(settings(), self.memory.clone(), &found, seed, self.now);
+        self.happens(Event::Tick);
+    }
+
+    fn wait(&mut self, time: Duration) {
+        let until = self.now + time;
+        while let Some(due) = self.machine.due(self.now).filter(|due| *due <= until) {
+            self.now = due;
+            self.happens(Event::Tick);
+        }
+        self.now = until;
+        self.happens(Event::Tick);
+    }
+
+    /// Everybody does as is told, but programs that `fail`.
+    fn behave(&mut self, fail: impl Fn(&Digest) -> bool) {
+        for _ in 0..200 {
+            let ids: Vec<u64> = self.processes.keys().copied().collect();
+            for id in ids {
+                let Some(one) = self.processes.get(&id).cloned() else { continue };
+                if one.told_to_end || fail(&one.program) {
+                    self.processes.remove(&id);
+                    self.happens(Event::Died(id));
+                } else if one.told_to_accept && !one.accepts {
+                    self.one(id).accepts = true;
+                    self.happens(Event::Accepts(id));
+                } else if one.tried {
+                    self.happens(Event::Passed(id));
+                } else {
+                    self.happens(Event::Ready(id));
+                }
+            }
+            self.wait(ms(500));
+        }
+    }
+}
+
+fn event() -> impl Strategy<Value = (u8, u8, u8)> {
+    (0u8..16, any::<u8>(), 0u8..4)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    /// Guards all of it at once: while no serving process dies by itself one always serves, whatever new programs, operators,
+    /// roll-outs, the clock and the supervisor's own deaths do; and when all behave again, what is wanted serves.
+    #[test]
+    fn one_always_serves(seed in any::<u64>(), events in proptest::collection::vec(event(), 1..120)) {
+        let mut world = World::new(seed);
+        for (kind, which, n) in events {
+            let ids: Vec<u64> = world.processes.keys().copied().collect();
+            let id = ids.get(usize::from(which) % ids.len().max(1)).copied().unwrap_or(0);
+            let one = world.processes.get(&id).cloned();
+            match (kind, one) {
+                (0 | 1, Some(_)) => world.happens(Event::Ready(id)),
+                (2 | 3, Some(one)) if one.tried => world.happens(Event::Passed(id)),
+                (4, Some(one)) if one.tried => world.happens(Event::Failed(id, "so".into())),
+                (5 | 6, Some(one)) if one.told_to_accept => {
+                    world.one(id).accepts = true;
+                    world.happens(Event::Accepts(id));
+                }
+                (7 | 8, Some(one)) if !one.accepts || one.told_to_end => {
+                    world.processes.remove(&id);
+                    world.happens(Event::Died(id));
+                }
+                (9, _) => world.happens(Event::Wanted(program(n))),
+                (10, Some(_)) => {
+                    let own = match n { 0 => Own::Nothing, 1 => Own::Old, n => Own::New(program(n)) };
+                    world.happens(Event::Said(id, own));
+                }
+                (11, Some(_)) => world.happens(Event::Unanswered(id)),
+                (12, _) => world.wait(ms(u64::from(which) * 20)),
+                (13, _) => world.wait(ms(u64::from(which) * 200)),
+                (14, Some(one)) => {
+                    let event = match n {
+                        0 if one.tried => Event::Passed(id),
+                        1 if one.told_to_accept => { world.one(id).accepts = true; Event::Accepts(id) }
+                        2 => Event::Wanted(program(n)),
+                        _ => Event::Tick,
+                    };
+                    world.supervisor_dies(event, usize::from(which % 4), seed ^ u64::from(which));
+                }
+                _ => {}
+            }
+            world.served_once |= world.serving() > 0;
+            prop_assert!(!world.served_once || world.serving() > 0, "nobody serves");
+        }
+        world.behave(|_| false);
+        prop_assert_eq!(world.serving(), 1);
+        prop_assert_eq!(world.processes.len(), 1, "one is left over");
+        let serves = &world.machine.present().unwrap().program;
+        prop_assert!(serves == &world.memory.wanted || world.memory.refused.contains(&world.memory.wanted));
+        world.happens(Event::Stop);
+        world.behave(|_| false);
+        prop_assert!(world.ended && world.processes.is_empty());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+
+    /// Guards against a program that was never good and stays: it dies again and again while it serves, and the last good one
+    /// is back after as many deaths as are allowed; with serving processes dying at random, too, somebody is started again.
+    #[test]
+    fn a_program_that_was_never_good_gives_way(seed in any::<u64>(), deaths in 0u8..20) {
+        let mut world = World::new(seed);
+        world.behave(|_| false);
+        prop_assert_eq!(&world.memory.last_good, &Some(program(0)));
+        world.happens(Event::Wanted(program(1)));
+        let mut died = 0;
+        for step in 0..400 {
+            let ids: Vec<u64> = world.processes.keys().copied().collect();
+            for id in ids {
+                let one = world.processes.get(&id).cloned().unwrap();
+                if one.told_to_end || (one.accepts && one.program == program(1) && step > u32::from(deaths)) {
+                    died += u32::from(!one.told_to_end);
+                    world.processes.remove(&id);
+                    world.happens(Event::Died(id));
+                } else if one.told_to_accept && !one.accepts {
+                    world.one(id).accepts = true;
+                    world.happens(Event::Accepts(id));
+                } else if one.tried {
+                    world.happens(Event::Passed(id));
+                } else {
+                    world.happens(Event::Ready(id));
+                }
+            }
+            world.wait(ms(50));
+        }
+        prop_assert!(died > 0 && died <= settings().crashes, "{died}");
+        prop_assert_eq!(&world.machine.present().unwrap().program, &program(0));
+        prop_assert!(world.memory.refused.contains(&program(1)));
+    }
+
+    /// Guards the waits: each twice the one before, a quarter by chance, up to the longest; and no end of them for the last
+    /// good program, which is all there is.
+    #[test]
+    fn waits_grow_and_are_bounded(seed in any::<u64>()) {
+        let mut world = World::new(seed);
+        world.behave(|_| false);
+        let mut waits = Vec::new();
+        for _ in 0..14 {
+            let id = *world.processes.keys().next().unwrap();
+            world.processes.clear();
+            world.happens(Event::Died(id));
+            let (died, starts) = (world.now, world.starts.len());
+            while world.starts.len() == starts {
+                world.wait(ms(10));
+            }
+            waits.push(world.now - died);
+            // It gets as far as to serve, and dies again.
+            let id = *world.processes.keys().next().unwrap();
+            world.happens(Event::Ready(id));
+            world.happens(Event::Passed(id));
+            world.one(id).accepts = true;
+            world.happens(Event::Accepts(id));
+        }
+        for (n, wait) in waits.iter().enumerate() {
+            let whole = (settings().backoff * (1 << n)).min(settings().backoff_most);
+            prop_assert!(*wait >= whole.mul_f64(0.74) && *wait <= whole + ms(20), "{n}: {wait:?} of {whole:?}");
+        }
+        // What lasts is trusted again.
+        world.wait(settings().good);
+        prop_assert_eq!(world.memory.failures, 0);
+    }
+}
+
+/// Guards the way back: a new program that its roll-out does not reach any more gives way to the one before, and does not come
+/// back by itself.
+#[test]
+fn a_new_program_that_is_cut_off_gives_way() {
+    for by_word in [true, false] {
+        let mut world = World::new(7);
+        world.behave(|_| false);
+        let old = world.machine.present().unwrap().id;
+        world.happens(Event::Said(old, Own::New(program(1))));
+        world.behave(|_| false);
+        let new = world.machine.present().unwrap().clone();
+        assert_eq!(new.program, program(1));
+        if by_word {
+            world.happens(Event::Said(new.id, Own::Old));
+        } else {
+            for _ in 0..39 {
+                world.happens(Event::Unanswered(new.id));
+            }
+            assert!(world.machine.next().is_none(), "too early");
+            world.happens(Event::Unanswered(new.id));
+        }
+        assert!(world.serving() == 1 && world.machine.next().is_some(), "beside it");
+        world.behave(|_| false);
+        let now = world.machine.present().unwrap().clone();
+        assert_eq!(now.program, program(0));
+        // Neither its word nor silence moves anything any more.
+        world.happens(Event::Said(now.id, Own::Old));
+        for _ in 0..100 {
+            world.happens(Event::Unanswered(now.id));
+        }
+        world.behave(|_| false);
+        assert_eq!(world.machine.present().unwrap(), &now);
+    }
+}
+
+/// Guards against a trial that keeps everybody out while upstreams are gone: with nobody there any answer will do.
+#[test]
+fn a_trial_beside_nobody_asks_for_less() {
+    let mut world = World::new(7);
+    let id = world.machine.next().unwrap().id;
+    let first = world.machine.handle(ms(1), Event::Ready(id));
+    assert!(first.contains(&Action::Try { id, strict: false }), "{first:?}");
+    let mut world = World::new(7);
+    world.behave(|_| false);
+    world.happens(Event::Wanted(program(1)));
+    let id = world.machine.next().unwrap().id;
+    let second = world.machine.handle(world.now, Event::Ready(id));
+    assert!(second.contains(&Action::Try { id, strict: true }), "{second:?}");
+}
+
+/// Guards the guarantees: the old process hears that two accept before the new one may, and the one that stays that it is alone.
+#[test]
+fn both_hear_that_there_are_two() {
+    let mut world = World::new(7);
+    world.behave(|_| false);
+    let old = world.machine.present().unwrap().id;
+    world.happens(Event::Wanted(program(1)));
+    let new = world.machine.next().unwrap().id;
+    world.happens(Event::Ready(new));
+    let actions = world.machine.handle(world.now, Event::Passed(new));
+    assert_eq!(actions, [Action::Beside(old, true), Action::Beside(new, true), Action::Accept(new)]);
+    let _ = world.machine.handle(world.now, Event::Accepts(new));
+    let actions = world.machine.handle(world.now, Event::Died(old));
+    assert_eq!(actions, [Action::Beside(new, false)]);
+}
+
+/// Guards the record of roles: who serves stays, whoever was only tried ends.
+#[test]
+fn whoever_accepts_stays_and_all_others_end() {
+    let memory = Memory { next_id: 9, ..Memory::new(program(0)) };
+    let found = |id, role, accepted| Found { id, program: program(0), role, accepted };
+    let all = [found(3, Role::Leaving, true), found(5, Role::Next, true), found(4, Role::Present, true)];
+    let mut machine = Machine::resume(settings(), memory.clone(), &all, 1, Duration::ZERO);
+    let actions = machine.handle(Duration::ZERO, Event::Tick);
+    assert!(
+        actions.contains(&Action::Term(3, true)) && actions.contains(&Action::Term(5, true)),
+        "{actions:?}"
+    );
+    assert!(
+        matches!(machine.present().unwrap(), p if p.id == 4 && p.phase == Phase::Serving(Duration::ZERO))
+    );
+    // With none before it, one that was told to accept is the one.
+    let mut machine = Machine::resume(settings(), memory, &all[..2], 1, Duration::ZERO);
+    machine.handle(Duration::ZERO, Event::Tick);
+    assert_eq!(machine.present().unwrap().id, 5);
+}
+
+/// Guards the narrow moment: the old process dies after the new one was told to accept, which then stays.
+#[test]
+fn one_that_was_told_to_accept_stays_if_the_old_one_dies() {
+    let mut world = World::new(7);
+    world.behave(|_| false);
+    let old = world.machine.present().unwrap().id;
+    world.happens(Event::Wanted(program(1)));
+    let new = world.machine.next().unwrap().id;
+    world.happens(Event::Ready(new));
+    world.happens(Event::Passed(new));
+    world.processes.remove(&old);
+    world.happens(Event::Died(old));
+    assert!(!world.one(new).told_to_end);
+    world.one(new).accepts = true;
+    world.happens(Event::Accepts(new));
+    assert_eq!(world.machine.present().unwrap().id, new);
+    // One that was only tried gives way to what served.
+    world.happens(Event::Wanted(program(2)));
+    world.happens(Event::Died(new));
+    assert!(world.processes.values().any(|p| p.told_to_end && p.program == program(2)));
+    world.behave(|_| false);
+    assert_eq!(world.machine.present().unwrap().program, program(2));
+}
