Balancers agree on round trips between zones that nobody has stated

A rule's `within` went by trips_ms alone. Each balancer now tells the leader every 2 s what its probes say of its newest peers; the leader makes one table, agreed on with the plan, that moves as far as both ends of a way say, by more than 1 ms and a quarter kept for 5 s. Leader and members count steps by it, stated ways stand before it, /control/places, `places status` and `locality explain` show it. The message is one of its own and the table stands last in the body, so that earlier programs read both as before.

--- a/failover/src/trips.rs
+++ b/failover/src/trips.rs
@@ -139,7 +139,9 @@
             let mut seen: BTreeMap<Zone, Vec<Duration>> = BTreeMap::new();
             for way in ways {
                 if let Some(zone) = by_digest.get(&way.peer).filter(|zone| **zone != own) {
-                    seen.entry(*zone).or_default().push(Duration::from_secs_f32(way.ms / 1e3));
+                    seen.entry(*zone)
+                        .or_default()
+                        .push(Duration::from_micros((f64::from(way.ms) * 1e3).round() as u64));
                 }
             }
             for (zone, took) in seen {
@@ -197,6 +199,9 @@
 
     /// The table, as it is agreed on.
     pub fn table(&self, topology: &Topology) -> Measured {
+        if self.table.is_empty() {
+            return Measured::default();
+        }
         let trip = |((a, b), took): (&(Zone, Zone), &Duration)| Trip {
             a: a.0,
             b: b.0,
--- a/failover/tests/trips.rs
+++ b/failover/tests/trips.rs
@@ -160,8 +160,16 @@
     for lie in [0.0, 500.0, 9_999.0] {
         play.steps(4 * KEPT, |from, _| if from.ends_with('1') { lie } else { 2.0 });
     }
+    // All of a zone, to either side.
+    for lie in [0.0, 9_999.0] {
+        play.steps(4 * KEPT, |from, _| if from.starts_with('c') { lie } else { 2.0 });
+    }
     assert_eq!(play.moves, 1);
-    assert!(near(play.way("a", "b"), 2.0));
+    assert!(near(play.way("a", "b"), 2.0) && near(play.way("b", "c"), 2.0));
+    // Nobody has seen a way yet that one of its ends makes short.
+    let mut play = Play::new(&Measured::default());
+    play.steps(KEPT + LOOK, |from, _| if from.starts_with('c') { 0.0 } else { 7.0 });
+    assert!(near(play.way("a", "c"), 7.0));
 }
 
 #[test]
@@ -176,6 +184,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
     /// In whatever order they speak, and however often within a moment, the table is the same.
     #[test]
     fn the_order_of_words_does_not_count(
--- a/lab/src/places/explore/leads.rs
+++ b/lab/src/places/explore/leads.rs
@@ -159,6 +159,7 @@
             let agreed = Agreed {
                 places: places.unwrap_or(stands.places),
                 addresses: addresses.unwrap_or(stands.addresses),
+                trips: stands.trips,
             };
             self.put(agreed);
         }
--- a/node/src/locality_command.rs
+++ b/node/src/locality_command.rs
@@ -12,6 +12,7 @@
 use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// What to do with rules. Classes, tenants and zones are those of the file of --config.
 #[derive(clap::Subcommand)]
@@ -118,6 +119,17 @@
                     (None, Some(address)) => Some(serde_json::from_slice(&ask(*address, PLACES)?)?),
                     (None, None) => None,
                 };
+                // What is measured stands in what a balancer shows; what the file states stands before it.
+                let mut topology = topology.clone();
+                let measured = shown.iter().flat_map(|shown| &shown.trips).filter(|trip| !trip.stated);
+                let ways: Vec<_> = measured
+                    .filter_map(|trip| {
+                        let took = Duration::try_from_secs_f64(trip.ms / 1e3).ok()?;
+                        Some((topology.zone(&trip.a)?, topology.zone(&trip.b)?, took))
+                    })
+                    .collect();
+                topology.set_measured(ways);
+                let topology = &topology;
                 let seen = topology.zones().map(|zone| seen(shown.as_ref(), topology.zone_name(zone)));
                 let names = Names { topology, classes: &proxy.classes, tenants: &tenants };
                 let explained =
--- a/node/src/nearness.rs
+++ b/node/src/nearness.rs
@@ -5,6 +5,7 @@
 use maplehook::parts::driver::Driver;
 use maplehook_agreement::numbers::{Numbered, Numbers};
 use maplehook_config::Proxy;
+use maplehook_link::Measured;
 use maplehook_locality::Zone;
 use maplehook_places::rates::{RuleSeen, Seen, ZoneSeen};
 use maplehook_places::{Acted, Config, Link, Setup, Taking};
@@ -76,6 +77,8 @@
     pub proxy: &'a Proxy,
     /// Whether this balancer takes clients.
     pub ready: Arc<AtomicBool>,
+    /// Round trips to other balancers, where there is a tier.
+    pub trips: Option<watch::Receiver<Measured>>,
     /// How many balancers there are.
     pub balancers: usize,
     /// The file that a history goes to.
@@ -85,7 +88,7 @@
 impl Part {
     /// Begins it; with a part in the agreement, where there is one.
     pub fn begin(begin: Begin<'_>, agreeing: Option<&mut Agreeing>) -> Result<Self, String> {
-        let Begin { name, proxy, ready, balancers, history } = begin;
+        let Begin { name, proxy, ready, trips, balancers, history } = begin;
         let (config, configs) = watch::channel(None);
         let (names_to, names) = watch::channel(Names::default());
         let (seen, sees) = watch::channel(Seen::default());
@@ -104,6 +107,7 @@
             config: configs,
             seen: sees,
             link,
+            trips,
             balancers,
             ready: Arc::clone(&ready),
             history,
--- a/node/src/places_command.rs
+++ b/node/src/places_command.rs
@@ -212,6 +212,13 @@
             place.why
         );
     }
+    if !shown.trips.is_empty() {
+        text += "round trips between zones:\n";
+        for trip in &shown.trips {
+            let by = if trip.stated { "stated" } else { "measured" };
+            let _ = writeln!(text, "  {:<16} {:<16} {:>8.1} ms  {by}", trip.a, trip.b, trip.ms);
+        }
+    }
     if !shown.plan.is_empty() {
         text += "rows that differ from the first step:\n";
         rows(&mut text, &shown.plan);
--- a/node/src/serve/parts.rs
+++ b/node/src/serve/parts.rs
@@ -87,6 +87,7 @@
                 name: tier.map_or_else(|| "balancer".into(), |tier| tier.name.to_string()),
                 proxy,
                 ready: Arc::clone(&board.ready),
+                trips: member.as_ref().map(|member| member.trips.clone()),
                 balancers: tier.map_or(1, |tier| tier.peers.len() + 1),
                 history: plan.operator.history.clone(),
             };
--- a/places/src/board.rs
+++ b/places/src/board.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::history::{Writer, unix_us};
-use crate::shown::{Shown, ShownRow};
+use crate::shown::{Shown, ShownRow, trips};
 use crate::talk::{Agreed, Reply, Wish};
 use maplehook_addresses::{Announce, Answer, Own};
 use maplehook_histories::What;
@@ -246,6 +246,7 @@
     shown.in_common = stands.in_common;
     shown.by = stands.by.clone();
     shown.acts = stands.acts.clone();
+    shown.trips = trips(topology, stands.agreed.as_ref().map(|(agreed, _)| &agreed.trips));
     shown.own_zone = topology.zone_name(config.own).to_owned();
     shown.own_region = topology.region_name(topology.region_of(config.own)).to_owned();
     if let Some(standing) = standing {
--- a/places/src/lead.rs
+++ b/places/src/lead.rs
@@ -4,8 +4,10 @@
 use crate::config::Config;
 use crate::talk::{Agreed, Reply, Wish};
 use maplehook_addresses::{self as addresses, SiteHealth};
+use maplehook_failover::trips::{Measured, Measuring, Way};
 use maplehook_failover::{self as failover, Report};
 use maplehook_locality::{Region, Zone};
+use maplehook_tier::words::fnv;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -14,6 +16,7 @@
     config: Config,
     places: failover::Decider,
     addresses: addresses::Decider,
+    measuring: Measuring,
     /// What stands in the log, as far as this leader knows.
     stands: Agreed,
     /// What is on its way there.
@@ -32,7 +35,7 @@
 impl Leading {
     /// From an election on.
     pub fn new(config: Config, stands: Agreed, now: Duration) -> Self {
-        let places = failover::Decider::new(
+        let mut places = failover::Decider::new(
             config.topology.clone(),
             config.rules.clone(),
             config.bounds,
@@ -41,7 +44,9 @@
         );
         let addresses =
             addresses::Decider::new(config.addresses.clone(), config.sites(), Some(&stands.addresses), now);
-        Self { config, places, addresses, stands, proposed: None, zones: BTreeMap::new() }
+        places.measured(&stands.trips);
+        let measuring = Measuring::new(&stands.trips, &config.topology);
+        Self { config, places, addresses, measuring, stands, proposed: None, zones: BTreeMap::new() }
     }
 
     /// Other rules or places are in force.
@@ -49,6 +54,7 @@
         self.places.retune(config.topology.clone(), config.rules.clone(), now);
         self.places.set_bounds(config.bounds);
         self.addresses.retune(config.addresses.clone(), config.sites(), now);
+        self.measuring = Measuring::new(&self.measuring.table(&self.config.topology), &config.topology);
         self.config = config;
         // Zones are counted anew.
         self.zones.clear();
@@ -63,6 +69,13 @@
         self.places.hear(now, from, report);
     }
 
+    /// What a balancer measured of ways to others.
+    pub fn hear_trips(&mut self, now: Duration, from: &str, ways: &[Way]) {
+        if self.zones.contains_key(from) {
+            self.measuring.hear(now, from, ways);
+        }
+    }
+
     /// Time passes: what is to be agreed on, if there is anything new and nothing is on its way. `behind`: balancers that may
     /// still act on what was agreed before; `in_touch`: those that hold a lease, and whether their program knows places.
     pub fn tick(
@@ -84,16 +97,25 @@
         let sites = self.sites(now);
         let behind = self.behind(behind);
         let addresses = self.addresses.tick(now, &sites, &behind);
-        if places.is_none() && addresses.is_none() {
+        let trips = self.trips(now);
+        if places.is_none() && addresses.is_none() && trips.is_none() {
             return None;
         }
         let stands = self.stands.clone();
         Some(self.propose(Agreed {
             places: places.unwrap_or(stands.places),
             addresses: addresses.unwrap_or(stands.addresses),
+            trips: trips.unwrap_or(stands.trips),
         }))
     }
 
+    /// Another table of round trips than the one that stands.
+    fn trips(&mut self, now: Duration) -> Option<Measured> {
+        let by_digest = self.zones.iter().map(|(name, (zone, ..))| (fnv(name.as_bytes()), *zone)).collect();
+        self.measuring.tick(now, |name| self.zones.get(name).map(|(zone, ..)| *zone), &by_digest);
+        Some(self.measuring.table(&self.config.topology)).filter(|table| *table != self.stands.trips)
+    }
+
     fn propose(&mut self, agreed: Agreed) -> Vec<u8> {
         let bytes = agreed.encode();
         self.proposed = Some(agreed);
@@ -155,6 +177,7 @@
             return None;
         }
         self.places.accepted(&proposed.places);
+        self.places.measured(&proposed.trips);
         self.addresses.accepted(&proposed.addresses);
         self.stands = proposed;
         Some(&self.stands)
--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -24,6 +24,8 @@
 const TICK: Duration = Duration::from_millis(200);
 /// Ticks between two reports.
 const REPORT_EACH: u64 = 2;
+/// Ticks between two words of round trips: they change slowly.
+const TRIPS_EACH: u64 = 10;
 /// How long a wish that was passed on may take, and a body on its way to the log.
 pub(crate) const WISH: Duration = Duration::from_millis(3000);
 
@@ -169,6 +171,7 @@
                 let mut acting = Acting::new(topology, rules, config.own, now);
                 acting.balancers(self.setup.balancers);
                 if let Some(agreed) = &self.agreed {
+                    acting.measured(&agreed.trips);
                     acting.agreed(&agreed.places);
                 }
                 self.acting = Some(acting);
@@ -188,6 +191,7 @@
                 Some(agreed) => {
                     self.note_agreed(&agreed);
                     if let Some(acting) = &mut self.acting {
+                        acting.measured(&agreed.trips);
                         acting.agreed(&agreed.places);
                     }
                     (self.agreed, self.number) = (Some(Arc::new(agreed)), common.number);
@@ -257,6 +261,9 @@
         if self.ticks.is_multiple_of(REPORT_EACH) {
             self.report();
         }
+        if self.ticks.is_multiple_of(TRIPS_EACH) {
+            self.tell_trips();
+        }
         self.served();
         self.act();
         let now = Instant::now();
--- a/places/src/shown.rs
+++ b/places/src/shown.rs
@@ -3,6 +3,8 @@
 use crate::config::Config;
 use crate::talk::Agreed;
 use maplehook_failover::WHOLE;
+use maplehook_failover::trips::Measured;
+use maplehook_locality::Topology;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -47,6 +49,19 @@
     pub to: Vec<ShownShare>,
 }
 
+/// The way between two zones.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShownTrip {
+    /// One of them.
+    pub a: String,
+    /// The other one.
+    pub b: String,
+    /// There and back, in milliseconds.
+    pub ms: f64,
+    /// Whether the file says so; else it was measured.
+    pub stated: bool,
+}
+
 /// What `GET /control/places` shows.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Shown {
@@ -79,6 +94,9 @@
     /// Why nothing moves though much seems ill.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shared_cause: Option<String>,
+    /// Ways between zones that are stated or measured, in the order of the zones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub trips: Vec<ShownTrip>,
     /// Balancers in touch whose program knows no places.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub without: Vec<String>,
@@ -87,6 +105,22 @@
     pub with: Vec<String>,
 }
 
+/// Ways that are known, by these zones and by what was measured in common.
+pub(crate) fn trips(topology: &Topology, measured: Option<&Measured>) -> Vec<ShownTrip> {
+    let mut known = topology.clone();
+    known.set_measured(measured.into_iter().flat_map(|measured| measured.of(topology)));
+    let pairs = topology.zones().flat_map(|a| topology.zones().filter(move |b| a < *b).map(move |b| (a, b)));
+    let trip = |(a, b)| {
+        Some(ShownTrip {
+            a: topology.zone_name(a).to_owned(),
+            b: topology.zone_name(b).to_owned(),
+            ms: known.trip(a, b)?.as_secs_f64() * 1e3,
+            stated: known.stated(a, b).is_some(),
+        })
+    };
+    pairs.filter_map(trip).collect()
+}
+
 impl Shown {
     /// The part that stands in what is agreed on, which came so long ago.
     pub fn of(config: &Config, agreed: &Agreed, age: Duration) -> Self {
--- a/places/src/taking.rs
+++ b/places/src/taking.rs
@@ -6,6 +6,7 @@
 use crate::rates::Seen;
 use crate::run::Runner;
 use maplehook_failover::Acts;
+use maplehook_link::Measured;
 use maplehook_quorum::{Places, Standing};
 use std::collections::VecDeque;
 use std::path::PathBuf;
@@ -40,6 +41,8 @@
     pub seen: watch::Receiver<Seen>,
     /// The agreement, where there is one.
     pub link: Option<Link>,
+    /// Round trips to other balancers, where there is a tier.
+    pub trips: Option<watch::Receiver<Measured>>,
     /// How many balancers there are, this one among them.
     pub balancers: usize,
     /// Whether this balancer takes clients.
--- a/places/src/talk.rs
+++ b/places/src/talk.rs
@@ -2,6 +2,7 @@
 
 use maplehook_addresses::State;
 use maplehook_failover::Document;
+use maplehook_failover::trips::{Measured, Way};
 use serde::{Deserialize, Serialize};
 
 /// All that is agreed on beside versions: one body in the agreement's log.
@@ -11,6 +12,8 @@
     pub places: Document,
     /// Service addresses.
     pub addresses: State,
+    /// Round trips between zones. Programs that know none leave it out, and read what stands before it.
+    pub trips: Measured,
 }
 
 impl Agreed {
@@ -22,8 +25,11 @@
 
     /// From the log; `None` for what is none, as of a later program.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let agreed: Self = postcard::from_bytes(bytes).ok()?;
-        (agreed.places.is_sound() && agreed.addresses.is_sound()).then_some(agreed)
+        let ((places, addresses), rest) = postcard::take_from_bytes(bytes).ok()?;
+        let trips = if rest.is_empty() { Measured::default() } else { postcard::from_bytes(rest).ok()? };
+        let agreed = Self { places, addresses, trips };
+        let sound = agreed.places.is_sound() && agreed.addresses.is_sound() && agreed.trips.is_sound();
+        sound.then_some(agreed)
     }
 }
 
@@ -107,4 +113,6 @@
         /// How.
         reply: Reply,
     },
+    /// Round trips to other balancers. A message of its own: reports stay as programs before it read them.
+    Trips(Vec<Way>),
 }
--- a/places/src/tell.rs
+++ b/places/src/tell.rs
@@ -4,10 +4,12 @@
 use crate::taking::WISHES_MOST;
 use crate::talk::{Reply, Say, Wish};
 use bytes::Bytes;
+use maplehook_failover::trips::{PEERS_MOST, Way};
 use maplehook_failover::{Report, Sight};
 use maplehook_link::frames::Message;
 use maplehook_quorum::PLACES;
 use maplehook_tier::Name;
+use maplehook_tier::words::fnv;
 use std::time::Instant;
 
 impl Runner {
@@ -50,6 +52,22 @@
         }
     }
 
+    /// Round trips to other balancers, to whoever leads.
+    pub(crate) fn tell_trips(&mut self) {
+        let Some(trips) = &self.setup.trips else { return };
+        let way = |(name, took): &(Name, std::time::Duration)| Way {
+            peer: fnv(name.as_str().as_bytes()),
+            ms: took.as_secs_f32() * 1e3,
+        };
+        let ways: Vec<Way> = trips.borrow().iter().take(PEERS_MOST).map(way).collect();
+        let now = self.now();
+        if let Some(leading) = &mut self.leading {
+            leading.hear_trips(now, &self.setup.name, &ways);
+        } else if let Some(leader) = self.standing().leader.filter(|_| !ways.is_empty()) {
+            self.tell(&leader, &Say::Trips(ways));
+        }
+    }
+
     /// Share of the own clients' demand that is served, by own evidence.
     pub(crate) fn served(&mut self) {
         let (sights, demand) = self.sights();
@@ -74,6 +92,11 @@
                     leading.hear(now, from.as_str(), report);
                 }
             }
+            Say::Trips(ways) => {
+                if let Some(leading) = &mut self.leading {
+                    leading.hear_trips(now, from.as_str(), &ways);
+                }
+            }
             Say::Wish { ticket, by, wish } => self.wish(wish, Wisher::There(from.clone(), ticket), Some(by)),
             Say::End { ticket, reply } => {
                 if let Some((wisher, _)) = self.passed_on.remove(&ticket) {
--- a/places/tests/leading.rs
+++ b/places/tests/leading.rs
@@ -8,11 +8,16 @@
 use std::time::Duration;
 
 fn config() -> Config {
+    ruled("")
+}
+
+fn ruled(locality: &str) -> Config {
     let mut text =
         "[listen]\naddress = '127.0.0.1:0'\n[balancer]\nzone = 'a'\n[[class]]\nname = 'all'\npath = '/**'\n\
-        [[region]]\nname = 'n'\nzones = ['a', 'b']\n[[region]]\nname = 's'\nzones = ['c', 'd']\n[locality]\n\
-        [[address]]\nname = 'book'\naddress = '203.0.113.10:443'\nannounce = 'one'\n"
+        [[region]]\nname = 'n'\nzones = ['a', 'b']\n[[region]]\nname = 's'\nzones = ['c', 'd']\n[locality]\n"
             .to_owned();
+    text += locality;
+    text += "[[address]]\nname = 'book'\naddress = '203.0.113.10:443'\nannounce = 'one'\n";
     for (n, zone) in ["a", "b", "c", "d"].iter().enumerate() {
         text += &format!(
             "[[upstream]]\nname = 'u{n}'\naddress = '127.0.0.1:{}'\nzone = '{zone}'\nroom_per_s = 100.0\n",
@@ -33,7 +38,10 @@
 
 impl Led {
     fn new() -> Self {
-        let config = config();
+        Self::of(config())
+    }
+
+    fn of(config: Config) -> Self {
         let now = Duration::from_secs(100);
         let leading = Leading::new(config.clone(), Agreed::default(), now);
         let mut led = Self { leading, config, now, number: 0, agreed: Agreed::default() };
@@ -134,3 +142,87 @@
     let led = Led::new();
     assert_eq!(Agreed::decode(&led.agreed.encode()).as_ref(), Some(&led.agreed));
 }
+
+/// What one says of its ways: 2 ms to its own region, so long to the other one.
+fn ways(own: usize, far_ms: f32) -> Vec<maplehook_failover::trips::Way> {
+    let way = |zone: usize| maplehook_failover::trips::Way {
+        peer: maplehook_tier::words::fnv(format!("b{zone}0").as_bytes()),
+        ms: if zone / 2 == own / 2 { 2.0 } else { far_ms },
+    };
+    (0..4).map(way).collect()
+}
+
+/// Looks during which all say so of their ways; how long until the body has another table.
+fn measured(led: &mut Led, looks: u32, far_ms: f32) -> Option<u32> {
+    let before = led.agreed.trips.clone();
+    (1..=looks).find(|_| {
+        for zone in 0..4 {
+            led.leading.hear_trips(led.now, &format!("b{zone}0"), &ways(zone, far_ms));
+        }
+        led.run(1);
+        led.agreed.trips != before
+    })
+}
+
+#[test]
+fn ways_are_agreed_on_after_a_time_and_stay_with_whoever_leads_next() {
+    let mut led = Led::new();
+    // Nobody who is not known to be anywhere is heard.
+    led.leading.hear_trips(led.now, "stranger", &ways(0, 9.0));
+    let took = measured(&mut led, 30, 12.0).expect("a table");
+    assert!((12..=15).contains(&took), "5 s of 400 ms each, and not {took}");
+    let (epoch, of) = (led.agreed.places.plan.epoch, |trips: &maplehook_failover::trips::Measured, a, b| {
+        trips.trips.iter().find(|trip| (trip.a, trip.b) == (a, b)).map(|trip| trip.us)
+    });
+    assert_eq!(led.agreed.trips.trips.len(), 6);
+    assert_eq!(of(&led.agreed.trips, 0, 1), Some(2000));
+    assert_eq!(of(&led.agreed.trips, 0, 2), Some(12_000));
+    assert_eq!(measured(&mut led, 10, 12.9), None, "no more than a jitter");
+    let next = Leading::new(led.config.clone(), led.agreed.clone(), led.now);
+    led.leading = next;
+    assert!(measured(&mut led, 10, 40.0).is_none(), "it begins to wait anew");
+    let kept = led.agreed.trips.clone();
+    assert_eq!(of(&kept, 0, 2), Some(12_000));
+    assert!(measured(&mut led, 10, 40.0).is_some());
+    assert_eq!(of(&led.agreed.trips, 0, 2), Some(40_000));
+    assert_eq!(led.agreed.places.plan.epoch, epoch, "near first is the same rule however long a way is");
+}
+
+/// Programs before it read what stands before the table, and write none.
+#[test]
+fn a_body_without_ways_is_read_and_one_with_them_is_read_by_programs_without() {
+    let mut led = Led::new();
+    measured(&mut led, 30, 12.0).expect("a table");
+    let body = led.agreed.encode();
+    let before: (maplehook_failover::Document, maplehook_addresses::State) =
+        postcard::from_bytes(&body).unwrap();
+    assert_eq!((&before.0, &before.1), (&led.agreed.places, &led.agreed.addresses));
+    let old = postcard::to_allocvec(&before).unwrap();
+    let read = Agreed::decode(&old).unwrap();
+    assert_eq!(read, Agreed { trips: Default::default(), ..led.agreed.clone() });
+    assert!(Agreed::decode(&body[..body.len() - 1]).is_none(), "cut short");
+    let mut wild = led.agreed;
+    wild.trips.trips.reverse();
+    assert!(Agreed::decode(&wild.encode()).is_none());
+}
+
+/// A step that is only for what is near enough holds no zone before its way was measured, for this leader as for the next one.
+#[test]
+fn a_plan_goes_by_the_ways_that_are_agreed_on() {
+    let rules = "rules = 'rule all { prefer own zone > own region within 5ms; when lost refuse; }'\n";
+    let mut led = Led::of(ruled(rules));
+    let wish = Wish::Evacuate { place: "a".into(), for_ms: None, anyway: true };
+    led.leading.wish(led.now, "b00", &wish).unwrap();
+    led.agreed = led.leading.ended(true).unwrap().clone();
+    led.run(20);
+    let to_b = |led: &Led| led.agreed.places.plan.row(0, Zone(0)).map(|row| row.part(Zone(1)));
+    assert_eq!(to_b(&led), Some(0), "nobody knows how far it is");
+    measured(&mut led, 30, 12.0).expect("a table");
+    led.run(20);
+    assert!(to_b(&led).is_some_and(|part| part > 9000), "{:?}", led.agreed.places.plan);
+    led.leading = Leading::new(led.config.clone(), led.agreed.clone(), led.now);
+    for _ in 0..40 {
+        led.run(1);
+        assert!(to_b(&led).is_some_and(|part| part > 9000), "{:?}", led.agreed.places.plan);
+    }
+}
