The daemon takes part in changes in stages; maplehook rollout

The part in changes in stages was a library alone. A balancer with [agreement] now has it: the thread that serves acts on the staged reading as long as the version in force is the one it rests on, says which side and step it acts on, and counts ends by class and tenant while a change runs (one hook in the engine's tally; nobody looks otherwise). Operators have GET and POST /control/rollout and maplehook rollout plan, start, status, hold, go, undo, history; whoever starts programs asks GET /control/rollout/own. Settings can't be proposed while some are changed in stages.

--- a/engine/src/parts/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -112,7 +112,7 @@
     /// The final answer to a request. When this is dropped before, the client has gone: what is out is called back,
     /// but for what has an identity, which goes on, so that whoever asks again has its answer.
     pub async fn ask(self: &Rc<Self>, asked: Asked, identity: Option<Identity>) -> Told {
-        let owed = self.counting.taken(asked.class);
+        let owed = self.counting.taken(asked.class, asked.tenant);
         let (mut answer, trace) = self.answer(asked, identity).await;
         owed.answered(&mut answer);
         (answer, trace)
--- a/engine/src/tally.rs
+++ b/engine/src/tally.rs
@@ -5,7 +5,7 @@
 
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::driver::Answer;
-use lapisroute::{ClassId, Outcome};
+use lapisroute::{ClassId, Outcome, TenantId};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -16,6 +16,7 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// The content type of [`Tally::text`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -93,17 +94,35 @@
     errored: Counter,
 }
 
+/// How a request ended, for whoever looks closely.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It was served.
+    Served,
+    /// It was refused: trying again is harmless.
+    Refused,
+    /// It failed.
+    Failed,
+}
+
+/// Looks closely, on the thread that serves: it must not wait for anything.
+pub trait Looks {
+    /// A request of this class and tenant has ended, so long after it was taken.
+    fn ended(&self, class: ClassId, tenant: TenantId, end: End, after: Duration);
+}
+
 /// Counts requests, on the thread that serves them.
 pub struct Counting {
     tally: Arc<Tally>,
     /// By their ids.
     classes: RefCell<Vec<Rc<Class>>>,
+    looks: RefCell<Option<Rc<dyn Looks>>>,
 }
 
 impl Counting {
     /// Counts in this tally, by classes of these names.
     pub fn new(tally: Arc<Tally>, names: &[String]) -> Rc<Self> {
-        let counting = Self { tally, classes: RefCell::default() };
+        let counting = Self { tally, classes: RefCell::default(), looks: RefCell::default() };
         counting.name(names);
         Rc::new(counting)
     }
@@ -125,18 +144,34 @@
         &self.tally
     }
 
-    /// A request of this class has been taken.
-    pub fn taken(&self, class: ClassId) -> Owed {
+    /// From now on somebody looks closely at each request that is taken, or nobody does any more.
+    pub fn look(&self, looks: Option<Rc<dyn Looks>>) {
+        *self.looks.borrow_mut() = looks;
+    }
+
+    /// A request of this class and tenant has been taken.
+    pub fn taken(&self, class: ClassId, tenant: TenantId) -> Owed {
+        let look =
+            self.looks.borrow().clone().map(|looks| Look { looks, class, tenant, since: Instant::now() });
         let class = self.classes.borrow().get(usize::from(class.0)).cloned();
         self.tally.current.inc();
-        Owed { class, current: self.tally.current.clone() }
+        Owed { class, current: self.tally.current.clone(), look }
     }
 }
 
+/// A request that is looked at closely.
+struct Look {
+    looks: Rc<dyn Looks>,
+    class: ClassId,
+    tenant: TenantId,
+    since: Instant,
+}
+
 /// A request that is owed its answer. When it is dropped before, its client has left.
 pub struct Owed {
     class: Option<Rc<Class>>,
     current: Gauge,
+    look: Option<Look>,
 }
 
 impl fmt::Debug for Owed {
@@ -150,25 +185,32 @@
     pub fn answered(self, answer: &mut Answer) {
         match answer {
             Answer::Served(Served { body: AnswerBody::Stream(stream), .. }) => stream.owed(self),
-            Answer::Served(Served { status, .. }) if status.is_server_error() => self.count(|c| &c.errored),
-            Answer::Served(_) => self.count(|c| &c.answered),
-            Answer::Refused(_) => self.count(|c| &c.deferred),
-            Answer::Failed => self.count(|c| &c.errored),
+            Answer::Served(Served { status, .. }) if status.is_server_error() => self.count(End::Failed),
+            Answer::Served(_) => self.count(End::Served),
+            Answer::Refused(_) => self.count(End::Refused),
+            Answer::Failed => self.count(End::Failed),
         }
     }
 
     /// Its answer, which streamed, has ended like this. A reader that let go has left.
     pub fn streamed(self, outcome: Outcome) {
         match outcome {
-            Outcome::Ok => self.count(|c| &c.answered),
+            Outcome::Ok => self.count(End::Served),
             Outcome::Cancelled => {}
-            _ => self.count(|c| &c.errored),
+            _ => self.count(End::Failed),
         }
     }
 
-    fn count(self, which: impl FnOnce(&Class) -> &Counter) {
+    fn count(self, end: End) {
         if let Some(class) = &self.class {
-            which(class).inc();
+            match end {
+                End::Served => class.answered.inc(),
+                End::Refused => class.deferred.inc(),
+                End::Failed => class.errored.inc(),
+            };
+        }
+        if let Some(Look { looks, class, tenant, since }) = &self.look {
+            looks.ended(*class, *tenant, end, since.elapsed());
         }
     }
 }
@@ -200,7 +242,7 @@
         let tally = Arc::new(Tally::default());
         let counting = Counting::new(Arc::clone(&tally), &["look".into(), "bo\"ok".into()]);
         assert!(has(&tally, "balancer_answered_total{group=\"look\"} 0"));
-        let owed: Vec<Owed> = (0..6).map(|n| counting.taken(ClassId(n % 2))).collect();
+        let owed: Vec<Owed> = (0..6).map(|n| counting.taken(ClassId(n % 2), TenantId(0))).collect();
         assert!(has(&tally, "balancer_current 6"));
         let answers = [
             Some(served(StatusCode::OK)),
@@ -238,14 +280,41 @@
     fn counts_outlive_their_classes() {
         let tally = Arc::new(Tally::default());
         let counting = Counting::new(Arc::clone(&tally), &["a".into(), "b".into()]);
-        let (of_a, of_b) = (counting.taken(ClassId(0)), counting.taken(ClassId(1)));
+        let (of_a, of_b) = (counting.taken(ClassId(0), TenantId(0)), counting.taken(ClassId(1), TenantId(0)));
         counting.name(&["b".into()]);
         of_a.answered(&mut Answer::Failed);
         of_b.answered(&mut Answer::Failed);
-        counting.taken(ClassId(0)).answered(&mut Answer::Failed);
+        counting.taken(ClassId(0), TenantId(0)).answered(&mut Answer::Failed);
         counting.name(&["a".into(), "b".into()]);
-        counting.taken(ClassId(0)).answered(&mut Answer::Failed);
+        counting.taken(ClassId(0), TenantId(0)).answered(&mut Answer::Failed);
         assert!(has(&tally, "balancer_errored_total{group=\"a\"} 2"));
         assert!(has(&tally, "balancer_errored_total{group=\"b\"} 2"));
     }
+
+    /// Guards that a close look sees each request once, as it ends, and costs nothing once it is over.
+    #[test]
+    fn whoever_looks_sees_each_end_once() {
+        #[derive(Default)]
+        struct Seen(RefCell<Vec<(u16, End)>>);
+        impl Looks for Seen {
+            fn ended(&self, class: ClassId, _: TenantId, end: End, after: Duration) {
+                assert!(after < Duration::from_secs(60));
+                self.0.borrow_mut().push((class.0, end));
+            }
+        }
+        let counting = Counting::new(Arc::default(), &["a".into()]);
+        let seen = Rc::new(Seen::default());
+        let before = counting.taken(ClassId(0), TenantId(0));
+        counting.look(Some(Rc::clone(&seen) as Rc<dyn Looks>));
+        before.answered(&mut Answer::Failed);
+        let [one, two, left, streams] = [0; 4].map(|_| counting.taken(ClassId(0), TenantId(0)));
+        counting.look(None);
+        counting.taken(ClassId(0), TenantId(0)).answered(&mut Answer::Failed);
+        one.answered(&mut served(StatusCode::OK));
+        two.answered(&mut Answer::Refused(None));
+        streams.streamed(Outcome::Reset);
+        drop(left);
+        assert_eq!(*seen.0.borrow(), [(0, End::Served), (0, End::Refused), (0, End::Failed)]);
+        assert_eq!(Rc::strong_count(&seen), 1);
+    }
 }
--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -2,6 +2,7 @@
 
 use crate::locality_command::Locality;
 use crate::places_command::{Addresses, Places};
+use crate::rollout_command::Rollout;
 use crate::settings::Settings;
 use crate::tier::{self, Shown};
 use clap::{Args, Parser, Subcommand};
@@ -45,6 +46,9 @@
     Places(Places),
     /// Shared service addresses. Ends as `places` does.
     Addresses(Addresses),
+    /// Changes of settings or of the program that go to some balancers first. Ends with 0 if it is done, 1 without an answer, 2 if
+    /// a change runs or was undone, 3 if it is refused.
+    Rollout(Rollout),
     /// Rules of nearness. Ends with 0 if they are good, 1 if they can't be read, 3 if something is wrong with them.
     Locality(Locality),
     /// Asks who is there of a balancer's tier.
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -6,6 +6,7 @@
 
 use crate::places::{self, Desk};
 use crate::refusals::linger;
+use crate::rollout;
 use crate::signed;
 use crate::tier::Shown;
 use crate::wishes::{self, Guard};
@@ -62,6 +63,8 @@
     pub settings: Option<Arc<Guard>>,
     /// Places and addresses, if it takes part in them.
     pub places: Option<Desk>,
+    /// Changes in stages, if it agrees on some.
+    pub rollout: Option<rollout::Desk>,
 }
 
 /// Binds the address and answers there until the process ends. Returns the address.
@@ -145,16 +148,20 @@
         "/control/ready" | "/control/counters" => true,
         "/control/tier" => board.tier.is_some(),
         wishes::PATH => board.settings.is_some(),
+        rollout::PATH | rollout::OWN => board.rollout.is_some(),
         places::PLACES | places::ADDRESSES => board.places.is_some(),
         path => board.places.is_some() && path.starts_with(places::ANNOUNCE),
     };
-    let posts = matches!(path, wishes::PATH | places::PLACES) && *request.method() == Method::POST;
+    let posts =
+        matches!(path, wishes::PATH | places::PLACES | rollout::PATH) && *request.method() == Method::POST;
     let (status, kind, text) = if !there_is {
         let tier = if board.tier.is_some() { ", /control/tier" } else { "" };
         let settings = if board.settings.is_some() { ", /control/settings" } else { "" };
         let places =
             if board.places.is_some() { ", /control/places, /control/addresses, /announce/NAME" } else { "" };
-        let text = format!("/control/ready, /control/counters{tier}{settings}{places} are what there is\n");
+        let rollout = if board.rollout.is_some() { ", /control/rollout, /control/rollout/own" } else { "" };
+        let text =
+            format!("/control/ready, /control/counters{tier}{settings}{places}{rollout} are what there is\n");
         (StatusCode::NOT_FOUND, TEXT, text)
     } else if !posts && !matches!(*request.method(), Method::GET | Method::HEAD) {
         (StatusCode::METHOD_NOT_ALLOWED, TEXT, "GET alone\n".into())
@@ -162,6 +169,7 @@
         (StatusCode::BAD_REQUEST, TEXT, "a call has no body\n".into())
     } else {
         match (path, &board.settings, &board.places) {
+            (rollout::PATH | rollout::OWN, ..) => rollouts(request, board).await,
             ("/control/counters", ..) => (StatusCode::OK, tally::CONTENT_TYPE, board.tally.text()),
             ("/control/tier", ..) => shown(board).await,
             (wishes::PATH, Some(guard), _) => settings(request, guard).await,
@@ -196,6 +204,19 @@
     })
 }
 
+async fn rollouts(request: Request<Incoming>, board: &Board) -> (StatusCode, &'static str, String) {
+    let Some(desk) = &board.rollout else { return kind((StatusCode::NOT_FOUND, "nothing\n".into())) };
+    if request.uri().path() == rollout::OWN {
+        return kind(desk.own());
+    }
+    let query = request.uri().query().map(str::to_owned);
+    kind(match posted(request, rollout::BODY_MOST).await {
+        Some(Ok((mac, body))) => desk.wish(mac.as_deref(), &body).await,
+        Some(Err(too_long)) => too_long,
+        None => desk.show(query.as_deref()),
+    })
+}
+
 async fn desk_of(request: Request<Incoming>, desk: &Desk) -> (StatusCode, &'static str, String) {
     let query = request.uri().query().map(str::to_owned);
     kind(match posted(request, places::BODY_MOST).await {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -59,6 +59,9 @@
         Some(Command::Addresses(addresses)) => {
             return Ok(said(addresses.run(&command::operator(line.config.as_deref())?)?));
         }
+        Some(Command::Rollout(rollout)) => {
+            return Ok(said(rollout.run(&command::operator(line.config.as_deref())?)?));
+        }
         Some(Command::Locality(locality)) => {
             return Ok(said(locality.run(&command::operator(line.config.as_deref())?)?));
         }
--- /dev/null
+++ b/node/src/rollout_command.rs
@@ -0,0 +1,217 @@
+//! The command line of changes in stages: `maplehook rollout ...`.
+
+use crate::command::with_rules;
+use crate::rollout::PATH;
+use crate::settings::Outcome;
+use crate::signed::signed;
+use crate::tier::{Answered, ask, ask_with};
+use hyper::StatusCode;
+use maplehook_config::Operator;
+use maplehook_link::Secret;
+use maplehook_rollout::Change;
+use maplehook_staging::document::Past;
+use maplehook_staging::shown::Shown;
+use maplehook_staging::talk::{Preview, What, Wish};
+use sha2::{Digest, Sha256};
+use std::error::Error;
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// Between two looks with `--watch`.
+const LOOK: Duration = Duration::from_secs(1);
+
+/// What to do with changes in stages.
+#[derive(clap::Subcommand)]
+pub enum Action {
+    /// Says who would be in which stage and what of it is staged, and begins nothing.
+    Plan {
+        /// The plan; see docs/ROLLOUT.md.
+        file: PathBuf,
+    },
+    /// Begins it. The same once more while it runs is harmless.
+    Start {
+        /// The plan.
+        file: PathBuf,
+    },
+    /// Shows how it stands. Ends with 0 if nothing runs and the last one is done, 2 if it runs, waits or was undone.
+    Status {
+        /// Again each second, until it is ended.
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Has it wait at its stage.
+    Hold,
+    /// Has it go on.
+    Go,
+    /// Has all go back.
+    Undo,
+    /// Shows the changes that are remembered.
+    History,
+}
+
+/// Whom to ask, and how.
+#[derive(clap::Args)]
+pub struct Rollout {
+    /// The operators' address of a balancer; that of the file of --config if it is not named here.
+    #[arg(long, value_name = "IP:PORT", global = true)]
+    address: Option<SocketAddr>,
+    /// The file with the tier's secret; that of the file of --config if it is not named here.
+    #[arg(long, value_name = "FILE", global = true)]
+    secret_file: Option<PathBuf>,
+    /// As the balancer says it, in JSON.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    action: Action,
+}
+
+impl Rollout {
+    /// Does it. An error is the exit code 1: there was no answer.
+    pub fn run(&self, operator: &Operator) -> Result<Outcome, Box<dyn Error>> {
+        let address =
+            self.address.or(operator.control).ok_or("which balancer? --address IP:PORT, or --config FILE")?;
+        let read = |query: &str| -> Result<String, Box<dyn Error>> {
+            Ok(String::from_utf8_lossy(&ask(address, &format!("{PATH}{query}"))?).into_owned())
+        };
+        match &self.action {
+            Action::Plan { file } => match of_file(file)? {
+                Ok((plan, what)) => {
+                    let ended = self.wish(address, operator, &Wish::Plan { plan, what })?;
+                    if ended.code != 0 || self.json {
+                        return Ok(ended);
+                    }
+                    let preview: Preview = serde_json::from_str(&ended.text)?;
+                    Ok(Outcome { text: preview.table(), code: 0 })
+                }
+                Err(faults) => Ok(Outcome { text: faults, code: 3 }),
+            },
+            Action::Start { file } => match of_file(file)? {
+                Ok((plan, what)) => self.change(address, operator, &Wish::Start { plan, what }),
+                Err(faults) => Ok(Outcome { text: faults, code: 3 }),
+            },
+            Action::Hold => self.change(address, operator, &Wish::Hold),
+            Action::Go => self.change(address, operator, &Wish::Go),
+            Action::Undo => self.change(address, operator, &Wish::Undo),
+            Action::Status { watch } => loop {
+                let text = read("")?;
+                let shown: Shown = serde_json::from_str(&text)?;
+                let text = if self.json { text } else { table(&shown) };
+                if !watch {
+                    let fine = !shown.runs && matches!(&shown.state[..], "none" | "done");
+                    return Ok(Outcome { text, code: if fine { 0 } else { 2 } });
+                }
+                print!("{text}");
+                std::thread::sleep(LOOK);
+            },
+            Action::History => {
+                let text = read("?history")?;
+                let past: Vec<Past> = serde_json::from_str(&text)?;
+                let row = |past: &Past| {
+                    format!(
+                        "{:>6}  at {} ms by {}  {}: {}\n",
+                        past.number, past.at_ms, past.by, past.what, past.ended
+                    )
+                };
+                let table = past.iter().map(row).collect();
+                Ok(Outcome { text: if self.json { text } else { table }, code: 0 })
+            }
+        }
+    }
+
+    fn change(
+        &self,
+        address: SocketAddr,
+        operator: &Operator,
+        wish: &Wish,
+    ) -> Result<Outcome, Box<dyn Error>> {
+        let ended = self.wish(address, operator, wish)?;
+        if ended.code != 0 || self.json {
+            return Ok(ended);
+        }
+        let done: serde_json::Value = serde_json::from_str(&ended.text)?;
+        Ok(Outcome { text: format!("change {}: maplehook rollout status\n", done["number"]), code: 0 })
+    }
+
+    fn wish(&self, address: SocketAddr, operator: &Operator, wish: &Wish) -> Result<Outcome, Box<dyn Error>> {
+        let of_file = operator.tier.as_ref().map(|tier| tier.secret_file.clone());
+        let file = self.secret_file.clone().or(of_file);
+        let secret = Secret::read(&file.ok_or("whose secret? --secret-file FILE, or --config FILE")?)?;
+        let body = serde_json::to_vec(wish)?;
+        let mac = signed(&secret, &body);
+        let Answered { status, body } = ask_with(address, PATH, Some((&mac, body)))?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        match status {
+            StatusCode::OK => Ok(Outcome { text, code: 0 }),
+            StatusCode::CONFLICT => Ok(Outcome { text: format!("refused: {text}"), code: 3 }),
+            _ => Err(format!("{address}: {status}: {}", text.trim()).into()),
+        }
+    }
+}
+
+/// A plan's text and what it changes, which lies beside it; or what is wrong with either, with its lines.
+fn of_file(path: &Path) -> Result<Result<(String, What), String>, Box<dyn Error>> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let plan = match maplehook_rollout::plan::read(&text) {
+        Ok(plan) => plan,
+        Err(faults) => return Ok(Err(format!("{}:\n{faults}\n", path.display()))),
+    };
+    let beside = |file: &Path| path.parent().unwrap_or(Path::new("")).join(file);
+    let what = match &plan.change {
+        Change::Settings(file) => {
+            let file = beside(file);
+            let whole = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            match maplehook_config::shared(&with_rules(&file, whole)?) {
+                Ok((text, _)) => What::Settings { text },
+                Err(faults) => return Ok(Err(format!("{}:\n{faults}\n", file.display()))),
+            }
+        }
+        Change::Program(file) => {
+            let file = std::path::absolute(beside(file))?;
+            let bytes = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+            let digest =
+                Sha256::digest(&bytes).iter().fold(String::new(), |hex, byte| hex + &format!("{byte:02x}"));
+            What::Program { path: file.display().to_string(), digest }
+        }
+    };
+    Ok(Ok((text, what)))
+}
+
+fn table(shown: &Shown) -> String {
+    if shown.number == 0 {
+        return format!("{}\n", shown.word);
+    }
+    let mut text = format!(
+        "change {} ({}), begun at {} at {} ms: {}; leader {}\n",
+        shown.number,
+        shown.what,
+        shown.by,
+        shown.at_ms,
+        shown.word,
+        shown.leader.as_deref().unwrap_or("unknown")
+    );
+    for (n, stage) in shown.stages.iter().enumerate() {
+        let who: Vec<String> = stage.who.iter().map(|who| format!("{} ({})", who.name, who.side)).collect();
+        let when = match (stage.since_ms, stage.until_ms) {
+            (None, _) => "has not begun".into(),
+            (Some(since), None) => format!("since {since} ms"),
+            (Some(since), Some(until)) => format!("from {since} to {until} ms: {}", stage.verdict),
+        };
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "stage {}: {}; {when}", n + 1, who.join(", "));
+        for line in &stage.evidence {
+            let _ = writeln!(text, "    {line}");
+        }
+    }
+    if let Some(version) = shown.version {
+        let _ = writeln!(text, "the settings are version {version}");
+    }
+    for wait in &shown.waits {
+        let _ = writeln!(text, "waits for: {wait}");
+    }
+    for event in &shown.events {
+        let _ = writeln!(text, "  {event}");
+    }
+    text
+}
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -2,6 +2,7 @@
 
 use super::parts::Parts;
 use super::{KILL_AFTER_DEADLINE, Plan, Told, block_on, serve, vouching};
+use crate::counts::{self, Counts};
 use crate::nearness::Part;
 use crate::requests::Requests;
 use crate::versions::Versions;
@@ -97,9 +98,18 @@
             Some(Part { taking, of, follow }) => (Some(taking), Some(of), Some(follow)),
             None => (None, None, None),
         };
+        let mut taking_stages = parts.staging.take();
+        let serving = taking_stages.as_mut().and_then(|taking| taking.serving.take());
+        let names = of.as_ref().map(|of| of.names.subscribe());
+        let stages =
+            serving.zip(names).map(|(serving, names)| counts::Part { serving, counts: Counts::new(names) });
+        let counts = stages.as_ref().map(|part| {
+            let serving = &part.serving;
+            (Rc::clone(&part.counts), serving.counts.clone(), serving.counted.clone())
+        });
         let versions = agreeing.as_ref().zip(of.take_if(|_| agreeing.is_some())).map(|(agreeing, of)| {
             let lists = proxy.eureka.is_none().then_some(lists);
-            let versions = Versions::new(
+            let mut versions = Versions::new(
                 &proxy,
                 lists,
                 Rc::clone(&requests),
@@ -108,9 +118,13 @@
                 Arc::clone(&parts.board.refuses),
                 of,
             );
+            versions.stages = stages;
             (versions, agreeing.acting.clone(), agreeing.applied.clone())
         });
         let begun = |driver: Rc<Driver>, counting| {
+            if let Some((counts, each, counted)) = counts {
+                spawn_local(counts.run(each, counted, Rc::clone(&counting)));
+            }
             if let Some(follow) = follow {
                 spawn_local(follow.run(Rc::clone(&driver)));
             }
@@ -124,7 +138,7 @@
             }
         };
         let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
-        drop((taking, of, agreeing));
+        drop((taking, taking_stages, of, agreeing));
         served
     })
 }
--- a/node/src/serve/parts.rs
+++ b/node/src/serve/parts.rs
@@ -5,6 +5,7 @@
 use crate::entrance::Entrance;
 use crate::nearness::{self, Begin};
 use crate::places::Desk;
+use crate::rollout;
 use crate::signed::Seal;
 use crate::tier;
 use crate::wishes::Guard;
@@ -12,9 +13,10 @@
 use maplehook::parts::descriptors::{self, Descriptors};
 use maplehook::parts::upstream::Upstreams;
 use maplehook_admission::{Door, Part};
-use maplehook_config::Proxy;
+use maplehook_config::{Proxy, Tier};
 use maplehook_link::{Member, Secret};
 use maplehook_quorum::Agreeing;
+use maplehook_staging::{Link, Setup, Taking};
 use std::error::Error;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -39,6 +41,8 @@
     pub(super) agreeing: Option<Agreeing>,
     /// Its part in places.
     pub(super) places: Option<nearness::Part>,
+    /// Its part in changes in stages.
+    pub(super) staging: Option<Taking>,
 }
 
 impl Parts {
@@ -69,16 +73,19 @@
             .map(|tier| maplehook_quorum::join(tier, env!("CARGO_PKG_VERSION")))
             .transpose()?;
         let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
-        let (mut agreeing, mut seal) = (None, None);
+        let (mut agreeing, mut seal, mut staging) = (None, None, None);
         if let (Some(member), Some(tier)) = (&mut member, &plan.operator.tier)
             && let Some(agreement) = &tier.agreement
         {
             let file =
                 plan.file.take().ok_or("[agreement] needs the file itself: maplehook run --config FILE")?;
-            let began = maplehook_quorum::agree(tier, agreement, file, member)?;
+            let mut began = maplehook_quorum::agree(tier, agreement, file.clone(), member)?;
             let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
             let sealed = Arc::new(Seal::new(&secret));
-            board.settings = Some(Arc::new(Guard::new(Arc::clone(&sealed), began.wishes())));
+            staging = proxy.map(|proxy| stages(tier, proxy, file, &mut began)).transpose()?.flatten();
+            let shuts = staging.as_ref().map(|staging| staging.board.clone());
+            board.rollout = shuts.clone().map(|shown| rollout::Desk::new(shown, Arc::clone(&sealed)));
+            board.settings = Some(Arc::new(Guard::new(Arc::clone(&sealed), began.wishes(), shuts)));
             (agreeing, seal) = (Some(began), Some(sealed));
         }
         let places = proxy.map(|proxy| {
@@ -124,10 +131,38 @@
             member,
             agreeing,
             places,
+            staging,
         })
     }
 }
 
+/// A part in changes in stages. Whoever starts programs says which one this is, and how often one has crashed.
+fn stages(
+    tier: &Tier,
+    proxy: &Proxy,
+    file: String,
+    agreeing: &mut Agreeing,
+) -> Result<Option<Taking>, String> {
+    let Some(ways) = agreeing.rollout.take() else { return Ok(None) };
+    let link = Link {
+        standing: agreeing.rollout_standing.clone(),
+        ways,
+        acting: agreeing.acting.clone(),
+        wishes: agreeing.wishes(),
+    };
+    let names = tier.peers.keys().chain([&tier.name]).map(ToString::to_string).collect();
+    let setup = Setup {
+        name: tier.name.to_string(),
+        names,
+        zone: proxy.zones.first().cloned().unwrap_or_default(),
+        file,
+        digest: std::env::var("MAPLEHOOK_DIGEST").ok(),
+        crashes: std::env::var("MAPLEHOOK_CRASHES").ok().and_then(|n| n.parse().ok()).unwrap_or(0),
+        link,
+    };
+    Taking::start(setup).map(Some)
+}
+
 fn listen(address: SocketAddr, backlog: u32) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // As after a crash: the address may still have connections that are closing.
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -3,6 +3,7 @@
 //! A class, a tenant and a zone have one number for the life of the process, so that a request under way means the same before
 //! and after. Learned state, tokens and connections stay.
 
+use crate::counts::Part;
 use crate::entrance::Entrance;
 use crate::nearness::Names;
 use crate::requests::Requests;
@@ -15,12 +16,17 @@
 use maplehook_config::Proxy;
 use maplehook_places::Config;
 use maplehook_quorum::{Acting, Mode};
+use maplehook_staging::{Acked, Staged};
+use maplehook_verdict::Side;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+/// What is acted on: the epoch, how it is read, and the change and side of a stage.
+type Present = (u64, Mode, Option<(u64, Side)>);
+
 /// Whom a version concerns.
 pub struct Versions {
     numbers: Numbers,
@@ -36,6 +42,8 @@
     pub refuses: Arc<AtomicBool>,
     /// The places of the version in force, and the names that numbers have.
     pub places: PlacesOf,
+    /// Changes in stages, where there are any.
+    pub stages: Option<Part>,
 }
 
 /// Whoever has a part in places hears of versions by these.
@@ -77,7 +85,7 @@
     ) -> Self {
         let mut numbers = Numbers::default();
         places.tell(began_with, &numbers.take(began_with));
-        Self { numbers, lists, requests, entrance, upstreams, refuses, places }
+        Self { numbers, lists, requests, entrance, upstreams, refuses, places, stages: None }
     }
 
     /// Follows what is to be acted on, as long as the process lives.
@@ -88,7 +96,8 @@
         driver: Rc<Driver>,
         counting: Rc<Counting>,
     ) {
-        let mut present: Option<(u64, Mode)> = None;
+        let mut present: Option<Present> = None;
+        let mut staged = self.stages.as_ref().map(|part| part.serving.staged.clone());
         // A list that was set acts once the decisions have been told it, and only then is the step acted on.
         let mut told = driver.lists();
         let mut waits: Option<u64> = None;
@@ -98,10 +107,15 @@
             let until = wanted.until.map(Instant::from_std);
             let mode = wanted.mode(now.into_std());
             let holds = mode == Mode::Rules;
+            let told_staged = staged.as_mut().and_then(|staged| staged.borrow_and_update().clone());
+            // It takes the place of this very version, as long as that is acted on in full.
+            let stage =
+                told_staged.clone().filter(|stage| mode == Mode::Rules && stage.rests_on == wanted.label);
+            let key = (wanted.epoch, mode, stage.as_ref().map(|stage| (stage.number, stage.side)));
             self.upstreams.lease(maplehook_follow::lease(&wanted, mode, now.into_std()));
-            if present.replace((wanted.epoch, mode)) != Some((wanted.epoch, mode)) {
+            if present.replace(key) != Some(key) {
                 let before = *told.borrow_and_update();
-                if self.apply(&wanted, mode, &driver, &counting) {
+                if self.apply(&wanted, mode, stage.as_deref(), &driver, &counting) {
                     waits = Some(before);
                 }
             }
@@ -109,6 +123,7 @@
             if waits.is_none() {
                 // What is acted on careful reading is within the step, too.
                 applied.send_if_modified(|before| std::mem::replace(before, wanted.epoch) != wanted.epoch);
+                self.ack(told_staged.as_deref(), stage.as_deref());
             }
             tokio::select! {
                 changed = acting.changed() => {
@@ -116,32 +131,56 @@
                         return;
                     }
                 }
+                () = changed(&mut staged) => {}
                 _ = told.changed(), if waits.is_some() => {}
                 () = sleep_until(until.unwrap_or(now)), if holds && until.is_some() => {}
             }
         }
     }
 
+    /// Says on which side this balancer stands: whatever is not the new one's is as before.
+    fn ack(&self, told: Option<&Staged>, acts: Option<&Staged>) {
+        let Some(part) = &self.stages else { return };
+        let side = acts.map_or(Side::Old, |stage| stage.side);
+        let acked = told.map(|stage| Acked { number: stage.number, step: stage.step, side });
+        part.serving.acked.send_if_modified(|before| std::mem::replace(before, acked) != acked);
+    }
+
     /// The decisions come first: no request may come by a class or tenant that they do not know. Whether the list is another
     /// one, which the decisions are still to be told.
-    fn apply(&mut self, acting: &Acting, mode: Mode, driver: &Rc<Driver>, counting: &Counting) -> bool {
-        let proxy = acting.of(mode);
+    fn apply(
+        &mut self,
+        acting: &Acting,
+        mode: Mode,
+        stage: Option<&Staged>,
+        driver: &Rc<Driver>,
+        counting: &Counting,
+    ) -> bool {
+        let proxy = stage.map_or_else(|| acting.of(mode), |stage| &stage.rules);
         let numbered = self.numbers.take(proxy);
         self.places.tell(proxy, &numbered);
         let guarantees: Vec<f64> = numbered.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
+        if let Some(part) = &self.stages {
+            part.counts.aim(numbered.settings.classes.iter().map(|class| class.aim).collect());
+        }
         let entries = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
         driver.retune(numbered.settings, numbered.gone);
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
         self.entrance.know(proxy.clients.known.clone());
         let listed = self.lists.as_ref().is_some_and(|lists| lists.set(entries));
-        let label = proxy.version.then(|| acting.told(mode));
+        let label = proxy.version.then(|| match stage.map(|stage| stage.side) {
+            Some(Side::New) => acting.told(mode) + ";new",
+            Some(Side::Old) | None => acting.told(mode),
+        });
         let refused = proxy.clients.refused.clone();
         self.requests.replace(numbered.rules, numbered.passages, refused, label.as_deref());
         self.requests.refuse(mode == Mode::Refuses);
         self.refuses.store(mode == Mode::Refuses, Ordering::Release);
         match mode {
-            Mode::Rules => tracing::info!(version = acting.label, "in force here"),
+            Mode::Rules => {
+                tracing::info!(version = acting.label, stage = ?stage.map(|stage| (stage.number, stage.side)), "in force here");
+            }
             Mode::Careful => tracing::warn!(
                 version = acting.label,
                 "no word from the other balancers: nothing is sent twice until there is"
@@ -153,3 +192,13 @@
         listed
     }
 }
+
+async fn changed(staged: &mut Option<watch::Receiver<Option<Arc<Staged>>>>) {
+    let told = match staged {
+        Some(staged) => staged.changed().await.is_ok(),
+        None => false,
+    };
+    if !told {
+        std::future::pending().await
+    }
+}
--- a/node/src/wishes.rs
+++ b/node/src/wishes.rs
@@ -5,6 +5,7 @@
 use maplehook_agreement::steps::Step;
 use maplehook_quorum::talk::{Op, Overview, Reply};
 use maplehook_quorum::{Local, Wishes};
+use maplehook_staging::Board as Staging;
 use serde::{Deserialize, Serialize};
 use std::fmt::Write;
 use std::sync::Arc;
@@ -19,12 +20,13 @@
 pub struct Guard {
     seal: Arc<Seal>,
     wishes: Wishes,
+    staging: Option<Staging>,
 }
 
 impl Guard {
-    /// Of calls under this seal.
-    pub fn new(seal: Arc<Seal>, wishes: Wishes) -> Self {
-        Self { seal, wishes }
+    /// Of calls under this seal; while settings are changed in stages there is no other change of them.
+    pub fn new(seal: Arc<Seal>, wishes: Wishes, staging: Option<Staging>) -> Self {
+        Self { seal, wishes, staging }
     }
 
     /// The answer to a `GET`, by its query.
@@ -47,6 +49,12 @@
             return (StatusCode::FORBIDDEN, why.into());
         }
         match serde_json::from_slice(body) {
+            Ok(op @ (Op::Propose { .. } | Op::Undo)) => {
+                match self.staging.as_ref().and_then(Staging::shuts_settings) {
+                    Some(why) => (StatusCode::CONFLICT, why + "\n"),
+                    None => self.ask(op).await,
+                }
+            }
             Ok(op) => self.ask(op).await,
             Err(e) => (StatusCode::BAD_REQUEST, format!("no wish: {e}\n")),
         }
