--- a/staging/src/put.rs
+++ b/staging/src/put.rs
@@ -3,6 +3,7 @@
 use crate::document::Document;
 use crate::lead::{Ground, Leading};
 use crate::run::{CALM, OnItsWay, Runner, WISH, Wisher, read};
+use crate::taking::WISHES_MOST;
 use crate::talk::{Reply, Wish};
 use maplehook_agreement::steps::digest;
 use maplehook_link::unix_ms;
@@ -21,6 +22,9 @@
                 if let Some((wisher, _)) = self.on_its_way.take().and_then(|on| on.wisher) {
                     self.end(wisher, Reply::Unavailable("the leader has lost its place".into()));
                 }
+                for (_, wisher, _) in std::mem::take(&mut self.waits) {
+                    self.end(wisher, Reply::Unavailable("the leader has lost its place".into()));
+                }
                 self.proposing = None;
             }
             return;
@@ -108,13 +112,21 @@
         if let Some((wisher, number)) = wisher {
             self.end(wisher, ended.map_or_else(Reply::Unavailable, |_| Reply::Done(number)));
         }
+        while self.on_its_way.is_none()
+            && let Some((wish, wisher, by)) = self.waits.pop_front()
+        {
+            self.wish(wish, wisher, by);
+        }
     }
 
     /// An operator wants something, here or at another balancer.
     pub(crate) fn wish(&mut self, wish: Wish, wisher: Wisher, by: Option<String>) {
         if self.leading.is_some() && self.standing().leads {
             if self.on_its_way.is_some() {
-                return self.end(wisher, Reply::Unavailable("another step is on its way; ask again".into()));
+                if self.waits.len() >= WISHES_MOST {
+                    return self.end(wisher, Reply::Unavailable("too many wishes are under way".into()));
+                }
+                return self.waits.push_back((wish, wisher, by));
             }
             let by = by.unwrap_or_else(|| self.setup.name.clone());
             let in_force = self.in_force();
--- a/staging/src/run.rs
+++ b/staging/src/run.rs
@@ -9,12 +9,12 @@
 use crate::member::{Wanted, wanted};
 use crate::parts::staged;
 use crate::taking::{Acked, Setup, Staged};
-use crate::talk::Reply;
+use crate::talk::{Reply, Wish};
 use maplehook_config::Proxy;
 use maplehook_quorum::Standing;
 use maplehook_tier::Name;
 use maplehook_verdict::{Report, Side};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -57,6 +57,8 @@
     /// The number in the log that what it decides rests on.
     pub(crate) rests_on: u64,
     pub(crate) on_its_way: Option<OnItsWay>,
+    /// Wishes that wait for the document that is on its way.
+    pub(crate) waits: VecDeque<(Wish, Wisher, Option<String>)>,
     pub(crate) passed_on: BTreeMap<u64, (oneshot::Sender<Reply>, Instant)>,
     /// The end of a proposal of settings that went through all stages.
     pub(crate) proposing: Option<oneshot::Receiver<Option<Result<u64, String>>>>,
@@ -89,6 +91,7 @@
             leading: None,
             rests_on: 0,
             on_its_way: None,
+            waits: VecDeque::new(),
             passed_on: BTreeMap::new(),
             proposing: None,
             used: used(),
