Every order of events over three balancers and two stages of a change is explored

Need: that a change in stages is never ahead of a verdict, never goes on at a side without a majority and always comes to an end rested on drawn commands alone; an earlier exploration had too many states, since every word of a balancer was a state of its own.

Change: a model round the real state machine with leaders that read, judge and put by compare-and-set, late words and puts, crashes, cuts and operators. Liveness: an end is reached from every world without more faults.

--- a/rollout/src/lib.rs
+++ b/rollout/src/lib.rs
@@ -4,6 +4,8 @@
 //! voters play alike: its commands are entries of their log. `docs/design/rollout.md` has the options that were weighed.
 
 pub mod command;
+#[cfg(test)]
+mod explore;
 pub mod order;
 pub mod plan;
 pub mod state;
