Planted histories for the slow return, and two breaks of the search for the shortest part

No planted history had return_us set, and nothing saw it when the search left addresses in that have no part in a breach, or showed another breach than the first. Now: a zone that is given back until 8 s may be left until then and not after, a shorter time than the one to settle takes nothing from it; the short history of two announcers has their address alone; of two lost requests in the middle the first is shown.

--- a/histories/tests/judge/planted.rs
+++ b/histories/tests/judge/planted.rs
@@ -1,7 +1,7 @@
 //! Planted histories of plans and places: what must be found and what must pass.
 
 use crate::draw::{
-    MS, S, acts, agreed, announces, did, ended, header, health, history, ran, rec, rows, sent,
+    BEGIN, MS, S, acts, agreed, announces, did, ended, header, health, history, ran, rec, rows, sent,
 };
 use maplehook_histories::file::History;
 use maplehook_histories::judge::named;
@@ -238,6 +238,34 @@
     ill(did("evacuate", "a"), None);
 }
 
+/// `a` is half gone until 2 s and given back until 8 s; in some of the ten seconds all requests leave it.
+fn given_back(leave: std::ops::Range<u64>) -> History {
+    let leaves = |record: &Record| leave.contains(&((record.at_us - BEGIN) / S));
+    let mut records: Vec<Record> = served(20, 0).into_iter().filter(|record| !leaves(record)).collect();
+    records.extend(served(20, 100).into_iter().filter(leaves));
+    records.extend([rec(0, "rig", health("a", 0.5)), rec(2 * S, "rig", health("a", 1.0))]);
+    let mut history = history(records);
+    history.header.bounds.return_us = 6 * S;
+    history
+}
+
+#[test]
+fn what_is_given_back_slowly_may_leave_until_it_is_all_back() {
+    let found = |history: &History| (named("near").unwrap().judge)(history).breaches;
+    let returning = given_back(5..8);
+    assert_eq!(found(&returning), []);
+    let mut at_once = returning;
+    at_once.header.bounds.return_us = 0;
+    assert_eq!(found(&at_once).len(), 1);
+    // All of it is back at 8 s: after the second in which that is, what leaves is found, and nothing before.
+    let later = found(&given_back(5..11));
+    assert!(!later.is_empty() && later[0].at_us == BEGIN + 9 * S, "{later:?}");
+    // A time that is shorter than the one to settle takes nothing from that.
+    let mut shorter = given_back(3..5);
+    shorter.header.bounds.return_us = S;
+    assert_eq!(found(&shorter), []);
+}
+
 /// After ten quiet seconds: each second so many requests of `a` and of `b` run in `a`.
 fn together(own: u64, guests: u64) -> Vec<Record> {
     let mut records = Vec::new();
--- a/histories/tests/judge/shrinking.rs
+++ b/histories/tests/judge/shrinking.rs
@@ -39,6 +39,20 @@
     }
     let short = short("one", &history);
     assert!(short.records.len() == 2, "{:#?}", short.records);
+    // The other address has no part in it.
+    assert_eq!(short.header.addresses.keys().collect::<Vec<_>>(), ["desk"]);
+}
+
+#[test]
+fn of_two_breaches_the_first_is_shown() {
+    let mut history = run(8).history;
+    let is_end = |n: &usize| matches!(history.records[*n].what, What::Ended { .. });
+    let ends: Vec<usize> = (0..history.records.len()).filter(is_end).collect();
+    // Around the middle, so that either half alone shows no more than the second.
+    let removed = [ends[ends.len() * 56 / 100], ends[ends.len() * 47 / 100]];
+    removed.into_iter().for_each(|n| drop(history.records.remove(n)));
+    assert_eq!(breaches("lost", &history).len(), 2);
+    assert_eq!(breaches("lost", &short("lost", &history)).len(), 1);
 }
 
 #[test]
