--- a/failover/src/flow.rs
+++ b/failover/src/flow.rs
@@ -8,9 +8,12 @@
 //! leaves in.
 
 use crate::ladders::{Ladders, Shape, Zones, bit, each};
+use smallvec::SmallVec;
 
 /// Rounds in which a step's zones are shared out.
 const ROUNDS: usize = 4;
+/// Zones that most shapes are sent to at the most.
+const FEW: usize = 4;
 /// Paths sought at the most; what is left is refused.
 const PATHS: usize = 64;
 
@@ -53,10 +56,15 @@
 pub struct Split {
     zones: Zones,
     /// In the order of the zones.
-    rates: Vec<f64>,
+    rates: SmallVec<[f64; FEW]>,
 }
 
 impl Split {
+    /// Zones that something was sent to.
+    pub fn zones(&self) -> Zones {
+        self.zones
+    }
+
     /// What is sent to a zone.
     pub fn get(&self, zone: usize) -> f64 {
         if self.zones >> zone & 1 == 0 { 0.0 } else { self.rates[self.before(zone)] }
@@ -152,31 +160,34 @@
 fn fill(ground: &Ground<'_>, flows: &mut Flows, level: usize, up_to: &[f64], last: &[f64], own: bool) {
     let (nothing, zones) = (ground.nothing(), ground.room.len());
     let cap: Vec<f64> = ground.room.iter().zip(last).map(|(room, last)| room + last).collect();
+    let (mut claims, mut free): (Vec<(usize, usize, f64)>, Vec<f64>) = (Vec::new(), Vec::new());
     for _ in 0..ROUNDS {
-        let mut claims: Vec<(usize, usize, f64)> = Vec::new();
+        claims.clear();
         let (mut claimed, mut highest) = (vec![0.0; zones], vec![0.0f64; zones]);
         for (n, shape) in ground.ladders.shapes.iter().enumerate() {
             if flows.left[n] <= nothing || level >= shape.steps.len() || own && level >= shape.own {
                 continue;
             }
             let step = shape.steps[level] & ground.reach[usize::from(shape.from.0)];
-            let free = |zone: usize| (up_to[n] * cap[zone] - flows.load[zone]).max(0.0);
             let mut beyond = shape.beyond_most * ground.asked[n];
             if shape.beyond_most < 1.0 && step & shape.beyond != 0 {
                 beyond -= flows.beyond(n, shape);
             }
             let step = if beyond <= nothing { step & !shape.beyond } else { step };
-            let total: f64 = each(step).map(free).sum();
+            free.clear();
+            free.extend(each(step).map(|zone| (up_to[n] * cap[zone] - flows.load[zone]).max(0.0)));
+            let total: f64 = free.iter().sum();
             if total <= nothing {
                 continue;
             }
-            let outside: f64 = each(step & shape.beyond).map(free).sum();
             let mut part = flows.left[n].min(total) / total;
-            if shape.beyond_most < 1.0 && outside > 0.0 {
-                part = part.min(beyond / outside);
+            if shape.beyond_most < 1.0 {
+                let far = each(step).zip(&free).filter(|(zone, _)| shape.beyond >> zone & 1 == 1);
+                let outside: f64 = far.map(|(_, free)| free).sum();
+                part = if outside > 0.0 { part.min(beyond / outside) } else { part };
             }
-            for zone in each(step) {
-                let claim = free(zone) * part;
+            for (zone, free) in each(step).zip(&free) {
+                let claim = free * part;
                 if claim > 0.0 {
                     claims.push((n, zone, claim));
                     claimed[zone] += claim;
@@ -194,7 +205,7 @@
             })
             .collect();
         let mut given = 0.0;
-        for (n, zone, claim) in claims {
+        for (n, zone, claim) in claims.drain(..) {
             let rate = claim * scale[zone];
             flows.add(n, zone, rate);
             flows.left[n] = (flows.left[n] - rate).max(0.0);
@@ -225,11 +236,14 @@
         }
     };
     for _ in 0..PATHS {
+        let waiting: Vec<usize> = (0..shapes.len()).filter(|n| flows.left[*n] > nothing).collect();
+        if waiting.is_empty() {
+            return;
+        }
         let mut at: Vec<Vec<usize>> = vec![Vec::new(); zones];
         for (n, to) in flows.to.iter().enumerate() {
             to.iter().filter(|(_, sent)| *sent > nothing).for_each(|(zone, _)| at[zone].push(n));
         }
-        let waiting: Vec<usize> = (0..shapes.len()).filter(|n| flows.left[*n] > nothing).collect();
         let free = |flows: &Flows, zone: usize| ground.cap(zone) - flows.load[zone];
         // Breadth first over zones; `None` is what is left.
         let mut from: Vec<Option<Option<usize>>> = vec![None; zones];
--- a/failover/src/plan.rs
+++ b/failover/src/plan.rs
@@ -305,7 +305,7 @@
         let usable = ground.usable(shape);
         for (zone, sent) in to.iter().filter(|(zone, _)| usable >> zone & 1 == 1) {
             served += sent * part[zone];
-            if shape.level(zone) == 0 {
+            if shape.steps[0] >> zone & 1 == 1 {
                 near += sent * part[zone];
             }
         }
@@ -336,32 +336,35 @@
 /// Rows of what does not simply keep to its first step.
 fn rows(setting: &Setting<'_>, flows: &Flows, asked: &[f64]) -> Vec<Row> {
     let shapes = &setting.ladders.shapes;
-    let parts: Vec<Option<Vec<Share>>> = shapes
-        .iter()
-        .enumerate()
-        .map(|(n, shape)| {
-            let little = asked[n] * 1e-6;
-            let near = |(zone, sent): (usize, f64)| sent <= little || shape.level(zone) == 0;
-            let plain = flows.left[n] <= little
-                && flows.to[n].iter().all(near)
-                && !is_troubled(setting, shape.from, shape.steps.first());
-            (!plain && asked[n] > 0.0).then(|| parts(&flows.to[n], flows.left[n], asked[n]))
-        })
-        .collect();
-    let mut rows: Vec<(f64, Row)> = Vec::new();
-    for (rule, from, n) in setting.ladders.all() {
-        let Some(to) = &parts[n] else { continue };
+    let differs = |n: usize| {
+        let (shape, little) = (&shapes[n], asked[n] * 1e-6);
+        let first = shape.steps.first().copied().unwrap_or(0);
+        let near = |(zone, sent): (usize, f64)| sent <= little || first >> zone & 1 == 1;
+        let plain = flows.left[n] <= little && flows.to[n].iter().all(near);
+        asked[n] > 0.0 && (!plain || is_troubled(setting, shape.from, shape.steps.first()))
+    };
+    let differs: Vec<bool> = (0..shapes.len()).map(differs).collect();
+    // Those with most of the requests, where there are too many.
+    let mut chosen: Vec<(f64, u16, Zone, usize)> = Vec::new();
+    for (rule, from, n) in setting.ladders.all().filter(|(.., n)| differs[*n]) {
         let rate = setting.rate(rule, from);
         if rate > 0.0 || is_troubled(setting, from, shapes[n].steps.first()) {
-            rows.push((rate, Row { rule, from, to: to.clone() }));
+            chosen.push((rate, rule, from, n));
         }
     }
-    if rows.len() > ROWS_MOST {
-        rows.sort_by(|a, b| b.0.total_cmp(&a.0));
-        rows.truncate(ROWS_MOST);
-        rows.sort_by_key(|(_, row)| (row.rule, row.from));
+    if chosen.len() > ROWS_MOST {
+        chosen.select_nth_unstable_by(ROWS_MOST, |a, b| {
+            b.0.total_cmp(&a.0).then_with(|| (a.1, a.2).cmp(&(b.1, b.2)))
+        });
+        chosen.truncate(ROWS_MOST);
+        chosen.sort_unstable_by_key(|(_, rule, from, _)| (*rule, *from));
     }
-    rows.into_iter().map(|(_, row)| row).collect()
+    let mut known: Vec<Option<Vec<Share>>> = vec![None; shapes.len()];
+    let mut row = |(_, rule, from, n): (f64, u16, Zone, usize)| {
+        let to = known[n].get_or_insert_with(|| parts(&flows.to[n], flows.left[n], asked[n])).clone();
+        Row { rule, from, to }
+    };
+    chosen.into_iter().map(&mut row).collect()
 }
 
 /// A split in parts of [`WHOLE`]: rounded down, and if nothing is refused, what that leaves to those that lost most by it.
--- a/failover/src/pouring.rs
+++ b/failover/src/pouring.rs
@@ -59,8 +59,12 @@
     for (n, to) in flows.to.iter().enumerate() {
         let shape = &ground.ladders.shapes[n];
         let here = group_of[usize::from(shape.from.0)];
+        let first = shape.steps.first().copied().unwrap_or(0);
+        if to.zones() & !first == 0 {
+            continue;
+        }
         for (zone, sent) in to.iter() {
-            let wished = shape.steps.first().is_some_and(|step| step >> zone & 1 == 1);
+            let wished = first >> zone & 1 == 1;
             if sent > nothing && !wished && group_of[zone] != here {
                 crossing[here * groups + group_of[zone]].push((n, zone));
             }
--- a/failover/tests/all/planner.rs
+++ b/failover/tests/all/planner.rs
@@ -277,6 +277,38 @@
     }
 }
 
+#[test]
+fn of_too_many_rows_those_with_most_of_the_requests_are_kept() {
+    let names: Vec<String> = (0..64).map(|n| format!("z{n}")).collect();
+    let topology = Topology::new([("all", names.iter().map(String::as_str).collect::<Vec<_>>())]).unwrap();
+    let rule = |n: usize| Rule { name: format!("r{n}"), ..Rule::near_first() };
+    let rules = Rules::new((0..200).map(rule).collect(), 1, 1, |_, _| 0);
+    let ladders = Ladders::new(&topology, &rules);
+    let rate = |rule: u16, zone: u16| f64::from((u32::from(rule) * 64 + u32::from(zone)) * 7919 % 12_800 + 1);
+    let all = || (0..200u16).flat_map(|rule| (0..64u16).map(move |zone| (rule, zone)));
+    let demand: BTreeMap<(u16, Zone), f64> = all().map(|(r, z)| ((r, Zone(z)), rate(r, z))).collect();
+    let (room, last, reach) = (vec![1e9; 64], vec![0.0; 64], vec![u64::MAX; 64]);
+    let table = by_rule(&demand, 64);
+    let setting = Setting {
+        ladders: &ladders,
+        room: &room,
+        last: &last,
+        listed: &room,
+        reach: &reach,
+        troubled: u64::MAX,
+        crews: &[1; 64],
+        demand: &table,
+    };
+    let before = Plan { rows: vec![Row { rule: 0, from: Zone(0), to: vec![] }], ..Plan::default() };
+    let bounds = Bounds { most_moved_per_s: 1e9, gain: 0.0, ..Bounds::default() };
+    let mut planner = Planner::new(Duration::ZERO, 1e9);
+    let plan = planner.plan(Duration::ZERO, &setting, &before, true, &bounds).unwrap();
+    assert_eq!(plan.rows.len(), maplehook_failover::document::ROWS_MOST);
+    assert!(plan.rows.is_sorted_by(|a, b| (a.rule, a.from) < (b.rule, b.from)));
+    // Each rate is there once: the largest 4096 of 12800.
+    assert!(plan.rows.iter().all(|row| rate(row.rule, row.from.0) > 12_800.0 - 4096.0));
+}
+
 #[test]
 fn three_hundred_balancers_64_zones_and_256_rules_are_planned_in_time() {
     let names: Vec<String> = (0..64).map(|n| format!("z{n}")).collect();
