Zones whose upstreams a registry lists are probed, too

The thread of places aimed at the file's upstreams, so that a zone of a registry's had no observers but those who send there; and zones that stand in a region alone had no numbers, so that places knew nothing of what a registry listed there at all. Probes now follow the list in force, told once a second where it has changed, 64 of a zone at the most, at the pace there was; zones of regions get their numbers at the start. A test of real processes with the stand-in registry: a zone that no other one sends to dies, and the others call it lost.

--- a/config/src/proxy.rs
+++ b/config/src/proxy.rs
@@ -68,7 +68,8 @@
     pub stall: Duration,
     /// How long answers may go on after SIGTERM.
     pub drain: Duration,
-    /// The names of the zones, in the order of their ids; the first is the balancer's own.
+    /// The names of the zones, in the order of their ids; the first is the balancer's own, and those of regions that no upstream of
+    /// the file lies in come last.
     pub zones: Vec<String>,
     /// Lists of clients.
     pub clients: Clients,
@@ -158,6 +159,11 @@
     let eureka = crate::eureka::read(reader);
     let known = places::Known { classes: &names, tenants: &tenants, zones: &zones };
     let places = places::read(reader, &known);
+    // A registry may list upstreams of any zone of a region: these have numbers from the start on.
+    let topology = places.as_ref().map(|places| &places.topology);
+    let stated = topology.into_iter().flat_map(|t| t.zones().map(|zone| t.zone_name(zone).to_owned()));
+    let more: Vec<String> = stated.filter(|zone| !zones.contains(zone)).collect();
+    zones.extend(more);
     if !own_kind {
         return None;
     }
--- a/engine/src/parts/driver/places.rs
+++ b/engine/src/parts/driver/places.rs
@@ -2,6 +2,7 @@
 
 use super::{Driver, Happening};
 use lapisroute::{GroupSight, Shares, SharesError, ZoneId, ZoneSight};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -42,4 +43,18 @@
             connects: self.upstreams.connects(),
         }
     }
+
+    /// Where upstreams listen that may be sent to, whichever source listed them, in order; no more than so many of each zone.
+    /// One look over the fleet, too.
+    pub fn endpoints(&self, most: usize) -> Vec<(ZoneId, SocketAddr)> {
+        let mut all = self.upstreams.endpoints();
+        all.sort_unstable_by_key(|(zone, address)| (zone.0, *address));
+        all.dedup();
+        let mut of_zone = (0, 0);
+        all.retain(|(zone, _)| {
+            of_zone = if of_zone.0 == zone.0 { (zone.0, of_zone.1 + 1) } else { (zone.0, 1) };
+            of_zone.1 <= most
+        });
+        all
+    }
 }
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -154,6 +154,13 @@
         }
     }
 
+    /// Where those listen that take requests.
+    pub(crate) fn endpoints(&self) -> Vec<(ZoneId, SocketAddr)> {
+        let known = self.known.borrow();
+        let ready = known.values().filter(|upstream| upstream.ready.get());
+        ready.filter_map(|upstream| Some((upstream.zone.get(), upstream.endpoint.get()?))).collect()
+    }
+
     /// Forgets all that `listed` does not name: they are gone.
     pub fn keep_only(&self, listed: impl Fn(UpstreamId) -> bool) {
         self.known.borrow_mut().retain(|id, upstream| {
--- a/lab/src/places/agreeing.rs
+++ b/lab/src/places/agreeing.rs
@@ -125,7 +125,6 @@
             classes: Vec::new(),
             tenants: Vec::new(),
             rooms: Vec::new(),
-            upstreams: Vec::new(),
             digest,
         };
         let voters = (0..if ground.posts.len() < 5 { 3 } else { 5 }).collect();
--- a/node/src/nearness.rs
+++ b/node/src/nearness.rs
@@ -8,8 +8,9 @@
 use maplehook_link::Measured;
 use maplehook_locality::Zone;
 use maplehook_places::rates::{RuleSeen, Seen, ZoneSeen};
-use maplehook_places::{Acted, Config, Link, Setup, Taking};
+use maplehook_places::{Acted, Config, Link, Setup, TARGETS_MOST, Taking};
 use maplehook_quorum::Agreeing;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,8 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
+/// Looks between two at what is listed: it changes seldom.
+const LISTED_EACH: u64 = 5;
 /// How often what is seen is told.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -168,10 +171,18 @@
         digest: config.digest,
         ready,
         zones: config.topology.zones().map(zone).collect(),
+        upstreams: Arc::default(),
         rules: sights.groups.iter().map(|g| RuleSeen { asked: g.asked, refused: g.refused }).collect(),
     }
 }
 
+/// Where upstreams of a version's zones listen that may be sent to, whichever source listed them.
+fn listed(driver: &Driver, config: &Config, names: &Names) -> Vec<(Zone, SocketAddr)> {
+    let zone = |id: ZoneId| config.topology.zone(names.zones.get(usize::from(id.0))?);
+    let all = driver.endpoints(TARGETS_MOST).into_iter();
+    all.filter_map(|(id, address)| Some((zone(id)?, address))).collect()
+}
+
 impl Follow {
     /// Goes on as long as the process lives.
     pub async fn run(mut self, driver: Rc<Driver>) {
@@ -179,6 +190,7 @@
         let mut looks = interval(LOOK);
         looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut present: Option<Arc<Config>> = None;
+        let (mut upstreams, mut count) = (Arc::new(Vec::new()), 0u64);
         loop {
             tokio::select! {
                 changed = self.acted.changed() => if changed.is_err() { return },
@@ -186,8 +198,16 @@
                 _ = looks.tick(), if present.is_some() => {
                     if let Some(config) = &present {
                         let ready = self.ready.load(Ordering::Acquire);
-                        let seen = seen(&driver, config, &self.names.borrow(), begun.elapsed(), ready);
-                        self.seen.send_replace(seen);
+                        let names = self.names.borrow();
+                        if count.is_multiple_of(LISTED_EACH) {
+                            let listed = listed(&driver, config, &names);
+                            if *upstreams != listed {
+                                upstreams = Arc::new(listed);
+                            }
+                        }
+                        count += 1;
+                        let seen = seen(&driver, config, &names, begun.elapsed(), ready);
+                        self.seen.send_replace(Seen { upstreams: Arc::clone(&upstreams), ..seen });
                     }
                     continue;
                 }
@@ -195,6 +215,8 @@
             let acting = self.acted.borrow_and_update().clone();
             let shares = acting.as_ref().map(|acted| shares(acted, &self.names.borrow_and_update()));
             present = acting.map(|acted| Arc::clone(&acted.config));
+            // Zones may be counted anew.
+            count = 0;
             if let Err(e) = driver.share(shares) {
                 tracing::error!("the plan can't be acted on, what was before goes on: {e}");
             }
--- a/places/src/config.rs
+++ b/places/src/config.rs
@@ -4,7 +4,6 @@
 use maplehook_config::{Places, Proxy, Upstream};
 use maplehook_failover::{Bounds, digest};
 use maplehook_locality::{Rules, Topology, Zone};
-use std::net::SocketAddr;
 
 /// Zones, rules, bounds and addresses, with the digest by which balancers tell whether they count alike.
 #[derive(Clone, Debug, PartialEq)]
@@ -25,8 +24,6 @@
     pub tenants: Vec<String>,
     /// Requests a second for one of weight, by zone; `None` where that is not stated for all upstreams of a zone.
     pub rooms: Vec<Option<f64>>,
-    /// Where upstreams listen, by zone.
-    pub upstreams: Vec<(Zone, SocketAddr)>,
     /// Of the topology and the rules, whatever the numbers of classes and tenants are.
     pub digest: u64,
 }
@@ -36,7 +33,6 @@
     pub fn of(proxy: &Proxy) -> Option<Self> {
         let places = proxy.places.as_ref()?;
         let Places { topology, own, rules, bounds, addresses, .. } = places;
-        let zone = |of: &Upstream| self::zone(proxy, places, of);
         let room = |zone: Zone| {
             let of_it = || proxy.upstreams.iter().filter(|of| self::zone(proxy, places, of) == Some(zone));
             let room: Option<f64> = of_it().map(|of| of.room).sum();
@@ -44,7 +40,6 @@
             room.filter(|_| weight > 0.0).map(|room| room / weight)
         };
         let rooms = topology.zones().map(room).collect();
-        let upstreams = proxy.upstreams.iter().filter_map(|of| Some((zone(of)?, of.address))).collect();
         Some(Self {
             topology: topology.clone(),
             rules: rules.clone(),
@@ -54,7 +49,6 @@
             classes: proxy.classes.clone(),
             tenants: if proxy.tenants.is_empty() { vec![String::new()] } else { proxy.tenants.clone() },
             rooms,
-            upstreams,
             digest: digest(topology, rules),
         })
     }
--- a/places/src/lib.rs
+++ b/places/src/lib.rs
@@ -11,6 +11,7 @@
 mod probe;
 pub mod rates;
 mod run;
+mod sees;
 pub mod shown;
 mod taking;
 pub mod talk;
@@ -18,4 +19,5 @@
 
 pub use board::Board;
 pub use config::Config;
+pub use probe::TARGETS_MOST;
 pub use taking::{Acted, Link, Setup, Taking};
--- a/places/src/probe.rs
+++ b/places/src/probe.rs
@@ -3,7 +3,6 @@
 //! A zone that serves its own alone has no other observers; without them nobody could tell a lost zone from a balancer with a
 //! bad network. A probe is a connection that is closed at once: it costs an upstream no request.
 
-use crate::config::Config;
 use maplehook_failover::Sight;
 use maplehook_locality::Zone;
 use std::collections::{BTreeMap, VecDeque};
@@ -19,6 +18,8 @@
 /// The last probes of a zone that are counted, and how old they may be.
 const COUNTED: usize = 3;
 const FRESH: Duration = Duration::from_secs(8);
+/// Upstreams of one zone that are probed in turn: more of them say no more of whether it is there.
+pub const TARGETS_MOST: usize = 64;
 /// The longest wait for a connection.
 const WAIT_MOST: Duration = Duration::from_secs(1);
 
@@ -48,15 +49,25 @@
         Self { targets: BTreeMap::new(), turn: 0, next: 0, last: BTreeMap::new(), tell, told }
     }
 
-    /// Whom to probe: all zones but the own one, which its requests tell of.
-    pub(crate) fn aim(&mut self, config: &Config) {
+    /// Zones are counted anew: nothing is known of them.
+    pub(crate) fn forget(&mut self) {
         self.targets.clear();
-        for (zone, address) in config.upstreams.iter().filter(|(zone, _)| *zone != config.own) {
-            self.targets.entry(*zone).or_default().push(*address);
-        }
         self.last.clear();
     }
 
+    /// Whom to probe from now on, by the list in force: all zones but the own one, which its requests tell of. What is known of a
+    /// zone stays as long as any of it is listed.
+    pub(crate) fn aim(&mut self, own: Zone, listed: &[(Zone, SocketAddr)]) {
+        self.targets.clear();
+        for (zone, address) in listed.iter().filter(|(zone, _)| *zone != own) {
+            let of_it = self.targets.entry(*zone).or_default();
+            if of_it.len() < TARGETS_MOST {
+                of_it.push(*address);
+            }
+        }
+        self.last.retain(|zone, _| self.targets.contains_key(zone));
+    }
+
     /// Begins the next round.
     pub(crate) fn round(&mut self) {
         let zones: Vec<Zone> = self.targets.keys().copied().collect();
@@ -107,3 +118,35 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(zone: u16, n: u16) -> (Zone, SocketAddr) {
+        (Zone(zone), SocketAddr::from(([192, 0, 2, zone as u8], 1000 + n)))
+    }
+
+    /// What is known of a zone outlives a change of its list, and not its end; however long a list is, no more of it is kept.
+    #[test]
+    fn it_aims_at_the_list_in_force() {
+        let mut prober = Prober::new();
+        let listed: Vec<_> = (0..3).flat_map(|zone| (0..100).map(move |n| at(zone, n))).collect();
+        prober.aim(Zone(0), &listed);
+        assert_eq!(prober.targets.keys().copied().collect::<Vec<_>>(), [Zone(1), Zone(2)], "not the own one");
+        assert!(prober.targets.values().all(|of_it| of_it.len() == TARGETS_MOST));
+        for zone in [1, 2] {
+            prober.heard(Probed { zone: Zone(zone), took: None });
+        }
+        prober.aim(Zone(0), &[at(0, 1), at(1, 7)]);
+        assert_eq!(prober.targets[&Zone(1)], [at(1, 7).1]);
+        let unprobed = |prober: &Prober, zone: u16| {
+            let mut sights = [Sight { zone: Zone(zone), ..Sight::default() }];
+            prober.add(&mut sights);
+            sights[0].unprobed
+        };
+        assert_eq!((unprobed(&prober, 1), unprobed(&prober, 2)), (1.0, 0.0));
+        prober.forget();
+        assert!(prober.targets.is_empty() && unprobed(&prober, 1) == 0.0);
+    }
+}
--- a/places/src/rates.rs
+++ b/places/src/rates.rs
@@ -4,6 +4,8 @@
 use maplehook_failover::{Demand, Sight};
 use maplehook_locality::Zone;
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Snapshots that are kept: more of them do not make a rate better.
@@ -60,6 +62,8 @@
     pub zones: Vec<ZoneSeen>,
     /// Rules, in their order.
     pub rules: Vec<RuleSeen>,
+    /// Where listed upstreams of each zone listen, some of them if there are many.
+    pub upstreams: Arc<Vec<(Zone, SocketAddr)>>,
 }
 
 /// The snapshots of the last second.
--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -10,11 +10,13 @@
 use crate::taking::{Acted, Link, Setup};
 use crate::talk::{Agreed, Reply};
 use bytes::Bytes;
-use maplehook_failover::{Acting, Demand, Sight};
+use maplehook_failover::Acting;
 use maplehook_histories::What;
+use maplehook_locality::Zone;
 use maplehook_quorum::{Put, Standing};
 use maplehook_tier::Name;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -50,6 +52,8 @@
     pub(crate) acted: watch::Sender<Option<Arc<Acted>>>,
     pub(crate) window: Window,
     pub(crate) prober: Prober,
+    /// The list that is probed.
+    pub(crate) aims: Option<Arc<Vec<(Zone, SocketAddr)>>>,
     pub(crate) acting: Option<Acting>,
     pub(crate) agreed: Option<Arc<Agreed>>,
     pub(crate) number: u64,
@@ -80,6 +84,7 @@
             acted,
             window: Window::default(),
             prober: Prober::new(),
+            aims: None,
             acting: None,
             agreed: None,
             number: 0,
@@ -131,7 +136,7 @@
                 Some(probed) = self.prober.told.recv() => self.prober.heard(probed),
                 Ok(()) = seen.changed() => {
                     let seen = seen.borrow_and_update().clone();
-                    self.window.push(seen);
+                    self.saw(seen);
                 }
                 Ok(()) = config.changed() => {
                     config.borrow_and_update();
@@ -163,7 +168,8 @@
             self.acted.send_replace(None);
             return;
         };
-        self.prober.aim(&config);
+        self.prober.forget();
+        self.aims = None;
         match &mut self.acting {
             Some(acting) => acting.retune(config.topology.clone(), config.rules.clone(), config.own),
             None => {
@@ -280,13 +286,6 @@
         self.decide();
     }
 
-    /// What is seen of zones and asked for by rules, by requests and by probes.
-    pub(crate) fn sights(&self) -> (Vec<Sight>, Vec<Demand>) {
-        let (mut sights, demand) = self.window.rates();
-        self.prober.add(&mut sights);
-        (sights, demand)
-    }
-
     fn decide(&mut self) {
         let (now, standing) = (self.now(), self.standing());
         let Some(leading) = &mut self.leading else { return };
--- a/rig/src/places/map.rs
+++ b/rig/src/places/map.rs
@@ -71,6 +71,8 @@
     pub services: Vec<Service>,
     /// How long after a change of a place's health its histories are not judged for nearness and load: not so long that nothing is.
     pub settle: Duration,
+    /// Upstreams stand in a registry, which knows their zones and no rooms, instead of the files. All balancers share one way to each.
+    pub registry: bool,
 }
 
 /// In which a zone that is well again is given back whole: 12 s until it is believed, 12 s for its share, 2 s for plans.
@@ -97,6 +99,7 @@
             places: String::new(),
             services: vec![Service { name: "book".into(), address: "203.0.113.10:443".into(), one: false, sites: Vec::new() }],
             settle: Duration::from_secs(5),
+            registry: false,
         }
     }
 
@@ -200,7 +203,7 @@
         Setup {
             balancers,
             upstreams: self.upstreams.len(),
-            listed: true,
+            listed: !self.registry,
             agreement,
             map: Some(self.clone()),
             ..Setup::new(program)
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -195,7 +195,9 @@
             row.iter().zip(&apps).for_each(|(relay, app)| relay.leads_to(Some(app.address)));
         }
         for (k, relay) in before_apps[0].iter().enumerate() {
-            registry.register("APP", &format!("u{}", k + 1), relay.address, &[]);
+            let zone = setup.map.as_ref().map(|map| map.zones()[map.upstreams[k].zone]);
+            let label: Vec<(&str, &str)> = zone.into_iter().map(|zone| ("zone", zone)).collect();
+            registry.register("APP", &format!("u{}", k + 1), relay.address, &label);
         }
         let mut balancers = Vec::new();
         for k in 0..n {
--- a/rig/src/world/file.rs
+++ b/rig/src/world/file.rs
@@ -46,7 +46,7 @@
         if setup.agreement.is_some() { "version = true\n" } else { "" },
         map.map_or(String::new(), |map| map.in_balancer(n)),
     );
-    if let Some(map) = map {
+    if let Some(map) = map.filter(|map| !map.registry) {
         text += &map.lists(upstreams);
     } else if setup.listed {
         for (k, address) in upstreams.iter().enumerate() {
--- a/rig/tests/places.rs
+++ b/rig/tests/places.rs
@@ -141,6 +141,36 @@
     served(&records, span.from_us + row.in_force.unwrap_or(0) + SETTLED_US);
 }
 
+/// Its upstreams stand in no file: the others' probes follow the list in force, whoever says it.
+#[test]
+fn a_zone_of_a_registry_that_nobody_sends_to_is_seen_lost() {
+    let _one = alone();
+    // Rooms that nobody has stated are learned, and rough: no rule lets anybody spill.
+    let rules = "rule all { prefer own zone; when lost refuse; }\n".to_owned();
+    let map = Map { registry: true, rules, ..Map::new(1, 40.0) };
+    let scene = Scene::start(map.setup(&program(), 4), 7, Front::Routers).unwrap();
+    comes_together(&scene, true, Front::Routers).unwrap();
+    scene.demand(&[0.3, 0.3, 0.3, 0.0]);
+    until_state(&scene, "d", &["serving"], &[]);
+    let calm = unix_us();
+    std::thread::sleep(AFTER);
+    let d = zones(&["d"]);
+    scene.lose(&d, true);
+    until_state(&scene, "d", &["lost"], &[]);
+    let seen = unix_us();
+    scene.lose(&d, false);
+    until_state(&scene, "d", &["serving", "returning"], &[]);
+    let records = scene.end();
+    let from_outside = |zone: &str, own: &str| {
+        let there = |r: &&Record| {
+            let through = |through: &String| through != own;
+            r.by.starts_with(zone) && matches!(&r.what, What::Ran { through: by, .. } if through(by))
+        };
+        records.iter().filter(|r| (calm..seen).contains(&r.at_us)).filter(there).count()
+    };
+    assert_eq!(from_outside("d-", "b4"), 0, "nobody else sends there");
+}
+
 #[test]
 fn a_zone_is_cut_from_one_region() {
     let _one = alone();
