A bench of what rules of nearness cost a request

`maplehook-bench near` measures short slices in turn, by the scheduler's own count of the balancer's threads, and compares within a round; the same way twice tells the noise.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod door;
 mod eureka;
 mod load;
+mod near;
 mod peers;
 mod proxy;
 mod roles;
@@ -85,6 +86,21 @@
         #[arg(long, default_value_t = 2.0)]
         seconds: f64,
     },
+    /// What rules of nearness cost a request, and an agreement beside them: the same program without, in turn.
+    Near {
+        /// Another program, which goes without as well.
+        #[arg(long)]
+        against: Option<PathBuf>,
+        /// One JSON object instead of tables.
+        #[arg(long)]
+        json: bool,
+        /// Rounds, of which medians and quartiles are told.
+        #[arg(long, default_value_t = 400, value_parser = clap::value_parser!(u64).range(1..=5000))]
+        rounds: u64,
+        /// Seconds for each measurement: short, so that a round sees the machine in one mood.
+        #[arg(long, default_value_t = 0.15)]
+        seconds: f64,
+    },
     /// An upstream of the proxy rig.
     #[command(hide = true)]
     Desk,
@@ -124,6 +140,10 @@
             let seconds = seconds.clamp(0.2, 30.0);
             runtime.block_on(proxy::paired(&line.program, &against, rounds as usize, seconds))
         }
+        Rig::Near { against, json, rounds, seconds } => {
+            let (rounds, seconds) = (rounds as usize, seconds.clamp(0.05, 30.0));
+            runtime.block_on(near::run(&line.program, against.as_deref(), rounds, seconds, json))
+        }
         Rig::Eureka { seconds } => eureka::run(&line.program, seconds.clamp(0.2, 30.0)),
         Rig::Desk => roles::run(roles::desk),
         Rig::Host { upstreams } => roles::run(|listener| roles::host(listener, upstreams)),
--- a/bench/src/proxy.rs
+++ b/bench/src/proxy.rs
@@ -193,7 +193,7 @@
     figures.into_iter().nth(middle)
 }
 
-fn desks() -> Result<Vec<Process>, String> {
+pub fn desks() -> Result<Vec<Process>, String> {
     (0..DESKS).map(|_| Process::own(&["desk"])).collect()
 }
 
@@ -244,9 +244,18 @@
 }
 
 async fn load(address: SocketAddr, body: Body, lasts: Duration) -> Result<(Histogram<u64>, u64), String> {
+    load_by(CONNECTIONS, address, body, lasts).await
+}
+
+async fn load_by(
+    clients: usize,
+    address: SocketAddr,
+    body: Body,
+    lasts: Duration,
+) -> Result<(Histogram<u64>, u64), String> {
     let until = Instant::now() + lasts;
     let clients: Vec<_> =
-        (0..CONNECTIONS).map(|_| tokio::spawn(async move { client(address, body, until).await })).collect();
+        (0..clients).map(|_| tokio::spawn(async move { client(address, body, until).await })).collect();
     let mut all = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
     let mut failed = 0;
     for client in clients {
@@ -259,7 +268,16 @@
 
 /// Small requests for so long: how many were served, and how many were not.
 pub async fn load_small(address: SocketAddr, lasts: Duration) -> Result<(u64, u64), String> {
-    let (took, failed) = load(address, Body::Down(SMALL), lasts).await?;
+    load_small_by(CONNECTIONS, address, lasts).await
+}
+
+/// The same, by so many clients.
+pub async fn load_small_by(
+    clients: usize,
+    address: SocketAddr,
+    lasts: Duration,
+) -> Result<(u64, u64), String> {
+    let (took, failed) = load_by(clients, address, Body::Down(SMALL), lasts).await?;
     Ok((took.len(), failed))
 }
 
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -123,6 +123,18 @@
         }
     }
 
+    /// The processor's time that its threads have used, as the scheduler counts it: finer than [`Used::cpu`], and without those that
+    /// have ended. `None` where the system does not tell.
+    pub fn ran(&self) -> Option<Duration> {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).ok()?;
+        let mut ran = Duration::ZERO;
+        for task in tasks.flatten() {
+            let text = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+            ran += Duration::from_nanos(text.split(' ').next()?.parse().ok()?);
+        }
+        Some(ran)
+    }
+
     /// Sets its limit on descriptors.
     pub fn limit(&self, descriptors: u64) -> Result<(), String> {
         let hard = rlimit::Resource::NOFILE.get_hard().map_err(|e| e.to_string())?;
