A stage with few requests does not wait for their processor's time without an end

A balancer with fewer than twenty requests an interval has a processor's time a request now and then only. A time that is known in less than half of the intervals is not waited for; harm by it is found as before. Seen by a test of the judge, which fails without this.

--- a/verdict/src/ending.rs
+++ b/verdict/src/ending.rs
@@ -103,6 +103,10 @@
                 }
                 continue;
             };
+            // A balancer with few requests has a time a request now and then only: that would be waited for without an end.
+            if measure == Measure::Cpu && test.sequence.len() * 2 < self.intervals {
+                continue;
+            }
             match test.sequence.bounds(self.alpha(&Of::All)) {
                 Some((_, high)) if high <= self.allowed(measure) => {}
                 Some((_, high)) => {
--- a/verdict/tests/judge.rs
+++ b/verdict/tests/judge.rs
@@ -238,3 +238,26 @@
     // Without that nothing goes on.
     assert!(matches!(judged(0, None), Verdict::Short(_)));
 }
+
+/// Few requests an interval, so that the time a request is known now and then only: nothing waits for that without an end.
+#[test]
+fn few_requests_go_on_without_their_time() {
+    let mut judge = Judge::new(Bounds::default(), &[]);
+    let sides: BTreeMap<Name, Side> =
+        (0..2).map(|n| (name(n), if n == 0 { Side::New } else { Side::Old })).collect();
+    for interval in 0..4000u64 {
+        let mut reports = Reports::new();
+        for n in 0..2 {
+            let mut report = Report::new(interval, "a");
+            (report.cpu_us, report.memory_kb, report.descriptors) = (20_000, 9000, 60);
+            let many = if interval % 1000 == 500 { 25 } else { 15 };
+            for k in 0..many {
+                let us = 5_000 + 400 * ((k * 37 + interval * 11 + n as u64 * 53) % 100);
+                report.cell("look", "x").served_after(us, false);
+            }
+            reports.insert(name(n), report);
+        }
+        judge.interval(&sides, &reports);
+    }
+    assert_eq!(judge.verdict(20, 1000), Verdict::Well);
+}
