maplehook supervise: holds the socket, tries a new program, goes back to the last good

A balancer's process was replaced by hand. Each balancer offers the listening socket and its word on a Unix socket to whoever comes with the same user id, so that a killed supervisor's successor takes both over. The operators' address, the tier's port and the voter's directory are waited for by the new process and let go of first by the old one; while both accept each grants half of the guarantees. Off without MAPLEHOOK_HAND in the environment, and on the platform.

--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -20,6 +20,7 @@
 mod proxy;
 pub mod reader;
 mod shared;
+mod supervise;
 mod tier;
 mod values;
 
@@ -29,6 +30,7 @@
 pub use proxy::{Proxy, Upstream};
 pub use reader::{Fault, Faults};
 pub use shared::{rules_file, shared, with_rules, with_shared};
+pub use supervise::{Supervise, Trial};
 pub use tier::{Agreement, CutOff, Tier};
 
 use maplehook_admission::{Policy, budget};
@@ -55,6 +57,7 @@
         "agreement",
         "locality",
         "places",
+        "supervise",
     ],
     lists: &["class", "tenant", "upstream", "region", "address"],
 };
@@ -80,6 +83,8 @@
     pub tier: Option<Tier>,
     /// The file that a history of what it acts on is written to.
     pub history: Option<PathBuf>,
+    /// How a parent changes its program; for `maplehook supervise` alone.
+    pub supervise: Option<Supervise>,
 }
 
 /// The signed word of a known client.
@@ -112,6 +117,7 @@
             control: None,
             tier: None,
             history: None,
+            supervise: None,
         }
     }
 }
@@ -186,6 +192,7 @@
         reader.fault("operator", "history", "of no use without [locality]".into());
     }
     operator.tier = tier::read(&mut reader, served);
+    operator.supervise = supervise::read(&mut reader, served);
     reader.end()?;
     Ok(operator)
 }
--- a/config/src/tests.rs
+++ b/config/src/tests.rs
@@ -17,6 +17,17 @@
     assert!(set.control.is_some() && tier.state.is_some() && tier.peers.len() == 2);
     assert_eq!(tier.drains_most, 0.5);
     assert!(set.admission.rate.is_some() && set.admission.per_address.is_some());
+    let supervise = set.supervise.unwrap();
+    assert!(supervise.trial.is_some() && supervise.grace.is_some());
+    let bare = format!(
+        "[listen]\naddress = '127.0.0.1:0'\n[[class]]\nname = 'a'\npath = '/**'\n[[upstream]]\nname = 'u'\naddress = '127.0.0.1:9'\n\
+        [supervise]\nprograms = '{}'\nstate = '{}'\nprogram = '{}'\n",
+        supervise.programs.display(),
+        supervise.state.display(),
+        supervise.program
+    );
+    let bare = parse(&bare).unwrap().supervise.unwrap();
+    assert_eq!(supervise, Supervise { trial: supervise.trial.clone(), grace: supervise.grace, ..bare });
     // What it shows of a balancer of one's own are the defaults.
     let shown = set.proxy.unwrap();
     let least = "[listen]\naddress = '127.0.0.1:8080'\n[[tenant]]\nname = 'acme'\n[[upstream]]\nname = 'desk-1'\n\
@@ -138,6 +149,18 @@
         "sites",
         "room_per_s",
         "history",
+        "programs",
+        "program",
+        "trial",
+        "trial_status",
+        "ready_ms",
+        "trial_ms",
+        "grace_ms",
+        "backoff_ms",
+        "backoff_most_ms",
+        "crashes",
+        "good_ms",
+        "cut_off_ms",
     ] {
         assert!(uncommented.lines().any(|line| line.starts_with(&format!("{key} = "))), "{key}");
     }
--- a/link/src/lib.rs
+++ b/link/src/lib.rs
@@ -3,13 +3,16 @@
 //! [`Member`] takes part in a tier: datagrams carry the gossip of `maplehook_tier`, framed messages on connections what is
 //! too long for one. Both bear a MAC under a secret that the tier shares. `docs/design/tier.md` has the reasons.
 
+mod begun;
 pub mod connection;
 pub mod frames;
 pub mod hub;
+mod part;
 pub mod queue;
 mod run;
 mod secret;
 pub mod state;
 
-pub use run::{Asks, Member, Part, Status, Talk, Told, unix_ms};
+pub use part::{Part, Status, Talk, Told};
+pub use run::{Asks, Member, unix_ms};
 pub use secret::{Datagrams, Secret};
--- a/node/src/control.rs
+++ b/node/src/control.rs
@@ -27,6 +27,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
 use tokio::task::{JoinHandle, spawn};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -64,14 +65,27 @@
     pub places: Option<Desk>,
 }
 
-/// Binds the address and answers there until the process ends. Returns the address.
-pub fn serve(address: SocketAddr, board: Board) -> io::Result<SocketAddr> {
+/// A second address, which another process may still hold.
+pub struct Late {
+    /// The address.
+    pub address: SocketAddr,
+    /// How it is told in the log.
+    pub told: &'static str,
+    /// It is let go of when that is sent or dropped.
+    pub release: oneshot::Receiver<()>,
+}
+
+/// Binds the address and answers there until the process ends, and at a later one. Returns the address.
+pub fn serve(address: SocketAddr, board: Board, late: Option<Late>) -> io::Result<SocketAddr> {
     let listener = std::net::TcpListener::bind(address)?;
     listener.set_nonblocking(true)?;
     let bound = listener.local_addr()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     std::thread::Builder::new().name("operators".into()).stack_size(256 * 1024).spawn(move || {
         runtime.block_on(async move {
+            if let Some(late) = late {
+                spawn(answer_late(late, board.clone()));
+            }
             match TcpListener::from_std(listener) {
                 Ok(listener) => accept(listener, board).await,
                 Err(e) => tracing::error!("the operators' address: {e}"),
@@ -81,6 +95,30 @@
     Ok(bound)
 }
 
+async fn answer_late(Late { address, told, mut release }: Late, board: Board) {
+    let mut waits = false;
+    let listener = loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => break listener,
+            Err(e) if !std::mem::replace(&mut waits, true) => {
+                tracing::info!("operators' calls on {address} wait: {e}");
+            }
+            Err(_) => {}
+        }
+        if timeout(PAUSE, &mut release).await.is_ok() {
+            return;
+        }
+    };
+    match listener.local_addr() {
+        Ok(bound) => tracing::info!("operators may call {told}={bound}"),
+        Err(e) => tracing::warn!("operators' calls on {address}: {e}"),
+    }
+    tokio::select! {
+        () = accept(listener, board) => {}
+        _ = release => {}
+    }
+}
+
 /// An open call.
 struct Call {
     task: JoinHandle<()>,
--- a/node/src/daemon.rs
+++ b/node/src/daemon.rs
@@ -19,7 +19,7 @@
 impl Daemon {
     /// Starts one as an operator's file says.
     pub fn start(operator: Operator) -> Result<Self, Box<dyn Error>> {
-        Self::spawn(move |told| serve::by_file(operator, None, None, Some(told)))
+        Self::spawn(move |told| serve::by_file(operator, None, None, None, Some(told)))
     }
 
     /// Starts one as the platform says.
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -40,6 +40,8 @@
 mod server;
 pub mod settings;
 mod signed;
+pub mod supervise_command;
+pub mod supervised;
 pub mod tier;
 mod versions;
 pub mod wishes;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,7 +4,8 @@
 use maplehook_node::command::{self, Command, Line};
 use maplehook_node::config::Config;
 use maplehook_node::settings::Outcome;
-use maplehook_node::{inherited, serve};
+use maplehook_node::supervised::Supervised;
+use maplehook_node::{inherited, serve, supervise_command};
 use std::error::Error;
 use std::io;
 use std::net::TcpListener;
@@ -45,9 +46,13 @@
         Some(Command::Run) => {
             let file = line.config.as_deref().ok_or("which file? maplehook run --config FILE")?;
             let (operator, text) = command::with_text(file)?;
-            serve::by_file(operator, Some(text), inherited, None)
+            serve::by_file(operator, Some(text), inherited, Supervised::from_env(), None)
                 .map_err(|e| format!("{}: {e}", file.display()))?;
         }
+        Some(Command::Supervise) => {
+            let file = line.config.as_deref().ok_or("which file? maplehook supervise --config FILE")?;
+            supervise_command::run(file)?;
+        }
         Some(Command::Sign(sign)) => {
             println!("{}", sign.word()?);
         }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::requests::{Requests, Vouching};
 use crate::retune::Grace;
 use crate::server::{Phase, Server};
+use crate::supervised::{Supervised, Tried};
 use hyper::header::HeaderName;
 use lapisroute::Settings;
 use maplehook::ledger::Bounds;
@@ -34,7 +35,7 @@
 use std::time::Duration;
 use tokio::runtime::LocalOptions;
 use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
 /// After SIGTERM the front goes on dealing out new connections for 0.4 s at most.
@@ -53,6 +54,8 @@
     listen: SocketAddr,
     /// The socket that clients come to, where the platform holds it.
     inherited: Option<std::net::TcpListener>,
+    /// How its supervisor reaches it, if it has one.
+    supervised: Option<Supervised>,
     /// Where operators call, and how that is told in the log.
     control: Option<SocketAddr>,
     control_told: &'static str,
@@ -70,6 +73,8 @@
     operator: Operator,
     /// The operator's file, where it is there.
     file: Option<String>,
+    /// Who is told that it serves, inside another program.
+    told: Option<Told>,
 }
 
 /// Who is told that a balancer serves, and where, and what ends it beside SIGTERM.
@@ -92,11 +97,21 @@
     requests: Rc<Requests>,
     (source, known): (Rc<dyn Source>, News),
     begun: impl FnOnce(Rc<Driver>, Rc<Counting>),
-    told: Option<Told>,
     registrar: Option<Registrar>,
+    rest: impl FnOnce() + Send + 'static,
 ) -> Result<(), Box<dyn Error>> {
     let Parts {
-        mut term, listener, descriptors, upstreams, entrance, balancer, board, shared, member, ..
+        mut term,
+        listener,
+        descriptors,
+        upstreams,
+        entrance,
+        balancer,
+        board,
+        shared,
+        mut member,
+        mut led,
+        ..
     } = parts;
     let source = match (&member, &plan.operator.tier) {
         (Some(member), Some(tier)) => Hearsay::new(source, &known, member, tier.drains_most),
@@ -120,25 +135,44 @@
     let (phase, phases) = watch::channel(Phase::Serving);
     let words = Own { signed: plan.own };
     let server = Server::new(desk, requests, entrance, Rc::clone(&descriptors), words, phases);
-    let mut accepting = spawn_local(server.run(listener));
     let (ready_to, knowing) = (Arc::clone(&board.ready), Rc::clone(&driver));
     let ready = spawn_local(async move {
         knowing.knows_a_list().await;
         ready_to.store(true, Ordering::Release);
     });
     spawn_local(Rc::clone(&descriptors).watch());
+    let mut accepts = None;
+    if let Some(led) = &mut led {
+        let trial = led.trial().map(|trial| spawn_local(Rc::clone(&server).run(trial)));
+        match led.tried(&mut term).await? {
+            Tried::Accepts(tell) => accepts = Some(tell),
+            Tried::Ends => return Ok(()),
+        }
+        trial.inspect(JoinHandle::abort);
+        tracing::info!("accepting");
+    }
+    let mut accepting = spawn_local(server.run(listener));
+    if let Some(accepts) = accepts {
+        // It has gone if it did not wait for so long.
+        let _ = accepts.try_send(());
+    }
 
     let registrar = registrar.map(Rc::new);
     let kept = registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
-    match told {
+    // Another process goes on with the registration, unless the whole balancer ends.
+    let mut ends = led.is_none();
+    match plan.told {
         Some(Told { ready, stop }) => {
             ready(address);
             tokio::select! { _ = term.recv() => {} _ = stop => {} }
         }
-        None => drop(term.recv().await),
+        None => match &mut led {
+            Some(led) => tokio::select! { _ = term.recv() => {} () = led.ends() => ends = true },
+            None => drop(term.recv().await),
+        },
     }
     tracing::info!("leaving");
-    if let (Some(registrar), Some(kept)) = (registrar, kept) {
+    if let (Some(registrar), Some(kept)) = (registrar.filter(|_| ends), &kept) {
         // Whoever reads the registry sends nothing new from here on. Nothing else waits for it.
         kept.abort();
         spawn_local(async move {
@@ -147,6 +181,21 @@
             }
         });
     }
+    kept.inspect(JoinHandle::abort);
+    let mut rest = Some(rest);
+    if led.take().is_some() {
+        // What the next process waits for; the threads' last steps may take a disk's time.
+        let (first, member) = (rest.take(), member.take());
+        std::thread::spawn(move || {
+            if let Some(first) = first {
+                first();
+            }
+            drop(member);
+            if let Some(rest) = rest {
+                rest();
+            }
+        });
+    }
     ready.abort();
     board.ready.store(false, Ordering::Release);
     let until_idle_end = if shared { IDLE_AFTER_TERM } else { ACCEPT_AFTER_TERM };
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -5,6 +5,7 @@
 use crate::inherited;
 use crate::nearness::Part;
 use crate::requests::Requests;
+use crate::supervised::{self, Led, Supervised};
 use crate::versions::Versions;
 use lapisroute::FleetScope;
 use maplehook::lists::Lists;
@@ -28,6 +29,7 @@
     mut operator: Operator,
     file: Option<String>,
     inherited: Option<std::io::Result<std::net::TcpListener>>,
+    supervised: Option<Supervised>,
     told: Option<Told>,
 ) -> Result<(), Box<dyn Error>> {
     let mut proxy =
@@ -43,6 +45,7 @@
     let mut plan = Plan {
         listen: proxy.listen,
         inherited: inherited::fit(inherited, proxy.listen),
+        supervised,
         control: operator.control,
         control_told: "operator_listen",
         classes: proxy.classes.clone(),
@@ -56,6 +59,7 @@
         grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
         operator,
         file,
+        told,
     };
     block_on(async move {
         let vouching = vouching(&plan.operator, &proxy.tenants)?;
@@ -112,6 +116,8 @@
             );
             (versions, agreeing.acting.clone(), agreeing.applied.clone())
         });
+        let beside = parts.led.as_ref().map(Led::beside);
+        let settings = plan.settings.clone();
         let begun = |driver: Rc<Driver>, counting| {
             if let Some(follow) = follow {
                 spawn_local(follow.run(Rc::clone(&driver)));
@@ -122,11 +128,14 @@
                 }
             });
             if let Some((versions, acting, applied)) = versions {
-                spawn_local(versions.follow(acting, applied, driver, counting));
+                spawn_local(versions.follow(acting, applied, driver, counting, beside));
+            } else if let Some(beside) = beside {
+                spawn_local(supervised::follow(settings, beside, driver));
             }
         };
-        let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
-        drop((taking, of, agreeing));
+        let rest = move || drop((taking, agreeing));
+        let served = serve(plan, parts, requests, (source, known), begun, registrar, rest).await;
+        drop(of);
         served
     })
 }
--- a/node/src/serve/parts.rs
+++ b/node/src/serve/parts.rs
@@ -1,11 +1,12 @@
 //! What is there before anybody is let in.
 
 use super::Plan;
-use crate::control::{self, Board};
+use crate::control::{self, Board, Late};
 use crate::entrance::Entrance;
 use crate::nearness::{self, Begin};
 use crate::places::Desk;
 use crate::signed::Seal;
+use crate::supervised::{self, Led};
 use crate::tier;
 use crate::wishes::Guard;
 use lapisroute::Balancer;
@@ -21,6 +22,7 @@
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::oneshot;
 
 /// What is there before anybody is let in.
 pub(super) struct Parts {
@@ -39,6 +41,8 @@
     pub(super) agreeing: Option<Agreeing>,
     /// Its part in places.
     pub(super) places: Option<nearness::Part>,
+    /// The way from its supervisor.
+    pub(super) led: Option<Led>,
 }
 
 impl Parts {
@@ -50,13 +54,16 @@
         let balancer = Balancer::new(plan.settings.clone(), plan.seed)?;
         // Before anybody can know that this process is ready: unhandled, it would kill.
         let term = signal(SignalKind::terminate())?;
+        let supervised = plan.supervised.take();
         let operators = if plan.control.is_some() { control::DESCRIPTORS } else { 0 };
+        let operators = operators + if supervised.is_some() { supervised::DESCRIPTORS } else { 0 };
         let agrees = plan.operator.tier.as_ref().is_some_and(|tier| tier.agreement.is_some());
         // A version may bring places, where versions are agreed on.
         let proxy = proxy.filter(|proxy| agrees || proxy.places.is_some());
         let near = if proxy.is_some() { nearness::DESCRIPTORS } else { 0 };
         let aside = operators + near + plan.operator.tier.as_ref().map_or(0, tier::descriptors);
         let descriptors = Descriptors::new(plan.sockets, aside, plan.operator.descriptors.upstream_share)?;
+        let handed = plan.inherited.as_ref().map(std::net::TcpListener::try_clone).transpose()?;
         let (shared, listener) = match plan.inherited.take() {
             Some(listener) => (true, TcpListener::from_std(listener)),
             None => (false, listen(plan.listen, plan.operator.backlog)),
@@ -66,7 +73,14 @@
             .operator
             .tier
             .as_ref()
-            .map(|tier| maplehook_quorum::join(tier, env!("CARGO_PKG_VERSION")))
+            .map(|tier| {
+                let join = if supervised.is_some() {
+                    maplehook_quorum::join_when_free
+                } else {
+                    maplehook_quorum::join
+                };
+                join(tier, env!("CARGO_PKG_VERSION"))
+            })
             .transpose()?;
         let mut board = Board { tier: member.as_ref().map(Member::asks), ..Board::default() };
         let (mut agreeing, mut seal) = (None, None);
@@ -94,8 +108,18 @@
         });
         let places = places.transpose()?;
         board.places = places.as_ref().map(|part| Desk::new(part.taking.board.clone(), seal));
-        if let Some(address) = plan.control {
-            let bound = control::serve(address, board.clone())
+        let mut led = None;
+        if let Some(supervised) = supervised {
+            let handed = handed.ok_or("a supervisor's balancer needs the socket that it inherits")?;
+            let (release, released) = oneshot::channel();
+            let told = plan.control_told;
+            let late = plan.control.map(|address| Late { address, told, release: released });
+            let private = SocketAddr::from(([127, 0, 0, 1], 0));
+            let bound = control::serve(private, board.clone(), late)
+                .map_err(|e| format!("operators' calls on {private}: {e}"))?;
+            led = Some(supervised.begin(handed, bound, release)?);
+        } else if let Some(address) = plan.control {
+            let bound = control::serve(address, board.clone(), None)
                 .map_err(|e| format!("operators' calls on {address}: {e}"))?;
             tracing::info!("operators may call {}={bound}", plan.control_told);
         }
@@ -124,6 +148,7 @@
             member,
             agreeing,
             places,
+            led,
         })
     }
 }
--- a/node/src/serve/platform.rs
+++ b/node/src/serve/platform.rs
@@ -39,6 +39,7 @@
     let plan = Plan {
         listen: config.listen,
         inherited,
+        supervised: None,
         control: config.operator,
         control_told: "control",
         classes: config.tuned.site().names.classes.clone(),
@@ -52,6 +53,7 @@
         settings,
         operator,
         file: None,
+        told,
     };
     block_on(async move {
         let vouching = vouching(&plan.operator, &config.tuned.site().names.tenants)?;
@@ -98,7 +100,7 @@
             }
             spawn_local(retuner.run(hangup, driver, counting));
         };
-        serve(plan, parts, requests, (source, known), begun, told, None).await
+        serve(plan, parts, requests, (source, known), begun, None, || {}).await
     })
 }
 
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -6,6 +6,7 @@
 use crate::entrance::Entrance;
 use crate::nearness::Names;
 use crate::requests::Requests;
+use crate::supervised;
 use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
 use maplehook::parts::upstream::Upstreams;
@@ -24,6 +25,8 @@
 /// Whom a version concerns.
 pub struct Versions {
     numbers: Numbers,
+    /// Whether another process of this balancer grants, too.
+    two: bool,
     /// The list, where it is the file's.
     pub lists: Option<Rc<Lists>>,
     /// The reader of requests.
@@ -77,7 +80,7 @@
     ) -> Self {
         let mut numbers = Numbers::default();
         places.tell(began_with, &numbers.take(began_with));
-        Self { numbers, lists, requests, entrance, upstreams, refuses, places }
+        Self { numbers, two: false, lists, requests, entrance, upstreams, refuses, places }
     }
 
     /// Follows what is to be acted on, as long as the process lives.
@@ -87,6 +90,7 @@
         applied: watch::Sender<u64>,
         driver: Rc<Driver>,
         counting: Rc<Counting>,
+        mut beside: Option<watch::Receiver<bool>>,
     ) {
         let mut present: Option<(u64, Mode)> = None;
         // A list that was set acts once the decisions have been told it, and only then is the step acted on.
@@ -117,6 +121,11 @@
                     }
                 }
                 _ = told.changed(), if waits.is_some() => {}
+                () = supervised::changes(beside.as_mut()) => {
+                    self.two = beside.as_mut().is_some_and(|beside| *beside.borrow_and_update());
+                    tracing::info!(two = self.two, "guarantees are shared with another process, or no more");
+                    present = None;
+                }
                 () = sleep_until(until.unwrap_or(now)), if holds && until.is_some() => {}
             }
         }
@@ -130,7 +139,7 @@
         self.places.tell(proxy, &numbered);
         let guarantees: Vec<f64> = numbered.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
         let entries = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
-        driver.retune(numbered.settings, numbered.gone);
+        driver.retune(supervised::halved(numbered.settings, self.two), numbered.gone);
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
         self.entrance.know(proxy.clients.known.clone());
--- a/quorum/src/agreeing.rs
+++ b/quorum/src/agreeing.rs
@@ -67,6 +67,11 @@
 impl Agreeing {
     /// Begins to agree. The file is known to be good.
     pub fn start(setup: Setup, talk: Talk) -> Result<Self, String> {
+        Self::start_when(setup, talk, watch::channel(true).1)
+    }
+
+    /// The same, once this balancer is `here`.
+    pub fn start_when(setup: Setup, talk: Talk, mut here: watch::Receiver<bool>) -> Result<Self, String> {
         let (shared, _) = maplehook_config::shared(&setup.file).map_err(|e| e.to_string())?;
         let own = read(&setup.file, &shared)?;
         let (acting_to, acting) = watch::channel(first(&own, setup.cut_off));
@@ -74,17 +79,24 @@
         let (acts, acted) = watch::channel(0);
         let (places, standing, inner) = ways();
         let (asks, asked) = mpsc::channel(32);
-        let (stop, stopped) = oneshot::channel();
+        let (stop, mut stopped) = oneshot::channel();
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
         let thread = std::thread::Builder::new()
             .name("agreement".into())
             .stack_size(1024 * 1024)
             .spawn(move || {
-                let runner = Runner::new(setup, shared, own, talk.say, acting_to, inner.tells);
-                let ears =
-                    Ears { heard: talk.heard, applies, acts: acted, asked, places: inner.hears, stopped };
-                runtime.block_on(runner.run(ears));
+                runtime.block_on(async {
+                    // Until then another process may hold the directory.
+                    tokio::select! {
+                        here = here.wait_for(|here| *here) => if here.is_err() { return },
+                        _ = &mut stopped => return,
+                    }
+                    let runner = Runner::new(setup, shared, own, talk.say, acting_to, inner.tells);
+                    let ears =
+                        Ears { heard: talk.heard, applies, acts: acted, asked, places: inner.hears, stopped };
+                    runner.run(ears).await;
+                });
             })
             .map_err(|e| e.to_string())?;
         let places = Some(places);
--- a/quorum/src/join.rs
+++ b/quorum/src/join.rs
@@ -29,11 +29,20 @@
         directory: tier.state.as_ref().map(|state| state.join("agreement")),
         file,
     };
-    Agreeing::start(setup, talk)
+    Agreeing::start_when(setup, talk, member.here.clone())
 }
 
 /// Begins to take part in a tier, as a file says; `program` is the version of the program.
 pub fn join(tier: &Tier, program: &str) -> Result<Member, String> {
+    join_as(tier, program, false)
+}
+
+/// The same, once another process of this balancer has let go of the tier's port.
+pub fn join_when_free(tier: &Tier, program: &str) -> Result<Member, String> {
+    join_as(tier, program, true)
+}
+
+fn join_as(tier: &Tier, program: &str, waits: bool) -> Result<Member, String> {
     let secret = Secret::read(&tier.secret_file).map_err(|e| format!("tier.secret_file: {e}"))?;
     let part = Part {
         name: tier.name.clone(),
@@ -42,6 +51,7 @@
         state: tier.state.clone(),
         peers: tier.peers.clone(),
         program: Program::parse(program),
+        waits,
     };
     Member::start(part).map_err(|e| format!("tier.listen: {}: {e}", tier.listen))
 }
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -22,4 +22,4 @@
 pub use acting::{Acting, Local, Mode};
 pub use agreeing::{Agreeing, Setup, Wishes};
 pub use common::{Behind, Common, PLACES, Places, Put, Standing};
-pub use join::{agree, join};
+pub use join::{agree, join, join_when_free};
--- a/supervise/src/machine.rs
+++ b/supervise/src/machine.rs
@@ -21,8 +21,10 @@
     leaving: Vec<Process>,
     /// Nothing is started before.
     pub(crate) not_before: Duration,
-    pub(crate) unanswered: u32,
-    beside: bool,
+    /// Since when questions have been unanswered, and how many.
+    pub(crate) silent: Option<(Duration, u32)>,
+    /// Whether those who accept know that there are two; not known of those that were found.
+    beside: Option<bool>,
     stopping: bool,
     actions: Vec<Action>,
 }
@@ -38,8 +40,8 @@
             next: None,
             leaving: Vec::new(),
             not_before: now,
-            unanswered: 0,
-            beside: false,
+            silent: None,
+            beside: found.iter().all(|f| !f.accepted).then_some(false),
             stopping: false,
             actions: Vec::new(),
         };
@@ -111,7 +113,10 @@
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         match event {
             Event::Tick => {}
-            Event::Wanted(program) => self.want(program, now, "by the operator's word"),
+            Event::Wanted(program) => {
+                self.memory.file = program.clone();
+                self.want(program, now, "by the operator's word");
+            }
             Event::Said(id, own) => self.said(now, id, own),
             Event::Unanswered(id) => self.was_silent(now, id),
             Event::Ready(id) => {
@@ -174,7 +179,7 @@
         }
         let Some(mut new) = self.next.take() else { return };
         new.phase = Phase::Serving(now);
-        self.unanswered = 0;
+        self.silent = None;
         let (base, program) = (self.memory.base.clone(), new.program.clone());
         if base != program {
             let back = self.memory.before.as_ref() == Some(&program);
@@ -342,7 +347,7 @@
         let all = self.present.iter().chain(&self.next).chain(&self.leaving);
         let grant: Vec<u64> = all.filter(|p| p.accepted).map(|p| p.id).collect();
         let two = grant.len() > 1;
-        if std::mem::replace(&mut self.beside, two) != two {
+        if !grant.is_empty() && self.beside.replace(two) != Some(two) {
             self.actions.extend(grant.into_iter().map(|id| Action::Beside(id, two)));
         }
     }
--- a/supervise/src/memory.rs
+++ b/supervise/src/memory.rs
@@ -78,6 +78,8 @@
 pub struct Memory {
     /// The version of the format.
     pub version: u32,
+    /// What the operator's file said last.
+    pub file: Digest,
     /// What is to be run.
     pub wanted: Digest,
     /// What serves, or served last.
@@ -123,6 +125,7 @@
     pub fn new(program: Digest) -> Self {
         Self {
             version: VERSION,
+            file: program.clone(),
             wanted: program.clone(),
             base: program,
             before: None,
--- a/supervise/src/told.rs
+++ b/supervise/src/told.rs
@@ -2,9 +2,12 @@
 
 use crate::machine::Machine;
 use crate::memory::Digest;
-use crate::words::{Own, POLL, Phase, Process};
+use crate::words::{Own, Phase, Process};
 use std::time::Duration;
 
+/// Questions that a process has to leave unanswered, at the least.
+const QUESTIONS: u32 = 5;
+
 impl Machine {
     pub(crate) fn want(&mut self, program: Digest, now: Duration, why: &str) {
         let news = self.memory.wanted != program || self.memory.refused.contains(&program);
@@ -34,7 +37,7 @@
         if self.present.as_ref().is_none_or(|p| p.id != id) {
             return;
         }
-        self.unanswered = 0;
+        self.silent = None;
         match own {
             Own::Nothing => {
                 if self.memory.last_good.as_ref() == Some(&self.memory.base) {
@@ -59,8 +62,12 @@
         if self.present.as_ref().is_none_or(|p| p.id != id) {
             return;
         }
-        self.unanswered = self.unanswered.saturating_add(1);
-        if POLL * self.unanswered >= self.settings.cut_off && self.memory.before.is_some() {
+        let (since, before) = self.silent.unwrap_or((now, 0));
+        let questions = before.saturating_add(1);
+        self.silent = Some((since, questions));
+        // A supervisor that was stopped itself has not asked meanwhile.
+        let silent = now.saturating_sub(since) >= self.settings.cut_off && questions >= QUESTIONS;
+        if silent && self.memory.before.is_some() {
             self.back(now, "since it has not answered for too long");
         }
     }
--- a/supervise/tests/machine.rs
+++ b/supervise/tests/machine.rs
@@ -2,7 +2,7 @@
 
 use maplehook_supervise::machine::Machine;
 use maplehook_supervise::memory::{Digest, Memory, Role};
-use maplehook_supervise::words::{Action, Event, Found, Own, Phase, Settings};
+use maplehook_supervise::words::{Action, Event, Found, Own, POLL, Phase, Settings};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -318,10 +318,17 @@
         if by_word {
             world.happens(Event::Said(new.id, Own::Old));
         } else {
-            for _ in 0..39 {
+            // Time alone is not enough: the supervisor may have been stopped.
+            world.happens(Event::Unanswered(new.id));
+            world.wait(settings().cut_off * 2);
+            world.happens(Event::Unanswered(new.id));
+            assert!(world.machine.next().is_none(), "too few questions");
+            world.happens(Event::Said(new.id, Own::New(program(1))));
+            for _ in 0..40 {
                 world.happens(Event::Unanswered(new.id));
+                assert!(world.machine.next().is_none(), "too early");
+                world.wait(POLL);
             }
-            assert!(world.machine.next().is_none(), "too early");
             world.happens(Event::Unanswered(new.id));
         }
         assert!(world.serving() == 1 && world.machine.next().is_some(), "beside it");
@@ -367,6 +374,10 @@
     let _ = world.machine.handle(world.now, Event::Accepts(new));
     let actions = world.machine.handle(world.now, Event::Died(old));
     assert_eq!(actions, [Action::Beside(new, false)]);
+    // Whoever is found may have been told the one or the other.
+    let found = [Found { id: 4, program: program(0), role: Role::Present, accepted: true }];
+    let mut machine = Machine::resume(settings(), Memory::new(program(0)), &found, 1, Duration::ZERO);
+    assert_eq!(machine.handle(Duration::ZERO, Event::Tick), [Action::Beside(4, false)]);
 }
 
 /// Guards the record of roles: who serves stays, whoever was only tried ends.
