--- a/node/src/supervised.rs
+++ b/node/src/supervised.rs
@@ -136,3 +136,15 @@
         driver.retune(halved(settings.clone(), two), Vec::new());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_processes_grant_what_one_does() {
+        let settings = Settings { balancers: 3, ..Settings::default() };
+        assert_eq!(halved(settings.clone(), true).balancers, 6);
+        assert_eq!(halved(settings, false).balancers, 3);
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -12,6 +12,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
+pub mod supervised;
+
 pub use maplehook_standins::*;
 
 /// A configuration, to be changed before the start.
