--- a/link/src/run.rs
+++ b/link/src/run.rs
@@ -1,8 +1,9 @@
 //! What runs on the thread of a [`crate::Member`]: datagrams, links and words, as they come and as they are due.
 
+use crate::begun::unix_ms;
 use crate::frames::Message;
 use crate::hub::{Hub, successors};
-use crate::member::{Part, Status, Told, unix_ms};
+use crate::part::{Part, Status, Told};
 use crate::secret::Datagrams;
 use crate::state::{self, State};
 use bytes::{Buf, Bytes};
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -6,6 +6,7 @@
 use crate::inherited;
 use crate::nearness::Part;
 use crate::requests::Requests;
+use crate::supervised::{self, Led, Supervised};
 use crate::versions::Versions;
 use lapisroute::FleetScope;
 use maplehook::lists::Lists;
@@ -29,6 +30,7 @@
     mut operator: Operator,
     file: Option<String>,
     inherited: Option<std::io::Result<std::net::TcpListener>>,
+    supervised: Option<Supervised>,
     told: Option<Told>,
 ) -> Result<(), Box<dyn Error>> {
     let mut proxy =
@@ -44,6 +46,7 @@
     let mut plan = Plan {
         listen: proxy.listen,
         inherited: inherited::fit(inherited, proxy.listen),
+        supervised,
         control: operator.control,
         control_told: "operator_listen",
         classes: proxy.classes.clone(),
@@ -57,6 +60,7 @@
         grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
         operator,
         file,
+        told,
     };
     block_on(async move {
         let vouching = vouching(&plan.operator, &proxy.tenants)?;
@@ -123,6 +127,8 @@
             versions.stages = stages;
             (versions, agreeing.acting.clone(), agreeing.applied.clone())
         });
+        let beside = parts.led.as_ref().map(Led::beside);
+        let settings = plan.settings.clone();
         let begun = |driver: Rc<Driver>, counting| {
             if let Some((counts, each, counted)) = counts {
                 spawn_local(counts.run(each, counted, Rc::clone(&counting)));
@@ -136,11 +142,14 @@
                 }
             });
             if let Some((versions, acting, applied)) = versions {
-                spawn_local(versions.follow(acting, applied, driver, counting));
+                spawn_local(versions.follow(acting, applied, driver, counting, beside));
+            } else if let Some(beside) = beside {
+                spawn_local(supervised::follow(settings, beside, driver));
             }
         };
-        let served = serve(plan, parts, requests, (source, known), begun, told, registrar).await;
-        drop((taking, taking_stages, of, agreeing));
+        let rest = move || drop((taking, taking_stages, agreeing));
+        let served = serve(plan, parts, requests, (source, known), begun, registrar, rest).await;
+        drop(of);
         served
     })
 }
--- a/node/src/versions.rs
+++ b/node/src/versions.rs
@@ -7,6 +7,7 @@
 use crate::entrance::Entrance;
 use crate::nearness::Names;
 use crate::requests::Requests;
+use crate::supervised;
 use maplehook::lists::Lists;
 use maplehook::parts::driver::Driver;
 use maplehook::parts::upstream::Upstreams;
@@ -30,6 +31,8 @@
 /// Whom a version concerns.
 pub struct Versions {
     numbers: Numbers,
+    /// Whether another process of this balancer grants, too.
+    two: bool,
     /// The list, where it is the file's.
     pub lists: Option<Rc<Lists>>,
     /// The reader of requests.
@@ -85,7 +88,7 @@
     ) -> Self {
         let mut numbers = Numbers::default();
         places.tell(began_with, &numbers.take(began_with));
-        Self { numbers, lists, requests, entrance, upstreams, refuses, places, stages: None }
+        Self { numbers, two: false, lists, requests, entrance, upstreams, refuses, places, stages: None }
     }
 
     /// Follows what is to be acted on, as long as the process lives.
@@ -95,6 +98,7 @@
         applied: watch::Sender<u64>,
         driver: Rc<Driver>,
         counting: Rc<Counting>,
+        mut beside: Option<watch::Receiver<bool>>,
     ) {
         let mut present: Option<Present> = None;
         let mut staged = self.stages.as_ref().map(|part| part.serving.staged.clone());
@@ -133,6 +137,11 @@
                 }
                 () = changed(&mut staged) => {}
                 _ = told.changed(), if waits.is_some() => {}
+                () = supervised::changes(beside.as_mut()) => {
+                    self.two = beside.as_mut().is_some_and(|beside| *beside.borrow_and_update());
+                    tracing::info!(two = self.two, "guarantees are shared with another process, or no more");
+                    present = None;
+                }
                 () = sleep_until(until.unwrap_or(now)), if holds && until.is_some() => {}
             }
         }
@@ -164,7 +173,7 @@
             part.counts.aim(numbered.settings.classes.iter().map(|class| class.aim).collect());
         }
         let entries = Fixed::listed(proxy.listed(|zone| numbered.zone(zone))).into_entries();
-        driver.retune(numbered.settings, numbered.gone);
+        driver.retune(supervised::halved(numbered.settings, self.two), numbered.gone);
         counting.name(&numbered.classes);
         self.entrance.guarantee(&guarantees);
         self.entrance.know(proxy.clients.known.clone());
--- a/quorum/src/agreeing.rs
+++ b/quorum/src/agreeing.rs
@@ -72,6 +72,12 @@
 impl Agreeing {
     /// Begins to agree. The file is known to be good.
     pub fn start(setup: Setup, talk: Talk) -> Result<Self, String> {
+        let (_, here) = watch::channel(true);
+        Self::start_when(setup, talk, here)
+    }
+
+    /// The same, once this balancer is `here`.
+    pub fn start_when(setup: Setup, talk: Talk, mut here: watch::Receiver<bool>) -> Result<Self, String> {
         let (shared, _) = maplehook_config::shared(&setup.file).map_err(|e| e.to_string())?;
         let own = read(&setup.file, &shared)?;
         let (acting_to, acting) = watch::channel(first(&own, setup.cut_off));
@@ -80,18 +86,26 @@
         let (places, standing, inner) = ways();
         let (rollout, rollout_standing, staged) = ways();
         let (asks, asked) = mpsc::channel(32);
-        let (stop, stopped) = oneshot::channel();
+        let (stop, mut stopped) = oneshot::channel();
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
         let thread = std::thread::Builder::new()
             .name("agreement".into())
             .stack_size(1024 * 1024)
             .spawn(move || {
-                let tells = [(Topic::Places, inner.tells), (Topic::Rollout, staged.tells)].into();
-                let runner = Runner::new(setup, shared, own, talk.say, acting_to, tells);
-                let (places, rollout) = (inner.hears, staged.hears);
-                let ears = Ears { heard: talk.heard, applies, acts: acted, asked, places, rollout, stopped };
-                runtime.block_on(runner.run(ears));
+                runtime.block_on(async {
+                    // Until then another process may hold the directory.
+                    tokio::select! {
+                        here = here.wait_for(|here| *here) => if here.is_err() { return },
+                        _ = &mut stopped => return,
+                    }
+                    let tells = [(Topic::Places, inner.tells), (Topic::Rollout, staged.tells)].into();
+                    let runner = Runner::new(setup, shared, own, talk.say, acting_to, tells);
+                    let (places, rollout) = (inner.hears, staged.hears);
+                    let ears =
+                        Ears { heard: talk.heard, applies, acts: acted, asked, places, rollout, stopped };
+                    runner.run(ears).await;
+                });
             })
             .map_err(|e| e.to_string())?;
         Ok(Self {
--- a/quorum/src/lib.rs
+++ b/quorum/src/lib.rs
@@ -24,5 +24,5 @@
 pub use acting::{Acting, Local, Mode};
 pub use agreeing::{Agreeing, Setup, Wishes};
 pub use common::{Behind, Common, PLACES, Put, Standing, Ways};
-pub use join::{agree, join};
+pub use join::{agree, join, join_when_free};
 pub use shelf::{PART_MOST, Topic};
