An example of a plan, and tests of who holds a stage up and who does not

deploy/rollout.toml shows all keys of a plan with their defaults, and a test reads it. Two breaks that no test had seen are seen now: an old one that was out of reach when a leader came must not hold the stage up, and a stage that is not all changed must wait for an operator once its time is over.

--- a/rollout/src/plan.rs
+++ b/rollout/src/plan.rs
@@ -267,6 +267,20 @@
         assert_eq!(plan.bounds.allowed[&Measure::Refused], Bounds::default().allowed[&Measure::Refused]);
     }
 
+    /// The example says the defaults.
+    #[test]
+    fn the_example_is_good() {
+        let plan = read(include_str!("../../deploy/rollout.toml")).unwrap();
+        assert_eq!(plan.bounds, Bounds { stages: 3, ..Bounds::default() });
+        let bare = read("[change]\nsettings = 'x'\n[[stage]]\nshare = 1.0\n").unwrap();
+        assert_eq!(
+            (plan.when_short, plan.short, plan.when_cut_off),
+            (bare.when_short, bare.short, bare.when_cut_off)
+        );
+        assert_eq!((plan.cut_off, plan.interval), (bare.cut_off, bare.interval));
+        assert_eq!((plan.zone_share, plan.missing_share), (bare.zone_share, bare.missing_share));
+    }
+
     #[test]
     fn each_fault_has_its_line() {
         let shown = read(
--- a/staging/tests/leading.rs
+++ b/staging/tests/leading.rs
@@ -36,13 +36,21 @@
     in_force: u64,
     /// Who is out of reach.
     away: Vec<String>,
+    /// Who stays as before, whatever is wanted.
+    stays: Vec<String>,
 }
 
 impl World {
     fn new() -> Self {
         let leading = Leading::new(names(), Document::default(), Duration::ZERO);
-        let mut world =
-            Self { now: Duration::ZERO, leading, log: Document::default(), in_force: 1, away: Vec::new() };
+        let mut world = Self {
+            now: Duration::ZERO,
+            leading,
+            log: Document::default(),
+            in_force: 1,
+            away: Vec::new(),
+            stays: Vec::new(),
+        };
         world.play(1.0, &|_, _| {});
         world
     }
@@ -76,7 +84,8 @@
             let all = names();
             for name in all.iter().filter(|name| !self.away.contains(name)) {
                 let wanted = wanted(&self.log, name, Duration::ZERO);
-                let side = wanted.as_ref().map(|wanted| (wanted.number, wanted.side, wanted.step));
+                let is = |side: Side| if self.stays.contains(name) { Side::Old } else { side };
+                let side = wanted.as_ref().map(|wanted| (wanted.number, is(wanted.side), wanted.step));
                 let mut report = Report::new(0, "a");
                 (report.cpu_us, report.memory_kb, report.descriptors) = (10_000, 9000, 60);
                 for k in 0..50 {
@@ -262,3 +271,33 @@
     }
     assert_eq!((world.state(), most), (State::Done, 1));
 }
+
+/// One that was out of reach when this leader came, and is as before, says nothing of the change; nor is it waited for but to be
+/// changed itself.
+#[test]
+fn whoever_was_out_of_reach_before_holds_nothing_up() {
+    let mut world = World::new();
+    world.start().unwrap();
+    world.play(2.0, &good);
+    let change = world.log.change.clone().unwrap();
+    let last = change.rollout.order.members()[3].name.clone();
+    assert!(change.rollout.sides.contains_key(&last));
+    world.away.push(last);
+    world.leading = Leading::new(names(), world.log.clone(), world.now);
+    world.play(40.0, &good);
+    assert_eq!(world.state(), State::Running(2));
+}
+
+/// One of the stage can't act on it: the stage is not left, however well the others do, and an operator is told whom it waits for.
+#[test]
+fn a_stage_that_is_not_all_changed_waits_for_an_operator() {
+    let mut world = World::new();
+    world.start().unwrap();
+    let stays = world.log.change.as_ref().unwrap().rollout.order.members()[1].name.clone();
+    world.stays.push(stays.clone());
+    world.play(60.0, &good);
+    assert_eq!(world.state(), State::Running(1));
+    world.play(60.0, &good);
+    let State::Held { why, operator: true, .. } = world.state() else { panic!("{:?}", world.state()) };
+    assert_eq!(why, format!("not changed yet: {stays}"));
+}
