A word that cannot be moves nothing, and the next leader goes on from what has stood

Whoever begins listens until three in four of those that the last plan counted have spoken, 1 s at the most; looks are 200 ms apart.

--- a/failover/src/acting.rs
+++ b/failover/src/acting.rs
@@ -17,6 +17,10 @@
 /// For how long it has to be in reach again. Where nothing is known of it any more, each time twice as long, five times at most.
 const BACK_AFTER: Duration = Duration::from_secs(5);
 const DOUBLED_MOST: u32 = 5;
+/// Share of what was planned for a zone that tries it out where nothing is known of it any more, and for how long: longer than
+/// most of a second's attempts have to fail.
+const TRIES: f64 = 0.1;
+const TRIED_FOR: Duration = Duration::from_secs(2);
 /// Who has been well for so long begins anew.
 const FORGIVEN: Duration = Duration::from_secs(60);
 /// Longer pauses between two looks are counted as this.
@@ -52,8 +56,12 @@
     out: bool,
     out_for: Duration,
     well_since: Option<Duration>,
+    /// Since when it is out of reach without a break.
+    out_since: Option<Duration>,
     /// How often it fell out lately.
     falls: u32,
+    /// Out, and tried out.
+    tried: bool,
 }
 
 /// The balancer's machine.
@@ -128,28 +136,45 @@
         &self.acts
     }
 
+    /// What a report says of zones that are out of reach without a break, and for how long, in milliseconds.
+    pub fn out_ms(&self) -> Vec<(Zone, u16)> {
+        let for_ms =
+            |since: Duration| self.looked.saturating_sub(since).as_millis().min(u128::from(u16::MAX)) as u16;
+        let out = |(zone, own): (usize, &Own)| Some((Zone(zone as u16), for_ms(own.out_since?)));
+        self.own.iter().enumerate().filter_map(out).collect()
+    }
+
     fn look(&mut self, now: Duration, sights: &[Sight]) {
+        // Whoever was stopped has seen nothing meanwhile.
+        if now.saturating_sub(self.looked) > LOOK_MOST {
+            self.own.iter_mut().for_each(|own| own.out_since = None);
+        }
         let passed = now.saturating_sub(self.looked).min(LOOK_MOST);
         self.looked = self.looked.max(now);
         for sight in sights {
             let Some(own) = self.own.get_mut(usize::from(sight.zone.0)) else { continue };
             let word = Word::of(sight);
+            own.out_since = (word == Word::Out).then(|| own.out_since.unwrap_or(now));
             if word == Word::Out {
                 own.out_for = (own.out_for + passed).min(OUT_AFTER);
-                if !own.out && own.out_for >= OUT_AFTER {
-                    own.out = true;
+                // What fails when it is tried out has failed again, at the first look.
+                if !own.out && own.out_for >= OUT_AFTER || own.tried {
+                    (own.out, own.tried) = (true, false);
                     own.falls = (own.falls + 1).min(DOUBLED_MOST + 1);
                 }
                 own.well_since = None;
             } else {
                 own.out_for = own.out_for.saturating_sub(passed / 2);
                 let since = *own.well_since.get_or_insert(now);
+                let waited = now.saturating_sub(since);
                 // Whoever sends nothing there sees nothing wrong with it, and would try it out again and again.
                 let silent = word <= Word::Quiet;
                 let doubled = if silent { own.falls.saturating_sub(1) } else { 0 };
-                if own.out && now.saturating_sub(since) >= BACK_AFTER * (1 << doubled) {
-                    (own.out, own.well_since) = (false, Some(now));
-                } else if !own.out && now.saturating_sub(since) >= FORGIVEN {
+                if own.tried && waited >= TRIED_FOR {
+                    (own.out, own.tried, own.well_since) = (false, false, Some(now));
+                } else if own.out && !own.tried && waited >= BACK_AFTER * (1 << doubled) {
+                    (own.out, own.tried, own.well_since) = (silent, silent, Some(now));
+                } else if !own.out && waited >= FORGIVEN {
                     own.falls = 0;
                 }
             }
@@ -209,12 +234,17 @@
         for (n, shares) in rules.iter_mut().enumerate() {
             let Some(shape) = self.ladders.shape(n as u16, self.zone) else { continue };
             let asked = asked(n);
-            let is_out = |zone: &Zone| out & bit(*zone) != 0;
-            let mut lost: f64 = shares.to.iter().filter(|(zone, _)| is_out(zone)).map(|(_, part)| part).sum();
+            let mut lost = 0.0;
+            for (zone, part) in shares.to.iter_mut().filter(|(zone, _)| out & bit(*zone) != 0) {
+                let tried = self.own[usize::from(zone.0)].tried;
+                let keeps = if tried { *part * TRIES } else { 0.0 };
+                lost += *part - keeps;
+                *part = keeps;
+            }
             if lost <= 0.0 {
                 continue;
             }
-            shares.to.retain(|(zone, _)| !is_out(zone));
+            shares.to.retain(|(_, part)| *part > 0.0);
             let shape = &self.ladders.shapes[shape];
             let mut beyond = shape.beyond_most;
             for (zone, part) in &shares.to {
--- a/failover/src/damp.rs
+++ b/failover/src/damp.rs
@@ -120,6 +120,10 @@
         let bad = lost || seen.state == PlaceState::Ill;
         self.bad_for = count(bad, self.bad_for, bounds.ill_after);
         self.lost_for = count(lost, self.lost_for, bounds.lost_after);
+        if lost {
+            // What has stood before this was heard has stood.
+            self.lost_for = self.lost_for.max(seen.out_for.min(bounds.lost_after));
+        }
         if bad {
             self.well_since = None;
         } else {
--- a/failover/src/decider.rs
+++ b/failover/src/decider.rs
@@ -11,20 +11,20 @@
 use crate::plan::{Planner, Setting, by_rule};
 use crate::reach::Reach;
 use crate::report::Report;
-use crate::room::{Room, Rooms, demand};
+use crate::room::{Room, Rooms, credible, demand};
 use crate::written::Shown;
 use maplehook_locality::{Rules, Topology, Zone};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// The least time between two looks.
-const LOOK: Duration = Duration::from_millis(250);
+const LOOK: Duration = Duration::from_millis(200);
 /// How long a proposal is waited for.
 const AGREED_WITHIN: Duration = Duration::from_secs(1);
 /// How often figures alone are agreed anew.
 const FIGURES: Duration = Duration::from_secs(5);
-/// How long whoever begins to lead listens, unless all have spoken before.
-const SETTLES: Duration = Duration::from_secs(2);
+/// How long whoever begins to lead listens, unless most have spoken before: two reports of each.
+const SETTLES: Duration = Duration::from_secs(1);
 
 /// How long whoever begins may not have heard of a balancer that there is.
 const KNOWS: Duration = Duration::from_secs(120);
@@ -236,7 +236,10 @@
             // Stopped and woken: it listens first, as whoever begins.
             self.settled = now + SETTLES;
         }
-        if fresh.is_empty() || now < self.settled && fresh.len() < self.heard.counts().0.max(2) {
+        // Of those that were counted when the last plan was made, three in four.
+        let crews: usize = self.crews.iter().sum();
+        let most = self.heard.counts().0.max(2).max(crews * 3 / 4);
+        if fresh.is_empty() || now < self.settled && fresh.len() < most {
             return false;
         }
         let known = self.heard.crews(zones);
@@ -244,10 +247,11 @@
         for (crew, known) in self.crews.iter_mut().zip(known) {
             *crew = if knows { known } else { known.max(*crew) };
         }
-        let (views, counted) = Views::of(zones, &fresh);
+        let (can_be, wild) = credible(zones, &fresh);
+        let (views, counted) = Views::of(zones, &can_be);
         self.seen_now = views.seen(&self.heard, &fresh);
         let room: f64 = self.situation.rooms.iter().map(|room| room.usable).sum();
-        let demand = demand(&counted, room);
+        let demand = demand(&counted, &wild, room);
         let asked = demand.values().sum();
         let mut rooms = self.rooms.of(now, zones, &views, &counted, asked);
         self.without(&mut rooms, asked);
--- a/failover/src/evidence.rs
+++ b/failover/src/evidence.rs
@@ -4,6 +4,7 @@
 use crate::heard::Heard;
 use crate::report::{Report, Sight};
 use maplehook_locality::Zone;
+use std::time::Duration;
 
 /// Part of what is listed that counts as nothing.
 const NOTHING: f32 = 0.02;
@@ -76,6 +77,8 @@
     pub out_of: u64,
     /// Zones that stand behind the state.
     pub observers: u16,
+    /// For how long it has been out of reach already for two zones at least, by their own words.
+    pub out_for: Duration,
 }
 
 /// One zone's balancers' words, one by one.
@@ -126,6 +129,8 @@
 pub struct Views {
     zones: usize,
     words: Vec<Word>,
+    /// By zone: for how many milliseconds two zones have not reached it.
+    out_ms: Vec<u16>,
     /// Balancers that are left out, for all that they see is bad and others see it well.
     pub left_out: usize,
 }
@@ -154,7 +159,26 @@
             words.iter().for_each(|(zone, word)| votes[at + zone].add(*word));
         }
         let words = votes.into_iter().map(Votes::word).collect();
-        (Self { zones, words, left_out: reports.len() - counted.len() }, counted)
+        let left_out = reports.len() - counted.len();
+        let mut views = Self { zones, words, out_ms: Vec::new(), left_out };
+        views.out_ms = (0..zones as u16).map(|zone| views.second(Zone(zone), &counted)).collect();
+        (views, counted)
+    }
+
+    /// For how long a zone is out of reach for two: the second longest of the medians of those that do not reach it.
+    fn second(&self, zone: Zone, counted: &[&Report]) -> u16 {
+        let mut by_zone: Vec<Vec<u16>> = vec![Vec::new(); self.zones];
+        for report in counted.iter().filter(|report| self.word(report.zone, zone) == Word::Out) {
+            let found = report.out_ms.binary_search_by_key(&zone, |(zone, _)| *zone);
+            by_zone[usize::from(report.zone.0)].push(found.map_or(0, |n| report.out_ms[n].1));
+        }
+        let median = |mut all: Vec<u16>| {
+            all.sort_unstable();
+            all.get(all.len().checked_sub(1)? / 2).copied()
+        };
+        let mut all: Vec<u16> = by_zone.into_iter().filter_map(median).collect();
+        all.sort_unstable();
+        all.len().checked_sub(2).map_or(0, |second| all[second])
     }
 
     /// What the balancers of one zone say of another.
@@ -195,7 +219,9 @@
         } else {
             (PlaceState::Serving, there, String::new())
         };
-        Seen { state, why, out_of, observers: observers as u16 }
+        let out_ms = self.out_ms.get(usize::from(zone.0)).copied().unwrap_or(0);
+        let out_for = Duration::from_millis(u64::from(out_ms));
+        Seen { state, why, out_of, observers: observers as u16, out_for }
     }
 }
 
--- a/failover/src/report.rs
+++ b/failover/src/report.rs
@@ -75,6 +75,10 @@
     pub sights: Vec<Sight>,
     /// Rules with any demand.
     pub demand: Vec<Demand>,
+    /// Zones that it has not reached for a while without a break, and for how long, in milliseconds: whoever leads next need not
+    /// wait for what has stood already. It goes behind the rest, where a program that knows nothing of it does not read.
+    #[serde(skip)]
+    pub out_ms: Vec<(Zone, u16)>,
 }
 
 impl Report {
@@ -83,7 +87,8 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut report = self.clone();
         loop {
-            let bytes = postcard::to_allocvec(&report).unwrap_or_default();
+            let mut bytes = postcard::to_allocvec(&report).unwrap_or_default();
+            bytes.extend(postcard::to_allocvec(&report.out_ms).unwrap_or_default());
             if bytes.len() <= BYTES_MOST {
                 return bytes;
             }
@@ -105,7 +110,8 @@
         if bytes.len() > BYTES_MOST {
             return None;
         }
-        let mut report: Self = postcard::from_bytes(bytes).ok()?;
+        let (mut report, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes).ok()?;
+        report.out_ms = postcard::from_bytes(rest).unwrap_or_default();
         report.tidy();
         report.is_fine().then_some(report)
     }
@@ -116,6 +122,14 @@
         self.sights.dedup_by_key(|sight| sight.zone);
         self.demand.sort_by_key(|demand| demand.rule);
         self.demand.dedup_by_key(|demand| demand.rule);
+        self.out_ms.sort();
+        self.out_ms.dedup_by_key(|(zone, _)| *zone);
+    }
+
+    /// What it sees of a zone.
+    pub fn sight(&self, zone: Zone) -> Option<&Sight> {
+        let found = self.sights.binary_search_by_key(&zone, |sight| sight.zone);
+        found.ok().map(|n| &self.sights[n])
     }
 
     /// Whether all its figures are such as can be.
@@ -151,6 +165,20 @@
         assert!(!read.sights.iter().any(|sight| sight.zone == Zone(0)), "the least sent to");
     }
 
+    #[test]
+    fn programs_before_and_after_read_each_other() {
+        let report = Report {
+            sights: vec![Sight { zone: Zone(1), sent: 3.0, ..Sight::default() }],
+            out_ms: vec![(Zone(1), 700), (Zone(2), 9000)],
+            ..Report::default()
+        };
+        assert_eq!(Report::decode(&report.encode()).as_ref(), Some(&report));
+        let before = Report { out_ms: Vec::new(), ..report.clone() };
+        // As it is read by who stops after what it knows, and as that one writes.
+        assert_eq!(postcard::from_bytes::<Report>(&report.encode()).ok(), Some(before.clone()));
+        assert_eq!(Report::decode(&postcard::to_allocvec(&report).unwrap()), Some(before));
+    }
+
     #[test]
     fn a_figure_that_none_can_have_is_no_report() {
         let wild = |rate: f32| Report {
--- a/failover/src/room.rs
+++ b/failover/src/room.rs
@@ -19,6 +19,8 @@
 const CAUTIOUS: f64 = 1.25;
 /// Times the median that one balancer's figures may count.
 const TIMES_MEDIAN: f64 = 4.0;
+/// Answers a second beyond that, of what a zone has room for: rates are of short times.
+const ANSWERS: f64 = 10.0;
 /// Times its even part of all room that one balancer's figures may always count.
 const TIMES_EVEN: f64 = 2.0;
 
@@ -113,7 +115,7 @@
 
 fn figures(zone: Zone, zones: usize, views: &Views, reports: &[&Report]) -> Figures {
     let sights: Vec<(Zone, &Sight)> =
-        reports.iter().filter_map(|report| Some((report.zone, sight_of(report, zone)?))).collect();
+        reports.iter().filter_map(|report| Some((report.zone, report.sight(zone)?))).collect();
     let stated = sights.iter().filter(|(_, sight)| sight.stated).count() * 2 > sights.len();
     let (mut listed, mut usable, mut loads) = (Vec::new(), Vec::new(), Vec::new());
     let reached = |from: Zone| views.word(from, zone) != Word::Out;
@@ -140,7 +142,7 @@
         let used = here.iter().filter(|s| s.load > 0.0 && s.sent > 0.0).map(|s| f64::from(s.load)).collect();
         loads.extend(median(used));
     }
-    let sent = capped(reports, 0.0, |report| sight_of(report, zone).map_or(0.0, |s| f64::from(s.sent)));
+    let sent = capped(reports, 0.0, |report| report.sight(zone).map_or(0.0, |s| f64::from(s.sent)));
     Figures {
         stated,
         listed,
@@ -150,11 +152,6 @@
     }
 }
 
-fn sight_of(report: &Report, zone: Zone) -> Option<&Sight> {
-    let found = report.sights.binary_search_by_key(&zone, |sight| sight.zone);
-    found.ok().map(|n| &report.sights[n])
-}
-
 /// A figure of each balancer, none more than some times the median of its zone's (of all, where its zone has too few).
 fn capped(reports: &[&Report], floor: f64, figure: impl Fn(&Report) -> f64) -> Vec<f64> {
     let all: Vec<f64> = reports.iter().map(|report| figure(report)).collect();
@@ -181,11 +178,43 @@
     reports.iter().zip(all).map(|(report, figure)| figure.min(caps[&report.zone])).collect()
 }
 
-/// What is asked for by rule and zone, of the reports that are counted; `room` is that of all zones.
-pub fn demand(reports: &[&Report], room: f64) -> BTreeMap<(u16, Zone), f64> {
+/// Reports that can be, and those that can't: many more upstreams than most know of, or many more answers in time than a zone has
+/// room for. Of what such a one says nothing is counted. Two have no median that says which of them it is; and what half of all
+/// say can be, whatever is stated.
+pub fn credible<'a>(zones: usize, fresh: &[&'a Report]) -> (Vec<&'a Report>, Vec<&'a Report>) {
+    if fresh.len() < 3 {
+        return (fresh.to_vec(), Vec::new());
+    }
+    // Rooms and weights are no figures of one kind.
+    let listed = |zone: Zone, stated: bool| {
+        let sights = fresh.iter().filter_map(|report| report.sight(zone));
+        let of_kind = sights.filter(|sight| sight.stated == stated && sight.listed > 0.0);
+        median(of_kind.map(|sight| f64::from(sight.listed)).collect())
+    };
+    let listed: Vec<[Option<f64>; 2]> =
+        (0..zones as u16).map(|zone| [false, true].map(|stated| listed(Zone(zone), stated))).collect();
+    let can_be = |report: &&&Report| {
+        let sight_can = |sight: &Sight| {
+            let of_zone = listed.get(usize::from(sight.zone.0));
+            let Some(listed) = of_zone.and_then(|of| of[usize::from(sight.stated)]) else { return true };
+            let answers = !sight.stated || f64::from(sight.ok) <= TIMES_MEDIAN * listed + ANSWERS;
+            f64::from(sight.listed) <= TIMES_MEDIAN * listed && answers
+        };
+        report.sights.iter().all(sight_can)
+    };
+    let (can_be, wild): (Vec<&Report>, Vec<&Report>) = fresh.iter().partition(can_be);
+    if 2 * wild.len() >= fresh.len() { (fresh.to_vec(), Vec::new()) } else { (can_be, wild) }
+}
+
+/// What is asked for by rule and zone, of the reports that are counted; `room` is that of all zones. Who says what can't be has
+/// clients all the same: it counts as the middle one.
+pub fn demand(reports: &[&Report], wild: &[&Report], room: f64) -> BTreeMap<(u16, Zone), f64> {
     let floor = TIMES_EVEN * room / reports.len().max(1) as f64;
     let total = |report: &Report| report.demand.iter().map(|d| f64::from(d.asked)).sum();
-    let capped = capped(reports, floor, total);
+    let mut capped = capped(reports, floor, total);
+    let middle = median(capped.clone()).unwrap_or(0.0);
+    capped.resize(reports.len() + wild.len(), middle);
+    let reports: Vec<&Report> = reports.iter().chain(wild).copied().collect();
     let rules = reports.iter().flat_map(|report| &report.demand).map(|d| usize::from(d.rule) + 1).max();
     let zones = reports.iter().map(|report| usize::from(report.zone.0) + 1).max().unwrap_or(0);
     let mut table = vec![0.0; rules.unwrap_or(0) * zones];
--- a/failover/tests/all/alone.rs
+++ b/failover/tests/all/alone.rs
@@ -121,6 +121,12 @@
         }
     }
     assert!(served > 0.999 * 470.0 && into[1] >= into[3], "{served} {into:?}");
+    // All that is lent is lent once: to each zone, by three balancers of each other one.
+    let plan = &world.force.plan;
+    for to in 0..4 {
+        let all: f64 = (0..4).map(|from| 3.0 * plan.lent(4, Zone(from), to, 12)).sum();
+        assert!((all - f64::from(plan.spare[to])).abs() < 0.01, "{all} of {plan:?}");
+    }
 }
 
 /// What a drawn balancer sees: its zone, and of each zone whether it is there.
--- a/failover/tests/all/main.rs
+++ b/failover/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod alone;
 mod any;
+mod believed;
 mod bounds;
 mod decisions;
 mod dwell;
--- a/failover/tests/all/world.rs
+++ b/failover/tests/all/world.rs
@@ -188,6 +188,7 @@
                 asked: (self.zones[from].demand / each) as f32,
                 refused: (self.refused[from] / each) as f32,
             }],
+            ..Report::default()
         }
     }
 
--- a/lab/src/places/agreeing.rs
+++ b/lab/src/places/agreeing.rs
@@ -257,7 +257,8 @@
         let epoch = if holds { member.acting.acts().epoch } else { 0 };
         let zone = Zone(ground.posts[n].zone as u16);
         let (number, start) = (member.reports, member.start);
-        let report = Report { number, start, zone, digest, epoch, ready: true, sights, demand };
+        let out_ms = member.acting.out_ms();
+        let report = Report { number, start, zone, digest, epoch, ready: true, sights, demand, out_ms };
         let bytes = report.encode();
         self.say(ground, now, n, to, Word::Report { to, from: n, bytes });
     }
--- a/places/src/tell.rs
+++ b/places/src/tell.rs
@@ -4,7 +4,7 @@
 use crate::taking::WISHES_MOST;
 use crate::talk::{Reply, Say, Wish};
 use bytes::Bytes;
-use maplehook_failover::{Report, Sight};
+use maplehook_failover::{Acting, Report, Sight};
 use maplehook_link::frames::Message;
 use maplehook_quorum::PLACES;
 use maplehook_tier::Name;
@@ -41,6 +41,7 @@
             ready,
             sights,
             demand,
+            out_ms: self.acting.as_ref().map(Acting::out_ms).unwrap_or_default(),
         };
         let now = self.now();
         if let Some(leading) = &mut self.leading {
