Tests of the supervisor wait on conditions alone, and see threads that stay

Beside a loaded machine two of them rested on a time: a program that had to be ready within a second, and one that killed itself 0.4 s after its start. Now the test kills it once it serves, and a supervisor is told to end once it supervises. That the thread of a process that never spoke ends with it is looked at, too.

--- a/node/tests/common/supervised.rs
+++ b/node/tests/common/supervised.rs
@@ -167,6 +167,11 @@
         signal(self.pid(), "HUP");
     }
 
+    /// How many descriptors (`fd`) or threads (`task`) it has.
+    pub fn count(&self, what: &str) -> usize {
+        std::fs::read_dir(format!("/proc/{}/{what}", self.pid())).unwrap().count()
+    }
+
     /// How often a line with this text was logged.
     pub fn said(&self, text: &str) -> usize {
         self.lines.lock().unwrap().iter().filter(|line| line.contains(text)).count()
--- a/node/tests/supervise.rs
+++ b/node/tests/supervise.rs
@@ -50,6 +50,7 @@
         // Nobody supervises, and somebody serves.
         ask_all(&place);
         supervisor = place.supervise();
+        supervisor.until_said("supervising");
         place.until_serves(&next);
         until("one is left", || place.alive().len() == 1);
     }
@@ -69,12 +70,14 @@
 #[test]
 fn a_program_that_does_not_get_so_far_changes_nothing() {
     let mut place = Place::new("bad");
-    place.more = place.more.replace("ready_ms = 10000", "ready_ms = 1000\ncrashes = 2\ntrial = 'GET /'");
+    place.more = place.more.replace("ready_ms = 10000", "ready_ms = 3000\ncrashes = 2\ntrial = 'GET /'");
     let first = place.good(0);
     place.wants(&first);
     let supervisor = place.supervise();
     place.until_serves(&first);
     let (pid, _) = place.present().unwrap();
+    supervisor.until_said("is good");
+    let threads = supervisor.count("task");
     let steady = Steady::start(place.address);
     // It fails its trial: the upstream of its own file answers otherwise.
     let upstream = Upstream::start(Then::Answer("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"));
@@ -102,6 +105,7 @@
         assert_eq!(place.present().unwrap(), (pid, first.clone()));
     }
     until("the failed ones are gone", || place.alive() == [pid]);
+    until("nobody speaks with them any more", || supervisor.count("task") == threads);
     let good = place.good(1);
     place.wants(&good);
     supervisor.reload();
@@ -133,7 +137,7 @@
 #[test]
 fn what_dies_is_started_again_or_gives_way() {
     let mut place = Place::new("dies");
-    place.more = place.more.replace("good_ms = 300", "good_ms = 1500");
+    place.more = place.more.replace("good_ms = 300", "good_ms = 3000");
     let first = place.good(0);
     place.wants(&first);
     let supervisor = place.supervise();
@@ -145,9 +149,14 @@
         until("another one serves", || place.serves(&first) && place.present().unwrap().0 != pid);
     }
     assert_eq!(place.memory().unwrap().crashes[&first], 5);
-    let dies = place.script(&format!("{} \"$@\" &\nsleep 0.4\nkill -9 $!\nwait", place.balancer));
+    let dies = place.good(1);
     place.wants(&dies);
     supervisor.reload();
+    for n in 1..=3 {
+        until("the new one serves", || place.present().is_some_and(|(_, of)| of == dies));
+        signal(place.present().unwrap().0, "KILL");
+        supervisor.until_said(&format!("{dies} died, {n} times"));
+    }
     supervisor.until_said(&format!("{dies} is given up; back to {first}"));
     place.until_serves(&first);
     assert_eq!(place.memory().unwrap().crashes[&dies], 3);
@@ -202,7 +211,6 @@
     let supervisor = place.supervise();
     place.until_serves(&programs[0]);
     let steady = Steady::start(place.address);
-    let count = |what: &str| std::fs::read_dir(format!("/proc/{}/{what}", supervisor.pid())).unwrap().count();
     let change = |n: usize| {
         let program = &programs[n % programs.len()];
         place.wants(program);
@@ -211,9 +219,9 @@
     };
     let changes: usize = std::env::var("MAPLEHOOK_CHANGES").map_or(100, |n| n.parse().unwrap());
     change(1);
-    let before = (count("fd"), count("task"));
+    let before = (supervisor.count("fd"), supervisor.count("task"));
     (2..=changes).for_each(change);
-    until("threads end", || count("task") <= before.1 && count("fd") <= before.0);
+    until("threads end", || supervisor.count("task") <= before.1 && supervisor.count("fd") <= before.0);
     assert_eq!(place.alive().len(), 1);
     let hands = std::fs::read_dir(place.folder().join("state")).unwrap().flatten();
     assert_eq!(hands.filter(|entry| entry.file_name().to_string_lossy().starts_with("hand-")).count(), 1);
