--- a/bench/src/near.rs
+++ b/bench/src/near.rs
@@ -146,6 +146,9 @@
         Ok::<_, String>(Way { name, balancer, _others: Vec::new(), _directory: None })
     };
     let mut ways = vec![alone("without", program, &plain)?, alone("again without", program, &plain)?];
+    // Operators' calls have a thread of their own, as places have: what a second thread alone costs.
+    let threads = format!("{plain}[operator]\naddress = \"127.0.0.1:0\"\n");
+    ways.push(alone("second thread", program, &threads)?);
     ways.push(alone("rules", program, &rules)?);
     ways.push(in_common(program, &rules)?);
     if let Some(against) = against {
