An aim shorter than two ticks brings nobody down

A class with a deadline below 150 ms has an aim below 50 ms, and the first answer of it panicked in the module (clamp with the bounds the wrong way round): in a release build the balancer ends there, in a debug build its answers are never finished. The bound is now as choice.rs has it; for longer aims nothing differs (the test of unchanged decisions passes).

--- a/src/learning.rs
+++ b/src/learning.rs
@@ -58,7 +58,7 @@
             learned.answers += ANSWERS_NEWEST * (latency - learned.answers);
             learned.usual *=
                 if latency > learned.usual { 1.0 + 0.05 * USUAL } else { 1.0 - 0.05 * (1.0 - USUAL) };
-            learned.usual = learned.usual.clamp(2.0 * TICK, aim);
+            learned.usual = learned.usual.clamp(2.0 * TICK, aim.max(2.0 * TICK));
         }
         let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) && overdue;
         let slow = unanswered && !lost;
