While room is missing the last tokens of a bucket are for what is worth most

While W is under nil, a class worth less than a quarter of the dearest is admitted only from a bucket with three tokens, as every bucket can hold.

--- a/tests/room.rs
+++ b/tests/room.rs
@@ -119,3 +119,46 @@
         assert!(served > 190, "{served} of 200 served beside {} streams", streams.len());
     }
 }
+
+/// While room is missing, here four in ten, what is worth least waits: the last tokens are for the dearer class. Classes
+/// that are worth about the same share the lack.
+#[test]
+fn what_is_worth_least_is_refused_first() {
+    let served = |worths: [f64; 2]| {
+        let classes =
+            worths.map(|worth| Class { worth, late_worth: 0.5, ..class(80, 2000, Effect::AtMostOnce) });
+        let settings = Settings {
+            classes: classes.to_vec(),
+            tenants: vec![Tenant { allowance_per_s: 40.0 }],
+            ..Settings::default()
+        };
+        let fleet: Vec<Listed> = (0..8).map(listed).collect();
+        let mut bench = Bench::new(settings, &fleet);
+        let mut ends: BTreeMap<(Duration, RequestId), ()> = BTreeMap::new();
+        let (mut free, mut admitted) = (Duration::ZERO, [0; 2]);
+        for k in 0..12_000u16 {
+            let next = bench.now + ms(5);
+            while let Some((&(at, id), ())) = ends.first_key_value().filter(|(key, _)| key.0 <= next) {
+                ends.remove(&(at, id));
+                bench.run(at.saturating_sub(bench.now));
+                bench.ended(id, 0, Outcome::Ok);
+            }
+            bench.run(next.saturating_sub(bench.now));
+            // In pairs, so that neither class comes at the same moment of every tick.
+            let class = k / 2 % 2;
+            let id = bench.request(class, 0, ms(2000));
+            if bench.sent.contains_key(&id) {
+                admitted[usize::from(class)] += 1;
+                free = free.max(bench.now) + Duration::from_micros(8300);
+                ends.insert((free, id), ());
+            }
+        }
+        admitted
+    };
+    let (alike, unlike) = (served([1.0, 1.0]), served([1.0, 5.0]));
+    assert!(alike[0] * 10 > alike[1] * 9, "{alike:?} of 6000 each where both are worth the same");
+    assert!(
+        unlike[1] * 10 > unlike[0] * 12,
+        "{unlike:?} of 6000 each where one is worth five times the other"
+    );
+}
