Laboratory: changes in stages by the real leader's part, beside thresholds and all at once

Need: nothing showed how often the judge stops a good change, how soon a bad one, and what that costs.

Change: maplehook-lab rollout plays a change from its beginning to its end: the leader's own part hears emulated balancers of unequal loads, tenants and zones whose weather lasts, with lost reports, cuts and other leaders on demand; fixed thresholds and a change all at once are played on the same draws.

--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -3,3 +3,4 @@
 pub mod balancers;
 pub mod measures;
 pub mod places;
+pub mod rollout;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`members`] emulates balancers that know each other.
 //! - [`agreed`] explores how they agree on versions.
 //! - [`places`] emulates zones and regions, and explores how plans and addresses come into force.
+//! - [`rollout`] plays changes in stages.
 //! - [`rules`] explores what may come between a request and its answer, exhaustively.
 
 mod agenda;
@@ -35,6 +36,7 @@
 pub mod policies;
 mod report;
 pub mod results;
+pub mod rollout;
 pub mod rules;
 mod station;
 pub mod stats;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::builder::TypedValueParser;
 use clap::{Args, Parser, Subcommand};
-use commands::{balancers, measures, places};
+use commands::{balancers, measures, places, rollout};
 use indicatif::{ProgressBar, ProgressStyle};
 use maplehook_lab::experiment::{self, How, Verdict};
 use maplehook_lab::file::{Plan, read};
@@ -154,6 +154,8 @@
     },
     /// Zones and regions: faults, by who decides; and how orders of events are explored.
     Places(places::Asked),
+    /// Changes in stages: what is stopped, how soon, and what it cost.
+    Rollout(rollout::Asked),
     /// Measures how fast worlds are played, at 3, 120 and 10,000 upstreams.
     Speed {
         /// Requests of each.
@@ -367,6 +369,7 @@
             return Ok(balancers::agreed(members, storms, seed, calm));
         }
         Command::Places(asked) => return places::places(&asked),
+        Command::Rollout(asked) => return rollout::rollout(&asked),
         Command::Rules => {
             let (report, sound) = rules::explore_all();
             print!("{report}");
