--- a/node/src/counts.rs
+++ b/node/src/counts.rs
@@ -32,7 +32,8 @@
     }
 
     fn take(&self, interval: u64) -> Report {
-        self.report.replace(Report::new(interval, ""))
+        let counted = self.report.replace(Report::new(0, ""));
+        Report { interval, ..counted }
     }
 
     /// Hands over what was counted, each interval, as long as the process lives.
