--- a/node/src/counts.rs
+++ b/node/src/counts.rs
@@ -102,14 +102,15 @@
         counts.aim(vec![Duration::from_millis(10)]);
         let (class, tenant) = (ClassId(0), TenantId(0));
         counts.ended(class, tenant, End::Served, Duration::from_millis(9));
+        counts.ended(class, tenant, End::Served, Duration::from_millis(8));
         counts.ended(class, tenant, End::Served, Duration::from_millis(11));
         counts.ended(class, TenantId(9), End::Refused, Duration::ZERO);
         counts.ended(class, tenant, End::Failed, Duration::ZERO);
         counts.ended(ClassId(7), tenant, End::Failed, Duration::ZERO);
         let mut report = counts.take(3);
         let cell = report.cell("look", "acme").clone();
-        assert_eq!((cell.served, cell.late, cell.refused, cell.failed), (1, 1, 0, 1));
-        assert_eq!((report.cell("look", "").refused, report.total(), report.interval), (1, 4, 3));
+        assert_eq!((cell.served, cell.late, cell.refused, cell.failed), (2, 1, 0, 1));
+        assert_eq!((report.cell("look", "").refused, report.total(), report.interval), (1, 5, 3));
         assert_eq!(counts.take(4).total(), 0);
     }
 }
