--- a/histories/tests/judge/planted.rs
+++ b/histories/tests/judge/planted.rs
@@ -62,6 +62,11 @@
     group.extend([rec(6 * S, "rig", did("kill", "a")), rec(7 * S, "rig", did("start", "a"))]);
     group.push(rec(8 * S, "b-a1", acts(1, calm())));
     none("epochs", group);
+    // Addresses are agreed on, and there is no plan yet, or none at all.
+    let mut early = vec![rec(S / 2, "b-a1", acts(0, calm())), rec(S / 2 + MS, "b-b1", acts(0, calm()))];
+    none("epochs", early.clone());
+    early.extend(two());
+    none("epochs", early);
     // A leader was killed before it could say that 2 stands.
     let mut mute = two();
     mute.remove(2);
@@ -88,6 +93,7 @@
     let other = What::Agreed { epoch: 2, digest: "other".into() };
     one("epochs", with(vec![rec(9 * S, "b-b1", other)]), "agreed on as plan 2 and as other");
     one("epochs", with(vec![rec(9 * S, "b-a1", acts(1, calm()))]), "b-a1 goes back from epoch 2 to 1");
+    one("epochs", with(vec![rec(9 * S, "b-a1", acts(0, calm()))]), "b-a1 goes back from epoch 2 to 0");
     one(
         "epochs",
         with(vec![rec(9 * S, "b-b1", acts(3, calm()))]),
