No class is held back by a share of worth that no setting names

Cause: the change before took a quarter of the dearest class's worth as the line under which a class needs three tokens. The quarter follows from no setting: it was found between what two deployments state (a fifth and a third), and the goal's weights that were named as its reason would move it the other way.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,7 @@
 //! and says what it guards against. Times are seconds.
 
 use crate::attempts::{RETRY_SAVED, RETRY_SHARE};
-use crate::grant::{BUCKET_LEAST, CHEAP, bucket, unlearned};
+use crate::grant::{bucket, unlearned};
 use crate::heritage::Heritage;
 use crate::interface::*;
 use crate::state::{Balancer, Health, Request, Ring, shortest, stated_each};
@@ -88,10 +88,7 @@
         let bucket = &mut self.buckets[tenant];
         bucket.arrivals += 1.0;
         self.asked += 1.0;
-        let most = self.set.classes.iter().map(|c| c.worth).fold(0.0, f64::max);
-        let cheap = self.room < 0.0 && self.set.classes[class].worth < CHEAP * most;
-        let least = if cheap { BUCKET_LEAST } else { 1.0 };
-        let turn = if bucket.tokens >= least { self.turn(class, tenant) } else { None };
+        let turn = if bucket.tokens >= 1.0 { self.turn(class, tenant) } else { None };
         if let Some(tables) = &self.tables {
             self.sight.asked(tables.row(class, tenant), turn.is_none());
         }
--- a/src/grant.rs
+++ b/src/grant.rs
@@ -27,11 +27,9 @@
 /// Seconds for which the newest report of it stands without a further one.
 const BUSY_KEPT: f64 = 3.0;
 /// Bucket size T_i: a second of the guarantee or this share of the tenant's demand, whichever is more, and
-/// this many tokens, so that a small tenant's chance pairs are not refused. While room is missing a class
-/// worth less than this part of the dearest needs so many: the last ones are for what earns more.
+/// this many tokens, so that a small tenant's chance pairs are not refused.
 const BUCKET: f64 = 0.2;
-pub(crate) const BUCKET_LEAST: f64 = 3.0;
-pub(crate) const CHEAP: f64 = 0.25;
+const BUCKET_LEAST: f64 = 3.0;
 /// Guarantees grow with the middle tenant's demand and this much more, up to so many equal parts.
 const PART_SPARE: f64 = 1.3;
 const PART_MOST: f64 = 4.0;
@@ -136,8 +134,13 @@
 /// A class of which nothing is known.
 pub(crate) fn unlearned(class: &Class) -> Learned {
     let aim = class.aim.as_secs_f64();
-    let (latency, least, usual) = (aim * 0.3, aim * 0.2, aim * OVERDUE_BY);
-    Learned { latency, least, usual, share: 1.0, ..Learned::default() }
+    Learned {
+        latency: aim * 0.3,
+        least: aim * 0.2,
+        usual: aim * OVERDUE_BY,
+        share: 1.0,
+        ..Learned::default()
+    }
 }
 
 /// The longest mean latency of a class that leaves room, for a part of its aim.
