--- a/node/tests/common/supervised.rs
+++ b/node/tests/common/supervised.rs
@@ -20,7 +20,7 @@
     pub address: SocketAddr,
     /// Where operators call.
     pub operators: SocketAddr,
-    pub upstream: Upstream,
+    pub upstream: Arc<Upstream>,
     /// Further keys of `[supervise]`, and sections after it.
     pub more: String,
     /// The balancer's program.
@@ -37,7 +37,7 @@
         let folder = std::env::temp_dir().join(format!("maplehook-sv-{}-{name}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("programs")).unwrap();
-        let (address, operators, upstream) = (free(), free(), Upstream::start(Then::Answer(OK)));
+        let (address, operators, upstream) = (free(), free(), Arc::new(Upstream::start(Then::Answer(OK))));
         let more =
             "ready_ms = 10000\ngrace_ms = 3000\nbackoff_ms = 20\nbackoff_most_ms = 200\ngood_ms = 300\n";
         let balancer = env!("CARGO_BIN_EXE_maplehook").to_owned();
@@ -48,17 +48,22 @@
         &self.folder
     }
 
-    /// Puts a script among the programs.
-    pub fn script(&self, text: &str) -> Digest {
+    /// Puts a program among the others.
+    pub fn program(&self, bytes: &[u8]) -> Digest {
         use std::os::unix::fs::PermissionsExt;
         let new = self.folder.join("new");
-        std::fs::write(&new, format!("#!/bin/sh\n{text}\n")).unwrap();
+        std::fs::write(&new, bytes).unwrap();
         std::fs::set_permissions(&new, std::fs::Permissions::from_mode(0o755)).unwrap();
         let digest = maplehook_supervise::programs::digest(&new).unwrap();
         std::fs::rename(&new, self.folder.join("programs").join(digest.as_str())).unwrap();
         digest
     }
 
+    /// Puts a script among the programs.
+    pub fn script(&self, text: &str) -> Digest {
+        self.program(format!("#!/bin/sh\n{text}\n").as_bytes())
+    }
+
     /// A balancer like any other, but for its digest.
     pub fn good(&self, number: usize) -> Digest {
         self.script(&format!("# {number}\nexec {} \"$@\"", self.balancer))
