A supervisor acts on what is new in a roll-out's word, not on its repetition

A balancer says on and on how it stands with the last change, also when that is long over, and the supervisor took each repetition for a new word: after a done change an operator's other program was replaced within 500 ms, after an undone one, or beside a change of settings, its trial was ended. A program that never served was taken back to what was before the one that serves. What a balancer that had just been started knew nothing of cleared the way back, and one that lost the tier for good said so for ever and was not taken back. The supervisor now remembers the last word by the change's number and program; takes back only what that change has brought; counts 'no change' of a program that a running change has brought as silence; and silence counts until the change is over, which GET /control/rollout/own says as 'runs'.

--- a/node/tests/program.rs
+++ b/node/tests/program.rs
@@ -37,6 +37,8 @@
         let (secret, state) = (place.folder().join("secret"), place.folder().join("tier"));
         std::fs::write(&secret, SECRET).unwrap();
         let (listen, secret, state) = (listens[own], secret.display(), state.display());
+        // Longer than between three questions of the supervisor's.
+        place.more = place.more.replace("good_ms = 300\n", "good_ms = 1600\n");
         place.more += &format!(
             "[tier]\nname = 'b{own}'\nlisten = '{listen}'\nsecret_file = '{secret}'\nstate = '{state}'\n"
         );
@@ -161,6 +163,14 @@
         assert_eq!(supervisor.said(&format!("{new} serves")), 1, "{}", supervisor.all());
         assert_eq!(supervisor.said(" died"), 0, "{}", supervisor.all());
     }
+    // What was done stays, but an operator's later word holds: some questions later it is good.
+    let b0 = &fleet.places[0];
+    b0.wants(&fleet.old);
+    fleet.supervisors[0].reload();
+    b0.until_serves(&fleet.old);
+    until("it is good again", || fleet.supervisors[0].said(&format!("{} is good", fleet.old)) == 2);
+    assert_eq!(b0.present().map(|(_, of)| of), Some(fleet.old.clone()));
+    assert_eq!((fleet.own(0)["side"].as_str(), fleet.own(0)["runs"].as_bool()), (Some("new"), Some(false)));
     fleet.end();
 }
 
--- a/node/tests/supervise_rollout.rs
+++ b/node/tests/supervise_rollout.rs
@@ -67,9 +67,9 @@
     std::fs::rename(new, place.folder().join("own")).unwrap();
 }
 
-fn told(side: &str, program: &Digest) -> String {
+fn told(number: usize, side: &str, program: &Digest) -> String {
     format!(
-        r#"{{"number":1,"step":2,"side":"{side}","program":{{"path":"/p","digest":"{program}"}},"word":"stage 1"}}"#
+        r#"{{"number":{number},"step":2,"side":"{side}","program":{{"path":"/p","digest":"{program}"}},"word":"stage 1"}}"#
     )
 }
 
@@ -88,11 +88,11 @@
     place.wants(&old);
     let supervisor = place.supervise();
     supervisor.until_said(&format!("{old} is good"));
-    for back in ["old", "silent", "old"] {
-        says(&place, &told("new", &new));
+    for (n, back) in ["old", "silent", "old"].into_iter().enumerate() {
+        says(&place, &told(n, "new", &new));
         until("the new one serves", || place.present().is_some_and(|(_, of)| of == new));
         supervisor.until_said(&format!("{new} is good"));
-        let text = if back == "old" { told("old", &new) } else { back.to_owned() };
+        let text = if back == "old" { told(n, "old", &new) } else { back.to_owned() };
         says(&place, &text);
         until("the old one is back", || place.present().is_some_and(|(_, of)| of == old));
         until("the new one is gone", || place.memory().is_some_and(|memory| memory.processes.len() == 1));
--- a/staging/src/board.rs
+++ b/staging/src/board.rs
@@ -1,6 +1,6 @@
 //! What operators and whoever starts programs are answered: from what stands when they ask.
 
-use crate::document::{Content, Document, Past};
+use crate::document::{Change, Content, Document, Past};
 use crate::member::Wanted;
 use crate::shown::{Shown, side};
 use crate::talk::{Reply, Wish};
@@ -35,6 +35,8 @@
     pub step: u64,
     /// `old` or `new`.
     pub side: String,
+    /// Whether the change is not over yet.
+    pub runs: bool,
     /// The program that `new` is, where one changes.
     pub program: Option<OwnProgram>,
     /// The state, in words.
@@ -74,9 +76,11 @@
 
     /// Where this balancer is to be; `None`: there was no change.
     pub fn own(&self) -> Option<Own> {
-        let Wanted { number, step, side: of, program, word } = self.stands.borrow().wanted.clone()?;
+        let stands = self.stands.borrow();
+        let Wanted { number, step, side: of, program, word } = stands.wanted.clone()?;
+        let runs = stands.document.change.as_ref().is_some_and(Change::runs);
         let program = program.map(|(path, digest)| OwnProgram { path, digest });
-        Some(Own { number, step, side: side(of).into(), program, word })
+        Some(Own { number, step, side: side(of).into(), runs, program, word })
     }
 
     /// Why no settings may be proposed: some are changed in stages.
--- a/supervise/src/memory.rs
+++ b/supervise/src/memory.rs
@@ -73,6 +73,19 @@
     pub process: Option<(u32, u64)>,
 }
 
+/// What a balancer has said of a change of the program in stages.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The change's number.
+    pub number: u64,
+    /// The program that it brings.
+    pub program: Digest,
+    /// Whether this balancer is to run it.
+    pub new: bool,
+    /// Whether the change is not over yet.
+    pub runs: bool,
+}
+
 /// What outlives the supervisor.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Memory {
@@ -86,6 +99,9 @@
     pub base: Digest,
     /// What served before that, while there may be a way back.
     pub before: Option<Digest>,
+    /// The last word of a roll-out; earlier programs knew none.
+    #[serde(default)]
+    pub told: Option<Told>,
     /// What has served for long enough to be trusted.
     pub last_good: Option<Digest>,
     /// What is not tried again until something else was told.
@@ -129,6 +145,7 @@
             wanted: program.clone(),
             base: program,
             before: None,
+            told: None,
             last_good: None,
             refused: BTreeSet::new(),
             crashes: BTreeMap::new(),
--- a/supervise/src/told.rs
+++ b/supervise/src/told.rs
@@ -1,7 +1,7 @@
 //! Which program is to be run: by an operator's word, a roll-out's, or since a new one's process has lost touch.
 
 use crate::machine::Machine;
-use crate::memory::Digest;
+use crate::memory::{Digest, Memory, Told};
 use crate::words::{Own, Phase, Process};
 use std::time::Duration;
 
@@ -37,27 +37,51 @@
         if self.present.as_ref().is_none_or(|p| p.id != id) {
             return;
         }
-        self.silent = None;
         match own {
-            Own::Nothing => {
-                if self.memory.last_good.as_ref() == Some(&self.memory.base) {
-                    self.memory.before = None;
-                }
+            // It was told that there is a change, and has not heard of it: it has lost touch with the others.
+            Own::Nothing if self.may_go_back() => self.was_silent(now, id),
+            Own::Nothing => self.silent = None,
+            Own::Change(told) => {
+                self.silent = None;
+                self.told(now, told);
             }
-            // It says so again and again: what was given up stays so.
-            Own::New(program) if program == self.memory.wanted => {}
-            Own::New(program) => self.want(program, now, "as the roll-out says"),
-            Own::Old => self.back(now, "as the roll-out says"),
         }
     }
 
+    /// It says so again and again, and long after its end: only what is new in it counts, or no later word would hold.
+    fn told(&mut self, now: Duration, told: Told) {
+        let before = self.memory.told.replace(told.clone());
+        let was = before.filter(|before| (before.number, &before.program) == (told.number, &told.program));
+        match was.map(|was| was.new) {
+            Some(new) if new == told.new => {}
+            _ if told.new && told.program != self.memory.wanted => {
+                self.want(told.program, now, "as the roll-out says");
+            }
+            // Only what this change has brought is taken back.
+            Some(_) if !told.new && told.program == self.memory.wanted => {
+                self.back(now, "as the roll-out says")
+            }
+            _ => {}
+        }
+    }
+
+    /// To what serves, if the new one has not come so far; else to what was before it.
     fn back(&mut self, now: Duration, why: &str) {
-        let before = self.memory.before.clone().unwrap_or_else(|| self.memory.base.clone());
-        if self.memory.wanted != before {
-            self.want(before, now, why);
+        let serves = self.memory.base == self.memory.wanted;
+        let before = self.memory.before.clone().filter(|_| serves);
+        let to = before.unwrap_or_else(|| self.memory.base.clone());
+        if self.memory.wanted != to {
+            self.want(to, now, why);
         }
     }
 
+    /// Whether what serves is what a change brought that is not over, and nothing else is to come.
+    fn may_go_back(&self) -> bool {
+        let Memory { wanted, base, before, told, .. } = &self.memory;
+        let brought = |told: &Told| told.new && told.runs && told.program == *base;
+        before.is_some() && wanted == base && told.as_ref().is_some_and(brought)
+    }
+
     pub(crate) fn was_silent(&mut self, now: Duration, id: u64) {
         if self.present.as_ref().is_none_or(|p| p.id != id) {
             return;
@@ -67,7 +91,7 @@
         self.silent = Some((since, questions));
         // A supervisor that was stopped itself has not asked meanwhile.
         let silent = now.saturating_sub(since) >= self.settings.cut_off && questions >= QUESTIONS;
-        if silent && self.memory.before.is_some() {
+        if silent && self.may_go_back() {
             self.back(now, "since it has not answered for too long");
         }
     }
--- a/supervise/src/watch.rs
+++ b/supervise/src/watch.rs
@@ -2,7 +2,7 @@
 
 use crate::ask::ask;
 use crate::hand::Link;
-use crate::memory::Digest;
+use crate::memory::{Digest, Told};
 use crate::process::Handle;
 use crate::shell::{News, Trial};
 use crate::words::{ACCEPTS, Event, Own, POLL};
@@ -45,11 +45,19 @@
 /// Which program a balancer says that it should run.
 #[derive(Deserialize)]
 struct Said {
+    number: u64,
     side: Side,
+    /// Earlier programs do not say it.
+    #[serde(default = "runs")]
+    runs: bool,
     program: Option<SaidProgram>,
 }
 
-#[derive(Deserialize)]
+fn runs() -> bool {
+    true
+}
+
+#[derive(Deserialize, PartialEq)]
 #[serde(rename_all = "lowercase")]
 enum Side {
     Old,
@@ -67,12 +75,12 @@
         return Some(Own::Nothing);
     }
     let said = (status == 200).then(|| serde_json::from_slice::<Said>(body).ok()).flatten()?;
-    match (said.side, said.program) {
-        (Side::Old, _) => Some(Own::Old),
-        (Side::New, Some(program)) => Some(Own::New(program.digest)),
-        // A change of something else than the program.
-        (Side::New, None) => Some(Own::Nothing),
-    }
+    let Said { number, side, runs, program } = said;
+    // A change of something else than the program is none here.
+    let change = |program: SaidProgram| {
+        Own::Change(Told { number, program: program.digest, new: side == Side::New, runs })
+    };
+    Some(program.map_or(Own::Nothing, change))
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
@@ -212,9 +220,12 @@
             own(200, text.as_bytes())
         };
         let program = format!("{{\"path\":\"/x\",\"digest\":\"{digest}\"}}");
-        assert_eq!(of("new", &program), Some(Own::New(Digest::new(&digest).unwrap())));
-        assert_eq!(of("old", &program), Some(Own::Old));
-        assert_eq!(of("old", "null"), Some(Own::Old));
+        let told = |new| Told { number: 3, program: Digest::new(&digest).unwrap(), new, runs: true };
+        assert_eq!(of("new", &program), Some(Own::Change(told(true))));
+        assert_eq!(of("old", &program), Some(Own::Change(told(false))));
+        let over = format!("{program},\"runs\":false");
+        assert_eq!(of("new", &over), Some(Own::Change(Told { runs: false, ..told(true) })));
+        assert_eq!(of("old", "null"), Some(Own::Nothing));
         assert_eq!(of("new", "null"), Some(Own::Nothing));
         assert_eq!(of("newer", &program), None);
         assert_eq!(of("new", "{\"path\":\"/x\",\"digest\":\"../../bin/sh\"}"), None);
--- a/supervise/src/words.rs
+++ b/supervise/src/words.rs
@@ -1,6 +1,6 @@
 //! What the supervisor's decisions speak of: processes, what happens, what is to be done.
 
-use crate::memory::{Digest, Role};
+use crate::memory::{Digest, Role, Told};
 use std::time::Duration;
 
 /// How long a process may take to say that it accepts.
@@ -61,12 +61,10 @@
 /// What a balancer says that it should run.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Own {
-    /// There is no roll-out.
+    /// It knows of no roll-out of a program.
     Nothing,
-    /// The change's program.
-    New(Digest),
-    /// What it ran before.
-    Old,
+    /// How it stands with one.
+    Change(Told),
 }
 
 /// What happened.
--- a/supervise/tests/machine.rs
+++ b/supervise/tests/machine.rs
@@ -3,12 +3,17 @@
 mod world;
 
 use maplehook_supervise::machine::Machine;
-use maplehook_supervise::memory::{Memory, Role};
+use maplehook_supervise::memory::{Memory, Role, Told};
 use maplehook_supervise::words::{Action, Event, Found, Own, POLL, Phase};
 use proptest::prelude::*;
 use std::time::Duration;
 use world::{World, ms, program, settings};
 
+/// A balancer's word on a change that runs.
+fn said(number: u64, of: u8, new: bool) -> Own {
+    Own::Change(Told { number, program: program(of), new, runs: true })
+}
+
 fn event() -> impl Strategy<Value = (u8, u8, u8)> {
     (0u8..16, any::<u8>(), 0u8..4)
 }
@@ -39,7 +44,7 @@
                 }
                 (9, _) => world.happens(Event::Wanted(program(n))),
                 (10, Some(_)) => {
-                    let own = match n { 0 => Own::Nothing, 1 => Own::Old, n => Own::New(program(n)) };
+                    let own = match n { 0 => Own::Nothing, n => said(u64::from(which % 2), n, which & 4 > 0) };
                     world.happens(Event::Said(id, own));
                 }
                 (11, Some(_)) => world.happens(Event::Unanswered(id)),
@@ -147,19 +152,19 @@
         let mut world = World::new(7);
         world.behave(|_| false);
         let old = world.machine.present().unwrap().id;
-        world.happens(Event::Said(old, Own::New(program(1))));
+        world.happens(Event::Said(old, said(1, 1, true)));
         world.behave(|_| false);
         let new = world.machine.present().unwrap().clone();
         assert_eq!(new.program, program(1));
         if by_word {
-            world.happens(Event::Said(new.id, Own::Old));
+            world.happens(Event::Said(new.id, said(1, 1, false)));
         } else {
             // Time alone is not enough: the supervisor may have been stopped.
             world.happens(Event::Unanswered(new.id));
             world.wait(settings().cut_off * 2);
             world.happens(Event::Unanswered(new.id));
             assert!(world.machine.next().is_none(), "too few questions");
-            world.happens(Event::Said(new.id, Own::New(program(1))));
+            world.happens(Event::Said(new.id, said(1, 1, true)));
             for _ in 0..40 {
                 world.happens(Event::Unanswered(new.id));
                 assert!(world.machine.next().is_none(), "too early");
@@ -172,7 +177,7 @@
         let now = world.machine.present().unwrap().clone();
         assert_eq!(now.program, program(0));
         // Neither its word nor silence moves anything any more.
-        world.happens(Event::Said(now.id, Own::Old));
+        world.happens(Event::Said(now.id, said(1, 1, false)));
         for _ in 0..100 {
             world.happens(Event::Unanswered(now.id));
         }
@@ -181,6 +186,76 @@
     }
 }
 
+/// Guards the later word, which holds, whatever the balancer goes on to say of a change that is done, or undone, or of another one.
+#[test]
+fn an_operators_later_word_outlives_a_roll_out() {
+    for new in [true, false] {
+        let mut world = World::new(7);
+        world.behave(|_| false);
+        let says = |world: &mut World, own: Own| {
+            let id = world.machine.present().unwrap().id;
+            world.happens(Event::Said(id, own));
+            world.behave(|_| false);
+            world.machine.present().unwrap().program.clone()
+        };
+        assert_eq!(says(&mut world, said(1, 1, true)), program(1));
+        let stays = if new { program(1) } else { program(0) };
+        assert_eq!(says(&mut world, said(1, 1, new)), stays);
+        world.happens(Event::Wanted(program(2)));
+        assert!(world.machine.next().is_some());
+        let id = world.machine.present().unwrap().id;
+        world.happens(Event::Said(id, said(1, 1, new)));
+        assert!(world.machine.next().is_some_and(|next| next.program == program(2)), "its trial goes on");
+        world.behave(|_| false);
+        // A change that brings nothing here takes nothing back; the next one that does counts.
+        for own in [said(1, 1, new), said(2, 3, false), said(2, 3, false), Own::Nothing] {
+            assert_eq!(says(&mut world, own), program(2));
+        }
+        assert_eq!(says(&mut world, said(2, 3, true)), program(3));
+        assert_eq!(says(&mut world, said(2, 3, false)), program(2), "to what it has replaced");
+    }
+}
+
+/// Guards the way back of a program that never comes so far: to what serves, not to what was before that.
+#[test]
+fn what_never_served_is_taken_back_to_what_serves() {
+    let mut world = World::new(7);
+    world.behave(|_| false);
+    world.happens(Event::Wanted(program(1)));
+    world.behave(|_| false);
+    let id = world.machine.present().unwrap().id;
+    world.happens(Event::Said(id, said(1, 2, true)));
+    world.happens(Event::Said(id, said(1, 2, false)));
+    world.behave(|_| false);
+    assert_eq!((world.machine.present().unwrap().id, &world.memory.wanted), (id, &program(1)));
+}
+
+/// Guards against a new program that serves but has lost the tier: it knows of no change, and could not be told of its end. It is
+/// no harm once the change is over, or just after its start.
+#[test]
+fn a_new_program_that_does_not_know_its_change_gives_way() {
+    for runs in [true, false] {
+        let mut world = World::new(7);
+        world.behave(|_| false);
+        let old = world.machine.present().unwrap().id;
+        world.happens(Event::Said(old, said(1, 1, true)));
+        world.behave(|_| false);
+        let id = world.machine.present().unwrap().id;
+        let told = Told { number: 1, program: program(1), new: true, runs };
+        for _ in 0..200 {
+            world.happens(Event::Said(id, Own::Nothing));
+            world.wait(ms(50));
+        }
+        world.happens(Event::Said(id, Own::Change(told)));
+        for _ in 0..50 {
+            world.happens(Event::Said(id, Own::Nothing));
+            world.wait(POLL);
+        }
+        world.behave(|_| false);
+        assert_eq!(world.machine.present().unwrap().program, program(u8::from(!runs)));
+    }
+}
+
 /// Guards against a trial that keeps everybody out while upstreams are gone: with nobody there any answer will do.
 #[test]
 fn a_trial_beside_nobody_asks_for_less() {
