Few requests of the old side are no gross harm

Cause: the rule that stops a stage after three intervals without a longer look asked for 20 requests on the new side alone. Where the old side has four of a class a second, counting alone brings 25 points three times in a row within some hundred intervals, so that good changes of three balancers were stopped by it.

That all fail is still seen in three intervals beside an old side of four requests.

--- a/verdict/tests/judge.rs
+++ b/verdict/tests/judge.rs
@@ -129,6 +129,29 @@
     world.worse("failed");
 }
 
+/// Of a third that fail at the new one, while the old one has four requests an interval, three intervals say nothing: one in six that
+/// fails on both sides looks like that now and then. That all fail is seen all the same.
+#[test]
+fn few_old_requests_are_no_gross_harm() {
+    let judged = |failed: u64| {
+        let mut judge = Judge::new(Bounds::default(), &[]);
+        let sides = BTreeMap::from([(name(0), Side::New), (name(1), Side::Old)]);
+        for interval in 0..5u64 {
+            let mut reports = Reports::new();
+            for (n, served, failed) in [(0, 30 - failed, failed), (1, 4, 0)] {
+                let mut report = Report::new(interval, "a");
+                let cell = report.cell("look", "x");
+                (cell.served, cell.failed) = (served, failed);
+                reports.insert(name(n), report);
+            }
+            judge.interval(&sides, &reports);
+        }
+        judge.verdict(20, 1000)
+    };
+    assert!(matches!(judged(10), Verdict::Short(_)), "{}", judged(10));
+    assert!(matches!(judged(30), Verdict::Worse(_)), "{}", judged(30));
+}
+
 #[test]
 fn crashes_lies_broken_drains_and_silence_are_evidence() {
     let mut world = World::new();
