One way for commands to ask and for calls to be opened

Need: commands of places and of changes in stages had the same three options, the same signed POST and the same reading of its answer, and both desks the same check.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod supervised;
 pub mod tier;
 mod versions;
+pub mod whom;
 pub mod wishes;
 mod words;
 
--- a/node/src/places_command.rs
+++ b/node/src/places_command.rs
@@ -2,61 +2,19 @@
 
 use crate::places::{ADDRESSES, PLACES};
 use crate::settings::Outcome;
-use crate::signed::signed;
-use crate::tier::{Answered, ask, ask_with};
-use hyper::StatusCode;
+use crate::tier::ask;
+use crate::whom::Whom;
 use maplehook_config::Operator;
-use maplehook_link::Secret;
 use maplehook_places::board::{Past, ShownAddress};
 use maplehook_places::shown::{Shown, ShownRow};
 use maplehook_places::talk::Wish;
 use std::error::Error;
 use std::fmt::Write;
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 /// Between two looks with `--watch`.
 const LOOK: Duration = Duration::from_secs(1);
 
-/// Whom to ask, and how.
-#[derive(Clone, Debug, clap::Args)]
-pub struct Whom {
-    /// The operators' address of a balancer; that of the file of --config if it is not named here.
-    #[arg(long, value_name = "IP:PORT", global = true)]
-    address: Option<SocketAddr>,
-    /// The file with the tier's secret; that of the file of --config if it is not named here.
-    #[arg(long, value_name = "FILE", global = true)]
-    secret_file: Option<PathBuf>,
-    /// As the balancer says it, in JSON.
-    #[arg(long, global = true)]
-    json: bool,
-}
-
-impl Whom {
-    fn address(&self, operator: &Operator) -> Result<SocketAddr, Box<dyn Error>> {
-        let named = self.address.or(operator.control);
-        named.ok_or_else(|| "which balancer? --address IP:PORT, or --config FILE".into())
-    }
-
-    fn wish(&self, operator: &Operator, wish: &Wish) -> Result<Outcome, Box<dyn Error>> {
-        let address = self.address(operator)?;
-        let of_file = operator.tier.as_ref().map(|tier| tier.secret_file.clone());
-        let file = self.secret_file.clone().or(of_file);
-        let secret = Secret::read(&file.ok_or("whose secret? --secret-file FILE, or --config FILE")?)?;
-        let body = serde_json::to_vec(wish)?;
-        let mac = signed(&secret, &body);
-        let Answered { status, body } = ask_with(address, PLACES, Some((&mac, body)))?;
-        let text = String::from_utf8_lossy(&body).into_owned();
-        match status {
-            StatusCode::OK if self.json => Ok(Outcome { text, code: 0 }),
-            StatusCode::OK => Ok(Outcome { text: "done; it is in force within a lease\n".into(), code: 0 }),
-            StatusCode::CONFLICT => Ok(Outcome { text: format!("refused: {text}"), code: 3 }),
-            _ => Err(format!("{address}: {status}: {}", text.trim()).into()),
-        }
-    }
-}
-
 /// What to do with places.
 #[derive(clap::Subcommand)]
 pub enum PlacesAction {
@@ -93,6 +51,14 @@
     },
 }
 
+fn wished(whom: &Whom, operator: &Operator, wish: &Wish) -> Result<Outcome, Box<dyn Error>> {
+    let ended = whom.wish(operator, PLACES, wish)?;
+    if ended.code != 0 || whom.json {
+        return Ok(ended);
+    }
+    Ok(Outcome { text: "done; it is in force within a lease\n".into(), code: 0 })
+}
+
 /// Places.
 #[derive(clap::Args)]
 pub struct Places {
@@ -152,11 +118,15 @@
             }
             PlacesAction::Evacuate { place, lasts, anyway } => {
                 let for_ms = lasts.map(|seconds| seconds.saturating_mul(1000));
-                self.whom.wish(operator, &Wish::Evacuate { place: place.clone(), for_ms, anyway: *anyway })
+                wished(
+                    &self.whom,
+                    operator,
+                    &Wish::Evacuate { place: place.clone(), for_ms, anyway: *anyway },
+                )
             }
-            PlacesAction::Hold => self.whom.wish(operator, &Wish::Hold),
+            PlacesAction::Hold => wished(&self.whom, operator, &Wish::Hold),
             PlacesAction::Release { place } => {
-                self.whom.wish(operator, &Wish::Release { place: place.clone() })
+                wished(&self.whom, operator, &Wish::Release { place: place.clone() })
             }
         }
     }
@@ -291,15 +261,15 @@
             }
             AddressesAction::Move { name, site, anyway } => {
                 let (name, site) = (name.clone(), site.clone());
-                self.whom.wish(operator, &Wish::Move { name, site, anyway: *anyway })
+                wished(&self.whom, operator, &Wish::Move { name, site, anyway: *anyway })
             }
             AddressesAction::Withdraw { name, site, anyway } => {
                 let (name, site) = (name.clone(), site.clone());
-                self.whom.wish(operator, &Wish::Withdraw { name, site, anyway: *anyway })
+                wished(&self.whom, operator, &Wish::Withdraw { name, site, anyway: *anyway })
             }
             AddressesAction::Restore { name, site } => {
                 let (name, site) = (name.clone(), site.clone());
-                self.whom.wish(operator, &Wish::Restore { name, site })
+                wished(&self.whom, operator, &Wish::Restore { name, site })
             }
         }
     }
--- a/node/src/rollout.rs
+++ b/node/src/rollout.rs
@@ -52,13 +52,9 @@
 
     /// The answer to a `POST`.
     pub async fn wish(&self, header: Option<&str>, body: &[u8]) -> (StatusCode, String) {
-        if !header.is_some_and(|header| self.seal.is_sound(header, body)) {
-            let why = "not signed with the tier's secret within the last minute, or made before\n";
-            return (StatusCode::FORBIDDEN, why.into());
-        }
-        let wish: Wish = match serde_json::from_slice(body) {
+        let wish: Wish = match self.seal.opened(header, body) {
             Ok(wish) => wish,
-            Err(e) => return (StatusCode::BAD_REQUEST, format!("no wish: {e}\n")),
+            Err(answer) => return answer,
         };
         match self.board.wish(wish).await {
             Reply::Done(number) => (StatusCode::OK, format!("{{\"number\":{number}}}\n")),
--- a/node/src/rollout_command.rs
+++ b/node/src/rollout_command.rs
@@ -3,11 +3,9 @@
 use crate::command::with_rules;
 use crate::rollout::PATH;
 use crate::settings::Outcome;
-use crate::signed::signed;
-use crate::tier::{Answered, ask, ask_with};
-use hyper::StatusCode;
+use crate::tier::ask;
+use crate::whom::Whom;
 use maplehook_config::Operator;
-use maplehook_link::Secret;
 use maplehook_rollout::Change;
 use maplehook_staging::document::Past;
 use maplehook_staging::shown::Shown;
@@ -15,7 +13,6 @@
 use sha2::{Digest, Sha256};
 use std::error::Error;
 use std::fmt::Write;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -51,18 +48,11 @@
     History,
 }
 
-/// Whom to ask, and how.
+/// Changes in stages.
 #[derive(clap::Args)]
 pub struct Rollout {
-    /// The operators' address of a balancer; that of the file of --config if it is not named here.
-    #[arg(long, value_name = "IP:PORT", global = true)]
-    address: Option<SocketAddr>,
-    /// The file with the tier's secret; that of the file of --config if it is not named here.
-    #[arg(long, value_name = "FILE", global = true)]
-    secret_file: Option<PathBuf>,
-    /// As the balancer says it, in JSON.
-    #[arg(long, global = true)]
-    json: bool,
+    #[command(flatten)]
+    whom: Whom,
     #[command(subcommand)]
     action: Action,
 }
@@ -70,16 +60,15 @@
 impl Rollout {
     /// Does it. An error is the exit code 1: there was no answer.
     pub fn run(&self, operator: &Operator) -> Result<Outcome, Box<dyn Error>> {
-        let address =
-            self.address.or(operator.control).ok_or("which balancer? --address IP:PORT, or --config FILE")?;
+        let address = self.whom.address(operator)?;
         let read = |query: &str| -> Result<String, Box<dyn Error>> {
             Ok(String::from_utf8_lossy(&ask(address, &format!("{PATH}{query}"))?).into_owned())
         };
         match &self.action {
             Action::Plan { file } => match of_file(file)? {
                 Ok((plan, what)) => {
-                    let ended = self.wish(address, operator, &Wish::Plan { plan, what })?;
-                    if ended.code != 0 || self.json {
+                    let ended = self.whom.wish(operator, PATH, &Wish::Plan { plan, what })?;
+                    if ended.code != 0 || self.whom.json {
                         return Ok(ended);
                     }
                     let preview: Preview = serde_json::from_str(&ended.text)?;
@@ -88,16 +77,16 @@
                 Err(faults) => Ok(Outcome { text: faults, code: 3 }),
             },
             Action::Start { file } => match of_file(file)? {
-                Ok((plan, what)) => self.change(address, operator, &Wish::Start { plan, what }),
+                Ok((plan, what)) => self.change(operator, &Wish::Start { plan, what }),
                 Err(faults) => Ok(Outcome { text: faults, code: 3 }),
             },
-            Action::Hold => self.change(address, operator, &Wish::Hold),
-            Action::Go => self.change(address, operator, &Wish::Go),
-            Action::Undo => self.change(address, operator, &Wish::Undo),
+            Action::Hold => self.change(operator, &Wish::Hold),
+            Action::Go => self.change(operator, &Wish::Go),
+            Action::Undo => self.change(operator, &Wish::Undo),
             Action::Status { watch } => loop {
                 let text = read("")?;
                 let shown: Shown = serde_json::from_str(&text)?;
-                let text = if self.json { text } else { table(&shown) };
+                let text = if self.whom.json { text } else { table(&shown) };
                 if !watch {
                     let fine = !shown.runs && matches!(&shown.state[..], "none" | "done");
                     return Ok(Outcome { text, code: if fine { 0 } else { 2 } });
@@ -115,39 +104,19 @@
                     )
                 };
                 let table = past.iter().map(row).collect();
-                Ok(Outcome { text: if self.json { text } else { table }, code: 0 })
+                Ok(Outcome { text: if self.whom.json { text } else { table }, code: 0 })
             }
         }
     }
 
-    fn change(
-        &self,
-        address: SocketAddr,
-        operator: &Operator,
-        wish: &Wish,
-    ) -> Result<Outcome, Box<dyn Error>> {
-        let ended = self.wish(address, operator, wish)?;
-        if ended.code != 0 || self.json {
+    fn change(&self, operator: &Operator, wish: &Wish) -> Result<Outcome, Box<dyn Error>> {
+        let ended = self.whom.wish(operator, PATH, wish)?;
+        if ended.code != 0 || self.whom.json {
             return Ok(ended);
         }
         let done: serde_json::Value = serde_json::from_str(&ended.text)?;
         Ok(Outcome { text: format!("change {}: maplehook rollout status\n", done["number"]), code: 0 })
     }
-
-    fn wish(&self, address: SocketAddr, operator: &Operator, wish: &Wish) -> Result<Outcome, Box<dyn Error>> {
-        let of_file = operator.tier.as_ref().map(|tier| tier.secret_file.clone());
-        let file = self.secret_file.clone().or(of_file);
-        let secret = Secret::read(&file.ok_or("whose secret? --secret-file FILE, or --config FILE")?)?;
-        let body = serde_json::to_vec(wish)?;
-        let mac = signed(&secret, &body);
-        let Answered { status, body } = ask_with(address, PATH, Some((&mac, body)))?;
-        let text = String::from_utf8_lossy(&body).into_owned();
-        match status {
-            StatusCode::OK => Ok(Outcome { text, code: 0 }),
-            StatusCode::CONFLICT => Ok(Outcome { text: format!("refused: {text}"), code: 3 }),
-            _ => Err(format!("{address}: {status}: {}", text.trim()).into()),
-        }
-    }
 }
 
 /// A plan's text and what it changes, which lies beside it; or what is wrong with either, with its lines.
--- a/node/src/signed.rs
+++ b/node/src/signed.rs
@@ -1,7 +1,9 @@
 //! Operators' calls that change something: a `POST` bears a MAC made with the tier's secret over its time, a drawn number and its
 //! body, good for a minute, once.
 
+use hyper::StatusCode;
 use maplehook_link::{Secret, unix_ms};
+use serde::de::DeserializeOwned;
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
 
@@ -39,6 +41,19 @@
         Self { key: key(secret), seen: Mutex::default() }
     }
 
+    /// The wish in the body of a call, or how that is answered where it is not sound.
+    pub fn opened<W: DeserializeOwned>(
+        &self,
+        header: Option<&str>,
+        body: &[u8],
+    ) -> Result<W, (StatusCode, String)> {
+        if !header.is_some_and(|header| self.is_sound(header, body)) {
+            let why = "not signed with the tier's secret within the last minute, or made before\n";
+            return Err((StatusCode::FORBIDDEN, why.into()));
+        }
+        serde_json::from_slice(body).map_err(|e| (StatusCode::BAD_REQUEST, format!("no wish: {e}\n")))
+    }
+
     /// Whether a call is from somebody who has it, is fresh, and was not made before.
     pub fn is_sound(&self, header: &str, body: &[u8]) -> bool {
         let mut words = header.split('.');
--- /dev/null
+++ b/node/src/whom.rs
@@ -0,0 +1,56 @@
+//! Whom a command asks, and how an operator's wish is put to it.
+
+use crate::settings::Outcome;
+use crate::signed::signed;
+use crate::tier::{Answered, ask_with};
+use hyper::StatusCode;
+use maplehook_config::Operator;
+use maplehook_link::Secret;
+use serde::Serialize;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Whom to ask, and how.
+#[derive(Clone, Debug, clap::Args)]
+pub struct Whom {
+    /// The operators' address of a balancer; that of the file of --config if it is not named here.
+    #[arg(long, value_name = "IP:PORT", global = true)]
+    address: Option<SocketAddr>,
+    /// The file with the tier's secret; that of the file of --config if it is not named here.
+    #[arg(long, value_name = "FILE", global = true)]
+    secret_file: Option<PathBuf>,
+    /// As the balancer says it, in JSON.
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+impl Whom {
+    /// Whom to ask.
+    pub fn address(&self, operator: &Operator) -> Result<SocketAddr, Box<dyn Error>> {
+        let named = self.address.or(operator.control);
+        named.ok_or_else(|| "which balancer? --address IP:PORT, or --config FILE".into())
+    }
+
+    /// Puts a wish, signed: what was answered to it, or that it is refused.
+    pub fn wish(
+        &self,
+        operator: &Operator,
+        path: &str,
+        wish: &impl Serialize,
+    ) -> Result<Outcome, Box<dyn Error>> {
+        let address = self.address(operator)?;
+        let of_file = operator.tier.as_ref().map(|tier| tier.secret_file.clone());
+        let file = self.secret_file.clone().or(of_file);
+        let secret = Secret::read(&file.ok_or("whose secret? --secret-file FILE, or --config FILE")?)?;
+        let body = serde_json::to_vec(wish)?;
+        let mac = signed(&secret, &body);
+        let Answered { status, body } = ask_with(address, path, Some((&mac, body)))?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        match status {
+            StatusCode::OK => Ok(Outcome { text, code: 0 }),
+            StatusCode::CONFLICT => Ok(Outcome { text: format!("refused: {text}"), code: 3 }),
+            _ => Err(format!("{address}: {status}: {}", text.trim()).into()),
+        }
+    }
+}
