--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -31,8 +31,8 @@
 pub enum Command {
     /// Serves as the operator's file alone says: listen.address, classes and upstreams. No platform is needed.
     Run,
-    /// Holds the socket of a balancer and runs it as its child, as [supervise] of the file says: puts one program in the place of
-    /// another, and starts it again when it dies.
+    /// Holds the socket of a balancer and runs it as its child, as the section `supervise` of the file says: puts one program in
+    /// the place of another, and starts it again when it dies.
     Supervise,
     /// Reads an operator's file and names all that is wrong with it.
     Check {
