A renamed holder is waited for by the leases that this agreement grants

Cause: the leader of places never told the addresses' part how long leases last, so a holder that is named no more was waited for 10 s whatever contradiction_ms is; with longer leases two sites could have announced an address of kind one. Change: the agreement's standing says the longest lease, the leader's part takes it. Measured: the new test fails without it (held within 24 s where leases last 30), 11 tests of the common document and 8 of the leader's part pass.

--- a/places/src/lead.rs
+++ b/places/src/lead.rs
@@ -60,6 +60,11 @@
         self.zones.clear();
     }
 
+    /// The longest that a lease can last by this leader's clock.
+    pub fn set_longest_lease(&mut self, longest: Duration) {
+        self.addresses.set_longest_lease(longest);
+    }
+
     /// What a balancer sees.
     pub fn hear(&mut self, now: Duration, from: &str, report: Report) {
         let known = self.zones.len() < HEARD_MOST || self.zones.contains_key(from);
--- a/places/src/run.rs
+++ b/places/src/run.rs
@@ -250,7 +250,9 @@
                 None => Agreed::default(),
             };
             tracing::info!("leads places");
-            self.leading = Some(Leading::new((*config).clone(), stands, self.now()));
+            let mut leading = Leading::new((*config).clone(), stands, self.now());
+            leading.set_longest_lease(standing.longest_lease);
+            self.leading = Some(leading);
         }
     }
 
--- a/places/tests/leading.rs
+++ b/places/tests/leading.rs
@@ -12,6 +12,14 @@
 }
 
 fn ruled(locality: &str) -> Config {
+    of(&text(locality))
+}
+
+fn of(text: &str) -> Config {
+    Config::of(&maplehook_config::parse(text).unwrap().proxy.unwrap()).unwrap()
+}
+
+fn text(locality: &str) -> String {
     let mut text =
         "[listen]\naddress = '127.0.0.1:0'\n[balancer]\nzone = 'a'\n[[class]]\nname = 'all'\npath = '/**'\n\
         [[region]]\nname = 'n'\nzones = ['a', 'b']\n[[region]]\nname = 's'\nzones = ['c', 'd']\n[locality]\n"
@@ -24,7 +32,7 @@
             9000 + n
         );
     }
-    Config::of(&maplehook_config::parse(&text).unwrap().proxy.unwrap()).unwrap()
+    text
 }
 
 /// A leader that has heard all zones for some seconds.
@@ -109,6 +117,19 @@
     assert_eq!(led.agreed.addresses.addresses["book"].holder.as_deref(), Some("n"));
 }
 
+/// A site that holds an address goes by another name: whoever has not heard of it may announce for as long as leases last here.
+#[test]
+fn a_site_that_is_named_no_more_is_waited_for_by_the_leases_of_this_agreement() {
+    let mut led = Led::new();
+    led.leading.set_longest_lease(Duration::from_secs(30));
+    led.config = of(&text("").replace("name = 'n'", "name = 'm'"));
+    led.leading.retune(led.config.clone(), led.now);
+    led.run(60);
+    assert_eq!(led.agreed.addresses.addresses["book"].holder, None, "24 s after it was renamed");
+    led.run(40);
+    assert!(led.agreed.addresses.addresses["book"].holder.is_some());
+}
+
 #[test]
 fn wishes_go_by_names_and_one_at_a_time() {
     let mut led = Led::new();
--- a/quorum/src/common.rs
+++ b/quorum/src/common.rs
@@ -64,6 +64,8 @@
     pub agreed: Option<Common>,
     /// At the leader: who may still act on an earlier body than the newest.
     pub behind: Vec<Behind>,
+    /// The longest that a lease can last by the leader's clock.
+    pub longest_lease: Duration,
     /// At the leader: who holds a lease, and the number that it said it acts on; `None`: its program knows no common document.
     pub members: Vec<(Name, Option<u64>)>,
 }
--- a/quorum/src/standing.rs
+++ b/quorum/src/standing.rs
@@ -41,6 +41,7 @@
             common: held.part(topic),
             until: until.map(|until| self.epoch + until),
             leader: self.known_leader(),
+            longest_lease: self.setup.times.longest_lease(),
             ..Standing::default()
         };
         let (Part::Voting { voter, grants, .. }, Some(agreed)) = (&self.part, agreed) else {
--- a/quorum/tests/common.rs
+++ b/quorum/tests/common.rs
@@ -27,6 +27,7 @@
         until("and say so", || fleet.standing(leader).behind.is_empty());
         until("by name", || fleet.standing(leader).members.iter().all(|(_, acts)| *acts == Some(1)));
         assert_eq!(fleet.standing(leader).members.len(), 5);
+        assert_eq!(fleet.standing(leader).longest_lease, fleet.times.longest_lease());
         assert_eq!(fleet.put(leader, 0, b"two"), Err("common document 1 is in force".into()));
         assert_eq!(fleet.put(leader, 2, b"two"), Err("common document 1 is in force".into()));
         assert_eq!(fleet.put(other, 1, b"two"), Err(format!("{} leads", fleet.names[leader])));
