One changed world in two tests of the supervisor's machine

Need: two tests set up the same world line by line. Change: one function makes it; every assertion stands.

--- a/supervise/tests/machine.rs
+++ b/supervise/tests/machine.rs
@@ -144,16 +144,22 @@
     }
 }
 
+/// One whose roll-out has put program 1 in the place of the one before.
+fn changed() -> World {
+    let mut world = World::new(7);
+    world.behave(|_| false);
+    let old = world.machine.present().unwrap().id;
+    world.happens(Event::Said(old, said(1, 1, true)));
+    world.behave(|_| false);
+    world
+}
+
 /// Guards the way back: a new program that its roll-out does not reach any more gives way to the one before, and does not come
 /// back by itself.
 #[test]
 fn a_new_program_that_is_cut_off_gives_way() {
     for by_word in [true, false] {
-        let mut world = World::new(7);
-        world.behave(|_| false);
-        let old = world.machine.present().unwrap().id;
-        world.happens(Event::Said(old, said(1, 1, true)));
-        world.behave(|_| false);
+        let mut world = changed();
         let new = world.machine.present().unwrap().clone();
         assert_eq!(new.program, program(1));
         if by_word {
@@ -235,11 +241,7 @@
 #[test]
 fn a_new_program_that_does_not_know_its_change_gives_way() {
     for runs in [true, false] {
-        let mut world = World::new(7);
-        world.behave(|_| false);
-        let old = world.machine.present().unwrap().id;
-        world.happens(Event::Said(old, said(1, 1, true)));
-        world.behave(|_| false);
+        let mut world = changed();
         let id = world.machine.present().unwrap().id;
         let told = Told { number: 1, program: program(1), new: true, runs };
         for _ in 0..200 {
