One time bounds a whole call to discovery, in any form of answer, and an agent is not waited for

Causes, in engine/src/parts/discovery.rs and driver/deeds.rs before this: - `ask` had 3.5 s for the head alone and `list` as long again for the body, a watch 3.5 s of silence: with the wait after a failure and a slow answer more than the 6 s after which a change counts as told. - A pushed list counts as told in the moment in which discovery is back, but a call that hung then was waited for 3.5 s. - `follow` cut a watch into lines: an indented list was taken for a spoilt line, and the same list asked for for ever. - An empty line in place of the first document, where nothing has changed, left the watch unanswered for the module, which called again. - Changes up to a version below the one in hand (discovery counts anew) were taken, and what came between was missed. - `watch_anew` called the new address past the module, whose own wait then ended: it gave that call up for another. Change: a call has 2.5 s from its start to its first document, a watch is broken after 2.75 s of silence (figures and arithmetic in lapisroute::asking); an agent that says nothing for 250 ms is called again; documents are found by their brackets, byte by byte; a move is told to the module. Ruled out: messages in pieces, chunk extensions, interim answers and answers by length or by the connection's end were read before, too (a_list_is_read_in_every_form passes without the mend). The empty line was found by reading.

Without the mend: a_hangup_calls_...: node/tests/discovery.rs:354:9: a second call, down: true a_version_that_goes_back_...: node/tests/discovery.rs:286:5: /registry/instances?stream=1&index=3 a_silent_agent_...: node/tests/discovery.rs:328:9: 3.550712575s silence_at_any_step_...: node/tests/discovery.rs:315:9: 3.780062576s after "" an_indented_list_is_read: standins/src/lib.rs:28:9: in vain: requests go there

--- a/engine/src/parts/discovery.rs
+++ b/engine/src/parts/discovery.rs
@@ -1,4 +1,13 @@
 //! Discovery: the whole list when asked for it, and the watch on its changes.
+//!
+//! A call is given up when its time is up, and a watch when it has been silent for too long; both end with
+//! [`News::failed`], and the decision module asks again. The figures, and why a change is known in time whatever
+//! hangs or is refused, stand in [`lapisroute::asking`].
+
+mod documents;
+mod patience;
+#[cfg(test)]
+mod tests;
 
 use crate::parts::body::Outbound;
 use crate::parts::connection::Connection;
@@ -6,13 +15,15 @@
 use crate::parts::seldom::Seldom;
 use crate::parts::upstream::Place;
 use crate::source::{Entry, News, Source, Task};
-use bytes::BytesMut;
+use documents::{DOCUMENT_MOST, Documents, Said};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use lapisroute::{Availability, CellId, FleetScope, KindId, ZoneId};
 use lapisroute_settings::Names;
+pub use patience::Patience;
+use patience::Silence;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::cell::{Cell, Ref, RefCell};
@@ -20,16 +31,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
-
-/// A watch has a line to say every 2 s. Without one for this long, it is dead, whatever its connection looks
-/// like.
-const SILENCE_MOST: Duration = Duration::from_millis(3500);
-/// How long a connection to discovery may take.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The longest line, and the longest list: more is no list.
-const LINE_MOST: usize = 8 * 1024 * 1024;
+use tokio::time::{Instant, sleep, timeout_at};
 
 #[derive(Deserialize)]
 struct RawList<'a> {
@@ -69,16 +71,28 @@
     descriptors: Rc<Descriptors>,
     /// The version of the list in hand; 0: none.
     rev: Cell<u64>,
+    patience: Cell<Patience>,
     odd: Seldom,
 }
 
 type Failure = Box<dyn Error + Send + Sync>;
 
 impl Discovery {
-    /// Discovery at an address; `names` turn zones and kinds into numbers.
+    /// One service for all balancers at an address; `names` turn zones and kinds into numbers.
     pub fn new(address: SocketAddr, names: Names, descriptors: Rc<Descriptors>) -> Self {
-        let names = RefCell::new(names);
-        Self { address: Cell::new(address), names, descriptors, rev: Cell::new(0), odd: Seldom::default() }
+        Self {
+            address: Cell::new(address),
+            names: RefCell::new(names),
+            descriptors,
+            rev: Cell::new(0),
+            patience: Cell::new(Patience::SERVICE),
+            odd: Seldom::default(),
+        }
+    }
+
+    /// How long each step of a call may take.
+    pub fn wait_for(&self, patience: Patience) {
+        self.patience.set(patience);
     }
 
     /// How far the list was followed; 0: not at all.
@@ -101,16 +115,21 @@
         *self.names.borrow_mut() = names;
     }
 
-    /// Reads a list. An entry that can't be read is skipped; a list that can't be read is an error.
-    fn read(&self, text: &[u8]) -> Result<News, Failure> {
+    /// Reads a list, or what has changed. An entry that can't be read is skipped; a list that can't be read is an error.
+    fn read(&self, text: &[u8], whole: bool) -> Result<News, Failure> {
         let list: RawList<'_> = serde_json::from_slice(text)?;
+        let (whole, held) = (whole || list.all, self.rev.get());
+        if !whole && list.rev < held {
+            // Discovery has begun to count anew. What has changed since, this does not say.
+            return Err(format!("changes up to version {}, and {held} is in hand", list.rev).into());
+        }
         let entries = list.targets.iter().filter_map(|raw| {
             let entry = self.entry(raw.get());
             entry.map_err(|e| self.odd.warn(|| format!("unreadable list entry: {e}"))).ok()
         });
         let entries = entries.collect();
         self.rev.set(list.rev);
-        Ok(News { scope: if list.all { FleetScope::Full } else { FleetScope::Changes }, entries })
+        Ok(News { scope: if whole { FleetScope::Full } else { FleetScope::Changes }, entries })
     }
 
     fn entry(&self, text: &str) -> Result<Entry, Failure> {
@@ -139,7 +158,7 @@
 
     /// The list from the configuration, as [`FleetScope::Cached`].
     pub fn known(&self, text: &str) -> News {
-        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text.as_bytes()) };
+        let read = if text.is_empty() { Ok(News::failed()) } else { self.read(text.as_bytes(), true) };
         let entries = read.map_or_else(
             |e| {
                 tracing::warn!("the list known before the start is unreadable: {e}");
@@ -157,41 +176,41 @@
     }
 
     async fn follow(&self, tell: &mut dyn FnMut(News)) -> Result<(), Failure> {
+        let mut silence = Silence::new(self.patience.get(), Instant::now());
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
-        let (_connection, mut body) = timeout(SILENCE_MOST, self.ask(&target)).await??;
-        let (mut pending, mut last_line) = (BytesMut::new(), Instant::now());
-        while let Some(frame) = timeout_at(last_line + SILENCE_MOST, body.frame()).await? {
+        let (_connection, mut body) = self.ask(&target, &mut silence).await?;
+        let mut documents = Documents::default();
+        while let Some(frame) = timeout_at(silence.broken_at(), body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
-            let mut searched = pending.len();
-            pending.extend_from_slice(&data);
-            while let Some(n) = pending[searched..].iter().position(|byte| *byte == b'\n') {
-                let line = pending.split_to(searched + n + 1);
-                (searched, last_line) = (0, Instant::now());
-                let line = line.trim_ascii();
-                if line.is_empty() {
-                    continue;
-                }
-                match self.read(line) {
-                    Ok(news) => tell(news),
-                    Err(e) => {
-                        // What it said is missing now, a drain perhaps: the whole list is asked for again.
-                        self.rev.set(0);
-                        return Err(e);
-                    }
+            documents.push(&data);
+            while let Some(said) = documents.next().map_err(|e| self.distrust(e.into()))? {
+                match said {
+                    Said::Document(text) => tell(self.read(&text, false).map_err(|e| self.distrust(e))?),
+                    Said::EndOfLine if silence.answered() => {}
+                    // Nothing has changed since the list in hand: that is an answer.
+                    Said::EndOfLine if self.rev.get() > 0 => tell(News::unchanged()),
+                    Said::EndOfLine => continue,
                 }
-            }
-            if pending.len() > LINE_MOST {
-                return Err("a line without an end".into());
+                silence.said(Instant::now());
             }
         }
-        Ok(())
+        Ok(documents.finish()?)
+    }
+
+    /// What discovery said is missing now, a drain perhaps: the next call asks for the whole list.
+    fn distrust(&self, why: Failure) -> Failure {
+        self.rev.set(0);
+        why
     }
 
-    async fn ask(&self, target: &str) -> Result<(Connection, Incoming), Failure> {
+    async fn ask(&self, target: &str, silence: &mut Silence) -> Result<(Connection, Incoming), Failure> {
         let address = self.address.get();
-        let mut connection = timeout(CONNECT_TIMEOUT, self.connect(address)).await??;
+        let mut connection = timeout_at(silence.broken_at(), self.connect(address)).await??;
+        silence.connected(Instant::now());
         let request = Request::get(target).header(HOST, address.to_string());
-        let response = connection.send(request.body(Outbound::default())?).await?;
+        let request = request.body(Outbound::default())?;
+        let response = timeout_at(silence.broken_at(), connection.send(request)).await??;
+        silence.headed();
         if response.status() != StatusCode::OK {
             return Err(format!("status {}", response.status()).into());
         }
@@ -199,11 +218,11 @@
     }
 
     async fn list(&self) -> Result<News, Failure> {
-        let (_connection, body) = timeout(SILENCE_MOST, self.ask("/registry/instances")).await??;
-        let body = http_body_util::Limited::new(body, LINE_MOST);
-        let text = timeout(SILENCE_MOST, body.collect()).await??.to_bytes();
-        let news = self.read(&text)?;
-        Ok(News { scope: FleetScope::Full, ..news })
+        let mut silence = Silence::new(self.patience.get(), Instant::now());
+        let (_connection, body) = self.ask("/registry/instances", &mut silence).await?;
+        let body = http_body_util::Limited::new(body, DOCUMENT_MOST);
+        let text = timeout_at(silence.broken_at(), body.collect()).await??.to_bytes();
+        self.read(&text, true)
     }
 
     /// What discovery has to tell may not wait for a descriptor: somebody else gives one up.
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -67,6 +67,8 @@
 
 enum Happening {
     Fleet(News),
+    /// The source of the list is elsewhere.
+    FleetMoved,
     Asked(RequestId),
     AttemptEnded(RequestId, AttemptNo, Ended),
     /// The body of this attempt has begun to stream.
@@ -254,6 +256,7 @@
                     self.lists.send_modify(|lists| *lists += 1);
                 }
             }
+            Happening::FleetMoved => core.balancer.handle(now, Event::FleetMoved, &mut actions),
             Happening::Asked(id) => {
                 let Some(held) = core.requests.get(&id) else { return };
                 let asked = &held.asked;
--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -129,13 +129,17 @@
         self.watch();
     }
 
-    /// The source has moved. What the module asked for, or will ask for once a failed call is far enough back,
-    /// is asked anew at once: what it has to tell may not wait.
+    /// The source has moved. What was out at its old place is given up without a word, and it is asked anew at once,
+    /// whether a call was out, a failed one is to be made again later, or a watch was open.
     pub fn watch_anew(self: &Rc<Self>) {
-        let watched = self.watching.borrow().is_some();
-        if watched {
+        if self.follows.get() {
             self.watch();
+            return;
         }
+        if let Some(before) = self.watching.take() {
+            before.abort();
+        }
+        self.happened(Happening::FleetMoved);
     }
 
     fn attempt(
--- a/engine/src/source.rs
+++ b/engine/src/source.rs
@@ -34,6 +34,11 @@
 }
 
 impl News {
+    /// That nothing has changed, in answer to a call.
+    pub fn unchanged() -> Self {
+        Self { scope: FleetScope::Changes, entries: Vec::new() }
+    }
+
     /// That a call failed or a watch ended.
     pub fn failed() -> Self {
         Self { scope: FleetScope::Failed, entries: Vec::new() }
@@ -44,7 +49,8 @@
 pub type Task<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
 
 /// A source of the list. It is asked when the decision module wants the list, and asked again, after a while,
-/// when it has failed; it keeps no time of its own for that.
+/// when it has failed; it keeps no time of its own for that. What bounds a call and a watch stands in
+/// [`lapisroute::asking`].
 pub trait Source {
     /// The whole list, or [`News::failed`].
     fn fetch(&self) -> Task<'_, News>;
--- a/node/src/serve/platform.rs
+++ b/node/src/serve/platform.rs
@@ -8,7 +8,7 @@
 use crate::requests::Requests;
 use crate::retune::Retuner;
 use lapisroute_settings::Tuned;
-use maplehook::parts::discovery::Discovery;
+use maplehook::parts::discovery::{Discovery, Patience};
 use maplehook::parts::driver::Driver;
 use maplehook::parts::room::Room;
 use maplehook::source::Source;
@@ -65,6 +65,9 @@
             config.tuned.site().names.clone(),
             Rc::clone(&parts.descriptors),
         ));
+        if !plan.settings.ask_for_fleet {
+            discovery.wait_for(Patience::AGENT);
+        }
         let mut known = discovery.known(&config.known);
         // Only then may another process of this balancer run before, beside or after this one.
         let handover = if parts.shared { Handover::of(&config.name) } else { None };
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod eureka;
 mod hosted;
 pub mod process;
+pub mod registry;
 pub mod room;
 pub mod router;
 pub mod station;
