A connection that falls idle wakes whoever waits for one

Cause: when all connections that upstreams may have were in use, an attempt waited for one to be closed. One that fell idle closed nothing and told nobody, so that the attempt went on waiting beside it until its time to connect was over, though it could have used it, or its descriptor. Pool::put told nobody; Upstreams::connection looked for an idle connection only before it began to wait.

Change: the pool tells one of those that wait, and hands out an idle connection to the same upstream before it closes one to another. A connection that is not ready for a request is not waited for beyond the attempt's time. Nobody is told where nobody waits: a word kept for the next one closed an idle connection too many.

--- a/engine/src/parts/pool.rs
+++ b/engine/src/parts/pool.rs
@@ -23,19 +23,60 @@
 #[derive(Default)]
 struct Open {
     count: Cell<usize>,
+    /// Attempts that wait for `freed`.
+    waiting: Cell<usize>,
     freed: Notify,
 }
 
+impl Open {
+    /// Waits until a connection is closed or falls idle.
+    async fn changed(&self) {
+        let _waits = Waits::new(&self.waiting);
+        self.freed.notified().await;
+    }
+
+    /// Tells one that waits, and nobody else: who waits next would close one more than is needed.
+    fn tell(&self) {
+        if self.waiting.get() > 0 {
+            self.freed.notify_one();
+        }
+    }
+}
+
+/// One that waits, until it is dropped.
+struct Waits<'a>(&'a Cell<usize>);
+
+impl<'a> Waits<'a> {
+    fn new(waiting: &'a Cell<usize>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// One of them, until its descriptor is closed.
 pub struct Slot(Rc<Open>);
 
 impl Drop for Slot {
     fn drop(&mut self) {
         self.0.count.set(self.0.count.get() - 1);
-        self.0.freed.notify_one();
+        self.0.tell();
     }
 }
 
+/// What there is for an attempt.
+pub enum Found {
+    /// A connection that was idle.
+    Idle(Connection),
+    /// Room for a new one.
+    Room(Slot),
+}
+
 /// An idle connection.
 struct Kept {
     upstream: UpstreamId,
@@ -104,6 +145,8 @@
         idle.next += 1;
         idle.kept.insert(number, Kept { upstream, connection, since: Instant::now() });
         idle.of.entry(upstream).or_default().push_back(number);
+        // Whoever waits for room has it here, or the connection itself.
+        self.open.tell();
     }
 
     /// The connection to an upstream that fell idle last, if any is still of use.
@@ -133,9 +176,12 @@
         number.and_then(|number| idle.remove(number)).is_some()
     }
 
-    /// Room for one more connection, made by closing an idle one if need be.
-    pub async fn slot(&self) -> Slot {
+    /// An idle connection to an upstream, or else room for one more, made by closing an idle one to another if need be.
+    pub async fn found(&self, upstream: UpstreamId) -> Found {
         loop {
+            if let Some(connection) = self.take(upstream) {
+                return Found::Idle(connection);
+            }
             let most = self.descriptors.of(Part::Upstreams);
             if self.open.count.get() < most {
                 break;
@@ -143,10 +189,10 @@
             if !self.close_oldest() {
                 self.full.warn(|| format!("all {most} connections to upstreams are in use"));
             }
-            self.open.freed.notified().await;
+            self.open.changed().await;
         }
         self.open.count.set(self.open.count.get() + 1);
-        Slot(Rc::clone(&self.open))
+        Found::Room(Slot(Rc::clone(&self.open)))
     }
 
     /// There are fewer descriptors than there were: closes idle connections as far as that helps.
@@ -191,6 +237,16 @@
     pub fn open(&self) -> usize {
         self.open.count.get()
     }
+
+    /// Room for one more connection to an upstream that has no idle one.
+    #[cfg(test)]
+    pub async fn slot(&self) -> Slot {
+        const NOBODY: UpstreamId = UpstreamId(u64::MAX);
+        match self.found(NOBODY).await {
+            Found::Room(slot) => slot,
+            Found::Idle(_) => unreachable!("nobody has a connection"),
+        }
+    }
 }
 
 #[cfg(test)]
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -4,7 +4,7 @@
 use crate::parts::descriptors::{self, Descriptors, out_of_descriptors, own_fault};
 use crate::parts::driver::Connects;
 use crate::parts::headers;
-use crate::parts::pool::Pool;
+use crate::parts::pool::{Found, Pool};
 use crate::parts::room::Room;
 use crate::parts::seldom::Seldom;
 use crate::tally::Tally;
@@ -206,16 +206,19 @@
         upstream: &Upstream,
         give_up: Instant,
     ) -> Result<(Connection, bool), Outcome> {
-        while let Some(mut connection) = self.pool.take(id) {
-            if connection.is_usable().await {
-                return Ok((connection, true));
-            }
-        }
         let Some(endpoint) = upstream.endpoint.get() else { return Err(Outcome::NotSent) };
         let until = give_up.min(Instant::now() + self.connect_timeout.get());
         loop {
             // Out of descriptors or of time says nothing of the upstream.
-            let Ok(slot) = timeout_at(until, self.pool.slot()).await else { return Err(Outcome::NotSent) };
+            let slot = match timeout_at(until, self.pool.found(id)).await {
+                Ok(Found::Room(slot)) => slot,
+                Ok(Found::Idle(mut connection)) => match timeout_at(until, connection.is_usable()).await {
+                    Ok(true) => return Ok((connection, true)),
+                    Ok(false) => continue,
+                    Err(_) => return Err(Outcome::NotSent),
+                },
+                Err(_) => return Err(Outcome::NotSent),
+            };
             let begun = Instant::now();
             match timeout_at(until, Connection::open(endpoint, slot)).await {
                 Ok(Ok(connection)) => {
