Terms of an attempt hold in the moment in which its first byte is written

Cause: the time told to the upstream, the drain, the lease and the end of an attempt's time were looked at before the request was handed to its connection, whose task writes it a turn of the thread later, or after the process was stopped and went on. The window of a key was looked at by the module alone, when it decided. A process that had started anew at the same address got, cold, what was decided for the one before.

Change: the terms are a type of their own and are asked where the first byte is written; the window of a key there and at each further write. Attempts that a stop cuts off before their first byte never ran, and are refused, not failed. The window that counts is the shorter of those in force when the request came and now, from the earliest attempt that may have run.

--- a/engine/src/parts/attempt/tests.rs
+++ b/engine/src/parts/attempt/tests.rs
@@ -1,7 +1,9 @@
 //! How attempts end, against upstreams that behave in every way.
 
 use super::*;
+use crate::parts::room::Room;
 use crate::parts::upstream::Place;
+use http_body_util::BodyExt;
 use lapisroute::ZoneId;
 use lapisroute::{Availability, Settings};
 use std::sync::Arc;
@@ -48,10 +50,10 @@
     let until = Instant::now();
     upstreams.lease(Lease::Until { until, first_too: false });
     let request = outgoing();
-    let ended = upstreams.attempt(ID, &request, Instant::now() + LONG, true).await;
+    let ended = upstreams.attempt(ID, &request, Terms::repeat(Instant::now() + LONG, None)).await;
     assert_eq!(ended.outcome, Outcome::NotSent);
     upstreams.lease(Lease::Until { until, first_too: true });
-    let ended = upstreams.attempt(ID, &request, Instant::now() + LONG, false).await;
+    let ended = upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)).await;
     assert_eq!(ended.outcome, Outcome::NotSent);
     // Within its time, and for a first attempt where that may go on, it is written.
     for lease in [
@@ -61,7 +63,9 @@
         upstreams.lease(lease);
         let held = Rc::clone(&upstreams);
         let attempt =
-            spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG, false).await });
+            spawn_local(
+                async move { held.attempt(ID, &outgoing(), Terms::first(Instant::now() + LONG)).await },
+            );
         // The first ones were made for what was not written.
         loop {
             let (mut stream, _) = listener.accept().await.unwrap();
@@ -79,13 +83,14 @@
 async fn an_attempt_that_waits_for_a_connection_heeds_a_drain() {
     let (upstreams, listener, mut place) = upstreams(1).await;
     let held = Rc::clone(&upstreams);
-    let first = spawn_local(async move { held.attempt(ID, &outgoing(), Instant::now() + LONG, false).await });
+    let first =
+        spawn_local(async move { held.attempt(ID, &outgoing(), Terms::first(Instant::now() + LONG)).await });
     let (mut stream, _) = listener.accept().await.unwrap();
     assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0);
     // The only place is taken: this one waits.
     let waits = Rc::clone(&upstreams);
     let second =
-        spawn_local(async move { waits.attempt(ID, &outgoing(), Instant::now() + LONG, false).await });
+        spawn_local(async move { waits.attempt(ID, &outgoing(), Terms::first(Instant::now() + LONG)).await });
     tokio::task::yield_now().await;
     place.availability = Availability::Draining;
     upstreams.place(ID, ZoneId(0), &place);
@@ -113,7 +118,7 @@
             };
             let request = outgoing();
             let (ended, (mut stream, later)) =
-                tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), first);
+                tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), first);
             assert_eq!(ended.outcome, Outcome::Ok);
             // No task runs between this and the next attempt, but for this write.
             assert_eq!(stream.try_write(later).unwrap(), later.len());
@@ -123,8 +128,9 @@
                 stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew").await.unwrap();
                 stream
             };
-            let both =
-                async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), second) };
+            let both = async {
+                tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), second)
+            };
             let (ended, _second) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
             let AnswerBody::Whole(body) = ended.served.expect("an answer").body else { panic!("it streams") };
             assert_eq!(body, "new");
@@ -146,8 +152,9 @@
         };
         let request = outgoing();
         // Without the guard the request goes into the old connection and no new one ever comes.
-        let both =
-            async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), answer) };
+        let both = async {
+            tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), answer)
+        };
         let (ended, stream) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
         assert_eq!(ended.outcome, Outcome::Ok);
         // No task runs between this and the next attempt.
@@ -190,8 +197,9 @@
             stream
         };
         let request = outgoing();
-        let both =
-            async { tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), answer) };
+        let both = async {
+            tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), answer)
+        };
         let (ended, _open) = timeout_at(Instant::now() + LONG, both).await.expect("a new connection");
         assert_eq!(ended.outcome, outcome, "{:?}", &text[..text.len().min(80)]);
     }
@@ -203,7 +211,8 @@
             stream.write_all(text.as_bytes()).await.unwrap();
         };
         let request = outgoing();
-        let (ended, ()) = tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), answer);
+        let (ended, ()) =
+            tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), answer);
         assert_eq!(ended.outcome, Outcome::Reset, "{text:?}");
     }
 }
@@ -239,7 +248,7 @@
             });
         };
         let (ended, ()) =
-            tokio::join!(upstreams.attempt(ID, &request, Instant::now() + LONG, false), answers);
+            tokio::join!(upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)), answers);
         let served = ended.served.expect("an answer");
         let streams = matches!(served.body, AnswerBody::Stream(_));
         assert_eq!(streams, n >= 64, "{n}");
@@ -269,11 +278,12 @@
         };
         let request = outgoing();
         let (ended, _stream) =
-            tokio::join!(upstreams.attempt(id, &request, Instant::now() + LONG, false), answer);
+            tokio::join!(upstreams.attempt(id, &request, Terms::first(Instant::now() + LONG)), answer);
         assert_eq!(ended.outcome, Outcome::Ok);
         assert_eq!(upstreams.pool.open(), 1);
     }
     let _taken = upstreams.pool.slot().await;
-    let ended = upstreams.attempt(ID, &outgoing(), Instant::now() + Duration::from_millis(50), false).await;
+    let ended =
+        upstreams.attempt(ID, &outgoing(), Terms::first(Instant::now() + Duration::from_millis(50))).await;
     assert_eq!(ended.outcome, Outcome::NotSent);
 }
--- a/engine/src/parts/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -1,13 +1,14 @@
 //! One client-side connection: it knows how much of a request the kernel has taken.
 
 use crate::parts::body::{Outbound, Payload, Written};
+use crate::parts::terms::Withheld;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use prometheus_client::metrics::counter::Counter;
 use socket2::SockRef;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -17,28 +18,59 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 /// Size of a connection's buffer, the longest head: peers must not fill this machine's memory.
 const BUFFER: usize = 32 * 1024;
 
+/// Looked at in the moment in which a request's first byte would be written. hyper writes in a task of its own, later than
+/// [`Connection::send`], and much may have changed by then.
+pub type Permit = Box<dyn Fn() -> Result<(), Withheld>>;
+
+/// What is known of the request that is out on a connection, or about to be.
+#[derive(Default)]
+struct Exchange {
+    /// Kept until the kernel has taken the first byte.
+    permit: RefCell<Option<Permit>>,
+    /// No byte of it is written from then on.
+    write_by: Cell<Option<Instant>>,
+    withheld: Cell<Option<Withheld>>,
+    /// What the connection had written when the first byte came back.
+    written_when_heard: Cell<Option<u64>>,
+}
+
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
 struct Counted<S> {
     stream: TcpStream,
     written: Rc<Written>,
-    /// Set before a request: its first byte may only go out on a connection that is silent and open.
-    listen_first: Rc<Cell<bool>>,
+    exchange: Rc<Exchange>,
     _slot: S,
 }
 
 impl<S> Counted<S> {
+    /// An error where nothing may be written now. A request's first byte goes out with its permit alone, and on a connection
+    /// that is silent and open.
+    fn before_write(&self) -> io::Result<()> {
+        if let Some(permit) = &*self.exchange.permit.borrow() {
+            self.hear()?;
+            permit().map_err(|why| self.withhold(why))?;
+        }
+        match self.exchange.write_by.get() {
+            Some(by) if by <= Instant::now() => Err(self.withhold(Withheld::TooLate)),
+            _ => Ok(()),
+        }
+    }
+
+    fn withhold(&self, why: Withheld) -> io::Error {
+        self.exchange.withheld.set(Some(why));
+        io::Error::other("withheld")
+    }
+
     /// An error where something has come that nobody asked for, the end of the connection included. The
     /// kernel is asked, as this process may not have looked since: what came behind an earlier answer must
     /// not be taken for the answer to the next request, and a request written to a connection that has ended
     /// would be a reset, which an unsafe one does not survive.
     fn hear(&self) -> io::Result<()> {
-        if !self.listen_first.replace(false) {
-            return Ok(());
-        }
         match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(e) => Err(e),
@@ -49,6 +81,7 @@
 
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &poll {
+            self.exchange.permit.take();
             self.written.add(*n);
         }
         poll
@@ -61,13 +94,18 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before && self.exchange.written_when_heard.get().is_none() {
+            self.exchange.written_when_heard.set(Some(self.written.count()));
+        }
+        poll
     }
 }
 
 impl<S: Unpin> AsyncWrite for Counted<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.hear()?;
+        self.before_write()?;
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(poll)
     }
@@ -77,7 +115,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.hear()?;
+        self.before_write()?;
         let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(poll)
     }
@@ -100,7 +138,7 @@
     sender: SendRequest<Outbound>,
     task: AbortHandle,
     written: Rc<Written>,
-    listen_first: Rc<Cell<bool>>,
+    exchange: Rc<Exchange>,
     peer: SocketAddr,
 }
 
@@ -109,19 +147,15 @@
     pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let (written, listen_first) = <(Rc<Written>, Rc<Cell<bool>>)>::default();
-        let counted = Counted {
-            stream,
-            written: Rc::clone(&written),
-            listen_first: Rc::clone(&listen_first),
-            _slot: slot,
-        };
+        let (written, exchange) = <(Rc<Written>, Rc<Exchange>)>::default();
+        let counted =
+            Counted { stream, written: Rc::clone(&written), exchange: Rc::clone(&exchange), _slot: slot };
         let io = TokioIo::new(counted);
         let (sender, connection) =
             http1::Builder::new().max_buf_size(BUFFER).handshake(io).await.map_err(io::Error::other)?;
         // How it ends shows at the sender.
         let task = tokio::task::spawn_local(async move { drop(connection.await) }).abort_handle();
-        Ok(Self { sender, task, written, listen_first, peer })
+        Ok(Self { sender, task, written, exchange, peer })
     }
 
     /// Whom it leads to.
@@ -158,9 +192,32 @@
     /// Sends a request and waits for the head of its answer. Nothing of it goes out where something has come
     /// already.
     pub async fn send(&mut self, request: Request<Outbound>) -> hyper::Result<Response<Incoming>> {
-        self.listen_first.set(true);
+        self.send_if(request, Box::new(|| Ok(())), None).await
+    }
+
+    /// The same; no first byte without its permit, and no byte at all at `write_by` or after that.
+    pub async fn send_if(
+        &mut self,
+        request: Request<Outbound>,
+        permit: Permit,
+        write_by: Option<Instant>,
+    ) -> hyper::Result<Response<Incoming>> {
+        self.exchange.permit.replace(Some(permit));
+        self.exchange.write_by.set(write_by);
+        self.exchange.withheld.set(None);
+        self.exchange.written_when_heard.set(None);
         self.sender.send_request(request).await
     }
+
+    /// Why nothing more was written of the request, if it was held back here.
+    pub fn withheld(&self) -> Option<Withheld> {
+        self.exchange.withheld.get()
+    }
+
+    /// What the connection had written, in all, when the first byte came back after the request was sent.
+    pub fn written_when_heard(&self) -> Option<u64> {
+        self.exchange.written_when_heard.get()
+    }
 }
 
 impl Drop for Connection {
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -6,9 +6,11 @@
 
 mod clock;
 mod deeds;
+mod held;
 mod places;
 
 use clock::Clock;
+use held::Held;
 pub use places::{Connects, Sights};
 
 use crate::parts::answer::{AnswerBody, Served};
@@ -81,24 +83,6 @@
     Inherited(Box<Heritage>),
 }
 
-struct Attempt {
-    upstream: UpstreamId,
-    sent: Instant,
-    task: AbortHandle,
-    out: bool,
-    /// The module has been told that it streams.
-    streams: bool,
-}
-
-struct Held {
-    asked: Rc<Asked>,
-    /// Taken with the final answer.
-    reply: Option<oneshot::Sender<(Answer, Trace)>>,
-    attempts: Vec<Attempt>,
-    /// The last error in an upstream's own words, and whose they are.
-    words: Option<(Served, UpstreamId)>,
-}
-
 struct Core {
     balancer: Balancer,
     requests: FxHashMap<RequestId, Held>,
@@ -180,7 +164,8 @@
             // Ids are not reused while one may be in use: they go round only after 2^32 requests.
             let id = RequestId(core.next_id);
             core.next_id = core.next_id.wrapping_add(1);
-            let held = Held { asked: Rc::new(asked), reply: Some(reply), attempts: Vec::new(), words: None };
+            let window = self.upstreams.window(asked.class);
+            let held = Held::new(asked, reply, window);
             core.requests.insert(id, held);
             id
         };
@@ -288,10 +273,11 @@
                     self.pass_on(held, id, no, upstream, ended.served);
                     let event = Event::StreamStarted { id, attempt: no, latency };
                     core.balancer.handle(now, event, &mut actions);
+                    self.forget_if_over(core, id);
                     self.carry_out_all(core, actions);
                     return;
                 }
-                attempt.out = false;
+                attempt.end(ended.outcome);
                 // A second copy's answer comes to a request that is over: it is dropped.
                 if held.reply.is_some() {
                     self.pass_on(held, id, no, upstream, ended.served);
@@ -325,7 +311,7 @@
                 let Some(attempt) = held.attempts.get_mut(usize::from(no.0)).filter(|a| a.out) else {
                     return;
                 };
-                attempt.out = false;
+                attempt.end(outcome);
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 let event = Event::AttemptEnded {
                     id,
--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -1,6 +1,7 @@
 //! What a driver does: the module's actions, carried out in order.
 
-use super::{Answer, Attempt, Core, Driver, Happening, Held, Trace};
+use super::held::{Attempt, Held};
+use super::{Answer, Core, Driver, Happening, Trace};
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::body::Payload;
 use crate::source::News;
@@ -150,7 +151,8 @@
         // The time of a body that streams is its own.
         let timeout = timeout.filter(|_| matches!(held.asked.outgoing.body, Payload::Whole(_)));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
-        let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
+        let terms = held.terms(give_up, self.upstreams.window(held.asked.class));
+        let (driver, asked, bound) = (Rc::clone(self), Rc::clone(&held.asked), terms.clone());
         let mut cut_off = self.cut_off.subscribe();
         let task = spawn_local(async move {
             let ended = if *cut_off.borrow() {
@@ -166,13 +168,15 @@
                 tokio::select! {
                     biased;
                     () = uploads => return,
-                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up, no.0 > 0) => ended,
-                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, bound.clone()) => ended,
+                    _ = cut_off.wait_for(|cut| *cut) => {
+                        if bound.has_begun() { Outcome::TimedOut.into() } else { Outcome::NotSent.into() }
+                    }
                 }
             };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
-        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true, streams: false });
+        held.attempts.push(Attempt::new(upstream, sent, terms, task.abort_handle()));
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
--- a/engine/src/parts/mod.rs
+++ b/engine/src/parts/mod.rs
@@ -6,6 +6,7 @@
 //! | [`desk`] | takes requests in; the ledger stands here |
 //! | [`driver`] | the only owner of the decision module: events in, actions carried out |
 //! | [`upstream`], [`attempt`], [`connection`] | where upstreams are, one request at one of them, one connection |
+//! | [`terms`] | until when an attempt may be written and waited for |
 //! | [`body`], [`answer`], [`room`] | bodies of requests and answers, and the memory that they share |
 //! | [`descriptors`] | who may hold how many, and what is done when none is left |
 //! | [`discovery`] | the platform's list |
@@ -22,4 +23,5 @@
 pub(crate) mod pool;
 pub mod room;
 pub mod seldom;
+pub mod terms;
 pub mod upstream;
--- a/engine/src/parts/upstream.rs
+++ b/engine/src/parts/upstream.rs
@@ -8,7 +8,7 @@
 use crate::parts::room::Room;
 use crate::parts::seldom::Seldom;
 use crate::tally::Tally;
-use lapisroute::{Availability, LoadField, Outcome, Reports, Settings, UpstreamId, ZoneId};
+use lapisroute::{Availability, ClassId, Effect, LoadField, Outcome, Reports, Settings, UpstreamId, ZoneId};
 use maplehook_routes::{Forwarding, Passage};
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -38,10 +38,19 @@
     endpoint: Cell<Option<SocketAddr>>,
     boot_ms: Cell<u64>,
     zone: Cell<ZoneId>,
+    /// Counts the processes that have listened for it: one more with each start and each move.
+    pub(crate) process: Cell<u32>,
     /// Cleared once it drains or is gone: attempts that still wait for a connection look here.
     pub(crate) ready: Cell<bool>,
 }
 
+impl Upstream {
+    /// Whether it takes requests and is still the process that a request was decided for: another one is cold.
+    pub(crate) fn takes(&self, process: u32) -> bool {
+        self.ready.get() && self.process.get() == process
+    }
+}
+
 /// All upstreams known.
 pub struct Upstreams {
     known: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
@@ -52,6 +61,8 @@
     pub(crate) probing: Rc<Passage>,
     pub(crate) tally: Arc<Tally>,
     connect_timeout: Cell<Duration>,
+    /// How long the keys of each class are remembered, where it has keys.
+    windows: RefCell<Vec<Option<Duration>>>,
     pub(crate) reports: Cell<Reports>,
     report_fields: RefCell<Vec<LoadField>>,
     odd_reports: Seldom,
@@ -93,6 +104,7 @@
             probing: Rc::new(Passage::platform()),
             tally,
             connect_timeout: Cell::new(settings.connect_timeout),
+            windows: RefCell::new(windows(settings)),
             reports: Cell::new(settings.reports),
             report_fields: RefCell::new(settings.report_fields.clone()),
             odd_reports: Seldom::default(),
@@ -120,10 +132,16 @@
     pub fn retune(&self, settings: &Settings) {
         self.pool.retune(settings.conn_idle.mul_f64(IDLE_SHARE));
         self.connect_timeout.set(settings.connect_timeout);
+        *self.windows.borrow_mut() = windows(settings);
         self.reports.set(settings.reports);
         self.report_fields.borrow_mut().clone_from(&settings.report_fields);
     }
 
+    /// How long the keys of a class are remembered; `None`: it has none.
+    pub(crate) fn window(&self, class: ClassId) -> Option<Duration> {
+        self.windows.borrow().get(usize::from(class.0)).copied().flatten()
+    }
+
     /// Takes in what the list says of one.
     pub fn place(&self, id: UpstreamId, zone: ZoneId, place: &Place) {
         let mut known = self.known.borrow_mut();
@@ -139,6 +157,7 @@
                 endpoint: Cell::new(None),
                 boot_ms: Cell::new(place.boot_ms),
                 zone: Cell::new(zone),
+                process: Cell::new(0),
                 ready: Cell::new(false),
             })
         });
@@ -148,8 +167,12 @@
             upstream.endpoint.set(place.endpoint);
         }
         upstream.ready.set(place.availability == Availability::Ready);
+        let another = upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved;
+        if another {
+            upstream.process.set(upstream.process.get().wrapping_add(1));
+        }
         // Connections to a process that is no more, or wants nothing new, serve nobody.
-        if upstream.boot_ms.replace(place.boot_ms) != place.boot_ms || moved || !upstream.ready.get() {
+        if another || !upstream.ready.get() {
             self.pool.close(id);
         }
     }
@@ -193,8 +216,9 @@
         self.pool.sweep().await;
     }
 
-    pub(crate) fn put_back(&self, id: UpstreamId, upstream: &Upstream, connection: Connection) {
-        if upstream.ready.get() && upstream.endpoint.get() == Some(connection.peer()) {
+    /// Keeps a connection that leads to this process of an upstream.
+    pub(crate) fn put_back(&self, id: UpstreamId, upstream: &Upstream, process: u32, connection: Connection) {
+        if upstream.takes(process) && upstream.endpoint.get() == Some(connection.peer()) {
             self.pool.put(id, connection);
         }
     }
@@ -268,3 +292,12 @@
         })
     }
 }
+
+/// The windows of all classes in which a repeat of a key has no second effect.
+fn windows(settings: &Settings) -> Vec<Option<Duration>> {
+    let window = |effect| match effect {
+        Effect::Deduplicated { ttl, .. } => Some(ttl),
+        Effect::Idempotent | Effect::AtMostOnce => None,
+    };
+    settings.classes.iter().map(|class| window(class.effect)).collect()
+}
