Nothing is written for a request that is over, also where none can be called back

Cause: where the settings do not let attempts be called back, the module sends no Cancel when a client leaves or has its answer. An attempt that waited for a descriptor or for its connection then was written all the same.

Change: the driver ends the attempts of a request that is over of which nothing has been written. An attempt that was never written is none, so that ending it calls nothing back.

--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -196,8 +196,14 @@
         self.forget_if_over(core, id);
     }
 
-    /// Lets go of a request that has its answer and no attempt out.
+    /// Lets go of a request that has its answer and no attempt out. Of one that is over nothing more is written, also where the
+    /// settings don't let an attempt be called back: one that was never written is none.
     pub(super) fn forget_if_over(&self, core: &mut Core, id: RequestId) {
+        for (k, attempt) in core.requests.get(&id).iter().flat_map(|held| held.left_over()) {
+            attempt.task.abort();
+            let ended = Happening::AttemptEnded(id, AttemptNo(k as u8), Outcome::Cancelled.into());
+            self.queue.borrow_mut().push_back(ended);
+        }
         let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
         if core.requests.get(&id).is_some_and(over) {
             core.requests.remove(&id);
--- a/engine/src/parts/driver/held.rs
+++ b/engine/src/parts/driver/held.rs
@@ -74,4 +74,10 @@
         let write_by = earliest.zip(window).map(|(at, window)| at + window.saturating_sub(ON_THE_WAY));
         Terms::repeat(give_up, write_by)
     }
+
+    /// Attempts of which nothing has been written though their request is over.
+    pub(super) fn left_over(&self) -> impl Iterator<Item = (usize, &Attempt)> {
+        let attempts = self.attempts.iter().enumerate();
+        attempts.filter(|(_, a)| self.reply.is_none() && a.out && !a.terms.has_begun())
+    }
 }
