An answer that comes before its request has left whole is another's

Cause: on a connection used before, a second answer to the request before could come while a long request was being written, and was taken for the answer to that, though upstreams of the platform begin with the last byte.

A final answer that began to come before the last byte had left is nobody's: the connection is closed, and the attempt has failed to connect, or is an error where the rest has left meanwhile.

--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -109,6 +109,10 @@
                 _ => written >= begins,
             };
             match exchanged {
+                Some(Ok(reply)) if is_anothers(&reply, outgoing, &connection, before + all) => {
+                    tracing::debug!(upstream = id.0, written, all, "an answer before the request");
+                    return if may_have_begun { Outcome::Error } else { Outcome::ConnectFailed }.into();
+                }
                 Some(Ok(reply)) => {
                     let from = (id, upstream, process);
                     return self.answered(from, connection, outgoing, reply, before + all);
@@ -233,6 +237,15 @@
     })
 }
 
+/// Whether an answer can't be that to the request which has left whole once its connection has written `whole`: it began to
+/// come before that, and upstreams of this kind begin with the last byte. It is a second answer to the request before.
+fn is_anothers(reply: &Reply, outgoing: &Outgoing, connection: &Connection, whole: u64) -> bool {
+    outgoing.passage.begins == Begins::LastByte
+        && matches!(outgoing.body, Payload::Whole(_))
+        && matches!(reply.means, Means::Final { .. })
+        && connection.written_when_heard().is_some_and(|written| written < whole)
+}
+
 /// Whether a request has broken by its sender's fault.
 fn is_its_senders(body: &Payload) -> bool {
     matches!(body, Payload::Upload(upload) if upload.fault().is_some())
