A connection whose request has not left whole is not kept for another

Cause: of a body that streams, the last byte counted as left once it was handed to be written. Where an upstream had answered early and read no more, the connection was kept, and the next request stood behind the unread rest.

Change: it is kept once the kernel has taken all.

--- a/engine/src/parts/attempt.rs
+++ b/engine/src/parts/attempt.rs
@@ -195,7 +195,7 @@
         let payload = outgoing.body.clone();
         let has_left = move |connection: &Connection| match &payload {
             Payload::Whole(_) => connection.written() >= whole,
-            Payload::Upload(upload) => upload.is_whole(),
+            Payload::Upload(upload) => upload.is_whole() && connection.is_flushed(),
         };
         let body = match body {
             Coming::Whole(body) => {
--- a/engine/src/parts/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -37,6 +37,8 @@
     withheld: Cell<Option<Withheld>>,
     /// What the connection had written when the first byte came back.
     written_when_heard: Cell<Option<u64>>,
+    /// hyper holds bytes that the kernel has not taken.
+    unflushed: Cell<bool>,
 }
 
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
@@ -51,6 +53,7 @@
     /// An error where nothing may be written now. A request's first byte goes out with its permit alone, and on a connection
     /// that is silent and open.
     fn before_write(&self) -> io::Result<()> {
+        self.exchange.unflushed.set(true);
         if let Some(permit) = &*self.exchange.permit.borrow() {
             self.hear()?;
             permit().map_err(|why| self.withhold(why))?;
@@ -125,6 +128,8 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper flushes once it has nothing left to write.
+        self.exchange.unflushed.set(false);
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -173,6 +178,11 @@
         self.sender.ready().await.is_ok()
     }
 
+    /// Whether the kernel has taken all that was to be written.
+    pub fn is_flushed(&self) -> bool {
+        !self.exchange.unflushed.get()
+    }
+
     /// Bytes that the kernel has taken so far.
     pub fn written(&self) -> u64 {
         self.written.count()
--- a/engine/tests/answers_out_of_turn.rs
+++ b/engine/tests/answers_out_of_turn.rs
@@ -4,30 +4,43 @@
 
 use bytes::Bytes;
 use common::{BOOK, Peer, entry, ok, outgoing, settings, settle, upstreams};
-use lapisroute::{Availability, Outcome, UpstreamId, ZoneId};
-use maplehook::parts::attempt::Outgoing;
-use maplehook::parts::body::Payload;
+use http_body_util::{BodyExt, Full};
+use hyper::Method;
+use hyper::body::Body;
+use lapisroute::{Availability, Effect, Outcome, UpstreamId, ZoneId};
+use maplehook::parts::attempt::{Ended, Outgoing};
+use maplehook::parts::body::{Patience, Payload, Upload};
 use maplehook::parts::terms::Terms;
+use maplehook::parts::upstream::Upstreams;
+use maplehook_routes::Passage;
 use maplehook_standins::LONG;
 use std::rc::Rc;
-use tokio::task::spawn_local;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 
 const ID: UpstreamId = UpstreamId(0);
 /// More than the buffers of both sides of a connection hold.
 const LONG_BODY: usize = 64 << 20;
 
+fn one_upstream() -> (Peer, Rc<Upstreams>) {
+    let (peer, upstreams) = (Peer::start(), upstreams(&settings(), 8));
+    upstreams.place(ID, ZoneId(0), &entry(0, peer.address, Availability::Ready, 0).place);
+    (peer, upstreams)
+}
+
+fn begin(upstreams: &Rc<Upstreams>, request: Outgoing) -> JoinHandle<Ended> {
+    let upstreams = Rc::clone(upstreams);
+    spawn_local(async move { upstreams.attempt(ID, &request, Terms::first(Instant::now() + LONG)).await })
+}
+
 /// Guards a client from another's answer: an answer that has come before the request has left whole can't be that to it, where
 /// upstreams begin with its last byte. So far it has not run.
 #[tokio::test(flavor = "local")]
 async fn an_answer_before_the_end_of_its_request_is_none() {
-    let (mut peer, upstreams) = (Peer::start(), upstreams(&settings(), 8));
-    upstreams.place(ID, ZoneId(0), &entry(0, peer.address, Availability::Ready, 0).place);
+    let (mut peer, upstreams) = one_upstream();
     let body = Payload::Whole(Bytes::from(vec![b'y'; LONG_BODY]));
     let request = Outgoing { body, ..outgoing(BOOK, "one") };
-    let held = Rc::clone(&upstreams);
-    let attempt =
-        spawn_local(async move { held.attempt(ID, &request, Terms::first(Instant::now() + LONG)).await });
+    let attempt = begin(&upstreams, request);
     settle("its connection comes", || peer.accept()).await;
     settle("it has begun", || peer.has_begun(0)).await;
     peer.write(0, &ok("another's"));
@@ -35,3 +48,59 @@
     assert_eq!(ended.outcome, Outcome::ConnectFailed);
     assert!(ended.served.is_none());
 }
+
+/// Guards requests from standing in line behind the unread rest of another's body: a connection whose answer came early is kept
+/// only once all of the request has left, and not already when the last of it waits to leave.
+#[tokio::test(flavor = "local")]
+async fn a_connection_with_unread_bytes_is_not_kept() {
+    let (mut peer, upstreams) = one_upstream();
+    let patience = Patience { idle: LONG, total: LONG, answer: LONG };
+    let (most, length) = (u64::MAX, LONG_BODY as u64);
+    let rest = Full::new(Bytes::from(vec![b'y'; LONG_BODY])).map_err(|never| match never {});
+    let upload = Upload::new(Bytes::new(), Box::pin(rest), Some(length), most, patience);
+    let passage = Rc::new(Passage::general(Effect::Idempotent));
+    let request = Outgoing { body: Payload::Upload(Rc::clone(&upload)), passage, ..outgoing(BOOK, "one") };
+    let attempt = begin(&upstreams, request);
+    settle("its connection comes", || peer.accept()).await;
+    settle("all of it is on its way", || upload.is_whole()).await;
+    peer.write(0, &ok("enough"));
+    assert_eq!(attempt.await.unwrap().outcome, Outcome::Ok);
+    let next = begin(&upstreams, outgoing(BOOK, "two"));
+    settle("another connection comes", || peer.accept()).await;
+    next.abort();
+}
+
+/// Guards the next client from a body that nobody expects: behind an answer that has none by its status or its method, it ends
+/// the connection.
+#[tokio::test(flavor = "local")]
+async fn a_body_where_none_is_due_ends_the_connection() {
+    let passage = Rc::new(Passage::general(Effect::Idempotent));
+    let with_body = |line: &str| format!("HTTP/1.1 {line}\r\nContent-Length: 4\r\n\r\nHTTP");
+    let cases = [(Method::HEAD, "200 OK"), (Method::GET, "204 None"), (Method::GET, "304 As Before")];
+    for ((method, line), at_once) in cases.into_iter().flat_map(|case| [(case.clone(), true), (case, false)])
+    {
+        let (mut peer, upstreams) = one_upstream();
+        let request = Outgoing {
+            method,
+            passage: Rc::clone(&passage),
+            body: Payload::Whole(Bytes::new()),
+            ..outgoing(BOOK, "1")
+        };
+        let attempt = begin(&upstreams, request.clone());
+        settle("it comes", || peer.next().is_some()).await;
+        let text = with_body(line);
+        let (now, later) = text.split_at(if at_once { text.len() } else { text.len() - 4 });
+        peer.write(0, now);
+        let ended = attempt.await.unwrap();
+        assert_eq!(ended.outcome, Outcome::Ok, "{line}");
+        assert!(ended.served.unwrap().body.is_end_stream());
+        peer.write(0, later);
+        let next = begin(&upstreams, request);
+        settle("another connection comes", || {
+            peer.next();
+            peer.links.len() == 2
+        })
+        .await;
+        next.abort();
+    }
+}
--- a/engine/tests/descriptors_short.rs
+++ b/engine/tests/descriptors_short.rs
@@ -33,3 +33,19 @@
         }
     }
 }
+
+/// Guards clients at the end of the process: an attempt that is cut off before its first byte never ran, so that trying again is
+/// harmless; one that was written has failed.
+#[tokio::test(flavor = "local")]
+async fn what_is_cut_off_while_it_waits_is_refused() {
+    let mut peer = Peer::start();
+    let settings = Settings { connect_timeout: LONG, ..settings() };
+    let driver = driver(settings.clone(), upstreams(&settings, 1), &[peer.address]);
+    let [written, waits] = ["one", "two"].map(|id| driver.ask(asked(BOOK, id)));
+    settle("the first comes", || peer.next().is_some()).await;
+    pass().await;
+    driver.cut_off();
+    assert_eq!(name(&written.answer().await.0), "failed");
+    assert_eq!(name(&waits.answer().await.0), "refused");
+    assert!(peer.next().is_none());
+}
