--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -1,6 +1,7 @@
 //! What a driver does: the module's actions, carried out in order.
 
-use super::{Answer, Attempt, Core, Driver, Happening, Held, Trace};
+use super::held::{Attempt, Held};
+use super::{Answer, Core, Driver, Happening, Trace};
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::body::Payload;
 use crate::source::News;
@@ -154,7 +155,8 @@
         // The time of a body that streams is its own.
         let timeout = timeout.filter(|_| matches!(held.asked.outgoing.body, Payload::Whole(_)));
         let give_up = timeout.map_or(held.asked.deadline, |t| held.asked.deadline.min(sent + t));
-        let (driver, asked) = (Rc::clone(self), Rc::clone(&held.asked));
+        let terms = held.terms(give_up, self.upstreams.window(held.asked.class));
+        let (driver, asked, bound) = (Rc::clone(self), Rc::clone(&held.asked), terms.clone());
         let mut cut_off = self.cut_off.subscribe();
         let task = spawn_local(async move {
             let ended = if *cut_off.borrow() {
@@ -170,13 +172,15 @@
                 tokio::select! {
                     biased;
                     () = uploads => return,
-                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, give_up, no.0 > 0) => ended,
-                    _ = cut_off.wait_for(|cut| *cut) => Outcome::TimedOut.into(),
+                    ended = driver.upstreams.attempt(upstream, &asked.outgoing, bound.clone()) => ended,
+                    _ = cut_off.wait_for(|cut| *cut) => {
+                        if bound.has_begun() { Outcome::TimedOut.into() } else { Outcome::NotSent.into() }
+                    }
                 }
             };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
-        held.attempts.push(Attempt { upstream, sent, task: task.abort_handle(), out: true, streams: false });
+        held.attempts.push(Attempt::new(upstream, sent, terms, task.abort_handle()));
     }
 
     fn answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
@@ -196,8 +200,14 @@
         self.forget_if_over(core, id);
     }
 
-    /// Lets go of a request that has its answer and no attempt out.
+    /// Lets go of a request that has its answer and no attempt out. Of one that is over nothing more is written, also where the
+    /// settings don't let an attempt be called back: one that was never written is none.
     pub(super) fn forget_if_over(&self, core: &mut Core, id: RequestId) {
+        for (k, attempt) in core.requests.get(&id).iter().flat_map(|held| held.left_over()) {
+            attempt.task.abort();
+            let ended = Happening::AttemptEnded(id, AttemptNo(k as u8), Outcome::Cancelled.into());
+            self.queue.borrow_mut().push_back(ended);
+        }
         let over = |held: &Held| held.reply.is_none() && held.attempts.iter().all(|a| !a.out);
         if core.requests.get(&id).is_some_and(over) {
             core.requests.remove(&id);
