A client's end is seen, its answer not reset, and its time counted behind a pipelined request

Causes, each seen over real sockets before the change:

- hyper's server reads nothing while a request waits and bytes behind that request are in its buffer, so the end of a client that had sent anything behind its request (an empty line, half a request, a second one) was not seen until the request's deadline; attempts went on, and what stood behind was sent on after the close.
Ruled out: the request alone (its end was seen at once).
The stream now reads ahead, 256 KiB a client and 4 MiB in all, while the HTTP connection does not read and the request in hand is whole; a look at it comes before each request is handed on.
- A request's time counted from when it was parsed (`Requests::rest`); it counts from its last byte now, which `Framing` sees.
- `Server::connection` dropped the stream after the last answer; with bytes unread that is a reset, and what the kernel had not delivered of the answer went with it.
- At the end of the process, or when the door wanted a connection to end with its answer, a request that had been read whole behind the one in hand was dropped with the connection (`graceful_shutdown` while it was held).
What was taken has its answer first (`settle`).

server.rs is split along its jobs: accepting, one connection's life, the answer to one request.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -4,13 +4,9 @@
 use maplehook::parts::body::Pace;
 use maplehook_admission::ConnId;
 use std::cell::{Cell, RefCell};
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -80,8 +76,9 @@
     /// How long it may leave an answer unread, and since when it does.
     stall: Duration,
     blocked: Cell<Option<Instant>>,
-    /// Told when it is to make room.
+    /// Told when it is to make room, and whether it was.
     close: Notify,
+    told: Cell<bool>,
 }
 
 impl Client {
@@ -100,6 +97,7 @@
             framing: RefCell::default(),
             hides_a_length: Cell::new(false),
             close: Notify::new(),
+            told: Cell::new(false),
         }
     }
 
@@ -166,6 +164,16 @@
         self.framing.borrow().has_more()
     }
 
+    /// Whether a whole request stands behind the one that is answered: it is owed its answer too.
+    pub fn has_whole(&self) -> bool {
+        self.framing.borrow().has_whole()
+    }
+
+    /// When the last byte came of the request that is read, where that can be told.
+    pub fn whole_at(&self) -> Option<Instant> {
+        self.framing.borrow().whole_at()
+    }
+
     /// Whether a part of a request has come that is not whole yet.
     pub fn is_writing(&self) -> bool {
         self.stand.get() == Stand::Reading || (self.stand.get() != Stand::Held && self.has_more())
@@ -191,7 +199,7 @@
     }
 
     /// Bytes for it were taken by the kernel, or were not.
-    fn wrote<T>(&self, poll: Poll<T>) -> Poll<T> {
+    pub fn wrote<T>(&self, poll: Poll<T>) -> Poll<T> {
         let blocked = match (&poll, self.blocked.get()) {
             (Poll::Ready(_), _) => None,
             (Poll::Pending, since) => Some(since.unwrap_or_else(Instant::now)),
@@ -225,11 +233,30 @@
 
     /// Has it make room.
     pub fn end(&self) {
+        self.told.set(true);
         self.close.notify_one();
     }
 
-    fn came(&self, bytes: &[u8]) {
-        if bytes.is_empty() {
+    /// Whether it has to make room.
+    pub fn is_told(&self) -> bool {
+        self.told.get()
+    }
+
+    /// Waits until it has to make room.
+    pub async fn told(&self) {
+        if !self.told.get() {
+            self.close.notified().await;
+        }
+    }
+
+    /// These bytes have come from it, whoever reads them when.
+    pub fn arrived(&self, bytes: &[u8]) {
+        self.framing.borrow_mut().came(bytes, Instant::now());
+    }
+
+    /// So many bytes are taken in as a part of a request.
+    pub fn took(&self, bytes: usize) {
+        if bytes == 0 {
             return;
         }
         if self.stand.get() == Stand::Idle && self.begun.get().is_none() {
@@ -238,62 +265,7 @@
         if self.stand.get() != Stand::Held {
             self.keeper.came(self.id);
         }
-        self.came.set(self.came.get().saturating_add(bytes.len()));
-        self.framing.borrow_mut().came(bytes);
-    }
-}
-
-/// A client's stream, looked at as it is read.
-pub struct Inbound {
-    stream: TcpStream,
-    client: Rc<Client>,
-}
-
-impl Inbound {
-    /// The stream of this client.
-    pub fn new(stream: TcpStream, client: Rc<Client>) -> Self {
-        Self { stream, client }
-    }
-}
-
-impl AsyncRead for Inbound {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.client.came(&buf.filled()[before..]);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncWrite for Inbound {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.client.wrote(poll)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        let poll = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.client.wrote(poll)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        self.came.set(self.came.get().saturating_add(bytes));
     }
 }
 
--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -2,6 +2,7 @@
 //! `Transfer-Encoding`, and what a body holds must not be taken for a header.
 
 use std::collections::VecDeque;
+use tokio::time::Instant;
 
 /// What is kept of a line: a name, and the digits of a length.
 const LINE_KEPT: usize = 64;
@@ -24,6 +25,18 @@
     Lost,
 }
 
+/// A request whose head has come.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    /// Whether its head names both a length and an encoding; where in doubt, it does.
+    hides_a_length: bool,
+    /// When its last byte came.
+    whole: Option<Instant>,
+}
+
+/// What is said of a request that was not seen.
+const UNSEEN: Request = Request { hides_a_length: true, whole: None };
+
 /// Follows the requests of one connection.
 #[derive(Debug)]
 pub struct Framing {
@@ -32,27 +45,33 @@
     /// Of the head in hand: how long its body is, and whether it comes in chunks.
     length: Option<u64>,
     chunked: bool,
-    /// Whether the heads that have come whole name both a length and an encoding.
-    heads: VecDeque<bool>,
+    /// The request that is read, and those behind it whose heads have come whole.
+    read: Request,
+    heads: VecDeque<Request>,
 }
 
 impl Default for Framing {
     fn default() -> Self {
         let at = At::Head { begun: false };
-        Self { at, line: Vec::new(), length: None, chunked: false, heads: VecDeque::new() }
+        Self { at, line: Vec::new(), length: None, chunked: false, read: UNSEEN, heads: VecDeque::new() }
     }
 }
 
 impl Framing {
-    /// These bytes have come.
-    pub fn came(&mut self, mut bytes: &[u8]) {
+    /// These bytes have come now.
+    pub fn came(&mut self, mut bytes: &[u8], now: Instant) {
         while !bytes.is_empty() {
+            let inside = !matches!(self.at, At::Head { .. });
+            let heads = self.heads.len();
             bytes = match self.at {
                 At::Lost => return,
                 At::Body(left) => self.skip(bytes, left, At::Body, At::Head { begun: false }),
                 At::Chunk(left) => self.skip(bytes, left, At::Chunk, At::Size),
                 At::Head { .. } | At::Size | At::Trailers => self.line(bytes),
             };
+            if (inside || self.heads.len() > heads) && self.at == (At::Head { begun: false }) {
+                self.heads.back_mut().unwrap_or(&mut self.read).whole = Some(now);
+            }
         }
     }
 
@@ -103,7 +122,7 @@
         if self.heads.len() == HEADS_MOST {
             return self.lost();
         }
-        self.heads.push_back(length.is_some() && chunked);
+        self.heads.push_back(Request { hides_a_length: length.is_some() && chunked, whole: None });
         match length {
             _ if chunked => At::Size,
             Some(length) if length > 0 => At::Body(length),
@@ -124,9 +143,20 @@
         }
     }
 
+    /// Whether a further request has come whole.
+    pub fn has_whole(&self) -> bool {
+        self.heads.front().is_some_and(|request| request.whole.is_some())
+    }
+
     /// The next request is read. Whether its head names both a length and an encoding; where in doubt, it does.
     pub fn next(&mut self) -> bool {
-        self.heads.pop_front().unwrap_or(true)
+        self.read = self.heads.pop_front().unwrap_or(UNSEEN);
+        self.read.hides_a_length
+    }
+
+    /// When the last byte came of the request that is read, where that can be told.
+    pub fn whole_at(&self) -> Option<Instant> {
+        self.read.whole
     }
 }
 
@@ -150,7 +180,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::time::Duration;
 
+    const STEP: Duration = Duration::from_millis(10);
     const EVIL: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     /// Requests on one connection, and whether each names both.
@@ -178,38 +210,63 @@
     }
 
     /// Guards the look for hidden lengths: what bodies, chunks and trailers hold is no header, however the bytes are cut.
+    /// Guards a request's time too: it counts from the piece that its last byte came with.
     #[test]
     fn heads_are_told_from_bodies_however_they_come() {
         let all: String = requests().into_iter().map(|(text, _)| text).collect();
+        let start = Instant::now();
         for cut in 1..all.len() {
+            let came_at = |bytes: usize| start + STEP * bytes.div_ceil(cut) as u32;
             let mut framing = Framing::default();
-            all.as_bytes().chunks(cut).for_each(|chunk| framing.came(chunk));
+            for (n, chunk) in all.as_bytes().chunks(cut).enumerate() {
+                framing.came(chunk, start + STEP * (n as u32 + 1));
+            }
+            let mut bytes = 0;
             for (text, both) in requests() {
+                bytes += text.len();
+                assert!(framing.has_whole(), "{cut}: {text}");
                 assert_eq!(framing.next(), both, "{cut}: {text}");
+                assert_eq!(framing.whole_at(), Some(came_at(bytes)), "{cut}: {text}");
             }
-            assert!(framing.heads.is_empty(), "{cut}");
+            assert!(framing.heads.is_empty() && !framing.has_whole(), "{cut}");
         }
     }
 
+    /// Guards the end of a request against being told of another: one that is read before it is whole has none yet.
+    #[test]
+    fn a_request_is_whole_once_its_last_byte_has_come() {
+        let (start, mut framing) = (Instant::now(), Framing::default());
+        framing.came(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\na", start);
+        assert!(!framing.has_whole());
+        framing.next();
+        assert_eq!(framing.whole_at(), None);
+        framing.came(b"bPOST / HTTP/1.1\r\nContent-Length: 2\r\n\r\n", start + STEP);
+        assert_eq!((framing.whole_at(), framing.has_whole()), (Some(start + STEP), false));
+        framing.came(b"ab", start + 2 * STEP);
+        assert_eq!((framing.whole_at(), framing.has_whole()), (Some(start + STEP), true));
+        framing.next();
+        assert_eq!(framing.whole_at(), Some(start + 2 * STEP));
+    }
+
     /// Guards against being led astray: what can't be read counts as hidden from there on, and nothing panics.
     #[test]
     fn where_in_doubt_a_length_is_hidden() {
         let long = format!("Content-Length:{}5\r\n", " ".repeat(200));
         for head in ["Content-Length: 5x\r\n", "Content-Length: 5, 5\r\n", "Content-Length: \r\n", &long] {
             let mut framing = Framing::default();
-            framing.came(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes());
+            framing.came(format!("GET / HTTP/1.1\r\n{head}\r\n").as_bytes(), Instant::now());
             assert!(framing.next(), "{head}");
         }
         for size in ["zz", "", "-1", "ffffffffffffffff", "11111111111111111"] {
             let mut framing = Framing::default();
-            framing
-                .came(format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\n").as_bytes());
+            let head = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{size}\r\n");
+            framing.came(head.as_bytes(), Instant::now());
             assert!(!framing.next());
-            framing.came(b"GET / HTTP/1.1\r\n\r\n");
+            framing.came(b"GET / HTTP/1.1\r\n\r\n", Instant::now());
             assert!(framing.next(), "{size}");
         }
         let mut framing = Framing::default();
-        (0..2 * HEADS_MOST).for_each(|_| framing.came(b"G\r\n\r\n"));
+        (0..2 * HEADS_MOST).for_each(|_| framing.came(b"G\r\n\r\n", Instant::now()));
         assert!(framing.next() && framing.heads.is_empty());
     }
 }
--- /dev/null
+++ b/node/src/inbound.rs
@@ -0,0 +1,182 @@
+//! A client's stream. The HTTP connection reads it; while that does not read, it is read ahead of it, so that the end of
+//! the client's sending is seen as long as a request of it waits, whatever has come behind that request.
+
+use crate::client::{Client, Stand};
+use bytes::{Buf, BytesMut};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// The most that is read ahead of one client, and of all together. The end of a client that has sent more than that behind
+/// a request is seen with the answer: its kernel may not even have told it to ours.
+const AHEAD_MOST: usize = 256 * 1024;
+const AHEAD_OF_ALL: usize = 4 * 1024 * 1024;
+/// Read at a time.
+const PIECE: usize = 4096;
+
+/// How many bytes are read ahead of all clients.
+pub type OfAll = Rc<Cell<usize>>;
+
+/// What is read ahead of one client.
+struct Ahead {
+    bytes: BytesMut,
+    of_all: OfAll,
+}
+
+impl Ahead {
+    fn is_full(&self) -> bool {
+        self.bytes.len() >= AHEAD_MOST || self.of_all.get() >= AHEAD_OF_ALL
+    }
+
+    fn push(&mut self, piece: &[u8]) {
+        self.bytes.extend_from_slice(piece);
+        self.of_all.set(self.of_all.get() + piece.len());
+    }
+
+    fn take(&mut self, buf: &mut ReadBuf<'_>) {
+        let n = self.bytes.len().min(buf.remaining());
+        buf.put_slice(&self.bytes[..n]);
+        self.bytes.advance(n);
+        self.of_all.set(self.of_all.get() - n);
+    }
+}
+
+impl Drop for Ahead {
+    fn drop(&mut self) {
+        self.of_all.set(self.of_all.get() - self.bytes.len());
+    }
+}
+
+/// A client's stream and what was read of it ahead.
+pub struct Wire {
+    client: Rc<Client>,
+    stream: RefCell<TcpStream>,
+    ahead: RefCell<Ahead>,
+    /// Whether the HTTP connection waits for bytes: it sees the end by itself then.
+    wanted: Cell<bool>,
+    /// Whether the client has ended its sending.
+    ended: Cell<bool>,
+    /// Whether our sending is ended.
+    shut: Cell<bool>,
+}
+
+impl Wire {
+    /// The stream of this client, one of those who share the room `of_all`.
+    pub fn new(stream: TcpStream, client: Rc<Client>, of_all: OfAll) -> Rc<Self> {
+        Rc::new(Self {
+            client,
+            stream: RefCell::new(stream),
+            ahead: RefCell::new(Ahead { bytes: BytesMut::new(), of_all }),
+            wanted: Cell::new(false),
+            ended: Cell::new(false),
+            shut: Cell::new(false),
+        })
+    }
+
+    /// Whose it is.
+    pub fn client(&self) -> &Rc<Client> {
+        &self.client
+    }
+
+    /// Whether its client has gone that is owed an answer. It is polled after the HTTP connection: what that waits for
+    /// is left to it.
+    pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.client.stand() != Stand::Held {
+            return Poll::Pending;
+        }
+        // Of a body that still comes as much is read as its upstream takes.
+        if self.client.whole_at().is_some() {
+            self.read_ahead(cx);
+        }
+        if self.ended.get() { Poll::Ready(()) } else { Poll::Pending }
+    }
+
+    /// Reads what has come while the HTTP connection does not.
+    fn read_ahead(&self, cx: &mut Context<'_>) {
+        while !self.wanted.get() && !self.ended.get() && !self.ahead.borrow().is_full() {
+            let mut piece = [MaybeUninit::uninit(); PIECE];
+            let mut piece = ReadBuf::uninit(&mut piece);
+            if self.poll_stream(cx, &mut piece).is_pending() {
+                return;
+            }
+            self.ahead.borrow_mut().push(piece.filled());
+        }
+    }
+
+    /// Reads the stream itself, and takes note of what comes and of the end.
+    fn poll_stream(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf));
+        let came = &buf.filled()[before..];
+        if came.is_empty() {
+            self.ended.set(true);
+        } else {
+            self.client.arrived(came);
+        }
+        Poll::Ready(read)
+    }
+
+    fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let ahead = &mut *self.ahead.borrow_mut();
+        if !ahead.bytes.is_empty() {
+            ahead.take(buf);
+        } else if !self.ended.get() {
+            let read = self.poll_stream(cx, buf);
+            self.wanted.set(read.is_pending());
+            ready!(read)?;
+        }
+        self.client.took(buf.filled().len() - before);
+        Poll::Ready(Ok(()))
+    }
+
+    /// The stream, where the other side may still be reading the last answer: our sending is ended, its sending is not.
+    /// `None` as long as the HTTP connection lives.
+    pub fn into_unread(wire: Rc<Self>) -> Option<TcpStream> {
+        let wire = Rc::into_inner(wire)?;
+        (wire.shut.get() && !wire.ended.get()).then(|| wire.stream.into_inner())
+    }
+}
+
+/// The stream as the HTTP connection has it.
+pub struct Inbound(pub Rc<Wire>);
+
+impl AsyncRead for Inbound {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.0.poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Inbound {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
+        self.0.client.wrote(poll)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let poll = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
+        self.0.client.wrote(poll)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.stream.borrow().is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.0.shut.set(true);
+        Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
+    }
+}
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -29,6 +29,7 @@
 mod framing;
 mod handover;
 mod hearsay;
+mod inbound;
 pub mod inherited;
 pub mod locality_command;
 mod nearness;
--- a/node/src/refusals.rs
+++ b/node/src/refusals.rs
@@ -3,9 +3,11 @@
 
 use maplehook_admission::Refusal;
 use maplehook_admission::budget::REFUSALS;
+use socket2::SockRef;
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt::Write;
+use std::io::Read;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -57,6 +59,18 @@
     }
 }
 
+/// Reads away what is there at this moment, and waits for nothing. The kernel is asked itself: what the runtime knows of
+/// the stream may be older.
+pub fn empty(stream: &TcpStream) {
+    let (socket, mut all) = (SockRef::from(stream), 0);
+    while let Ok(n @ 1..) = (&*socket).read(&mut [0; 4096]) {
+        all += n;
+        if all > MORE_MOST {
+            return;
+        }
+    }
+}
+
 /// Ends a stream whose answer is written, and reads away what still comes until its client has read that.
 pub async fn linger(mut stream: TcpStream) {
     let _ = timeout(LINGER, async {
@@ -95,7 +109,6 @@
 mod tests {
     use super::*;
     use maplehook_admission::Reason;
-    use std::io::Read;
     use tokio::net::TcpListener;
 
     const REFUSAL: Refusal =
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -225,8 +225,16 @@
         Ok(Head { fit, parts, vouched, book })
     }
 
-    /// Reads the rest of a request, which has to come at this pace unless it streams; from then on it is open.
-    pub async fn rest(&self, head: Head, body: Incoming, pace: Pace, peer: IpAddr) -> Result<Ready, Unfit> {
+    /// Reads the rest of a request, which has to come at this pace unless it streams; from then on it is open. `whole_at`
+    /// tells, once it is read whole, when its last byte came.
+    pub async fn rest(
+        &self,
+        head: Head,
+        body: Incoming,
+        pace: Pace,
+        peer: IpAddr,
+        whole_at: impl FnOnce() -> Option<Instant>,
+    ) -> Result<Ready, Unfit> {
         let Head { fit, parts, book, .. } = head;
         let passage = &book.passages[usize::from(fit.class.0)];
         let wait = fit.wait.saturating_sub(ON_THE_WAY);
@@ -257,9 +265,13 @@
         }
         let target = parts.uri.path_and_query().map(|p| hyper::Uri::from(p.clone())).unwrap_or_default();
         let upload = body.upload();
-        // A request's time counts from its last byte: a client that writes slowly waits no less.
-        let streams = if upload.is_some() { passage.patience().1 } else { Duration::ZERO };
-        let deadline = Instant::now() + wait + streams;
+        // A request's time counts from its last byte: a client that writes slowly waits no less, and one that has sent it
+        // behind another has waited since.
+        let (since, streams) = match upload {
+            Some(_) => (None, passage.patience().1),
+            None => (whole_at(), Duration::ZERO),
+        };
+        let deadline = since.unwrap_or_else(Instant::now) + wait + streams;
         let identity = fit.identity().filter(|_| !strict);
         let identity = identity.map(|id| Identity { tenant: fit.tenant.0, class: fit.class.0, id });
         let outgoing = Outgoing { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,44 +1,25 @@
 //! The clients' side: accepts connections, reads requests, writes final answers.
 
-use crate::client::{Client, Inbound, Question, Stand};
+mod connection;
+mod respond;
+
 use crate::entrance::Entrance;
+use crate::inbound::OfAll;
 use crate::refusals::Refusals;
-use crate::requests::{Ready, Requests, VERSION, at_fault};
-use crate::words::{Tail, own, plain, worded};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
-use maplehook::parts::answer::AnswerBody;
-use maplehook::parts::body::{Pace, Upload, read_away};
+use crate::requests::Requests;
 use maplehook::parts::descriptors::{Descriptors, PAUSE, out_of_descriptors};
 use maplehook::parts::desk::Desk;
-use maplehook::parts::driver::Answer;
 use maplehook::parts::seldom::Seldom;
 use maplehook_admission::Reason;
-use maplehook_routes::{Own, Unfit};
-use std::convert::Infallible;
+use maplehook_routes::Own;
 use std::io;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep, timeout};
-
-/// How long a connection that is to end may take over the rest of an answer.
-const ANSWER_MOST: Duration = Duration::from_secs(2);
-/// A look at whether anything has come.
-const GLANCE: Duration = Duration::from_millis(1);
-/// How often it is looked at meanwhile.
-const LINGER: Duration = Duration::from_millis(250);
-/// Size of a connection's buffer, the longest head.
-const BUFFER: usize = 32 * 1024;
+use tokio::time::sleep;
 
 /// How far the end of this process has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -61,6 +42,7 @@
     descriptors: Rc<Descriptors>,
     words: Own,
     refusals: Refusals,
+    read_ahead: OfAll,
     phase: watch::Receiver<Phase>,
     odd: Seldom,
     refused: Seldom,
@@ -83,6 +65,7 @@
             descriptors,
             words,
             refusals: Refusals::default(),
+            read_ahead: OfAll::default(),
             phase,
             odd: Seldom::default(),
             refused: Seldom::default(),
@@ -150,192 +133,4 @@
         }
         self.descriptors.regain_spare();
     }
-
-    async fn connection(self: Rc<Self>, client: Rc<Client>, stream: TcpStream, peer: IpAddr) {
-        // An unset option costs time, not truth.
-        let _ = stream.set_nodelay(true);
-        let mut phase = self.phase.clone();
-        let (server, of) = (Rc::clone(&self), Rc::clone(&client));
-        let service = service_fn(move |request| {
-            let (server, client) = (Rc::clone(&server), Rc::clone(&of));
-            async move { Ok::<_, Infallible>(server.respond(&client, peer, request).await) }
-        });
-        let mut builder = http1::Builder::new();
-        // The head's time is the client's own affair, see `Client::overdue`.
-        builder.header_read_timeout(None).max_buf_size(BUFFER);
-        let inbound = Inbound::new(stream, Rc::clone(&client));
-        let connection = builder.serve_connection(TokioIo::new(inbound), service);
-        tokio::pin!(connection);
-        let ended = tokio::select! {
-            ended = connection.as_mut() => ended,
-            // Part of a request at most: nothing was taken.
-            () = client.is_to_end() => match client.stand() {
-                Stand::New | Stand::Reading => Ok(()),
-                // Whoever does not read its answer can tell that it is not whole.
-                Stand::Held if client.is_stalled() => Ok(()),
-                Stand::Idle | Stand::Held => {
-                    connection.as_mut().graceful_shutdown();
-                    finish(&client, connection).await
-                }
-            },
-            _ = phase.wait_for(|p| *p == Phase::Closing) => match written(&client, connection.as_mut()).await {
-                Some(ended) => ended,
-                None => {
-                    connection.as_mut().graceful_shutdown();
-                    finish(&client, connection).await
-                }
-            }
-        };
-        if let Err(e) = ended {
-            tracing::debug!("client: {e}");
-        }
-        client.leaves();
-    }
-
-    async fn respond(&self, client: &Rc<Client>, peer: IpAddr, request: Request<Incoming>) -> Response<Tail> {
-        let leaving = || *self.phase.borrow() != Phase::Serving;
-        let pace = client.reads();
-        let mut question = Question::Request;
-        let mut response = match request.uri().path() {
-            "/health/ready" | "/health/live" if request.body().is_end_stream() => {
-                question = Question::Health;
-                if leaving() && request.uri().path() == "/health/ready" {
-                    plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
-                } else {
-                    plain(StatusCode::OK, "ok")
-                }
-            }
-            _ => match self.read(client, peer, request, pace).await {
-                Ok(ready) => self.answer(ready).await,
-                Err(unfit) => {
-                    question = Question::Unfit;
-                    tracing::debug!(%peer, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
-                    let mut answer = own(self.words.unfit(&unfit));
-                    if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
-                        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-                    }
-                    tell(&mut answer, self.requests.label());
-                    answer
-                }
-            },
-        };
-        let close =
-            if matches!(response.body(), AnswerBody::Stream(_)) { false } else { client.answered(question) };
-        // A request that stands behind this one has been read, or will be with the rest: it has its answer first.
-        if close || (leaving() && !client.has_more()) {
-            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
-        }
-        // An answer that streams is owed until its end.
-        response.map(|body| Tail::new(body, client))
-    }
-
-    async fn answer(&self, ready: Ready) -> Response<AnswerBody> {
-        let Ready { asked, identity, upload, open, label } = ready;
-        let (answer, _) = self.desk.ask(asked, identity).await;
-        drop(open);
-        upload.iter().for_each(Upload::answered);
-        let mut response = match (answer, upload.and_then(|upload| upload.fault())) {
-            // It came to nothing by its client's fault: that is what its client hears.
-            (Answer::Refused(_) | Answer::Failed, Some(fault)) => own(self.words.unfit(&at_fault(fault))),
-            (answer, _) => worded(answer, self.words),
-        };
-        tell(&mut response, label);
-        response
-    }
-
-    /// Reads a request, its body included where that does not stream.
-    async fn read(
-        &self,
-        client: &Client,
-        peer: IpAddr,
-        request: Request<Incoming>,
-        pace: Pace,
-    ) -> Result<Ready, Unfit> {
-        let (parts, body) = request.into_parts();
-        let head = match self.requests.head(parts, peer, client.hides_a_length()) {
-            Ok(head) => head,
-            Err(unfit) => {
-                if !self.requests.is_strict() {
-                    spawn_local(read_away(body));
-                }
-                return Err(unfit);
-            }
-        };
-        let (tenant, vouched) = (head.tenant(), head.vouched);
-        let read = self.requests.rest(head, body, pace, peer).await?;
-        client.holds(tenant.0, vouched);
-        Ok(read)
-    }
-}
-
-/// Names the version that an answer was given under.
-fn tell(response: &mut Response<AnswerBody>, label: Option<HeaderValue>) {
-    if let Some(label) = label {
-        response.headers_mut().insert(VERSION, label);
-    }
-}
-
-/// Lets a client that is writing a request finish it, at its pace; the answer ends the connection. `None`: it writes nothing.
-async fn written<T>(client: &Client, mut connection: Pin<&mut impl Future<Output = T>>) -> Option<T> {
-    // What has just come may not have been looked at.
-    let mut look = GLANCE;
-    loop {
-        if let Ok(ended) = timeout(look, connection.as_mut()).await {
-            return Some(ended);
-        }
-        if !client.is_writing() {
-            return None;
-        }
-        look = LINGER;
-    }
-}
-
-/// Waits for the answer that a connection which shuts down is still owed, or that is on its way to a client
-/// who reads slowly. Between requests such a connection ends at once.
-async fn finish(
-    client: &Client,
-    mut connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
-) -> hyper::Result<()> {
-    let mut answered = None;
-    loop {
-        if let Ok(ended) = timeout(LINGER, connection.as_mut()).await {
-            return ended;
-        }
-        match client.stand() {
-            Stand::Held if client.is_stalled() => return Ok(()),
-            Stand::Held => {}
-            // Part of a request at most: nothing was taken.
-            Stand::New | Stand::Reading => return Ok(()),
-            Stand::Idle => {
-                if answered.get_or_insert_with(Instant::now).elapsed() > ANSWER_MOST {
-                    return Ok(());
-                }
-            }
-        }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::cell::Cell;
-    use std::pin::pin;
-
-    /// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
-    #[tokio::test(flavor = "local")]
-    async fn an_answer_on_its_way_is_finished() {
-        let (client, whole) = (crate::client::tests::alone(), Cell::new(false));
-        client.reads();
-        client.holds(0, false);
-        client.answered(Question::Request);
-        let slow = pin!(async {
-            sleep(3 * LINGER).await;
-            whole.set(true);
-            Ok(())
-        });
-        finish(&client, slow).await.unwrap();
-        assert!(whole.get());
-        // One that never comes to an end is given up.
-        finish(&client, pin!(std::future::pending())).await.unwrap();
-    }
 }
--- /dev/null
+++ b/node/src/server/connection/tests.rs
@@ -0,0 +1,52 @@
+//! The end of a connection without its socket.
+
+use super::*;
+use crate::client::Question;
+use std::cell::Cell;
+use std::future::pending;
+use tokio::time::sleep;
+
+/// A client whose last request has its answer, which may still be on its way.
+fn answered() -> Rc<Client> {
+    let client = crate::client::tests::alone();
+    client.reads();
+    client.holds(0, false);
+    client.answered(Question::Request);
+    client
+}
+
+/// Guards an answer on its way to a client who reads slowly: the end of its connection waits for it.
+#[tokio::test(flavor = "local")]
+async fn an_answer_on_its_way_is_finished() {
+    let (client, whole) = (answered(), Cell::new(false));
+    let slow = async {
+        sleep(Duration::from_millis(750)).await;
+        whole.set(true);
+        Ok(())
+    };
+    finish(&client, slow).await.unwrap();
+    assert!(whole.get());
+    // One that never comes to an end is given up.
+    finish(&client, pending()).await.unwrap();
+}
+
+/// Guards a request that has come whole behind the one that is answered, where its connection is to make room: it was
+/// taken, and has its answer before the end; a part of one has not, and holds up nobody.
+#[tokio::test(flavor = "local")]
+async fn only_what_was_taken_holds_up_who_needs_the_place() {
+    let client = answered();
+    client.arrived(b"GET /look HTTP/1.1\r\nHost: a\r\n");
+    assert!(settle(&client, false, pending()).await.unwrap(), "a part of a request");
+    client.arrived(b"\r\n");
+    let served = Cell::new(false);
+    let serves = async {
+        client.reads();
+        client.holds(0, false);
+        sleep(2 * LOOK_EVERY).await;
+        client.answered(Question::Request);
+        served.set(true);
+        pending().await
+    };
+    assert!(settle(&client, false, serves).await.unwrap());
+    assert!(served.get());
+}
--- /dev/null
+++ b/node/src/server/respond.rs
@@ -0,0 +1,126 @@
+//! What is answered to one request.
+
+use super::{Phase, Server};
+use crate::client::{Client, Question};
+use crate::inbound::Wire;
+use crate::requests::{Ready, VERSION, at_fault};
+use crate::words::{Tail, own, plain, worded};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use hyper::{Request, Response, StatusCode};
+use maplehook::parts::answer::AnswerBody;
+use maplehook::parts::body::{Pace, Upload, read_away};
+use maplehook::parts::driver::Answer;
+use maplehook_routes::Unfit;
+use std::future::poll_fn;
+use std::net::IpAddr;
+use std::task::Poll;
+use tokio::task::spawn_local;
+
+/// A request that is not handed to the desk, whose sender is told that trying again is harmless.
+const TOO_LATE: Unfit = Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "nothing is sent on any more");
+
+impl Server {
+    /// The final answer to a request.
+    pub(super) async fn respond(
+        &self,
+        wire: &Wire,
+        peer: IpAddr,
+        request: Request<Incoming>,
+    ) -> Response<Tail> {
+        let client = wire.client();
+        let leaving = || *self.phase.borrow() != Phase::Serving;
+        let pace = client.reads();
+        let mut question = Question::Request;
+        let mut response = match request.uri().path() {
+            "/health/ready" | "/health/live" if request.body().is_end_stream() => {
+                question = Question::Health;
+                if leaving() && request.uri().path() == "/health/ready" {
+                    plain(StatusCode::SERVICE_UNAVAILABLE, "leaving")
+                } else {
+                    plain(StatusCode::OK, "ok")
+                }
+            }
+            _ => match self.read_in_time(wire, peer, request, pace).await {
+                Ok(ready) => self.answer(ready).await,
+                Err(unfit) => {
+                    question = Question::Unfit;
+                    tracing::debug!(%peer, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
+                    let mut answer = own(self.words.unfit(&unfit));
+                    if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
+                        answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+                    }
+                    tell(&mut answer, self.requests.label());
+                    answer
+                }
+            },
+        };
+        let streams = matches!(response.body(), AnswerBody::Stream(_));
+        let close = (!streams && client.answered(question)) || client.is_told();
+        // A request that stands behind this one has been read, or will be with the rest: it has its answer first.
+        if (close && !client.has_whole()) || (leaving() && !client.has_more()) {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        // An answer that streams is owed until its end.
+        response.map(|body| Tail::new(body, client))
+    }
+
+    async fn answer(&self, ready: Ready) -> Response<AnswerBody> {
+        let Ready { asked, identity, upload, open, label } = ready;
+        let (answer, _) = self.desk.ask(asked, identity).await;
+        drop(open);
+        upload.iter().for_each(Upload::answered);
+        let mut response = match (answer, upload.and_then(|upload| upload.fault())) {
+            // It came to nothing by its client's fault: that is what its client hears.
+            (Answer::Refused(_) | Answer::Failed, Some(fault)) => own(self.words.unfit(&at_fault(fault))),
+            (answer, _) => worded(answer, self.words),
+        };
+        tell(&mut response, label);
+        response
+    }
+
+    /// Reads a request that may still be sent on: not when its client has gone.
+    async fn read_in_time(
+        &self,
+        wire: &Wire,
+        peer: IpAddr,
+        request: Request<Incoming>,
+        pace: Pace,
+    ) -> Result<Ready, Unfit> {
+        let ready = self.read(wire.client(), peer, request, pace).await?;
+        // One that was pipelined behind another may have been left by now.
+        let gone = poll_fn(|cx| Poll::Ready(wire.poll_gone(cx).is_ready())).await;
+        if gone { Err(TOO_LATE) } else { Ok(ready) }
+    }
+
+    /// Reads a request, its body included where that does not stream.
+    async fn read(
+        &self,
+        client: &Client,
+        peer: IpAddr,
+        request: Request<Incoming>,
+        pace: Pace,
+    ) -> Result<Ready, Unfit> {
+        let (parts, body) = request.into_parts();
+        let head = match self.requests.head(parts, peer, client.hides_a_length()) {
+            Ok(head) => head,
+            Err(unfit) => {
+                if !self.requests.is_strict() {
+                    spawn_local(read_away(body));
+                }
+                return Err(unfit);
+            }
+        };
+        let (tenant, vouched) = (head.tenant(), head.vouched);
+        let read = self.requests.rest(head, body, pace, peer, || client.whole_at()).await?;
+        client.holds(tenant.0, vouched);
+        Ok(read)
+    }
+}
+
+/// Names the version that an answer was given under.
+fn tell(response: &mut Response<AnswerBody>, label: Option<HeaderValue>) {
+    if let Some(label) = label {
+        response.headers_mut().insert(VERSION, label);
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
+pub mod gates;
 pub mod supervised;
 
 pub use maplehook_standins::*;
