At the end of a process nobody is reset unheard, and its time is that of SIGTERM's moment

Causes, each seen over real sockets before the change:

- `Server::run` dropped the listener with connections in its queue, which resets them.
The kernel is asked itself, since the runtime may not have heard of the last ones yet.
- A request of which a part had been read at the last moment got nothing: it is refused now (`Phase::Stopped`), and from then on none is handed on.
The clients that were refused at the door have their refusals before the process ends.

Ruled out: a second and a third SIGTERM change nothing; a request on a resting connection just at the close is answered.

Printed before the mend: shutdown.rs: client 0 has no answer shutdown.rs: a refusal (the connection had ended instead) shutdown.rs: `left == right` failed, left: 502, right: 200

--- a/node/src/refusals.rs
+++ b/node/src/refusals.rs
@@ -103,6 +103,14 @@
         }
         lingering.push_back(spawn_local(linger(stream)));
     }
+
+    /// Waits until all have read their refusals, or have had their time.
+    pub async fn are_read(&self) {
+        let lingering = std::mem::take(&mut *self.0.borrow_mut());
+        for task in lingering {
+            let _ = task.await;
+        }
+    }
 }
 
 #[cfg(test)]
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -172,6 +172,8 @@
         },
     }
     tracing::info!("leaving");
+    // Whoever ends this process goes by the settings of this moment, whatever SIGHUP brings from here on.
+    let grace = plan.grace.get();
     if let (Some(registrar), Some(kept)) = (registrar.filter(|_| ends), &kept) {
         // Whoever reads the registry sends nothing new from here on. Nothing else waits for it.
         kept.abort();
@@ -202,8 +204,9 @@
     phase.send_replace(if shared { Phase::Draining } else { Phase::Leaving });
     if timeout(until_idle_end, &mut accepting).await.is_err() {
         phase.send_replace(Phase::Closing);
-        let rest = plan.grace.get().saturating_sub(until_idle_end + LAST_WORDS);
+        let rest = grace.saturating_sub(until_idle_end + LAST_WORDS);
         if timeout(rest, &mut accepting).await.is_err() {
+            phase.send_replace(Phase::Stopped);
             driver.cut_off();
             let _ = timeout(LAST_WORDS, &mut accepting).await;
         }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -32,6 +32,8 @@
     Draining,
     /// Nothing new is accepted; connections end between requests.
     Closing,
+    /// Nothing is sent on any more: what comes or is still being read is refused.
+    Stopped,
 }
 
 /// What clients reach.
@@ -97,8 +99,33 @@
                 }
             }
         }
-        drop(listener);
+        // While draining others accept on the same socket.
+        if *self.phase.borrow() >= Phase::Closing {
+            self.accept_waiting(listener);
+        } else {
+            drop(listener);
+        }
         self.entrance.is_empty().await;
+        self.refusals.are_read().await;
+    }
+
+    /// Accepts those that wait: with the listener they would be reset.
+    fn accept_waiting(self: &Rc<Self>, listener: TcpListener) {
+        // The kernel is asked itself: what the runtime knows of it may be older.
+        let Ok(listener) = listener.into_std() else { return };
+        loop {
+            match listener.accept() {
+                Ok((stream, peer)) => {
+                    let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    if let Ok(stream) = stream {
+                        self.admit(stream, peer.ip());
+                    }
+                }
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
+                Err(_) => return,
+            }
+        }
     }
 
     /// Lets a client in or refuses it; `true`: another was told to end for it.
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -79,7 +79,7 @@
         response
     }
 
-    /// Reads a request that may still be sent on: not when its client has gone.
+    /// Reads a request that may still be sent on: not once the process has stopped, nor when its client has gone.
     async fn read_in_time(
         &self,
         wire: &Wire,
@@ -87,10 +87,15 @@
         request: Request<Incoming>,
         pace: Pace,
     ) -> Result<Ready, Unfit> {
-        let ready = self.read(wire.client(), peer, request, pace).await?;
+        let mut phase = self.phase.clone();
+        let ready = tokio::select! {
+            biased;
+            read = self.read(wire.client(), peer, request, pace) => read?,
+            _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return Err(TOO_LATE),
+        };
         // One that was pipelined behind another may have been left by now.
         let gone = poll_fn(|cx| Poll::Ready(wire.poll_gone(cx).is_ready())).await;
-        if gone { Err(TOO_LATE) } else { Ok(ready) }
+        if gone || *self.phase.borrow() == Phase::Stopped { Err(TOO_LATE) } else { Ok(ready) }
     }
 
     /// Reads a request, its body included where that does not stream.
--- a/node/tests/shutdown.rs
+++ b/node/tests/shutdown.rs
@@ -5,7 +5,7 @@
 use common::gates::holding;
 use common::{LONG, OK, Setup, Then, Upstream, book, book_as, look, until};
 use std::io::Write;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than new clients are accepted after SIGTERM: a balancer that stood still for so long finds the end of that.
 const ACCEPTING: Duration = Duration::from_millis(800);
@@ -39,6 +39,26 @@
     assert!(node.wait().success());
 }
 
+/// Guards whoever has connected and is not accepted yet when the listener closes: with it they would be reset.
+#[test]
+fn those_who_wait_to_be_accepted_are_let_in_at_the_end() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut node = Setup::with(&[upstream.address]).start();
+    node.terminate();
+    until("it leaves", || node.has_logged("leaving"));
+    node.pause();
+    let mut clients: Vec<_> = (0..24).map(|_| node.connect()).collect();
+    clients.iter_mut().enumerate().for_each(|(n, client)| client.write(&look_as(n)));
+    std::thread::sleep(ACCEPTING);
+    node.resume();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let answer = client.answer().unwrap_or_else(|| panic!("client {n} has no answer"));
+        assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+        assert!(client.ends());
+    }
+    assert!(node.wait().success());
+}
+
 /// Guards a request that arrives on a resting connection just as that is to be closed.
 #[test]
 fn a_request_on_a_resting_connection_just_at_the_close_has_its_answer() {
@@ -78,6 +98,55 @@
     assert_eq!(upstream.seen().len(), 1);
 }
 
+/// Guards half a request: until the process stops its rest is waited for, at the stop it is refused and not sent on.
+#[test]
+fn half_a_request_is_refused_when_the_process_stops() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.deadline_ms = 800;
+    let mut node = setup.start();
+    let (mut whole, mut half) = (node.connect(), node.connect());
+    for (client, id) in [(&mut whole, "aa"), (&mut half, "bb")] {
+        client.write(book_as(id, "ab").strip_suffix('b').unwrap());
+        node.has_read(client);
+    }
+    node.terminate();
+    node.has_shut();
+    let answer = whole.exchange("b");
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    let answer = half.answer().expect("a refusal");
+    assert_eq!((answer.status(), answer.header("connection")), (503, Some("close")));
+    assert!(answer.header("retry-after").is_some());
+    assert!(node.wait().success());
+    assert_eq!(upstream.seen().len(), 1);
+}
+
+/// Guards the end against further signals: a second SIGTERM does not hasten it, and what SIGHUP brings does not shorten
+/// the time of what was taken.
+#[test]
+fn further_signals_change_nothing_of_the_end() {
+    let (address, arrived) = holding();
+    let mut setup = Setup::with(&[address]);
+    setup.deadline_ms = 2000;
+    let mut node = setup.start();
+    let mut client = node.connect();
+    client.write(&book(2000, "x"));
+    let held = arrived.recv_timeout(LONG).unwrap();
+    let told = Instant::now();
+    node.terminate();
+    until("it leaves", || node.has_logged("leaving"));
+    node.terminate();
+    setup.deadline_ms = 100;
+    node.reload(&setup.text());
+    until("the new settings are read", || node.has_logged("read anew"));
+    node.terminate();
+    // By the new settings all would be over by now.
+    std::thread::sleep(Duration::from_millis(1200).saturating_sub(told.elapsed()));
+    held.answer("done");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert!(node.wait().success());
+}
+
 /// Guards a large answer that its client reads slowly: the end of the process waits for it.
 #[test]
 fn an_answer_that_is_half_written_is_finished() {
