The platform's file is checked at the start as at a reload, and every slip is named by its key

Cause: at the start the settings were only read, not checked as a reload checks them (settings/src/tuned.rs, Tuned::new). Two classes or tenants of one name, a deadline of -1 or 1e308 and negative times were taken; an unknown effect, and an address or a number that is none, were turned down without the key. A key that stood twice was turned down at the start and taken at a reload.

Change: one check for both, in settings/src/check.rs; figures have ranges, names stand once, there are no more names than numbers for them. The file itself is read with the path to its keys, so that a slip of form has key, line and column. A file that is no UTF-8, the operator's too, has its line.

--- a/node/src/command.rs
+++ b/node/src/command.rs
@@ -135,9 +135,19 @@
     }
 }
 
+/// Reads a file of text; one that is none is named with the line where it ceases to be.
+pub fn text_of(path: &Path) -> Result<String, String> {
+    let bytes = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    String::from_utf8(bytes).map_err(|e| {
+        let good = &e.as_bytes()[..e.utf8_error().valid_up_to()];
+        let line = good.iter().filter(|byte| **byte == b'\n').count() + 1;
+        format!("{}: line {line}: this is no text in UTF-8", path.display())
+    })
+}
+
 /// Reads an operator's file, and keeps its text.
 pub fn with_text(path: &Path) -> Result<(Operator, String), Box<dyn Error>> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    let text = text_of(path)?;
     let text = with_rules(path, text)?;
     let operator = maplehook_config::parse(&text).map_err(|e| format!("{}:\n{e}", path.display()))?;
     Ok((operator, text))
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,11 +1,14 @@
 //! What the platform tells a balancer at its start: the JSON file that `NODE_CONFIG` names.
 
+use crate::command::text_of;
 use lapisroute_settings::{Tuned, Wrong, missing};
+use maplehook_admission::budget::{LEAST, TooFew};
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::value::RawValue;
 use std::fmt;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// One part of so many of the memory may hold long answers; reading one takes it twice for a moment.
@@ -85,9 +88,21 @@
 fn read() -> Result<(String, String), ConfigError> {
     let path = std::env::var_os("NODE_CONFIG")
         .ok_or_else(|| ConfigError("NODE_CONFIG names no configuration file".into()))?;
-    let shown = path.to_string_lossy().into_owned();
-    let text = std::fs::read_to_string(&path).map_err(|e| ConfigError(format!("{shown}: {e}")))?;
-    Ok((shown, text))
+    let text = text_of(Path::new(&path)).map_err(ConfigError)?;
+    Ok((path.to_string_lossy().into_owned(), text))
+}
+
+/// Reads JSON; what can't be read is named with its key, line and column.
+fn json<'a, T: Deserialize<'a>>(text: &'a str) -> Result<T, ConfigError> {
+    let mut json = serde_json::Deserializer::from_str(text);
+    let read = serde_path_to_error::deserialize(&mut json).map_err(|e| {
+        let path = e.path().to_string();
+        // Where no key has been read yet there is a question mark.
+        let key = path.trim_end_matches(['.', '?']);
+        ConfigError(if key.is_empty() { e.inner().to_string() } else { format!("{key}: {}", e.inner()) })
+    })?;
+    json.end().map_err(|e| ConfigError(e.to_string()))?;
+    Ok(read)
 }
 
 impl Config {
@@ -116,19 +131,22 @@
         text: &str,
     ) -> Result<(SocketAddr, Tuned), ConfigError> {
         let wrong = |wrong: Wrong| ConfigError(wrong.to_string());
-        let value: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let value: Value = json(text)?;
         missing(&self.like, &value, "").map_err(wrong)?;
-        let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let raw: Raw<'_> = json(text)?;
         let tuned = tuned.retuned(now, raw.settings.get(), "settings").map_err(wrong)?;
         Ok((raw.discovery, tuned))
     }
 
     /// Reads the text of that file.
     pub fn parse(text: &str) -> Result<Self, ConfigError> {
-        let raw: Raw<'_> = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        let mut like: Value = json(text)?;
+        let raw: Raw<'_> = json(text)?;
         let seed = u64::from_str_radix(&raw.seed, 16).map_err(|e| ConfigError(format!("seed: {e}")))?;
-        let tuned = Tuned::new(raw.settings.get()).map_err(ConfigError)?;
-        let mut like: Value = serde_json::from_str(text).map_err(|e| ConfigError(e.to_string()))?;
+        if raw.limits.sockets < LEAST {
+            return Err(ConfigError(format!("limits.sockets: {}", TooFew(raw.limits.sockets))));
+        }
+        let tuned = Tuned::new(raw.settings.get(), "settings").map_err(|e| ConfigError(e.to_string()))?;
         if let Value::Object(like) = &mut like {
             // What it knew of the list is of no use to a process that runs, and the settings know their own keys.
             like.remove("known");
--- a/node/tests/operation/retuning.rs
+++ b/node/tests/operation/retuning.rs
@@ -33,11 +33,32 @@
         bad(r#""seed":"8c1f30d27a5be964","#, ""),
         bad(r#""settings""#, r#""setting""#),
     ];
-    for (n, file) in files.iter().enumerate() {
-        node.reload(file);
+    let named = [
+        (bad(r#""me":0"#, r#""me":1"#), "settings.me: "),
+        (bad(r#""balancers":1"#, r#""balancers":0"#), "settings.balancers: "),
+        (bad("idempotent", "twice"), "settings.classes[0].effect: unknown effect"),
+        (bad(r#""name":"book""#, r#""name":"look""#), "settings.classes[1].name: \"look\" twice"),
+        (bad(r#""name":"lodge""#, r#""name":"acme""#), "settings.parties[1].name: \"acme\" twice"),
+        (bad(r#""hard_limit_ms":8000"#, r#""hard_limit_ms":1e308"#), "settings.classes[0].hard_limit_ms: "),
+        (
+            bad(r#""hard_limit_ms":8000"#, r#""hard_limit_ms":NaN"#),
+            "hard_limit_ms: expected value at line 3 column ",
+        ),
+        (bad(r#""me":0,"#, r#""me":0"#), "settings: expected `,` or `}` at line 3 column "),
+        (bad(&other, "nowhere"), "discovery: invalid socket address syntax at line 1 column "),
+    ];
+    let files = files.into_iter().map(|file| (file, "the configuration stays as it is: ")).chain(named);
+    for (n, (file, says)) in files.enumerate() {
+        let before = node.logged(says);
+        node.reload(&file);
         until("it is turned down", || node.figure("balancer_conf_invalid_total") == n as u64 + 1);
+        until(says, || node.logged(says) == before + 1);
+        // The old ones hold, each class among them.
+        assert_eq!(client.exchange(&look_as(&format!("l{n}"))).status(), 200);
+        assert_eq!(client.exchange(&book_as(&format!("o{n}"), "x")).status(), 200);
     }
     assert!(node.has_logged("settings.classes[0].hard_limit_ms"));
+    let looks = node.figure("balancer_answered_total{group=\"look\"}");
     assert!(calls.try_recv().is_err(), "discovery was moved by a file that was turned down");
     assert_eq!(node.figure("balancer_conf_loaded_total"), 0);
     // `look` may not run twice from now on, `book` has gone, `board` has come.
@@ -51,7 +72,7 @@
     assert_eq!(client.exchange(&look_as("b3")).status(), 200);
     assert_eq!(client.exchange(&book_as("b4", "x").replace("/book/", "/look/")).status(), 200);
     assert_eq!(node.figure("balancer_answered_total{group=\"board\"}"), 1);
-    assert_eq!(node.figure("balancer_answered_total{group=\"look\"}"), 3);
+    assert_eq!(node.figure("balancer_answered_total{group=\"look\"}"), looks + 2);
     node.reload(&good);
     until("the old one is back", || node.figure("balancer_conf_loaded_total") == 2);
     assert_eq!(client.exchange(&book_as("b5", "x")).status(), 200);
@@ -100,6 +121,10 @@
     until("it is retuned on its way", || old.figure("balancer_conf_loaded_total") == 1);
     old.reload("");
     until("and turns down what is none", || old.figure("balancer_conf_invalid_total") == 1);
+    let moved = setup.text().replace(&setup.discovery.to_string(), &nobody().to_string());
+    old.reload(&moved);
+    until("and takes another place of discovery", || old.figure("balancer_conf_loaded_total") == 2);
+    assert_eq!(old.call("/control/ready").status(), 503, "it still leaves");
     new.terminate();
     close.send(()).unwrap();
     let answer = first.answer().expect("an answer");
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,9 +3,11 @@
 //!
 //! Keys that are not known are skipped; keys that are missing take the values of `Settings::default()`.
 
+mod check;
 mod tuned;
 
-pub use tuned::{Tuned, Wrong, missing};
+pub use check::{Wrong, missing};
+pub use tuned::Tuned;
 
 use lapisroute::{Class, DedupGroup, Effect, LoadField, Prices, Reports, Settings, Tenant, Weights, ZoneId};
 use serde::Deserialize;
@@ -150,7 +152,9 @@
     Duration::try_from_secs_f64(value / 1e3).unwrap_or(Duration::MAX)
 }
 
-fn class(raw: &RawClass) -> Result<Class, String> {
+/// The class at this position; what is wrong with it is named by its key.
+fn class((n, raw): (usize, &RawClass)) -> Result<Class, Wrong> {
+    let wrong = |key: &str, what: String| Err(Wrong { path: format!("classes[{n}].{key}"), what });
     let effect = match (raw.effect.as_str(), raw.dedup_scope.as_deref()) {
         ("idempotent", _) => Effect::Idempotent,
         ("at_most_once", _) => Effect::AtMostOnce,
@@ -159,11 +163,12 @@
                 Some("all") => DedupGroup::All,
                 Some("zone") => DedupGroup::Zone,
                 Some("cell") => DedupGroup::Cell,
-                other => return Err(format!("unknown dedup_scope {other:?}")),
+                None => return wrong("dedup_scope", "it is missing".into()),
+                Some(other) => return wrong("dedup_scope", format!("unknown scope {other:?}")),
             },
             ttl: ms(raw.key_ttl_ms),
         },
-        (other, _) => return Err(format!("unknown effect {other:?}")),
+        (other, _) => return wrong("effect", format!("unknown effect {other:?}")),
     };
     Ok(Class {
         aim: ms(raw.aim_ms),
@@ -191,10 +196,11 @@
 
 /// Reads the settings' text.
 pub fn parse(text: &str) -> Result<Site, String> {
-    site(serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?)
+    let raw = serde_json::from_str(text).map_err(|e| format!("settings: {e}"))?;
+    site(raw).map_err(|e| format!("settings: {e}"))
 }
 
-fn site(raw: Raw) -> Result<Site, String> {
+fn site(raw: Raw) -> Result<Site, Wrong> {
     let base = Settings::default();
     let (limits, rules) = (&raw.limits, &raw.guarantees);
     let time = |value: Option<f64>, or: Duration| value.map_or(or, ms);
@@ -202,7 +208,7 @@
         balancers: raw.balancers.unwrap_or(base.balancers),
         index: raw.me,
         zone: ZoneId(raw.locality),
-        classes: raw.classes.iter().map(class).collect::<Result<_, _>>()?,
+        classes: raw.classes.iter().enumerate().map(class).collect::<Result<_, _>>()?,
         tenants: raw.parties.iter().map(|t| Tenant { allowance_per_s: t.allowance_per_s }).collect(),
         over_share_worth: raw.over_share_worth.unwrap_or(base.over_share_worth),
         worth_by_work: raw.worth_by.as_deref() == Some("work"),
--- a/settings/src/tuned.rs
+++ b/settings/src/tuned.rs
@@ -3,62 +3,16 @@
 //! A class or tenant has its number for good, so that a request under way means the same before and after. One that has
 //! vanished keeps its number for a while and then gives it to another.
 
-use crate::{Names, Raw, Site, site};
+use crate::check::{self, missing, wrong};
+use crate::{Names, Site, Wrong};
 use lapisroute::{Class, ClassId, Settings, Tenant, TenantId};
 use serde_json::Value;
-use std::fmt;
 use std::time::Duration;
 
 /// The most classes, and tenants, that may stand at once, the vanished ones among them.
 pub const MOST: usize = 1024;
 /// How long the number of a vanished one is left alone: nobody has a request of it by then.
 pub const LEFT_ALONE: Duration = Duration::from_secs(7200);
-/// The longest deadline, and the most attempts, that a retuning may set.
-const DEADLINE_MOST_MS: f64 = 86_400_000.0;
-const ATTEMPTS_MOST: f64 = 10_000.0;
-
-/// Why a text is turned down.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Wrong {
-    /// Where: keys from the outermost on.
-    pub path: String,
-    /// What is wrong there.
-    pub what: String,
-}
-
-impl fmt::Display for Wrong {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
-impl std::error::Error for Wrong {}
-
-fn wrong(path: impl Into<String>, what: impl Into<String>) -> Wrong {
-    Wrong { path: path.into(), what: what.into() }
-}
-
-/// The first key that `like` has, or all entries of a list in it, and `new` lacks.
-pub fn missing(like: &Value, new: &Value, path: &str) -> Result<(), Wrong> {
-    match (like, new) {
-        (Value::Object(like), Value::Object(new)) => like.iter().try_for_each(|(key, like)| {
-            let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
-            missing(like, new.get(key).ok_or_else(|| wrong(&path, "it is missing"))?, &path)
-        }),
-        (Value::Object(_), _) => Err(wrong(path, "it is no object")),
-        (Value::Array(like), Value::Array(new)) => {
-            let Some(Value::Object(first)) = like.first() else { return Ok(()) };
-            let common = || first.keys().filter(|key| like.iter().all(|entry| entry.get(key).is_some()));
-            new.iter().enumerate().try_for_each(|(n, entry)| {
-                let lacks = common().find(|key| entry.get(key).is_none());
-                lacks.map_or(Ok(()), |key| Err(wrong(format!("{path}[{n}].{key}"), "it is missing")))
-            })
-        }
-        (Value::Array(_), _) => Err(wrong(path, "it is no list")),
-        _ => Ok(()),
-    }
-}
-
 /// Names by number: those that are there, and since when the others are not.
 #[derive(Clone, Debug, Default, PartialEq)]
 struct Numbers {
@@ -119,10 +73,10 @@
 }
 
 impl Tuned {
-    /// The settings of a start.
-    pub fn new(text: &str) -> Result<Self, String> {
-        let site = crate::parse(text)?;
-        let like = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    /// The settings of a start, by a text at `path` in the file.
+    pub fn new(text: &str, path: &str) -> Result<Self, Wrong> {
+        let like = check::value(text, path)?;
+        let site = check::site(text, &like, path)?;
         let (classes, tenants) = (Numbers::of(&site.names.classes), Numbers::of(&site.names.tenants));
         Ok(Self { site, classes, tenants, like })
     }
@@ -151,15 +105,9 @@
 
     /// These settings after a retuning, by a text at `path` in the file; whole, or not at all.
     pub fn retuned(&self, now: Duration, text: &str, path: &str) -> Result<Self, Wrong> {
-        let value: Value = serde_json::from_str(text).map_err(|e| wrong(path, e.to_string()))?;
+        let value = check::value(text, path)?;
         missing(&self.like, &value, path)?;
-        numbers(&value, path)?;
-        let raw: Raw = serde_path_to_error::deserialize(&value)
-            .map_err(|e| wrong(format!("{path}.{}", e.path()), e.inner().to_string()))?;
-        let new = site(raw).map_err(|e| wrong(path, e))?;
-        new.settings.check().map_err(|e| wrong(path, e.to_string()))?;
-        distinct(&new.names.classes, path, "classes")?;
-        distinct(&new.names.tenants, path, "parties")?;
+        let new = check::site(text, &value, path)?;
         let (mut classes, mut tenants) = (self.classes.clone(), self.tenants.clone());
         let class_numbers = classes.take(now, &new.names.classes);
         let class_numbers = class_numbers.ok_or_else(|| wrong(format!("{path}.classes"), "too many"))?;
@@ -183,29 +131,6 @@
     }
 }
 
-/// Deadlines and attempts: numbers above nought, within reason.
-fn numbers(settings: &Value, path: &str) -> Result<(), Wrong> {
-    let above = |value: Option<&Value>, most: f64, path: String| match value.map(Value::as_f64) {
-        None => Ok(()),
-        Some(Some(n)) if n > 0.0 && n <= most => Ok(()),
-        Some(_) => Err(wrong(path, format!("it has to be a number above 0, {most} at most"))),
-    };
-    let classes = settings.get("classes").and_then(Value::as_array);
-    for (n, class) in classes.into_iter().flatten().enumerate() {
-        for key in ["hard_limit_ms", "aim_ms"] {
-            above(class.get(key), DEADLINE_MOST_MS, format!("{path}.classes[{n}].{key}"))?;
-        }
-    }
-    let attempts = settings.get("limits").and_then(|limits| limits.get("try_limit"));
-    above(attempts, ATTEMPTS_MOST, format!("{path}.limits.try_limit"))
-}
-
-fn distinct(names: &[String], path: &str, key: &str) -> Result<(), Wrong> {
-    let again = names.iter().enumerate().find(|(n, name)| name.is_empty() || names[..*n].contains(name));
-    let what = |name: &String| if name.is_empty() { "no name".into() } else { format!("{name:?} twice") };
-    again.map_or(Ok(()), |(n, name)| Err(wrong(format!("{path}.{key}[{n}].name"), what(name))))
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -226,7 +151,7 @@
     }
 
     fn start() -> Tuned {
-        Tuned::new(&text(&["look", "book"], &["acme", "lodge"])).unwrap()
+        Tuned::new(&text(&["look", "book"], &["acme", "lodge"]), "settings").unwrap()
     }
 
     fn names(tuned: &Tuned) -> Vec<(u16, &str)> {
