An answer that ends with trailers has ended

Cause: a body's frames were asked for until there is no more, but nobody asks again once the trailers have come: the client's side has all then and drops the body, which was taken for a client that has left. The connection was closed, and the answer told as called back.

Change: the trailers are the end of an answer that streams.

--- a/engine/src/parts/answer.rs
+++ b/engine/src/parts/answer.rs
@@ -166,6 +166,9 @@
             return Poll::Ready(None);
         }
         if let Some(frame) = self.read.pop_front() {
+            if frame.is_trailers() {
+                self.end(Outcome::Ok);
+            }
             return Poll::Ready(Some(Ok(frame)));
         }
         let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
@@ -179,7 +182,8 @@
         self.silence = None;
         match frame {
             Some(Ok(frame)) => {
-                if self.incoming.is_end_stream() {
+                // Nobody asks for more once the trailers have come.
+                if self.incoming.is_end_stream() || frame.is_trailers() {
                     self.end(Outcome::Ok);
                 } else if self.until <= Instant::now() {
                     return self.give_up("an answer took too long in all");
