Short answers of no stated length are held to their end on the platform

Cause: they were held for 10 ms in case that they were short, and then passed on as they came. One that was reset later had no other answer any more, though it was safe to ask again; one that never ended kept its client past its deadline, since what streams has none.

Change: they are held for as long as the request has time. On the platform an answer counts with its last byte, so that none comes later by it. Longer ones than 64 KiB, and those for which there is no room, stream as before.

--- a/routes/src/meaning.rs
+++ b/routes/src/meaning.rs
@@ -103,6 +103,10 @@
     pub total: Duration,
 }
 
+/// On the platform an answer counts with its last byte, so that nothing is lost by holding one of no stated length until then;
+/// if it breaks off, or never ends, the request can still be answered otherwise. The request's own time is shorter.
+const HOLD: Duration = Duration::from_secs(3600);
+
 /// How messages of one class pass.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Passage {
@@ -129,7 +133,7 @@
             begins: Begins::LastByte,
             answers: Answers {
                 buffer: 64 * 1024,
-                hold: Duration::from_millis(10),
+                hold: HOLD,
                 most: 1 << 30,
                 idle: Duration::from_secs(10),
                 total: Duration::from_secs(3600),
