Connections rest before their next request where upstreams answer twice

Cause: a second answer that comes some milliseconds late ends an idle connection, but once the next request has been written there it can't be told from the answer to that. The connection that fell idle last was always the next to be used, which makes that the most likely.

Change: once something has come on an idle connection, and for a minute from then on, a connection rests for 20 ms before its next request, as long as there is room for another. Without such an upstream nothing changes.

--- a/engine/src/parts/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -27,6 +27,9 @@
 /// [`Connection::send`], and much may have changed by then.
 pub type Permit = Box<dyn Fn() -> Result<(), Withheld>>;
 
+/// When bytes last came on an idle connection, of all those that share this.
+pub type Unasked = Rc<Cell<Option<Instant>>>;
+
 /// What is known of the request that is out on a connection, or about to be.
 #[derive(Default)]
 struct Exchange {
@@ -39,6 +42,20 @@
     written_when_heard: Cell<Option<u64>>,
     /// hyper holds bytes that the kernel has not taken.
     unflushed: Cell<bool>,
+    /// Where it is told that bytes have come, while no request is out.
+    idle: RefCell<Option<Unasked>>,
+}
+
+impl Exchange {
+    /// Bytes have come.
+    fn heard(&self, written: u64) {
+        if let Some(unasked) = &*self.idle.borrow() {
+            unasked.set(Some(Instant::now()));
+        }
+        if self.written_when_heard.get().is_none() {
+            self.written_when_heard.set(Some(written));
+        }
+    }
 }
 
 /// A stream that counts what was written to it, and gives `slot` back when its descriptor is closed.
@@ -78,13 +95,17 @@
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(()),
             Err(e) => Err(e),
             Ok(0) => Err(io::ErrorKind::UnexpectedEof.into()),
-            Ok(_) => Err(io::Error::new(io::ErrorKind::InvalidData, "bytes on an idle connection")),
+            Ok(_) => {
+                self.exchange.heard(self.written.count());
+                Err(io::Error::new(io::ErrorKind::InvalidData, "bytes on an idle connection"))
+            }
         }
     }
 
     fn count(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &poll {
             self.exchange.permit.take();
+            self.exchange.idle.take();
             self.written.add(*n);
         }
         poll
@@ -99,8 +120,8 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before && self.exchange.written_when_heard.get().is_none() {
-            self.exchange.written_when_heard.set(Some(self.written.count()));
+        if buf.filled().len() > before {
+            self.exchange.heard(self.written.count());
         }
         poll
     }
@@ -173,6 +194,11 @@
         self.sender.is_closed()
     }
 
+    /// It is idle from now on, until the first byte of its next request; what comes meanwhile is told here.
+    pub fn rest(&self, unasked: &Unasked) {
+        self.exchange.idle.replace(Some(Rc::clone(unasked)));
+    }
+
     /// Waits until it can take a request; `false` if it has ended instead.
     pub async fn is_usable(&mut self) -> bool {
         self.sender.ready().await.is_ok()
--- a/engine/src/parts/pool.rs
+++ b/engine/src/parts/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to upstreams: how many may be open, and which of them are idle.
 
-use crate::parts::connection::Connection;
+use crate::parts::connection::{Connection, Unasked};
 use crate::parts::descriptors::Descriptors;
 use crate::parts::seldom::Seldom;
 use lapisroute::UpstreamId;
@@ -19,6 +19,13 @@
 /// How many of them at one look.
 const SWEEP_MOST: usize = 512;
 
+/// How long a connection rests before its next request while upstreams are known to answer twice. What comes of a second answer
+/// while the connection is idle ends it; what comes once the next request is written would be taken for the answer to that.
+const REST: Duration = Duration::from_millis(20);
+
+/// How long upstreams are known for that.
+const REST_KEPT: Duration = Duration::from_secs(60);
+
 /// Connections open to all upstreams together.
 #[derive(Default)]
 struct Open {
@@ -113,6 +120,8 @@
     open: Rc<Open>,
     descriptors: Rc<Descriptors>,
     idle_most: Cell<Duration>,
+    /// When an upstream last spoke on an idle connection.
+    unasked: Unasked,
     full: Seldom,
 }
 
@@ -126,6 +135,7 @@
             open: Rc::default(),
             descriptors,
             idle_most: Cell::new(idle_most),
+            unasked: Unasked::default(),
             full,
         }
     }
@@ -140,6 +150,7 @@
         if connection.is_closed() {
             return;
         }
+        connection.rest(&self.unasked);
         let idle = &mut *self.idle.borrow_mut();
         let number = idle.next;
         idle.next += 1;
@@ -149,16 +160,39 @@
         self.open.tell();
     }
 
-    /// The connection to an upstream that fell idle last, if any is still of use.
-    pub fn take(&self, upstream: UpstreamId) -> Option<Connection> {
+    /// How long connections rest now.
+    fn rest(&self) -> Duration {
+        let lately = self.unasked.get().is_some_and(|at| at.elapsed() < REST_KEPT);
+        if lately { REST } else { Duration::ZERO }
+    }
+
+    /// Of the connections to an upstream that have rested, the one that fell idle last, if any is still of use.
+    fn take_rested(&self, upstream: UpstreamId) -> Option<Connection> {
+        let rest = self.rest();
+        self.take(upstream, |idle, of| {
+            of.iter().rev().find(|number| idle[*number].since.elapsed() >= rest).copied()
+        })
+    }
+
+    /// The connection to an upstream that has rested longest, if any is of use.
+    fn take_longest_idle(&self, upstream: UpstreamId) -> Option<Connection> {
+        self.take(upstream, |_, of| of.front().copied())
+    }
+
+    /// The connection to an upstream that is chosen, again until one is of use.
+    fn take(
+        &self,
+        upstream: UpstreamId,
+        choose: impl Fn(&BTreeMap<u64, Kept>, &VecDeque<u64>) -> Option<u64>,
+    ) -> Option<Connection> {
         let idle = &mut *self.idle.borrow_mut();
-        while let Some(number) = idle.of.get(&upstream).and_then(|of| of.back().copied()) {
+        loop {
+            let number = choose(&idle.kept, idle.of.get(&upstream)?)?;
             let kept = idle.remove(number)?;
             if kept.since.elapsed() < self.idle_most.get() && !kept.connection.is_closed() {
                 return Some(kept.connection);
             }
         }
-        None
     }
 
     /// Closes the idle connections to an upstream.
@@ -179,13 +213,17 @@
     /// An idle connection to an upstream, or else room for one more, made by closing an idle one to another if need be.
     pub async fn found(&self, upstream: UpstreamId) -> Found {
         loop {
-            if let Some(connection) = self.take(upstream) {
+            if let Some(connection) = self.take_rested(upstream) {
                 return Found::Idle(connection);
             }
             let most = self.descriptors.of(Part::Upstreams);
             if self.open.count.get() < most {
                 break;
             }
+            // Without room for another it can't rest.
+            if let Some(connection) = self.take_longest_idle(upstream) {
+                return Found::Idle(connection);
+            }
             if !self.close_oldest() {
                 self.full.warn(|| format!("all {most} connections to upstreams are in use"));
             }
--- a/engine/tests/answers_out_of_turn.rs
+++ b/engine/tests/answers_out_of_turn.rs
@@ -14,7 +14,9 @@
 use maplehook::parts::upstream::Upstreams;
 use maplehook_routes::Passage;
 use maplehook_standins::LONG;
+use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::Instant;
 
@@ -104,3 +106,45 @@
         next.abort();
     }
 }
+
+/// Guards clients from second answers that come some milliseconds late. Once one has come on an idle connection, a connection
+/// rests before its next request, so that another one finds it idle, too; until then each is used again at once.
+#[tokio::test(flavor = "local")]
+async fn connections_rest_where_upstreams_answer_twice() {
+    const REST: Duration = Duration::from_millis(20);
+    let (mut peer, upstreams) = one_upstream();
+    let mut answered: HashMap<usize, Instant> = HashMap::new();
+    for n in 0..8 {
+        let attempt = begin(&upstreams, outgoing(BOOK, "one"));
+        let mut come = None;
+        settle("it comes", || {
+            come = peer.next();
+            come.is_some()
+        })
+        .await;
+        let link = come.unwrap().link;
+        match answered.get(&link) {
+            _ if n <= 1 => assert_eq!(link, 0, "used again at once"),
+            Some(at) => assert!(at.elapsed() >= REST, "{link} after {:?}", at.elapsed()),
+            None => {}
+        }
+        answered.insert(link, Instant::now());
+        peer.answer(link, "done");
+        assert_eq!(attempt.await.unwrap().outcome, Outcome::Ok);
+        if n == 1 {
+            peer.answer(link, "done");
+            settle("it is ended", || {
+                peer.next();
+                peer.links[link].ended
+            })
+            .await;
+        }
+    }
+    // Those that have rested are used again.
+    let links = peer.links.len();
+    tokio::time::sleep(2 * REST).await;
+    let attempt = begin(&upstreams, outgoing(BOOK, "one"));
+    settle("it comes", || peer.next().is_some()).await;
+    assert_eq!(peer.links.len(), links);
+    attempt.abort();
+}
