Attempts whose connection comes up late, or never, tested against the program

All three hold already: the time told is what is left when the attempt is written, a client that leaves ends the connection that is being made for it, and one that never comes up proves that nothing ran.

--- /dev/null
+++ b/node/tests/attempts.rs
@@ -0,0 +1,101 @@
+//! Attempts whose connection comes up late, or never, as the balancer's process makes them.
+
+mod common;
+
+use common::*;
+use std::io::BufReader;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// An upstream whose machine takes no connection for now: its queue of connections to be accepted is full.
+struct Busy {
+    listener: TcpListener,
+    address: SocketAddr,
+    filler: TcpStream,
+}
+
+impl Busy {
+    fn start() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let filler = TcpStream::connect(address).unwrap();
+        Self { listener, address, filler }
+    }
+
+    /// From now on connections come up, those that wait within a second or so.
+    fn free(self) -> TcpListener {
+        drop(self.filler);
+        self.listener.accept().unwrap();
+        self.listener
+    }
+}
+
+/// Guards upstreams from work for nobody: the time that an attempt tells is what is left when it is written, and a connection
+/// that came up late has taken its part of that.
+#[test]
+fn a_connection_that_comes_up_late_leaves_less_time() {
+    let busy = Busy::start();
+    let node = Setup::with(&[busy.address]).start();
+    let before = node.descriptors();
+    let mut client = node.connect();
+    let sent = Instant::now();
+    client.write(&book(5000, "x"));
+    // Its client's connection, and the one that does not come up.
+    until("the attempt waits for its connection", || node.descriptors() >= before + 2);
+    let (stream, _) = busy.free().accept().unwrap();
+    let told = Message::read(&mut BufReader::new(&stream)).unwrap();
+    let told =
+        told.header("x-time-left-ms").and_then(|ms| ms.parse().ok()).map(Duration::from_millis).unwrap();
+    let left = Duration::from_millis(5000).saturating_sub(sent.elapsed());
+    assert!(told <= left + Duration::from_millis(150), "{told:?} of {left:?}");
+    // It did wait: the first try of the network came to nothing.
+    assert!(left < Duration::from_millis(4900), "{left:?}");
+}
+
+/// Guards upstreams from work for nobody, and descriptors: a client that leaves while the connection for its attempt is being
+/// made takes that along, and what comes up later carries nothing.
+#[test]
+fn a_client_that_leaves_ends_the_connection_that_is_being_made() {
+    let busy = Busy::start();
+    let node = Setup::with(&[busy.address]).start();
+    let before = node.descriptors();
+    let mut client = node.connect();
+    client.write(&book_as("gone", "x"));
+    until("the attempt waits for its connection", || node.descriptors() >= before + 2);
+    drop(client);
+    let left = Instant::now();
+    until("both connections are closed", || node.descriptors() <= before);
+    assert!(left.elapsed() < Duration::from_secs(1), "{:?}", left.elapsed());
+    // The next client's request is the first that comes.
+    let listener = busy.free();
+    let mut next = node.connect();
+    next.write(&book_as("next", "x"));
+    let first = listener.incoming().map_while(Result::ok).find_map(|s| Message::read(&mut BufReader::new(s)));
+    assert_eq!(first.unwrap().header("x-correlation-id"), Some("next"));
+}
+
+/// Guards unsafe requests: a connection that never comes up proves that nothing ran, and the request is served elsewhere in
+/// time.
+#[test]
+fn a_connection_that_never_comes_up_is_tried_elsewhere() {
+    let busy = Busy::start();
+    let good = Upstream::start(Then::Answer(OK));
+    // Connections may take 2 s to come up.
+    let node = Setup::with(&[busy.address, good.address]).start();
+    let clients: Vec<_> = (0..8)
+        .map(|n| {
+            let mut client = node.connect();
+            client.write(&book_as(&format!("id-{n}"), "x"));
+            client
+        })
+        .collect();
+    for mut client in clients {
+        assert_eq!(client.answer().unwrap().status(), 200);
+    }
+    assert_eq!(good.seen().len(), 8);
+    drop(busy);
+}
