SIGHUP is caught before the configuration is read, and heeded once the process serves

Cause: the handler was set in node/src/serve/platform.rs (`signal(SignalKind::hangup())`), after `Config::from_env` in main.rs. A SIGHUP before that ended the process, which counts as a crash; where the file was changed between its reading and the handler, the move of discovery would have been missed. Change: the first act of the platform's start sets the handler; what comes before the retuner listens is kept for it. The test has the process read its configuration from a FIFO, so that SIGHUP comes in the midst of it every time. Open: the few milliseconds from exec to main; `maplehook run`, whose operator's file is no platform's.

--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod places_command;
 mod refusals;
 mod requests;
-mod retune;
+pub mod retune;
 pub mod rollout;
 pub mod rollout_command;
 pub mod serve;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,7 +5,7 @@
 use maplehook_node::config::Config;
 use maplehook_node::settings::Outcome;
 use maplehook_node::supervised::Supervised;
-use maplehook_node::{inherited, serve, supervise_command};
+use maplehook_node::{inherited, retune, serve, supervise_command};
 use std::error::Error;
 use std::io;
 use std::net::TcpListener;
@@ -77,6 +77,7 @@
             return Ok(if whole { ExitCode::SUCCESS } else { ExitCode::from(2) });
         }
         None => {
+            retune::catch_hangups()?;
             // Its faults come first: they are there whoever starts it.
             let operator = command::operator(line.config.as_deref())?;
             serve::on_platform(Config::from_env()?, operator, inherited, None)?;
--- a/node/src/retune.rs
+++ b/node/src/retune.rs
@@ -9,14 +9,25 @@
 use maplehook::parts::driver::Driver;
 use maplehook::tally::Counting;
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::Signal;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::Instant;
 
 /// How long a process stays after SIGTERM, by its settings.
 pub type Grace = Rc<Cell<Duration>>;
 
+/// From here on SIGHUP ends this process no more, and one that comes before [`Retuner::run`] listens is kept for it: the
+/// platform may send it as soon as the process is there, and while the configuration that it is about is being read.
+pub fn catch_hangups() -> io::Result<()> {
+    let runtime = Builder::new_current_thread().enable_io().build()?;
+    let _entered = runtime.enter();
+    // The handler stays for good. What it has noted is passed on by the runtime that serves.
+    signal(SignalKind::hangup()).map(drop)
+}
+
 /// Whom new settings concern.
 pub struct Retuner {
     /// What the process was started with.
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -3,9 +3,10 @@
 mod common;
 
 use common::*;
+use maplehook_standins::registry::Registry;
 use std::io::Write;
 use std::process::{Command, Stdio};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 const TURNED_AWAY: &str = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
 const PLAIN_503: &str = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
@@ -330,3 +331,35 @@
     let output = Command::new(env!("CARGO_BIN_EXE_maplehook")).env_remove("NODE_CONFIG").output().unwrap();
     assert!(!output.status.success());
 }
+
+/// Guards a process that has just begun against SIGHUP: one that comes while the configuration is being read neither ends
+/// it nor is lost. Discovery is called where the newer file says.
+#[test]
+fn a_hangup_while_the_configuration_is_read_is_heeded() {
+    let (old, new) = (Registry::start(), Registry::start());
+    let mut setup = Setup::with(&[nobody()]);
+    (setup.discovery, setup.asks) = (old.address(), true);
+    let path = std::env::temp_dir().join(format!("maplehook-early-{}.json", std::process::id()));
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let program = env!("CARGO_BIN_EXE_maplehook");
+    let mut child =
+        Command::new(program).env("NODE_CONFIG", &path).env_remove("NODE_OPERATOR").spawn().unwrap();
+    // Opens once the process has begun to read.
+    let mut reading = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+    let first = setup.text();
+    setup.discovery = new.address();
+    let newer = path.with_extension("new");
+    std::fs::write(&newer, setup.text()).unwrap();
+    std::fs::rename(&newer, &path).unwrap();
+    let hangup = Command::new("sh").arg("-c").arg(format!("kill -HUP {}", child.id())).status().unwrap();
+    assert!(hangup.success());
+    let _ = reading.write_all(first.as_bytes());
+    drop(reading);
+    let called = new.call_within(Duration::from_secs(5)).is_some();
+    let runs = child.try_wait().unwrap().is_none();
+    let _ = child.kill();
+    child.wait().unwrap();
+    std::fs::remove_file(&path).unwrap();
+    assert!(runs, "it was ended");
+    assert!(called, "the newer file was not read");
+}
