A balancer that knows no rate has a warm upstream beside its cold ones

Cause: in a thin fleet a subset has two or three upstreams, and when half of the fleet has just been replaced all of them may be cold. A cold upstream gets its turns by the clock, from the rate that the balancer has learned or the settings state; where no allowance is stated, one that has just started has none, so its first turns come minutes apart, and it refuses all else until the upstreams are warm. Ruled out: the buckets (full), W (room for one).

Change: where cold upstreams alone would earn less than a turn in ten seconds, `choose_subset` takes one more upstream that is warm, if there is any, and keeps it.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -79,12 +79,11 @@
     /// Where a further attempt would go, if one may.
     fn follows(&mut self, id: RequestId, cost: f64) -> Option<usize> {
         let r = self.requests.get(&id)?;
-        let at = self.at;
         if r.ended
             || r.streaming
             || r.attempts.len() >= usize::from(r.attempts_most)
-            || at + 1e-3 >= r.deadline
-            || at + 0.5 * self.classes[r.class].latency >= r.worth_until
+            || self.at + 1e-3 >= r.deadline
+            || self.at + 0.5 * self.classes[r.class].latency >= r.worth_until
             || self.retries < cost
             || self.ring.is_empty()
             || is_spent(r)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,13 +29,11 @@
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
         let count = set.tenants.len().max(1);
-        let buckets = (0..count).map(|i| bucket(&set, i));
-        let classes = set.classes.iter().map(unlearned);
         Ok(Self {
             subset_least: subset_least(&set),
             rng: Chance::with_seed(seed),
-            buckets: buckets.collect(),
-            classes: classes.collect(),
+            buckets: (0..count).map(|i| bucket(&set, i)).collect(),
+            classes: set.classes.iter().map(unlearned).collect(),
             rate_now: stated_each(&set),
             shortest: shortest(&set),
             set,
--- a/src/subset.rs
+++ b/src/subset.rs
@@ -1,29 +1,28 @@
 //! The list of upstreams as it changes, and who of them take turns.
 
 use crate::interface::*;
-use crate::state::{Balancer, Health, Upstream, stated_each};
-use crate::stats::Chance;
+use crate::state::{Balancer, Health, Upstream, climb, stated_each};
+use crate::{stats::Chance, turns::COLD_SHARE};
 
 /// Upstreams in a subset for each request a second that the balancer may get, and at the least.
 const SUBSET_EACH: f64 = 0.7;
 const SUBSET_LEAST: f64 = 2.0;
 /// Subsets that each upstream is in at the least.
 const SUBSETS_EACH: usize = 4;
+/// Turns a second under which cold upstreams alone would leave nearly all requests refused.
+const COLD_TURNS: f64 = 0.1;
 
 impl Balancer {
     pub(crate) fn fleet(&mut self, scope: FleetScope, listed: &[Listed]) {
         if scope == FleetScope::Failed {
             // Doubling, jittered waits: a list service that was down must not meet all at once.
-            let longest = self.set.ask_every.as_secs_f64() * 0.8;
-            let wait = (longest / 16.0) * f64::from(1u32 << self.ask_failures.min(4));
-            self.ask_failures += 1;
-            self.watching = false;
+            let wait = self.set.ask_every.as_secs_f64() * 0.05 * f64::from(1u32 << self.ask_failures.min(4));
+            (self.ask_failures, self.watching) = (self.ask_failures + 1, false);
             self.ask_at = self.at + wait * (0.5 + 0.5 * self.rng.f64());
             return;
         }
         if scope != FleetScope::Cached {
-            self.watching = true;
-            self.ask_failures = 0;
+            (self.ask_failures, self.watching) = (0, true);
         }
         let mut changed = scope != FleetScope::Changes;
         if changed {
@@ -36,13 +35,11 @@
             let j = *self.index.entry(l.id).or_insert_with(|| {
                 // A newcomer to a list already known has just started, whatever the list says.
                 let started = started.or((!first).then_some(self.at));
-                let credit = self.rng.f64();
-                let health = vec![Health::default(); self.classes.len()];
                 self.ring.push(Upstream {
-                    health,
+                    health: vec![Health::default(); self.classes.len()],
                     id: l.id,
                     started,
-                    credit,
+                    credit: self.rng.f64(),
                     capacity: 1.0,
                     alive_at: f64::NEG_INFINITY,
                     weighed_at: self.at,
@@ -53,8 +50,7 @@
                 self.ring.len() - 1
             });
             let u = &mut self.ring[j];
-            // Rings are by zone.
-            changed |= self.tables.is_some() && u.zone != l.zone;
+            changed |= self.tables.is_some() && u.zone != l.zone; // rings are by zone
             (u.zone, u.cell) = (l.zone, l.cell);
             changed |= u.ready != (l.availability == Availability::Ready);
             u.ready = l.availability == Availability::Ready;
@@ -112,8 +108,7 @@
         for u in &mut self.ring {
             u.member &= u.ready && self.tables.as_ref().is_none_or(|t| t.reaches(u.zone));
             if !u.member {
-                // Time without turns earns none.
-                (u.weighed_at, u.waited) = (self.at, 0.0);
+                (u.weighed_at, u.waited) = (self.at, 0.0); // time without turns earns none
             }
         }
         // Who comes back from ejection is looked at again then.
@@ -132,16 +127,24 @@
             u.fresh &= !usable;
             members += usize::from(u.member);
         }
+        // Not cold ones alone while any is warm, where nothing tells how many turns those may have.
+        let (set, at) = (&self.set, self.at);
+        let known = COLD_SHARE * set.fall_multiple * self.rate_now >= COLD_TURNS;
+        let is_warm = |u: &Upstream| known || climb(set, at, u) >= 1.0;
+        let mut warm = self.ring.iter().filter(|u| u.member && is_warm(u)).count();
         for j in &order {
             let u = &mut self.ring[*j];
-            if members < least && !u.member && u.ejected_until <= self.at {
+            let wanted = members < least || (warm == 0 && is_warm(u));
+            if wanted && !u.member && u.ejected_until <= at {
                 (u.member, members) = (true, members + 1);
+                warm += usize::from(is_warm(u));
             }
         }
         for j in order.iter().rev() {
             let u = &mut self.ring[*j];
-            if members > least && u.member && !all {
+            if members > least + usize::from(warm == 1) && u.member && !all && (warm > 1 || !is_warm(u)) {
                 (u.member, members) = (false, members - 1);
+                warm -= usize::from(is_warm(u));
                 self.out.push(Action::CloseIdle { upstream: u.id });
             }
         }
--- a/tests/common/fleet.rs
+++ b/tests/common/fleet.rs
@@ -41,10 +41,10 @@
 }
 
 impl Dark {
-    /// One more has come. Whether that makes it too long; it is counted anew then.
-    fn is_too_long(&mut self, now: f64) -> bool {
-        if self.asked == 0 {
-            self.since = now;
+    /// One more has come. Whether that makes it too long, counted from some time on; it is counted anew then.
+    fn is_too_long(&mut self, now: f64, from: f64) -> bool {
+        if self.asked == 0 || self.since < from {
+            (self.asked, self.since) = (0, now);
         }
         self.asked += 1;
         let too_long = self.asked >= DARK_ASKED && now - self.since >= DARK_OVER;
@@ -193,11 +193,9 @@
         };
         let player = &mut self.players[b];
         player.open.insert(id, open);
-        let (unsent, unserved) = (player.unsent.is_too_long(self.now), player.unserved.is_too_long(self.now));
-        if self.now >= START && self.now > self.day.outage.until() {
-            self.seen.unsent += usize::from(unsent);
-            self.seen.unserved += usize::from(unserved);
-        }
+        let from = START.max(self.day.outage.until());
+        self.seen.unsent += usize::from(player.unsent.is_too_long(self.now, from));
+        self.seen.unserved += usize::from(player.unserved.is_too_long(self.now, from));
         self.seen.asked += usize::from(self.now >= START);
         let (class, tenant) = (ClassId(class as u16), TenantId(tenant as u32));
         self.tell(b, Event::Request { id, class, tenant, time_left, work_ms: None, repeat: false });
