After seconds with no attempt one request goes without a token, to tell of room

Cause: when all upstreams have hung, what is still out there is overdue and takes all room, W is under nil and every guarantee is cut to nothing, until the last of those attempts is over. With deadlines of seconds a balancer turned all away for more than four seconds after the upstreams were well again: nothing was sent that could tell. Ruled out: ejections and turns, since the missing token alone makes the difference.

Change: a request that finds no token is admitted when nothing was sent for 2.5 s and more than two were refused within the last one.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -29,7 +29,7 @@
             self.out.push(Action::CloseIdle { upstream: u.id });
             idle = 0.0;
         }
-        u.used_at = self.at;
+        (u.used_at, self.sent_at) = (self.at, self.at);
         u.in_flight += 1;
         u.health[r.class].sent = self.at;
         let class = &self.set.classes[r.class];
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,8 @@
 pub(crate) const TICK: f64 = 0.025;
 /// Share of the aim after which an attempt whose late answer is worth nothing is given up.
 const AIM_LEFT: f64 = 0.98;
+/// Seconds with no attempt, and requests refused in one, after which one goes with no token: to tell of room.
+const UNSENT: (f64, f64) = (2.5, 2.0);
 /// The timer of the tick.
 const TICK_TIMER: TimerId = TimerId(0);
 
@@ -47,11 +49,10 @@
     /// Takes in one event and adds what is to be done about it.
     pub fn handle(&mut self, now: Duration, event: Event<'_>, actions: &mut Vec<Action>) {
         std::mem::swap(&mut self.out, actions);
-        let at = now.as_secs_f64();
-        (self.now, self.at) = (now, at);
+        (self.now, self.at) = (now, now.as_secs_f64());
         if !std::mem::replace(&mut self.ticking, true) {
-            self.last_tick = at;
-            self.ask_at = at + self.set.ask_every.as_secs_f64() * 0.1 * self.rng.f64();
+            self.last_tick = self.at;
+            self.ask_at = self.at + self.set.ask_every.as_secs_f64() * 0.1 * self.rng.f64();
             let after = Duration::from_secs_f64(TICK * self.rng.f64());
             self.out.push(Action::Timer { after, timer: TICK_TIMER });
         }
@@ -86,7 +87,8 @@
         let bucket = &mut self.buckets[tenant];
         bucket.arrivals += 1.0;
         self.asked += 1.0;
-        let turn = if bucket.tokens >= 1.0 { self.turn(class, tenant) } else { None };
+        let may = bucket.tokens >= 1.0 || (self.at > self.sent_at + UNSENT.0 && self.turned > UNSENT.1);
+        let turn = may.then(|| self.turn(class, tenant)).flatten();
         if let Some(tables) = &self.tables {
             self.sight.asked(tables.row(class, tenant), turn.is_none());
         }
@@ -95,7 +97,7 @@
             self.refuse(id, left);
             return;
         };
-        self.buckets[tenant].tokens -= 1.0;
+        self.buckets[tenant].tokens = (self.buckets[tenant].tokens - 1.0).max(0.0);
         self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
         for (k, learned) in self.classes.iter_mut().enumerate() {
             learned.share += 0.01 * (f64::from(u8::from(k == class)) - learned.share);
@@ -178,10 +180,9 @@
                 None => self.buckets.push(new),
             }
         }
-        for tenant in gone {
-            if let Some(b) = self.buckets.get_mut(tenant.0 as usize) {
-                b.gone = true;
-            }
+        let known = self.buckets.len();
+        for tenant in gone.iter().filter(|t| (t.0 as usize) < known) {
+            self.buckets[tenant.0 as usize].gone = true;
         }
         (self.shortest, self.subset_least) = (shortest(set), subset_least(set));
         self.set = set.clone();
--- a/src/learning.rs
+++ b/src/learning.rs
@@ -75,12 +75,11 @@
         }
         // Silence on idle connections, not on those in use, is laid to the way there: something drops them
         // unseen. They are closed before use. Harm where that is wrong: a handshake a use, for a while.
-        let silent = &mut self.silent;
         if ok || unanswered {
-            let share = &mut silent[usize::from(idle > IDLE)];
+            let share = &mut self.silent[usize::from(idle > IDLE)];
             *share += 0.2 * (f64::from(u8::from(unanswered)) - *share);
         }
-        if unanswered && idle > IDLE && silent[1] > 0.3 && silent[1] > 2.0 * silent[0] {
+        if unanswered && idle > IDLE && self.silent[1] > 0.3 && self.silent[1] > 2.0 * self.silent[0] {
             let before = if self.at < self.reap_until { self.reap } else { f64::INFINITY };
             (self.reap, self.reap_until) = (before.min(idle / 2.0).max(IDLE), self.at + REAP_KEPT);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,7 @@
     pub(crate) busy: f64, // share of the upstreams' cores in use, by their reports
     pub(crate) busy_at: f64,
     pub(crate) retries: f64,
+    pub(crate) sent_at: f64, // the newest attempt
     pub(crate) ticking: bool,
     pub(crate) last_tick: f64,
     pub(crate) watching: bool,
--- a/tests/dark.rs
+++ b/tests/dark.rs
@@ -55,3 +55,9 @@
         (seed..seed + 4).for_each(|seed| few_are_dark_after_an_outage(30, seed, outcome));
     }
 }
+
+#[test]
+fn all_serve_after_all_attempts_were_overdue() {
+    (0..16).for_each(|seed| few_are_dark_after_an_outage(3, seed, Outcome::TimedOut));
+    (0..8).for_each(|seed| few_are_dark_after_an_outage(30, seed, Outcome::TimedOut));
+}
