What a balancer saves up for a cold upstream while it has no requests is one turn

A test that guards the cap of the credit: with 5 in place of 1.5 it fails with

assertion `left == right` failed: sent at once to one that starts at 0.05 left: 5 right: 1

--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -8,8 +8,10 @@
 #[path = "common/fleet.rs"]
 mod fleet;
 
+use common::{Bench, class, listed, ms};
 use day::{Day, FIGURES, START};
 use fleet::{Seen, play};
+use lapisroute::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -77,6 +79,27 @@
     none_is_pushed_over(300, &[7, 18, 24, 51, 56]);
 }
 
+/// However long a balancer had no requests: of what it could have sent a cold upstream, one is left.
+#[test]
+fn turns_are_not_saved_up_for_one_burst() {
+    for cold_from in [0.05, 0.3, 0.9] {
+        let set = Settings {
+            classes: vec![class(400, 1000, Effect::Idempotent)],
+            tenants: vec![Tenant { allowance_per_s: 200.0 }],
+            cold_time: ms(60_000),
+            cold_from,
+            ..Settings::default()
+        };
+        let mut bench = Bench::new(set, &[listed(1), listed(2), listed(3)]);
+        let new = Listed { started: Some(ms(0)), ..listed(9) };
+        bench.tell(Event::Fleet { scope: FleetScope::Changes, listed: &[new] });
+        bench.run(ms(20_000));
+        bench.traffic(100, ms(0), |_| Some(Outcome::Ok));
+        let sent = bench.attempts_at(UpstreamId(9));
+        assert_eq!(sent, 1, "sent at once to one that starts at {cold_from}");
+    }
+}
+
 /// Any number of balancers on any day: the same days in each run.
 #[test]
 fn none_is_pushed_over_on_any_day() {
