--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -79,6 +79,20 @@
     none_is_pushed_over(300, &[7, 18, 24, 51, 56]);
 }
 
+/// All balancers restart in the moment of the start, and know it by their first list: full buckets, nothing learned.
+#[test]
+fn none_is_pushed_over_by_balancers_that_all_restart() {
+    for (balancers, seeds) in [(3, 40..52), (30, 46..52), (300, 51..52)] {
+        for seed in seeds {
+            let mut day = Day::numbered(balancers, seed);
+            (day.fresh, day.handed, day.dated) = (1.0, 0.0, true);
+            let share = largest_share(&day, &play(&day));
+            println!("{balancers} balancers, day {seed}: {share:.2} of the bound");
+            assert!(share <= 1.0, "day {seed}: {share:.2} of what pushes an upstream over: {day:?}");
+        }
+    }
+}
+
 /// However long a balancer had no requests: of what it could have sent a cold upstream, one is left.
 #[test]
 fn turns_are_not_saved_up_for_one_burst() {
