A connection that has rested for its time is looked at once more before it is closed

Cause: `Server::connection` shut a resting connection when its time was up without letting the runtime look at the stream first; a request that had come by then was left unread. It has a glance now, and is served if it asks. One that has rested for long is closed plainly: no answer can be on its way, and what crosses the close stays unread.

Printed before the mend: clients.rs: client 0 has no answer

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -16,6 +16,8 @@
 const READ_RATE: f64 = 8.0 * 1024.0;
 /// A connection on which nothing has been asked for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(6);
+/// An answer that has been written for so long has been read, or its client holds up what comes after it.
+const READ_BY_NOW: Duration = Duration::from_secs(3);
 /// Between two looks at a connection on which a request may begin at any time.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Time for the word on why a request that did not come whole is not answered.
@@ -193,6 +195,16 @@
         }
     }
 
+    /// Whether it has had all the time that it may take for what it does.
+    pub fn is_overdue(&self) -> bool {
+        self.due().is_some_and(|due| due <= Instant::now())
+    }
+
+    /// Whether its last answer lies so far back that it has long been read.
+    pub fn has_rested(&self) -> bool {
+        self.stand.get() == Stand::Idle && self.since.get().elapsed() > READ_BY_NOW
+    }
+
     /// Whether it has left an answer unread for too long.
     pub fn is_stalled(&self) -> bool {
         self.blocked.get().is_some_and(|since| since.elapsed() >= self.stall)
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -40,7 +40,7 @@
         if let Err(e) = self.converse(&wire, peer).await {
             tracing::debug!("client: {e}");
         }
-        if let Some(stream) = Wire::into_unread(wire) {
+        if let Some(stream) = Wire::into_unread(wire).filter(|_| !client.has_rested()) {
             close(&client, stream).await;
         }
         client.leaves();
@@ -59,10 +59,22 @@
         builder.header_read_timeout(None).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(Inbound(Rc::clone(wire))), service);
         tokio::pin!(connection);
-        let leaving = tokio::select! {
-            ended = attended(connection.as_mut(), wire) => return ended,
-            () = client.is_to_end() => false,
-            _ = phase.wait_for(|p| *p >= Phase::Closing) => true,
+        let leaving = loop {
+            let leaving = tokio::select! {
+                ended = attended(connection.as_mut(), wire) => return ended,
+                () = client.is_to_end() => false,
+                _ = phase.wait_for(|p| *p >= Phase::Closing) => true,
+            };
+            if leaving || client.is_told() || client.stand() != Stand::Idle {
+                break leaving;
+            }
+            // One that has rested for long: what has just come may not have been looked at.
+            if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
+                return ended;
+            }
+            if client.is_overdue() {
+                break leaving;
+            }
         };
         if !settle(client, leaving, attended(connection.as_mut(), wire)).await? {
             return Ok(());
--- a/node/src/server/connection/tests.rs
+++ b/node/src/server/connection/tests.rs
@@ -50,3 +50,17 @@
     assert!(settle(&client, false, serves).await.unwrap());
     assert!(served.get());
 }
+
+/// Guards whoever has only just connected when the process ends: its request is on its way, and has a moment to come. One
+/// that rests between requests has none.
+#[tokio::test(flavor = "local")]
+async fn a_newcomer_has_a_moment_for_its_request() {
+    let asks = |after| async move {
+        sleep(after).await;
+        Ok(())
+    };
+    let newcomer = crate::client::tests::alone();
+    assert!(!settle(&newcomer, true, asks(NEWCOMER / 2)).await.unwrap(), "served, and ended with that");
+    assert!(settle(&newcomer, true, asks(2 * NEWCOMER)).await.unwrap());
+    assert!(settle(&answered(), true, asks(NEWCOMER / 2)).await.unwrap());
+}
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -134,6 +134,27 @@
     until("they are closed", || node.descriptors() <= before + 1);
 }
 
+/// Guards a request on a connection that has rested for so long that it is about to be closed.
+#[test]
+fn a_request_at_the_end_of_a_long_rest_is_served() {
+    const REST_MOST: Duration = Duration::from_secs(6);
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let as_of = |n: usize| look(5000).replace("77aa", &format!("{n:x}"));
+    let mut clients: Vec<_> = (0..16).map(|_| node.connect()).collect();
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.exchange(&as_of(n)).status(), 200);
+    }
+    node.pause();
+    clients.iter_mut().enumerate().for_each(|(n, client)| client.write(&as_of(n)));
+    std::thread::sleep(REST_MOST);
+    node.resume();
+    for (n, client) in clients.iter_mut().enumerate() {
+        let answer = client.answer().unwrap_or_else(|| panic!("client {n} has no answer"));
+        assert_eq!((answer.status(), answer.header("connection")), (200, None));
+    }
+}
+
 /// Answers what arrives with each request's own id, as long as requests come.
 fn echo(arrived: Receiver<Arrived>) -> std::thread::JoinHandle<Vec<String>> {
     std::thread::spawn(move || {
