--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::gates::{Arrived, holding, narrow, unread};
+use common::gates::{Arrived, holding, narrow};
 use common::{Client, LONG, OK, Setup, Then, Upstream, book, book_as, look, until};
 use std::sync::mpsc::Receiver;
 use std::time::{Duration, Instant};
@@ -31,7 +31,7 @@
         client.write(&book(60_000, "x"));
         until("the upstream has it", || upstream.seen().len() == 1);
         client.write(behind);
-        node.has_read(&client);
+        node.has_read([&client]);
         assert_eq!(upstream.ended(), 0);
         let left = Instant::now();
         drop(client);
@@ -53,7 +53,7 @@
         let mut client = node.connect();
         client.write(&(book_as("aa", "1") + &book_as("bb", "2") + &book_as("cc", "3")));
         let first = arrived.recv_timeout(LONG).unwrap();
-        node.has_read(&client);
+        node.has_read([&client]);
         node.pause();
         first.answer("one");
         drop(client);
@@ -79,7 +79,7 @@
     let second = look(2000);
     client.write(&(book(8000, "x") + &second));
     let first = arrived.recv_timeout(LONG).unwrap();
-    node.has_read(&client);
+    node.has_read([&client]);
     std::thread::sleep(STOOD);
     first.answer("one");
     let next = arrived.recv_timeout(LONG).unwrap();
@@ -177,7 +177,7 @@
     goes.write(&burst("goes"));
     let first = arrived.recv_timeout(LONG).unwrap();
     assert_eq!(first.message.header("x-correlation-id"), Some("goes-0"));
-    node.has_read(&goes);
+    node.has_read([&goes]);
     stays.write(&burst("stays"));
     drop(goes);
     let echo = echo(arrived);
@@ -202,29 +202,24 @@
     let chunked =
         book_as("id", "").replace("Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n");
     let chunked = chunked + "3\r\na d\r\n2;x=y\r\nay\r\n0\r\nT: 1\r\n\r\n";
-    let (mut client, mut sent) = (node.connect(), 0);
-    client.writer().set_nodelay(true).unwrap();
-    // Of the second only the end of its head, and its body.
-    for (text, from) in [(chunked, 1), (book_as("id", "a day"), 170)] {
-        for cut in from..text.len() {
-            client.write(&text[..cut]);
-            read(&node, &client);
-            assert_eq!(client.exchange(&text[cut..]).status(), 200, "{cut} of {text:?}");
-            sent += 1;
-            assert_eq!(upstream.seen()[sent - 1].body, b"a day", "{cut} of {text:?}");
+    let mut clients: Vec<Client> = (0..32).map(|_| node.connect()).collect();
+    let mut sent = 0;
+    for text in [chunked, book_as("id", "a day")] {
+        let cuts: Vec<usize> = (1..text.len()).collect();
+        for cuts in cuts.chunks(clients.len()) {
+            let clients = &mut clients[..cuts.len()];
+            clients.iter_mut().zip(cuts).for_each(|(client, cut)| client.write(&text[..*cut]));
+            node.has_read(&*clients);
+            for (client, cut) in clients.iter_mut().zip(cuts) {
+                assert_eq!(client.exchange(&text[*cut..]).status(), 200, "{cut} of {text:?}");
+                sent += 1;
+                assert_eq!(upstream.seen()[sent - 1].body, b"a day", "{cut} of {text:?}");
+            }
         }
     }
     assert_eq!(upstream.seen().len(), sent);
 }
 
-/// As [`common::Node::has_read`], without its pauses.
-fn read(node: &common::Node, client: &Client) {
-    let (peer, start) = (client.writer().local_addr().unwrap(), Instant::now());
-    while unread(node.address, peer) != Some(0) {
-        assert!(start.elapsed() < LONG);
-    }
-}
-
 /// Guards what is taken against what comes with it: a request that is fit is served, though the one behind it is not, and
 /// the refusal of that one arrives though more comes behind it.
 #[test]
--- a/node/tests/common/gates.rs
+++ b/node/tests/common/gates.rs
@@ -1,6 +1,7 @@
 //! Gates: stand-ins and looks by which a test brings about one order of events each time.
 
 use super::{Client, LONG, Message, Node, until};
+use std::collections::HashSet;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, channel};
@@ -44,27 +45,32 @@
     (address, received)
 }
 
-/// Bytes from `peer` that `local` has not read, as the kernel counts them; `None` if there is no such connection.
-pub fn unread(local: SocketAddr, peer: SocketAddr) -> Option<u64> {
-    let hex = |address: SocketAddr| match address {
+/// How the kernel writes an address in its tables.
+fn in_table(address: SocketAddr) -> String {
+    match address {
         SocketAddr::V4(v4) => format!("{:08X}:{:04X}", u32::from_ne_bytes(v4.ip().octets()), v4.port()),
         SocketAddr::V6(_) => panic!("{address}"),
-    };
-    let (local, peer) = (hex(local), hex(peer));
+    }
+}
+
+/// The peers from which all that has come at `local` is read, as the kernel counts it.
+fn read_from(local: SocketAddr) -> HashSet<String> {
+    let local = in_table(local);
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
-    table.lines().find_map(|line| {
+    let is_read = table.lines().filter_map(|line| {
         let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_it = fields.get(1) == Some(&&*local) && fields.get(2) == Some(&&*peer);
-        let queue = fields.get(4).filter(|_| is_it)?.split(':').nth(1)?;
-        u64::from_str_radix(queue, 16).ok()
-    })
+        let is_it = fields.get(1) == Some(&&*local) && fields.get(4)?.ends_with(":00000000");
+        is_it.then(|| fields[2].to_owned())
+    });
+    is_read.collect()
 }
 
 impl Node {
-    /// Waits until it has read all that this client has sent.
-    pub fn has_read(&self, client: &Client) {
-        let peer = client.writer().local_addr().unwrap();
-        until("all is read", || unread(self.address, peer) == Some(0));
+    /// Waits until it has read all that these clients have sent.
+    pub fn has_read<'a>(&self, clients: impl IntoIterator<Item = &'a Client>) {
+        let peers = clients.into_iter().map(|client| in_table(client.writer().local_addr().unwrap()));
+        let peers: HashSet<String> = peers.collect();
+        until("all is read", || peers.is_subset(&read_from(self.address)));
     }
 
     /// Waits until it accepts nobody any more.
--- a/node/tests/shutdown.rs
+++ b/node/tests/shutdown.rs
@@ -24,7 +24,7 @@
     let (mut client, mut resting) = (node.connect(), node.connect());
     client.write(&(book_as("aa", "1") + &book_as("bb", "2")));
     let first = arrived.recv_timeout(LONG).unwrap();
-    node.has_read(&client);
+    node.has_read([&client]);
     node.terminate();
     // All connections are told at one moment: this one shows that the other has been, too.
     assert!(resting.ends());
@@ -108,7 +108,7 @@
     let (mut whole, mut half) = (node.connect(), node.connect());
     for (client, id) in [(&mut whole, "aa"), (&mut half, "bb")] {
         client.write(book_as(id, "ab").strip_suffix('b').unwrap());
-        node.has_read(client);
+        node.has_read([&*client]);
     }
     node.terminate();
     node.has_shut();
