--- a/node/tests/oversized.rs
+++ b/node/tests/oversized.rs
@@ -111,3 +111,32 @@
     }
     until("its descriptor is free", || node.descriptors() <= before);
 }
+
+/// Guards an answer that is owed while bad requests come on more connections than are set aside for their ends.
+#[test]
+fn bad_requests_cost_nobody_else_an_answer() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Setup::with(&[listener.local_addr().unwrap()]).start();
+    let mut held = node.connect();
+    held.write(&book(8000, "x"));
+    let (mut upstream, _) = listener.accept().unwrap();
+    let request = Message::read(&mut std::io::BufReader::new(&upstream)).unwrap();
+    assert_eq!(request.body, b"x");
+    let texts = [
+        "\u{1}nonsense\r\n\r\n".to_owned(),
+        format!("GET /{} ", "x".repeat(HEAD)),
+        book(8000, "x").repeat(2),
+    ];
+    let mut open: Vec<Client> = Vec::new();
+    for (n, text) in texts.iter().cycle().take(60).enumerate() {
+        let mut client = node.connect();
+        client.write(text);
+        // The third has the id of the request that is held.
+        let status = client.answer().expect("an answer").status();
+        assert_eq!(status, [400, 431, 409][n % 3], "{n}");
+        open.push(client);
+    }
+    upstream.write_all(OK.as_bytes()).unwrap();
+    let answer = held.answer().expect("the answer that is owed");
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"done"[..]));
+}
