--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -22,7 +22,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::IpAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
@@ -173,14 +172,14 @@
                 // Whoever does not read its answer can tell that it is not whole.
                 Stand::Held if client.is_stalled() => Ok(()),
                 Stand::Idle | Stand::Held => {
-                    Pin::new(&mut connection).graceful_shutdown();
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                     finish(&client, &mut connection).await
                 }
             },
             _ = phase.wait_for(|p| *p == Phase::Closing) => match written(&client, &mut connection).await {
                 Some(ended) => ended,
                 None => {
-                    Pin::new(&mut connection).graceful_shutdown();
+                    std::pin::Pin::new(&mut connection).graceful_shutdown();
                     finish(&client, &mut connection).await
                 }
             }
