--- a/node/tests/configuration.rs
+++ b/node/tests/configuration.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use maplehook_node::config::Config;
 use std::path::PathBuf;
 use std::process::Command;
 
@@ -122,3 +123,18 @@
         }
     }
 }
+
+/// Guards the start against bytes that were changed on the way: the file cut at each place, and each byte of it changed, is
+/// turned down or taken, and nothing panics.
+#[test]
+fn a_platforms_file_with_a_changed_byte_never_panics() {
+    let good = Setup::with(&[nobody()]).text();
+    Config::parse(&good).unwrap();
+    for at in 0..good.len() {
+        assert!(Config::parse(&good[..at]).is_err(), "cut at {at}");
+        for byte in ['"', '{', '-', '9'] {
+            let changed = format!("{}{byte}{}", &good[..at], &good[at + 1..]);
+            let _ = Config::parse(&changed);
+        }
+    }
+}
