--- a/node/src/refusals.rs
+++ b/node/src/refusals.rs
@@ -17,7 +17,9 @@
 /// How long a refused client may take to read its answer.
 const LINGER: Duration = Duration::from_millis(500);
 /// What it may still be sending meanwhile, at the most; a request is no longer than that.
-const MORE_MOST: usize = 96 * 1024;
+pub const MORE_MOST: usize = 96 * 1024;
+/// The same of a client whose request was too long, or none, or that writes on behind its last answer.
+pub const CLIENT_MORE_MOST: usize = 2 * 1024 * 1024;
 
 /// The clients that may still read their refusal, oldest first.
 #[derive(Default)]
@@ -45,7 +47,7 @@
 
 /// Reads away what has come: a connection that is closed with bytes unread is reset, and a reset takes the
 /// answer along that its client has not read yet.
-fn read_away(stream: &TcpStream) -> Option<usize> {
+fn read_away(stream: &TcpStream, most: usize) -> Option<usize> {
     let mut all = 0;
     loop {
         match stream.try_read(&mut [0; 4096]) {
@@ -53,7 +55,7 @@
             Ok(n) => all += n,
             Err(_) => return Some(all),
         }
-        if all > MORE_MOST {
+        if all > most {
             return None;
         }
     }
@@ -71,15 +73,16 @@
     }
 }
 
-/// Ends a stream whose answer is written, and reads away what still comes until its client has read that.
-pub async fn linger(mut stream: TcpStream) {
+/// Ends a stream whose answer is written, and reads away what still comes, `most` bytes of it at the most, until its client has
+/// read that.
+pub async fn linger(mut stream: TcpStream, most: usize) {
     let _ = timeout(LINGER, async {
         // The end of the answer; its client closes in turn once it has read it.
         let _ = stream.shutdown().await;
         let mut all = 0;
-        while let Some(n) = read_away(&stream) {
+        while let Some(n) = read_away(&stream, most) {
             all += n;
-            if all > MORE_MOST || stream.readable().await.is_err() {
+            if all > most || stream.readable().await.is_err() {
                 break;
             }
         }
@@ -101,7 +104,7 @@
         {
             oldest.abort();
         }
-        lingering.push_back(spawn_local(linger(stream)));
+        lingering.push_back(spawn_local(linger(stream, MORE_MOST)));
     }
 
     /// Waits until all have read their refusals, or have had their time.
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -3,7 +3,7 @@
 use super::{Phase, Server};
 use crate::client::{Client, Stand};
 use crate::inbound::{Inbound, Wire};
-use crate::refusals::{empty, linger};
+use crate::refusals::{CLIENT_MORE_MOST, empty, linger};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -162,7 +162,7 @@
         return;
     }
     tokio::select! {
-        () = linger(stream) => {}
+        () = linger(stream, CLIENT_MORE_MOST) => {}
         () = client.told() => {}
     }
 }
