Interim answers without end are a spoilt answer

Cause: hyper passes over interim answers, however many there are.

Change: 256 KiB are read at the most before the head of an answer is known.

Without the mend: answers_out_of_turn.rs:162: left: TimedOut, right: Error

--- a/engine/src/parts/attempt/reply.rs
+++ b/engine/src/parts/attempt/reply.rs
@@ -54,7 +54,9 @@
 
 impl From<hyper::Error> for Broken {
     fn from(e: hyper::Error) -> Self {
-        if e.is_parse() { Self::Spoilt(e.into()) } else { Self::Ended(e.into()) }
+        let is_parse = e.is_parse();
+        let e = e.into();
+        if is_parse || is_unreadable(&e) { Self::Spoilt(e) } else { Self::Ended(e) }
     }
 }
 
--- a/engine/src/parts/connection.rs
+++ b/engine/src/parts/connection.rs
@@ -23,6 +23,10 @@
 /// Size of a connection's buffer, the longest head: peers must not fill this machine's memory.
 const BUFFER: usize = 32 * 1024;
 
+/// The most that is read before the head of an answer is known: interim answers come before it, and some peers send them without
+/// end. It is more than the longest head and what of a body may be read along with it.
+const BEFORE_HEAD_MOST: usize = 256 * 1024;
+
 /// Looked at in the moment in which a request's first byte would be written. hyper writes in a task of its own, later than
 /// [`Connection::send`], and much may have changed by then.
 pub type Permit = Box<dyn Fn() -> Result<(), Withheld>>;
@@ -42,11 +46,23 @@
     written_when_heard: Cell<Option<u64>>,
     /// hyper holds bytes that the kernel has not taken.
     unflushed: Cell<bool>,
+    /// How much more may be read before the head of the answer is known; `None`: it is.
+    before_head: Cell<Option<usize>>,
     /// Where it is told that bytes have come, while no request is out.
     idle: RefCell<Option<Unasked>>,
 }
 
 impl Exchange {
+    /// So many bytes were read; an error where that is too much for the head of an answer.
+    fn read(&self, bytes: usize) -> io::Result<()> {
+        let Some(left) = self.before_head.get() else { return Ok(()) };
+        let left = left
+            .checked_sub(bytes)
+            .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "interim answers without end"))?;
+        self.before_head.set(Some(left));
+        Ok(())
+    }
+
     /// Bytes have come.
     fn heard(&self, written: u64) {
         if let Some(unasked) = &*self.idle.borrow() {
@@ -120,8 +136,10 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > before {
+        let read = buf.filled().len() - before;
+        if read > 0 {
             self.exchange.heard(self.written.count());
+            self.exchange.read(read)?;
         }
         poll
     }
@@ -242,7 +260,10 @@
         self.exchange.write_by.set(write_by);
         self.exchange.withheld.set(None);
         self.exchange.written_when_heard.set(None);
-        self.sender.send_request(request).await
+        self.exchange.before_head.set(Some(BEFORE_HEAD_MOST));
+        let answer = self.sender.send_request(request).await;
+        self.exchange.before_head.set(None);
+        answer
     }
 
     /// Why nothing more was written of the request, if it was held back here.
--- a/engine/tests/answers_out_of_turn.rs
+++ b/engine/tests/answers_out_of_turn.rs
@@ -13,7 +13,7 @@
 use maplehook::parts::terms::Terms;
 use maplehook::parts::upstream::Upstreams;
 use maplehook_routes::Passage;
-use maplehook_standins::LONG;
+use maplehook_standins::{LONG, Then, Upstream};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -148,3 +148,16 @@
     assert_eq!(peer.links.len(), links);
     attempt.abort();
 }
+
+/// Guards this thread from upstreams that send interim answers without end: such an answer is spoilt long before the attempt's
+/// time is over.
+#[tokio::test(flavor = "local")]
+async fn interim_answers_without_end_are_no_answer() {
+    let text = "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n".repeat(10_000);
+    let upstream = Upstream::start(Then::Answer(text.leak()));
+    let upstreams = upstreams(&settings(), 8);
+    upstreams.place(ID, ZoneId(0), &entry(0, upstream.address, Availability::Ready, 0).place);
+    let terms = Terms::first(Instant::now() + Duration::from_secs(3));
+    let ended = upstreams.attempt(ID, &outgoing(BOOK, "one"), terms).await;
+    assert_eq!(ended.outcome, Outcome::Error);
+}
