--- /dev/null
+++ b/engine/src/parts/body/gather.rs
@@ -0,0 +1,144 @@
+//! Bodies taken in: whole, where they are short enough, at a pace that tells slow from stuck.
+
+use super::{Failure, Fault, Patience, Payload, Upload, read_away};
+use crate::parts::room::Room;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use maplehook_routes::Passage;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout_at};
+
+#[cfg(test)]
+mod tests;
+
+/// What of a body is in hand: one piece, however small those were that it came in.
+#[derive(Default)]
+pub struct Gathered {
+    first: Bytes,
+    more: BytesMut,
+}
+
+impl Gathered {
+    /// How many bytes are in hand.
+    pub fn len(&self) -> usize {
+        self.first.len() + self.more.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// More has come.
+    pub fn push(&mut self, data: Bytes) {
+        if self.is_empty() {
+            self.first = data;
+            return;
+        }
+        if self.more.is_empty() {
+            self.more.extend_from_slice(&std::mem::take(&mut self.first));
+        }
+        self.more.extend_from_slice(&data);
+    }
+
+    /// All of it.
+    pub fn whole(self) -> Bytes {
+        if self.more.is_empty() { self.first } else { self.more.freeze() }
+    }
+}
+
+/// A body to its end, without its trailers.
+pub async fn gather<B>(mut body: B) -> Result<Bytes, Failure>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Failure>,
+{
+    let mut read = Gathered::default();
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(Into::into)?.into_data() {
+            read.push(data);
+        }
+    }
+    Ok(read.whole())
+}
+
+/// How fast a body has to come: slow is told from stuck by what has come, not by the time that it takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// When it began.
+    pub begun: Instant,
+    /// The time that it has in any case.
+    pub grace: Duration,
+    /// Bytes a second that it has to bring after that.
+    pub rate: f64,
+}
+
+impl Pace {
+    /// Until when more has to come, after so many bytes.
+    pub fn due(&self, bytes: usize) -> Instant {
+        self.begun + self.grace + Duration::from_secs_f64(bytes as f64 / self.rate)
+    }
+}
+
+/// Takes a request's body in: whole, at this pace, where its class and the room allow that, else as one that streams.
+/// `answer` is how long its sender waits for the answer from then on.
+pub async fn take_in<B>(
+    mut body: B,
+    passage: &Passage,
+    room: &Room,
+    pace: Pace,
+    answer: Duration,
+) -> Result<Payload, Fault>
+where
+    B: Body<Data = Bytes> + Unpin + 'static,
+    B::Error: Into<Failure>,
+{
+    if body.is_end_stream() {
+        return Ok(Payload::Whole(Bytes::new()));
+    }
+    let hint = body.size_hint();
+    // What is said to be too long is not read.
+    if hint.lower() > passage.body_most {
+        spawn_local(read_away(body));
+        return Err(Fault::TooLong);
+    }
+    let mut read = Gathered::default();
+    let mut ended = false;
+    let is_short = hint.lower() <= passage.buffer as u64;
+    // The room is taken before the first byte is read, for as much as may come.
+    let most = hint.exact().map_or(passage.buffer, |n| n as usize);
+    let taken = if is_short { room.take_long(most) } else { None };
+    if taken.is_some() {
+        while read.len() <= passage.buffer {
+            let frame = timeout_at(pace.due(read.len()), body.frame()).await.map_err(|_| Fault::Slow)?;
+            let Some(frame) = frame else {
+                ended = true;
+                break;
+            };
+            // Trailers of a body that is held go no further (RFC 9110, section 6.5.1).
+            let Ok(data) = frame.map_err(|_| Fault::BrokeOff)?.into_data() else { continue };
+            read.push(data);
+        }
+    }
+    let read = read.whole();
+    if ended {
+        return Ok(Payload::Whole(match taken {
+            Some(taken) => taken.with(read),
+            None => read,
+        }));
+    }
+    if read.len() as u64 > passage.body_most {
+        spawn_local(read_away(body));
+        return Err(Fault::TooLong);
+    }
+    let (idle, total) = passage.patience();
+    let read = match taken {
+        Some(taken) => taken.with(read),
+        None => read,
+    };
+    let rest = Box::pin(body.map_err(Into::into));
+    let patience = Patience { idle, total, answer };
+    Ok(Payload::Upload(Upload::new(read, rest, hint.exact(), passage.body_most, patience)))
+}
