An unanswered call for the list is made again before the list in hand counts as too old

All watches had ended in place of telling; a call that waits in a crowded service is no watch, and a balancer without one is held to its list for that time from its last call.

Change: a call is made again after 0.72 to 0.8 of the settings' time, 2.7 to 3 s at the most.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -204,9 +204,9 @@
             self.overdue(id, attempt);
         }
         if self.set.ask_for_fleet && !self.watching && at >= self.ask_at {
-            // An unanswered call is asked again, but never while its answer may still come.
-            let again = self.set.ask_every.as_secs_f64() * (0.4 + 0.2 * self.rng.f64());
-            (self.asked_at, self.ask_at) = (at, at + again.max(asking::CALL_AGAIN.as_secs_f64()));
+            // An unanswered call is made again before the list in hand counts as too old.
+            let again = asking::call_again(self.set.ask_every).as_secs_f64() * (0.9 + 0.1 * self.rng.f64());
+            (self.asked_at, self.ask_at) = (at, at + again);
             self.out.push(Action::WatchFleet);
         }
         self.out.push(Action::Timer { after: Duration::from_secs_f64(TICK), timer: TICK_TIMER });
--- a/src/interface/asking.rs
+++ b/src/interface/asking.rs
@@ -29,11 +29,20 @@
 pub const FIRST_WAIT: Duration = Duration::from_millis(500);
 /// The wait after a call that was refused at once is at most this long, however many were.
 pub const WAIT_LONGEST: Duration = Duration::from_millis(1500);
-/// A call that nothing was heard of is made again after this long.
+/// A call that nothing was heard of is made again after this long at the latest.
 pub const CALL_AGAIN: Duration = Duration::from_millis(3000);
+/// Part of the settings' time for asking after which an unanswered call is made again at the latest.
+const CALL_AGAIN_PART: f64 = 0.8;
 /// The first call of a new balancer is made within this time: many may start together.
 pub const FIRST_CALL: Duration = Duration::from_secs(1);
 
+/// After how long a call is made again of which nothing was heard, at the latest. A balancer without a watch is held to its
+/// list for the settings' time for asking, from its last call; from then on each change counts as told so long after it
+/// was made. A service that answers more slowly than that is heard only once it is quicker.
+pub fn call_again(ask_every: Duration) -> Duration {
+    CALL_AGAIN.min(ask_every.mul_f64(CALL_AGAIN_PART))
+}
+
 /// Within how long the first call of a new balancer is made, where the list is to be asked for so often.
 pub fn first_call(ask_every: Duration) -> Duration {
     FIRST_CALL.min(ask_every / 10)
@@ -47,4 +56,6 @@
 const _: () = assert!(fit([CALL_LONGEST, FIRST_WAIT, CALL_LONGEST]), "a call that hung");
 const _: () = assert!(fit([SILENCE_LONGEST, FIRST_WAIT, CALL_LONGEST]), "a watch that fell silent");
 const _: () = assert!(fit([WAIT_LONGEST, WAIT_LONGEST, CALL_LONGEST]), "calls that were refused");
+// Where the settings leave time, no call is made again while its answer may come: a tenth is drawn off.
+const _: () = assert!(CALL_AGAIN.as_millis() * 9 / 10 >= CALL_LONGEST.as_millis());
 const _: () = assert!(CALL_AGAIN.as_millis() >= (CALL_LONGEST.as_millis() + FIRST_WAIT.as_millis()));
