A trial with nobody to try waits as one that was made

Cause: since trials of a cold upstream are turns that it has earned (turn_of, src/turns.rs), a trial with nobody to try was due again at the next tick, where it had waited as long as one that was made.

Change: the wait stands as it stood.

--- a/src/turns.rs
+++ b/src/turns.rs
@@ -1,8 +1,8 @@
 //! What each upstream can do now, the turns it gets for it, and the round robin with its skip rule.
 
+use crate::grant::SPILL_TO;
 use crate::learning::EJECT;
 use crate::state::{Balancer, Facts, Ring, Sums, Upstream, climb};
-use crate::{choice::TICK, grant::SPILL_TO};
 
 /// Turns looked ahead by the skip rule; two is the design's.
 const LOOK_AHEAD: usize = 5;
@@ -172,8 +172,7 @@
             let oldest = turns.filter(ill).min_by(|a, b| tried(a).total_cmp(&tried(b)));
             let (l, oldest) = (&mut self.classes[class], oldest.copied());
             l.trials += u32::from(oldest.is_some());
-            let wait = EJECT * f64::from(1 << l.trials.min(4)) * (0.75 + 0.5 * self.rng.f64());
-            l.trial_at = self.at + if oldest.is_some() { wait } else { TICK };
+            l.trial_at = self.at + EJECT * f64::from(1 << l.trials.min(4)) * (0.75 + 0.5 * self.rng.f64());
             if let Some(j) = oldest {
                 let u = &mut self.ring[j];
                 u.health[class].tried = self.at;
