An answer from discovery begins the waits after failed calls anew

Discovery had been down, and a watch ended in place of telling soon after it was back.

Cause: the count of failed calls was no longer taken back by an answer (fleet, src/subset.rs, since the calls have one schedule): a watch that ended within 3 s of its call was waited after by the longest wait, up to 1.5 s in place of 0.1.

Change: what is told takes the count back to nothing, as before the schedule.

Without the mend: tests/asking.rs:273:5: a first wait, not the longest, left: 9, right: 10

--- a/src/subset.rs
+++ b/src/subset.rs
@@ -27,6 +27,7 @@
             return;
         }
         self.watching |= scope != FleetScope::Cached;
+        self.ask_failures *= u32::from(scope == FleetScope::Cached);
         let mut changed = scope != FleetScope::Changes;
         if changed {
             // What a full list no longer names is gone.
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -254,3 +254,21 @@
     bench.run(ms(10_000));
     moved(&mut bench, "while a watch is open");
 }
+
+/// Guards the first call after a watch that has ended in place of telling, soon after an outage in which many calls had
+/// failed: the answer that came in between begins the waits anew.
+#[test]
+fn an_answer_begins_the_waits_anew() {
+    let mut bench = Bench::new(settings(ms(2050)), &[listed(1)]);
+    bench.run(ms(400));
+    for _ in 0..8 {
+        bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
+        bench.run(ms(1600));
+    }
+    bench.tell(Event::Fleet { scope: FleetScope::Changes, listed: &[] });
+    bench.run(ms(100));
+    let calls = bench.list_calls.len();
+    bench.tell(Event::Fleet { scope: FleetScope::Failed, listed: &[] });
+    bench.run(ms(2050) / 20 + LATE);
+    assert_eq!(bench.list_calls.len(), calls + 1, "a first wait, not the longest");
+}
