Figures and log lines on why connections end, requests are turned away and retried

Change: counters of ended connections, refusals at the door, unfit requests, attempts by outcome and retries; debug lines with the client's id from the request to its end; a bounded warning for clients that stop or leave answers unread; the door's refusals, and what passes streamed answers on, in modules of their own. Nothing decides or times otherwise than before.

--- a/admission/src/door.rs
+++ b/admission/src/door.rs
@@ -4,6 +4,7 @@
 use crate::links::{Link, Links, List};
 use crate::peers::Peers;
 use crate::policy::Policy;
+use crate::refusal::{Reason, Refusal};
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -41,28 +42,6 @@
     Refused(Refusal),
 }
 
-/// How a connection is refused.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Refusal {
-    /// Why.
-    pub reason: Reason,
-    /// Whether a whole answer can be afforded; closed on otherwise.
-    pub answered: bool,
-    /// When to come back.
-    pub retry_after: Duration,
-}
-
-/// Why a connection is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Reason {
-    /// Its address, or its prefix, opens more than its rate.
-    Rate,
-    /// Its address, or its prefix, holds all that it may.
-    Share,
-    /// Every place is held by a request that is owed its answer.
-    Full,
-}
-
 /// What becomes of connections once one has had its answer.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct After {
--- a/admission/src/lib.rs
+++ b/admission/src/lib.rs
@@ -44,8 +44,10 @@
 mod links;
 mod peers;
 pub mod policy;
+pub mod refusal;
 pub mod token;
 
 pub use budget::{Budget, Part};
-pub use door::{After, Arrival, ConnId, Door, Reason, Refusal};
+pub use door::{After, Arrival, ConnId, Door};
 pub use policy::{Policy, PolicyError};
+pub use refusal::{Reason, Refusal};
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -3,7 +3,12 @@
 //! The core is a current-thread runtime without locks: one `Balancer`, its connections, its ledger. A [`Handle`]
 //! reaches it through one bounded queue. Engines share nothing with one another.
 
-use crate::call::{Call, CallBody, Outcome, Piece, Refusal, Reply, ReplyBody, Streaming, Why};
+mod pump;
+
+use pump::pump;
+
+use crate::call::{Call, CallBody, Outcome, Refusal, Reply, ReplyBody, Streaming, Why};
+use crate::label::Label;
 use crate::ledger::{Bounds, Identity};
 use crate::lists::Lists;
 use crate::parts::answer::{AnswerBody, Served};
@@ -16,7 +21,6 @@
 use crate::parts::upstream::{Lease, Upstreams};
 use crate::source::{Entry, Fixed, News, Source};
 use crate::tally::{Counting, Tally};
-use http_body_util::BodyExt;
 use hyper::Uri;
 use hyper::body::Body;
 use lapisroute::{Balancer, Effect, FleetScope, Settings, TenantId};
@@ -474,7 +478,15 @@
         // The time of a body that streams is its own.
         let deadline = if upload.is_some() { deadline + passage.patience().1 } else { deadline };
         let outgoing = Outgoing { method, target, headers, body, passage };
-        let asked = Asked { class, tenant, deadline, work_ms: None, repeat: false, outgoing };
+        let asked = Asked {
+            class,
+            tenant,
+            deadline,
+            work_ms: None,
+            repeat: false,
+            outgoing,
+            label: Label::default(),
+        };
         let identity = id.filter(|_| rules.effect != Effect::Idempotent).map(|id| Identity {
             tenant: tenant.0,
             class: class.0,
@@ -513,20 +525,6 @@
     }
 }
 
-async fn pump(mut body: AnswerBody, frames: mpsc::Sender<Piece>, inside: Inside) {
-    loop {
-        let piece = tokio::select! {
-            piece = body.frame() => piece,
-            () = frames.closed() => break,
-        };
-        let last = !matches!(piece, Some(Ok(_)));
-        if frames.send(piece).await.is_err() || last {
-            break;
-        }
-    }
-    drop(inside);
-}
-
 fn refused(why: Why) -> Outcome {
     Outcome::Refused(why.into())
 }
--- /dev/null
+++ b/engine/src/engine/pump.rs
@@ -0,0 +1,22 @@
+//! Passes an answer that streams on to whoever reads it.
+
+use crate::call::Piece;
+use crate::parts::answer::AnswerBody;
+use crate::parts::desk::Inside;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+
+/// Passes frames on until the last of them, or until nobody reads them any more; its request counts as inside until then.
+pub(super) async fn pump(mut body: AnswerBody, frames: mpsc::Sender<Piece>, inside: Inside) {
+    loop {
+        let piece = tokio::select! {
+            piece = body.frame() => piece,
+            () = frames.closed() => break,
+        };
+        let last = !matches!(piece, Some(Ok(_)));
+        if frames.send(piece).await.is_err() || last {
+            break;
+        }
+    }
+    drop(inside);
+}
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -43,6 +43,7 @@
 
 pub mod call;
 pub mod engine;
+pub mod label;
 pub mod ledger;
 pub mod lists;
 pub mod parts;
--- a/engine/src/parts/desk.rs
+++ b/engine/src/parts/desk.rs
@@ -3,7 +3,7 @@
 use crate::ledger::{Bounds, BoundsError, Ending, EntryId, Identity, Ledger, Opened, Waiter};
 use crate::parts::answer::Served;
 use crate::parts::driver::{Answer, Asked, Driver, Trace};
-use crate::tally::Counting;
+use crate::tally::{Counting, Tally};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -92,6 +92,11 @@
         &self.driver
     }
 
+    /// The figures that it counts in.
+    pub fn tally(&self) -> &Tally {
+        self.counting.tally()
+    }
+
     /// Somebody is inside from now on.
     pub fn enter(self: &Rc<Self>) -> Inside {
         self.inside.set(self.inside.get() + 1);
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -13,6 +13,7 @@
 use held::Held;
 pub use places::{Connects, Sights};
 
+use crate::label::Label;
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::{Ended, Outgoing};
 use crate::parts::upstream::Upstreams;
@@ -65,6 +66,8 @@
     pub repeat: bool,
     /// What is passed on.
     pub outgoing: Outgoing,
+    /// What its client calls it, for the log.
+    pub label: Label,
 }
 
 enum Happening {
@@ -166,6 +169,7 @@
             // Ids are not reused while one may be in use: they go round only after 2^32 requests.
             let id = RequestId(core.next_id);
             core.next_id = core.next_id.wrapping_add(1);
+            tracing::debug!(id = id.0, label = %asked.label, class = asked.class.0, "taken");
             let window = self.upstreams.window(asked.class);
             let held = Held::new(asked, reply, window);
             core.requests.insert(id, held);
@@ -262,7 +266,14 @@
                     return;
                 };
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
-                tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, ?latency, outcome = ?ended.outcome);
+                tracing::debug!(
+                    id = id.0,
+                    no = no.0,
+                    upstream = upstream.0,
+                    ?latency,
+                    outcome = ended.outcome.name(),
+                    "attempt ended"
+                );
                 match ended.outcome {
                     Outcome::Ok | Outcome::Error | Outcome::Rejected | Outcome::Overloaded => {
                         self.source.heard(upstream, Heard::Answered);
@@ -281,6 +292,7 @@
                     return;
                 }
                 attempt.end(ended.outcome);
+                self.upstreams.tally.attempts_ended.count(ended.outcome.name());
                 // A second copy's answer comes to a request that is over: it is dropped.
                 if held.reply.is_some() {
                     self.pass_on(held, id, no, upstream, ended.served);
@@ -315,6 +327,7 @@
                     return;
                 };
                 attempt.end(outcome);
+                self.upstreams.tally.attempts_ended.count(outcome.name());
                 let (upstream, latency) = (attempt.upstream, attempt.sent.elapsed());
                 let event = Event::AttemptEnded {
                     id,
--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -180,6 +180,10 @@
             };
             driver.happened(Happening::AttemptEnded(id, no, ended));
         });
+        if no.0 > 0 {
+            self.upstreams.tally.retries.inc();
+        }
+        tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, "attempt");
         held.attempts.push(Attempt::new(upstream, sent, terms, task.abort_handle()));
     }
 
@@ -188,6 +192,7 @@
             && let Some(reply) = held.reply.take()
         {
             let attempts = held.attempts.len() as u8;
+            tracing::debug!(id = id.0, attempts, ?answer, "given up");
             // Nothing is left to try: an upstream's own words on why say more than ours.
             let answer = match held.words.take() {
                 Some((words, upstream)) => {
--- a/engine/src/tally.rs
+++ b/engine/src/tally.rs
@@ -3,6 +3,10 @@
 //! A request is counted where its answer ends, by the [`Owed`] that it holds from when it was taken: exactly once, whatever
 //! way it goes. One whose client has left before is counted by none of the three.
 
+mod reasons;
+
+pub use reasons::Reasons;
+
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::driver::Answer;
 use lapisroute::{ClassId, Outcome, TenantId};
@@ -45,6 +49,16 @@
     pub conf_loaded: Counter,
     /// Configurations turned down at SIGHUP.
     pub conf_invalid: Counter,
+    /// Connections of clients that have ended, by why.
+    pub clients_ended: Reasons,
+    /// Clients that were turned away before a request of theirs was read, by why.
+    pub clients_refused: Reasons,
+    /// What was answered as no fit request, by status.
+    pub unfit: Reasons,
+    /// Attempts that have ended, by outcome.
+    pub attempts_ended: Reasons,
+    /// Attempts after a request's first.
+    pub retries: Counter,
 }
 
 impl Default for Tally {
@@ -52,6 +66,8 @@
         let mut registry = Registry::with_prefix("balancer");
         let (answered, deferred, errored) = <(Family<_, _>, Family<_, _>, Family<_, _>)>::default();
         let (sends, conf_loaded, conf_invalid) = <(Counter, Counter, Counter)>::default();
+        let [clients_ended, clients_refused, unfit, attempts_ended] = <[Reasons; 4]>::default();
+        let retries = Counter::default();
         let (current, cluster_size, cluster_unhealthy) = <(Gauge, Gauge, Gauge)>::default();
         registry.register("answered", "Requests served", Family::clone(&answered));
         registry.register("deferred", "Requests refused: trying again is harmless", Family::clone(&deferred));
@@ -62,6 +78,11 @@
         registry.register("cluster_unhealthy", "Listed upstreams avoided now", cluster_unhealthy.clone());
         registry.register("conf_loaded", "Configurations taken at SIGHUP", conf_loaded.clone());
         registry.register("conf_invalid", "Configurations turned down at SIGHUP", conf_invalid.clone());
+        registry.register("clients_ended", "Connections of clients that ended", clients_ended.family());
+        registry.register("clients_refused", "Clients turned away at the door", clients_refused.family());
+        registry.register("unfit", "What was answered as no fit request", unfit.family());
+        registry.register("attempts_ended", "Attempts that ended", attempts_ended.family());
+        registry.register("retries", "Attempts after a request's first", retries.clone());
         Self {
             registry,
             answered,
@@ -73,6 +94,11 @@
             cluster_unhealthy,
             conf_loaded,
             conf_invalid,
+            clients_ended,
+            clients_refused,
+            unfit,
+            attempts_ended,
+            retries,
         }
     }
 }
--- a/engine/tests/common/mod.rs
+++ b/engine/tests/common/mod.rs
@@ -8,6 +8,7 @@
     Availability, Balancer, CellId, Class, ClassId, DedupGroup, Effect, FleetScope, KindId, Settings, Tenant,
     TenantId, UpstreamId, ZoneId,
 };
+use maplehook::label::Label;
 use maplehook::parts::attempt::Outgoing;
 use maplehook::parts::body::Payload;
 use maplehook::parts::descriptors::Descriptors;
@@ -95,6 +96,7 @@
         work_ms: None,
         repeat: false,
         outgoing: outgoing(class, id),
+        label: Label::default(),
     }
 }
 
--- a/engine/tests/places.rs
+++ b/engine/tests/places.rs
@@ -6,6 +6,7 @@
     Availability, Balancer, CellId, Class, ClassId, Effect, FleetScope, GroupShares, GroupSight, KindId,
     Settings, Shares, SharesError, Tenant, TenantId, UpstreamId, ZoneId,
 };
+use maplehook::label::Label;
 use maplehook::parts::attempt::Outgoing;
 use maplehook::parts::body::Payload;
 use maplehook::parts::descriptors::Descriptors;
@@ -60,6 +61,7 @@
         work_ms: None,
         repeat: false,
         outgoing,
+        label: Label::default(),
     };
     driver.ask(asked).answer().await.0
 }
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -1,6 +1,8 @@
 //! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
 
 use crate::framing::Framing;
+use crate::server::End;
+use maplehook::label::Label;
 use maplehook::parts::body::Pace;
 use maplehook_admission::ConnId;
 use std::cell::{Cell, RefCell};
@@ -72,6 +74,10 @@
     /// When the request that is being read began, and what has come since.
     begun: Cell<Option<Instant>>,
     came: Cell<usize>,
+    /// When its last byte came.
+    heard: Cell<Instant>,
+    /// What it calls its last request, for the log.
+    label: Cell<Label>,
     /// Where its requests begin and end, and whether the head of the one in hand hides a length.
     framing: RefCell<Framing>,
     hides_a_length: Cell<bool>,
@@ -96,6 +102,8 @@
             since: Cell::new(Instant::now()),
             begun: Cell::new(None),
             came: Cell::new(0),
+            heard: Cell::new(Instant::now()),
+            label: Cell::default(),
             framing: RefCell::default(),
             hides_a_length: Cell::new(false),
             close: Notify::new(),
@@ -108,8 +116,9 @@
         self.stand.get()
     }
 
-    /// A head has come. Returns how fast the rest of the request has to come.
-    pub fn reads(&self) -> Pace {
+    /// A head has come, of a request that its client calls by this label. Returns how fast the rest has to come.
+    pub fn reads(&self, label: Label) -> Pace {
+        self.label.set(label);
         self.hides_a_length.set(self.framing.borrow_mut().next());
         let begun = self.begun.take().unwrap_or_else(Instant::now);
         let begun = if self.stand.replace(Stand::Reading) == Stand::New { self.since.get() } else { begun };
@@ -195,9 +204,31 @@
         }
     }
 
-    /// Whether it has had all the time that it may take for what it does.
-    pub fn is_overdue(&self) -> bool {
-        self.due().is_some_and(|due| due <= Instant::now())
+    /// Why it is to end, where it has had all the time that it may take for what it does.
+    pub fn overdue_for(&self) -> Option<End> {
+        let end = match self.stand.get() {
+            Stand::New if self.came.get() == 0 => End::Silent,
+            Stand::New | Stand::Reading => End::Stopped,
+            Stand::Idle if self.is_writing() => End::Stopped,
+            Stand::Idle => End::Rested,
+            Stand::Held => End::Unread,
+        };
+        self.due().filter(|due| *due <= Instant::now()).map(|_| end)
+    }
+
+    /// Since when nothing has come from it.
+    pub fn silence(&self) -> Duration {
+        self.heard.get().elapsed()
+    }
+
+    /// What it calls its last request.
+    pub fn label(&self) -> Label {
+        self.label.get()
+    }
+
+    /// How many bytes have come since its last answer.
+    pub fn came_since_answer(&self) -> usize {
+        self.came.get()
     }
 
     /// Whether its last answer lies so far back that it has long been read.
@@ -263,7 +294,9 @@
 
     /// These bytes have come from it, whoever reads them when.
     pub fn arrived(&self, bytes: &[u8]) {
-        self.framing.borrow_mut().came(bytes, Instant::now());
+        let now = Instant::now();
+        self.heard.set(now);
+        self.framing.borrow_mut().came(bytes, now);
     }
 
     /// So many bytes are taken in as a part of a request.
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -83,6 +83,11 @@
         &self.client
     }
 
+    /// Whether its client has ended its sending.
+    pub fn has_ended(&self) -> bool {
+        self.ended.get()
+    }
+
     /// Whether its client has gone that is owed an answer. It is polled after the HTTP connection: what that waits for
     /// is left to it.
     pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -6,6 +6,7 @@
 use hyper::{Method, StatusCode, Version};
 use lapisroute::TenantId;
 use lapisroute_settings::Tuned;
+use maplehook::label::Label;
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::Outgoing;
 use maplehook::parts::body::{Fault, Pace, Upload, take_in};
@@ -191,6 +192,11 @@
         self.book.borrow().label.clone()
     }
 
+    /// What the client calls a request with this head.
+    pub fn label_of(&self, headers: &HeaderMap) -> Label {
+        headers.get(&self.book.borrow().rules.headers().id).map(Label::from).unwrap_or_default()
+    }
+
     /// Reads a head, from a client at this address. `hides_a_length`: whether its bytes name a length that it does not show.
     pub fn head(&self, mut parts: Parts, peer: IpAddr, hides_a_length: bool) -> Result<Head, Unfit> {
         let bad = |why| Unfit::new(StatusCode::BAD_REQUEST, why);
@@ -275,8 +281,9 @@
         let identity = fit.identity().filter(|_| !strict);
         let identity = identity.map(|id| Identity { tenant: fit.tenant.0, class: fit.class.0, id });
         let outgoing = Outgoing { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
+        let label = fit.id.as_ref().map(Label::from).unwrap_or_default();
         let Fit { class, tenant, work_ms, repeat, .. } = fit;
-        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing };
+        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing, label };
         Ok(Ready { asked, identity, upload, open, label: book.label.clone() })
     }
 
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,8 +1,11 @@
 //! The clients' side: accepts connections, reads requests, writes final answers.
 
 mod connection;
+mod ended;
 mod respond;
 
+pub use ended::End;
+
 use crate::entrance::Entrance;
 use crate::inbound::OfAll;
 use crate::refusals::Refusals;
@@ -48,6 +51,7 @@
     phase: watch::Receiver<Phase>,
     odd: Seldom,
     refused: Seldom,
+    cut_short: Seldom,
 }
 
 impl Server {
@@ -71,6 +75,7 @@
             phase,
             odd: Seldom::default(),
             refused: Seldom::default(),
+            cut_short: Seldom::default(),
         })
     }
 
@@ -136,6 +141,7 @@
                 ends
             }
             Err(refusal) => {
+                self.desk.tally().clients_refused.count(refusal.reason.name());
                 self.refused.warn(|| format!("{address} refused at the door: {:?}", refusal.reason));
                 self.refusals.refuse(stream, &refusal);
                 false
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! The life of one client's connection: how it is served, when it ends, and how it is closed.
 
-use super::{Phase, Server};
+use super::{End, Phase, Server};
 use crate::client::{Client, Stand};
 use crate::inbound::{Inbound, Wire};
 use crate::refusals::{CLIENT_MORE_MOST, empty, linger};
@@ -37,17 +37,29 @@
         // An unset option costs time, not truth.
         let _ = stream.set_nodelay(true);
         let wire = Wire::new(stream, Rc::clone(&client), Rc::clone(&self.read_ahead));
-        if let Err(e) = self.converse(&wire, peer).await {
-            tracing::debug!("client: {e}");
-        }
+        let end = self.converse(&wire, peer).await;
+        self.tell_end(&client, peer, end);
         if let Some(stream) = Wire::into_unread(wire).filter(|_| !client.has_rested()) {
             close(&client, stream).await;
         }
         client.leaves();
     }
 
-    /// Serves requests until no more is to come; what the client then still has to read is the kernel's.
-    async fn converse(self: &Rc<Self>, wire: &Rc<Wire>, peer: IpAddr) -> hyper::Result<()> {
+    /// Tells the log and the figures why a connection ends.
+    fn tell_end(&self, client: &Client, peer: IpAddr, end: End) {
+        self.desk.tally().clients_ended.count(end.name());
+        let (reason, stand, silent) = (end.name(), client.stand(), client.silence());
+        let (came, label) = (client.came_since_answer(), client.label());
+        tracing::debug!(%peer, reason, ?stand, ?silent, came, %label, "a client's connection ends");
+        if matches!(end, End::Stopped | End::Unread) {
+            self.cut_short.warn(|| {
+                format!("client {peer} ended: {reason} as {stand:?}, silent for {silent:?}, {came} bytes came, last request {label}")
+            });
+        }
+    }
+
+    /// Serves requests until no more is to come; what the client then still has to read is the kernel's. Returns why it ends.
+    async fn converse(self: &Rc<Self>, wire: &Rc<Wire>, peer: IpAddr) -> End {
         let (client, mut phase) = (wire.client(), self.phase.clone());
         let (server, on) = (Rc::clone(self), Rc::clone(wire));
         let service = service_fn(move |request| {
@@ -59,28 +71,50 @@
         builder.header_read_timeout(None).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(Inbound(Rc::clone(wire))), service);
         tokio::pin!(connection);
-        let leaving = loop {
+        let end = loop {
             let leaving = tokio::select! {
-                ended = attended(connection.as_mut(), wire) => return ended,
+                ended = attended(connection.as_mut(), wire) => return by_itself(wire, &ended),
                 () = client.is_to_end() => false,
                 _ = phase.wait_for(|p| *p >= Phase::Closing) => true,
             };
-            if leaving || client.is_told() || client.stand() != Stand::Idle {
-                break leaving;
+            if leaving {
+                break End::Leaving;
+            }
+            if client.is_told() {
+                break End::Displaced;
             }
-            // One that has rested for long: what has just come may not have been looked at.
-            if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
-                return ended;
+            if client.stand() == Stand::Idle {
+                // One that has rested for long: what has just come may not have been looked at.
+                if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
+                    return by_itself(wire, &ended);
+                }
             }
-            if client.is_overdue() {
-                break leaving;
+            if let Some(end) = client.overdue_for() {
+                break end;
             }
         };
-        if !settle(client, leaving, attended(connection.as_mut(), wire)).await? {
-            return Ok(());
+        match settle(client, end == End::Leaving, attended(connection.as_mut(), wire)).await {
+            Ok(true) => {
+                connection.as_mut().graceful_shutdown();
+                // What is left to be written is owed; how it ends changes nothing of why.
+                let _ = finish(client, attended(connection, wire)).await;
+            }
+            Ok(false) => {}
+            Err(e) => tracing::debug!("client: {e}"),
+        }
+        end
+    }
+}
+
+/// Why a connection has ended of which nobody here wanted that.
+fn by_itself(wire: &Wire, ended: &hyper::Result<()>) -> End {
+    match ended {
+        Err(e) => {
+            tracing::debug!("client: {e}");
+            if wire.has_ended() { End::Left } else { End::Broken }
         }
-        connection.as_mut().graceful_shutdown();
-        finish(client, attended(connection, wire)).await
+        Ok(()) if wire.has_ended() => End::Left,
+        Ok(()) => End::Answered,
     }
 }
 
--- a/node/src/server/connection/tests.rs
+++ b/node/src/server/connection/tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::client::Question;
+use maplehook::label::Label;
 use std::cell::Cell;
 use std::future::pending;
 use tokio::time::sleep;
@@ -9,7 +10,7 @@
 /// A client whose last request has its answer, which may still be on its way.
 fn answered() -> Rc<Client> {
     let client = crate::client::tests::alone();
-    client.reads();
+    client.reads(Label::default());
     client.holds(0, false);
     client.answered(Question::Request);
     client
@@ -40,7 +41,7 @@
     client.arrived(b"\r\n");
     let served = Cell::new(false);
     let serves = async {
-        client.reads();
+        client.reads(Label::default());
         client.holds(0, false);
         sleep(2 * LOOK_EVERY).await;
         client.answered(Question::Request);
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -30,7 +30,8 @@
     ) -> Response<Tail> {
         let client = wire.client();
         let leaving = || *self.phase.borrow() != Phase::Serving;
-        let pace = client.reads();
+        let label = self.requests.label_of(request.headers());
+        let pace = client.reads(label);
         let mut question = Question::Request;
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
@@ -45,7 +46,9 @@
                 Ok(ready) => self.answer(ready).await,
                 Err(unfit) => {
                     question = Question::Unfit;
-                    tracing::debug!(%peer, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
+                    self.desk.tally().unfit.count(name_of(unfit.status));
+                    let label = client.label();
+                    tracing::debug!(%peer, %label, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
                     let mut answer = own(self.words.unfit(&unfit));
                     if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
                         answer.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
@@ -123,6 +126,11 @@
     }
 }
 
+/// What figures call a status of our own.
+fn name_of(status: StatusCode) -> &'static str {
+    status.canonical_reason().unwrap_or("other")
+}
+
 /// Names the version that an answer was given under.
 fn tell(response: &mut Response<AnswerBody>, label: Option<HeaderValue>) {
     if let Some(label) = label {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -231,6 +231,12 @@
         line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
     }
 
+    /// Whether a figure is there and has this value.
+    pub fn has_figure(&self, name: &str, value: u64) -> bool {
+        let text = String::from_utf8(self.call("/control/counters").body).unwrap();
+        text.lines().any(|line| line == format!("{name} {value}"))
+    }
+
     /// Kills it.
     pub fn kill(&mut self) {
         self.child.kill().unwrap();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -157,6 +157,21 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Self::Rejected | Self::ConnectFailed | Self::NotSent)
     }
+
+    /// What figures call it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Error => "error",
+            Self::Rejected => "rejected",
+            Self::TimedOut => "timed_out",
+            Self::ConnectFailed => "connect_failed",
+            Self::Reset => "reset",
+            Self::Cancelled => "cancelled",
+            Self::NotSent => "not_sent",
+            Self::Overloaded => "overloaded",
+        }
+    }
 }
 
 /// Something the embedder tells [`Balancer`](crate::Balancer).
--- a/tests/lengths.rs
+++ b/tests/lengths.rs
@@ -7,10 +7,10 @@
 const LINES_MOST: usize = 400;
 /// Files that are longer, and how long each may be.
 const LONGER: [(&str, usize); 10] = [
-    ("admission/src/door.rs", 567),
+    ("admission/src/door.rs", 546),
     ("admission/tests/door.rs", 439),
     ("conformance/src/scenarios.rs", 442),
-    ("engine/src/engine.rs", 532),
+    ("engine/src/engine.rs", 530),
     ("lab/src/members/mod.rs", 431),
     ("lab/src/play.rs", 732),
     ("membership/src/fleet.rs", 412),
