--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use std::sync::{Arc, Mutex};
 
 pub mod gates;
+pub mod halfway;
 pub mod supervised;
 
 pub use maplehook_standins::*;
--- /dev/null
+++ b/node/tests/stopped.rs
@@ -0,0 +1,118 @@
+//! Clients that stop in the middle of a request and stay: each is owed an error or the end of its connection within 3 s of
+//! its last byte, wherever it stops and whatever came before on its connection.
+
+mod common;
+
+use common::halfway::{Lateness, all_hear_in_time, connect, cuts, held_back_after};
+use common::{Client, OK, Setup, Then, Upstream, book_as};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+/// How long a balancer may be held up between reading its clock and writing.
+const HELD_UP: Duration = Duration::from_millis(150);
+
+/// Clients that stop in each place of a request, on connections that `begin` brings so far; `begin` writes what it is given.
+fn stop_everywhere(
+    of: &str,
+    connect: impl Fn() -> Client,
+    begin: impl Fn(&mut Client, &str, usize),
+) -> Vec<(String, Client, Instant)> {
+    let stopped = cuts(of).into_iter().enumerate().map(|(n, cut)| {
+        let mut client = connect();
+        begin(&mut client, &cut.sent, n);
+        (format!("{of}: {}", cut.what), client, Instant::now())
+    });
+    stopped.collect()
+}
+
+/// Guards each client that stops in the middle of a request: as its first, after an answer, and in one burst with a request
+/// before it, which has its answer.
+#[test]
+fn who_stops_in_the_middle_of_a_request_hears_of_it_in_time() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (lateness, node) = (Lateness::watch(), Setup::with(&[upstream.address]).start());
+    let mut stopped = stop_everywhere("first", || node.connect(), |client, sent, _| client.write(sent));
+    stopped.extend(stop_everywhere(
+        "after",
+        || node.connect(),
+        |client, sent, n| {
+            assert_eq!(client.exchange(&book_as(&format!("before-{n}"), "x")).status(), 200);
+            client.write(sent);
+        },
+    ));
+    stopped.extend(stop_everywhere(
+        "burst",
+        || node.connect(),
+        |client, sent, n| {
+            client.write(&(book_as(&format!("with-{n}"), "x") + sent));
+        },
+    ));
+    stopped.push(("nothing sent".into(), node.connect(), Instant::now()));
+    all_hear_in_time(stopped, &lateness);
+}
+
+/// Guards the same at the planned end of a process, which waits for the rest of what is half written, and no longer than
+/// for any other client.
+#[test]
+fn who_has_stopped_when_the_process_ends_hears_of_it_in_time() {
+    let upstream = Upstream::start(Then::Answer(OK));
+    let mut setup = Setup::with(&[upstream.address]);
+    setup.deadline_ms = 3000;
+    let (lateness, mut node) = (Lateness::watch(), setup.start());
+    let mut stopped = stop_everywhere("first", || node.connect(), |client, sent, _| client.write(sent));
+    stopped.extend(stop_everywhere(
+        "after",
+        || node.connect(),
+        |client, sent, n| {
+            assert_eq!(client.exchange(&book_as(&format!("before-{n}"), "x")).status(), 200);
+            client.write(sent);
+        },
+    ));
+    node.terminate();
+    all_hear_in_time(stopped, &lateness);
+    assert!(node.wait().success());
+}
+
+/// Guards the same where the client has sent all and the way holds the rest back, with a balancer that stands still for a
+/// moment just when the word is due.
+#[test]
+fn what_the_way_holds_back_is_heard_of_in_time_by_a_balancer_that_is_held_up() {
+    const JUST_BEFORE: Duration = Duration::from_millis(2450);
+    let upstream = Upstream::start(Then::Answer(OK));
+    let (lateness, node) = (Lateness::watch(), Setup::with(&[upstream.address]).start());
+    let head = book_as("held", "abc").len() - 3;
+    let mut stopped = Vec::new();
+    for bytes in [1, 60, head, head + 2] {
+        let address = held_back_after(&node, bytes);
+        let mut client = connect(address);
+        client.write(&book_as("held", "abc"));
+        stopped.push((format!("{bytes} bytes pass"), client, Instant::now()));
+    }
+    sleep(JUST_BEFORE.saturating_sub(stopped[0].2.elapsed()));
+    node.pause();
+    sleep(HELD_UP);
+    node.resume();
+    all_hear_in_time(stopped, &lateness);
+    assert!(upstream.seen().is_empty());
+}
+
+/// Guards clients that are slow and move on: pauses that are shorter than a stop change nothing.
+#[test]
+fn who_is_slow_and_moves_on_is_served() {
+    const PAUSE: Duration = Duration::from_millis(1200);
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let short = book_as("slow", "abc");
+    let long = book_as("long", &"x".repeat(200_000));
+    let mut clients = [(node.connect(), short, 40), (node.connect(), long, 90_000)];
+    for _ in 0..3 {
+        for (client, text, piece) in &mut clients {
+            let rest = text.split_off((*piece).min(text.len()));
+            client.write(&std::mem::replace(text, rest));
+        }
+        sleep(PAUSE);
+    }
+    for (mut client, rest, _) in clients {
+        assert_eq!(client.exchange(&rest).status(), 200);
+    }
+}
