A client that stops in the middle of a request hears of it after 2.5 s of silence

Cause: the time of a request was a budget from its beginning (5 s and a second for each 8 KiB that came), in gather.rs and client.rs, so that a client that stopped had all that was left of it; a body that streams had the upstream's 10 s; bytes read ahead behind an earlier answer began no time at all; at the planned end nothing but the stop was looked at.

Change: a client's progress has one owner (client/progress.rs): its time counts from its last byte, 2.5 s on the platform, beside the budget; what stopped behind a request in hand has 0.25 s after its answer; a body that streams tells its sender's silence from its upstream's; settle looks at it during the end. Half a head is answered 408 too, where nothing else is being written, and no request has two words. Under maplehook run the bound is 5 s, and a class's idle_ms for bodies that stream, as before.

--- a/config/src/class.rs
+++ b/config/src/class.rs
@@ -81,6 +81,7 @@
     if let Some(ms) = ranged!(reader, table, "total_ms", 1..=604_800_000u64, "1 to 604,800,000 ms") {
         total = Duration::from_millis(ms);
     }
+    passage.sender_idle = idle;
     passage.answers = Answers { buffer: passage.buffer, idle, total, ..passage.answers };
     for (key, statuses) in [
         ("turned_away", &mut passage.meaning.turned_away),
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -465,7 +465,7 @@
             CallBody::Whole(body) => Payload::Whole(body),
             CallBody::Stream(body) => {
                 let begun = tokio::time::Instant::from_std(sent);
-                let pace = Pace { begun, grace: wait, rate: f64::INFINITY };
+                let pace = Pace { begun, grace: wait, rate: f64::INFINITY, silence: wait };
                 take_in(body, &passage, &self.room, pace, wait).await.map_err(|fault| match fault {
                     Fault::TooLong => Why::TooLong,
                     Fault::BrokeOff | Fault::Slow => Why::BrokeOff,
--- a/engine/src/parts/body/gather.rs
+++ b/engine/src/parts/body/gather.rs
@@ -73,6 +73,8 @@
     pub grace: Duration,
     /// Bytes a second that it has to bring after that.
     pub rate: f64,
+    /// The longest time in which nothing comes of it.
+    pub silence: Duration,
 }
 
 impl Pace {
@@ -108,11 +110,14 @@
     let mut ended = false;
     let is_short = hint.lower() <= passage.buffer as u64;
     // The room is taken before the first byte is read, for as much as may come.
+    let mut heard = Instant::now();
     let most = hint.exact().map_or(passage.buffer, |n| n as usize);
     let taken = if is_short { room.take_long(most) } else { None };
     if taken.is_some() {
         while read.len() <= passage.buffer {
-            let frame = timeout_at(pace.due(read.len()), body.frame()).await.map_err(|_| Fault::Slow)?;
+            let due = pace.due(read.len()).min(heard + pace.silence);
+            let frame = timeout_at(due, body.frame()).await.map_err(|_| Fault::Slow)?;
+            heard = Instant::now();
             let Some(frame) = frame else {
                 ended = true;
                 break;
@@ -139,6 +144,6 @@
         None => read,
     };
     let rest = Box::pin(body.map_err(Into::into));
-    let patience = Patience { idle, total, answer };
+    let patience = Patience { idle, sender: passage.sender_idle, total, answer };
     Ok(Payload::Upload(Upload::new(read, rest, hint.exact(), passage.body_most, patience)))
 }
--- a/engine/src/parts/body/upload.rs
+++ b/engine/src/parts/body/upload.rs
@@ -56,8 +56,10 @@
 /// How long a body may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Patience {
-    /// The longest silence.
+    /// The longest time in which the upstream takes nothing of it.
     pub idle: Duration,
+    /// The longest time in which nothing comes from its sender that could be passed on.
+    pub sender: Duration,
     /// The longest time in all.
     pub total: Duration,
     /// The longest wait for the answer's head after the last byte.
@@ -75,8 +77,8 @@
     since: Instant,
     /// When the last of it went on.
     moved: Cell<Instant>,
-    /// Whether its sender keeps it waiting.
-    starved: Cell<bool>,
+    /// Since when its sender keeps it waiting.
+    starved: Cell<Option<Instant>>,
     whole: Cell<bool>,
     fault: Cell<Option<Fault>>,
     begun: Notify,
@@ -103,7 +105,7 @@
             patience,
             since: now,
             moved: Cell::new(now),
-            starved: Cell::new(false),
+            starved: Cell::new(None),
             whole: Cell::new(false),
             fault: Cell::new(None),
             begun: Notify::new(),
@@ -127,6 +129,11 @@
         self.patience.answer
     }
 
+    /// How long nothing may come from its sender.
+    pub fn sender_most(&self) -> Duration {
+        self.patience.sender
+    }
+
     /// Whether it has left whole.
     pub fn is_whole(&self) -> bool {
         self.whole.get()
@@ -145,16 +152,22 @@
     /// Waits until its time, or that of the answer to it, is over.
     pub async fn is_over(&self) {
         loop {
-            let Patience { idle, total, answer } = self.patience;
-            let limit = if self.whole.get() { answer } else { idle };
-            let due = (self.moved.get() + limit).min(self.since + total);
-            if due <= Instant::now() {
-                if self.starved.get() && !self.whole.get() {
+            let Patience { idle, sender, total, answer } = self.patience;
+            let starved = self.starved.get().filter(|_| !self.whole.get());
+            let due = match starved {
+                Some(since) => since + sender,
+                None if self.whole.get() => self.moved.get() + answer,
+                None => self.moved.get() + idle,
+            };
+            let (due, now) = (due.min(self.since + total), Instant::now());
+            if due <= now {
+                if starved.is_some() {
                     self.fault.set(Some(Fault::Slow));
                 }
                 return;
             }
-            sleep_until(due).await;
+            // Its sender may fall silent meanwhile, which ends it no sooner than this.
+            sleep_until(due.min(now + sender)).await;
         }
     }
 
@@ -258,9 +271,9 @@
         let Some(source) = &mut self.source else {
             return Poll::Ready(Some(Err("the body is spent".into())));
         };
-        self.upload.starved.set(true);
+        self.upload.starved.set(Some(self.upload.starved.get().unwrap_or_else(Instant::now)));
         let frame = ready!(source.as_mut().poll_frame(cx));
-        self.upload.starved.set(false);
+        self.upload.starved.set(None);
         self.upload.moved.set(Instant::now());
         match frame {
             Some(Ok(frame)) => {
@@ -278,3 +291,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -1,10 +1,15 @@
 //! One client's connection: how far it has come, and what its bytes tell before a request is made of them.
 
+mod progress;
+
+pub use progress::Allowance;
+
 use crate::framing::Framing;
 use crate::server::End;
 use maplehook::label::Label;
 use maplehook::parts::body::Pace;
 use maplehook_admission::ConnId;
+use progress::{PROMPT, Progress};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::task::Poll;
@@ -12,18 +17,12 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// The time from the connection, or from a later request's first byte, to the request's last byte, and the bytes a second
-/// that add to it: a client may be slow, as long as it moves on.
-const READ_MOST: Duration = Duration::from_secs(5);
-const READ_RATE: f64 = 8.0 * 1024.0;
 /// A connection on which nothing has been asked for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(6);
 /// An answer that has been written for so long has been read, or its client holds up what comes after it.
 const READ_BY_NOW: Duration = Duration::from_secs(3);
 /// Between two looks at a connection on which a request may begin at any time.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
-/// Time for the word on why a request that did not come whole is not answered.
-const PROMPT: Duration = Duration::from_millis(250);
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stand {
@@ -71,19 +70,16 @@
     useful: Cell<bool>,
     /// Since when nothing of use has come, or since the last answer.
     since: Cell<Instant>,
-    /// When the request that is being read began, and what has come since.
-    begun: Cell<Option<Instant>>,
-    came: Cell<usize>,
-    /// When its last byte came.
-    heard: Cell<Instant>,
+    progress: Progress,
+    /// How long nothing may come of the body that streams, where the request in hand has one and no answer yet.
+    upload: Cell<Option<Duration>>,
+    /// Whether it has been told that its request did not come in time.
+    cut_short: Cell<bool>,
     /// What it calls its last request, for the log.
     label: Cell<Label>,
     /// Where its requests begin and end, and whether the head of the one in hand hides a length.
     framing: RefCell<Framing>,
     hides_a_length: Cell<bool>,
-    /// How long it may leave an answer unread, and since when it does.
-    stall: Duration,
-    blocked: Cell<Option<Instant>>,
     /// Told when it is to make room, and whether it was.
     close: Notify,
     told: Cell<bool>,
@@ -91,18 +87,16 @@
 
 impl Client {
     /// One that has just been let in under this name.
-    pub fn new(keeper: Rc<dyn Keeper>, id: ConnId, stall: Duration) -> Self {
+    pub fn new(keeper: Rc<dyn Keeper>, id: ConnId, allowance: Allowance) -> Self {
         Self {
             keeper,
             id,
-            stall,
-            blocked: Cell::new(None),
+            progress: Progress::new(allowance),
+            upload: Cell::new(None),
+            cut_short: Cell::new(false),
             stand: Cell::new(Stand::New),
             useful: Cell::new(false),
             since: Cell::new(Instant::now()),
-            begun: Cell::new(None),
-            came: Cell::new(0),
-            heard: Cell::new(Instant::now()),
             label: Cell::default(),
             framing: RefCell::default(),
             hides_a_length: Cell::new(false),
@@ -120,24 +114,17 @@
     pub fn reads(&self, label: Label) -> Pace {
         self.label.set(label);
         self.hides_a_length.set(self.framing.borrow_mut().next());
-        let begun = self.begun.take().unwrap_or_else(Instant::now);
+        let begun = self.progress.begun().unwrap_or_else(Instant::now);
         let begun = if self.stand.replace(Stand::Reading) == Stand::New { self.since.get() } else { begun };
-        self.begun.set(Some(begun));
-        self.pace(begun)
-    }
-
-    fn pace(&self, begun: Instant) -> Pace {
-        Pace { begun, grace: READ_MOST, rate: READ_RATE }
+        self.progress.begin(begun);
+        self.progress.pace(begun)
     }
 
-    /// When what began then has to have come so far as to go on.
-    fn read_by(&self, begun: Instant) -> Instant {
-        self.pace(begun).due(self.came.get())
-    }
-
-    /// The request is here whole and fit to be answered. `vouched`: it shows that its client is known.
-    pub fn holds(&self, tenant: u32, vouched: bool) {
-        self.begun.set(None);
+    /// The request is here and fit to be answered, whole or with a body that streams, of which nothing may come for as long
+    /// as `upload` says. `vouched`: it shows that its client is known.
+    pub fn holds(&self, tenant: u32, vouched: bool, upload: Option<Duration>) {
+        self.progress.end();
+        self.upload.set(upload);
         self.stand.set(Stand::Held);
         self.keeper.held(self.id, tenant, vouched);
     }
@@ -145,8 +132,8 @@
     /// The answer is made; `true`: the connection ends with it. A client that has only sent what is unfit
     /// stays as new as it was.
     pub fn answered(&self, question: Question) -> bool {
-        self.begun.set(None);
-        self.came.set(0);
+        self.progress.restart();
+        self.upload.set(None);
         self.useful.set(self.useful.get() || question == Question::Request);
         if self.useful.get() || question == Question::Health {
             self.stand.set(Stand::Idle);
@@ -160,6 +147,11 @@
         }
     }
 
+    /// The answer has come: what its client still sends of its request is not waited for.
+    pub fn has_answer(&self) {
+        self.upload.set(None);
+    }
+
     /// The connection has ended.
     pub fn leaves(&self) {
         self.keeper.left(self.id);
@@ -190,35 +182,70 @@
         self.stand.get() == Stand::Reading || (self.stand.get() != Stand::Held && self.has_more())
     }
 
+    /// Whether it is owed no answer and has sent a part of a request that is not whole. One that does not read its last
+    /// answer is not asked for the rest.
+    fn is_midway(&self) -> bool {
+        match self.stand.get() {
+            Stand::Reading => true,
+            Stand::New | Stand::Idle => !self.progress.is_blocked() && self.framing.borrow().has_part(),
+            Stand::Held => false,
+        }
+    }
+
+    /// How long nothing may come of the rest of the body that streams, where it has not come whole.
+    fn uploads(&self) -> Option<Duration> {
+        self.upload.get().filter(|_| self.framing.borrow().awaits_body())
+    }
+
     /// When it is to be closed, as things stand.
     fn due(&self) -> Option<Instant> {
-        match (self.stand.get(), self.begun.get()) {
-            (Stand::New, _) => Some(self.read_by(self.since.get())),
+        let begun = self.progress.begun().unwrap_or(self.since.get());
+        match self.stand.get() {
+            Stand::New => Some(self.progress.read_by(self.since.get())),
             // A bit more: the answer says why.
-            (Stand::Reading, Some(begun)) => Some(self.read_by(begun) + PROMPT),
-            (Stand::Idle, Some(begun)) => Some(self.read_by(begun)),
-            (Stand::Idle, None) => Some(self.since.get() + IDLE_MOST),
-            // An answer that streams waits for its reader, but not for ever.
-            (Stand::Held, _) => self.blocked.get().and_then(|since| since.checked_add(self.stall)),
-            (Stand::Reading, None) => None,
+            Stand::Reading => Some(self.progress.read_by(begun) + PROMPT),
+            Stand::Idle if self.is_midway() => Some(self.progress.read_by(begun)),
+            Stand::Idle => Some(self.since.get() + IDLE_MOST),
+            // An answer that streams waits for its reader, but not for ever; and an answer says why here, too.
+            Stand::Held => self.progress.unread_by().or_else(|| self.upload_by()),
         }
     }
 
+    /// Until when the body that streams has to go on.
+    fn upload_by(&self) -> Option<Instant> {
+        self.uploads().map(|silence| self.progress.silent_by(silence) + PROMPT)
+    }
+
     /// Why it is to end, where it has had all the time that it may take for what it does.
     pub fn overdue_for(&self) -> Option<End> {
         let end = match self.stand.get() {
-            Stand::New if self.came.get() == 0 => End::Silent,
-            Stand::New | Stand::Reading => End::Stopped,
-            Stand::Idle if self.is_writing() => End::Stopped,
-            Stand::Idle => End::Rested,
+            _ if self.is_midway() => End::Stopped,
+            Stand::Held if self.progress.unread_by().is_none() => End::Stopped,
             Stand::Held => End::Unread,
+            Stand::New => End::Silent,
+            Stand::Reading | Stand::Idle => End::Rested,
         };
         self.due().filter(|due| *due <= Instant::now()).map(|_| end)
     }
 
-    /// Since when nothing has come from it.
+    /// Whether it has stopped in the middle of a request that it is owed no answer to, and has had its time.
+    pub fn has_stopped(&self) -> bool {
+        self.overdue_for() == Some(End::Stopped)
+    }
+
+    /// It is told that its request did not come in time.
+    pub fn is_cut_short(&self) {
+        self.cut_short.set(true);
+    }
+
+    /// Whether it was told so.
+    pub fn was_cut_short(&self) -> bool {
+        self.cut_short.get()
+    }
+
+    /// How long nothing has come from it.
     pub fn silence(&self) -> Duration {
-        self.heard.get().elapsed()
+        self.progress.silence()
     }
 
     /// What it calls its last request.
@@ -228,7 +255,7 @@
 
     /// How many bytes have come since its last answer.
     pub fn came_since_answer(&self) -> usize {
-        self.came.get()
+        self.progress.came()
     }
 
     /// Whether its last answer lies so far back that it has long been read.
@@ -238,16 +265,12 @@
 
     /// Whether it has left an answer unread for too long.
     pub fn is_stalled(&self) -> bool {
-        self.blocked.get().is_some_and(|since| since.elapsed() >= self.stall)
+        self.progress.unread_by().is_some_and(|by| by <= Instant::now())
     }
 
     /// Bytes for it were taken by the kernel, or were not.
     pub fn wrote<T>(&self, poll: Poll<T>) -> Poll<T> {
-        let blocked = match (&poll, self.blocked.get()) {
-            (Poll::Ready(_), _) => None,
-            (Poll::Pending, since) => Some(since.unwrap_or_else(Instant::now)),
-        };
-        self.blocked.set(blocked);
+        self.progress.wrote(&poll);
         poll
     }
 
@@ -295,25 +318,33 @@
     /// These bytes have come from it, whoever reads them when.
     pub fn arrived(&self, bytes: &[u8]) {
         let now = Instant::now();
-        self.heard.set(now);
+        self.progress.hears(now);
         self.framing.borrow_mut().came(bytes, now);
     }
 
+    /// Bytes of it wait that nobody has read.
+    pub fn has_unread(&self) {
+        self.progress.hears(Instant::now());
+    }
+
     /// So many bytes are taken in as a part of a request.
     pub fn took(&self, bytes: usize) {
         if bytes == 0 {
             return;
         }
-        if self.stand.get() == Stand::Idle && self.begun.get().is_none() {
-            self.begun.set(Some(Instant::now()));
+        if self.stand.get() == Stand::Idle && self.progress.begun().is_none() {
+            self.progress.begin(Instant::now());
         }
         if self.stand.get() != Stand::Held {
             self.keeper.came(self.id);
         }
-        self.came.set(self.came.get().saturating_add(bytes));
+        self.progress.took(bytes);
     }
 }
 
+#[cfg(test)]
+mod times;
+
 #[cfg(test)]
 pub mod tests {
     use super::*;
@@ -337,6 +368,7 @@
         let mut door = maplehook_admission::Door::new(maplehook_admission::Policy::default(), 10, &[], 7);
         let arrival = door.arrive(Duration::ZERO, "127.0.0.1".parse().unwrap());
         let maplehook_admission::Arrival::Kept { id, .. } = arrival else { panic!("refused") };
-        Rc::new(Client::new(Rc::new(Nobody), id, READ_MOST))
+        let allowance = Allowance { silence: Duration::from_millis(2500), unread: Duration::from_secs(5) };
+        Rc::new(Client::new(Rc::new(Nobody), id, allowance))
     }
 }
--- a/node/src/entrance.rs
+++ b/node/src/entrance.rs
@@ -1,6 +1,6 @@
 //! Carries out what the door decides: it knows the clients behind the door's names.
 
-use crate::client::{Client, Keeper};
+use crate::client::{Allowance, Client, Keeper};
 use maplehook_admission::address::Networks;
 use maplehook_admission::{After, Arrival, ConnId, Door, Reason, Refusal};
 use rustc_hash::FxHashMap;
@@ -17,19 +17,19 @@
     door: RefCell<Door>,
     clients: RefCell<FxHashMap<ConnId, Rc<Client>>>,
     left: Notify,
-    /// How long a client may leave an answer unread.
-    stall: Duration,
+    /// How long clients may leave things undone.
+    allowance: Allowance,
 }
 
 impl Entrance {
     /// One with nobody in it.
-    pub fn new(door: Door, stall: Duration) -> Rc<Self> {
+    pub fn new(door: Door, allowance: Allowance) -> Rc<Self> {
         Rc::new(Self {
             start: Instant::now(),
             door: RefCell::new(door),
             clients: RefCell::default(),
             left: Notify::new(),
-            stall,
+            allowance,
         })
     }
 
@@ -43,7 +43,7 @@
         match arrival {
             Arrival::Kept { id, ends } => {
                 let keeper = Rc::clone(self) as Rc<dyn Keeper>;
-                let client = Rc::new(Client::new(keeper, id, self.stall));
+                let client = Rc::new(Client::new(keeper, id, self.allowance));
                 self.clients.borrow_mut().insert(id, Rc::clone(&client));
                 self.end(ends);
                 Ok((client, ends.is_some()))
--- a/node/src/framing.rs
+++ b/node/src/framing.rs
@@ -143,6 +143,21 @@
         }
     }
 
+    /// Whether a request behind the one that is read has begun to come and is not whole; where in doubt, it has.
+    pub fn has_part(&self) -> bool {
+        match self.at {
+            At::Head { begun } => begun || !self.line.is_empty(),
+            At::Body(_) | At::Size | At::Chunk(_) | At::Trailers => !self.heads.is_empty(),
+            At::Lost => true,
+        }
+    }
+
+    /// Whether more is to come of the body of the request that is read; where in doubt, there is not.
+    pub fn awaits_body(&self) -> bool {
+        let inside = matches!(self.at, At::Body(_) | At::Size | At::Chunk(_) | At::Trailers);
+        inside && self.heads.is_empty()
+    }
+
     /// Whether a further request has come whole.
     pub fn has_whole(&self) -> bool {
         self.heads.front().is_some_and(|request| request.whole.is_some())
@@ -248,6 +263,27 @@
         assert_eq!(framing.whole_at(), Some(start + 2 * STEP));
     }
 
+    /// Guards what is waited for: a part of a further request is told from the rest of the one that is read.
+    #[test]
+    fn the_rest_of_a_request_is_told_from_a_part_of_the_next() {
+        let mut framing = Framing::default();
+        let mut comes = |bytes: &[u8], part: bool, rest: bool| {
+            framing.came(bytes, Instant::now());
+            if bytes.ends_with(b"\r\n\r\n") && framing.heads.len() == 1 {
+                framing.next();
+            }
+            assert_eq!((framing.has_part(), framing.awaits_body()), (part, rest), "{}", bytes.escape_ascii());
+        };
+        comes(b"\r\n", false, false);
+        comes(b"P", true, false);
+        comes(b"OST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", false, true);
+        comes(b"1\r\na\r\n0\r\n", false, true);
+        comes(b"\r\n", false, false);
+        comes(b"POST / HTTP/1.1\r\nContent-Length: 2\r\n", true, false);
+        comes(b"\r\n", true, false);
+        comes(b"ab", false, false);
+    }
+
     /// Guards against being led astray: what can't be read counts as hidden from there on, and nothing panics.
     #[test]
     fn where_in_doubt_a_length_is_hidden() {
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -3,6 +3,7 @@
 
 use crate::client::{Client, Stand};
 use bytes::{Buf, BytesMut};
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
@@ -63,6 +64,16 @@
     ended: Cell<bool>,
     /// Whether our sending is ended.
     shut: Cell<bool>,
+    /// Whether something is being written that the kernel has not taken whole.
+    writes: Cell<bool>,
+}
+
+/// A client's stream that the HTTP connection has left while its client has not ended its sending.
+pub enum Left {
+    /// Our sending is ended.
+    Shut(TcpStream),
+    /// Nothing is being written on it.
+    Quiet(TcpStream),
 }
 
 impl Wire {
@@ -75,6 +86,7 @@
             wanted: Cell::new(false),
             ended: Cell::new(false),
             shut: Cell::new(false),
+            writes: Cell::new(false),
         })
     }
 
@@ -140,11 +152,24 @@
         Poll::Ready(Ok(()))
     }
 
-    /// The stream, where the other side may still be reading the last answer: our sending is ended, its sending is not.
-    /// `None` as long as the HTTP connection lives.
-    pub fn into_unread(wire: Rc<Self>) -> Option<TcpStream> {
+    /// Whether bytes have come that nobody has read. The kernel is asked itself: what the runtime knows of the stream may be
+    /// older.
+    pub fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&*self.stream.borrow()).peek(&mut byte).is_ok_and(|n| n > 0)
+    }
+
+    /// The stream, where its client may still hear of it. `None` as long as the HTTP connection lives, and where an answer
+    /// on it was broken off.
+    pub fn into_left(wire: Rc<Self>) -> Option<Left> {
         let wire = Rc::into_inner(wire)?;
-        (wire.shut.get() && !wire.ended.get()).then(|| wire.stream.into_inner())
+        let (ended, shut, writes) = (wire.ended.get(), wire.shut.get(), wire.writes.get());
+        let stream = wire.stream.into_inner();
+        match (ended, shut) {
+            (true, _) => None,
+            (false, true) => Some(Left::Shut(stream)),
+            (false, false) => Some(Left::Quiet(stream)).filter(|_| !writes),
+        }
     }
 }
 
@@ -159,6 +184,7 @@
 
 impl AsyncWrite for Inbound {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.0.writes.set(true);
         let poll = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write(cx, buf);
         self.0.client.wrote(poll)
     }
@@ -168,6 +194,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.0.writes.set(true);
         let poll = Pin::new(&mut *self.0.stream.borrow_mut()).poll_write_vectored(cx, bufs);
         self.0.client.wrote(poll)
     }
@@ -177,7 +204,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx)
+        // The HTTP connection flushes once it has handed on all that it has.
+        let flushed = Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx);
+        self.0.writes.set(self.0.writes.get() && flushed.is_pending());
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -7,6 +7,7 @@
 pub use file::by_file;
 pub use platform::on_platform;
 
+use crate::client::Allowance;
 use crate::command;
 use crate::hearsay::Hearsay;
 use crate::requests::{Requests, Vouching};
@@ -67,7 +68,7 @@
     room: Room,
     forwarding: Forwarding,
     own: bool,
-    stall: Duration,
+    allowance: Allowance,
     /// From SIGTERM until the end.
     grace: Grace,
     operator: Operator,
--- a/node/src/serve/file.rs
+++ b/node/src/serve/file.rs
@@ -2,6 +2,7 @@
 
 use super::parts::Parts;
 use super::{KILL_AFTER_DEADLINE, Plan, Told, block_on, serve, vouching};
+use crate::client::Allowance;
 use crate::counts::{self, Counts};
 use crate::inherited;
 use crate::nearness::Part;
@@ -22,9 +23,13 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::spawn_local;
 
+/// The longest silence of a client in the middle of a request, but for a body that streams, whose class says it.
+const SILENCE: Duration = Duration::from_secs(5);
+
 /// Serves as the operator's file alone says, until SIGTERM.
 pub fn by_file(
     mut operator: Operator,
@@ -56,7 +61,7 @@
         room: Room::new(proxy.bodies),
         forwarding: proxy.forwarding.clone(),
         own: proxy.own,
-        stall: proxy.stall,
+        allowance: Allowance { silence: SILENCE, unread: proxy.stall },
         grace: Rc::new(Cell::new(longest.max(proxy.drain) + KILL_AFTER_DEADLINE)),
         operator,
         file,
--- a/node/src/serve/parts.rs
+++ b/node/src/serve/parts.rs
@@ -142,7 +142,7 @@
         let guarantees: Vec<f64> = plan.settings.tenants.iter().map(|t| t.allowance_per_s).collect();
         let clients = descriptors.of(Part::Clients);
         let door = Door::new(plan.operator.admission.clone(), clients, &guarantees, plan.seed);
-        let entrance = Entrance::new(door, plan.stall);
+        let entrance = Entrance::new(door, plan.allowance);
         share_descriptors(&descriptors, &upstreams, &entrance);
         Ok(Self {
             term,
--- a/node/src/serve/platform.rs
+++ b/node/src/serve/platform.rs
@@ -2,6 +2,7 @@
 
 use super::parts::Parts;
 use super::{KILL_AFTER_DEADLINE, KILL_DEADLINE_MOST, Plan, Told, block_on, serve, vouching};
+use crate::client::Allowance;
 use crate::config::Config;
 use crate::handover::{Handover, Remembered};
 use crate::inherited;
@@ -13,7 +14,7 @@
 use maplehook::parts::room::Room;
 use maplehook::source::Source;
 use maplehook_config::Operator;
-use maplehook_routes::Forwarding;
+use maplehook_routes::{Forwarding, SENDER_IDLE};
 use std::cell::Cell;
 use std::error::Error;
 use std::rc::Rc;
@@ -48,7 +49,7 @@
         room: Room::new(config.long_answers()),
         forwarding: Forwarding::platform(),
         own: false,
-        stall: STALL,
+        allowance: Allowance { silence: SENDER_IDLE, unread: STALL },
         grace: Rc::new(Cell::new(platform_grace(&config.tuned))),
         settings,
         operator,
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -2,11 +2,14 @@
 
 use super::{End, Phase, Server};
 use crate::client::{Client, Stand};
-use crate::inbound::{Inbound, Wire};
+use crate::inbound::{Inbound, Left, Wire};
 use crate::refusals::{CLIENT_MORE_MOST, empty, linger};
+use crate::requests::at_fault;
+use crate::words::raw;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use maplehook::parts::body::Fault;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::IpAddr;
@@ -39,12 +42,26 @@
         let wire = Wire::new(stream, Rc::clone(&client), Rc::clone(&self.read_ahead));
         let end = self.converse(&wire, peer).await;
         self.tell_end(&client, peer, end);
-        if let Some(stream) = Wire::into_unread(wire).filter(|_| !client.has_rested()) {
-            close(&client, stream).await;
+        match Wire::into_left(wire) {
+            Some(Left::Shut(stream)) if !client.has_rested() => close(&client, stream).await,
+            Some(Left::Quiet(stream)) if end == End::Stopped => {
+                self.tell_stopped(&client, &stream);
+                close(&client, stream).await;
+            }
+            _ => {}
         }
         client.leaves();
     }
 
+    /// Tells a client that its request did not come in time. Its connection is between answers.
+    fn tell_stopped(&self, client: &Client, stream: &TcpStream) {
+        client.is_cut_short();
+        let unfit = at_fault(Fault::Slow);
+        self.count_unfit(&unfit);
+        // A client that takes nothing of it sees the end.
+        let _ = stream.try_write(&raw(&self.words.unfit(&unfit)));
+    }
+
     /// Tells the log and the figures why a connection ends.
     fn tell_end(&self, client: &Client, peer: IpAddr, end: End) {
         self.desk.tally().clients_ended.count(end.name());
@@ -83,22 +100,27 @@
             if client.is_told() {
                 break End::Displaced;
             }
-            if client.stand() == Stand::Idle {
-                // One that has rested for long: what has just come may not have been looked at.
-                if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
-                    return by_itself(wire, &ended);
-                }
+            // One whose time is over: what has just come may not have been looked at.
+            if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
+                return by_itself(wire, &ended);
+            }
+            if client.stand() == Stand::Held && wire.has_unread() {
+                client.has_unread();
             }
             if let Some(end) = client.overdue_for() {
                 break end;
             }
         };
+        if matches!(end, End::Silent | End::Stopped | End::Unread) {
+            return end;
+        }
         match settle(client, end == End::Leaving, attended(connection.as_mut(), wire)).await {
             Ok(true) => {
                 connection.as_mut().graceful_shutdown();
                 // What is left to be written is owed; how it ends changes nothing of why.
                 let _ = finish(client, attended(connection, wire)).await;
             }
+            Ok(false) if client.has_stopped() => return End::Stopped,
             Ok(false) => {}
             Err(e) => tracing::debug!("client: {e}"),
         }
@@ -113,6 +135,7 @@
             tracing::debug!("client: {e}");
             if wire.has_ended() { End::Left } else { End::Broken }
         }
+        Ok(()) if wire.client().was_cut_short() => End::Stopped,
         Ok(()) if wire.has_ended() => End::Left,
         Ok(()) => End::Answered,
     }
@@ -156,6 +179,7 @@
             Stand::Held if client.is_stalled() => return Ok(false),
             Stand::Held => {}
             // Part of a request at most: nothing was taken.
+            _ if client.has_stopped() => return Ok(false),
             Stand::New | Stand::Reading if !leaving => return Ok(false),
             Stand::Idle if !leaving && since.elapsed() > ANSWER_MOST => return Ok(false),
             _ if client.has_whole() || (leaving && client.is_writing()) => {}
--- a/node/src/server/connection/tests.rs
+++ b/node/src/server/connection/tests.rs
@@ -11,7 +11,7 @@
 fn answered() -> Rc<Client> {
     let client = crate::client::tests::alone();
     client.reads(Label::default());
-    client.holds(0, false);
+    client.holds(0, false, None);
     client.answered(Question::Request);
     client
 }
@@ -42,7 +42,7 @@
     let served = Cell::new(false);
     let serves = async {
         client.reads(Label::default());
-        client.holds(0, false);
+        client.holds(0, false, None);
         sleep(2 * LOOK_EVERY).await;
         client.answered(Question::Request);
         served.set(true);
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use maplehook::parts::answer::AnswerBody;
-use maplehook::parts::body::{Pace, Upload, read_away};
+use maplehook::parts::body::{Fault, Pace, Upload, read_away};
 use maplehook::parts::driver::Answer;
 use maplehook_routes::Unfit;
 use std::future::poll_fn;
@@ -43,10 +43,13 @@
                 }
             }
             _ => match self.read_in_time(wire, peer, request, pace).await {
-                Ok(ready) => self.answer(ready).await,
+                Ok(ready) => self.answer(client, ready).await,
                 Err(unfit) => {
                     question = Question::Unfit;
-                    self.desk.tally().unfit.count(name_of(unfit.status));
+                    self.count_unfit(&unfit);
+                    if unfit.status == StatusCode::REQUEST_TIMEOUT {
+                        client.is_cut_short();
+                    }
                     let label = client.label();
                     tracing::debug!(%peer, %label, status = unfit.status.as_u16(), "unfit: {}", unfit.why);
                     let mut answer = own(self.words.unfit(&unfit));
@@ -68,14 +71,25 @@
         response.map(|body| Tail::new(body, client))
     }
 
-    async fn answer(&self, ready: Ready) -> Response<AnswerBody> {
+    /// Counts what is answered as no fit request.
+    pub(super) fn count_unfit(&self, unfit: &Unfit) {
+        self.desk.tally().unfit.count(unfit.status.canonical_reason().unwrap_or("other"));
+    }
+
+    async fn answer(&self, client: &Client, ready: Ready) -> Response<AnswerBody> {
         let Ready { asked, identity, upload, open, label } = ready;
         let (answer, _) = self.desk.ask(asked, identity).await;
+        client.has_answer();
         drop(open);
         upload.iter().for_each(Upload::answered);
         let mut response = match (answer, upload.and_then(|upload| upload.fault())) {
             // It came to nothing by its client's fault: that is what its client hears.
-            (Answer::Refused(_) | Answer::Failed, Some(fault)) => own(self.words.unfit(&at_fault(fault))),
+            (Answer::Refused(_) | Answer::Failed, Some(fault)) => {
+                if fault == Fault::Slow {
+                    client.is_cut_short();
+                }
+                own(self.words.unfit(&at_fault(fault)))
+            }
             (answer, _) => worded(answer, self.words),
         };
         tell(&mut response, label);
@@ -121,16 +135,11 @@
         };
         let (tenant, vouched) = (head.tenant(), head.vouched);
         let read = self.requests.rest(head, body, pace, peer, || client.whole_at()).await?;
-        client.holds(tenant.0, vouched);
+        client.holds(tenant.0, vouched, read.upload.as_ref().map(|upload| upload.sender_most()));
         Ok(read)
     }
 }
 
-/// What figures call a status of our own.
-fn name_of(status: StatusCode) -> &'static str {
-    status.canonical_reason().unwrap_or("other")
-}
-
 /// Names the version that an answer was given under.
 fn tell(response: &mut Response<AnswerBody>, label: Option<HeaderValue>) {
     if let Some(label) = label {
--- a/node/src/words.rs
+++ b/node/src/words.rs
@@ -3,6 +3,7 @@
 use crate::client::{Client, Question};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::CONNECTION;
 use hyper::{Response, StatusCode};
 use maplehook::parts::answer::{AnswerBody, Served};
 use maplehook::parts::body::Failure;
@@ -24,6 +25,21 @@
     own(response)
 }
 
+/// An answer of our own as bytes, for a connection that ends with it.
+pub fn raw(response: &Response<&'static str>) -> Vec<u8> {
+    let (status, body) = (response.status(), *response.body());
+    let mut bytes = format!("HTTP/1.1 {status}\r\n").into_bytes();
+    for (name, value) in response.headers().iter().filter(|(name, _)| *name != CONNECTION) {
+        bytes.extend_from_slice(name.as_str().as_bytes());
+        bytes.extend_from_slice(b": ");
+        bytes.extend_from_slice(value.as_bytes());
+        bytes.extend_from_slice(b"\r\n");
+    }
+    let rest = format!("connection: close\r\ncontent-length: {}\r\n\r\n{body}", body.len());
+    bytes.extend_from_slice(rest.as_bytes());
+    bytes
+}
+
 /// A final answer.
 pub fn worded(answer: Answer, words: Own) -> Response<AnswerBody> {
     match answer {
--- a/node/tests/common/halfway.rs
+++ b/node/tests/common/halfway.rs
@@ -116,7 +116,9 @@
     let waits = stopped.into_iter().map(|(what, mut client, since)| {
         thread::spawn(move || {
             let word = word(&mut client);
-            (what, word, since.elapsed())
+            let after = since.elapsed();
+            assert!(word == Word::End || client.ends(), "{what}: something more behind {word:?}");
+            (what, word, after)
         })
     });
     let heard: Vec<_> = waits.collect::<Vec<_>>().into_iter().map(|wait| wait.join().unwrap()).collect();
--- a/node/tests/shutdown.rs
+++ b/node/tests/shutdown.rs
@@ -103,7 +103,8 @@
 fn half_a_request_is_refused_when_the_process_stops() {
     let upstream = Upstream::start(Then::Answer(OK));
     let mut setup = Setup::with(&[upstream.address]);
-    setup.deadline_ms = 2000;
+    // The stop comes before the half request's own time is over.
+    setup.deadline_ms = 1000;
     let mut node = setup.start();
     let (mut whole, mut half) = (node.connect(), node.connect());
     for (client, id) in [(&mut whole, "aa"), (&mut half, "bb")] {
--- a/node/tests/stopped.rs
+++ b/node/tests/stopped.rs
@@ -3,8 +3,9 @@
 
 mod common;
 
-use common::halfway::{Lateness, all_hear_in_time, connect, cuts, held_back_after};
-use common::{Client, OK, Setup, Then, Upstream, book_as};
+use common::gates::holding;
+use common::halfway::{Lateness, OWED_WITHIN, all_hear_in_time, connect, cuts, held_back_after};
+use common::{Client, LONG, OK, Setup, Then, Upstream, book_as};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -51,6 +52,35 @@
     all_hear_in_time(stopped, &lateness);
 }
 
+/// Guards whoever stopped behind a request that is still in hand: that one has its answer, and what stopped is heard of at
+/// once where its time is over by then.
+#[test]
+fn who_stopped_behind_an_open_request_hears_of_it_with_the_answer() {
+    const AT_ONCE: Duration = Duration::from_secs(1);
+    let (address, arrived) = holding();
+    let (lateness, node) = (Lateness::watch(), Setup::with(&[address]).start());
+    let stopped = stop_everywhere(
+        "behind",
+        || node.connect(),
+        |client, sent, n| {
+            client.write(&book_as(&format!("open-{n}"), "x"));
+            // What streams is read as its upstream takes it, which holds it here.
+            client.write_what_is_taken(sent);
+        },
+    );
+    let held: Vec<_> = stopped.iter().map(|_| arrived.recv_timeout(LONG).unwrap()).collect();
+    sleep(OWED_WITHIN);
+    held.iter().for_each(|request| request.answer("at last"));
+    let answered = Instant::now();
+    for (what, mut client, _) in stopped {
+        assert_eq!(client.answer().expect("the answer").status(), 200, "{what}");
+        common::halfway::word(&mut client);
+        let streams = what.contains("200 KB") || what.contains("900 MB");
+        let most = if streams { OWED_WITHIN } else { AT_ONCE } + lateness.most();
+        assert!(answered.elapsed() <= most, "{what}: {:?} after the answer", answered.elapsed());
+    }
+}
+
 /// Guards the same at the planned end of a process, which waits for the rest of what is half written, and no longer than
 /// for any other client.
 #[test]
--- a/routes/src/lib.rs
+++ b/routes/src/lib.rs
@@ -44,7 +44,7 @@
 
 pub use classify::{Fit, Headers, Route, Rules, Unfit};
 pub use forward::{Forwarding, HostRule, Peer, strip_hop_by_hop};
-pub use meaning::{Answers, Begins, Meaning, Means, Passage};
+pub use meaning::{Answers, Begins, Meaning, Means, Passage, SENDER_IDLE};
 pub use own::Own;
 pub use pattern::{Pattern, PatternError};
 
--- a/routes/src/meaning.rs
+++ b/routes/src/meaning.rs
@@ -107,6 +107,11 @@
 /// if it breaks off, or never ends, the request can still be answered otherwise. The request's own time is shorter.
 const HOLD: Duration = Duration::from_secs(3600);
 
+/// The longest silence of a platform's client in the middle of a request. It is owed an error or the end of its connection
+/// within 3 s of its last byte; the balancer may be held up for 0.15 s before it has read that byte and before it writes.
+/// A client that is slow and moves on takes 2 s at the most between two bytes.
+pub const SENDER_IDLE: Duration = Duration::from_millis(2500);
+
 /// How messages of one class pass.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Passage {
@@ -120,6 +125,8 @@
     pub buffer: usize,
     /// The longest body of a request, in bytes.
     pub body_most: u64,
+    /// The longest silence of a client in the middle of a body that streams.
+    pub sender_idle: Duration,
     /// Whether an upstream's error, when nothing is left to try, is passed on in its own words.
     pub last_error_passes: bool,
 }
@@ -140,6 +147,7 @@
             },
             buffer: 64 * 1024,
             body_most: 1 << 30,
+            sender_idle: SENDER_IDLE,
             last_error_passes: false,
         }
     }
@@ -158,6 +166,7 @@
             },
             buffer: 64 * 1024,
             body_most: 1 << 30,
+            sender_idle: Duration::from_secs(30),
             last_error_passes: true,
         }
     }
