--- a/engine/tests/answers_out_of_turn.rs
+++ b/engine/tests/answers_out_of_turn.rs
@@ -56,7 +56,7 @@
 #[tokio::test(flavor = "local")]
 async fn a_connection_with_unread_bytes_is_not_kept() {
     let (mut peer, upstreams) = one_upstream();
-    let patience = Patience { idle: LONG, total: LONG, answer: LONG };
+    let patience = Patience { idle: LONG, sender: LONG, total: LONG, answer: LONG };
     let (most, length) = (u64::MAX, LONG_BODY as u64);
     let rest = Full::new(Bytes::from(vec![b'y'; LONG_BODY])).map_err(|never| match never {});
     let upload = Upload::new(Bytes::new(), Box::pin(rest), Some(length), most, patience);
