--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -349,6 +349,7 @@
             Happening::Gone(id) => {
                 let Some(held) = core.requests.get_mut(&id) else { return };
                 if held.reply.take().is_some() {
+                    tracing::debug!(id = id.0, "left by its client");
                     core.balancer.handle(now, Event::RequestGone { id }, &mut actions);
                 }
                 self.forget_if_over(core, id);
--- a/engine/src/parts/driver/deeds.rs
+++ b/engine/src/parts/driver/deeds.rs
@@ -34,6 +34,7 @@
     ) {
         let Some(mut served) = served else { return };
         let Some(reply) = held.reply.take() else { return };
+        tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, "served");
         if let AnswerBody::Stream(stream) = &mut served.body {
             let driver = Rc::clone(self);
             stream.on_end(Box::new(move |outcome| {
