What has come by the time a request's time is over is looked at before it is refused

Change: a request's time is kept by its connection alone (Wire::stops), which asks the kernel before it gives a request up; take_in has no times of its own, and the engine's hosts bound it by the call's deadline as before; a body that streams is looked at once more. A rig, maplehook-bench stopped, has clients stop at up to 300 balancers.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod proxy;
 mod roles;
+mod stopped;
 
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
@@ -69,6 +70,12 @@
         #[arg(long, default_value_t = 2.0)]
         seconds: f64,
     },
+    /// After how long clients that stop in the middle of a request hear of it, at many balancers at once.
+    Stopped {
+        /// Balancers, each a process.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=300))]
+        balancers: u64,
+    },
     /// What following a Eureka registry costs, and what its failures cost.
     Eureka {
         /// Seconds for each measurement.
@@ -144,6 +151,7 @@
             let (rounds, seconds) = (rounds as usize, seconds.clamp(0.05, 30.0));
             runtime.block_on(near::run(&line.program, against.as_deref(), rounds, seconds, json))
         }
+        Rig::Stopped { balancers } => runtime.block_on(stopped::run(&line.program, balancers as usize)),
         Rig::Eureka { seconds } => eureka::run(&line.program, seconds.clamp(0.2, 30.0)),
         Rig::Desk => roles::run(roles::desk),
         Rig::Host { upstreams } => roles::run(|listener| roles::host(listener, upstreams)),
--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::lists::Lists;
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::Outgoing;
-use crate::parts::body::{Fault, Pace, Payload, Upload, take_in};
+use crate::parts::body::{Fault, Payload, Upload, take_in};
 use crate::parts::descriptors::Descriptors;
 use crate::parts::desk::{Desk, Inside};
 use crate::parts::driver::{Answer, Asked, Driver, Trace};
@@ -33,7 +33,7 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{sleep_until, timeout, timeout_at};
 
 /// Calls that may wait for the core; more are refused, harmlessly.
 const QUEUE: usize = 1024;
@@ -464,9 +464,8 @@
             CallBody::Whole(body) if body.len() as u64 > passage.body_most => return Err(Why::TooLong),
             CallBody::Whole(body) => Payload::Whole(body),
             CallBody::Stream(body) => {
-                let begun = tokio::time::Instant::from_std(sent);
-                let pace = Pace { begun, grace: wait, rate: f64::INFINITY, silence: wait };
-                take_in(body, &passage, &self.room, pace, wait).await.map_err(|fault| match fault {
+                let taken = timeout_at(deadline, take_in(body, &passage, &self.room, wait)).await;
+                taken.unwrap_or(Err(Fault::Slow)).map_err(|fault| match fault {
                     Fault::TooLong => Why::TooLong,
                     Fault::BrokeOff | Fault::Slow => Why::BrokeOff,
                 })?
--- a/engine/src/parts/body.rs
+++ b/engine/src/parts/body.rs
@@ -6,7 +6,7 @@
 mod gather;
 mod upload;
 
-pub use gather::{Gathered, Pace, gather, take_in};
+pub use gather::{Gathered, gather, take_in};
 pub use upload::{Patience, Sending, Upload, Written};
 
 use bytes::Bytes;
--- a/engine/src/parts/body/gather.rs
+++ b/engine/src/parts/body/gather.rs
@@ -1,4 +1,4 @@
-//! Bodies taken in: whole, where they are short enough, at a pace that tells slow from stuck.
+//! Bodies taken in: whole, where they are short enough.
 
 use super::{Failure, Fault, Patience, Payload, Upload, read_away};
 use crate::parts::room::Room;
@@ -8,7 +8,6 @@
 use maplehook_routes::Passage;
 use std::time::Duration;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout_at};
 
 #[cfg(test)]
 mod tests;
@@ -64,33 +63,13 @@
     Ok(read.whole())
 }
 
-/// How fast a body has to come: slow is told from stuck by what has come, not by the time that it takes.
-#[derive(Clone, Copy, Debug)]
-pub struct Pace {
-    /// When it began.
-    pub begun: Instant,
-    /// The time that it has in any case.
-    pub grace: Duration,
-    /// Bytes a second that it has to bring after that.
-    pub rate: f64,
-    /// The longest time in which nothing comes of it.
-    pub silence: Duration,
-}
-
-impl Pace {
-    /// Until when more has to come, after so many bytes.
-    pub fn due(&self, bytes: usize) -> Instant {
-        self.begun + self.grace + Duration::from_secs_f64(bytes as f64 / self.rate)
-    }
-}
-
-/// Takes a request's body in: whole, at this pace, where its class and the room allow that, else as one that streams.
+/// Takes a request's body in: whole, where its class and the room allow that, else as one that streams. How long it may take
+/// is up to whoever waits.
 /// `answer` is how long its sender waits for the answer from then on.
 pub async fn take_in<B>(
     mut body: B,
     passage: &Passage,
     room: &Room,
-    pace: Pace,
     answer: Duration,
 ) -> Result<Payload, Fault>
 where
@@ -110,15 +89,11 @@
     let mut ended = false;
     let is_short = hint.lower() <= passage.buffer as u64;
     // The room is taken before the first byte is read, for as much as may come.
-    let mut heard = Instant::now();
     let most = hint.exact().map_or(passage.buffer, |n| n as usize);
     let taken = if is_short { room.take_long(most) } else { None };
     if taken.is_some() {
         while read.len() <= passage.buffer {
-            let due = pace.due(read.len()).min(heard + pace.silence);
-            let frame = timeout_at(due, body.frame()).await.map_err(|_| Fault::Slow)?;
-            heard = Instant::now();
-            let Some(frame) = frame else {
+            let Some(frame) = body.frame().await else {
                 ended = true;
                 break;
             };
--- a/engine/src/parts/body/upload.rs
+++ b/engine/src/parts/body/upload.rs
@@ -11,7 +11,10 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+
+/// A look at whether anything has come.
+const LOOK: Duration = Duration::from_millis(1);
 
 /// Bytes that a connection's kernel has taken, and who waits for the first of them.
 #[derive(Default)]
@@ -151,6 +154,7 @@
 
     /// Waits until its time, or that of the answer to it, is over.
     pub async fn is_over(&self) {
+        let mut looked = false;
         loop {
             let Patience { idle, sender, total, answer } = self.patience;
             let starved = self.starved.get().filter(|_| !self.whole.get());
@@ -161,11 +165,18 @@
             };
             let (due, now) = (due.min(self.since + total), Instant::now());
             if due <= now {
+                if starved.is_some() && !looked {
+                    // A process that stood still finds its timers before what has come meanwhile.
+                    looked = true;
+                    sleep(LOOK).await;
+                    continue;
+                }
                 if starved.is_some() {
                     self.fault.set(Some(Fault::Slow));
                 }
                 return;
             }
+            looked = false;
             // Its sender may fall silent meanwhile, which ends it no sooner than this.
             sleep_until(due.min(now + sender)).await;
         }
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -7,7 +7,6 @@
 use crate::framing::Framing;
 use crate::server::End;
 use maplehook::label::Label;
-use maplehook::parts::body::Pace;
 use maplehook_admission::ConnId;
 use progress::{PROMPT, Progress};
 use std::cell::{Cell, RefCell};
@@ -110,14 +109,13 @@
         self.stand.get()
     }
 
-    /// A head has come, of a request that its client calls by this label. Returns how fast the rest has to come.
-    pub fn reads(&self, label: Label) -> Pace {
+    /// A head has come, of a request that its client calls by this label.
+    pub fn reads(&self, label: Label) {
         self.label.set(label);
         self.hides_a_length.set(self.framing.borrow_mut().next());
         let begun = self.progress.begun().unwrap_or_else(Instant::now);
         let begun = if self.stand.replace(Stand::Reading) == Stand::New { self.since.get() } else { begun };
         self.progress.begin(begun);
-        self.progress.pace(begun)
     }
 
     /// The request is here and fit to be answered, whole or with a body that streams, of which nothing may come for as long
@@ -228,6 +226,11 @@
         self.due().filter(|due| *due <= Instant::now()).map(|_| end)
     }
 
+    /// Until when more has to come of the request that is being read.
+    pub fn read_by(&self) -> Option<Instant> {
+        self.progress.begun().map(|begun| self.progress.read_by(begun))
+    }
+
     /// Whether it has stopped in the middle of a request that it is owed no answer to, and has had its time.
     pub fn has_stopped(&self) -> bool {
         self.overdue_for() == Some(End::Stopped)
--- a/node/src/client/progress.rs
+++ b/node/src/client/progress.rs
@@ -1,6 +1,5 @@
 //! What a client has sent and taken lately, and until when more has to come: a client may be slow, as long as it moves on.
 
-use maplehook::parts::body::Pace;
 use std::cell::Cell;
 use std::task::Poll;
 use std::time::Duration;
@@ -111,14 +110,10 @@
         self.blocked.get().and_then(|since| since.checked_add(self.allowance.unread))
     }
 
-    /// How fast the rest of a request that began then has to come.
-    pub fn pace(&self, begun: Instant) -> Pace {
-        Pace { begun, grace: READ_MOST, rate: READ_RATE, silence: self.allowance.silence }
-    }
-
     /// Until when more has to come of a request that began then: it goes on without a stop, and is fast enough in all.
     pub fn read_by(&self, begun: Instant) -> Instant {
-        self.pace(begun).due(self.came.get()).min(self.silent_by(self.allowance.silence))
+        let earned = Duration::from_secs_f64(self.came.get() as f64 / READ_RATE);
+        (begun + READ_MOST + earned).min(self.silent_by(self.allowance.silence))
     }
 
     /// Until when something has to come, where it may be silent for so long.
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -5,18 +5,23 @@
 use bytes::{Buf, BytesMut};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::future::pending;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// The most that is read ahead of one client, and of all together. The end of a client that has sent more than that behind
 /// a request is seen with the answer: its kernel may not even have told it to ours.
 const AHEAD_MOST: usize = 256 * 1024;
 const AHEAD_OF_ALL: usize = 4 * 1024 * 1024;
+/// A look at whether anything has come.
+pub const GLANCE: Duration = Duration::from_millis(1);
 /// Read at a time.
 const PIECE: usize = 4096;
 
@@ -152,6 +157,25 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Waits until the rest of the request that is being read has had its time. What has come by then is looked at first: a
+    /// process that stood still finds its timers before that.
+    pub async fn stops(&self) {
+        let mut looked = false;
+        while let Some(due) = self.client.read_by() {
+            if due > Instant::now() {
+                looked = false;
+                sleep_until(due).await;
+            } else if !looked && self.has_unread() {
+                looked = true;
+                self.client.has_unread();
+                sleep(GLANCE).await;
+            } else {
+                return;
+            }
+        }
+        pending().await
+    }
+
     /// Whether bytes have come that nobody has read. The kernel is asked itself: what the runtime knows of the stream may be
     /// older.
     pub fn has_unread(&self) -> bool {
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -9,7 +9,7 @@
 use maplehook::label::Label;
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::Outgoing;
-use maplehook::parts::body::{Fault, Pace, Upload, take_in};
+use maplehook::parts::body::{Fault, Upload, take_in};
 use maplehook::parts::driver::Asked;
 use maplehook::parts::room::Room;
 use maplehook_admission::address::{Network, Networks};
@@ -231,20 +231,19 @@
         Ok(Head { fit, parts, vouched, book })
     }
 
-    /// Reads the rest of a request, which has to come at this pace unless it streams; from then on it is open. `whole_at`
+    /// Reads the rest of a request, unless it streams; from then on it is open. `whole_at`
     /// tells, once it is read whole, when its last byte came.
     pub async fn rest(
         &self,
         head: Head,
         body: Incoming,
-        pace: Pace,
         peer: IpAddr,
         whole_at: impl FnOnce() -> Option<Instant>,
     ) -> Result<Ready, Unfit> {
         let Head { fit, parts, book, .. } = head;
         let passage = &book.passages[usize::from(fit.class.0)];
         let wait = fit.wait.saturating_sub(ON_THE_WAY);
-        let body = take_in(body, passage, &self.room, pace, wait).await.map_err(at_fault)?;
+        let body = take_in(body, passage, &self.room, wait).await.map_err(at_fault)?;
         let strict = book.rules.is_strict();
         if strict && parts.method == Method::GET && !body.is_empty() {
             return Err(Unfit::new(StatusCode::BAD_REQUEST, "a GET with a body"));
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -2,7 +2,7 @@
 
 use super::{End, Phase, Server};
 use crate::client::{Client, Stand};
-use crate::inbound::{Inbound, Left, Wire};
+use crate::inbound::{GLANCE, Inbound, Left, Wire};
 use crate::refusals::{CLIENT_MORE_MOST, empty, linger};
 use crate::requests::at_fault;
 use crate::words::raw;
@@ -25,8 +25,6 @@
 
 /// How long a connection that is to end may take over the rest of an answer.
 const ANSWER_MOST: Duration = Duration::from_secs(2);
-/// A look at whether anything has come.
-const GLANCE: Duration = Duration::from_millis(1);
 /// The same at a client that has only just connected: whoever does has a request to send.
 const NEWCOMER: Duration = Duration::from_millis(100);
 /// How often it is looked at meanwhile.
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use maplehook::parts::answer::AnswerBody;
-use maplehook::parts::body::{Fault, Pace, Upload, read_away};
+use maplehook::parts::body::{Fault, Upload, read_away};
 use maplehook::parts::driver::Answer;
 use maplehook_routes::Unfit;
 use std::future::poll_fn;
@@ -31,7 +31,7 @@
         let client = wire.client();
         let leaving = || *self.phase.borrow() != Phase::Serving;
         let label = self.requests.label_of(request.headers());
-        let pace = client.reads(label);
+        client.reads(label);
         let mut question = Question::Request;
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
@@ -42,7 +42,7 @@
                     plain(StatusCode::OK, "ok")
                 }
             }
-            _ => match self.read_in_time(wire, peer, request, pace).await {
+            _ => match self.read_in_time(wire, peer, request).await {
                 Ok(ready) => self.answer(client, ready).await,
                 Err(unfit) => {
                     question = Question::Unfit;
@@ -102,12 +102,12 @@
         wire: &Wire,
         peer: IpAddr,
         request: Request<Incoming>,
-        pace: Pace,
     ) -> Result<Ready, Unfit> {
         let mut phase = self.phase.clone();
         let ready = tokio::select! {
             biased;
-            read = self.read(wire.client(), peer, request, pace) => read?,
+            read = self.read(wire.client(), peer, request) => read?,
+            () = wire.stops() => return Err(at_fault(Fault::Slow)),
             _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return Err(TOO_LATE),
         };
         // One that was pipelined behind another may have been left by now.
@@ -116,13 +116,7 @@
     }
 
     /// Reads a request, its body included where that does not stream.
-    async fn read(
-        &self,
-        client: &Client,
-        peer: IpAddr,
-        request: Request<Incoming>,
-        pace: Pace,
-    ) -> Result<Ready, Unfit> {
+    async fn read(&self, client: &Client, peer: IpAddr, request: Request<Incoming>) -> Result<Ready, Unfit> {
         let (parts, body) = request.into_parts();
         let head = match self.requests.head(parts, peer, client.hides_a_length()) {
             Ok(head) => head,
@@ -134,7 +128,7 @@
             }
         };
         let (tenant, vouched) = (head.tenant(), head.vouched);
-        let read = self.requests.rest(head, body, pace, peer, || client.whole_at()).await?;
+        let read = self.requests.rest(head, body, peer, || client.whole_at()).await?;
         client.holds(tenant.0, vouched, read.upload.as_ref().map(|upload| upload.sender_most()));
         Ok(read)
     }
--- a/node/tests/stopped.rs
+++ b/node/tests/stopped.rs
@@ -126,6 +126,31 @@
     assert!(upstream.seen().is_empty());
 }
 
+/// Guards a rest that comes while a balancer stands still, with its client's time over when it goes on: what has come is
+/// looked at first.
+#[test]
+fn a_rest_that_came_while_the_balancer_stood_still_is_served() {
+    const OVER: Duration = Duration::from_millis(2700);
+    let upstream = Upstream::start(Then::Answer(OK));
+    let node = Setup::with(&[upstream.address]).start();
+    let request = |n: usize| book_as(&format!("rest-{n}"), &"x".repeat(50_000));
+    let head = request(0).len() - 50_000;
+    let mut clients: Vec<_> = [1, 60, head, head + 1, head + 40_000].map(|cut| (node.connect(), cut)).into();
+    for (n, (client, cut)) in clients.iter_mut().enumerate() {
+        client.write(&request(n)[..*cut]);
+    }
+    node.has_read(clients.iter().map(|(client, _)| client));
+    node.pause();
+    for (n, (client, cut)) in clients.iter_mut().enumerate() {
+        client.write(&request(n)[*cut..]);
+    }
+    sleep(OVER);
+    node.resume();
+    for (client, cut) in &mut clients {
+        assert_eq!(client.answer().map(|answer| answer.status()), Some(200), "cut at {cut}");
+    }
+}
+
 /// Guards clients that are slow and move on: pauses that are shorter than a stop change nothing.
 #[test]
 fn who_is_slow_and_moves_on_is_served() {
