A long body that stops is told from an upstream that takes nothing by what waits unread

Change: while such a body is not whole, its connection looks ten times a second at how much waits unread; more than before is progress, a full window may be, anything else is silence.

--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -22,6 +22,8 @@
 const READ_BY_NOW: Duration = Duration::from_secs(3);
 /// Between two looks at a connection on which a request may begin at any time.
 const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// The attempt that has a body which stops tells its client so; after this its connection does.
+const WORDING: Duration = Duration::from_millis(50);
 /// How far a connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stand {
@@ -72,6 +74,7 @@
     progress: Progress,
     /// How long nothing may come of the body that streams, where the request in hand has one and no answer yet.
     upload: Cell<Option<Duration>>,
+    upload_begins: Notify,
     /// Whether it has been told that its request did not come in time.
     cut_short: Cell<bool>,
     /// What it calls its last request, for the log.
@@ -92,6 +95,7 @@
             id,
             progress: Progress::new(allowance),
             upload: Cell::new(None),
+            upload_begins: Notify::new(),
             cut_short: Cell::new(false),
             stand: Cell::new(Stand::New),
             useful: Cell::new(false),
@@ -123,6 +127,10 @@
     pub fn holds(&self, tenant: u32, vouched: bool, upload: Option<Duration>) {
         self.progress.end();
         self.upload.set(upload);
+        if upload.is_some() {
+            self.progress.sees_unread(0);
+            self.upload_begins.notify_one();
+        }
         self.stand.set(Stand::Held);
         self.keeper.held(self.id, tenant, vouched);
     }
@@ -204,14 +212,24 @@
             Stand::Reading => Some(self.progress.read_by(begun) + PROMPT),
             Stand::Idle if self.is_midway() => Some(self.progress.read_by(begun)),
             Stand::Idle => Some(self.since.get() + IDLE_MOST),
-            // An answer that streams waits for its reader, but not for ever; and an answer says why here, too.
+            // An answer that streams waits for its reader, but not for ever.
             Stand::Held => self.progress.unread_by().or_else(|| self.upload_by()),
         }
     }
 
     /// Until when the body that streams has to go on.
     fn upload_by(&self) -> Option<Instant> {
-        self.uploads().map(|silence| self.progress.silent_by(silence) + PROMPT)
+        self.uploads().map(|silence| self.progress.silent_by(silence) + WORDING)
+    }
+
+    /// Waits until a body begins to stream.
+    pub async fn upload_begins(&self) {
+        self.upload_begins.notified().await;
+    }
+
+    /// Whether more is to come of a body that streams.
+    pub fn is_uploading(&self) -> bool {
+        self.uploads().is_some()
     }
 
     /// Why it is to end, where it has had all the time that it may take for what it does.
@@ -330,6 +348,14 @@
         self.progress.hears(Instant::now());
     }
 
+    /// So many bytes of it wait that nobody has read; `None`: it may not be able to send more.
+    pub fn sees_unread(&self, bytes: Option<usize>) {
+        match bytes {
+            Some(bytes) => self.progress.sees_unread(bytes),
+            None => self.has_unread(),
+        }
+    }
+
     /// So many bytes are taken in as a part of a request.
     pub fn took(&self, bytes: usize) {
         if bytes == 0 {
@@ -346,32 +372,4 @@
 }
 
 #[cfg(test)]
-mod times;
-
-#[cfg(test)]
-pub mod tests {
-    use super::*;
-
-    struct Nobody;
-
-    impl Keeper for Nobody {
-        fn came(&self, _: ConnId) {}
-        fn held(&self, _: ConnId, _: u32, _: bool) {}
-        fn answered(&self, _: ConnId) -> bool {
-            false
-        }
-        fn checked(&self, _: ConnId) -> bool {
-            false
-        }
-        fn left(&self, _: ConnId) {}
-    }
-
-    /// A client of which nobody is told.
-    pub fn alone() -> Rc<Client> {
-        let mut door = maplehook_admission::Door::new(maplehook_admission::Policy::default(), 10, &[], 7);
-        let arrival = door.arrive(Duration::ZERO, "127.0.0.1".parse().unwrap());
-        let maplehook_admission::Arrival::Kept { id, .. } = arrival else { panic!("refused") };
-        let allowance = Allowance { silence: Duration::from_millis(2500), unread: Duration::from_secs(5) };
-        Rc::new(Client::new(Rc::new(Nobody), id, allowance))
-    }
-}
+pub mod tests;
--- a/node/src/client/times.rs
+++ b/node/src/client/tests.rs
@@ -1,6 +1,5 @@
 //! When a client's time is over, on a clock that the tests move.
 
-use super::tests::alone;
 use super::*;
 use tokio::time::advance;
 
@@ -8,6 +7,29 @@
 const SILENCE: Duration = Duration::from_millis(2500);
 const A_BIT: Duration = Duration::from_millis(20);
 
+struct Nobody;
+
+impl Keeper for Nobody {
+    fn came(&self, _: ConnId) {}
+    fn held(&self, _: ConnId, _: u32, _: bool) {}
+    fn answered(&self, _: ConnId) -> bool {
+        false
+    }
+    fn checked(&self, _: ConnId) -> bool {
+        false
+    }
+    fn left(&self, _: ConnId) {}
+}
+
+/// A client of which nobody is told.
+pub fn alone() -> Rc<Client> {
+    let mut door = maplehook_admission::Door::new(maplehook_admission::Policy::default(), 10, &[], 7);
+    let arrival = door.arrive(Duration::ZERO, "127.0.0.1".parse().unwrap());
+    let maplehook_admission::Arrival::Kept { id, .. } = arrival else { panic!("refused") };
+    let allowance = Allowance { silence: Duration::from_millis(2500), unread: Duration::from_secs(5) };
+    Rc::new(Client::new(Rc::new(Nobody), id, allowance))
+}
+
 /// These bytes come, and are taken in.
 fn comes(client: &Client, bytes: &[u8]) {
     client.arrived(bytes);
@@ -101,7 +123,16 @@
     let client = streams();
     advance(SILENCE).await;
     client.has_unread();
-    ends_after(&client, SILENCE + PROMPT, End::Stopped).await;
+    ends_after(&client, SILENCE + WORDING, End::Stopped).await;
+    let client = streams();
+    for (unread, moves) in
+        [(Some(5), true), (Some(5), false), (Some(3), false), (Some(4), true), (None, true)]
+    {
+        advance(SILENCE).await;
+        client.sees_unread(unread);
+        assert_eq!(client.silence().is_zero(), moves, "{unread:?}");
+        client.has_unread();
+    }
     let client = streams();
     client.arrived(b"body");
     advance(3 * SILENCE).await;
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -20,6 +20,10 @@
 /// a request is seen with the answer: its kernel may not even have told it to ours.
 const AHEAD_MOST: usize = 256 * 1024;
 const AHEAD_OF_ALL: usize = 4 * 1024 * 1024;
+/// How often the unread part of a body that streams is looked at, and how long it may be for its sender to have room for more
+/// (Linux grants a new connection 64 KiB).
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+const UNREAD_MOST: usize = 48 * 1024;
 /// A look at whether anything has come.
 pub const GLANCE: Duration = Duration::from_millis(1);
 /// Read at a time.
@@ -183,6 +187,25 @@
         SockRef::from(&*self.stream.borrow()).peek(&mut byte).is_ok_and(|n| n > 0)
     }
 
+    /// Watches bodies that stream, as long as it is polled: where their upstreams take nothing, whether their client has
+    /// stopped is seen by what waits unread.
+    pub async fn watches_uploads(&self) {
+        loop {
+            while self.client.is_uploading() {
+                self.client.sees_unread(self.unread());
+                sleep(LOOK_EVERY).await;
+            }
+            self.client.upload_begins().await;
+        }
+    }
+
+    /// How many bytes have come that nobody has read; `None` where they are so many that more may not come.
+    fn unread(&self) -> Option<usize> {
+        let mut bytes = [MaybeUninit::uninit(); UNREAD_MOST];
+        let unread = SockRef::from(&*self.stream.borrow()).peek(&mut bytes).unwrap_or(0);
+        Some(unread).filter(|unread| *unread < UNREAD_MOST)
+    }
+
     /// The stream, where its client may still hear of it. `None` as long as the HTTP connection lives, and where an answer
     /// on it was broken off.
     pub fn into_left(wire: Rc<Self>) -> Option<Left> {
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -90,6 +90,7 @@
             let leaving = tokio::select! {
                 ended = attended(connection.as_mut(), wire) => return by_itself(wire, &ended),
                 () = client.is_to_end() => false,
+                () = wire.watches_uploads() => false,
                 _ = phase.wait_for(|p| *p >= Phase::Closing) => true,
             };
             if leaving {
@@ -102,9 +103,6 @@
             if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
                 return by_itself(wire, &ended);
             }
-            if client.stand() == Stand::Held && wire.has_unread() {
-                client.has_unread();
-            }
             if let Some(end) = client.overdue_for() {
                 break end;
             }
