Tests: long bodies that stop while their upstream takes no connection, and ones that wait for it

Need: the two sides of the look at what waits unread. Change: two tests; the stand-in that takes no connection moved to the gates.

--- a/node/tests/attempts.rs
+++ b/node/tests/attempts.rs
@@ -2,38 +2,12 @@
 
 mod common;
 
+use common::gates::Busy;
 use common::*;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// An upstream whose machine takes no connection for now: its queue of connections to be accepted is full.
-struct Busy {
-    listener: TcpListener,
-    address: SocketAddr,
-    filler: TcpStream,
-}
-
-impl Busy {
-    fn start() -> Self {
-        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        socket.bind(&any.into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().unwrap();
-        let filler = TcpStream::connect(address).unwrap();
-        Self { listener, address, filler }
-    }
-
-    /// From now on connections come up, those that wait within a second or so.
-    fn free(self) -> TcpListener {
-        drop(self.filler);
-        self.listener.accept().unwrap();
-        self.listener
-    }
-}
-
 /// Whether a connection to this address is being made by anybody on this machine.
 fn is_being_made(address: SocketAddr) -> bool {
     const SYN_SENT: &str = "02";
--- a/node/tests/common/gates.rs
+++ b/node/tests/common/gates.rs
@@ -102,3 +102,30 @@
     stream.set_read_timeout(Some(LONG)).unwrap();
     Client { reader: BufReader::new(stream) }
 }
+
+/// An upstream whose machine takes no connection for now: its queue of connections to be accepted is full.
+pub struct Busy {
+    listener: TcpListener,
+    pub address: SocketAddr,
+    filler: TcpStream,
+}
+
+impl Busy {
+    pub fn start() -> Self {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let filler = TcpStream::connect(address).unwrap();
+        Self { listener, address, filler }
+    }
+
+    /// From now on connections come up, those that wait within a second or so.
+    pub fn free(self) -> TcpListener {
+        drop(self.filler);
+        self.listener.accept().unwrap();
+        self.listener
+    }
+}
--- a/node/tests/stopped.rs
+++ b/node/tests/stopped.rs
@@ -3,10 +3,12 @@
 
 mod common;
 
-use common::gates::holding;
+use common::gates::{Busy, holding};
 use common::halfway::{Lateness, OWED_WITHIN, all_hear_in_time, connect, cuts, held_back_after};
-use common::{Client, LONG, OK, Setup, Then, Upstream, book_as};
-use std::thread::sleep;
+use common::{Client, LONG, Message, OK, Setup, Then, Upstream, book, book_as};
+use std::io::{BufReader, Write};
+use std::net::TcpListener;
+use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
 /// How long a balancer may be held up between reading its clock and writing.
@@ -151,6 +153,35 @@
     }
 }
 
+/// Guards whoever stops in a long body while its upstream takes no connection, which is no excuse.
+#[test]
+fn who_stops_in_a_long_body_hears_of_it_though_its_upstream_takes_no_connection() {
+    let upstream = Busy::start();
+    let (lateness, node) = (Lateness::watch(), Setup::with(&[upstream.address]).start());
+    let stopped = stop_everywhere("busy", || node.connect(), |client, sent, _| client.write(sent));
+    all_hear_in_time(stopped, &lateness);
+}
+
+/// Guards clients against their upstreams: one whose upstream takes nothing for a while has not stopped.
+#[test]
+fn who_waits_for_an_upstream_that_takes_nothing_is_served() {
+    const TAKES_NOTHING: Duration = Duration::from_secs(4);
+    const LENGTH: usize = 32 * 1024 * 1024;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let node = Setup::with(&[listener.local_addr().unwrap()]).start();
+    let mut client = node.connect();
+    let mut writer = client.writer();
+    let request = book(8000, &"x".repeat(LENGTH));
+    let writes = spawn(move || writer.write_all(request.as_bytes()));
+    let (upstream, _) = listener.accept().unwrap();
+    sleep(TAKES_NOTHING);
+    let mut reader = BufReader::new(&upstream);
+    assert_eq!(Message::read(&mut reader).expect("the request").body.len(), LENGTH);
+    (&upstream).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+    assert_eq!(client.answer().map(|answer| answer.status()), Some(200));
+    writes.join().unwrap().unwrap();
+}
+
 /// Guards clients that are slow and move on: pauses that are shorter than a stop change nothing.
 #[test]
 fn who_is_slow_and_moves_on_is_served() {
