Long bodies are read ahead of a slow upstream, so that a stop is seen by what comes

Cause, found by making the test before tell: of a body whose length is over 64 KiB nothing is read until an upstream takes it, so that a client that had stopped after 100 KB looked like one whose window is full, and heard after 9 s from four upstreams that take no connection. Change: up to 128 KiB of such a body is read ahead, half of what is kept for all; the test has four upstreams.

--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -20,6 +20,10 @@
 /// a request is seen with the answer: its kernel may not even have told it to ours.
 const AHEAD_MOST: usize = 256 * 1024;
 const AHEAD_OF_ALL: usize = 4 * 1024 * 1024;
+/// The same of a body that streams, beyond what its upstream takes: whether its client has stopped is seen by what comes. More
+/// of those must not keep the ends of other clients from being seen.
+const UPLOAD_AHEAD_MOST: usize = 128 * 1024;
+const UPLOADS_AHEAD_OF_ALL: usize = AHEAD_OF_ALL / 2;
 /// How often the unread part of a body that streams is looked at, and how long it may be for its sender to have room for more
 /// (Linux grants a new connection 64 KiB).
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -39,8 +43,8 @@
 }
 
 impl Ahead {
-    fn is_full(&self) -> bool {
-        self.bytes.len() >= AHEAD_MOST || self.of_all.get() >= AHEAD_OF_ALL
+    fn is_full(&self, most: usize, of_all: usize) -> bool {
+        self.bytes.len() >= most || self.of_all.get() >= of_all
     }
 
     fn push(&mut self, piece: &[u8]) {
@@ -115,16 +119,17 @@
         if self.client.stand() != Stand::Held {
             return Poll::Pending;
         }
-        // Of a body that still comes as much is read as its upstream takes.
         if self.client.whole_at().is_some() {
-            self.read_ahead(cx);
+            self.read_ahead(cx, AHEAD_MOST, AHEAD_OF_ALL);
+        } else if self.client.is_uploading() {
+            self.read_ahead(cx, UPLOAD_AHEAD_MOST, UPLOADS_AHEAD_OF_ALL);
         }
         if self.ended.get() { Poll::Ready(()) } else { Poll::Pending }
     }
 
-    /// Reads what has come while the HTTP connection does not.
-    fn read_ahead(&self, cx: &mut Context<'_>) {
-        while !self.wanted.get() && !self.ended.get() && !self.ahead.borrow().is_full() {
+    /// Reads what has come while the HTTP connection does not, within these bounds.
+    fn read_ahead(&self, cx: &mut Context<'_>, most: usize, of_all: usize) {
+        while !self.wanted.get() && !self.ended.get() && !self.ahead.borrow().is_full(most, of_all) {
             let mut piece = [MaybeUninit::uninit(); PIECE];
             let mut piece = ReadBuf::uninit(&mut piece);
             if self.poll_stream(cx, &mut piece).is_pending() {
--- a/node/tests/stopped.rs
+++ b/node/tests/stopped.rs
@@ -156,8 +156,9 @@
 /// Guards whoever stops in a long body while its upstream takes no connection, which is no excuse.
 #[test]
 fn who_stops_in_a_long_body_hears_of_it_though_its_upstream_takes_no_connection() {
-    let upstream = Busy::start();
-    let (lateness, node) = (Lateness::watch(), Setup::with(&[upstream.address]).start());
+    let upstreams = [(); 4].map(|()| Busy::start());
+    let setup = Setup::with(&upstreams.each_ref().map(|busy| busy.address));
+    let (lateness, node) = (Lateness::watch(), setup.start());
     let stopped = stop_everywhere("busy", || node.connect(), |client, sent, _| client.write(sent));
     all_hear_in_time(stopped, &lateness);
 }
