No client's connection is shut over bytes that came while the process stood still

A resting connection that the process closes, or that has rested or has to make room, was shut on its timer alone, over a request that stood in the kernel unread; it was read away and lost.

Change: before a connection is shut or dropped, the kernel is asked for unread bytes (settle, converse), within bounds.

--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -25,6 +25,8 @@
 
 /// How long a connection that is to end may take over the rest of an answer.
 const ANSWER_MOST: Duration = Duration::from_secs(2);
+/// Looks at bytes that have come and are not read, until the connection is given up all the same.
+const LOOKS_MOST: u32 = 20;
 /// The same at a client that has only just connected: whoever does has a request to send.
 const NEWCOMER: Duration = Duration::from_millis(100);
 /// How often it is looked at meanwhile.
@@ -86,6 +88,7 @@
         builder.header_read_timeout(None).max_buf_size(BUFFER);
         let connection = builder.serve_connection(TokioIo::new(Inbound(Rc::clone(wire))), service);
         tokio::pin!(connection);
+        let mut looks = 0;
         let end = loop {
             let leaving = tokio::select! {
                 ended = attended(connection.as_mut(), wire) => return by_itself(wire, &ended),
@@ -103,14 +106,19 @@
             if let Ok(ended) = timeout(GLANCE, attended(connection.as_mut(), wire)).await {
                 return by_itself(wire, &ended);
             }
-            if let Some(end) = client.overdue_for() {
-                break end;
+            match client.overdue_for() {
+                // Its upstream may be what is slow.
+                Some(end) if client.stand() == Stand::Held => break end,
+                Some(_) if looks < LOOKS_MOST && wire.has_unread() => looks += 1,
+                Some(end) => break end,
+                None => looks = 0,
             }
         };
         if matches!(end, End::Silent | End::Stopped | End::Unread) {
             return end;
         }
-        match settle(client, end == End::Leaving, attended(connection.as_mut(), wire)).await {
+        let unread = || wire.has_unread();
+        match settle(client, end == End::Leaving, unread, attended(connection.as_mut(), wire)).await {
             Ok(true) => {
                 connection.as_mut().graceful_shutdown();
                 // What is left to be written is owed; how it ends changes nothing of why.
@@ -150,11 +158,13 @@
 }
 
 /// Lets what was taken on a connection that is to end have its answer first. Where the process is `leaving`, what is
-/// being written comes whole too, at its pace. `true`: the connection is between requests then; `false`: it has ended,
-/// or is given up.
+/// being written comes whole too, at its pace. `unread` asks the kernel whether bytes have come that nobody has read: a
+/// process that stood still finds its timers before those. `true`: the connection is between requests then; `false`: it has
+/// ended, or is given up.
 async fn settle(
     client: &Client,
     leaving: bool,
+    unread: impl Fn() -> bool,
     connection: impl Future<Output = hyper::Result<()>>,
 ) -> hyper::Result<bool> {
     let (mut connection, since) = (pin!(connection), Instant::now());
@@ -174,6 +184,10 @@
             // Whoever does not read its answer can tell that it is not whole.
             Stand::Held if client.is_stalled() => return Ok(false),
             Stand::Held => {}
+            _ if since.elapsed() < ANSWER_MOST && unread() => {
+                look = GLANCE;
+                continue;
+            }
             // Part of a request at most: nothing was taken.
             _ if client.has_stopped() => return Ok(false),
             Stand::New | Stand::Reading if !leaving => return Ok(false),
