No attempt begins for a client that left while the process stood still

Cause, of the same class: an attempt that a timer of the module brings about right after the process stood still is written before the end of its client's connection is seen, which the rule allows for 0.1 s. Change: the permit that is asked before the first byte asks the client's socket itself (Terms::asked_by, Wire::presence); what is known by its identity goes on without its client, as before. Pending in a module of its own.

--- a/engine/src/engine.rs
+++ b/engine/src/engine.rs
@@ -485,6 +485,7 @@
             repeat: false,
             outgoing,
             label: Label::default(),
+            presence: None,
         };
         let identity = id.filter(|_| rules.effect != Effect::Idempotent).map(|id| Identity {
             tenant: tenant.0,
--- a/engine/src/parts/driver.rs
+++ b/engine/src/parts/driver.rs
@@ -7,15 +7,18 @@
 mod clock;
 mod deeds;
 mod held;
+mod pending;
 mod places;
 
 use clock::Clock;
 use held::Held;
+pub use pending::Pending;
 pub use places::{Connects, Sights};
 
 use crate::label::Label;
 use crate::parts::answer::{AnswerBody, Served};
 use crate::parts::attempt::{Ended, Outgoing};
+use crate::parts::terms::Presence;
 use crate::parts::upstream::Upstreams;
 use crate::source::{Heard, News, Source};
 use lapisroute::heritage::Heritage;
@@ -68,6 +71,8 @@
     pub outgoing: Outgoing,
     /// What its client calls it, for the log.
     pub label: Label,
+    /// Its client, where no attempt may begin once that has gone.
+    pub presence: Option<Presence>,
 }
 
 enum Happening {
@@ -176,7 +181,7 @@
             id
         };
         self.happened(Happening::Asked(id));
-        Pending { driver: Rc::clone(self), id, answer: Some(answer) }
+        Pending::new(Rc::clone(self), id, answer)
     }
 
     /// The settings have changed; see [`Event::Retuned`].
@@ -371,29 +376,3 @@
         self.carry_out_all(core, actions);
     }
 }
-
-/// A request that is owed its final answer.
-pub struct Pending {
-    driver: Rc<Driver>,
-    id: RequestId,
-    answer: Option<oneshot::Receiver<(Answer, Trace)>>,
-}
-
-impl Pending {
-    /// The final answer.
-    pub async fn answer(mut self) -> (Answer, Trace) {
-        const LOST: (Answer, Trace) = (Answer::Failed, Trace { attempts: 0, upstream: None });
-        let Some(answer) = &mut self.answer else { return LOST };
-        let answer = answer.await;
-        self.answer = None;
-        answer.unwrap_or(LOST)
-    }
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if self.answer.take().is_some() {
-            self.driver.happened(Happening::Gone(self.id));
-        }
-    }
-}
--- a/engine/src/parts/driver/held.rs
+++ b/engine/src/parts/driver/held.rs
@@ -66,13 +66,14 @@
     /// The terms of an attempt that is sent now. A repeat of a key keeps to the window of the settings that were in force when
     /// the request came, and to `window`, that of those in force now.
     pub(super) fn terms(&self, give_up: Instant, window: Option<Duration>) -> Terms {
+        let presence = self.asked.presence.clone();
         if self.attempts.is_empty() {
-            return Terms::first(give_up);
+            return Terms::first(give_up).asked_by(presence);
         }
         let earliest = self.attempts.iter().filter(|a| !a.never_ran).map(|a| a.sent).min();
         let window = self.window.into_iter().chain(window).min();
         let write_by = earliest.zip(window).map(|(at, window)| at + window.saturating_sub(ON_THE_WAY));
-        Terms::repeat(give_up, write_by)
+        Terms::repeat(give_up, write_by).asked_by(presence)
     }
 
     /// Attempts of which nothing has been written though their request is over.
--- a/engine/src/parts/terms.rs
+++ b/engine/src/parts/terms.rs
@@ -5,6 +5,7 @@
 //! again in the moment in which its first byte would be written.
 
 use std::cell::Cell;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -22,6 +23,27 @@
     Outdated,
 }
 
+/// Tells whether whoever asked is still there, by what is so at this moment: what the runtime knows may be older.
+#[derive(Clone)]
+pub struct Presence(Rc<dyn Fn() -> bool>);
+
+impl Presence {
+    /// As `is_there` tells.
+    pub fn new(is_there: impl Fn() -> bool + 'static) -> Self {
+        Self(Rc::new(is_there))
+    }
+
+    fn is_there(&self) -> bool {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for Presence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Presence")
+    }
+}
+
 /// What one attempt is bound to.
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -31,6 +53,8 @@
     pub write_by: Option<Instant>,
     /// Its request was attempted before.
     pub repeat: bool,
+    /// Whoever asked, where an attempt is of no use once they have gone.
+    presence: Option<Presence>,
     /// Whether its first byte may have been written.
     begun: Rc<Cell<bool>>,
 }
@@ -38,7 +62,7 @@
 impl Terms {
     /// Those of a request's first attempt.
     pub fn first(give_up: Instant) -> Self {
-        Self { give_up, write_by: None, repeat: false, begun: Rc::default() }
+        Self { give_up, write_by: None, repeat: false, presence: None, begun: Rc::default() }
     }
 
     /// Those of a further attempt or a second copy.
@@ -46,6 +70,11 @@
         Self { write_by, repeat: true, ..Self::first(give_up) }
     }
 
+    /// The same for whoever is there by this.
+    pub fn asked_by(self, presence: Option<Presence>) -> Self {
+        Self { presence, ..self }
+    }
+
     /// How long its answer will be waited for from now on.
     pub fn left(&self) -> Duration {
         self.give_up.saturating_duration_since(Instant::now())
@@ -67,6 +96,9 @@
         if left.is_zero() || self.write_by.is_some_and(|by| Instant::now() >= by) {
             return Err(Withheld::TooLate);
         }
+        if self.presence.as_ref().is_some_and(|presence| !presence.is_there()) {
+            return Err(Withheld::TooLate);
+        }
         if told > left + TOLD_OVER_MOST {
             return Err(Withheld::Outdated);
         }
--- a/engine/tests/common/mod.rs
+++ b/engine/tests/common/mod.rs
@@ -97,6 +97,7 @@
         repeat: false,
         outgoing: outgoing(class, id),
         label: Label::default(),
+        presence: None,
     }
 }
 
--- a/engine/tests/moment_of_writing.rs
+++ b/engine/tests/moment_of_writing.rs
@@ -7,9 +7,10 @@
 use lapisroute::{Availability, Outcome, UpstreamId, ZoneId};
 use maplehook::Lease;
 use maplehook::parts::attempt::Ended;
-use maplehook::parts::terms::Terms;
+use maplehook::parts::terms::{Presence, Terms};
 use maplehook::parts::upstream::Upstreams;
 use maplehook_standins::LONG;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -85,6 +86,23 @@
     }
 }
 
+/// Guards against work for a client that has left, whatever of that the process has seen by then.
+#[tokio::test(flavor = "local")]
+async fn nothing_is_written_for_a_client_that_has_left() {
+    let (upstreams, mut peer) = with_an_idle_connection().await;
+    let is_there = Rc::new(Cell::new(true));
+    let (asks, leaves) = (Rc::clone(&is_there), Rc::clone(&is_there));
+    let presence = Presence::new(move || asks.get());
+    let terms = Terms::first(Instant::now() + LONG).asked_by(Some(presence));
+    let attempt = begin_and_then(&upstreams, terms, move || leaves.set(false));
+    assert_eq!(attempt.await.unwrap().outcome, Outcome::NotSent);
+    settle("the connection ends", || {
+        assert!(peer.next().is_none(), "it was written");
+        peer.links[0].ended
+    })
+    .await;
+}
+
 /// Guards upstreams from work for nobody: what an attempt tells of the time that is left is true when it is written, however
 /// long this process stood still before that. Nothing had left, so that it is worded anew.
 #[tokio::test(flavor = "local")]
--- a/engine/tests/places.rs
+++ b/engine/tests/places.rs
@@ -62,6 +62,7 @@
         repeat: false,
         outgoing,
         label: Label::default(),
+        presence: None,
     };
     driver.ask(asked).answer().await.0
 }
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -3,6 +3,7 @@
 
 use crate::client::{Client, Stand};
 use bytes::{Buf, BytesMut};
+use maplehook::parts::terms::Presence;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
@@ -113,6 +114,19 @@
         self.ended.get()
     }
 
+    /// Tells whether its client is still there. It holds on to nothing.
+    pub fn presence(self: &Rc<Self>) -> Presence {
+        let wire = Rc::downgrade(self);
+        Presence::new(move || wire.upgrade().is_some_and(|wire| !wire.has_left()))
+    }
+
+    /// Whether its client has ended its sending, as far as that can be seen past bytes that nobody has read.
+    fn has_left(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
+        self.ended.get() || peeked.map_or_else(|e| e.kind() != io::ErrorKind::WouldBlock, |n| n == 0)
+    }
+
     /// Whether its client has gone that is owed an answer. It is polled after the HTTP connection: what that waits for
     /// is left to it.
     pub fn poll_gone(&self, cx: &mut Context<'_>) -> Poll<()> {
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -282,7 +282,7 @@
         let outgoing = Outgoing { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
         let label = fit.id.as_ref().map(Label::from).unwrap_or_default();
         let Fit { class, tenant, work_ms, repeat, .. } = fit;
-        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing, label };
+        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing, label, presence: None };
         Ok(Ready { asked, identity, upload, open, label: book.label.clone() })
     }
 
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -14,6 +14,7 @@
 use maplehook_routes::Unfit;
 use std::future::poll_fn;
 use std::net::IpAddr;
+use std::rc::Rc;
 use std::task::Poll;
 use tokio::task::spawn_local;
 
@@ -24,7 +25,7 @@
     /// The final answer to a request.
     pub(super) async fn respond(
         &self,
-        wire: &Wire,
+        wire: &Rc<Wire>,
         peer: IpAddr,
         request: Request<Incoming>,
     ) -> Response<Tail> {
@@ -99,17 +100,19 @@
     /// Reads a request that may still be sent on: not once the process has stopped, nor when its client has gone.
     async fn read_in_time(
         &self,
-        wire: &Wire,
+        wire: &Rc<Wire>,
         peer: IpAddr,
         request: Request<Incoming>,
     ) -> Result<Ready, Unfit> {
         let mut phase = self.phase.clone();
-        let ready = tokio::select! {
+        let mut ready = tokio::select! {
             biased;
             read = self.read(wire.client(), peer, request) => read?,
             () = wire.stops() => return Err(at_fault(Fault::Slow)),
             _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return Err(TOO_LATE),
         };
+        // What is known by its identity goes on without its client.
+        ready.asked.presence = ready.identity.is_none().then(|| wire.presence());
         // One that was pipelined behind another may have been left by now.
         let gone = poll_fn(|cx| Poll::Ready(wire.poll_gone(cx).is_ready())).await;
         if gone || *self.phase.borrow() == Phase::Stopped { Err(TOO_LATE) } else { Ok(ready) }
--- a/node/tests/clients.rs
+++ b/node/tests/clients.rs
@@ -43,6 +43,38 @@
     }
 }
 
+/// Guards the same where an attempt breaks while the process stands still, and its client leaves before or after that: whatever
+/// is seen first, no further attempt begins.
+#[test]
+fn a_client_that_left_while_the_process_stood_still_has_no_further_attempt() {
+    const LONGER_THAN_ALLOWED: Duration = Duration::from_millis(150);
+    let upstreams = [holding(), holding(), holding()];
+    let node = Setup::with(&upstreams.each_ref().map(|(address, _)| *address)).start();
+    for round in 0..24 {
+        let mut client = node.connect();
+        client.write(&look(5000).replace("77aa", &format!("{round:x}")));
+        let mut first = None;
+        until("the first attempt", || {
+            first = upstreams.iter().find_map(|(_, arrived)| arrived.try_recv().ok());
+            first.is_some()
+        });
+        node.pause();
+        let breaks = || first.as_ref().unwrap().stream.shutdown(std::net::Shutdown::Both).unwrap();
+        if round % 2 == 0 {
+            breaks();
+        }
+        drop(client);
+        std::thread::sleep(LONGER_THAN_ALLOWED);
+        if round % 2 == 1 {
+            breaks();
+        }
+        node.resume();
+        assert_eq!(node.connect().exchange("GET /health/live HTTP/1.1\r\nHost: a\r\n\r\n").status(), 200);
+        let further = upstreams.iter().find_map(|(_, arrived)| arrived.try_recv().ok());
+        assert!(further.is_none(), "a further attempt in round {round}");
+    }
+}
+
 /// Guards the same where the answer to one request and the end of its client come at one moment: what stands behind that
 /// request is not sent on.
 #[test]
