--- a/node/tests/stopped.rs
+++ b/node/tests/stopped.rs
@@ -28,6 +28,12 @@
     stopped.collect()
 }
 
+/// Sends a part of a request behind an answer to another.
+fn after_an_answer(client: &mut Client, sent: &str, n: usize) {
+    assert_eq!(client.exchange(&book_as(&format!("before-{n}"), "x")).status(), 200);
+    client.write(sent);
+}
+
 /// Guards each client that stops in the middle of a request: as its first, after an answer, and in one burst with a request
 /// before it, which has its answer.
 #[test]
@@ -35,14 +41,7 @@
     let upstream = Upstream::start(Then::Answer(OK));
     let (lateness, node) = (Lateness::watch(), Setup::with(&[upstream.address]).start());
     let mut stopped = stop_everywhere("first", || node.connect(), |client, sent, _| client.write(sent));
-    stopped.extend(stop_everywhere(
-        "after",
-        || node.connect(),
-        |client, sent, n| {
-            assert_eq!(client.exchange(&book_as(&format!("before-{n}"), "x")).status(), 200);
-            client.write(sent);
-        },
-    ));
+    stopped.extend(stop_everywhere("after", || node.connect(), after_an_answer));
     stopped.extend(stop_everywhere(
         "burst",
         || node.connect(),
@@ -92,14 +91,7 @@
     setup.deadline_ms = 3000;
     let (lateness, mut node) = (Lateness::watch(), setup.start());
     let mut stopped = stop_everywhere("first", || node.connect(), |client, sent, _| client.write(sent));
-    stopped.extend(stop_everywhere(
-        "after",
-        || node.connect(),
-        |client, sent, n| {
-            assert_eq!(client.exchange(&book_as(&format!("before-{n}"), "x")).status(), 200);
-            client.write(sent);
-        },
-    ));
+    stopped.extend(stop_everywhere("after", || node.connect(), after_an_answer));
     node.terminate();
     all_hear_in_time(stopped, &lateness);
     assert!(node.wait().success());
