A client of whose bytes some wait unread has not stopped

Second reading besides: one peek at a client's socket in place of three, made again when a signal interrupts it; a request's label is made once; two branches joined; a doc line.

--- a/engine/src/parts/body/upload.rs
+++ b/engine/src/parts/body/upload.rs
@@ -165,13 +165,13 @@
             };
             let (due, now) = (due.min(self.since + total), Instant::now());
             if due <= now {
-                if starved.is_some() && !looked {
-                    // A process that stood still finds its timers before what has come meanwhile.
-                    looked = true;
-                    sleep(LOOK).await;
-                    continue;
-                }
                 if starved.is_some() {
+                    if !looked {
+                        // A process that stood still finds its timers before what has come meanwhile.
+                        looked = true;
+                        sleep(LOOK).await;
+                        continue;
+                    }
                     self.fault.set(Some(Fault::Slow));
                 }
                 return;
--- a/node/src/client.rs
+++ b/node/src/client.rs
@@ -128,7 +128,6 @@
         self.progress.end();
         self.upload.set(upload);
         if upload.is_some() {
-            self.progress.sees_unread(0);
             self.upload_begins.notify_one();
         }
         self.stand.set(Stand::Held);
@@ -348,14 +347,6 @@
         self.progress.hears(Instant::now());
     }
 
-    /// So many bytes of it wait that nobody has read; `None`: it may not be able to send more.
-    pub fn sees_unread(&self, bytes: Option<usize>) {
-        match bytes {
-            Some(bytes) => self.progress.sees_unread(bytes),
-            None => self.has_unread(),
-        }
-    }
-
     /// So many bytes are taken in as a part of a request.
     pub fn took(&self, bytes: usize) {
         if bytes == 0 {
--- a/node/src/client/progress.rs
+++ b/node/src/client/progress.rs
@@ -30,8 +30,6 @@
     /// When its last byte came, and when it last took one of ours.
     heard: Cell<Instant>,
     wrote: Cell<Instant>,
-    /// How much of it waited unread when that was last looked at.
-    unread: Cell<usize>,
     /// Since when it takes nothing of what there is for it.
     blocked: Cell<Option<Instant>>,
 }
@@ -46,7 +44,6 @@
             came: Cell::new(0),
             heard: Cell::new(now),
             wrote: Cell::new(now),
-            unread: Cell::new(0),
             blocked: Cell::new(None),
         }
     }
@@ -87,14 +84,7 @@
         self.heard.set(now);
     }
 
-    /// So many bytes from it wait unread: where there are more than before, they have come meanwhile.
-    pub fn sees_unread(&self, bytes: usize) {
-        if self.unread.replace(bytes) < bytes {
-            self.hears(Instant::now());
-        }
-    }
-
-    /// Since when nothing has come from it.
+    /// For how long nothing has come from it.
     pub fn silence(&self) -> Duration {
         self.heard.get().elapsed()
     }
--- a/node/src/inbound.rs
+++ b/node/src/inbound.rs
@@ -25,10 +25,8 @@
 /// of those must not keep the ends of other clients from being seen.
 const UPLOAD_AHEAD_MOST: usize = 128 * 1024;
 const UPLOADS_AHEAD_OF_ALL: usize = AHEAD_OF_ALL / 2;
-/// How often the unread part of a body that streams is looked at, and how long it may be for its sender to have room for more
-/// (Linux grants a new connection 64 KiB).
+/// How often it is looked at whether a part of a body that streams waits unread.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-const UNREAD_MOST: usize = 48 * 1024;
 /// A look at whether anything has come.
 pub const GLANCE: Duration = Duration::from_millis(1);
 /// Read at a time.
@@ -122,9 +120,15 @@
 
     /// Whether its client has ended its sending, as far as that can be seen past bytes that nobody has read.
     fn has_left(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = SockRef::from(&*self.stream.borrow()).peek(&mut byte);
-        self.ended.get() || peeked.map_or_else(|e| e.kind() != io::ErrorKind::WouldBlock, |n| n == 0)
+        let gone = |e: io::Error| e.kind() != io::ErrorKind::WouldBlock;
+        self.ended.get() || self.peek().map_or_else(gone, |has_come| !has_come)
+    }
+
+    /// Whether bytes have come that nobody has read; `false` at the end. The kernel is asked itself: what the runtime knows of
+    /// the stream may be older.
+    fn peek(&self) -> io::Result<bool> {
+        let (mut byte, stream) = ([MaybeUninit::uninit()], self.stream.borrow());
+        uninterrupted(|| SockRef::from(&*stream).peek(&mut byte)).map(|n| n > 0)
     }
 
     /// Whether its client has gone that is owed an answer. It is polled after the HTTP connection: what that waits for
@@ -199,32 +203,25 @@
         pending().await
     }
 
-    /// Whether bytes have come that nobody has read. The kernel is asked itself: what the runtime knows of the stream may be
-    /// older.
+    /// Whether bytes have come that nobody has read.
     pub fn has_unread(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        SockRef::from(&*self.stream.borrow()).peek(&mut byte).is_ok_and(|n| n > 0)
+        self.peek().unwrap_or(false)
     }
 
-    /// Watches bodies that stream, as long as it is polled: where their upstreams take nothing, whether their client has
-    /// stopped is seen by what waits unread.
+    /// Watches bodies that stream, as long as it is polled: a client has not stopped of whose bytes some wait unread.
     pub async fn watches_uploads(&self) {
         loop {
             while self.client.is_uploading() {
-                self.client.sees_unread(self.unread());
+                if self.has_unread() {
+                    // Its window may be full, however little that is: it can't be told whether it would send more.
+                    self.client.has_unread();
+                }
                 sleep(LOOK_EVERY).await;
             }
             self.client.upload_begins().await;
         }
     }
 
-    /// How many bytes have come that nobody has read; `None` where they are so many that more may not come.
-    fn unread(&self) -> Option<usize> {
-        let mut bytes = [MaybeUninit::uninit(); UNREAD_MOST];
-        let unread = SockRef::from(&*self.stream.borrow()).peek(&mut bytes).unwrap_or(0);
-        Some(unread).filter(|unread| *unread < UNREAD_MOST)
-    }
-
     /// The stream, where its client may still hear of it. `None` as long as the HTTP connection lives, and where an answer
     /// on it was broken off.
     pub fn into_left(wire: Rc<Self>) -> Option<Left> {
@@ -239,6 +236,16 @@
     }
 }
 
+/// Makes a call again for as long as a signal interrupts it, which says nothing of the stream.
+fn uninterrupted<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match call() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 /// The stream as the HTTP connection has it.
 pub struct Inbound(pub Rc<Wire>);
 
@@ -281,3 +288,46 @@
         Pin::new(&mut *self.0.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards clients against being taken for gone, or for silent, because a signal came.
+    #[test]
+    fn an_interrupted_call_is_made_again() {
+        let mut results =
+            vec![Ok(3), Err(io::ErrorKind::Interrupted.into()), Err(io::ErrorKind::Interrupted.into())];
+        assert_eq!(uninterrupted(|| results.pop().unwrap()).unwrap(), 3);
+        let waits = uninterrupted(|| Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+        assert_eq!(waits.unwrap_err().kind(), io::ErrorKind::WouldBlock);
+    }
+
+    /// Guards a client whose upstream takes nothing and whose window is full, however small that is: it has not stopped.
+    #[tokio::test(flavor = "local", start_paused = true)]
+    async fn a_client_whose_window_is_full_has_not_stopped() {
+        const SILENCE: Duration = Duration::from_millis(2500);
+        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+        let any: std::net::SocketAddr = "127.0.0.1:0".parse().unwrap();
+        // What is accepted has this, too.
+        listener.set_recv_buffer_size(4096).unwrap();
+        listener.bind(&any.into()).unwrap();
+        listener.listen(1).unwrap();
+        let address = listener.local_addr().unwrap().as_socket().unwrap();
+        let mut sender = std::net::TcpStream::connect(address).unwrap();
+        let stream = std::net::TcpStream::from(listener.accept().unwrap().0);
+        stream.set_nonblocking(true).unwrap();
+        let client = crate::client::tests::alone();
+        let wire = Wire::new(TcpStream::from_std(stream).unwrap(), Rc::clone(&client), OfAll::default());
+        client.arrived(b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n");
+        client.reads(maplehook::label::Label::default());
+        client.holds(0, false, Some(SILENCE));
+        sender.set_nonblocking(true).unwrap();
+        while std::io::Write::write(&mut sender, &[b'x'; 4096]).is_ok() {}
+        tokio::select! {
+            () = wire.watches_uploads() => {}
+            () = sleep(2 * SILENCE) => {}
+        }
+        assert_eq!(client.overdue_for(), None);
+    }
+}
--- a/node/src/requests.rs
+++ b/node/src/requests.rs
@@ -231,8 +231,8 @@
         Ok(Head { fit, parts, vouched, book })
     }
 
-    /// Reads the rest of a request, unless it streams; from then on it is open. `whole_at`
-    /// tells, once it is read whole, when its last byte came.
+    /// Reads the rest of a request, unless it streams; from then on it is open. `whole_at` tells, once it is read whole, when
+    /// its last byte came.
     pub async fn rest(
         &self,
         head: Head,
@@ -280,9 +280,10 @@
         let identity = fit.identity().filter(|_| !strict);
         let identity = identity.map(|id| Identity { tenant: fit.tenant.0, class: fit.class.0, id });
         let outgoing = Outgoing { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
-        let label = fit.id.as_ref().map(Label::from).unwrap_or_default();
         let Fit { class, tenant, work_ms, repeat, .. } = fit;
-        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing, label, presence: None };
+        // What its connection knows of it, that adds.
+        let (label, presence) = (Label::default(), None);
+        let asked = Asked { class, tenant, deadline, work_ms, repeat, outgoing, label, presence };
         Ok(Ready { asked, identity, upload, open, label: book.label.clone() })
     }
 
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -107,9 +107,10 @@
                 return by_itself(wire, &ended);
             }
             match client.overdue_for() {
-                // Its upstream may be what is slow.
-                Some(end) if client.stand() == Stand::Held => break end,
-                Some(_) if looks < LOOKS_MOST && wire.has_unread() => looks += 1,
+                // While a request is held its upstream may be what is slow to read.
+                Some(_) if client.stand() != Stand::Held && looks < LOOKS_MOST && wire.has_unread() => {
+                    looks += 1
+                }
                 Some(end) => break end,
                 None => looks = 0,
             }
--- a/node/src/server/respond.rs
+++ b/node/src/server/respond.rs
@@ -31,8 +31,7 @@
     ) -> Response<Tail> {
         let client = wire.client();
         let leaving = || *self.phase.borrow() != Phase::Serving;
-        let label = self.requests.label_of(request.headers());
-        client.reads(label);
+        client.reads(self.requests.label_of(request.headers()));
         let mut question = Question::Request;
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
@@ -111,6 +110,7 @@
             () = wire.stops() => return Err(at_fault(Fault::Slow)),
             _ = phase.wait_for(|phase| *phase == Phase::Stopped) => return Err(TOO_LATE),
         };
+        ready.asked.label = wire.client().label();
         // What is known by its identity goes on without its client.
         ready.asked.presence = ready.identity.is_none().then(|| wire.presence());
         // One that was pipelined behind another may have been left by now.
