--- a/review/common.py
+++ b/review/common.py
@@ -17,7 +17,8 @@
 
 REVIEW = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(REVIEW)
-HOST = "127.0.0.1"
+# An address of the loopback net for each run: at 127.0.0.1 somebody's connection could have a port that is to be bound.
+HOST = "127.%d.%d.%d" % (64 | os.getpid() >> 16 & 63, os.getpid() >> 8 & 255, os.getpid() & 255 or 1)
 
 
 class CannotRun(Exception):
@@ -109,10 +110,11 @@
         return path
 
     def end(self):
-        """Ends all processes that were started, and their children, by their ids."""
+        """Ends all processes that were started, and their children, by their ids. A supervisor goes before its
+        children, which it would start again."""
         for process in self.processes:
-            for pid in children_of(process.pid) + [process.pid]:
-                if pid != process.pid or process.poll() is None:
+            if process.poll() is None:
+                for pid in [process.pid] + children_of(process.pid):
                     try:
                         os.kill(pid, signal.SIGCONT)
                         os.kill(pid, signal.SIGKILL)
@@ -432,9 +434,15 @@
         return code, text
 
 
+def out_of_time(*_):
+    raise CannotRun("it took more than 110 s")
+
+
 def main(folder, play):
     """Plays a case: `play(case)` returns the list of what broke the rule."""
     case, code = Case(folder), 2
+    signal.signal(signal.SIGALRM, out_of_time)
+    signal.alarm(110)
     try:
         broken = play(case)
         for line in broken:
@@ -447,6 +455,7 @@
         import traceback
         traceback.print_exc()
     finally:
+        signal.alarm(0)
         if code == 2:
             for name in os.listdir(case.temp):
                 if name.endswith(".log"):
