End of a supervised balancer: whoever is let in after SIGTERM is served

Callers saw requests, written whole on connections that the balancer's machine had accepted after SIGTERM to the supervisor, end in a reset once the last request in hand was answered; a second try found the address refused.

Cause: the process that serves took every shared listener for the sign that another process goes on accepting, also when the supervisor had said that all of it ends: it closed its own copy at once. Two copies stayed open, the supervisor's and the one that the process's control socket hands to the next supervisor, so that the system went on letting clients in.

Change: told that the whole balancer ends, a process accepts for 0.6 s like one without a supervisor, serves what waits, and then ends listening for all holders of the socket at once (shutdown), an old process that still drains among them. It leaves the socket alone while a supervisor is connected that has not told it to end: the next one, which takes over. A supervisor that is handed a socket that listens no more binds the address anew.

--- a/crates/proxy/src/inherited.rs
+++ b/crates/proxy/src/inherited.rs
@@ -1,6 +1,6 @@
 //! Takes the listening socket that the platform or supervisor opened for this process.
 //!
-//! Several processes share the socket, so it is closed here but never shut down, and its non-blocking mode
+//! Several processes share the socket: only the last one that accepts may shut it down, and its non-blocking mode
 //! applies to all of them.
 
 use socket2::{Domain, Socket, Type};
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs a balancer from its start to its graceful shutdown.
 
 mod components;
+mod departure;
 mod file;
 mod platform;
 
@@ -13,8 +14,9 @@
 use crate::gossip_source::GossipSource;
 use crate::requests::{ClientAuthentication, RequestReader};
 use crate::server::{Server, ShutdownPhase};
-use crate::supervised::{SupervisorEnvironment, TrialOutcome};
+use crate::supervised::{SupervisorChannel, SupervisorEnvironment, TrialOutcome};
 use components::Components;
+use departure::{Departure, wait_for_departure};
 use hyper::header::HeaderName;
 use maplehook::ledger::Bounds;
 use maplehook::metrics::RequestMetrics;
@@ -39,19 +41,12 @@
 use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::timeout;
 
-/// Time for which connections are still accepted after SIGTERM if the listener is not shared. The platform's
-/// front end assigns new connections for up to 0.4 s after SIGTERM.
-const UNSHARED_DRAIN_TIME: Duration = Duration::from_millis(600);
 /// Longest class deadline for which the platform delays SIGKILL. The platform sends SIGKILL 0.7 s after the
 /// longest class deadline, or after this limit if it is shorter.
 const MAX_KILL_DEADLINE: Duration = Duration::from_secs(3);
 /// Time between the longest class deadline and the end of a shutdown, which is 0.1 s before the platform's
 /// SIGKILL.
 const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(600);
-/// Time that idle connections stay open after SIGTERM if the listener is shared. The next process accepts new
-/// connections at once. A connection used in this time closes after its response, so that few requests are
-/// sent on a closing connection.
-const SHARED_DRAIN_TIME: Duration = Duration::from_millis(2000);
 /// Time for sending the last responses after the attempts in flight are aborted.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
@@ -151,8 +146,9 @@
     spawn_local(Rc::clone(&descriptors).watch_process_limit());
     let mut accept_acknowledgement = None;
     if let Some(supervisor) = &mut supervisor {
-        let trial =
-            supervisor.take_trial_listener().map(|listener| spawn_local(Rc::clone(&server).run(listener)));
+        let trial = supervisor
+            .take_trial_listener()
+            .map(|listener| spawn_local(Rc::clone(&server).run(listener, drop)));
         match supervisor.wait_for_trial_outcome(&mut sigterm).await? {
             TrialOutcome::Accept(acknowledge) => accept_acknowledgement = Some(acknowledge),
             TrialOutcome::Shutdown => return Ok(()),
@@ -160,7 +156,12 @@
         trial.inspect(JoinHandle::abort);
         tracing::info!("accepting");
     }
-    let mut accepting = spawn_local(server.run(listener));
+    let control_socket = supervisor.as_ref().map(SupervisorChannel::control_socket);
+    let mut accepting = spawn_local(server.run(listener, move |listener| {
+        // The supervisor and other processes can hold the same listener open.
+        control_socket.inspect(|control_socket| control_socket.stop_listening());
+        drop(listener);
+    }));
     if let Some(accept_acknowledgement) = accept_acknowledgement {
         // Sending fails if the supervisor's request has timed out.
         let _ = accept_acknowledgement.try_send(());
@@ -169,25 +170,15 @@
     let registrar = registrar.map(Rc::new);
     let registration_task =
         registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
-    // The next process keeps the registration alive, unless the supervisor shuts the whole balancer down.
-    let mut is_shutting_down = supervisor.is_none();
-    match setup.hooks {
-        Some(ServingHooks { on_ready, stop }) => {
-            on_ready(address);
-            tokio::select! { _ = sigterm.recv() => {} _ = stop => {} }
-        }
-        None => match &mut supervisor {
-            Some(supervisor) => {
-                tokio::select! { _ = sigterm.recv() => {} () = supervisor.wait_for_shutdown() => is_shutting_down = true }
-            }
-            None => drop(sigterm.recv().await),
-        },
-    }
+    let departure =
+        wait_for_departure(address, setup.hooks, &mut sigterm, supervisor.as_mut(), is_listener_shared).await;
     tracing::info!("leaving");
     // A SIGHUP during the shutdown must not change its time limit.
     let grace = setup.grace.get();
+    // The next process of a supervisor keeps the registration alive.
+    let is_deregistered = departure == Departure::Final || supervisor.is_none();
     if let (Some(registrar), Some(registration_task)) =
-        (registrar.filter(|_| is_shutting_down), &registration_task)
+        (registrar.filter(|_| is_deregistered), &registration_task)
     {
         // Clients of the registry stop sending requests after the deregistration. The shutdown does not wait for it.
         registration_task.abort();
@@ -217,8 +208,8 @@
     }
     ready.abort();
     admin_state.is_ready.store(false, Ordering::Release);
-    let drain_time = if is_listener_shared { SHARED_DRAIN_TIME } else { UNSHARED_DRAIN_TIME };
-    phase.send_replace(if is_listener_shared { ShutdownPhase::Draining } else { ShutdownPhase::NotReady });
+    let drain_time = departure.drain_time();
+    phase.send_replace(departure.first_phase());
     if timeout(drain_time, &mut accepting).await.is_err() {
         phase.send_replace(ShutdownPhase::Closing);
         let remaining = grace.saturating_sub(drain_time + FINAL_RESPONSE_TIME);
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -81,8 +81,9 @@
     }
 
     /// Accepts clients until the process is closing, and returns when the last connection is closed.
-    /// Accepting never waits for a free slot: each connection is admitted or rejected at once.
-    pub async fn run(self: Rc<Self>, listener: TcpListener) {
+    /// Accepting never waits for a free slot: each connection is admitted or rejected at once. If no other process
+    /// accepts on the same listener, `retire` gets it once its backlog is empty, to close it without delay.
+    pub async fn run(self: Rc<Self>, listener: TcpListener, retire: impl FnOnce(std::net::TcpListener)) {
         let mut phase = self.phase.clone();
         loop {
             let accepted = tokio::select! {
@@ -107,7 +108,7 @@
         }
         // While this process drains, other processes accept on the same socket.
         if *self.phase.borrow() >= ShutdownPhase::Closing {
-            self.accept_backlog(listener);
+            self.accept_backlog(listener, retire);
         } else {
             drop(listener);
         }
@@ -116,7 +117,7 @@
     }
 
     /// Accepts the connections in the listener's backlog, which closing the listener would reset.
-    fn accept_backlog(self: &Rc<Self>, listener: TcpListener) {
+    fn accept_backlog(self: &Rc<Self>, listener: TcpListener, retire: impl FnOnce(std::net::TcpListener)) {
         // Asks the kernel directly, because the runtime's readiness state may be stale.
         let Ok(listener) = listener.into_std() else { return };
         loop {
@@ -129,9 +130,10 @@
                 }
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted) => {}
-                Err(_) => return,
+                Err(_) => break,
             }
         }
+        retire(listener);
     }
 
     /// Admits or rejects a client. Returns true if another connection was asked to close for it.
--- a/crates/proxy/src/supervised.rs
+++ b/crates/proxy/src/supervised.rs
@@ -7,12 +7,13 @@
 use crate::control;
 use maplehook::parts::driver::Driver;
 use maplehook_core::Settings;
-use maplehook_supervisor::control_socket::{self, ProcessInfo, SupervisorCommand};
+use maplehook_supervisor::control_socket::{self, ControlSocket, ProcessInfo, SupervisorCommand};
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::mpsc::SyncSender;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -55,15 +56,17 @@
         };
         let (command_sender, commands) = mpsc::channel(MAX_QUEUED_COMMANDS);
         let (sibling_sender, sibling) = watch::channel(false);
-        control_socket::serve(&self.path, listener, process_info, move |command| match command {
+        let on_command = move |command| match command {
             SupervisorCommand::SiblingAccepts(has_sibling) => drop(sibling_sender.send_replace(has_sibling)),
             // Commands beyond the queue's capacity are dropped.
             command => drop(command_sender.try_send(command)),
-        })?;
+        };
+        let control_socket = control_socket::serve(&self.path, listener, process_info, on_command)?;
         Ok(SupervisorChannel {
             trial_listener: Some(TcpListener::from_std(trial_listener)?),
             commands,
             sibling,
+            control_socket,
             _release: release,
         })
     }
@@ -74,6 +77,7 @@
     trial_listener: Option<TcpListener>,
     commands: mpsc::Receiver<SupervisorCommand>,
     sibling: watch::Receiver<bool>,
+    control_socket: Arc<ControlSocket>,
     /// Releases the shared admin address when it is dropped.
     _release: oneshot::Sender<()>,
 }
@@ -92,6 +96,11 @@
         self.trial_listener.take()
     }
 
+    /// Returns this process's side of the control socket.
+    pub fn control_socket(&self) -> Arc<ControlSocket> {
+        Arc::clone(&self.control_socket)
+    }
+
     /// Returns a receiver whose value is true while another process of this balancer accepts clients.
     pub fn watch_sibling(&self) -> watch::Receiver<bool> {
         self.sibling.clone()
--- a/crates/proxy/tests/common/supervised.rs
+++ b/crates/proxy/tests/common/supervised.rs
@@ -21,6 +21,8 @@
     /// Where operators call.
     pub operators: SocketAddr,
     pub upstream: Arc<Upstream>,
+    /// The upstream that the file names: that one, if nothing else is set.
+    pub listed: SocketAddr,
     /// Further keys of `[supervise]`, and sections after it.
     pub more: String,
     /// The balancer's program.
@@ -44,7 +46,8 @@
         let more =
             "ready_ms = 10000\ngrace_ms = 3000\nbackoff_ms = 20\nbackoff_most_ms = 200\ngood_ms = 300\n";
         let balancer = env!("CARGO_BIN_EXE_maplehook").to_owned();
-        Self { folder, address, operators, upstream, more: more.into(), balancer }
+        let listed = upstream.address;
+        Self { folder, address, operators, upstream, listed, more: more.into(), balancer }
     }
 
     pub fn folder(&self) -> &Path {
@@ -78,11 +81,11 @@
 
     /// Writes the file, with this program to run.
     pub fn wants(&self, program: &ProgramDigest) {
-        let Self { folder, address, operators, more, upstream, .. } = self;
-        let (place, upstream) = (folder.display(), upstream.address);
+        let Self { folder, address, operators, more, listed, .. } = self;
+        let place = folder.display();
         let text = format!(
             "[listen]\naddress = '{address}'\n[operator]\naddress = '{operators}'\n{CLASS}\
-             [[upstream]]\nname = 'desk-0'\naddress = '{upstream}'\n[supervise]\nprograms = '{place}/programs'\n\
+             [[upstream]]\nname = 'desk-0'\naddress = '{listed}'\n[supervise]\nprograms = '{place}/programs'\n\
              state = '{place}/state'\nprogram = '{program}'\n{more}"
         );
         let new = folder.join("b.new");
--- /dev/null
+++ b/crates/proxy/tests/supervised_end.rs
@@ -0,0 +1,170 @@
+//! The end of a supervised balancer, on every way that it can come: whoever is let in is served, and nobody is let in any more once
+//! nobody serves.
+
+mod common;
+
+use common::gates::{Arrived, holding};
+use common::supervised::{Place, Supervisor, signal};
+use common::{LONG, Message, until};
+use maplehook_supervisor::saved_state::Role;
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// For so long after SIGTERM new connections go on coming.
+const COMING: Duration = Duration::from_millis(400);
+/// Between two of them.
+const APART: Duration = Duration::from_millis(10);
+/// A client that waits longer than this for an answer that its upstream gives at once was let in by nobody who serves.
+const AT_ONCE: Duration = Duration::from_millis(1500);
+
+/// An upstream that answers at once, but for `/hold`, which the test answers.
+fn upstream() -> (SocketAddr, Receiver<Arrived>) {
+    let (address, arrived) = holding();
+    let (hold, held) = channel();
+    std::thread::spawn(move || {
+        for request in arrived {
+            if request.message.line.contains("/hold") {
+                let _ = hold.send(request);
+            } else {
+                request.answer("done");
+            }
+        }
+    });
+    (address, held)
+}
+
+/// A supervised balancer, and what its upstream holds.
+struct Balancer {
+    place: Place,
+    held: Receiver<Arrived>,
+}
+
+impl Balancer {
+    /// One whose planned end takes as long as the test's longest request.
+    fn new(name: &str) -> Self {
+        let (address, held) = upstream();
+        let mut place = Place::new(name);
+        place.listed = address;
+        place.more = place.more.replace("grace_ms = 3000", "grace_ms = 20000");
+        Self { place, held }
+    }
+
+    fn start(&self) -> Supervisor {
+        let program = self.place.good(0);
+        self.place.wants(&program);
+        let supervisor = self.place.supervise();
+        self.place.until_serves(&program);
+        supervisor
+    }
+
+    /// Puts another program in its place.
+    fn change(&self, supervisor: &Supervisor, number: usize) {
+        let program = self.place.good(number);
+        self.place.wants(&program);
+        supervisor.reload();
+        until("the new one serves", || self.place.present().is_some_and(|(_, of)| of == program));
+    }
+
+    /// A client whose request is held at the upstream.
+    fn hold(&self) -> (Asking, Arrived) {
+        let client = Asking::start(self.place.address, "/hold").expect("a connection");
+        (client, self.held.recv_timeout(LONG).expect("the request at the upstream"))
+    }
+
+    /// How many processes the supervisor is ending.
+    fn ending(&self) -> usize {
+        let processes = self.place.memory().map(|memory| memory.processes).unwrap_or_default();
+        processes.iter().filter(|process| process.role == Role::Terminating).count()
+    }
+
+    /// Clients that connect for a while.
+    fn clients(&self) -> Vec<Result<Asking, ErrorKind>> {
+        let begun = Instant::now();
+        let mut clients = Vec::new();
+        while begun.elapsed() < COMING {
+            clients.push(Asking::start(self.place.address, "/"));
+            std::thread::sleep(APART);
+        }
+        clients
+    }
+
+    /// Waits until nobody is let in any more.
+    fn has_shut(&self) {
+        until("nobody is let in", || {
+            TcpStream::connect(self.place.address).is_err_and(|e| e.kind() == ErrorKind::ConnectionRefused)
+        });
+    }
+}
+
+/// A request on a connection of its own.
+struct Asking(JoinHandle<(Option<Message>, Duration)>);
+
+impl Asking {
+    /// Connects and sends it; the error if there is no connection.
+    fn start(address: SocketAddr, path: &str) -> Result<Self, ErrorKind> {
+        let begun = Instant::now();
+        let mut stream = TcpStream::connect(address).map_err(|e| e.kind())?;
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+        // Where nobody reads it, the answer is missing.
+        let _ = stream.write_all(request.as_bytes());
+        Ok(Self(std::thread::spawn(move || (Message::read(&mut BufReader::new(stream)), begun.elapsed()))))
+    }
+
+    /// The status of its answer, and how long that took.
+    fn answer(self) -> (Option<u16>, Duration) {
+        let (answer, took) = self.0.join().unwrap();
+        (answer.map(|answer| answer.status()), took)
+    }
+}
+
+/// All were let in and answered at once.
+fn all_served(clients: Vec<Result<Asking, ErrorKind>>) {
+    let count = clients.len();
+    let answers = clients.into_iter().map(|client| client.map(Asking::answer));
+    let wrong: Vec<_> =
+        answers.filter(|answer| !matches!(answer, Ok((Some(200), took)) if *took < AT_ONCE)).collect();
+    assert!(count > 0 && wrong.is_empty(), "{} of {count}: {wrong:?}", wrong.len());
+}
+
+/// Guards clients that connect while the whole balancer ends: the supervisor's copy of the listener let them in, and nobody read
+/// their requests. Further signals change nothing of it.
+#[test]
+fn who_connects_after_sigterm_to_the_supervisor_is_served() {
+    for more in [&[][..], &["TERM", "HUP", "INT"]] {
+        let balancer = Balancer::new(&format!("whole-{}", more.len()));
+        let mut supervisor = balancer.start();
+        let (client, held) = balancer.hold();
+        signal(supervisor.pid(), "TERM");
+        supervisor.until_said("leaving");
+        more.iter().for_each(|name| signal(supervisor.pid(), name));
+        all_served(balancer.clients());
+        balancer.has_shut();
+        // The process still has what it had taken.
+        assert_eq!(balancer.ending(), 1);
+        held.answer("held");
+        assert_eq!(client.answer().0, Some(200));
+        assert!(supervisor.wait().success());
+        assert!(balancer.place.alive().is_empty());
+    }
+}
+
+/// Guards the end in the middle of a change: the old process, which accepts nobody any more, has a copy of the listener, too.
+#[test]
+fn an_old_process_that_drains_lets_nobody_in_at_the_end() {
+    let balancer = Balancer::new("drains");
+    let mut supervisor = balancer.start();
+    let (client, held) = balancer.hold();
+    balancer.change(&supervisor, 1);
+    assert_eq!(balancer.ending(), 1, "the old one drains");
+    signal(supervisor.pid(), "TERM");
+    all_served(balancer.clients());
+    balancer.has_shut();
+    assert!(balancer.ending() > 0, "the old one drains");
+    held.answer("held");
+    assert_eq!(client.answer().0, Some(200));
+    assert!(supervisor.wait().success());
+}
--- a/crates/supervisor/src/adoption.rs
+++ b/crates/supervisor/src/adoption.rs
@@ -31,7 +31,7 @@
     pub(crate) found: Vec<AdoptedProcess>,
     /// The handles to them.
     pub(crate) adopted: Vec<Adopted>,
-    /// The listening socket, if one of them has passed it on.
+    /// The listening socket, if one of them has passed it on and it still listens.
     pub(crate) listener: Option<TcpListener>,
 }
 
@@ -73,7 +73,7 @@
         let role = record.map_or(Role::Candidate, |record| record.role);
         self.found.push(AdoptedProcess { id, program, role, is_accepting });
         let (connection, listener) = connected.unzip();
-        self.listener = self.listener.take().or(listener);
+        self.listener = self.listener.take().or(listener.flatten());
         self.adopted.push(Adopted { id, connection, handle: Arc::new(handle) });
     }
 }
@@ -85,7 +85,7 @@
     id: u64,
     record: Option<&ProcessRecord>,
     recorded: Option<&ProcessHandle>,
-) -> Option<(ControlConnection, TcpListener)> {
+) -> Option<(ControlConnection, Option<TcpListener>)> {
     let deadline = Instant::now() + ADOPTION_TIMEOUT;
     loop {
         match ControlConnection::connect(&directory.socket_path(id)) {
--- a/crates/supervisor/src/control_connection.rs
+++ b/crates/supervisor/src/control_connection.rs
@@ -1,6 +1,6 @@
 //! The supervisor's side of a control socket.
 
-use crate::control_socket::{LINE_TIMEOUT, MAX_LINE_BYTES, ProcessInfo};
+use crate::control_socket::{LINE_TIMEOUT, MAX_LINE_BYTES, ProcessInfo, is_listening};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg, sockopt::socket_peercred};
 use std::io::{self, BufRead, BufReader, IoSliceMut, Write};
 use std::mem::MaybeUninit;
@@ -25,12 +25,13 @@
 }
 
 impl ControlConnection {
-    /// Connects to a balancer's control socket, and receives the listening socket.
+    /// Connects to a balancer's control socket, and receives the listening socket; `None` if that does not listen any more, since the
+    /// balancer ends.
     ///
     /// # Errors
     ///
     /// If there is no such socket, its owner is another user, or it does not send its info and the socket in time.
-    pub fn connect(path: &Path) -> io::Result<(Self, TcpListener)> {
+    pub fn connect(path: &Path) -> io::Result<(Self, Option<TcpListener>)> {
         let stream = UnixStream::connect(path)?;
         stream.set_read_timeout(Some(LINE_TIMEOUT))?;
         stream.set_write_timeout(Some(LINE_TIMEOUT))?;
@@ -40,9 +41,9 @@
         }
         let (line, socket) = receive_info(&stream)?;
         let info = serde_json::from_slice(&line)?;
-        let listener = socket.ok_or_else(|| invalid("it has handed no socket"))?;
+        let listener = TcpListener::from(socket.ok_or_else(|| invalid("it has handed no socket"))?);
         let pid = peer.pid.as_raw_nonzero().get().unsigned_abs();
-        Ok((Self { stream, info, pid }, listener.into()))
+        Ok((Self { stream, info, pid }, Some(listener).filter(is_listening)))
     }
 
     /// Sends a command. It takes two seconds at the most.
--- a/crates/supervisor/src/control_socket.rs
+++ b/crates/supervisor/src/control_socket.rs
@@ -4,8 +4,14 @@
 //! `accept`, `beside`, `alone` and `end`, one a line, of which the first is answered by `accepts`. A supervisor that was killed leaves
 //! nothing that the next one needs: that one connects to the same socket. A process that has not been told to accept ends when its
 //! supervisor goes.
+//!
+//! The listening socket has several holders: the supervisor and each of its processes. Whoever accepts last of all ends listening for
+//! every holder, by [`ControlSocket::stop_listening`]; else the system would let in clients that nobody serves.
 
-use rustix::net::{SendAncillaryBuffer, SendAncillaryMessage, SendFlags, sendmsg, sockopt::socket_peercred};
+use rustix::net::{
+    SendAncillaryBuffer, SendAncillaryMessage, SendFlags, Shutdown, sendmsg, shutdown,
+    sockopt::{socket_acceptconn, socket_peercred},
+};
 use serde::{Deserialize, Serialize};
 use std::io::{self, BufRead, BufReader, IoSlice, Write};
 use std::mem::MaybeUninit;
@@ -13,9 +19,9 @@
 use std::os::fd::AsFd;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::Path;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{SyncSender, sync_channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -67,13 +73,21 @@
     SupervisorLost,
 }
 
+/// An open connection of a supervisor.
+struct SupervisorConnection {
+    stream: UnixStream,
+    /// Whether the supervisor has sent the command to end.
+    has_sent_end: AtomicBool,
+}
+
 /// The balancer's side.
-struct ControlSocket {
+pub struct ControlSocket {
     info: ProcessInfo,
     listener: TcpListener,
     is_accepting: AtomicBool,
     was_connected: AtomicBool,
-    open_connections: AtomicUsize,
+    /// The open connections. While they are locked, nobody is sent the listening socket.
+    connections: Mutex<Vec<Arc<SupervisorConnection>>>,
     on_command: Box<dyn Fn(SupervisorCommand) + Send + Sync>,
 }
 
@@ -87,20 +101,34 @@
     listener: TcpListener,
     info: ProcessInfo,
     on_command: impl Fn(SupervisorCommand) + Send + Sync + 'static,
-) -> io::Result<()> {
+) -> io::Result<Arc<ControlSocket>> {
     let socket = UnixListener::bind(path)?;
     let control = Arc::new(ControlSocket {
         info,
         listener,
         is_accepting: AtomicBool::new(false),
         was_connected: AtomicBool::new(false),
-        open_connections: AtomicUsize::new(0),
+        connections: Mutex::default(),
         on_command: Box::new(on_command),
     });
-    let waiting = Arc::clone(&control);
+    let (waiting, accepting) = (Arc::clone(&control), Arc::clone(&control));
     spawn("hand-waits", move || waiting.wait_for_supervisor())?;
-    spawn("hand", move || control.accept_connections(&socket))?;
-    Ok(())
+    spawn("hand", move || accepting.accept_connections(&socket))?;
+    Ok(control)
+}
+
+/// Whether a socket still listens.
+pub(crate) fn is_listening(listener: &TcpListener) -> bool {
+    socket_acceptconn(listener).unwrap_or(false)
+}
+
+/// Ends listening for all holders of the socket. Whoever waits to be accepted is reset.
+pub(crate) fn stop_listening(listener: &TcpListener) {
+    if is_listening(listener)
+        && let Err(e) = shutdown(listener, Shutdown::Both)
+    {
+        tracing::warn!("the listener stays open: {e}");
+    }
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<JoinHandle<()>> {
@@ -121,53 +149,75 @@
                 std::thread::sleep(ACCEPT_RETRY_INTERVAL);
                 continue;
             };
-            if self.reserve_connection(&stream) {
-                let connection = Arc::clone(self);
-                if spawn("hand-one", move || connection.run_connection(stream)).is_err() {
-                    self.open_connections.fetch_sub(1, Ordering::AcqRel);
+            if let Some(connection) = self.add_connection(stream) {
+                let (control, added) = (Arc::clone(self), Arc::clone(&connection));
+                if spawn("hand-one", move || control.run_connection(&added)).is_err() {
+                    self.remove_connection(&connection);
                 }
             }
         }
     }
 
-    /// Whether a connection is of the same user, and one more may be open.
-    fn reserve_connection(&self, stream: &UnixStream) -> bool {
-        let is_same_user = socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid());
-        if !is_same_user {
-            return false;
+    fn lock_connections(&self) -> MutexGuard<'_, Vec<Arc<SupervisorConnection>>> {
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Adds a connection, if it is of the same user and one more may be open. The supervisor is sent the process info.
+    fn add_connection(&self, stream: UnixStream) -> Option<Arc<SupervisorConnection>> {
+        let is_same_user = socket_peercred(&stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid());
+        let mut connections = self.lock_connections();
+        if !is_same_user || connections.len() >= MAX_CONNECTIONS {
+            return None;
         }
-        let is_free = self.open_connections.fetch_add(1, Ordering::AcqRel) < MAX_CONNECTIONS;
-        if !is_free {
-            self.open_connections.fetch_sub(1, Ordering::AcqRel);
+        stream.set_write_timeout(Some(LINE_TIMEOUT)).ok()?;
+        if let Err(e) = self.send_info(&stream) {
+            tracing::debug!("the supervisor's connection: {e}");
+            return None;
         }
-        is_free
+        let connection = Arc::new(SupervisorConnection { stream, has_sent_end: AtomicBool::new(false) });
+        connections.push(Arc::clone(&connection));
+        self.was_connected.store(true, Ordering::Release);
+        Some(connection)
     }
 
-    fn run_connection(&self, stream: UnixStream) {
-        if let Err(e) = self.serve_connection(stream) {
+    fn remove_connection(&self, connection: &Arc<SupervisorConnection>) {
+        self.lock_connections().retain(|other| !Arc::ptr_eq(other, connection));
+    }
+
+    /// Ends listening for all holders of the socket, if nobody is to accept after this process: each supervisor that is connected
+    /// has sent the command to end, or there is none. To be called when this process has accepted its last client.
+    pub fn stop_listening(&self) {
+        let connections = self.lock_connections();
+        if connections.iter().all(|connection| connection.has_sent_end.load(Ordering::Acquire)) {
+            stop_listening(&self.listener);
+        }
+    }
+
+    fn run_connection(&self, connection: &Arc<SupervisorConnection>) {
+        if let Err(e) = self.read_commands(connection) {
             tracing::debug!("the supervisor's connection: {e}");
         }
-        self.open_connections.fetch_sub(1, Ordering::AcqRel);
+        self.remove_connection(connection);
         if !self.is_accepting.load(Ordering::Acquire) {
             (self.on_command)(SupervisorCommand::SupervisorLost);
         }
     }
 
-    fn serve_connection(&self, stream: UnixStream) -> io::Result<()> {
-        self.was_connected.store(true, Ordering::Release);
-        stream.set_write_timeout(Some(LINE_TIMEOUT))?;
-        self.send_info(&stream)?;
-        let mut reader = BufReader::new(&stream);
+    fn read_commands(&self, connection: &SupervisorConnection) -> io::Result<()> {
+        let mut reader = BufReader::new(&connection.stream);
         loop {
             let mut line = String::new();
             if io::Read::take(&mut reader, MAX_LINE_BYTES as u64).read_line(&mut line)? == 0 {
                 return Ok(());
             }
             match line.trim_end() {
-                "accept" => self.start_accepting(&stream)?,
+                "accept" => self.start_accepting(&connection.stream)?,
                 "beside" => (self.on_command)(SupervisorCommand::SiblingAccepts(true)),
                 "alone" => (self.on_command)(SupervisorCommand::SiblingAccepts(false)),
-                "end" => (self.on_command)(SupervisorCommand::Shutdown),
+                "end" => {
+                    connection.has_sent_end.store(true, Ordering::Release);
+                    (self.on_command)(SupervisorCommand::Shutdown);
+                }
                 // A command of a later supervisor.
                 _ => {}
             }
