Supervisor: listening ends once the last process that accepts has gone

Callers saw connections let in at a planned end that nobody would ever serve: where the process that accepts the last clients is killed during the end while an old one drains (or stands still, or is of an earlier program, which accepts nobody from SIGTERM on), the supervisor's own copy of the listener stayed open until its last process had gone.

Change: the shutdown has a state of its own.

--- a/crates/proxy/tests/supervised_end.rs
+++ b/crates/proxy/tests/supervised_end.rs
@@ -74,6 +74,11 @@
         (client, self.held.recv_timeout(LONG).expect("the request at the upstream"))
     }
 
+    /// The process that serves, by the supervisor's word.
+    fn serving(&self) -> u32 {
+        self.place.present().expect("a process that serves").0
+    }
+
     /// How many processes the supervisor is ending.
     fn ending(&self) -> usize {
         let processes = self.place.memory().map(|memory| memory.processes).unwrap_or_default();
@@ -168,3 +173,22 @@
     assert_eq!(client.answer().0, Some(200));
     assert!(supervisor.wait().success());
 }
+
+/// Guards against clients that nobody will serve, where the last process that accepts is killed during the end while another one
+/// drains: nobody else will come.
+#[test]
+fn nobody_is_let_in_once_the_last_process_that_accepts_is_killed() {
+    let balancer = Balancer::new("killed");
+    let mut supervisor = balancer.start();
+    let (client, held) = balancer.hold();
+    balancer.change(&supervisor, 1);
+    let serving = balancer.serving();
+    signal(supervisor.pid(), "TERM");
+    until("both end", || balancer.ending() == 2);
+    signal(serving, "KILL");
+    balancer.has_shut();
+    assert_eq!(balancer.ending(), 1, "the old one drains");
+    held.answer("held");
+    assert_eq!(client.answer().0, Some(200));
+    assert!(supervisor.wait().success());
+}
--- a/crates/supervisor/src/interface.rs
+++ b/crates/supervisor/src/interface.rs
@@ -59,6 +59,24 @@
     pub may_have_accepted: bool,
 }
 
+/// A shutdown of the whole balancer that has begun.
+#[derive(Debug)]
+pub(crate) struct Shutdown {
+    /// The process that accepts the last clients.
+    pub(crate) last_acceptor: Option<u64>,
+    /// When listening ends, whoever still accepts.
+    pub(crate) accepts_until: Duration,
+    /// Whether clients may still connect.
+    pub(crate) is_listening: bool,
+}
+
+impl Shutdown {
+    /// The next time at which the shutdown goes on by itself.
+    pub(crate) fn deadline(&self) -> Option<Duration> {
+        self.is_listening.then_some(self.accepts_until)
+    }
+}
+
 /// What a balancer reports of a staged rollout of the program.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RolloutStatus {
@@ -121,6 +139,8 @@
     Terminate(u64, bool),
     /// Kill a process.
     Kill(u64),
+    /// End listening, for all holders of the listening socket: nobody accepts clients any more.
+    StopListening,
     /// Write a line to the log.
     Log(String),
     /// All processes have ended: end the supervisor.
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -27,6 +27,7 @@
 mod rollout_report;
 mod rollout_target;
 pub mod saved_state;
+mod shutdown;
 pub mod state_directory;
 pub mod state_machine;
 pub mod supervisor;
--- a/crates/supervisor/src/state_machine.rs
+++ b/crates/supervisor/src/state_machine.rs
@@ -4,7 +4,7 @@
 //! ends after that. A program whose candidate does not get so far changes nothing. Times are on a monotonic clock of the caller.
 
 use crate::interface::{
-    ACCEPT_TIMEOUT, Action, AdoptedProcess, Event, ManagedProcess, Phase, SupervisorSettings,
+    ACCEPT_TIMEOUT, Action, AdoptedProcess, Event, ManagedProcess, Phase, Shutdown, SupervisorSettings,
 };
 use crate::saved_state::{ProcessRecord, ProgramDigest, Role, SupervisorState};
 use std::time::Duration;
@@ -20,15 +20,16 @@
     random: fastrand::Rng,
     pub(crate) serving: Option<ManagedProcess>,
     pub(crate) candidate: Option<ManagedProcess>,
-    terminating: Vec<ManagedProcess>,
+    pub(crate) terminating: Vec<ManagedProcess>,
     /// No process is started before this time.
     pub(crate) not_before: Duration,
     /// Since when polls have been unanswered, and how many.
     pub(crate) missed_polls: Option<(Duration, u32)>,
     /// Whether accepting processes know that there are two of them; unknown of adopted ones.
     has_sibling: Option<bool>,
-    is_shutting_down: bool,
-    actions: Vec<Action>,
+    /// The end of the whole balancer, once it has begun.
+    pub(crate) shutdown: Option<Shutdown>,
+    pub(crate) actions: Vec<Action>,
 }
 
 impl StateMachine {
@@ -50,7 +51,7 @@
             not_before: now,
             missed_polls: None,
             has_sibling: found.iter().all(|f| !f.is_accepting).then_some(false),
-            is_shutting_down: false,
+            shutdown: None,
             actions: Vec::new(),
         };
         if machine.saved_state.consecutive_failures > 0 {
@@ -127,7 +128,8 @@
         };
         let all = self.serving.iter().chain(&self.candidate).chain(&self.terminating).map(of);
         let starts = self.program_to_start().map(|_| self.not_before);
-        all.chain(starts).filter(|at| *at > now).min()
+        let listens = self.shutdown.as_ref().and_then(Shutdown::deadline);
+        all.chain(starts).chain(listens).filter(|at| *at > now).min()
     }
 
     /// Handles an event and returns the actions to carry out. The saved state may have changed.
@@ -159,13 +161,7 @@
         self.start_candidate(now);
         self.notify_siblings();
         self.saved_state.forget_unused();
-        if self.is_shutting_down
-            && self.serving.is_none()
-            && self.candidate.is_none()
-            && self.terminating.is_empty()
-        {
-            self.actions.push(Action::Exit);
-        }
+        self.finish_shutdown(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -279,12 +275,12 @@
         if let Some(at) = self.terminating.iter().position(|p| p.id == id) {
             self.terminating.remove(at);
         } else if let Some(next) = self.candidate.take_if(|p| p.id == id) {
-            if !self.is_shutting_down {
+            if self.shutdown.is_none() {
                 self.log(format!("{} died before it served", next.program));
                 self.program_failed(now, &next.program);
             }
         } else if let Some(present) = self.serving.take_if(|p| p.id == id)
-            && !self.is_shutting_down
+            && self.shutdown.is_none()
         {
             let crashes = self.saved_state.crash_counts.entry(present.program.clone()).or_default();
             *crashes = crashes.saturating_add(1);
@@ -299,16 +295,6 @@
         }
     }
 
-    fn shut_down(&mut self, now: Duration) {
-        self.is_shutting_down = true;
-        self.drop_candidate(now);
-        if let Some(mut present) = self.serving.take() {
-            present.phase = Phase::Terminating(now + self.settings.termination_grace);
-            self.actions.push(Action::Terminate(present.id, false));
-            self.terminating.push(present);
-        }
-    }
-
     /// Applies deadlines that have passed.
     fn check_deadlines(&mut self, now: Duration) {
         if let Some(next) = &self.candidate {
@@ -348,7 +334,7 @@
 
     /// The program to start, if there is one.
     fn program_to_start(&self) -> Option<&ProgramDigest> {
-        if self.is_shutting_down || self.candidate.is_some() {
+        if self.shutdown.is_some() || self.candidate.is_some() {
             return None;
         }
         let SupervisorState {
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -2,6 +2,7 @@
 
 use crate::adoption::{Adopted, Adoption};
 use crate::control_connection::ControlConnection;
+use crate::control_socket;
 use crate::interface::{Action, Event, SupervisorSettings};
 use crate::process::{self, ProcessHandle};
 use crate::process_monitor::{MonitorCommand, ProcessMonitor, wait_for_child, wait_for_process};
@@ -281,6 +282,7 @@
                 self.signal(id, ProcessHandle::terminate);
             }
             Action::Kill(id) => self.signal(id, ProcessHandle::kill),
+            Action::StopListening => control_socket::stop_listening(&self.listener),
             Action::Log(text) => tracing::info!("{text}"),
             Action::Exit => {}
         }
--- a/crates/supervisor/tests/world/mod.rs
+++ b/crates/supervisor/tests/world/mod.rs
@@ -1,5 +1,7 @@
 //! A world of processes round the machine: they start, die, answer, and are told things.
 
+#![allow(dead_code, reason = "each file of tests uses its part")]
+
 use maplehook_supervisor::interface::{Action, AdoptedProcess, Event, SupervisorSettings};
 use maplehook_supervisor::saved_state::{ProgramDigest, SupervisorState};
 use maplehook_supervisor::state_machine::StateMachine;
@@ -96,7 +98,7 @@
                     }
                 }
                 Action::Exit => self.ended = true,
-                Action::NotifySibling(..) | Action::Log(_) => {}
+                Action::NotifySibling(..) | Action::StopListening | Action::Log(_) => {}
             }
         }
     }
