Supervisor: clients that wait while nobody serves are served before the end

Callers saw connections reset unheard that had been let in while no process accepted, when SIGTERM to the supervisor came then: after a death and before the next start, at the first start, or in the moment in which the only process had been told to accept. That one got its SIGTERM as if another process accepted in its place, and closed the listener at once.

Cause: the shutdown knew one process that is told of the end, the one that serves. Without one it killed the candidate, or replaced it by nobody, and ended with whatever waited in the listener's queue.

Change: where no process accepts and clients wait, or a process has been told to accept, the shutdown goes on to one that accepts, starting it at once if there is none, and ends that one as the last. One try is made; a second signal waits only for a process that was told to accept.

--- a/crates/proxy/tests/supervised_end.rs
+++ b/crates/proxy/tests/supervised_end.rs
@@ -192,3 +192,20 @@
     assert_eq!(client.answer().0, Some(200));
     assert!(supervisor.wait().success());
 }
+
+/// Guards clients that were let in while the program was down: the end reset them unheard. One process is started for them.
+#[test]
+fn who_waits_while_the_program_is_down_is_served_before_the_end() {
+    let mut balancer = Balancer::new("down");
+    let backoff = "backoff_ms = 20\nbackoff_most_ms = 200";
+    balancer.place.more = balancer.place.more.replace(backoff, "backoff_ms = 15000\nbackoff_most_ms = 15000");
+    let mut supervisor = balancer.start();
+    signal(balancer.serving(), "KILL");
+    supervisor.until_said("died, 1 times");
+    let waiting = (0..8).map(|_| Asking::start(balancer.place.address, "/")).collect();
+    signal(supervisor.pid(), "TERM");
+    all_served(waiting);
+    balancer.has_shut();
+    assert!(supervisor.wait().success());
+    assert!(balancer.place.alive().is_empty());
+}
--- a/crates/supervisor/src/control_socket.rs
+++ b/crates/supervisor/src/control_socket.rs
@@ -8,6 +8,7 @@
 //! The listening socket has several holders: the supervisor and each of its processes. Whoever accepts last of all ends listening for
 //! every holder, by [`ControlSocket::stop_listening`]; else the system would let in clients that nobody serves.
 
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use rustix::net::{
     SendAncillaryBuffer, SendAncillaryMessage, SendFlags, Shutdown, sendmsg, shutdown,
     sockopt::{socket_acceptconn, socket_peercred},
@@ -122,6 +123,13 @@
     socket_acceptconn(listener).unwrap_or(false)
 }
 
+/// Whether clients wait to be accepted.
+pub(crate) fn has_waiting_clients(listener: &TcpListener) -> bool {
+    let now = Timespec::default();
+    let polled = poll(&mut [PollFd::new(listener, PollFlags::IN)], Some(&now));
+    polled.is_ok_and(|ready| ready > 0)
+}
+
 /// Ends listening for all holders of the socket. Whoever waits to be accepted is reset.
 pub(crate) fn stop_listening(listener: &TcpListener) {
     if is_listening(listener)
--- a/crates/supervisor/src/interface.rs
+++ b/crates/supervisor/src/interface.rs
@@ -62,6 +62,8 @@
 /// A shutdown of the whole balancer that has begun.
 #[derive(Debug)]
 pub(crate) struct Shutdown {
+    /// Whether a process is waited for that does not accept yet.
+    pub(crate) awaits_acceptor: bool,
     /// The process that accepts the last clients.
     pub(crate) last_acceptor: Option<u64>,
     /// When listening ends, whoever still accepts.
@@ -73,7 +75,7 @@
 impl Shutdown {
     /// The next time at which the shutdown goes on by itself.
     pub(crate) fn deadline(&self) -> Option<Duration> {
-        self.is_listening.then_some(self.accepts_until)
+        (self.is_listening && !self.awaits_acceptor).then_some(self.accepts_until)
     }
 }
 
@@ -108,7 +110,10 @@
     /// A process has ended.
     Exited(u64),
     /// The supervisor is to end, and all processes with it.
-    Shutdown,
+    Shutdown {
+        /// Whether clients wait to be accepted.
+        has_waiting_clients: bool,
+    },
 }
 
 /// An action. Actions are carried out in order, once the saved state is on disk.
--- a/crates/supervisor/src/shutdown.rs
+++ b/crates/supervisor/src/shutdown.rs
@@ -1,6 +1,7 @@
-//! The end of the whole balancer: one process goes on accepting clients for a while, and after that nobody listens any more.
+//! The end of the whole balancer: one process goes on accepting clients for a while, and after that nobody listens any more. Where no
+//! process accepts yet, one is waited for if clients wait: the system has let them in.
 
-use crate::interface::{Action, Phase, Shutdown};
+use crate::interface::{Action, ManagedProcess, Phase, Shutdown};
 use crate::state_machine::StateMachine;
 use std::time::Duration;
 
@@ -9,26 +10,58 @@
 const ACCEPT_PERIOD: Duration = Duration::from_secs(2);
 
 impl StateMachine {
-    /// Begins the shutdown. Repeating it changes nothing.
-    pub(crate) fn shut_down(&mut self, now: Duration) {
-        if self.shutdown.is_some() {
-            return;
+    /// Begins the shutdown. Once it has begun, only a process that was told to accept is waited for any longer.
+    pub(crate) fn shut_down(&mut self, now: Duration, has_waiting_clients: bool) {
+        let has_begun = self.shutdown.is_some();
+        let is_accepting = self.candidate.as_ref().is_some_and(|candidate| candidate.may_have_accepted);
+        if !has_begun {
+            self.shutdown = Some(Shutdown {
+                awaits_acceptor: self.serving.is_none() && (is_accepting || has_waiting_clients),
+                last_acceptor: None,
+                accepts_until: now,
+                is_listening: true,
+            });
+        }
+        if let Some(serving) = self.serving.take() {
+            self.drop_candidate(now);
+            self.terminate_last(now, serving);
+        } else if !self.awaits_acceptor() || (has_begun && !is_accepting) {
+            self.stop_awaiting(now);
+        } else {
+            self.not_before = now;
         }
-        self.drop_candidate(now);
-        let last_acceptor = self.serving.take().map(|mut serving| {
-            serving.phase = Phase::Terminating(now + self.settings.termination_grace);
-            let id = serving.id;
-            self.actions.push(Action::Terminate(id, false));
-            self.terminating.push(serving);
-            id
-        });
-        self.shutdown =
-            Some(Shutdown { last_acceptor, accepts_until: now + ACCEPT_PERIOD, is_listening: true });
+    }
+
+    /// Whether clients wait for a process that does not accept yet, which is to serve them before the end.
+    pub(crate) fn awaits_acceptor(&self) -> bool {
+        self.shutdown.as_ref().is_some_and(|shutdown| shutdown.awaits_acceptor)
+    }
+
+    /// Ends without a process that accepts: there is none, or it has failed.
+    pub(crate) fn stop_awaiting(&mut self, now: Duration) {
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.awaits_acceptor = false;
+            self.drop_candidate(now);
+        }
+    }
+
+    /// Ends the process that accepts the last clients.
+    pub(crate) fn terminate_last(&mut self, now: Duration, mut last: ManagedProcess) {
+        if let Some(shutdown) = &mut self.shutdown {
+            shutdown.awaits_acceptor = false;
+            shutdown.last_acceptor = Some(last.id);
+            shutdown.accepts_until = now + ACCEPT_PERIOD;
+        }
+        last.phase = Phase::Terminating(now + self.settings.termination_grace);
+        self.actions.push(Action::Terminate(last.id, false));
+        self.terminating.push(last);
     }
 
     /// Ends listening once nobody accepts any more, and the supervisor once all processes have ended.
     pub(crate) fn finish_shutdown(&mut self, now: Duration) {
-        let Some(shutdown) = &mut self.shutdown else { return };
+        let Some(shutdown) = self.shutdown.as_mut().filter(|shutdown| !shutdown.awaits_acceptor) else {
+            return;
+        };
         let accepts = |id| self.terminating.iter().any(|process| process.id == id);
         let is_served = shutdown.last_acceptor.is_some_and(accepts) && now < shutdown.accepts_until;
         if shutdown.is_listening && !is_served {
--- a/crates/supervisor/src/state_machine.rs
+++ b/crates/supervisor/src/state_machine.rs
@@ -155,7 +155,7 @@
             Event::Failed(id, why) => self.give_up_candidate(now, id, &why),
             Event::Accepting(id) => self.candidate_accepts(now, id),
             Event::Exited(id) => self.process_exited(now, id),
-            Event::Shutdown => self.shut_down(now),
+            Event::Shutdown { has_waiting_clients } => self.shut_down(now, has_waiting_clients),
         }
         self.check_deadlines(now);
         self.start_candidate(now);
@@ -199,6 +199,9 @@
             return;
         }
         let Some(mut new) = self.candidate.take() else { return };
+        if self.shutdown.is_some() {
+            return self.terminate_last(now, new);
+        }
         new.phase = Phase::Serving(now);
         self.missed_polls = None;
         let (base, program) = (self.saved_state.serving_program.clone(), new.program.clone());
@@ -237,6 +240,7 @@
         };
         self.log(format!("{program} does not take the place: {why}"));
         self.drop_candidate(now);
+        self.stop_awaiting(now);
         self.program_failed(now, &program);
     }
 
@@ -279,6 +283,7 @@
                 self.log(format!("{} died before it served", next.program));
                 self.program_failed(now, &next.program);
             }
+            self.stop_awaiting(now);
         } else if let Some(present) = self.serving.take_if(|p| p.id == id)
             && self.shutdown.is_none()
         {
@@ -334,7 +339,7 @@
 
     /// The program to start, if there is one.
     fn program_to_start(&self) -> Option<&ProgramDigest> {
-        if self.shutdown.is_some() || self.candidate.is_some() {
+        if self.candidate.is_some() || (self.shutdown.is_some() && !self.awaits_acceptor()) {
             return None;
         }
         let SupervisorState {
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -239,7 +239,9 @@
                     Event::Tick
                 }
             },
-            Ok(Notification::Signal(_)) => Event::Shutdown,
+            Ok(Notification::Signal(_)) => {
+                Event::Shutdown { has_waiting_clients: control_socket::has_waiting_clients(&self.listener) }
+            }
             Err(RecvTimeoutError::Timeout) => Event::Tick,
             Err(RecvTimeoutError::Disconnected) => return Err(SupervisorError::Disconnected),
         })
--- a/crates/supervisor/tests/machine.rs
+++ b/crates/supervisor/tests/machine.rs
@@ -76,7 +76,7 @@
         prop_assert_eq!(world.processes.len(), 1, "one is left over");
         let serves = &world.machine.serving().unwrap().program;
         prop_assert!(serves == &world.memory.target_program || world.memory.rejected_programs.contains(&world.memory.target_program));
-        world.happens(Event::Shutdown);
+        world.happens(Event::Shutdown { has_waiting_clients: seed % 2 == 0 });
         world.behave(|_| false);
         prop_assert!(world.ended && world.processes.is_empty());
     }
--- a/crates/supervisor/tests/shutdown.rs
+++ b/crates/supervisor/tests/shutdown.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use world::{World, ms, program, settings};
 
+const END: Event = Event::Shutdown { has_waiting_clients: false };
+const END_BEFORE_CLIENTS: Event = Event::Shutdown { has_waiting_clients: true };
+
 /// A world in which one process serves.
 fn serving() -> (World, u64) {
     let mut world = World::new(7);
@@ -28,7 +31,7 @@
     for event in [Event::Ready(new), Event::TrialPassed(new), Event::Accepting(new)] {
         world.happens(event);
     }
-    let actions = handle(&mut world, Event::Shutdown);
+    let actions = handle(&mut world, END);
     assert_eq!(actions, [Action::Terminate(new, false)], "the old one was told before");
     assert_eq!(handle(&mut world, Event::Tick), []);
     assert_eq!(
@@ -42,7 +45,7 @@
 #[test]
 fn listening_ends_in_time() {
     let (mut world, id) = serving();
-    assert_eq!(handle(&mut world, Event::Shutdown), [Action::Terminate(id, false)]);
+    assert_eq!(handle(&mut world, END), [Action::Terminate(id, false)]);
     let due = world.machine.next_deadline(world.now).unwrap();
     assert!(due - world.now < settings().termination_grace, "{due:?}");
     // Longer than a balancer accepts by itself.
@@ -51,7 +54,7 @@
     assert_eq!(handle(&mut world, Event::Tick), [Action::StopListening]);
     world.now += ms(1);
     // A second signal changes nothing.
-    assert_eq!(handle(&mut world, Event::Shutdown), []);
+    assert_eq!(handle(&mut world, END), []);
     assert_eq!(handle(&mut world, Event::Exited(id)), [Action::Exit]);
 }
 
@@ -60,5 +63,72 @@
 fn nobody_listens_where_nobody_serves() {
     let mut world = World::new(7);
     let id = world.machine.candidate().unwrap().id;
-    assert_eq!(handle(&mut world, Event::Shutdown), [Action::Kill(id), Action::StopListening]);
+    assert_eq!(handle(&mut world, END), [Action::Kill(id), Action::StopListening]);
+}
+
+/// Guards clients of the moment in which the first process, or one in the place of one that died, is told to accept: it was told to
+/// leave as if another one accepted in its place, and closed the listener over those who waited.
+#[test]
+fn a_process_that_was_told_to_accept_beside_nobody_ends_as_the_last_one() {
+    let mut world = World::new(7);
+    let id = world.machine.candidate().unwrap().id;
+    for event in [Event::Ready(id), Event::TrialPassed(id)] {
+        world.happens(event);
+    }
+    // It is on its way, and a second signal changes nothing.
+    assert_eq!(handle(&mut world, END), []);
+    assert_eq!(handle(&mut world, END), []);
+    assert_eq!(handle(&mut world, Event::Accepting(id)), [Action::Terminate(id, false)]);
+    assert_eq!(handle(&mut world, Event::Exited(id)), [Action::StopListening, Action::Exit]);
+    // Beside one that serves, it gives way.
+    let (mut world, old) = serving();
+    world.happens(Event::ProgramRequested(program(1)));
+    let new = world.machine.candidate().unwrap().id;
+    for event in [Event::Ready(new), Event::TrialPassed(new)] {
+        world.happens(event);
+    }
+    let told = handle(&mut world, END);
+    assert_eq!(told, [Action::Terminate(new, true), Action::Terminate(old, false)]);
+}
+
+/// Guards clients that wait while the program is down, after a death or at the first start: the system has let them in, and the end
+/// reset them unheard. One process is started for them, and the end follows.
+#[test]
+fn clients_that_wait_are_served_before_the_end() {
+    let (mut world, id) = serving();
+    world.processes.clear();
+    world.happens(Event::Exited(id));
+    assert!(world.machine.candidate().is_none(), "it is not started at once");
+    world.happens(END_BEFORE_CLIENTS);
+    let next = world.machine.candidate().expect("one for those who wait").id;
+    world.happens(Event::Ready(next));
+    world.happens(Event::TrialPassed(next));
+    assert!(world.one(next).told_to_accept);
+    assert_eq!(handle(&mut world, Event::Accepting(next)), [Action::Terminate(next, false)]);
+    assert_eq!(handle(&mut world, Event::Exited(next)), [Action::StopListening, Action::Exit]);
+}
+
+/// Guards the end itself: one try is made for clients that wait, and a second signal does not wait for it.
+#[test]
+fn waiting_clients_do_not_hold_up_the_end() {
+    let down = || {
+        let (mut world, id) = serving();
+        world.processes.clear();
+        world.happens(Event::Exited(id));
+        world.happens(END_BEFORE_CLIENTS);
+        let next = world.machine.candidate().expect("one for those who wait").id;
+        (world, next)
+    };
+    let (mut world, next) = down();
+    assert_eq!(handle(&mut world, Event::Exited(next)), [Action::StopListening, Action::Exit]);
+    let (mut world, next) = down();
+    let told = handle(&mut world, Event::Failed(next, "so".into()));
+    assert!(
+        matches!(&told[..], [Action::Log(_), Action::Kill(id), Action::StopListening] if *id == next),
+        "{told:?}"
+    );
+    assert_eq!(handle(&mut world, Event::Exited(next)), [Action::Exit]);
+    let (mut world, next) = down();
+    assert_eq!(handle(&mut world, END_BEFORE_CLIENTS), [Action::Kill(next), Action::StopListening]);
+    assert_eq!(handle(&mut world, Event::Exited(next)), [Action::Exit]);
 }
