A supervised balancer that somebody else ends accepts on, and is replaced at once

Callers saw connections let in and then nothing for as long as the balancer drained, up to the longest deadline, and often a reset at its end, where SIGTERM came to the balancer itself: from an operator, from a service manager that signals all processes of a service, or with the supervisor gone.

Cause: a supervised process took SIGTERM without the supervisor's command for the sign that another process accepts. The supervisor heard of it only by the exit, and its copy of the listener let clients in all that time. Without a supervisor the copy of the process's own control socket did.

Change: a process is replaced only if one that was started after it accepts, as the supervisor has told it. Without a supervisor the balancer ends as one that never had one.

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::server::{Server, ShutdownPhase};
 use crate::supervised::{SupervisorChannel, SupervisorEnvironment, TrialOutcome};
 use components::Components;
-use departure::{Departure, wait_for_departure};
+use departure::{ActiveRegistration, Departure, wait_for_departure, wait_for_successor};
 use hyper::header::HeaderName;
 use maplehook::ledger::Bounds;
 use maplehook::metrics::RequestMetrics;
@@ -39,7 +39,7 @@
 use tokio::runtime::LocalOptions;
 use tokio::sync::{oneshot, watch};
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Longest class deadline for which the platform delays SIGKILL. The platform sends SIGKILL 0.7 s after the
 /// longest class deadline, or after this limit if it is shorter.
@@ -167,50 +167,40 @@
         let _ = accept_acknowledgement.try_send(());
     }
 
-    let registrar = registrar.map(Rc::new);
-    let registration_task =
-        registrar.clone().map(|registrar| spawn_local(async move { registrar.keep().await }));
-    let departure =
+    let mut registration = registrar.map(ActiveRegistration::start);
+    let mut departure =
         wait_for_departure(address, setup.hooks, &mut sigterm, supervisor.as_mut(), is_listener_shared).await;
     tracing::info!("leaving");
+    let left_at = Instant::now();
     // A SIGHUP during the shutdown must not change its time limit.
     let grace = setup.grace.get();
-    // The next process of a supervisor keeps the registration alive.
-    let is_deregistered = departure == Departure::Final || supervisor.is_none();
-    if let (Some(registrar), Some(registration_task)) =
-        (registrar.filter(|_| is_deregistered), &registration_task)
-    {
-        // Clients of the registry stop sending requests after the deregistration. The shutdown does not wait for it.
-        registration_task.abort();
-        spawn_local(async move {
-            if !registrar.deregister().await {
-                tracing::warn!(
-                    "deregistration failed; the registry removes the instance when its lease expires"
-                );
-            }
-        });
-    }
-    registration_task.inspect(JoinHandle::abort);
+    registration.as_ref().inspect(|registration| registration.release());
     let mut finish = Some(finish);
-    if supervisor.take().is_some() {
+    if let Some(supervisor) = &mut supervisor {
         // The next process waits until these resources are released. Releasing them can block on the disk, so
         // it runs on a separate thread.
-        let (first_finish, node) = (finish.take(), node.take());
+        supervisor.release_admin_address();
+        let (finish, node) = (finish.take(), node.take());
         std::thread::spawn(move || {
-            if let Some(first_finish) = first_finish {
-                first_finish();
-            }
+            finish.into_iter().for_each(|finish| finish());
             drop(node);
-            if let Some(finish) = finish {
-                finish();
-            }
         });
     }
     ready.abort();
     admin_state.is_ready.store(false, Ordering::Release);
-    let drain_time = departure.drain_time();
     phase.send_replace(departure.first_phase());
-    if timeout(drain_time, &mut accepting).await.is_err() {
+    if departure == Departure::Final || supervisor.is_none() {
+        registration.take().into_iter().for_each(ActiveRegistration::deregister);
+    }
+    if let Some(supervisor) = &mut supervisor {
+        departure = wait_for_successor(departure, supervisor).await;
+        phase.send_replace(departure.first_phase());
+        if departure == Departure::Final {
+            registration.take().into_iter().for_each(ActiveRegistration::deregister);
+        }
+    }
+    let drain_time = departure.drain_time();
+    if timeout_at(left_at + drain_time, &mut accepting).await.is_err() {
         phase.send_replace(ShutdownPhase::Closing);
         let remaining = grace.saturating_sub(drain_time + FINAL_RESPONSE_TIME);
         if timeout(remaining, &mut accepting).await.is_err() {
--- a/crates/proxy/src/supervised.rs
+++ b/crates/proxy/src/supervised.rs
@@ -67,7 +67,7 @@
             commands,
             sibling,
             control_socket,
-            _release: release,
+            release: Some(release),
         })
     }
 }
@@ -79,7 +79,7 @@
     sibling: watch::Receiver<bool>,
     control_socket: Arc<ControlSocket>,
     /// Releases the shared admin address when it is dropped.
-    _release: oneshot::Sender<()>,
+    release: Option<oneshot::Sender<()>>,
 }
 
 /// Command that ends a trial.
@@ -114,13 +114,46 @@
         tokio::select! {
             _ = term.recv() => Ok(TrialOutcome::Shutdown),
             command = self.commands.recv() => match command {
-                Some(SupervisorCommand::Accept(acknowledge)) => Ok(TrialOutcome::Accept(acknowledge)),
+                Some(SupervisorCommand::Accept(acknowledge)) => {
+                    // A sibling that accepts already is an older process.
+                    self.sibling.mark_unchanged();
+                    Ok(TrialOutcome::Accept(acknowledge))
+                }
                 Some(SupervisorCommand::Shutdown) => Ok(TrialOutcome::Shutdown),
                 _ => Err("the supervisor closed its connection before it sent the command to accept".into()),
             }
         }
     }
 
+    /// Releases the shared admin address for the next process.
+    pub fn release_admin_address(&mut self) {
+        self.release = None;
+    }
+
+    /// Tells the supervisor that this process ends without its command. Returns whether there is a supervisor.
+    pub fn announce_leaving(&self) -> bool {
+        self.control_socket.announce_leaving()
+    }
+
+    /// Returns true if a process that was started after this one accepts clients.
+    pub fn is_replaced(&self) -> bool {
+        self.sibling.has_changed().unwrap_or(false) && *self.sibling.borrow()
+    }
+
+    /// Returns a future that ends once a process that was started after this one accepts clients.
+    pub fn wait_until_replaced(&self) -> impl Future<Output = ()> + use<> {
+        let mut sibling = self.sibling.clone();
+        let mut is_told_since_accept = sibling.has_changed().unwrap_or(false);
+        async move {
+            while !(is_told_since_accept && *sibling.borrow_and_update()) {
+                if sibling.changed().await.is_err() {
+                    return std::future::pending().await;
+                }
+                is_told_since_accept = true;
+            }
+        }
+    }
+
     /// Waits for the command to shut down all processes of the balancer. SIGTERM ends only this process.
     pub async fn wait_for_shutdown(&mut self) {
         loop {
--- a/crates/supervisor/src/control_connection.rs
+++ b/crates/supervisor/src/control_connection.rs
@@ -1,8 +1,10 @@
 //! The supervisor's side of a control socket.
 
-use crate::control_socket::{LINE_TIMEOUT, MAX_LINE_BYTES, ProcessInfo, is_listening};
+use crate::control_socket::{
+    ACCEPTS_LINE, LEAVING_LINE, LINE_TIMEOUT, MAX_LINE_BYTES, ProcessInfo, is_listening,
+};
 use rustix::net::{RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, recvmsg, sockopt::socket_peercred};
-use std::io::{self, BufRead, BufReader, IoSliceMut, Write};
+use std::io::{self, ErrorKind, IoSliceMut, Read, Write};
 use std::mem::MaybeUninit;
 use std::net::TcpListener;
 use std::os::fd::OwnedFd;
@@ -61,10 +63,34 @@
     ///
     /// If another answer is received, or none in time.
     pub fn wait_until_accepting(&self, timeout: Duration) -> io::Result<()> {
+        let line = self.read_line(timeout)?;
+        if line == ACCEPTS_LINE { Ok(()) } else { Err(io::Error::other(format!("it answers {line:?}"))) }
+    }
+
+    /// Waits until the balancer reports that it ends without a command to do so; `false` if it has not done so in time.
+    ///
+    /// # Errors
+    ///
+    /// If the connection has ended.
+    pub fn wait_until_leaving(&self, timeout: Duration) -> io::Result<bool> {
+        match self.read_line(timeout) {
+            // Any other line is of a later program.
+            Ok(line) => Ok(line == LEAVING_LINE),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Reads one line and nothing after it.
+    fn read_line(&self, timeout: Duration) -> io::Result<String> {
         self.stream.set_read_timeout(Some(timeout))?;
-        let mut line = String::new();
-        io::Read::take(BufReader::new(&self.stream), MAX_LINE_BYTES as u64).read_line(&mut line)?;
-        if line == "accepts\n" { Ok(()) } else { Err(io::Error::other(format!("it answers {line:?}"))) }
+        let mut line = Vec::new();
+        while line.last() != Some(&b'\n') && line.len() < MAX_LINE_BYTES {
+            let mut byte = [0];
+            (&self.stream).read_exact(&mut byte)?;
+            line.extend_from_slice(&byte);
+        }
+        String::from_utf8(line).map_err(|_| invalid("it has not sent text"))
     }
 }
 
--- a/crates/supervisor/src/control_socket.rs
+++ b/crates/supervisor/src/control_socket.rs
@@ -1,8 +1,8 @@
 //! The balancer's side of the control socket: a Unix socket that the balancer creates in the supervisor's state directory.
 //!
 //! A peer with the same user id is sent the listening socket and one line of JSON, the [`ProcessInfo`]. It then sends the commands
-//! `accept`, `beside`, `alone` and `end`, one a line, of which the first is answered by `accepts`. A supervisor that was killed leaves
-//! nothing that the next one needs: that one connects to the same socket. A process that has not been told to accept ends when its
+//! `accept`, `beside`, `alone` and `end`, one a line, of which the first is answered by `accepts`. It is sent `leaving` once the process
+//! ends without such a command, so that it starts another one in time. A supervisor that was killed leaves nothing that the next one needs: that one connects to the same socket. A process that has not been told to accept ends when its
 //! supervisor goes.
 //!
 //! The listening socket has several holders: the supervisor and each of its processes. Whoever accepts last of all ends listening for
@@ -46,6 +46,10 @@
 pub(crate) const MAX_LINE_BYTES: usize = 1024;
 /// Wait after a connection that could not be accepted.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(50);
+/// What a process answers to the command to accept.
+pub(crate) const ACCEPTS_LINE: &str = "accepts\n";
+/// What a process sends when it ends without a command to do so.
+pub(crate) const LEAVING_LINE: &str = "leaving\n";
 const STACK_BYTES: usize = 128 * 1024;
 
 /// What a balancer tells its supervisor of itself.
@@ -81,6 +85,14 @@
     has_sent_end: AtomicBool,
 }
 
+impl SupervisorConnection {
+    fn send_leaving(&self) {
+        if let Err(e) = (&self.stream).write_all(LEAVING_LINE.as_bytes()) {
+            tracing::debug!("the supervisor's connection: {e}");
+        }
+    }
+}
+
 /// The balancer's side.
 pub struct ControlSocket {
     info: ProcessInfo,
@@ -89,6 +101,8 @@
     was_connected: AtomicBool,
     /// The open connections. While they are locked, nobody is sent the listening socket.
     connections: Mutex<Vec<Arc<SupervisorConnection>>>,
+    /// Whether the process ends without a command to do so. Changes only while the connections are locked.
+    is_leaving: AtomicBool,
     on_command: Box<dyn Fn(SupervisorCommand) + Send + Sync>,
 }
 
@@ -110,6 +124,7 @@
         is_accepting: AtomicBool::new(false),
         was_connected: AtomicBool::new(false),
         connections: Mutex::default(),
+        is_leaving: AtomicBool::new(false),
         on_command: Box::new(on_command),
     });
     let (waiting, accepting) = (Arc::clone(&control), Arc::clone(&control));
@@ -183,6 +198,9 @@
             return None;
         }
         let connection = Arc::new(SupervisorConnection { stream, has_sent_end: AtomicBool::new(false) });
+        if self.is_leaving.load(Ordering::Acquire) {
+            connection.send_leaving();
+        }
         connections.push(Arc::clone(&connection));
         self.was_connected.store(true, Ordering::Release);
         Some(connection)
@@ -192,6 +210,14 @@
         self.lock_connections().retain(|other| !Arc::ptr_eq(other, connection));
     }
 
+    /// Tells every supervisor that the process ends without a command to do so. Returns whether one is connected.
+    pub fn announce_leaving(&self) -> bool {
+        let connections = self.lock_connections();
+        self.is_leaving.store(true, Ordering::Release);
+        connections.iter().for_each(|connection| connection.send_leaving());
+        !connections.is_empty()
+    }
+
     /// Ends listening for all holders of the socket, if nobody is to accept after this process: each supervisor that is connected
     /// has sent the command to end, or there is none. To be called when this process has accepted its last client.
     pub fn stop_listening(&self) {
@@ -249,7 +275,7 @@
         (self.on_command)(SupervisorCommand::Accept(report));
         if accepting.recv_timeout(ACCEPT_START_TIMEOUT).is_ok() {
             self.is_accepting.store(true, Ordering::Release);
-            stream.write_all(b"accepts\n")?;
+            stream.write_all(ACCEPTS_LINE.as_bytes())?;
         }
         Ok(())
     }
--- a/crates/supervisor/src/interface.rs
+++ b/crates/supervisor/src/interface.rs
@@ -5,6 +5,8 @@
 
 /// How long a process may take to report that it accepts.
 pub const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a process certainly accepts clients after it has reported that it leaves.
+pub const LEAVING_ACCEPT_PERIOD: Duration = Duration::from_millis(500);
 /// Interval at which a balancer is asked which program it should run.
 pub const ROLLOUT_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -107,6 +109,8 @@
     Failed(u64, String),
     /// A process accepts clients.
     Accepting(u64),
+    /// A process ends, and was not told to by its supervisor. For a while it still accepts clients.
+    Leaving(u64),
     /// A process has ended.
     Exited(u64),
     /// The supervisor is to end, and all processes with it.
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -19,6 +19,7 @@
 mod adoption;
 pub mod control_connection;
 pub mod control_socket;
+mod failures;
 pub mod http_client;
 pub mod interface;
 pub mod process;
--- a/crates/supervisor/src/process_monitor.rs
+++ b/crates/supervisor/src/process_monitor.rs
@@ -196,9 +196,19 @@
         }
     }
 
+    /// Waits until the next poll is due, and reports if the process leaves meanwhile; `false` once the process is gone.
+    fn wait_for_poll(&self, connection: &ControlConnection) -> bool {
+        match connection.wait_until_leaving(ROLLOUT_POLL_INTERVAL) {
+            Ok(true) => self.notify(Event::Leaving(self.id)),
+            Ok(false) => {}
+            Err(_) => return self.pause(ROLLOUT_POLL_INTERVAL),
+        }
+        self.pause(Duration::ZERO)
+    }
+
     /// Polls which program the process should run.
     fn poll_rollout(&self, connection: &ControlConnection) {
-        while self.pause(ROLLOUT_POLL_INTERVAL) {
+        while self.wait_for_poll(connection) {
             let response = request(connection.info.operators, "GET", ROLLOUT_PATH, RESPONSE_TIMEOUT).ok();
             let status = response.and_then(|response| parse_rollout_status(response.status, &response.body));
             self.notify(match status {
--- a/crates/supervisor/src/shutdown.rs
+++ b/crates/supervisor/src/shutdown.rs
@@ -22,9 +22,13 @@
                 is_listening: true,
             });
         }
-        if let Some(serving) = self.serving.take() {
+        let last = match self.serving.take() {
+            None if !is_accepting => self.take_leaving(now),
+            serving => serving,
+        };
+        if let Some(last) = last {
             self.drop_candidate(now);
-            self.terminate_last(now, serving);
+            self.terminate_last(now, last);
         } else if !self.awaits_acceptor() || (has_begun && !is_accepting) {
             self.stop_awaiting(now);
         } else {
@@ -32,6 +36,13 @@
         }
     }
 
+    /// The process that leaves without being told to, if it still accepts clients.
+    fn take_leaving(&mut self, now: Duration) -> Option<ManagedProcess> {
+        let (id, _) = self.leaving.take_if(|(_, accepts_until)| now < *accepts_until)?;
+        let at = self.terminating.iter().position(|process| process.id == id)?;
+        Some(self.terminating.remove(at))
+    }
+
     /// Whether clients wait for a process that does not accept yet, which is to serve them before the end.
     pub(crate) fn awaits_acceptor(&self) -> bool {
         self.shutdown.as_ref().is_some_and(|shutdown| shutdown.awaits_acceptor)
--- a/crates/supervisor/src/state_machine.rs
+++ b/crates/supervisor/src/state_machine.rs
@@ -17,7 +17,7 @@
 pub struct StateMachine {
     pub(crate) settings: SupervisorSettings,
     pub(crate) saved_state: SupervisorState,
-    random: fastrand::Rng,
+    pub(crate) random: fastrand::Rng,
     pub(crate) serving: Option<ManagedProcess>,
     pub(crate) candidate: Option<ManagedProcess>,
     pub(crate) terminating: Vec<ManagedProcess>,
@@ -27,6 +27,8 @@
     pub(crate) missed_polls: Option<(Duration, u32)>,
     /// Whether accepting processes know that there are two of them; unknown of adopted ones.
     has_sibling: Option<bool>,
+    /// The process that leaves without being told to, and until when it accepts clients.
+    pub(crate) leaving: Option<(u64, Duration)>,
     /// The end of the whole balancer, once it has begun.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) actions: Vec<Action>,
@@ -51,6 +53,7 @@
             not_before: now,
             missed_polls: None,
             has_sibling: found.iter().all(|f| !f.is_accepting).then_some(false),
+            leaving: None,
             shutdown: None,
             actions: Vec::new(),
         };
@@ -154,6 +157,7 @@
             Event::TrialPassed(id) => self.trial_passed(now, id),
             Event::Failed(id, why) => self.give_up_candidate(now, id, &why),
             Event::Accepting(id) => self.candidate_accepts(now, id),
+            Event::Leaving(id) => self.process_leaving(now, id),
             Event::Exited(id) => self.process_exited(now, id),
             Event::Shutdown { has_waiting_clients } => self.shut_down(now, has_waiting_clients),
         }
@@ -169,19 +173,6 @@
         self.actions.push(Action::Log(text));
     }
 
-    /// The backoff after so many failures in a row: doubled each time, a quarter of it jitter, so that the balancers of a fleet do
-    /// not come back together.
-    fn backoff(&mut self) -> Duration {
-        let times = 1u32 << self.saved_state.consecutive_failures.saturating_sub(1).min(20);
-        let whole = self.settings.initial_backoff.saturating_mul(times).min(self.settings.max_backoff);
-        whole.mul_f64(1.0 - 0.25 * self.random.f64())
-    }
-
-    fn count_failure(&mut self, now: Duration) {
-        self.saved_state.consecutive_failures = self.saved_state.consecutive_failures.saturating_add(1);
-        self.not_before = now + self.backoff();
-    }
-
     fn trial_passed(&mut self, now: Duration, id: u64) {
         let Some(next) = self.candidate.as_mut().filter(|p| p.id == id) else { return };
         if !matches!(next.phase, Phase::Testing(_)) {
@@ -234,72 +225,6 @@
         self.terminating.push(next);
     }
 
-    fn give_up_candidate(&mut self, now: Duration, id: u64, why: &str) {
-        let Some(program) = self.candidate.as_ref().filter(|p| p.id == id).map(|p| p.program.clone()) else {
-            return;
-        };
-        self.log(format!("{program} does not take the place: {why}"));
-        self.drop_candidate(now);
-        self.stop_awaiting(now);
-        self.program_failed(now, &program);
-    }
-
-    /// Counts a failure of a program, and gives it up after too many.
-    fn program_failed(&mut self, now: Duration, program: &ProgramDigest) {
-        self.count_failure(now);
-        let good = self.saved_state.last_stable_program.as_ref() == Some(program);
-        if self.saved_state.consecutive_failures < self.settings.max_crashes || good {
-            return;
-        }
-        if program != &self.saved_state.serving_program {
-            self.saved_state.rejected_programs.insert(program.clone());
-            self.saved_state.consecutive_failures = 0;
-            self.log(format!("{program} is given up until another program was told"));
-            return;
-        }
-        // It was never good, and is what there is: back to what was, or on to what is wanted.
-        let other = self.saved_state.last_stable_program.clone().or_else(|| {
-            let wanted = &self.saved_state.target_program;
-            (wanted != program && !self.saved_state.rejected_programs.contains(wanted))
-                .then(|| wanted.clone())
-        });
-        if let Some(other) = other {
-            self.log(format!("{program} is given up; back to {other}"));
-            self.saved_state.rejected_programs.insert(program.clone());
-            (
-                self.saved_state.serving_program,
-                self.saved_state.previous_program,
-                self.saved_state.consecutive_failures,
-            ) = (other, None, 0);
-            self.not_before = now;
-        }
-    }
-
-    fn process_exited(&mut self, now: Duration, id: u64) {
-        if let Some(at) = self.terminating.iter().position(|p| p.id == id) {
-            self.terminating.remove(at);
-        } else if let Some(next) = self.candidate.take_if(|p| p.id == id) {
-            if self.shutdown.is_none() {
-                self.log(format!("{} died before it served", next.program));
-                self.program_failed(now, &next.program);
-            }
-            self.stop_awaiting(now);
-        } else if let Some(present) = self.serving.take_if(|p| p.id == id)
-            && self.shutdown.is_none()
-        {
-            let crashes = self.saved_state.crash_counts.entry(present.program.clone()).or_default();
-            *crashes = crashes.saturating_add(1);
-            let text = format!("{} died, {crashes} times by now", present.program);
-            self.log(text);
-            self.program_failed(now, &present.program);
-            // Whoever is on trial beside nobody gives way, unless it accepts already.
-            let waits = |p: &ManagedProcess| matches!(p.phase, Phase::Starting(_) | Phase::Testing(_));
-            if self.candidate.as_ref().is_some_and(waits) {
-                self.drop_candidate(now);
-            }
-        }
-    }
-
     /// Applies deadlines that have passed.
     fn check_deadlines(&mut self, now: Duration) {
         if let Some(next) = &self.candidate {
