Supervisor: clients are refused while no process will accept them in time

Callers saw connections let in, and then nothing until their time was over, where a supervised program went on failing: between two starts, up to backoff_most_ms apart, the supervisor's listener let clients in whom nobody would serve.

Change: once the next start is further away than the longest deadline of a class, listening ends for all holders of the socket, and the log says so; each start listens anew, on a socket of its own. Shorter waits keep the queue as before, and so does a process that is being started, for ready_ms at the most.

--- a/crates/proxy/src/supervise_command.rs
+++ b/crates/proxy/src/supervise_command.rs
@@ -44,6 +44,7 @@
             max_backoff: supervise.backoff_most,
             max_crashes: supervise.crashes,
             stable_after: supervise.good,
+            max_client_wait: max_class_deadline,
             lost_contact_after: supervise.cut_off,
         },
     })
--- a/crates/supervisor/src/interface.rs
+++ b/crates/supervisor/src/interface.rs
@@ -27,6 +27,8 @@
     pub max_crashes: u32,
     /// How long a program has to serve to be stable.
     pub stable_after: Duration,
+    /// How long a client may wait for a process to accept it: the longest time that a request has.
+    pub max_client_wait: Duration,
     /// How long the process of a new program may leave polls unanswered before it is rolled back.
     pub lost_contact_after: Duration,
 }
@@ -70,15 +72,6 @@
     pub(crate) last_acceptor: Option<u64>,
     /// When listening ends, whoever still accepts.
     pub(crate) accepts_until: Duration,
-    /// Whether clients may still connect.
-    pub(crate) is_listening: bool,
-}
-
-impl Shutdown {
-    /// The next time at which the shutdown goes on by itself.
-    pub(crate) fn deadline(&self) -> Option<Duration> {
-        (self.is_listening && !self.awaits_acceptor).then_some(self.accepts_until)
-    }
 }
 
 /// What a balancer reports of a staged rollout of the program.
@@ -148,7 +141,7 @@
     Terminate(u64, bool),
     /// Kill a process.
     Kill(u64),
-    /// End listening, for all holders of the listening socket: nobody accepts clients any more.
+    /// End listening, for all holders of the listening socket: nobody accepts clients any more. The next start listens anew.
     StopListening,
     /// Write a line to the log.
     Log(String),
--- a/crates/supervisor/src/lib.rs
+++ b/crates/supervisor/src/lib.rs
@@ -22,6 +22,7 @@
 mod failures;
 pub mod http_client;
 pub mod interface;
+mod listening;
 pub mod process;
 mod process_monitor;
 pub mod program_directory;
--- a/crates/supervisor/src/shutdown.rs
+++ b/crates/supervisor/src/shutdown.rs
@@ -19,7 +19,6 @@
                 awaits_acceptor: self.serving.is_none() && (is_accepting || has_waiting_clients),
                 last_acceptor: None,
                 accepts_until: now,
-                is_listening: true,
             });
         }
         let last = match self.serving.take() {
@@ -68,18 +67,10 @@
         self.terminating.push(last);
     }
 
-    /// Ends listening once nobody accepts any more, and the supervisor once all processes have ended.
-    pub(crate) fn finish_shutdown(&mut self, now: Duration) {
-        let Some(shutdown) = self.shutdown.as_mut().filter(|shutdown| !shutdown.awaits_acceptor) else {
-            return;
-        };
-        let accepts = |id| self.terminating.iter().any(|process| process.id == id);
-        let is_served = shutdown.last_acceptor.is_some_and(accepts) && now < shutdown.accepts_until;
-        if shutdown.is_listening && !is_served {
-            shutdown.is_listening = false;
-            self.actions.push(Action::StopListening);
-        }
-        if self.serving.is_none() && self.candidate.is_none() && self.terminating.is_empty() {
+    /// Ends the supervisor once all processes have ended.
+    pub(crate) fn finish_shutdown(&mut self) {
+        let is_over = self.shutdown.is_some() && !self.awaits_acceptor();
+        if is_over && self.serving.is_none() && self.candidate.is_none() && self.terminating.is_empty() {
             self.actions.push(Action::Exit);
         }
     }
--- a/crates/supervisor/src/state_machine.rs
+++ b/crates/supervisor/src/state_machine.rs
@@ -29,6 +29,8 @@
     has_sibling: Option<bool>,
     /// The process that leaves without being told to, and until when it accepts clients.
     pub(crate) leaving: Option<(u64, Duration)>,
+    /// Whether clients may connect.
+    pub(crate) is_listening: bool,
     /// The end of the whole balancer, once it has begun.
     pub(crate) shutdown: Option<Shutdown>,
     pub(crate) actions: Vec<Action>,
@@ -54,6 +56,7 @@
             missed_polls: None,
             has_sibling: found.iter().all(|f| !f.is_accepting).then_some(false),
             leaving: None,
+            is_listening: true,
             shutdown: None,
             actions: Vec::new(),
         };
@@ -131,8 +134,7 @@
         };
         let all = self.serving.iter().chain(&self.candidate).chain(&self.terminating).map(of);
         let starts = self.program_to_start().map(|_| self.not_before);
-        let listens = self.shutdown.as_ref().and_then(Shutdown::deadline);
-        all.chain(starts).chain(listens).filter(|at| *at > now).min()
+        all.chain(starts).chain(self.listening_deadline()).filter(|at| *at > now).min()
     }
 
     /// Handles an event and returns the actions to carry out. The saved state may have changed.
@@ -165,7 +167,8 @@
         self.start_candidate(now);
         self.notify_siblings();
         self.saved_state.forget_unused();
-        self.finish_shutdown(now);
+        self.update_listening(now);
+        self.finish_shutdown();
         std::mem::take(&mut self.actions)
     }
 
--- a/crates/supervisor/src/supervisor.rs
+++ b/crates/supervisor/src/supervisor.rs
@@ -86,6 +86,8 @@
 enum StartError {
     #[error(transparent)]
     Program(#[from] ProgramError),
+    #[error("the clients' address: {0}")]
+    Listen(io::Error),
     #[error("{}: {error}", path.display())]
     Spawn { path: PathBuf, error: io::Error },
     #[error(transparent)]
@@ -141,7 +143,8 @@
     let Adoption { found, adopted, listener } = Adoption::run(&directory, &state);
     let listener = match listener {
         Some(listener) => listener,
-        None => bind(config).map_err(|error| SupervisorError::Listen { address: config.listen, error })?,
+        None => bind(config.listen, config.backlog)
+            .map_err(|error| SupervisorError::Listen { address: config.listen, error })?,
     };
     tracing::info!(listen = %listener.local_addr()?, adopted = adopted.len(), "supervising");
     let start = Instant::now();
@@ -176,13 +179,13 @@
     std::thread::Builder::new().name("signals".into()).spawn(forward).map(drop)
 }
 
-fn bind(config: &SupervisorConfig) -> io::Result<TcpListener> {
-    let domain = socket2::Domain::for_address(config.listen);
+fn bind(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
+    let domain = socket2::Domain::for_address(address);
     let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
     // As after a crash: the address may still have connections that are closing.
     socket.set_reuse_address(true)?;
-    socket.bind(&config.listen.into())?;
-    socket.listen(config.backlog)?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog)?;
     Ok(socket.into())
 }
 
@@ -292,6 +295,10 @@
 
     fn start_process(&mut self, id: u64, program: &ProgramDigest, crashes: u32) -> Result<(), StartError> {
         let path = self.programs.verified_path(program)?;
+        if !control_socket::is_listening(&self.listener) {
+            let address = self.listener.local_addr().map_err(StartError::Listen)?;
+            self.listener = bind(address, self.config.backlog).map_err(StartError::Listen)?;
+        }
         let socket = self.directory.socket_path(id);
         self.directory.remove_socket(id);
         let child = process::start(&path, &self.config.config, &self.listener, &socket, (program, crashes))
--- a/crates/supervisor/tests/shutdown.rs
+++ b/crates/supervisor/tests/shutdown.rs
@@ -108,6 +108,30 @@
     assert_eq!(handle(&mut world, Event::Exited(next)), [Action::StopListening, Action::Exit]);
 }
 
+/// Guards clients against a program that stays down: they are let in only if a process is to accept them within the time that a
+/// request has, and again with the next start.
+#[test]
+fn who_would_wait_in_vain_is_not_let_in() {
+    let (mut world, id) = serving();
+    let mut dead = id;
+    let mut waits = Vec::new();
+    for _ in 0..9 {
+        world.processes.clear();
+        let died = world.now;
+        let told = world.machine.handle(world.now, Event::Exited(dead));
+        let is_refused = told.contains(&Action::StopListening);
+        while world.machine.candidate().is_none() {
+            world.wait(ms(10));
+        }
+        waits.push((world.now - died, is_refused));
+        dead = world.machine.candidate().unwrap().id;
+    }
+    for (wait, is_refused) in &waits {
+        assert_eq!(*is_refused, *wait >= settings().max_client_wait, "{waits:?}");
+    }
+    assert!(waits.iter().any(|(_, is_refused)| *is_refused) && !waits[0].1, "{waits:?}");
+}
+
 /// Guards the end itself: one try is made for clients that wait, and a second signal does not wait for it.
 #[test]
 fn waiting_clients_do_not_hold_up_the_end() {
--- a/crates/supervisor/tests/world/mod.rs
+++ b/crates/supervisor/tests/world/mod.rs
@@ -17,6 +17,7 @@
         max_backoff: ms(30_000),
         max_crashes: 3,
         stable_after: ms(10_000),
+        max_client_wait: ms(6000),
         lost_contact_after: ms(20_000),
     }
 }
