Consensus: a transfer of leadership asked for in the tick of the quorum check is not lost

An operator who had the leader's own place given away was told to ask again, and now and then that led to nothing: in the tick of Raft's quorum check, one in ten, no other voter counts as active, and Voter::transfer_leadership did nothing. It is kept now until another voter is active. The test asked every 20 ticks, a multiple of the check's 10.

--- a/crates/consensus/src/voter.rs
+++ b/crates/consensus/src/voter.rs
@@ -67,6 +67,8 @@
     /// The tickets of commands that this voter has proposed and that have no outcome yet.
     pub(crate) pending_proposals: VecDeque<u64>,
     pub(crate) was_leader: bool,
+    /// Whether the leadership is to be transferred, and no other voter was active yet.
+    is_transfer_pending: bool,
     /// Whether the disk could not be written.
     pub(crate) has_failed: bool,
 }
@@ -106,6 +108,7 @@
             snapshots_in_flight: BTreeMap::new(),
             pending_proposals: VecDeque::new(),
             was_leader: false,
+            is_transfer_pending: false,
             has_failed: false,
         })
     }
@@ -116,6 +119,7 @@
             return;
         }
         self.node.tick();
+        self.start_pending_transfer();
         self.snapshots_in_flight.values_mut().for_each(|ticks| *ticks += 1);
         let in_flight = self.snapshots_in_flight.iter();
         let lost: Vec<u64> =
@@ -192,13 +196,24 @@
         true
     }
 
-    /// Transfers the leadership to another active voter, as soon as that one has all entries.
+    /// Transfers the leadership to another active voter, as soon as there is one and it has all entries.
     pub fn transfer_leadership(&mut self) {
+        self.is_transfer_pending = true;
+        self.start_pending_transfer();
+    }
+
+    /// Starts a pending transfer. In the tick of Raft's quorum check no other voter counts as active; the next heartbeat finds one.
+    fn start_pending_transfer(&mut self) {
+        if !self.is_transfer_pending {
+            return;
+        }
         let own_id = self.node.raft.id;
         let progress = self.node.raft.prs();
         let is_active = |id: u64| progress.get(id).is_some_and(|progress| progress.recent_active);
-        let mut ids = self.conf_state.get_voters().iter().copied();
-        if let Some(next) = ids.find(|id| *id != own_id && is_active(*id)) {
+        let mut others = self.conf_state.get_voters().iter().copied().filter(|id| *id != own_id);
+        let next = others.clone().find(|id| is_active(*id));
+        self.is_transfer_pending = self.is_leader() && next.is_none() && others.next().is_some();
+        if let Some(next) = next {
             self.node.transfer_leader(next);
         }
     }
--- a/crates/consensus/tests/seats.rs
+++ b/crates/consensus/tests/seats.rs
@@ -18,6 +18,7 @@
     }
     cluster.crash(3);
     cluster.play(40);
+    cluster.elect();
     cluster
 }
 
@@ -51,6 +52,7 @@
         // Another one fails: two of the present three are a majority, the new one among them.
         cluster.crash(leader);
         cluster.play(80);
+        cluster.elect();
         for ticket in 1000..1004 {
             cluster.propose(ticket);
             cluster.play(10);
@@ -177,7 +179,7 @@
     }
     (3..5).for_each(|n| cluster.crash(n));
     cluster.play(40);
-    let leader = cluster.leader().unwrap();
+    let leader = cluster.elect();
     let others: Vec<usize> = (0..3).filter(|n| *n != leader).collect();
     let (lags, replaced) = (others[0], others[1]);
     cluster.crash(lags);
@@ -202,3 +204,16 @@
     assert_eq!(cluster.leader(), Some(3));
     assert_eq!(cluster.steps(lags), cluster.steps(3));
 }
+
+/// Guards a transfer that is asked for in the tick of the quorum check, in which no other voter counts as active: it was forgotten.
+#[test]
+fn leadership_is_transferred_whenever_it_is_asked_for() {
+    for ticks in 0..20 {
+        let mut cluster = three_of_four(29);
+        cluster.play(ticks);
+        let leader = cluster.elect();
+        cluster.voters[leader].as_mut().unwrap().transfer_leadership();
+        cluster.play(10);
+        assert_ne!(cluster.elect(), leader, "asked for after {ticks} ticks");
+    }
+}
--- a/crates/consensus/tests/voters/mod.rs
+++ b/crates/consensus/tests/voters/mod.rs
@@ -10,6 +10,9 @@
 use raft::eraftpb::{MessageType, Snapshot};
 use std::collections::BTreeMap;
 
+/// Rounds in which voters that all hear each other have a leader, however often their votes are split.
+const MAX_ELECTION_ROUNDS: usize = 1000;
+
 /// A disk: what is synced outlives a crash.
 #[derive(Clone)]
 pub struct Disk {
@@ -151,6 +154,17 @@
         }
     }
 
+    /// Plays until a leader is established: the ticks that an election takes are drawn by the library.
+    pub fn elect(&mut self) -> usize {
+        for _ in 0..MAX_ELECTION_ROUNDS {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.play(1);
+        }
+        panic!("no leader after {MAX_ELECTION_ROUNDS} rounds");
+    }
+
     pub fn leader(&self) -> Option<usize> {
         (0..self.voters.len()).find(|n| self.voters[*n].as_ref().is_some_and(Voter::is_established_leader))
     }
