Consensus tests: the fleet's logs lie in memory, where the system has a place for that

The tests of common and lost time leases and elections, not the disk. Their fleet writes to /dev/shm now, or to the temporary directory without one; no bound changes. Four runs of common beside 12 busy loops passed. What a killed process leaves on a disk is tested by killed and store, as before.

--- a/crates/consensus/tests/fleet/mod.rs
+++ b/crates/consensus/tests/fleet/mod.rs
@@ -48,11 +48,17 @@
     place: PathBuf,
 }
 
+/// A directory in memory, where the system has one: what these tests time is not the disk.
+fn memory_directory() -> PathBuf {
+    let memory = PathBuf::from("/dev/shm");
+    if memory.is_dir() { memory } else { std::env::temp_dir() }
+}
+
 impl Fleet {
     pub fn new(members: usize, contradiction_ms: u64, cut_off: LeaseExpiryPolicy) -> Self {
         static FLEETS: AtomicU32 = AtomicU32::new(0);
         let own = FLEETS.fetch_add(1, Ordering::Relaxed);
-        let place = std::env::temp_dir().join(format!("maplehook-fleet-{}-{own}", std::process::id()));
+        let place = memory_directory().join(format!("maplehook-fleet-{}-{own}", std::process::id()));
         let names: Vec<Name> = (1..=members).map(|n| Name::new(&format!("b{n}")).unwrap()).collect();
         let mut fleet = Self {
             parts: names.iter().map(|_| None).collect(),
