Supervisor: a second signal leaves the last clients to the process that accepts them

A balancer that others had ended, replaced within half a second, was taken for the last process by a second SIGTERM to the supervisor; with its exit listening would have ended over those that the new one still accepted. Found by reading the change again. The process that leaves counts only at the first signal.

leaving::a_second_signal_leaves_the_last_clients_to_the_process_that_came_after_it fails before, passes now.

--- a/crates/supervisor/src/shutdown.rs
+++ b/crates/supervisor/src/shutdown.rs
@@ -22,7 +22,7 @@
             });
         }
         let last = match self.serving.take() {
-            None if !is_accepting => self.take_leaving(now),
+            None if !is_accepting && !has_begun => self.take_leaving(now),
             serving => serving,
         };
         if let Some(last) = last {
--- a/crates/supervisor/tests/leaving.rs
+++ b/crates/supervisor/tests/leaving.rs
@@ -59,6 +59,18 @@
     }
 }
 
+/// Guards the process in its place, which is the last one to accept, against a second signal.
+#[test]
+fn a_second_signal_leaves_the_last_clients_to_the_process_that_came_after_it() {
+    let (mut world, old) = leaving();
+    let next = replace(&mut world);
+    assert_eq!(world.machine.handle(world.now, END), [Action::Terminate(next, false)]);
+    assert_eq!(world.machine.handle(world.now, END), []);
+    world.machine.handle(world.now, Event::Exited(old));
+    let told = world.machine.handle(world.now, Event::Exited(next));
+    assert_eq!(told, [Action::StopListening, Action::Exit]);
+}
+
 /// Guards clients that come later: it accepts nobody any more, and a process is started for them.
 #[test]
 fn a_process_that_has_left_accepts_nobody() {
