A balancer that leaves is deregistered in one place

Deregistration stood twice, before and after the wait for a successor. That wait returns at once for a departure that is final or replaced, so one place after it does the same at the same time; the task that keeps the registration is stopped once, when the process leaves. Nothing of behaviour.

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -167,7 +167,7 @@
         let _ = accept_acknowledgement.try_send(());
     }
 
-    let mut registration = registrar.map(ActiveRegistration::start);
+    let registration = registrar.map(ActiveRegistration::start);
     let mut departure =
         wait_for_departure(address, setup.hooks, &mut sigterm, supervisor.as_mut(), is_listener_shared).await;
     tracing::info!("leaving");
@@ -189,15 +189,15 @@
     ready.abort();
     admin_state.is_ready.store(false, Ordering::Release);
     phase.send_replace(departure.first_phase());
-    if departure == Departure::Final || supervisor.is_none() {
-        registration.take().into_iter().for_each(ActiveRegistration::deregister);
-    }
     if let Some(supervisor) = &mut supervisor {
         departure = wait_for_successor(departure, supervisor).await;
         phase.send_replace(departure.first_phase());
-        if departure == Departure::Final {
-            registration.take().into_iter().for_each(ActiveRegistration::deregister);
-        }
+    }
+    // The next process of a supervisor keeps the registration alive.
+    if let Some(registration) = registration
+        && (departure == Departure::Final || supervisor.is_none())
+    {
+        registration.deregister();
     }
     let drain_time = departure.drain_time();
     if timeout_at(left_at + drain_time, &mut accepting).await.is_err() {
--- a/crates/proxy/src/serve/departure.rs
+++ b/crates/proxy/src/serve/departure.rs
@@ -125,9 +125,9 @@
         self.task.abort();
     }
 
-    /// Deregisters the balancer, so that clients of the registry stop sending requests. Does not wait for it.
+    /// Deregisters a balancer whose registration was released, so that clients of the registry stop sending requests.
+    /// Does not wait for it.
     pub(super) fn deregister(self) {
-        self.release();
         spawn_local(async move {
             if !self.registrar.deregister().await {
                 tracing::warn!(
