--- a/crates/proxy/tests/supervised_end.rs
+++ b/crates/proxy/tests/supervised_end.rs
@@ -54,6 +54,12 @@
         Self { place, held }
     }
 
+    /// It is started again so many milliseconds after each death, a quarter less by chance.
+    fn waits_after_a_death(&mut self, ms: u64) {
+        let backoff = format!("backoff_ms = {ms}\nbackoff_most_ms = {ms}");
+        self.place.more = self.place.more.replace("backoff_ms = 20\nbackoff_most_ms = 200", &backoff);
+    }
+
     fn start(&self) -> Supervisor {
         let program = self.place.good(0);
         self.place.wants(&program);
@@ -81,6 +87,11 @@
         self.place.present().expect("a process that serves").0
     }
 
+    /// Waits until another process serves in the place of this one.
+    fn until_replaced(&self, pid: u32) {
+        until("another one serves", || self.place.present().is_some_and(|(now, _)| now != pid));
+    }
+
     /// How many processes the supervisor is ending.
     fn ending(&self) -> usize {
         let processes = self.place.memory().map(|memory| memory.processes).unwrap_or_default();
@@ -126,6 +137,12 @@
         Ok(Self(std::thread::spawn(move || (Message::read(&mut BufReader::new(stream)), begun.elapsed()))))
     }
 
+    /// The upstream answers what it holds of this client, and so does the balancer.
+    fn ends_served(self, held: &Arrived) {
+        held.answer("held");
+        assert_eq!(self.answer().0, Some(200));
+    }
+
     /// The status of its answer, and how long that took.
     fn answer(self) -> (Option<u16>, Duration) {
         let (answer, took) = self.0.join().unwrap();
@@ -158,8 +175,7 @@
         balancer.has_shut();
         // The process still has what it had taken.
         assert_eq!(balancer.ending(), 1);
-        held.answer("held");
-        assert_eq!(client.answer().0, Some(200));
+        client.ends_served(&held);
         assert!(supervisor.wait().success());
         assert!(balancer.place.alive().is_empty());
     }
@@ -176,8 +192,7 @@
     all_served(balancer.clients_after(|| signal(supervisor.pid(), "TERM")));
     balancer.has_shut();
     assert!(balancer.ending() > 0, "the old one drains");
-    held.answer("held");
-    assert_eq!(client.answer().0, Some(200));
+    client.ends_served(&held);
     assert!(supervisor.wait().success());
 }
 
@@ -195,8 +210,7 @@
     signal(serving, "KILL");
     balancer.has_shut();
     assert_eq!(balancer.ending(), 1, "the old one drains");
-    held.answer("held");
-    assert_eq!(client.answer().0, Some(200));
+    client.ends_served(&held);
     assert!(supervisor.wait().success());
 }
 
@@ -204,8 +218,7 @@
 #[test]
 fn who_waits_while_the_program_is_down_is_served_before_the_end() {
     let mut balancer = Balancer::new("down");
-    let backoff = "backoff_ms = 20\nbackoff_most_ms = 200";
-    balancer.place.more = balancer.place.more.replace(backoff, "backoff_ms = 5000\nbackoff_most_ms = 5000");
+    balancer.waits_after_a_death(5000);
     let mut supervisor = balancer.start();
     signal(balancer.serving(), "KILL");
     supervisor.until_said("died, 1 times");
@@ -222,8 +235,7 @@
 #[test]
 fn nobody_is_let_in_while_the_program_stays_down() {
     let mut balancer = Balancer::new("stays-down");
-    let backoff = "backoff_ms = 20\nbackoff_most_ms = 200";
-    balancer.place.more = balancer.place.more.replace(backoff, "backoff_ms = 90000\nbackoff_most_ms = 90000");
+    balancer.waits_after_a_death(90000);
     let supervisor = balancer.start();
     signal(balancer.serving(), "KILL");
     balancer.has_shut();
@@ -244,11 +256,10 @@
     let (client, held) = balancer.hold();
     let ended = balancer.serving();
     all_served(balancer.clients_after(|| signal(ended, "TERM")));
-    until("another one serves", || balancer.place.present().is_some_and(|(pid, _)| pid != ended));
+    balancer.until_replaced(ended);
     all_served(balancer.clients_after(|| {}));
     assert_eq!(balancer.ending(), 1, "the old one drains");
-    held.answer("held");
-    assert_eq!(client.answer().0, Some(200));
+    client.ends_served(&held);
     until("it is gone", || balancer.ending() == 0);
     supervisor.end();
 }
@@ -267,8 +278,7 @@
         all_served(balancer.clients_after(|| pids.into_iter().for_each(|pid| signal(pid, "TERM"))));
         balancer.has_shut();
         assert!(balancer.ending() > 0, "it still has what it had taken");
-        held.answer("held");
-        assert_eq!(client.answer().0, Some(200));
+        client.ends_served(&held);
         assert!(supervisor.wait().success());
         assert!(balancer.place.alive().is_empty());
     }
@@ -285,8 +295,7 @@
     all_served(balancer.clients_after(|| signal(pid, "TERM")));
     balancer.has_shut();
     assert_eq!(balancer.place.alive(), [pid], "it still has what it had taken");
-    held.answer("held");
-    assert_eq!(client.answer().0, Some(200));
+    client.ends_served(&held);
     until("it is gone", || balancer.place.alive().is_empty());
 }
 
@@ -309,13 +318,12 @@
             signal(ended, "TERM");
         }
         let supervisor = balancer.place.supervise();
-        until("another one serves", || balancer.place.present().is_some_and(|(pid, _)| pid != ended));
+        balancer.until_replaced(ended);
         // Where it comes too late, nobody listens for a moment.
         let (_, wrong) = steady.end();
         assert!(wrong.iter().all(|error| error.starts_with("connect:")), "{wrong:?}");
         all_served(balancer.clients_after(|| {}));
-        held.answer("held");
-        assert_eq!(client.answer().0, Some(200));
+        client.ends_served(&held);
         supervisor.end();
         assert!(balancer.place.alive().is_empty());
     }
@@ -332,10 +340,9 @@
     balancer.has_shut();
     supervisor.kill();
     let supervisor = balancer.place.supervise();
-    until("another one serves", || balancer.place.present().is_some_and(|(pid, _)| pid != ended));
+    balancer.until_replaced(ended);
     all_served(balancer.clients_after(|| {}));
-    held.answer("held");
-    assert_eq!(client.answer().0, Some(200));
+    client.ends_served(&held);
     supervisor.end();
     assert!(balancer.place.alive().is_empty());
 }
--- a/crates/supervisor/tests/leaving.rs
+++ b/crates/supervisor/tests/leaving.rs
@@ -3,16 +3,11 @@
 mod world;
 
 use maplehook_supervisor::interface::{Action, Event, LEAVING_ACCEPT_PERIOD};
-use world::{World, ms, settings};
-
-const END: Event = Event::Shutdown { has_waiting_clients: false };
-const END_BEFORE_CLIENTS: Event = Event::Shutdown { has_waiting_clients: true };
+use world::{END, END_BEFORE_CLIENTS, World, ms, settings};
 
 /// A world whose only process leaves.
 fn leaving() -> (World, u64) {
-    let mut world = World::new(7);
-    world.behave(|_| false);
-    let id = world.machine.serving().unwrap().id;
+    let (mut world, id) = World::in_service();
     world.happens(Event::Leaving(id));
     (world, id)
 }
@@ -21,9 +16,7 @@
 fn replace(world: &mut World) -> u64 {
     world.wait(settings().initial_backoff);
     let next = world.machine.candidate().expect("another one is started").id;
-    for event in [Event::Ready(next), Event::TrialPassed(next), Event::Accepting(next)] {
-        world.happens(event);
-    }
+    world.accepts(next);
     next
 }
 
--- a/crates/supervisor/tests/machine.rs
+++ b/crates/supervisor/tests/machine.rs
@@ -153,9 +153,7 @@
 
 /// One whose roll-out has put program 1 in the place of the one before.
 fn changed() -> World {
-    let mut world = World::new(7);
-    world.behave(|_| false);
-    let old = world.machine.serving().unwrap().id;
+    let (mut world, old) = World::in_service();
     world.happens(Event::RolloutReported(old, said(1, 1, true)));
     world.behave(|_| false);
     world
@@ -286,9 +284,7 @@
 /// Guards the guarantees: the old process hears that two accept before the new one may, and the one that stays that it is alone.
 #[test]
 fn both_hear_that_there_are_two() {
-    let mut world = World::new(7);
-    world.behave(|_| false);
-    let old = world.machine.serving().unwrap().id;
+    let (mut world, old) = World::in_service();
     world.happens(Event::ProgramRequested(program(1)));
     let new = world.machine.candidate().unwrap().id;
     world.happens(Event::Ready(new));
@@ -332,9 +328,7 @@
 /// Guards the narrow moment: the old process dies after the new one was told to accept, which then stays.
 #[test]
 fn one_that_was_told_to_accept_stays_if_the_old_one_dies() {
-    let mut world = World::new(7);
-    world.behave(|_| false);
-    let old = world.machine.serving().unwrap().id;
+    let (mut world, old) = World::in_service();
     world.happens(Event::ProgramRequested(program(1)));
     let new = world.machine.candidate().unwrap().id;
     world.happens(Event::Ready(new));
--- a/crates/supervisor/tests/shutdown.rs
+++ b/crates/supervisor/tests/shutdown.rs
@@ -4,18 +4,7 @@
 
 use maplehook_supervisor::interface::{Action, Event};
 use std::time::Duration;
-use world::{World, ms, program, settings};
-
-const END: Event = Event::Shutdown { has_waiting_clients: false };
-const END_BEFORE_CLIENTS: Event = Event::Shutdown { has_waiting_clients: true };
-
-/// A world in which one process serves.
-fn serving() -> (World, u64) {
-    let mut world = World::new(7);
-    world.behave(|_| false);
-    let id = world.machine.serving().unwrap().id;
-    (world, id)
-}
+use world::{END, END_BEFORE_CLIENTS, World, ms, program, settings};
 
 fn handle(world: &mut World, event: Event) -> Vec<Action> {
     world.machine.handle(world.now, event)
@@ -25,12 +14,10 @@
 /// death, whatever else still drains.
 #[test]
 fn listening_ends_with_the_last_process_that_accepts() {
-    let (mut world, old) = serving();
+    let (mut world, old) = World::in_service();
     world.happens(Event::ProgramRequested(program(1)));
     let new = world.machine.candidate().unwrap().id;
-    for event in [Event::Ready(new), Event::TrialPassed(new), Event::Accepting(new)] {
-        world.happens(event);
-    }
+    world.accepts(new);
     let actions = handle(&mut world, END);
     assert_eq!(actions, [Action::Terminate(new, false)], "the old one was told before");
     assert_eq!(handle(&mut world, Event::Tick), []);
@@ -44,7 +31,7 @@
 /// Guards against a last process that is stopped, or of a program that does not end listening: that is done for it in time, once.
 #[test]
 fn listening_ends_in_time() {
-    let (mut world, id) = serving();
+    let (mut world, id) = World::in_service();
     assert_eq!(handle(&mut world, END), [Action::Terminate(id, false)]);
     let due = world.machine.next_deadline(world.now).unwrap();
     assert!(due - world.now < settings().termination_grace, "{due:?}");
@@ -81,7 +68,7 @@
     assert_eq!(handle(&mut world, Event::Accepting(id)), [Action::Terminate(id, false)]);
     assert_eq!(handle(&mut world, Event::Exited(id)), [Action::StopListening, Action::Exit]);
     // Beside one that serves, it gives way.
-    let (mut world, old) = serving();
+    let (mut world, old) = World::in_service();
     world.happens(Event::ProgramRequested(program(1)));
     let new = world.machine.candidate().unwrap().id;
     for event in [Event::Ready(new), Event::TrialPassed(new)] {
@@ -95,7 +82,7 @@
 /// reset them unheard. One process is started for them, and the end follows.
 #[test]
 fn clients_that_wait_are_served_before_the_end() {
-    let (mut world, id) = serving();
+    let (mut world, id) = World::in_service();
     world.processes.clear();
     world.happens(Event::Exited(id));
     assert!(world.machine.candidate().is_none(), "it is not started at once");
@@ -112,7 +99,7 @@
 /// request has, and again with the next start.
 #[test]
 fn who_would_wait_in_vain_is_not_let_in() {
-    let (mut world, id) = serving();
+    let (mut world, id) = World::in_service();
     let mut dead = id;
     let mut waits = Vec::new();
     for _ in 0..9 {
@@ -136,7 +123,7 @@
 #[test]
 fn waiting_clients_do_not_hold_up_the_end() {
     let down = || {
-        let (mut world, id) = serving();
+        let (mut world, id) = World::in_service();
         world.processes.clear();
         world.happens(Event::Exited(id));
         world.happens(END_BEFORE_CLIENTS);
--- a/crates/supervisor/tests/world/mod.rs
+++ b/crates/supervisor/tests/world/mod.rs
@@ -30,6 +30,9 @@
     ProgramDigest::new(&format!("{n:064x}")).unwrap()
 }
 
+pub const END: Event = Event::Shutdown { has_waiting_clients: false };
+pub const END_BEFORE_CLIENTS: Event = Event::Shutdown { has_waiting_clients: true };
+
 /// A process of the world.
 #[derive(Clone, Debug)]
 pub struct One {
@@ -67,6 +70,21 @@
         world
     }
 
+    /// One in which a process serves, with that one's number.
+    pub fn in_service() -> (Self, u64) {
+        let mut world = Self::new(7);
+        world.behave(|_| false);
+        let id = world.machine.serving().unwrap().id;
+        (world, id)
+    }
+
+    /// A process that was started comes to accept.
+    pub fn accepts(&mut self, id: u64) {
+        for event in [Event::Ready(id), Event::TrialPassed(id), Event::Accepting(id)] {
+            self.happens(event);
+        }
+    }
+
     /// The memory is written, then all is done but what `spares` the supervisor's end.
     pub fn happens_and_does(&mut self, event: Event, most: usize) {
         let actions = self.machine.handle(self.now, event);
