--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`address`] | addresses, prefixes and sets of networks |
 //! | [`token`] | signed tokens by which a request shows that its client is known |
 //! | [`descriptor_budget`] | how many file descriptors clients and upstreams may hold |
+//! | [`memory_budget`] | how many connections and how many buffered bytes the memory limit permits |
 //!
 //! # The rules
 //!
@@ -57,6 +58,7 @@
 pub mod decision;
 pub mod descriptor_budget;
 mod linked_list;
+pub mod memory_budget;
 pub mod policy;
 pub mod rejection;
 mod source_table;
@@ -66,5 +68,6 @@
 pub use connection_admission::ConnectionAdmission;
 pub use decision::{AdmissionDecision, ConnectionId, ResponseDecision};
 pub use descriptor_budget::{DescriptorBudget, DescriptorClass};
+pub use memory_budget::{ConnectionLimits, MemoryBudget};
 pub use policy::{AdmissionPolicy, PolicyError};
 pub use rejection::{Rejection, RejectionReason};
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::parts::answer::{ResponseBody, UpstreamResponse};
 use crate::parts::attempt::OutboundRequest;
 use crate::parts::body::{Fault, Payload, Upload, receive_body};
-use crate::parts::body_memory::BodyMemory;
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::descriptors::Descriptors;
 use crate::parts::dispatcher::{Dispatcher, InFlightGuard};
 use crate::parts::driver::{Answer, Driver, RequestContext, Trace};
@@ -178,7 +178,7 @@
         let balancer = Balancer::new(self.settings.clone(), self.seed)
             .map_err(|e| start_error(format!("settings: {e}").into()))?;
         let descriptors = Descriptors::for_upstreams(self.connections).map_err(|e| start_error(e.into()))?;
-        let (body_memory, forwarding) = (BodyMemory::new(self.body_memory), self.forwarding);
+        let (body_memory, forwarding) = (BufferMemory::new(self.body_memory), self.forwarding);
         let upstreams = Upstreams::new(
             &self.settings,
             Rc::clone(&descriptors),
@@ -348,7 +348,7 @@
 /// State of the engine's thread.
 struct Core {
     dispatcher: Rc<Dispatcher>,
-    body_memory: BodyMemory,
+    body_memory: BufferMemory,
     forwarding: Forwarding,
     upstreams: Rc<Upstreams>,
     classes: RefCell<Vec<ClassRules>>,
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -65,6 +65,12 @@
     pub connection_rests: ReasonCounters,
     /// Number of responses that were held because they repeated the one before, by what became of them.
     pub responses_held: ReasonCounters,
+    /// Memory that the process takes, in bytes.
+    pub memory_resident: Gauge,
+    /// Memory that is reserved for buffers, in bytes.
+    pub memory_reserved: Gauge,
+    /// Number of reservations of memory that were denied.
+    pub memory_denied: Counter,
 }
 
 impl Default for Metrics {
@@ -74,7 +80,8 @@
         let (sends, conf_loaded, conf_invalid) = <(Counter, Counter, Counter)>::default();
         let [clients_ended, clients_refused, unfit, attempts_ended] = <[ReasonCounters; 4]>::default();
         let [unsolicited, connection_rests, responses_held] = <[ReasonCounters; 3]>::default();
-        let retries = Counter::default();
+        let (retries, memory_denied) = <(Counter, Counter)>::default();
+        let (memory_resident, memory_reserved) = <(Gauge, Gauge)>::default();
         let (current, cluster_size, cluster_unhealthy) = <(Gauge, Gauge, Gauge)>::default();
         registry.register("answered", "Requests served", Family::clone(&answered));
         registry.register("deferred", "Requests refused: trying again is harmless", Family::clone(&deferred));
@@ -105,6 +112,9 @@
             "Responses held because they repeated the one before",
             responses_held.family(),
         );
+        registry.register("memory_resident_bytes", "Memory of the process", memory_resident.clone());
+        registry.register("memory_reserved_bytes", "Memory reserved for buffers", memory_reserved.clone());
+        registry.register("memory_denied", "Reservations of memory denied", memory_denied.clone());
         Self {
             registry,
             answered,
@@ -124,6 +134,9 @@
             unsolicited,
             connection_rests,
             responses_held,
+            memory_resident,
+            memory_reserved,
+            memory_denied,
         }
     }
 }
--- a/crates/engine/src/parts/attempt/reply.rs
+++ b/crates/engine/src/parts/attempt/reply.rs
@@ -2,7 +2,7 @@
 
 use crate::parts::answer::is_malformed_body;
 use crate::parts::body::{BodyBuffer, Failure, collect_body};
-use crate::parts::body_memory::{BodyMemory, MemoryReservation};
+use crate::parts::buffer_memory::{BufferMemory, MemoryReservation};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
@@ -85,7 +85,7 @@
 pub(super) async fn exchange(
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     passage: &Passage,
-    body_memory: &BodyMemory,
+    body_memory: &BufferMemory,
 ) -> Result<Reply, ExchangeError> {
     let (parts, body) = response.await?.into_parts();
     if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
@@ -109,9 +109,11 @@
                 None => (!hold.is_zero()).then_some(buffer),
             };
             match buffered_length.and_then(|n| body_memory.reserve_body(n)) {
-                Some(reservation) if known_length.is_some() => ReceivedBody::Complete(
-                    reservation.attach_to(collect_body(body).await.map_err(body_error)?),
-                ),
+                Some(reservation) if known_length.is_some() => {
+                    let length = buffered_length.unwrap_or_default();
+                    let body = collect_body(body, length).await.map_err(body_error)?;
+                    ReceivedBody::Complete(reservation.attach_to(body))
+                }
                 Some(reservation) => buffer_unsized(body, buffer, Instant::now() + hold, reservation).await?,
                 // Without free body memory the response streams, and its reader sets the pace.
                 None => ReceivedBody::Streaming(VecDeque::new(), body),
@@ -130,7 +132,7 @@
     until: Instant,
     reservation: MemoryReservation,
 ) -> Result<ReceivedBody, ExchangeError> {
-    let mut received = BodyBuffer::default();
+    let mut received = BodyBuffer::with_capacity(buffer);
     let mut trailers = None;
     while received.len() <= buffer && trailers.is_none() {
         let Ok(frame) = timeout_at(until, body.frame()).await else { break };
@@ -145,7 +147,8 @@
             }
         }
     }
-    let data = received.into_bytes();
+    // What was received stays in memory until it is forwarded.
+    let data = reservation.shrink_to(received.len()).attach_to(received.into_bytes());
     let data = (!data.is_empty()).then(|| Frame::data(data));
     Ok(ReceivedBody::Streaming(data.into_iter().chain(trailers).collect(), body))
 }
@@ -154,7 +157,7 @@
 async fn read_complete(
     body: Incoming,
     max_length: usize,
-    body_memory: &BodyMemory,
+    body_memory: &BufferMemory,
 ) -> Result<Bytes, ExchangeError> {
     let known_length =
         body.size_hint().exact().map_or(max_length, |n| usize::try_from(n).unwrap_or(usize::MAX));
@@ -166,6 +169,6 @@
     let reservation = body_memory
         .reserve_body(known_length)
         .ok_or_else(|| ExchangeError::Malformed("no body memory left for the response".into()))?;
-    let body = collect_body(Limited::new(body, max_length)).await.map_err(body_error)?;
+    let body = collect_body(Limited::new(body, max_length), known_length).await.map_err(body_error)?;
     Ok(reservation.shrink_to(body.len()).attach_to(body))
 }
--- a/crates/engine/src/parts/attempt/tests.rs
+++ b/crates/engine/src/parts/attempt/tests.rs
@@ -1,7 +1,7 @@
 //! Outcomes of attempts against upstreams that behave correctly, fail, or violate HTTP.
 
 use super::*;
-use crate::parts::body_memory::BodyMemory;
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::upstream::EndpointState;
 use http_body_util::BodyExt;
 use maplehook_core::ZoneId;
@@ -36,7 +36,7 @@
     let upstreams = Rc::new(Upstreams::new(
         &settings,
         crate::parts::pool::tests::descriptors(max_open),
-        BodyMemory::new(BODY_MEMORY_BYTES),
+        BufferMemory::new(BODY_MEMORY_BYTES),
         maplehook_http_semantics::Forwarding::platform(),
         Arc::default(),
     ));
--- a/crates/engine/src/parts/body/collect.rs
+++ b/crates/engine/src/parts/body/collect.rs
@@ -1,7 +1,7 @@
 //! Reads bodies: into memory if they are short enough, as a stream otherwise.
 
 use super::{Failure, Fault, Payload, Upload, UploadTimeouts, discard_body};
-use crate::parts::body_memory::BodyMemory;
+use crate::parts::buffer_memory::BufferMemory;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Body;
@@ -17,9 +17,16 @@
 pub struct BodyBuffer {
     first: Bytes,
     rest: BytesMut,
+    /// Bytes to allocate once there is more than one frame, so that the buffer never grows by being copied.
+    capacity: usize,
 }
 
 impl BodyBuffer {
+    /// Creates a buffer for a body of up to `capacity` bytes.
+    pub fn with_capacity(capacity: usize) -> Self {
+        Self { capacity, ..Self::default() }
+    }
+
     /// Returns the number of buffered bytes.
     pub fn len(&self) -> usize {
         self.first.len() + self.rest.len()
@@ -37,24 +44,31 @@
             return;
         }
         if self.rest.is_empty() {
+            self.rest.reserve(self.capacity.max(self.first.len() + data.len()));
             self.rest.extend_from_slice(&std::mem::take(&mut self.first));
         }
         self.rest.extend_from_slice(&data);
     }
 
-    /// Returns the buffered bytes.
+    /// Returns the buffered bytes, in memory of about their length.
     pub fn into_bytes(self) -> Bytes {
-        if self.rest.is_empty() { self.first } else { self.rest.freeze() }
+        if self.rest.is_empty() {
+            self.first
+        } else if self.rest.len() < self.rest.capacity() / 2 {
+            Bytes::copy_from_slice(&self.rest)
+        } else {
+            self.rest.freeze()
+        }
     }
 }
 
-/// Reads a body to its end and drops its trailers.
-pub async fn collect_body<B>(mut body: B) -> Result<Bytes, Failure>
+/// Reads a body of up to `capacity` bytes to its end and drops its trailers.
+pub async fn collect_body<B>(mut body: B, capacity: usize) -> Result<Bytes, Failure>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<Failure>,
 {
-    let mut buffer = BodyBuffer::default();
+    let mut buffer = BodyBuffer::with_capacity(capacity);
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.map_err(Into::into)?.into_data() {
             buffer.push(data);
@@ -68,7 +82,7 @@
 pub async fn receive_body<B>(
     mut body: B,
     passage: &Passage,
-    body_memory: &BodyMemory,
+    body_memory: &BufferMemory,
     answer: Duration,
 ) -> Result<Payload, Fault>
 where
@@ -84,11 +98,11 @@
         spawn_local(discard_body(body));
         return Err(Fault::TooLong);
     }
-    let mut buffer = BodyBuffer::default();
     let mut is_complete = false;
     let may_fit = hint.lower() <= passage.buffer as u64;
     // Memory for the longest possible body is reserved before the first byte is read.
     let expected_length = hint.exact().map_or(passage.buffer, |n| n as usize);
+    let mut buffer = BodyBuffer::with_capacity(expected_length);
     let reservation = if may_fit { body_memory.reserve_body(expected_length) } else { None };
     if reservation.is_some() {
         while buffer.len() <= passage.buffer {
--- a/crates/engine/src/parts/body/upload.rs
+++ b/crates/engine/src/parts/body/upload.rs
@@ -16,12 +16,14 @@
 /// Delay before a sender timeout is confirmed.
 const RECHECK_DELAY: Duration = Duration::from_millis(1);
 
-/// Counts the bytes of a connection that the kernel accepted, and wakes the task that waits for the first
-/// byte.
+/// Counts the bytes of a connection that the kernel accepted, and wakes the task that waits for a write.
 #[derive(Default)]
 pub struct WriteCounter {
     count: Cell<u64>,
-    first_write_waker: Cell<Option<Waker>>,
+    /// True if the kernel took nothing of the last write.
+    is_blocked: Cell<bool>,
+    /// Task that waits for the next write.
+    write_waker: Cell<Option<Waker>>,
     /// Write count at the end of the current request; `u64::MAX` if its length is unknown.
     request_end: Cell<u64>,
     sent_counter: Cell<Option<Counter>>,
@@ -31,7 +33,8 @@
     /// Adds `n` bytes accepted by the kernel.
     pub fn record(&self, n: usize) {
         self.count.set(self.count.get() + n as u64);
-        if let Some(waker) = self.first_write_waker.take() {
+        self.is_blocked.set(false);
+        if let Some(waker) = self.write_waker.take() {
             waker.wake();
         }
         if self.count.get() >= self.request_end.get() {
@@ -39,6 +42,11 @@
         }
     }
 
+    /// Records that the kernel took nothing of a write.
+    pub fn record_blocked(&self) {
+        self.is_blocked.set(true);
+    }
+
     /// Starts a request. `sent_counter` is incremented once `length` bytes are written, or at the end of the
     /// body if `length` is `None`.
     pub fn begin_request(&self, length: Option<u64>, sent_counter: Option<Counter>) {
@@ -283,7 +291,7 @@
         if self.source.is_none() {
             if self.written.count() == self.written_before {
                 // Until this connection accepts a byte, another attempt can still take the body.
-                self.written.first_write_waker.set(Some(cx.waker().clone()));
+                self.written.write_waker.set(Some(cx.waker().clone()));
                 return Poll::Pending;
             }
             self.source = self.upload.remaining.borrow_mut().take();
@@ -293,6 +301,12 @@
         let Some(source) = &mut self.source else {
             return Poll::Ready(Some(Err("the body was already sent by another attempt".into())));
         };
+        if self.written.is_blocked.get() {
+            // Nothing is read from the client while the upstream accepts nothing.
+            self.upload.waiting_since.set(None);
+            self.written.write_waker.set(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
         self.upload.waiting_since.set(Some(self.upload.waiting_since.get().unwrap_or_else(Instant::now)));
         let frame = ready!(source.as_mut().poll_frame(cx));
         self.upload.waiting_since.set(None);
--- a/crates/engine/src/parts/connection.rs
+++ b/crates/engine/src/parts/connection.rs
@@ -4,6 +4,7 @@
 
 use crate::parts::attempt_limits::WithheldReason;
 use crate::parts::body::{OutboundBody, Payload, WriteCounter};
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::unsolicited::{UnsolicitedKind, UnsolicitedObserver};
 use counting_stream::{CountingStream, ExchangeState};
 use hyper::body::Incoming;
@@ -43,14 +44,22 @@
     peer: SocketAddr,
     /// Digest of the last response; `None` before the first, or if it has none.
     last_digest: Cell<Option<u64>>,
+    /// True if there was no memory to keep the buffer of the last request's head.
+    has_long_head: Cell<bool>,
 }
 
 impl Connection {
-    /// Connects to `peer`; `slot` is released when the descriptor is closed.
-    pub async fn open<S: Unpin + 'static>(peer: SocketAddr, slot: S) -> io::Result<Self> {
+    /// Connects to `peer`; `slot` is released when the descriptor is closed. The heads of its messages are reserved
+    /// from `memory`.
+    pub async fn open<S: Unpin + 'static>(
+        peer: SocketAddr,
+        slot: S,
+        memory: &BufferMemory,
+    ) -> io::Result<Self> {
         let stream = TcpStream::connect(peer).await?;
         stream.set_nodelay(true)?;
-        let (written, exchange) = (Rc::<WriteCounter>::default(), ExchangeState::new(next_number(), peer));
+        let (written, exchange) =
+            (Rc::<WriteCounter>::default(), ExchangeState::new(next_number(), peer, memory));
         let io = TokioIo::new(CountingStream::new(stream, Rc::clone(&written), Rc::clone(&exchange), slot));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
@@ -68,7 +77,15 @@
             }
             state.ended.notify_one();
         });
-        Ok(Self { sender, task: task.abort_handle(), written, exchange, peer, last_digest: Cell::default() })
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+            written,
+            exchange,
+            peer,
+            last_digest: Cell::default(),
+            has_long_head: Cell::default(),
+        })
     }
 
     /// Returns the address of the upstream.
@@ -81,6 +98,12 @@
         self.sender.is_closed()
     }
 
+    /// Returns true if the connection must not be kept for another request, since its buffers have grown and no
+    /// memory was left for them.
+    pub fn exceeds_memory(&self) -> bool {
+        self.has_long_head.get()
+    }
+
     /// Returns the number of the connection in the log.
     pub fn number(&self) -> u64 {
         self.exchange.connection
@@ -165,6 +188,9 @@
         permit: WritePermit,
         write_by: Option<Instant>,
     ) -> hyper::Result<Response<Incoming>> {
+        self.exchange.heads.begin();
+        let head_bytes = usize::try_from(head_length(&request)).unwrap_or(usize::MAX);
+        self.has_long_head.set(!self.exchange.heads.extend(head_bytes, 0));
         self.exchange.permit.replace(Some(permit));
         self.exchange.write_by.set(write_by);
         self.exchange.withheld.set(None);
@@ -241,7 +267,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peer = listener.local_addr().unwrap();
         for (method, body) in [("GET", ""), ("POST", ""), ("POST", "some text")] {
-            let mut connection = Connection::open(peer, ()).await.unwrap();
+            let mut connection = Connection::open(peer, (), &BufferMemory::new(1 << 20)).await.unwrap();
             let mut request = Request::builder().method(method).uri("/book/day?n=1").header(HOST, "app.svc");
             if method == "POST" {
                 request = request.header(CONTENT_LENGTH, body.len());
--- a/crates/engine/src/parts/connection/counting_stream.rs
+++ b/crates/engine/src/parts/connection/counting_stream.rs
@@ -2,7 +2,9 @@
 
 use crate::parts::attempt_limits::WithheldReason;
 use crate::parts::body::WriteCounter;
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::connection::WritePermit;
+use crate::parts::head_memory::HeadMemory;
 use crate::parts::unsolicited::{MAX_EXCERPT_BYTES, UnsolicitedData, UnsolicitedKind, UnsolicitedObserver};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -11,13 +13,17 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Bytes of one read. hyper doubles its buffer, and keeps it, after a read that fills it; the first is one byte
+/// longer.
+const MAX_READ_BYTES: usize = 8 * 1024 - 1;
+
 /// State of the current request on a connection.
 pub(super) struct ExchangeState {
     /// Number of the connection in the log.
@@ -34,6 +40,8 @@
     pub(super) is_unflushed: Cell<bool>,
     /// Bytes that may still be read before the response head is complete; `None` after the head.
     pub(super) head_budget: Cell<Option<usize>>,
+    /// Memory of the heads on this connection.
+    pub(super) heads: HeadMemory,
     /// True while no request is in flight.
     is_idle: Cell<bool>,
     /// End of the last response; `None` before the first.
@@ -49,7 +57,7 @@
 }
 
 impl ExchangeState {
-    pub(super) fn new(connection: u64, peer: SocketAddr) -> Rc<Self> {
+    pub(super) fn new(connection: u64, peer: SocketAddr, memory: &BufferMemory) -> Rc<Self> {
         Rc::new(Self {
             connection,
             peer,
@@ -59,6 +67,7 @@
             written_at_first_byte: Cell::default(),
             is_unflushed: Cell::default(),
             head_budget: Cell::default(),
+            heads: HeadMemory::new(memory),
             is_idle: Cell::new(true),
             last_response_end: Cell::default(),
             responses: Cell::default(),
@@ -97,12 +106,15 @@
         observer.unsolicited_data(&UnsolicitedData { connection, peer, kind, delay, responses, excerpt });
     }
 
-    /// Deducts the bytes read from the head budget. Fails if the budget is exhausted.
-    fn charge_head_budget(&self, bytes: usize) -> io::Result<()> {
+    /// Deducts the bytes read from the head budget. Fails if the budget or the memory is exhausted.
+    fn charge_head_budget(&self, bytes: &[u8]) -> io::Result<()> {
         let Some(remaining) = self.head_budget.get() else { return Ok(()) };
-        let remaining = remaining.checked_sub(bytes).ok_or_else(|| {
+        let remaining = remaining.checked_sub(bytes.len()).ok_or_else(|| {
             io::Error::new(io::ErrorKind::InvalidData, "too many bytes before the response head")
         })?;
+        if !self.heads.receive(bytes) {
+            return Err(io::Error::new(io::ErrorKind::OutOfMemory, "no memory left for the response head"));
+        }
         self.head_budget.set(Some(remaining));
         Ok(())
     }
@@ -176,10 +188,14 @@
     }
 
     fn record_write(&self, poll: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = &poll {
-            self.exchange.permit.take();
-            self.exchange.is_idle.set(false);
-            self.written.record(*n);
+        match &poll {
+            Poll::Ready(Ok(n)) => {
+                self.exchange.permit.take();
+                self.exchange.is_idle.set(false);
+                self.written.record(*n);
+            }
+            Poll::Ready(Err(_)) => {}
+            Poll::Pending => self.written.record_blocked(),
         }
         poll
     }
@@ -191,15 +207,17 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let received = &buf.filled()[before..];
+        let mut chunk = [MaybeUninit::uninit(); MAX_READ_BYTES];
+        let mut chunk = ReadBuf::uninit(&mut chunk[..buf.remaining().min(MAX_READ_BYTES)]);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut chunk))?;
+        let received = chunk.filled();
         if !received.is_empty() {
             let excerpt = &received[..received.len().min(MAX_EXCERPT_BYTES)];
             self.exchange.record_received(self.written.count(), excerpt);
-            self.exchange.charge_head_budget(received.len())?;
+            self.exchange.charge_head_budget(received)?;
         }
-        poll
+        buf.put_slice(received);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/engine/src/parts/descriptors.rs
+++ b/crates/engine/src/parts/descriptors.rs
@@ -3,7 +3,7 @@
 
 use crate::parts::rate_limited_log::RateLimitedLog;
 use maplehook_admission::descriptor_budget::TooFewDescriptorsError;
-use maplehook_admission::{DescriptorBudget, DescriptorClass};
+use maplehook_admission::{ConnectionLimits, DescriptorBudget, DescriptorClass};
 use rlimit::Resource;
 use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
@@ -25,6 +25,8 @@
 /// Descriptor budget of the process.
 pub struct Descriptors {
     budget: RefCell<DescriptorBudget>,
+    /// The most connections for which there is memory.
+    memory_limits: Cell<ConnectionLimits>,
     started_at: Instant,
     spare: RefCell<Option<File>>,
     relief_callbacks: RefCell<Vec<ReliefCallback>>,
@@ -67,6 +69,7 @@
                 reserved,
                 upstream_share,
             )?),
+            memory_limits: Cell::new(ConnectionLimits::NONE),
             started_at: Instant::now(),
             spare: RefCell::new(open_spare()),
             relief_callbacks: RefCell::default(),
@@ -96,7 +99,13 @@
 
     /// Returns the number of descriptors that a class may use now.
     pub fn limit_of(&self, class: DescriptorClass) -> usize {
-        self.budget.borrow().limit_of(class)
+        self.budget.borrow().limit_of(class).min(self.memory_limits.get().of(class))
+    }
+
+    /// Limits the connections of each class to those for which there is memory.
+    pub fn set_memory_limits(&self, limits: ConnectionLimits) {
+        self.memory_limits.set(limits);
+        self.notify_listeners();
     }
 
     /// Changes the configured limit, for example when another process starts or stops sharing the platform's
--- a/crates/engine/src/parts/discovery.rs
+++ b/crates/engine/src/parts/discovery.rs
@@ -9,15 +9,17 @@
 mod tests;
 mod timeouts;
 
-use crate::parts::body::OutboundBody;
+use crate::parts::body::{OutboundBody, collect_body};
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::connection::Connection;
 use crate::parts::descriptors::{self, Descriptors, is_descriptor_exhaustion};
 use crate::parts::rate_limited_log::RateLimitedLog;
 use crate::parts::upstream::EndpointState;
 use crate::source::{EndpointUpdate, Entry, Source, Task};
-use documents::{DocumentSplitter, MAX_DOCUMENT_BYTES, WatchItem};
+pub use documents::MAX_DOCUMENT_BYTES;
+use documents::{DocumentSplitter, WatchItem};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HOST;
 use hyper::{Request, StatusCode};
 use maplehook_core::{Availability, CellId, KindId, UpdateScope, ZoneId};
@@ -69,12 +71,19 @@
     address: Cell<SocketAddr>,
     names: RefCell<IdNames>,
     descriptors: Rc<Descriptors>,
+    /// Longest document that is read, in bytes.
+    max_document_bytes: usize,
+    /// Memory for the heads of discovery's answers.
+    head_memory: BufferMemory,
     /// Version of the cached list; 0 if there is none.
     rev: Cell<u64>,
     timeouts: Cell<DiscoveryTimeouts>,
     warnings: RateLimitedLog,
 }
 
+/// Memory for the heads of all open calls, in bytes.
+const MAX_HEADS_BYTES: usize = 256 * 1024;
+
 type Failure = Box<dyn Error + Send + Sync>;
 
 impl Discovery {
@@ -84,12 +93,20 @@
             address: Cell::new(address),
             names: RefCell::new(names),
             descriptors,
+            max_document_bytes: MAX_DOCUMENT_BYTES,
+            head_memory: BufferMemory::new(MAX_HEADS_BYTES),
             rev: Cell::new(0),
             timeouts: Cell::new(DiscoveryTimeouts::SERVICE),
             warnings: RateLimitedLog::default(),
         }
     }
 
+    /// Limits the length of documents, which is [`MAX_DOCUMENT_BYTES`] otherwise.
+    #[must_use]
+    pub fn with_max_document_bytes(self, max_document_bytes: usize) -> Self {
+        Self { max_document_bytes: max_document_bytes.min(MAX_DOCUMENT_BYTES), ..self }
+    }
+
     /// Sets the timeouts of the first steps of a call.
     pub fn set_timeouts(&self, timeouts: DiscoveryTimeouts) {
         self.timeouts.set(timeouts);
@@ -192,7 +209,7 @@
         let mut deadline = WatchDeadline::new(self.timeouts.get(), Instant::now());
         let target = format!("/registry/instances?stream=1&index={}", self.rev.get());
         let (_connection, mut body) = self.request(&target, &mut deadline).await?;
-        let mut documents = DocumentSplitter::default();
+        let mut documents = DocumentSplitter::new(self.max_document_bytes);
         while let Some(frame) = timeout_at(deadline.expires_at(), body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             documents.push(&data);
@@ -240,15 +257,21 @@
     async fn fetch_list(&self) -> Result<EndpointUpdate, Failure> {
         let mut deadline = WatchDeadline::new(self.timeouts.get(), Instant::now());
         let (_connection, body) = self.request("/registry/instances", &mut deadline).await?;
-        let body = http_body_util::Limited::new(body, MAX_DOCUMENT_BYTES);
-        let text = timeout_at(deadline.expires_at(), body.collect()).await??.to_bytes();
+        let length = body.size_hint().exact().map_or(0, |length| length as usize);
+        if length > self.max_document_bytes {
+            return Err(
+                format!("a list of {length} bytes exceeds the limit of {}", self.max_document_bytes).into()
+            );
+        }
+        let body = http_body_util::Limited::new(body, self.max_document_bytes);
+        let text = timeout_at(deadline.expires_at(), collect_body(body, length)).await??;
         self.parse_list(&text, true)
     }
 
     /// Connects to discovery. If descriptors are exhausted, another holder frees one: updates must not wait.
     async fn connect(&self, address: SocketAddr) -> io::Result<Connection> {
         loop {
-            match Connection::open(address, ()).await {
+            match Connection::open(address, (), &self.head_memory).await {
                 Err(e) if is_descriptor_exhaustion(&e) => {
                     self.descriptors.record_exhaustion("discovery");
                     sleep(descriptors::EXHAUSTION_BACKOFF).await;
--- a/crates/engine/src/parts/discovery/documents.rs
+++ b/crates/engine/src/parts/discovery/documents.rs
@@ -7,7 +7,7 @@
 use std::fmt;
 
 /// Longest document, in bytes; longer input cannot be a list.
-pub(super) const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
+pub const MAX_DOCUMENT_BYTES: usize = 8 * 1024 * 1024;
 
 /// Item of a watch stream.
 #[derive(Debug, PartialEq)]
@@ -25,7 +25,7 @@
     UnexpectedByte(u8),
     /// A truncated document on a line of its own, not the first line of an indented document.
     TruncatedLine,
-    /// A document longer than [`MAX_DOCUMENT_BYTES`].
+    /// A document longer than the limit.
     TooLong,
     /// The watch ended inside a document.
     UnexpectedEnd,
@@ -45,9 +45,9 @@
 impl Error for DocumentError {}
 
 /// Incremental splitter; examines each byte once.
-#[derive(Default)]
 pub(super) struct DocumentSplitter {
     pending: BytesMut,
+    max_document_bytes: usize,
     /// Bytes of `pending` that were already examined.
     scanned: usize,
     /// Nesting depth of brackets; 0 outside of a document.
@@ -59,6 +59,19 @@
 }
 
 impl DocumentSplitter {
+    /// Creates a splitter for documents of up to this length.
+    pub(super) fn new(max_document_bytes: usize) -> Self {
+        Self {
+            pending: BytesMut::new(),
+            max_document_bytes,
+            scanned: 0,
+            depth: 0,
+            in_string: false,
+            is_escaped: false,
+            is_indented: false,
+        }
+    }
+
     /// Appends received bytes.
     pub(super) fn push(&mut self, data: &[u8]) {
         self.pending.extend_from_slice(data);
@@ -72,7 +85,7 @@
                 return Ok(Some(item));
             }
         }
-        if self.pending.len() > MAX_DOCUMENT_BYTES { Err(DocumentError::TooLong) } else { Ok(None) }
+        if self.pending.len() > self.max_document_bytes { Err(DocumentError::TooLong) } else { Ok(None) }
     }
 
     /// Checks that the stream did not end inside a document.
--- a/crates/engine/src/parts/discovery/tests.rs
+++ b/crates/engine/src/parts/discovery/tests.rs
@@ -16,7 +16,7 @@
 
 /// Splits `text`, delivered in chunks that end at `cuts`.
 fn split(text: &[u8], cuts: &[usize]) -> Result<Vec<WatchItem>, DocumentError> {
-    let (mut documents, mut all, mut from) = (DocumentSplitter::default(), Vec::new(), 0);
+    let (mut documents, mut all, mut from) = (DocumentSplitter::new(MAX_DOCUMENT_BYTES), Vec::new(), 0);
     for to in cuts.iter().copied().chain([text.len()]) {
         documents.push(&text[from..to]);
         from = to;
@@ -71,7 +71,7 @@
     ] {
         assert_eq!(split(text.as_bytes(), &[]), Err(reason), "input {text:?}");
     }
-    let mut documents = DocumentSplitter::default();
+    let mut documents = DocumentSplitter::new(MAX_DOCUMENT_BYTES);
     documents.push(b"{\"rev\":");
     documents.push(&vec![b'1'; super::documents::MAX_DOCUMENT_BYTES]);
     assert_eq!(documents.next_item(), Err(DocumentError::TooLong));
--- a/crates/engine/src/parts/mod.rs
+++ b/crates/engine/src/parts/mod.rs
@@ -7,7 +7,8 @@
 //! | [`driver`] | owns the decision module: applies events, performs actions |
 //! | [`upstream`], [`attempt`], [`connection`] | known upstreams, one attempt, one connection |
 //! | [`attempt_limits`] | deadlines for writing an attempt and for its response |
-//! | [`body`], [`answer`], [`body_memory`] | request and response bodies, and the memory they share |
+//! | [`body`], [`answer`], [`buffer_memory`] | request and response bodies, and the memory they share |
+//! | [`head_memory`] | memory of the message heads on one connection |
 //! | [`unsolicited`] | data from upstreams that no request asked for |
 //! | [`descriptors`] | descriptor limits, and the handling of a shortage |
 //! | [`discovery`] | client of the platform's endpoint list |
@@ -16,12 +17,13 @@
 pub mod attempt;
 pub mod attempt_limits;
 pub mod body;
-pub mod body_memory;
+pub mod buffer_memory;
 pub mod connection;
 pub mod descriptors;
 pub mod discovery;
 pub mod dispatcher;
 pub mod driver;
+pub mod head_memory;
 pub mod headers;
 pub(crate) mod pool;
 pub mod rate_limited_log;
--- a/crates/engine/src/parts/pool.rs
+++ b/crates/engine/src/parts/pool.rs
@@ -199,7 +199,7 @@
 
     /// Stores a connection without a request in flight.
     pub fn store_idle(&self, upstream: UpstreamId, connection: Connection) {
-        if connection.is_closed() {
+        if connection.is_closed() || connection.exceeds_memory() {
             return;
         }
         connection.mark_idle();
--- a/crates/engine/src/parts/pool/tests.rs
+++ b/crates/engine/src/parts/pool/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the connection pool.
 
 use super::*;
+use crate::parts::buffer_memory::BufferMemory;
 use tokio::net::TcpListener;
 
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
@@ -25,7 +26,10 @@
     let pool = Pool::new(descriptors(9), LONG_TIMEOUT);
     let order = [3, 8, 1, 7, 2, 9, 4, 6, 5].map(UpstreamId);
     for upstream in order {
-        pool.store_idle(upstream, Connection::open(peer, pool.reserve_slot().await).await.unwrap());
+        pool.store_idle(
+            upstream,
+            Connection::open(peer, pool.reserve_slot().await, &BufferMemory::new(1 << 20)).await.unwrap(),
+        );
     }
     let mut slots = Vec::new();
     for (n, upstream) in order.into_iter().enumerate() {
@@ -44,7 +48,10 @@
     let peer = listener.local_addr().unwrap();
     let pool = Pool::new(descriptors(2), LONG_TIMEOUT);
     for upstream in [1, 2].map(UpstreamId) {
-        pool.store_idle(upstream, Connection::open(peer, pool.reserve_slot().await).await.unwrap());
+        pool.store_idle(
+            upstream,
+            Connection::open(peer, pool.reserve_slot().await, &BufferMemory::new(1 << 20)).await.unwrap(),
+        );
     }
     drop(listener.accept().await.unwrap());
     while pool.open_count() == 2 {
@@ -64,7 +71,10 @@
     let (upstream, pool) = (UpstreamId(1), Pool::new(descriptors(9), LONG_TIMEOUT));
     let reuse = ReuseGuard::new(upstream, Rc::default(), ReasonCounters::default());
     for is_cancelled in [true, false] {
-        pool.store_idle(upstream, Connection::open(peer, pool.reserve_slot().await).await.unwrap());
+        pool.store_idle(
+            upstream,
+            Connection::open(peer, pool.reserve_slot().await, &BufferMemory::new(1 << 20)).await.unwrap(),
+        );
         let mut acquired = Box::pin(pool.acquire(upstream, &reuse, LONG_TIMEOUT));
         assert!(poll_once(&mut acquired).await.is_none(), "the connection has not rested");
         pool.close_idle(upstream);
--- a/crates/engine/src/parts/upstream.rs
+++ b/crates/engine/src/parts/upstream.rs
@@ -1,7 +1,7 @@
 //! Known upstreams: their addresses, availability and connections.
 
 use crate::metrics::Metrics;
-use crate::parts::body_memory::BodyMemory;
+use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::connection::Connection;
 use crate::parts::descriptors::{self, Descriptors, is_descriptor_exhaustion, is_local_failure};
 use crate::parts::driver::ConnectStats;
@@ -66,7 +66,7 @@
     by_id: RefCell<FxHashMap<UpstreamId, Rc<Upstream>>>,
     pub(crate) pool: Pool,
     descriptors: Rc<Descriptors>,
-    pub(crate) body_memory: BodyMemory,
+    pub(crate) body_memory: BufferMemory,
     pub(crate) forwarding: Forwarding,
     pub(crate) probe_passage: Rc<Passage>,
     pub(crate) tally: Arc<Metrics>,
@@ -104,7 +104,7 @@
     pub fn new(
         settings: &Settings,
         descriptors: Rc<Descriptors>,
-        body_memory: BodyMemory,
+        body_memory: BufferMemory,
         forwarding: Forwarding,
         tally: Arc<Metrics>,
     ) -> Self {
@@ -280,7 +280,7 @@
                 Err(_) => return Err(Outcome::NotSent),
             };
             let started_at = Instant::now();
-            match timeout_at(deadline, Connection::open(endpoint, slot)).await {
+            match timeout_at(deadline, Connection::open(endpoint, slot, &self.body_memory)).await {
                 Ok(Ok(connection)) => {
                     connection.observe(Rc::clone(&upstream.reuse) as Rc<dyn UnsolicitedObserver>);
                     self.record_connect_time(upstream.zone.get(), started_at.elapsed());
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -11,7 +11,7 @@
 use maplehook::metrics::Metrics;
 use maplehook::parts::attempt::OutboundRequest;
 use maplehook::parts::body::Payload;
-use maplehook::parts::body_memory::BodyMemory;
+use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::descriptors::Descriptors;
 use maplehook::parts::driver::{Answer, Driver, RequestContext};
 use maplehook::parts::upstream::{EndpointState, Upstreams};
@@ -67,7 +67,7 @@
     let descriptors =
         Descriptors::new(MIN_DESCRIPTORS, 0, (max_open as f64 + 0.5) / shared_descriptors).unwrap();
     assert_eq!(descriptors.limit_of(DescriptorClass::Upstreams), max_open);
-    let (body_memory, forwarding) = (BodyMemory::new(1 << 20), Forwarding::platform());
+    let (body_memory, forwarding) = (BufferMemory::new(1 << 20), Forwarding::platform());
     Rc::new(Upstreams::new(settings, descriptors, body_memory, forwarding, metrics))
 }
 
--- a/crates/engine/tests/traffic_split.rs
+++ b/crates/engine/tests/traffic_split.rs
@@ -5,7 +5,7 @@
 use maplehook::label::Label;
 use maplehook::parts::attempt::OutboundRequest;
 use maplehook::parts::body::Payload;
-use maplehook::parts::body_memory::BodyMemory;
+use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::descriptors::Descriptors;
 use maplehook::parts::driver::{Answer, Driver, RequestContext};
 use maplehook::parts::upstream::{EndpointState, Upstreams};
@@ -38,7 +38,7 @@
     let upstreams = Upstreams::new(
         &settings,
         descriptors,
-        BodyMemory::new(1 << 20),
+        BufferMemory::new(1 << 20),
         Forwarding::platform(),
         Arc::default(),
     );
--- a/crates/eureka/src/client.rs
+++ b/crates/eureka/src/client.rs
@@ -11,6 +11,7 @@
 };
 use hyper::{Method, Request, StatusCode};
 use maplehook::parts::body::Payload;
+use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::connection::Connection;
 use maplehook_core::connection_reuse::MIN_REST;
 use std::cell::RefCell;
@@ -81,17 +82,22 @@
     }
 }
 
+/// Memory for the heads of one connection, in bytes.
+const HEAD_MEMORY_BYTES: usize = 128 * 1024;
+
 /// A client of one replica: one connection, kept while it is of use.
 pub struct Client {
     manner: Manner,
     replica: SocketAddr,
     connection: RefCell<Option<Connection>>,
+    head_memory: BufferMemory,
 }
 
 impl Client {
     /// A client of this replica.
     pub fn new(manner: Manner, replica: SocketAddr) -> Self {
-        Self { manner, replica, connection: RefCell::default() }
+        let head_memory = BufferMemory::new(HEAD_MEMORY_BYTES);
+        Self { manner, replica, connection: RefCell::default(), head_memory }
     }
 
     /// Whom it asks.
@@ -129,11 +135,11 @@
             let before = self.connection.borrow_mut().take();
             let mut connection = match before {
                 Some(connection) if !connection.is_closed() => connection,
-                _ => Connection::open(self.replica, ()).await.map_err(broken)?,
+                _ => Connection::open(self.replica, (), &self.head_memory).await.map_err(broken)?,
             };
             // A second answer to the request before must arrive while the connection is idle.
             if !connection.rest(MIN_REST).await || !connection.ready().await {
-                connection = Connection::open(self.replica, ()).await.map_err(broken)?;
+                connection = Connection::open(self.replica, (), &self.head_memory).await.map_err(broken)?;
             }
             let mut request = Request::builder()
                 .method(method)
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -1,6 +1,7 @@
 //! State of one client connection and the timeouts that apply to it.
 
 mod progress;
+mod received;
 
 pub use progress::ClientTimeouts;
 
@@ -11,7 +12,7 @@
 use progress::{Progress, SEND_GRACE};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -89,6 +90,8 @@
     has_hidden_length: Cell<bool>,
     /// Wakes the connection's task to close; `close_requested` is true from then on.
     close_signal: Notify,
+    /// Task of a streaming response that waits until the client reads on.
+    blocked_body: Cell<Option<Waker>>,
     close_requested: Cell<bool>,
 }
 
@@ -109,6 +112,7 @@
             framing: RefCell::default(),
             has_hidden_length: Cell::new(false),
             close_signal: Notify::new(),
+            blocked_body: Cell::default(),
             close_requested: Cell::new(false),
         }
     }
@@ -172,34 +176,6 @@
         self.observer.on_close(self.id);
     }
 
-    /// Returns true if the current head has a `Content-Length` next to `Transfer-Encoding`; hyper does not
-    /// expose that length.
-    pub fn has_hidden_length(&self) -> bool {
-        self.has_hidden_length.get()
-    }
-
-    /// Returns true if part of another request was received after the current one.
-    pub fn has_pipelined_bytes(&self) -> bool {
-        self.framing.borrow().has_next_request_bytes()
-    }
-
-    /// Returns true if a complete request was received after the current one; that request must be answered
-    /// too.
-    pub fn has_complete_pipelined_request(&self) -> bool {
-        self.framing.borrow().has_complete_next_request()
-    }
-
-    /// Returns when the last byte of the current request was received, if known.
-    pub fn request_completed_at(&self) -> Option<Instant> {
-        self.framing.borrow().completed_at()
-    }
-
-    /// Returns true if the client has sent part of a request that is not complete yet.
-    pub fn is_sending_request(&self) -> bool {
-        self.state.get() == ConnectionState::Reading
-            || (self.state.get() != ConnectionState::Held && self.has_pipelined_bytes())
-    }
-
     /// Returns true if no response is pending and the client has sent part of a request. A client that does
     /// not read its last response is not expected to send the rest.
     fn is_mid_request(&self) -> bool {
@@ -308,9 +284,22 @@
     /// Records the result of a write to the client's socket.
     pub fn on_write<T>(&self, poll: Poll<T>) -> Poll<T> {
         self.progress.on_write(&poll);
+        if poll.is_ready() {
+            self.blocked_body.take().inspect(Waker::wake_by_ref);
+        }
         poll
     }
 
+    /// Completes once the client's socket has taken everything that was written to it, so that no more of a
+    /// response is kept in memory than the client reads.
+    pub fn poll_writable(&self, cx: &Context<'_>) -> Poll<()> {
+        if !self.progress.is_write_blocked() {
+            return Poll::Ready(());
+        }
+        self.blocked_body.set(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
     /// Waits until the connection is asked to close or its current state has timed out.
     pub async fn wait_for_close(&self) {
         tokio::select! {
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -11,10 +11,6 @@
 use std::path::Path;
 use std::time::Duration;
 
-/// Fraction of the memory limit for buffered long responses, as a divisor: 5 means one fifth. A response
-/// takes twice its size while it is read.
-const RESPONSE_BUFFER_MEMORY_DIVISOR: usize = 5;
-
 /// Parsed and validated configuration file of the platform.
 #[derive(Debug)]
 pub struct Config {
@@ -178,9 +174,9 @@
         })
     }
 
-    /// Returns the memory for buffered long responses, in bytes.
-    pub fn max_buffered_response_bytes(&self) -> usize {
-        (self.limits.memory_mb as usize).saturating_mul(1024 * 1024) / RESPONSE_BUFFER_MEMORY_DIVISOR
+    /// Returns the memory limit of the process, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        usize::try_from(self.limits.memory_mb).unwrap_or(usize::MAX).saturating_mul(1024 * 1024)
     }
 }
 
--- a/crates/proxy/src/framing.rs
+++ b/crates/proxy/src/framing.rs
@@ -190,6 +190,16 @@
         self.current.has_hidden_length
     }
 
+    /// Returns the number of requests that were received behind the current one, as far as their heads are complete.
+    pub fn queued_requests(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// Returns the memory of the records of queued requests, in bytes.
+    pub fn queue_memory(&self) -> usize {
+        self.queued.capacity() * size_of::<RequestRecord>()
+    }
+
     /// Returns when the last byte of the current request was received, if known.
     pub fn completed_at(&self) -> Option<Instant> {
         self.current.completed_at
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -2,9 +2,14 @@
 //! of it, so that the end of the client's stream is detected while a request is pending, whatever was
 //! received behind that request.
 
+mod read_ahead;
+
+pub use read_ahead::ReadAheadTotal;
+
 use crate::client::{ClientConnection, ConnectionState};
-use bytes::{Buf, BytesMut};
 use maplehook::parts::attempt_limits::Presence;
+use maplehook::parts::head_memory::HeadMemory;
+use read_ahead::{ReadAhead, ReadAheadPurpose};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::future::pending;
@@ -16,63 +21,28 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Maximum number of bytes read ahead of one client, and of all clients together. The end of a client that
-/// has sent more than that behind a request is detected only with the response: its kernel may not have
-/// transmitted the end at all.
-const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
-const MAX_TOTAL_READ_AHEAD_BYTES: usize = 4 * 1024 * 1024;
-/// The same limits for streaming bodies, beyond what the upstream accepts: received bytes show that the
-/// client has not stalled. Uploads may use only part of the total, so that the ends of other clients are
-/// still detected.
-const MAX_UPLOAD_READ_AHEAD_BYTES: usize = 128 * 1024;
-const MAX_TOTAL_UPLOAD_READ_AHEAD_BYTES: usize = MAX_TOTAL_READ_AHEAD_BYTES / 2;
 /// Interval of the checks for unread bytes of a streaming body.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which the runtime is polled for bytes that were just received.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1);
-/// Number of bytes per read.
-const READ_CHUNK_BYTES: usize = 4096;
-
-/// Number of bytes that are read ahead of all clients together.
-pub type TotalReadAhead = Rc<Cell<usize>>;
-
-/// Bytes read ahead of one client, which count towards the total of all clients.
-struct ReadAhead {
-    bytes: BytesMut,
-    total: TotalReadAhead,
-}
-
-impl ReadAhead {
-    fn is_full(&self, max_bytes: usize, max_total_bytes: usize) -> bool {
-        self.bytes.len() >= max_bytes || self.total.get() >= max_total_bytes
-    }
-
-    fn push(&mut self, chunk: &[u8]) {
-        self.bytes.extend_from_slice(chunk);
-        self.total.set(self.total.get() + chunk.len());
-    }
-
-    fn take(&mut self, buf: &mut ReadBuf<'_>) {
-        let n = self.bytes.len().min(buf.remaining());
-        buf.put_slice(&self.bytes[..n]);
-        self.bytes.advance(n);
-        self.total.set(self.total.get() - n);
-    }
-}
-
-impl Drop for ReadAhead {
-    fn drop(&mut self) {
-        self.total.set(self.total.get() - self.bytes.len());
-    }
-}
+/// Number of bytes per read. hyper doubles its buffer, and keeps it, after a read that fills it; the first is one
+/// byte longer.
+const READ_CHUNK_BYTES: usize = 8 * 1024 - 1;
 
 /// A client's TCP stream with the bytes that were read ahead.
 pub struct ClientStream {
     client: Rc<ClientConnection>,
     stream: RefCell<TcpStream>,
     read_ahead: RefCell<ReadAhead>,
+    /// Memory of the heads on this connection.
+    heads: HeadMemory,
+    /// Notified when there is no memory for the request that is being received; `is_out_of_memory` is true from
+    /// then on.
+    out_of_memory: Notify,
+    is_out_of_memory: Cell<bool>,
     /// True if the HTTP connection waits for bytes; it then detects the end of the stream itself.
     http_awaits_bytes: Cell<bool>,
     /// True if the client has closed its side of the stream.
@@ -93,11 +63,14 @@
 
 impl ClientStream {
     /// Wraps the stream of `client`. `total` counts the bytes read ahead of all clients.
-    pub fn new(stream: TcpStream, client: Rc<ClientConnection>, total: TotalReadAhead) -> Rc<Self> {
+    pub fn new(stream: TcpStream, client: Rc<ClientConnection>, total: Rc<ReadAheadTotal>) -> Rc<Self> {
         Rc::new(Self {
             client,
             stream: RefCell::new(stream),
-            read_ahead: RefCell::new(ReadAhead { bytes: BytesMut::new(), total }),
+            heads: HeadMemory::new(total.memory()),
+            read_ahead: RefCell::new(ReadAhead::new(total)),
+            out_of_memory: Notify::new(),
+            is_out_of_memory: Cell::new(false),
             http_awaits_bytes: Cell::new(false),
             has_client_eof: Cell::new(false),
             is_write_shut: Cell::new(false),
@@ -128,6 +101,11 @@
         self.has_client_eof.get() || self.peek().map_or_else(is_closed, |has_bytes| !has_bytes)
     }
 
+    fn may_read_ahead(&self, purpose: ReadAheadPurpose) -> bool {
+        !self.client.has_many_pipelined_requests()
+            && self.read_ahead.borrow().may_grow(READ_CHUNK_BYTES, purpose)
+    }
+
     /// Returns true if the receive buffer has unread bytes, and false at the end of the stream. Asks the
     /// kernel directly, because the runtime's readiness state may be stale.
     fn peek(&self) -> io::Result<bool> {
@@ -142,19 +120,16 @@
             return Poll::Pending;
         }
         if self.client.request_completed_at().is_some() {
-            self.read_ahead(cx, MAX_READ_AHEAD_BYTES, MAX_TOTAL_READ_AHEAD_BYTES);
+            self.read_ahead(cx, ReadAheadPurpose::DetectEnd);
         } else if self.client.is_uploading() {
-            self.read_ahead(cx, MAX_UPLOAD_READ_AHEAD_BYTES, MAX_TOTAL_UPLOAD_READ_AHEAD_BYTES);
+            self.read_ahead(cx, ReadAheadPurpose::Upload);
         }
         if self.has_client_eof.get() { Poll::Ready(()) } else { Poll::Pending }
     }
 
-    /// Reads ahead while the HTTP connection does not read, up to these limits.
-    fn read_ahead(&self, cx: &mut Context<'_>, max_bytes: usize, max_total_bytes: usize) {
-        while !self.http_awaits_bytes.get()
-            && !self.has_client_eof.get()
-            && !self.read_ahead.borrow().is_full(max_bytes, max_total_bytes)
-        {
+    /// Reads ahead while the HTTP connection does not read, within the limits of the purpose.
+    fn read_ahead(&self, cx: &mut Context<'_>, purpose: ReadAheadPurpose) {
+        while !self.http_awaits_bytes.get() && !self.has_client_eof.get() && self.may_read_ahead(purpose) {
             let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
             let mut chunk = ReadBuf::uninit(&mut chunk);
             if self.poll_stream(cx, &mut chunk).is_pending() {
@@ -180,17 +155,54 @@
     fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
         let read_ahead = &mut *self.read_ahead.borrow_mut();
-        if !read_ahead.bytes.is_empty() {
-            read_ahead.take(buf);
+        if self.is_out_of_memory.get() {
+            return Poll::Pending;
+        }
+        if !read_ahead.is_empty() {
+            read_ahead.take(buf, READ_CHUNK_BYTES);
         } else if !self.has_client_eof.get() {
-            let read = self.poll_stream(cx, buf);
+            let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
+            let mut chunk = ReadBuf::uninit(&mut chunk[..buf.remaining().min(READ_CHUNK_BYTES)]);
+            let read = self.poll_stream(cx, &mut chunk);
             self.http_awaits_bytes.set(read.is_pending());
             ready!(read)?;
+            buf.put_slice(chunk.filled());
         }
-        self.client.on_consumed(buf.filled().len() - filled_before);
+        let consumed = &buf.filled()[filled_before..];
+        if !self.reserve_head(consumed) {
+            self.is_out_of_memory.set(true);
+            self.out_of_memory.notify_one();
+            buf.set_filled(filled_before);
+            return Poll::Pending;
+        }
+        self.client.on_consumed(consumed.len());
         Poll::Ready(Ok(()))
     }
 
+    /// Reserves memory for bytes that the HTTP connection reads, if they belong to a head. Returns false if there
+    /// is none.
+    fn reserve_head(&self, bytes: &[u8]) -> bool {
+        if bytes.is_empty() || !self.client.is_receiving_head() {
+            return true;
+        }
+        self.heads.receive(bytes) && self.heads.reserve_with(self.client.framing_memory())
+    }
+
+    /// Returns the memory of the heads on this connection.
+    pub fn heads(&self) -> &HeadMemory {
+        &self.heads
+    }
+
+    /// Waits until there is no memory for the request that is being received.
+    pub async fn wait_until_out_of_memory(&self) {
+        self.out_of_memory.notified().await;
+    }
+
+    /// Returns true if there was no memory for the request that is being received.
+    pub fn is_out_of_memory(&self) -> bool {
+        self.is_out_of_memory.get()
+    }
+
     /// Waits until the request that is being read times out. Bytes that were already received are read first,
     /// because the timers of a process that was suspended expire before it reads them.
     pub async fn wait_for_request_timeout(&self) {
@@ -300,50 +312,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against treating a client as disconnected or stalled because a signal interrupted a system
-    /// call.
-    #[test]
-    fn interrupted_calls_are_retried() {
-        let mut results =
-            vec![Ok(3), Err(io::ErrorKind::Interrupted.into()), Err(io::ErrorKind::Interrupted.into())];
-        assert_eq!(retry_on_interrupt(|| results.pop().unwrap()).unwrap(), 3);
-        let error = retry_on_interrupt(|| Err::<(), _>(io::ErrorKind::WouldBlock.into()));
-        assert_eq!(error.unwrap_err().kind(), io::ErrorKind::WouldBlock);
-    }
-
-    /// Guards uploads whose upstream accepts nothing: a client whose receive window is full, however small,
-    /// has not stalled.
-    #[tokio::test(flavor = "local", start_paused = true)]
-    async fn uploads_blocked_by_a_full_receive_window_do_not_time_out() {
-        const UPLOAD_IDLE: Duration = Duration::from_millis(2500);
-        let listener = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-        let any_port: std::net::SocketAddr = "127.0.0.1:0".parse().unwrap();
-        // Accepted sockets inherit the buffer size.
-        listener.set_recv_buffer_size(4096).unwrap();
-        listener.bind(&any_port.into()).unwrap();
-        listener.listen(1).unwrap();
-        let address = listener.local_addr().unwrap().as_socket().unwrap();
-        let mut sender = std::net::TcpStream::connect(address).unwrap();
-        let stream = std::net::TcpStream::from(listener.accept().unwrap().0);
-        stream.set_nonblocking(true).unwrap();
-        let client = crate::client::tests::unobserved_connection();
-        let stream = ClientStream::new(
-            TcpStream::from_std(stream).unwrap(),
-            Rc::clone(&client),
-            TotalReadAhead::default(),
-        );
-        client.on_received(b"POST / HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n");
-        client.on_head(maplehook::label::Label::default());
-        client.on_request(0, false, Some(UPLOAD_IDLE));
-        sender.set_nonblocking(true).unwrap();
-        while std::io::Write::write(&mut sender, &[b'x'; 4096]).is_ok() {}
-        tokio::select! {
-            () = stream.watch_uploads() => {}
-            () = sleep(2 * UPLOAD_IDLE) => {}
-        }
-        assert_eq!(client.expiry_reason(), None);
-    }
-}
+mod tests;
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,6 +37,7 @@
 mod inbound;
 pub mod inherited;
 pub mod locality_command;
+mod memory;
 pub mod places;
 pub mod places_command;
 mod rejections;
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -8,7 +8,7 @@
 use maplehook::ledger::Identity;
 use maplehook::parts::attempt::OutboundRequest;
 use maplehook::parts::body::{Fault, Upload, receive_body};
-use maplehook::parts::body_memory::BodyMemory;
+use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::driver::RequestContext;
 use maplehook_admission::address::{Network, NetworkSet};
 use maplehook_admission::token::TokenSigner;
@@ -29,6 +29,10 @@
 /// Header with the active settings version, added to forwarded requests and to responses.
 pub const VERSION_HEADER: HeaderName = HeaderName::from_static("x-maplehook-version");
 
+/// Response to a request for which there is no memory; it permits a retry.
+pub const OUT_OF_MEMORY: Unfit =
+    Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no memory left for the request");
+
 /// Ids of the requests whose responses are pending. Clients choose them, so the set uses a randomly seeded
 /// hasher.
 type OpenRequestIds = Rc<RefCell<HashSet<HeaderValue>>>;
@@ -132,7 +136,7 @@
     rejects_all: Cell<bool>,
     forwarding: Forwarding,
     trusted_proxies: Vec<Network>,
-    body_memory: BodyMemory,
+    buffer_memory: BufferMemory,
     open_ids: OpenRequestIds,
     authentication: ClientAuthentication,
 }
@@ -142,14 +146,14 @@
     pub fn platform(
         settings: &ActiveSettings,
         authentication: ClientAuthentication,
-        body_memory: BodyMemory,
+        buffer_memory: BufferMemory,
     ) -> Self {
         Self {
             rules: RefCell::new(Rc::new(RequestRules::platform(settings, None))),
             rejects_all: Cell::new(false),
             forwarding: Forwarding::platform(),
             trusted_proxies: Vec::new(),
-            body_memory,
+            buffer_memory,
             open_ids: OpenRequestIds::default(),
             authentication,
         }
@@ -160,7 +164,7 @@
         proxy: &Proxy,
         trusted_proxies: Vec<Network>,
         authentication: ClientAuthentication,
-        body_memory: BodyMemory,
+        buffer_memory: BufferMemory,
     ) -> Self {
         Self {
             rules: RefCell::new(Rc::new(RequestRules {
@@ -172,7 +176,7 @@
             rejects_all: Cell::new(false),
             forwarding: proxy.forwarding.clone(),
             trusted_proxies,
-            body_memory,
+            buffer_memory,
             open_ids: OpenRequestIds::default(),
             authentication,
         }
@@ -272,7 +276,8 @@
         let RequestHead { parsed, parts, rules, .. } = head;
         let passage = &rules.passages[usize::from(parsed.class.0)];
         let wait = parsed.wait.saturating_sub(DEADLINE_MARGIN);
-        let body = receive_body(body, passage, &self.body_memory, wait).await.map_err(body_fault_response)?;
+        let body =
+            receive_body(body, passage, &self.buffer_memory, wait).await.map_err(body_fault_response)?;
         let is_strict = rules.classifier.is_strict();
         if is_strict && parts.method == Method::GET && !body.is_empty() {
             return Err(Unfit::new(StatusCode::BAD_REQUEST, "a GET with a body"));
--- a/crates/proxy/src/responses.rs
+++ b/crates/proxy/src/responses.rs
@@ -12,7 +12,7 @@
 use maplehook_http_semantics::Own;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// Turns one of the balancer's own responses into one with a body that hyper can send.
 pub fn own_response(response: Response<&'static str>) -> Response<ResponseBody> {
@@ -88,6 +88,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        if let Some(client) = &self.client {
+            ready!(client.poll_writable(cx));
+        }
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -12,6 +12,7 @@
 use crate::command;
 use crate::config_reload::SharedGrace;
 use crate::gossip_source::GossipSource;
+use crate::memory::{self, MemoryLimit};
 use crate::requests::{ClientAuthentication, RequestReader};
 use crate::server::{Server, ShutdownPhase};
 use crate::supervised::{SupervisorChannel, SupervisorEnvironment, TrialOutcome};
@@ -20,7 +21,6 @@
 use hyper::header::HeaderName;
 use maplehook::ledger::Bounds;
 use maplehook::metrics::RequestMetrics;
-use maplehook::parts::body_memory::BodyMemory;
 use maplehook::parts::dispatcher::Dispatcher;
 use maplehook::parts::driver::Driver;
 use maplehook::source::{EndpointUpdate, Source};
@@ -65,7 +65,7 @@
     settings: Settings,
     seed: u64,
     sockets: usize,
-    body_memory: BodyMemory,
+    memory: MemoryLimit,
     forwarding: Forwarding,
     signs_own_responses: bool,
     client_timeouts: ClientTimeouts,
@@ -105,6 +105,7 @@
         mut sigterm,
         listener,
         descriptors,
+        memory,
         upstreams,
         admission,
         balancer,
@@ -136,14 +137,22 @@
     on_start(Rc::clone(&driver), counting);
     let (phase, phase_receiver) = watch::channel(ShutdownPhase::Serving);
     let own = Own { signed: setup.signs_own_responses };
-    let server =
-        Server::new(dispatcher, request_reader, admission, Rc::clone(&descriptors), own, phase_receiver);
+    let server = Server::new(
+        dispatcher,
+        request_reader,
+        admission,
+        Rc::clone(&descriptors),
+        &memory.buffers,
+        own,
+        phase_receiver,
+    );
     let (ready_flag, driver_for_ready) = (Arc::clone(&admin_state.is_ready), Rc::clone(&driver));
     let ready = spawn_local(async move {
         driver_for_ready.wait_for_list().await;
         ready_flag.store(true, Ordering::Release);
     });
     spawn_local(Rc::clone(&descriptors).watch_process_limit());
+    spawn_local(memory::watch(memory.buffers, Rc::clone(&descriptors), Arc::clone(&admin_state.tally)));
     let mut accept_acknowledgement = None;
     if let Some(supervisor) = &mut supervisor {
         let trial = supervisor
--- a/crates/proxy/src/serve/components.rs
+++ b/crates/proxy/src/serve/components.rs
@@ -4,6 +4,7 @@
 use crate::admission::AdmissionController;
 use crate::control::{self, AdminState, DeferredAddress};
 use crate::failover::{self, FailoverOptions};
+use crate::memory::DividedMemory;
 use crate::places::PlacesApi;
 use crate::request_signing::RequestVerifier;
 use crate::rollout;
@@ -31,6 +32,7 @@
     pub(super) sigterm: Signal,
     pub(super) listener: TcpListener,
     pub(super) descriptors: Rc<Descriptors>,
+    pub(super) memory: DividedMemory,
     pub(super) upstreams: Rc<Upstreams>,
     pub(super) admission: Rc<AdmissionController>,
     pub(super) balancer: Balancer,
@@ -72,6 +74,7 @@
             + setup.operator.tier.as_ref().map_or(0, tier::max_descriptors);
         let descriptors =
             Descriptors::new(setup.sockets, reserved_descriptors, setup.operator.descriptors.upstream_share)?;
+        let memory = setup.memory.divide(&descriptors, setup.inherited.is_some());
         let handover_listener = setup.inherited.as_ref().map(std::net::TcpListener::try_clone).transpose()?;
         let (is_listener_shared, listener) = match setup.inherited.take() {
             Some(listener) => (true, TcpListener::from_std(listener)),
@@ -153,11 +156,11 @@
                 .map_err(|e| format!("operators' calls on {address}: {e}"))?;
             tracing::info!("operators may call {}={bound}", setup.control_log_key);
         }
-        let (body_memory, forwarding) = (setup.body_memory.clone(), setup.forwarding.clone());
+        let (buffer_memory, forwarding) = (memory.buffers.clone(), setup.forwarding.clone());
         let upstreams = Rc::new(Upstreams::new(
             &setup.settings,
             Rc::clone(&descriptors),
-            body_memory,
+            buffer_memory,
             forwarding,
             Arc::clone(&admin_state.tally),
         ));
@@ -171,6 +174,7 @@
             sigterm,
             listener,
             descriptors,
+            memory,
             upstreams,
             admission,
             balancer,
--- a/crates/proxy/src/serve/file.rs
+++ b/crates/proxy/src/serve/file.rs
@@ -6,11 +6,11 @@
 use crate::counts::{self, IntervalCounts};
 use crate::failover::FailoverAgent;
 use crate::inherited;
+use crate::memory::MemoryLimit;
 use crate::requests::RequestReader;
 use crate::supervised::{self, SupervisorChannel, SupervisorEnvironment};
 use crate::versions::VersionApplier;
 use maplehook::endpoint_list::EndpointList;
-use maplehook::parts::body_memory::BodyMemory;
 use maplehook::parts::driver::Driver;
 use maplehook::source::{EndpointUpdate, Fixed, Source};
 use maplehook_config::{CutOff, Operator};
@@ -60,7 +60,7 @@
         settings: proxy.settings.clone(),
         seed: RandomState::new().build_hasher().finish(),
         sockets: proxy.sockets,
-        body_memory: BodyMemory::new(proxy.bodies),
+        memory: MemoryLimit::Buffers(proxy.bodies),
         forwarding: proxy.forwarding.clone(),
         signs_own_responses: proxy.own,
         client_timeouts: ClientTimeouts { request_idle: REQUEST_IDLE_TIMEOUT, response_unread: proxy.stall },
@@ -78,7 +78,7 @@
             &proxy,
             fronts,
             client_authentication,
-            setup.body_memory.clone(),
+            components.memory.buffers.clone(),
         ));
         request_reader.set_reject_all(rejects_all);
         components.admission.set_known_networks(proxy.clients.known.clone());
--- a/crates/proxy/src/serve/platform.rs
+++ b/crates/proxy/src/serve/platform.rs
@@ -10,8 +10,8 @@
 use crate::config_reload::ConfigReloader;
 use crate::handover::{EndpointRecorder, HandoverFile};
 use crate::inherited;
+use crate::memory::MemoryLimit;
 use crate::requests::RequestReader;
-use maplehook::parts::body_memory::BodyMemory;
 use maplehook::parts::discovery::{Discovery, DiscoveryTimeouts};
 use maplehook::parts::driver::Driver;
 use maplehook::source::Source;
@@ -49,7 +49,7 @@
         classes: config.settings_state.current().names.classes.clone(),
         seed: config.seed,
         sockets: config.limits.sockets,
-        body_memory: BodyMemory::new(config.max_buffered_response_bytes()),
+        memory: MemoryLimit::Process(config.memory_bytes()),
         forwarding: Forwarding::platform(),
         signs_own_responses: false,
         client_timeouts: ClientTimeouts {
@@ -68,11 +68,15 @@
         let hangup = signal(SignalKind::hangup())?;
         let mut setup = setup;
         let components = Components::new(&mut setup, None)?;
-        let discovery = Rc::new(Discovery::new(
+        let discovery = Discovery::new(
             config.discovery,
             config.settings_state.current().names.clone(),
             Rc::clone(&components.descriptors),
-        ));
+        );
+        let discovery = Rc::new(match components.memory.max_list_bytes {
+            Some(max_list_bytes) => discovery.with_max_document_bytes(max_list_bytes),
+            None => discovery,
+        });
         if !setup.settings.has_endpoint_discovery {
             discovery.set_timeouts(DiscoveryTimeouts::AGENT);
         }
@@ -97,7 +101,7 @@
         let request_reader = Rc::new(RequestReader::platform(
             &config.settings_state,
             client_authentication,
-            setup.body_memory.clone(),
+            components.memory.buffers.clone(),
         ));
         let descriptors = Rc::clone(&components.descriptors);
         let reloader = ConfigReloader {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -7,9 +7,10 @@
 pub use ended::EndReason;
 
 use crate::admission::AdmissionController;
-use crate::inbound::TotalReadAhead;
+use crate::inbound::ReadAheadTotal;
 use crate::rejections::PendingRejections;
 use crate::requests::RequestReader;
+use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::descriptors::{Descriptors, EXHAUSTION_BACKOFF, is_descriptor_exhaustion};
 use maplehook::parts::dispatcher::Dispatcher;
 use maplehook::parts::rate_limited_log::RateLimitedLog;
@@ -48,7 +49,7 @@
     descriptors: Rc<Descriptors>,
     own_responses: Own,
     rejections: PendingRejections,
-    total_read_ahead: TotalReadAhead,
+    read_ahead_total: Rc<ReadAheadTotal>,
     phase: watch::Receiver<ShutdownPhase>,
     accept_warnings: RateLimitedLog,
     rejection_warnings: RateLimitedLog,
@@ -62,6 +63,7 @@
         requests: Rc<RequestReader>,
         admission: Rc<AdmissionController>,
         descriptors: Rc<Descriptors>,
+        buffer_memory: &BufferMemory,
         own_responses: Own,
         phase: watch::Receiver<ShutdownPhase>,
     ) -> Rc<Self> {
@@ -72,7 +74,7 @@
             descriptors,
             own_responses,
             rejections: PendingRejections::default(),
-            total_read_ahead: TotalReadAhead::default(),
+            read_ahead_total: ReadAheadTotal::new(buffer_memory),
             phase,
             accept_warnings: RateLimitedLog::default(),
             rejection_warnings: RateLimitedLog::default(),
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -4,12 +4,13 @@
 use crate::client::{ClientConnection, ConnectionState};
 use crate::inbound::{ClientStream, HttpIo, POLL_TIMEOUT, RemainingStream};
 use crate::rejections::{MAX_DISCARDED_CLIENT_BYTES, discard_available, linger};
-use crate::requests::body_fault_response;
+use crate::requests::{OUT_OF_MEMORY, body_fault_response};
 use crate::responses::response_bytes;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use maplehook::parts::body::Fault;
+use maplehook_http_semantics::Unfit;
 use std::convert::Infallible;
 use std::future::{Future, poll_fn};
 use std::net::IpAddr;
@@ -44,13 +45,18 @@
     ) {
         // Without the option the connection is slower, but still correct.
         let _ = tcp.set_nodelay(true);
-        let stream = ClientStream::new(tcp, Rc::clone(&client), Rc::clone(&self.total_read_ahead));
+        let stream = ClientStream::new(tcp, Rc::clone(&client), Rc::clone(&self.read_ahead_total));
         let reason = self.serve_requests(&stream, peer).await;
         self.record_end(&client, peer, reason);
         match ClientStream::into_remaining(stream) {
             Some(RemainingStream::WriteShut(tcp)) if !client.has_read_response() => close(&client, tcp).await,
             Some(RemainingStream::WriteIdle(tcp)) if reason == EndReason::RequestStalled => {
-                self.write_timeout_response(&client, &tcp);
+                client.mark_timeout_reported();
+                self.write_last_response(&tcp, &body_fault_response(Fault::Slow));
+                close(&client, tcp).await;
+            }
+            Some(RemainingStream::WriteIdle(tcp)) if reason == EndReason::OutOfMemory => {
+                self.write_last_response(&tcp, &OUT_OF_MEMORY);
                 close(&client, tcp).await;
             }
             _ => {}
@@ -58,13 +64,12 @@
         client.on_close();
     }
 
-    /// Notifies a client that its request timed out. The connection must not have a response in progress.
-    fn write_timeout_response(&self, client: &ClientConnection, stream: &TcpStream) {
-        client.mark_timeout_reported();
-        let response = body_fault_response(Fault::Slow);
-        self.count_invalid(&response);
+    /// Tells a client why the request that it is sending is not served. The connection must not have a response in
+    /// progress.
+    fn write_last_response(&self, stream: &TcpStream, reason: &Unfit) {
+        self.count_invalid(reason);
         // A client that does not receive the response sees the connection close.
-        let _ = stream.try_write(&response_bytes(&self.own_responses.unfit(&response)));
+        let _ = stream.try_write(&response_bytes(&self.unfit_response(reason)));
     }
 
     /// Logs and counts the end of a connection.
@@ -96,10 +101,14 @@
         tokio::pin!(connection);
         let mut unread_checks = 0;
         let reason = loop {
+            if stream.is_out_of_memory() {
+                return EndReason::OutOfMemory;
+            }
             let is_shutdown = tokio::select! {
                 ended = or_client_gone(connection.as_mut(), stream) => return end_reason_of(stream, &ended),
                 () = client.wait_for_close() => false,
                 () = stream.watch_uploads() => false,
+                () = stream.wait_until_out_of_memory() => return EndReason::OutOfMemory,
                 _ = phase.wait_for(|p| *p >= ShutdownPhase::Closing) => true,
             };
             if is_shutdown {
--- a/crates/proxy/src/server/ended.rs
+++ b/crates/proxy/src/server/ended.rs
@@ -17,6 +17,8 @@
     RequestStalled,
     /// The client left a response unread for too long.
     ResponseUnread,
+    /// There was no memory for the request that the client was sending.
+    OutOfMemory,
     /// The connection was closed to free its slot for another one.
     Evicted,
     /// The process is shutting down.
@@ -34,6 +36,7 @@
             Self::NothingReceived => "silent",
             Self::RequestStalled => "stopped",
             Self::ResponseUnread => "unread",
+            Self::OutOfMemory => "memory",
             Self::Evicted => "displaced",
             Self::Shutdown => "leaving",
         }
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -31,6 +31,7 @@
     ) -> Response<TrackedBody> {
         let client = stream.client();
         let is_shutting_down = || *self.phase.borrow() != ShutdownPhase::Serving;
+        stream.heads().begin();
         client.on_head(self.requests.request_label(request.headers()));
         let mut kind = MessageKind::Request;
         let mut response = match request.uri().path() {
@@ -54,19 +55,21 @@
                     tracing::debug!(
                         %peer, %label, status = unfit.status.as_u16(), "invalid request: {}", unfit.why
                     );
-                    let mut response = own_response(self.own_responses.unfit(&unfit));
-                    if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
-                        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-                    }
+                    let mut response = own_response(self.unfit_response(&unfit));
                     add_version_header(&mut response, self.requests.version());
                     response
                 }
             },
         };
+        // The buffer that the head is written from stays as long as the connection.
+        let fields = response.headers().iter();
+        let head_bytes = fields.map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let has_head_memory = stream.heads().extend(head_bytes, response.headers().len());
         let is_streaming = matches!(response.body(), ResponseBody::Stream(_));
         let should_close = (!is_streaming && client.on_response(kind)) || client.is_close_requested();
         // A pipelined request has been read or will be, and gets its response before the connection closes.
-        if (should_close && !client.has_complete_pipelined_request())
+        if !has_head_memory
+            || (should_close && !client.has_complete_pipelined_request())
             || (is_shutting_down() && !client.has_pipelined_bytes())
         {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -75,6 +78,15 @@
         response.map(|body| TrackedBody::new(body, client))
     }
 
+    /// Returns the response to a request that is not forwarded.
+    pub(super) fn unfit_response(&self, unfit: &Unfit) -> Response<&'static str> {
+        let mut response = self.own_responses.unfit(unfit);
+        if unfit.status == StatusCode::SERVICE_UNAVAILABLE {
+            response.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        }
+        response
+    }
+
     /// Counts a response to an invalid request.
     pub(super) fn count_invalid(&self, unfit: &Unfit) {
         self.dispatcher.tally().unfit.increment(unfit.status.canonical_reason().unwrap_or("other"));
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -314,6 +314,12 @@
         Message::read(&mut self.reader)
     }
 
+    /// Writes a request and reads its answer; `None` if the connection ends instead.
+    pub fn try_exchange(&mut self, text: &str) -> Option<Message> {
+        self.reader.get_mut().write_all(text.as_bytes()).ok()?;
+        self.answer()
+    }
+
     pub fn exchange(&mut self, text: &str) -> Message {
         self.write(text);
         self.answer().expect("an answer")
