Ledger: a kept answer no longer holds the buffers that it was read into

What callers saw: memory beyond what the ledger charges, with keyed requests under ever new keys; later, requests refused or the process killed.

Cause: a kept answer is a part of the buffer that it was read into, and the copy for the ledger shared it: an answer of a few bytes, charged as such, held 8 KiB. The ledger's 8 MiB also stood beside all other memory.

Evidence: `kept_answers_do_not_hold_the_buffers_that_they_were_read_into` (new) fails before: 10,412 KiB for 2,000 answers of four bytes, where 4,000 are allowed; 2,676 KiB after (debug build).

Change: the copy that is kept is in memory of its own, a header field is charged with 160 bytes, and the entries are reserved from the memory that all buffers share. Without memory for an entry the request is refused as with a full ledger, which is safe: it has not run.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -200,7 +200,7 @@
         let driver = Driver::start(balancer, Rc::clone(&upstreams), source, known);
         let class_indices: Vec<String> = (0..self.settings.classes.len()).map(|n| n.to_string()).collect();
         let request_metrics = RequestMetrics::new(self.metrics, &class_indices);
-        let dispatcher = Dispatcher::new(driver, request_metrics, self.ledger, self.seed);
+        let dispatcher = Dispatcher::new(driver, request_metrics, self.ledger, &body_memory, self.seed);
         let dispatcher = dispatcher.map_err(|e| start_error(format!("ledger: {e}").into()))?;
         Ok(Rc::new(Core { dispatcher, body_memory, forwarding, upstreams, classes, tenant_count }))
     }
--- a/crates/engine/src/parts/answer.rs
+++ b/crates/engine/src/parts/answer.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::LengthLimitError;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, StatusCode};
 use maplehook_core::Outcome;
 use std::collections::VecDeque;
@@ -17,6 +18,9 @@
 use std::time::Duration;
 use tokio::time::{Instant, Sleep, sleep};
 
+/// Memory of a header field beside its name and value, in bytes.
+const HEADER_OVERHEAD_BYTES: usize = 160;
+
 /// Response of an upstream, as it is passed to the client.
 #[derive(Debug)]
 pub struct UpstreamResponse {
@@ -36,10 +40,22 @@
         Some(Self { status: self.status, headers: self.headers.clone(), body })
     }
 
+    /// Like [`Self::buffered_copy`], but in memory of its own: body and header values are usually parts of larger
+    /// buffers, which a copy that is kept would hold.
+    pub fn detached_copy(&self) -> Option<Self> {
+        let ResponseBody::Buffered(body) = &self.body else { return None };
+        let body = ResponseBody::Buffered(Bytes::copy_from_slice(body));
+        let detached = |value: &HeaderValue| HeaderValue::from_bytes(value.as_bytes());
+        let headers =
+            self.headers.iter().filter_map(|(name, value)| Some((name.clone(), detached(value).ok()?)));
+        Some(Self { status: self.status, headers: headers.collect(), body })
+    }
+
     /// Returns the approximate memory of the response in bytes, or `None` if the body streams.
     pub fn buffered_size(&self) -> Option<usize> {
         let ResponseBody::Buffered(body) = &self.body else { return None };
-        let headers: usize = self.headers.iter().map(|(n, v)| n.as_str().len() + v.len() + 32).sum();
+        let headers: usize =
+            self.headers.iter().map(|(n, v)| n.as_str().len() + v.len() + HEADER_OVERHEAD_BYTES).sum();
         Some(headers + body.len())
     }
 }
--- a/crates/engine/src/parts/dispatcher.rs
+++ b/crates/engine/src/parts/dispatcher.rs
@@ -4,6 +4,7 @@
 use crate::ledger::{Bounds, BoundsError, EntryId, FinalAnswer, Identity, Ledger, OpenResult, Waiter};
 use crate::metrics::{Metrics, RequestMetrics};
 use crate::parts::answer::UpstreamResponse;
+use crate::parts::buffer_memory::{BufferMemory, MemoryReservation};
 use crate::parts::driver::{Answer, Driver, RequestContext, Trace};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -37,6 +38,8 @@
     driver: Rc<Driver>,
     counting: Rc<RequestMetrics>,
     ledger: RefCell<Ledger<Rc<StoredResponse>>>,
+    /// Memory for the entries of the ledger.
+    ledger_memory: RefCell<MemoryReservation>,
     waiters: RefCell<HashMap<Waiter, oneshot::Sender<TracedAnswer>>>,
     next_waiter: Cell<Waiter>,
     in_flight: Cell<usize>,
@@ -72,17 +75,20 @@
 }
 
 impl Dispatcher {
-    /// Creates a dispatcher in front of `driver`. Requests are counted in `counting`.
+    /// Creates a dispatcher in front of `driver`. Requests are counted in `counting`, and the ledger's entries are
+    /// reserved from `memory`.
     pub fn new(
         driver: Rc<Driver>,
         counting: Rc<RequestMetrics>,
         bounds: Bounds,
+        memory: &BufferMemory,
         seed: u64,
     ) -> Result<Rc<Self>, BoundsError> {
         Ok(Rc::new(Self {
             driver,
             counting,
             ledger: RefCell::new(Ledger::new(bounds, seed)?),
+            ledger_memory: RefCell::new(memory.empty_reservation()),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
             in_flight: Cell::new(0),
@@ -134,7 +140,7 @@
     async fn resolve(self: &Rc<Self>, request: RequestContext, identity: Option<Identity>) -> TracedAnswer {
         let Some(identity) = identity else { return self.driver.submit(request).answer().await };
         let (waiter, deadline) = (self.next_waiter.replace(self.next_waiter.get() + 1), request.deadline);
-        let opened = self.ledger.borrow_mut().open(self.driver.now(), &identity, waiter);
+        let opened = self.open_entry(&identity, waiter);
         let entry = match opened {
             OpenResult::First(entry) => {
                 let (dispatcher, in_flight) = (Rc::clone(self), self.track());
@@ -154,6 +160,21 @@
         self.await_entry(entry, waiter, deadline).await
     }
 
+    /// Looks up an effect in the ledger, which is full if no memory is left for another entry.
+    fn open_entry(&self, identity: &Identity, waiter: Waiter) -> OpenResult<Rc<StoredResponse>> {
+        let (mut ledger, now) = (self.ledger.borrow_mut(), self.driver.now());
+        let opened = ledger.open(now, identity, waiter);
+        let mut memory = self.ledger_memory.borrow_mut();
+        if let OpenResult::First(entry) = opened
+            && !memory.grow_to(ledger.bytes())
+        {
+            ledger.complete(now, entry, FinalAnswer::Rejected, 0);
+            return OpenResult::Full;
+        }
+        memory.release_to(ledger.bytes());
+        opened
+    }
+
     async fn await_entry(self: &Rc<Self>, entry: EntryId, waiter: Waiter, deadline: Instant) -> TracedAnswer {
         const UNANSWERED: TracedAnswer = (Answer::Failed, Trace { attempts: 0, upstream: None });
         let (sender, answer) = oneshot::channel();
@@ -169,7 +190,7 @@
 
     fn finish(&self, entry: EntryId, answer: Answer, trace: Trace) {
         let (result, size) = match &answer {
-            Answer::Served(response) => match (response.buffered_copy(), response.buffered_size()) {
+            Answer::Served(response) => match (response.detached_copy(), response.buffered_size()) {
                 (Some(response), Some(size)) => {
                     (FinalAnswer::Served(Rc::new(StoredResponse { response, trace })), size)
                 }
@@ -181,6 +202,7 @@
         // Waiters get the response even if it is too long for the ledger to store.
         let shared = result.clone();
         let waiters = self.ledger.borrow_mut().complete(self.driver.now(), entry, result, size);
+        self.ledger_memory.borrow_mut().release_to(self.ledger.borrow().bytes());
         let mut answer = Some((answer, trace));
         for waiter in waiters {
             let Some(sender) = self.waiters.borrow_mut().remove(&waiter) else { continue };
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -132,8 +132,13 @@
         driver.follow_pushed_list();
     }
     let counting = RequestMetrics::new(Arc::clone(&admin_state.tally), &setup.classes);
-    let dispatcher =
-        Dispatcher::new(Rc::clone(&driver), Rc::clone(&counting), Bounds::default(), setup.seed)?;
+    let dispatcher = Dispatcher::new(
+        Rc::clone(&driver),
+        Rc::clone(&counting),
+        Bounds::default(),
+        &memory.buffers,
+        setup.seed,
+    )?;
     on_start(Rc::clone(&driver), counting);
     let (phase, phase_receiver) = watch::channel(ShutdownPhase::Serving);
     let own = Own { signed: setup.signs_own_responses };
--- a/crates/proxy/tests/memory_limit/main.rs
+++ b/crates/proxy/tests/memory_limit/main.rs
@@ -5,6 +5,7 @@
 mod common;
 
 mod crowd;
+mod kept_answers;
 mod known_client;
 mod upstreams;
 
