Clients: nothing is forwarded while the end of its client may be hidden

Cause: the end of a client is seen by reading ahead, up to 256 KiB. Behind more than that it was not looked for: a peek that finds bytes counted as a client that is there.

Change: while unread bytes may not be read ahead, the kernel's report of the end or of a reset counts, and is looked for every 25 ms while a request is pending. Where not even that can come, since the receive window is full, a request is answered with 503 in place of being forwarded, and an attempt is not begun.

Why it works: a request is forwarded only if all that its client has sent was read up to what the kernel has, or the kernel says that there is no end yet.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -12,20 +12,22 @@
 use read_ahead::{ReadAhead, ReadAheadPurpose};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::future::pending;
+use std::future::{Future, pending};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Interval of the checks for unread bytes of a streaming body.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval of the checks for the end of a client with more unread bytes than may be read ahead.
+const HIDDEN_END_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time for which the runtime is polled for bytes that were just received.
 pub const POLL_TIMEOUT: Duration = Duration::from_millis(1);
 /// Number of bytes per read. hyper doubles its buffer, and keeps it, after a read that fills it; the first is one
@@ -37,6 +39,8 @@
     client: Rc<ClientConnection>,
     stream: RefCell<TcpStream>,
     read_ahead: RefCell<ReadAhead>,
+    /// Notified when no more may be read ahead.
+    read_ahead_full: Notify,
     /// Memory of the heads on this connection.
     heads: HeadMemory,
     /// Notified when there is no memory for the request that is being received; `is_out_of_memory` is true from
@@ -69,6 +73,7 @@
             stream: RefCell::new(stream),
             heads: HeadMemory::new(total.memory()),
             read_ahead: RefCell::new(ReadAhead::new(total)),
+            read_ahead_full: Notify::new(),
             out_of_memory: Notify::new(),
             is_out_of_memory: Cell::new(false),
             http_awaits_bytes: Cell::new(false),
@@ -95,10 +100,23 @@
         Presence::new(move || stream.upgrade().is_some_and(|stream| !stream.is_client_gone()))
     }
 
-    /// Returns true if the client has closed its side, as far as that is visible past unread bytes.
+    /// Returns true if the client has closed its side, or if that can't be seen past its unread bytes.
     fn is_client_gone(&self) -> bool {
         let is_closed = |e: io::Error| e.kind() != io::ErrorKind::WouldBlock;
-        self.has_client_eof.get() || self.peek().map_or_else(is_closed, |has_bytes| !has_bytes)
+        self.has_client_eof.get()
+            || self.is_end_hidden()
+            || self.is_read_closed()
+            || self.peek().map_or_else(is_closed, |has_bytes| !has_bytes)
+    }
+
+    /// Returns true if the client may have closed its side behind a complete request without that being seen: it
+    /// has sent more than may be read ahead.
+    pub fn is_end_hidden(&self) -> bool {
+        !self.http_awaits_bytes.get()
+            && !self.has_client_eof.get()
+            && self.client.request_completed_at().is_some()
+            && !self.may_read_ahead(ReadAheadPurpose::DetectEnd)
+            && self.has_unread_bytes()
     }
 
     fn may_read_ahead(&self, purpose: ReadAheadPurpose) -> bool {
@@ -106,6 +124,29 @@
             && self.read_ahead.borrow().may_grow(READ_CHUNK_BYTES, purpose)
     }
 
+    /// Returns true if the kernel has reported the end of the stream or a reset, also behind unread bytes.
+    fn is_read_closed(&self) -> bool {
+        let stream = self.stream.borrow();
+        let ready = pin!(stream.ready(Interest::READABLE));
+        let poll = ready.poll(&mut Context::from_waker(Waker::noop()));
+        matches!(poll, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
+    /// Waits until the kernel reports the end of a client that has sent more than may be read ahead behind its
+    /// request.
+    pub async fn wait_for_hidden_end(&self) {
+        loop {
+            while self.client.state() == ConnectionState::Held && self.is_end_hidden() {
+                if self.is_read_closed() {
+                    self.has_client_eof.set(true);
+                    return;
+                }
+                sleep(HIDDEN_END_CHECK_INTERVAL).await;
+            }
+            self.read_ahead_full.notified().await;
+        }
+    }
+
     /// Returns true if the receive buffer has unread bytes, and false at the end of the stream. Asks the
     /// kernel directly, because the runtime's readiness state may be stale.
     fn peek(&self) -> io::Result<bool> {
@@ -137,6 +178,9 @@
             }
             self.read_ahead.borrow_mut().push(chunk.filled());
         }
+        if !self.http_awaits_bytes.get() && !self.has_client_eof.get() {
+            self.read_ahead_full.notify_one();
+        }
     }
 
     /// Reads from the socket, and records received bytes or the end of the stream.
--- a/crates/proxy/src/server/connection.rs
+++ b/crates/proxy/src/server/connection.rs
@@ -109,6 +109,7 @@
                 () = client.wait_for_close() => false,
                 () = stream.watch_uploads() => false,
                 () = stream.wait_until_out_of_memory() => return EndReason::OutOfMemory,
+                () = stream.wait_for_hidden_end() => return EndReason::ClosedByClient,
                 _ = phase.wait_for(|p| *p >= ShutdownPhase::Closing) => true,
             };
             if is_shutdown {
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -21,6 +21,11 @@
 /// Response to a request that is not forwarded; it permits a retry.
 const NOT_FORWARDED: Unfit = Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "nothing is sent on any more");
 
+/// Response to a request whose client has sent so much behind it that its end could not be seen; it permits a
+/// retry.
+const TOO_MUCH_PIPELINED: Unfit =
+    Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "too much was sent behind this request");
+
 impl Server {
     /// Returns the final response to a request.
     pub(super) async fn respond(
@@ -134,6 +139,8 @@
         let is_client_gone = poll_fn(|cx| Poll::Ready(stream.poll_client_gone(cx).is_ready())).await;
         if is_client_gone || *self.phase.borrow() == ShutdownPhase::Stopped {
             Err(NOT_FORWARDED)
+        } else if stream.is_end_hidden() {
+            Err(TOO_MUCH_PIPELINED)
         } else {
             Ok(ready)
         }
