Clients: the end of a client is seen though there is no memory to read ahead

What callers saw: none have reported it; a fault of the budget, found when it was read again. While memory is short, a client that left during its request was noticed only at the next attempt: what was in flight for it went on.

Cause: the end was noticed by reading ahead alone, and without memory nothing is read, so nothing woke the connection. A connection that must close since its response had a long head announced that over a complete request behind it, too.

Evidence: `the_end_of_a_client_is_seen_without_memory_to_read_ahead` (new) fails before and passes.

Change: where nothing may be read ahead, the stream is peeked at, which wakes the connection for bytes, an end or a reset. A close for want of memory waits for complete requests behind the one in hand, as any other.

--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -179,7 +179,17 @@
             self.read_ahead.borrow_mut().push(chunk.filled());
         }
         if !self.http_awaits_bytes.get() && !self.has_client_eof.get() {
-            self.read_ahead_full.notify_one();
+            self.look_for_end(cx);
+        }
+    }
+
+    /// Looks for the end of the stream while nothing may be read ahead.
+    fn look_for_end(&self, cx: &mut Context<'_>) {
+        let mut byte = [MaybeUninit::uninit()];
+        match self.stream.borrow().poll_peek(cx, &mut ReadBuf::uninit(&mut byte)) {
+            Poll::Ready(Ok(1..)) => self.read_ahead_full.notify_one(),
+            Poll::Ready(Ok(0) | Err(_)) => self.has_client_eof.set(true),
+            Poll::Pending => {}
         }
     }
 
--- a/crates/proxy/src/inbound/tests.rs
+++ b/crates/proxy/src/inbound/tests.rs
@@ -44,3 +44,21 @@
     }
     assert_eq!(client.expiry_reason(), None);
 }
+
+/// Guards clients that leave while memory is short: their ends are seen though nothing may be read ahead.
+#[tokio::test(flavor = "local")]
+async fn the_end_of_a_client_is_seen_without_memory_to_read_ahead() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let sender = std::net::TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (stream, _) = listener.accept().await.unwrap();
+    let client = crate::client::tests::unobserved_connection();
+    let stream = ClientStream::new(stream, Rc::clone(&client), ReadAheadTotal::new(&BufferMemory::new(0)));
+    client.on_received(b"GET / HTTP/1.1\r\n\r\n");
+    client.on_head(maplehook::label::Label::default());
+    client.on_request(0, false, None);
+    let gone = std::future::poll_fn(|cx| stream.poll_client_gone(cx));
+    tokio::pin!(gone);
+    assert!(tokio::time::timeout(Duration::from_millis(50), &mut gone).await.is_err());
+    drop(sender);
+    assert!(tokio::time::timeout(Duration::from_secs(5), gone).await.is_ok());
+}
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -71,10 +71,10 @@
         let head_bytes = fields.map(|(name, value)| name.as_str().len() + value.len()).sum();
         let has_head_memory = stream.heads().extend(head_bytes, response.headers().len());
         let is_streaming = matches!(response.body(), ResponseBody::Stream(_));
-        let should_close = (!is_streaming && client.on_response(kind)) || client.is_close_requested();
+        let should_close =
+            (!is_streaming && client.on_response(kind)) || client.is_close_requested() || !has_head_memory;
         // A pipelined request has been read or will be, and gets its response before the connection closes.
-        if !has_head_memory
-            || (should_close && !client.has_complete_pipelined_request())
+        if (should_close && !client.has_complete_pipelined_request())
             || (is_shutting_down() && !client.has_pipelined_bytes())
         {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
