--- a/tools/testbed/src/soak.rs
+++ b/tools/testbed/src/soak.rs
@@ -32,6 +32,8 @@
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Lateness of the machine's timers beyond which a run shows nothing.
 pub const MAX_LATENESS: Duration = Duration::from_millis(150);
+/// Interval for reading the memory that a balancer holds after SIGTERM.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// How long a stopped balancer stands still: the longest hold-up that the rules allow for.
 const HOLD_UP: Duration = Duration::from_millis(150);
 
@@ -71,7 +73,8 @@
     for (n, life) in plan.lives.iter().enumerate() {
         let mut balancer = Balancer::start(program, &plan, &upstreams, n)?;
         let clients = Clients::start(&plan, balancer.address, seed * 1000 + n as u64);
-        let killed_at = play_life(&plan, life, &mut balancer)?;
+        let (killed_at, peak_memory) = play_life(&plan, life, &mut balancer)?;
+        summary.add_peak_memory(&plan, peak_memory);
         let requests = clients.stop(killed_at);
         let executions: Vec<_> = upstreams.iter().flat_map(Upstream::take_executions).collect();
         summary.add(check::check(&plan, &requests, &executions, killed_at, lateness.longest()));
@@ -80,8 +83,8 @@
     Ok(summary)
 }
 
-/// Sends the signals of one life, and returns the time of SIGKILL.
-fn play_life(plan: &Plan, life: &Life, balancer: &mut Balancer) -> Result<Instant, String> {
+/// Sends the signals of one life, and returns the time of SIGKILL and the most memory that was held, in KiB.
+fn play_life(plan: &Plan, life: &Life, balancer: &mut Balancer) -> Result<(Instant, u64), String> {
     let start = Instant::now();
     send_signals(&life.signals, start, balancer)?;
     if !balancer.is_running() {
@@ -91,10 +94,16 @@
     balancer.signal(SignalKind::Terminate)?;
     let terminated_at = Instant::now();
     send_signals(&life.signals_after, terminated_at, balancer)?;
-    sleep_until(terminated_at + plan.deadline.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN);
+    let kill_at = terminated_at + plan.deadline.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN;
+    let mut peak_memory = balancer.peak_memory_kib();
+    while Instant::now() + MEMORY_CHECK_INTERVAL < kill_at {
+        thread::sleep(MEMORY_CHECK_INTERVAL);
+        peak_memory = balancer.peak_memory_kib().or(peak_memory);
+    }
+    sleep_until(kill_at);
     let killed_at = Instant::now();
     balancer.kill();
-    Ok(killed_at)
+    Ok((killed_at, peak_memory.unwrap_or_default()))
 }
 
 fn send_signals(
--- a/tools/testbed/src/soak/balancer.rs
+++ b/tools/testbed/src/soak/balancer.rs
@@ -74,6 +74,13 @@
         kill(pid, signal).map_err(|e| format!("{signal}: {e}"))
     }
 
+    /// Returns the most memory that the process has held, in KiB; `None` if it has ended.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Sends SIGKILL and waits for the end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -95,7 +102,7 @@
         .map(|(n, upstream)| entry(&format!("s-{n}"), upstream.address, "Ready"))
         .collect();
     let (known, discovery) = (list(1, true, &entries), nobody());
-    let (deadline_ms, sockets) = (plan.deadline.as_millis(), plan.sockets);
+    let (deadline_ms, sockets, memory_mb) = (plan.deadline.as_millis(), plan.sockets, plan.memory_mb);
     let class = |name: &str, effect: &str| {
         format!(
             r#"{{"name":"{name}","aim_ms":{deadline_ms},"hard_limit_ms":{deadline_ms},"late_worth":0.5,"effect":"{effect}"}}"#
@@ -104,7 +111,7 @@
     let classes = [class("look", "idempotent"), class("book", "at_most_once")].join(",");
     format!(
         r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{discovery}","seed":"{:016x}",
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},"known":{known},
+        "limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{known},
         "settings":{{"balancers":1,"me":0,"classes":[{classes}],"discovery":"automatic",
         "failure_domains":["a","b"],"skus":["m"],"locality":0,
         "limits":{{"conn_idle_ms":5000,"connect_timeout_ms":100,"try_limit":4,"retry_after":false}},
--- a/tools/testbed/src/soak/check.rs
+++ b/tools/testbed/src/soak/check.rs
@@ -8,7 +8,10 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-/// A broken rule; each names the request by its id.
+/// Share of its memory limit that a balancer may hold.
+const MAX_MEMORY_SHARE: f64 = 0.9;
+
+/// A broken rule; most name the request by its id.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Breach {
     /// The client was served what was not made for its request.
@@ -27,6 +30,8 @@
     FoundByKill(String),
     /// The answer broke off.
     Cut(String),
+    /// The balancer held so much of its memory limit, both in KiB.
+    Memory(u64, u64),
 }
 
 impl fmt::Display for Breach {
@@ -42,6 +47,7 @@
             Self::Lost(id) => write!(f, "{id} was taken and has no answer"),
             Self::FoundByKill(id) => write!(f, "SIGKILL found {id} unanswered"),
             Self::Cut(id) => write!(f, "the answer to {id} broke off"),
+            Self::Memory(peak, limit) => write!(f, "the balancer held {peak} KiB of {limit}"),
         }
     }
 }
@@ -74,6 +80,14 @@
         self.breaches.extend(breaches);
     }
 
+    /// Holds the most memory of a life, in KiB, against the limit.
+    pub(super) fn add_peak_memory(&mut self, plan: &Plan, peak: u64) {
+        let limit = plan.memory_mb * 1024;
+        if peak as f64 >= limit as f64 * MAX_MEMORY_SHARE {
+            self.breaches.push(Breach::Memory(peak, limit));
+        }
+    }
+
     pub(super) fn finish(&mut self, lateness: Duration) {
         self.lateness = lateness;
         self.is_void = lateness > MAX_LATENESS;
--- a/tools/testbed/src/soak/clients.rs
+++ b/tools/testbed/src/soak/clients.rs
@@ -19,6 +19,9 @@
 /// How much longer than the rules allow a client waits, to tell a late answer from none.
 const EXTRA_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Length of the bodies in which clients of the crowd stop.
+const STOPPED_BODY_BYTES: usize = 60 * 1024;
+
 /// How a request ended for its client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum End {
@@ -97,9 +100,19 @@
     }
 }
 
-/// Opens connections that say nothing, and keeps them.
+/// Opens connections and keeps them. Every second one says nothing, the others stop in a long body.
 fn crowd_in(balancer: SocketAddr, count: usize, stopped: &AtomicBool) {
     let crowd: Vec<_> = (0..count).map_while(|_| TcpStream::connect(balancer).ok()).collect();
+    for (number, stream) in crowd.iter().enumerate().skip(1).step_by(2) {
+        let text = format!(
+            "POST /book HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: crowd-{number}\r\nX-Account: acme\r\n\
+             X-Time-Left-Ms: 3000\r\nContent-Length: {STOPPED_BODY_BYTES}\r\n\r\n{}",
+            "z".repeat(STOPPED_BODY_BYTES - 1)
+        );
+        // The balancer may have closed the connection, and need not read all of it.
+        let _ = stream.set_nonblocking(true);
+        let _ = { stream }.write(text.as_bytes());
+    }
     while !stopped.load(Ordering::SeqCst) {
         thread::sleep(RECONNECT_PAUSE);
     }
--- a/tools/testbed/src/soak/plan.rs
+++ b/tools/testbed/src/soak/plan.rs
@@ -5,6 +5,8 @@
 
 /// Lateness of second answers, by how far they are beyond what the balancer has been fitted to, in milliseconds.
 const SECOND_ANSWER_DELAYS_MS: [u64; 4] = [5, 15, 60, 250];
+/// Memory limits of the balancer, by seed.
+const MEMORY_LIMITS_MB: [u64; 3] = [32, 48, 64];
 /// Lives of the balancer in one run.
 const LIVES: usize = 2;
 
@@ -109,8 +111,10 @@
     pub upstreams: Vec<UpstreamPlan>,
     /// Clients that send one request after the other.
     pub clients: usize,
-    /// Connections that say nothing; none in most runs.
+    /// Connections of which every second says nothing, and the others stop in a long body; none in most runs.
     pub crowd: usize,
+    /// Memory limit of the balancer, in MB.
+    pub memory_mb: u64,
     /// Descriptors of the balancer.
     pub sockets: usize,
     /// Processes, one after the other.
@@ -133,6 +137,7 @@
             upstreams,
             clients: rng.usize(4..=16),
             crowd: if is_crowded { rng.usize(60..=160) } else { 0 },
+            memory_mb: MEMORY_LIMITS_MB[seed as usize % MEMORY_LIMITS_MB.len()],
             sockets: if is_crowded { 128 } else { 256 },
             lives,
         }
