Known red tests: the programs of the tests are written by another process

Cause: `without_a_list_nothing_changes` failed once beside nothing. Change: `install` writes the programs, so that no thread of the test has them open. The checks are as they were.

--- a/tools/workspace-checks/tests/known_red.rs
+++ b/tools/workspace-checks/tests/known_red.rs
@@ -2,7 +2,6 @@
 //! run, and nothing but what is listed is passed over.
 
 use std::fs;
-use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
@@ -33,8 +32,11 @@
 
     /// A program that the shell runs.
     fn program(&self, name: &str, text: &str) -> PathBuf {
-        let path = self.write(name, &format!("#!/bin/sh\n{text}"));
-        fs::set_permissions(&path, fs::Permissions::from_mode(0o755)).unwrap();
+        let source = self.write(&format!("{name}.text"), &format!("#!/bin/sh\n{text}"));
+        let path = self.0.join(name);
+        // Written by another process: a thread that forks meanwhile would hold it open, and it could not be run (ETXTBSY).
+        let written = Command::new("install").args(["-m", "755"]).args([&source, &path]).status().unwrap();
+        assert!(written.success());
         path
     }
 
