Attempts: logs and metrics say which time limit ended an exchange, and who was waited for

An attempt that a time limit ended had no line above debug, and none named the limit.

TimeLimitLog counts them in balancer_time_limits_total by reason, and writes a line a second at most with limit, upstream, connection, time and bytes written. No limit changes.

--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -65,6 +65,8 @@
     pub connection_rests: ReasonCounters,
     /// Number of responses that were held because they repeated the one before, by what became of them.
     pub responses_held: ReasonCounters,
+    /// Number of exchanges with upstreams that a time limit ended, by limit.
+    pub time_limits: ReasonCounters,
     /// Memory that the process takes, in bytes.
     pub memory_resident: Gauge,
     /// Memory that is reserved for buffers, in bytes.
@@ -79,7 +81,7 @@
         let (answered, deferred, errored) = <(Family<_, _>, Family<_, _>, Family<_, _>)>::default();
         let (sends, conf_loaded, conf_invalid) = <(Counter, Counter, Counter)>::default();
         let [clients_ended, clients_refused, unfit, attempts_ended] = <[ReasonCounters; 4]>::default();
-        let [unsolicited, connection_rests, responses_held] = <[ReasonCounters; 3]>::default();
+        let [unsolicited, connection_rests, responses_held, time_limits] = <[ReasonCounters; 4]>::default();
         let (retries, memory_denied) = <(Counter, Counter)>::default();
         let (memory_resident, memory_reserved) = <(Gauge, Gauge)>::default();
         let (current, cluster_size, cluster_unhealthy) = <(Gauge, Gauge, Gauge)>::default();
@@ -112,6 +114,11 @@
             "Responses held because they repeated the one before",
             responses_held.family(),
         );
+        registry.register(
+            "time_limits",
+            "Exchanges with upstreams that a time limit ended",
+            time_limits.family(),
+        );
         registry.register("memory_resident_bytes", "Memory of the process", memory_resident.clone());
         registry.register("memory_reserved_bytes", "Memory reserved for buffers", memory_reserved.clone());
         registry.register("memory_denied", "Reservations of memory denied", memory_denied.clone());
@@ -134,6 +141,7 @@
             unsolicited,
             connection_rests,
             responses_held,
+            time_limits,
             memory_resident,
             memory_reserved,
             memory_denied,
--- a/crates/engine/src/parts/attempt.rs
+++ b/crates/engine/src/parts/attempt.rs
@@ -12,6 +12,7 @@
 use crate::parts::body::Payload;
 use crate::parts::connection::{Connection, WritePermit, head_length, wire_length};
 use crate::parts::headers::{LOAD, TIME_LEFT};
+use crate::parts::time_limit::{LimitedExchange, TimeLimit};
 use crate::parts::unsolicited::UnsolicitedKind;
 use crate::parts::upstream::{Upstream, Upstreams};
 use bytes::Bytes;
@@ -126,7 +127,7 @@
             let request_end = written_before + request_length;
             let may_be_duplicate = is_reused && upstream.reuse.has_shown_unsolicited_data();
             match exchange_result {
-                Some(Ok(reply))
+                Ok(Ok(reply))
                     if is_stale_response(&reply, outgoing, &connection, request_end, may_be_duplicate) =>
                 {
                     connection.report_unsolicited(UnsolicitedKind::BeforeRequestEnd);
@@ -139,7 +140,7 @@
                     );
                     return if may_have_started { Outcome::Error } else { Outcome::ConnectFailed }.into();
                 }
-                Some(Ok(reply)) => {
+                Ok(Ok(reply)) => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -159,10 +160,10 @@
                 }
                 // The time left in the request is stale, or the connection was closed while idle. No byte was
                 // written: build the request again, or use another connection.
-                Some(Err(_))
+                Ok(Err(_))
                     if written == 0
                         && connection.withheld_reason() == Some(WithheldReason::StaleTimeLeft) => {}
-                Some(Err(e)) if written == 0 && is_reused && connection.withheld_reason().is_none() => {
+                Ok(Err(e)) if written == 0 && is_reused && connection.withheld_reason().is_none() => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -170,7 +171,7 @@
                         "connection closed before its next request: {e}"
                     );
                 }
-                Some(Err(e)) => {
+                Ok(Err(e)) => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -189,9 +190,22 @@
                     }
                     .into();
                 }
-                None if is_sender_fault(&outgoing.body) => return Outcome::Cancelled.into(),
-                None if !may_have_started => return Outcome::NotSent.into(),
-                None => return Outcome::TimedOut.into(),
+                Err(limit) => {
+                    self.time_limits.record(&LimitedExchange {
+                        limit,
+                        upstream: id,
+                        connection: connection_number,
+                        lasted: started_at.elapsed(),
+                        written,
+                        received: 0,
+                    });
+                    return match limit {
+                        _ if is_sender_fault(&outgoing.body) => Outcome::Cancelled,
+                        _ if may_have_started => Outcome::TimedOut,
+                        _ => Outcome::NotSent,
+                    }
+                    .into();
+                }
             }
         }
     }
@@ -341,12 +355,12 @@
     body: &Payload,
     answer_by: Instant,
     exchange: impl Future<Output = T>,
-) -> Option<T> {
+) -> Result<T, TimeLimit> {
     match body {
-        Payload::Buffered(_) => timeout_at(answer_by, exchange).await.ok(),
+        Payload::Buffered(_) => timeout_at(answer_by, exchange).await.map_err(|_| TimeLimit::AnswerDue),
         Payload::Upload(upload) => tokio::select! {
-            result = exchange => Some(result),
-            () = upload.wait_until_timed_out() => None,
+            result = exchange => Ok(result),
+            limit = upload.wait_until_timed_out() => Err(limit),
         },
     }
 }
--- a/crates/engine/src/parts/body/upload.rs
+++ b/crates/engine/src/parts/body/upload.rs
@@ -1,6 +1,7 @@
 //! Streaming request bodies: write progress on a connection, and timeouts.
 
 use super::{BodySource, DISCARD_IDLE_TIMEOUT, Failure, Fault, discard_body};
+use crate::parts::time_limit::TimeLimit;
 use bytes::Bytes;
 use hyper::body::Frame;
 use prometheus_client::metrics::counter::Counter;
@@ -168,20 +169,25 @@
         self.started.notified().await;
     }
 
-    /// Waits until the body, or the response to it, has exceeded a timeout.
-    pub async fn wait_until_timed_out(&self) {
+    /// Waits until the body, or the response to it, has exceeded a timeout, and returns which.
+    pub async fn wait_until_timed_out(&self) -> TimeLimit {
         let mut rechecked = false;
         loop {
             let UploadTimeouts { idle, sender, total, answer } = self.timeouts;
             let waiting_since = self.waiting_since.get().filter(|_| !self.is_complete.get());
-            let deadline = match waiting_since {
-                Some(start) => start + sender,
-                None if self.is_complete.get() => self.last_progress.get() + answer,
-                None => self.last_progress.get() + idle,
+            let (deadline, limit) = match waiting_since {
+                Some(start) => (start + sender, TimeLimit::ClientIdle),
+                None if self.is_complete.get() => (self.last_progress.get() + answer, TimeLimit::AnswerDue),
+                None => (self.last_progress.get() + idle, TimeLimit::UpstreamIdle),
             };
-            let (deadline, now) = (deadline.min(self.created_at + total), Instant::now());
+            let (deadline, limit) = if self.created_at + total < deadline {
+                (self.created_at + total, TimeLimit::Total)
+            } else {
+                (deadline, limit)
+            };
+            let now = Instant::now();
             if deadline <= now {
-                if waiting_since.is_some() {
+                if limit == TimeLimit::ClientIdle {
                     if !rechecked {
                         // After a suspension of the process, timers fire before the data that arrived
                         // meanwhile is read.
@@ -191,7 +197,7 @@
                     }
                     self.fault.set(Some(Fault::Slow));
                 }
-                return;
+                return limit;
             }
             rechecked = false;
             // The sender may go silent during this sleep; its own timeout cannot expire before it.
--- a/crates/engine/src/parts/mod.rs
+++ b/crates/engine/src/parts/mod.rs
@@ -9,6 +9,7 @@
 //! | [`attempt_limits`] | deadlines for writing an attempt and for its response |
 //! | [`body`], [`answer`], [`buffer_memory`] | request and response bodies, and the memory they share |
 //! | [`head_memory`] | memory of the message heads on one connection |
+//! | [`time_limit`] | time limits that end an exchange, for logs and metrics |
 //! | [`unsolicited`] | data from upstreams that no request asked for |
 //! | [`descriptors`] | descriptor limits, and the handling of a shortage |
 //! | [`discovery`] | client of the platform's endpoint list |
@@ -28,5 +29,6 @@
 pub(crate) mod pool;
 pub mod rate_limited_log;
 pub(crate) mod reuse;
+pub mod time_limit;
 pub mod unsolicited;
 pub mod upstream;
--- a/crates/engine/src/parts/upstream.rs
+++ b/crates/engine/src/parts/upstream.rs
@@ -9,6 +9,7 @@
 use crate::parts::pool::{Acquired, Pool};
 use crate::parts::rate_limited_log::RateLimitedLog;
 use crate::parts::reuse::{RestEffect, ReuseGuard};
+use crate::parts::time_limit::TimeLimitLog;
 use crate::parts::unsolicited::{UnsolicitedLog, UnsolicitedObserver};
 use maplehook_core::repeated_responses::RecentResponses;
 use maplehook_core::{
@@ -77,6 +78,7 @@
     report_fields: RefCell<Vec<LoadField>>,
     report_warnings: RateLimitedLog,
     local_failure_warnings: RateLimitedLog,
+    pub(crate) time_limits: Rc<TimeLimitLog>,
     unsolicited: Rc<UnsolicitedLog>,
     pub(crate) recent_responses: RefCell<RecentResponses>,
     lease: Cell<Lease>,
@@ -108,6 +110,7 @@
         forwarding: Forwarding,
         tally: Arc<Metrics>,
     ) -> Self {
+        let time_limits = Rc::new(TimeLimitLog::new(tally.time_limits.clone()));
         let unsolicited = Rc::new(UnsolicitedLog::new(tally.unsolicited.clone()));
         Self {
             by_id: RefCell::default(),
@@ -126,6 +129,7 @@
             report_fields: RefCell::new(settings.report_fields.clone()),
             report_warnings: RateLimitedLog::default(),
             local_failure_warnings: RateLimitedLog::default(),
+            time_limits,
             unsolicited,
             recent_responses: RefCell::default(),
             lease: Cell::new(Lease::Unlimited),
