Long requests: the answer's time counts from the client's last byte, wherever that lies

Callers saw 502, or nothing, up to seconds after their time where an upstream read a long request slowly or not to its end.

Cause: the time of a request whose body streams counted from the last byte that had been passed on, so that a body whose upstream stood still had none but the idle time of 10 s; and it was looked at again after 2.5 s only, the sender's limit. Connections for such a request were awaited without it, too.

Change: SenderClock keeps the last time at which the client provably had not written its last byte: nothing was left to read, or more has been read since than both kernels hold. AnswerDue begins the answer's time there; until the last byte is seen, a final answer comes by that time and 0.43 s. UploadTime owns the limits of such an exchange, says which binds, and each part of the attempt runs under it. What a client sends is noticed at its socket, with what is read ahead.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 //! | `outlier_detection`, `latency_estimator`, `idle_connections`, `load_reports` | evaluation of results and load reports |
 //! | [`connection_reuse`] | when a connection may carry its next request; for the embedder's connection pool |
 //! | [`repeated_responses`] | responses that may answer the request before; for the embedder's connections |
+//! | [`exchange_time`] | when the final answer to a request is due; for the embedder's requests |
 //! | `discovery`, `endpoints`, `subsetting` | list of upstreams, and the subset in use |
 //! | `state_transfer`, `settings_change` | continuity over a restart or a change of settings |
 //! | `observations`, `zone_observations` | counters that a failover plan is based on |
@@ -127,6 +128,7 @@
 pub mod connection_reuse;
 mod discovery;
 mod endpoints;
+pub mod exchange_time;
 mod headroom;
 mod hedging;
 mod idle_connections;
--- a/crates/engine/src/parts/attempt.rs
+++ b/crates/engine/src/parts/attempt.rs
@@ -11,8 +11,9 @@
 use crate::parts::attempt_limits::{AttemptLimits, WithheldReason};
 use crate::parts::body::Payload;
 use crate::parts::connection::{Connection, WritePermit, head_length, wire_length};
+use crate::parts::exchange_time::ExchangeTime;
 use crate::parts::headers::{LOAD, TIME_LEFT};
-use crate::parts::time_limit::{LimitedExchange, TimeLimit};
+use crate::parts::time_limit::LimitedExchange;
 use crate::parts::unsolicited::UnsolicitedKind;
 use crate::parts::upstream::{Upstream, Upstreams};
 use bytes::Bytes;
@@ -24,10 +25,9 @@
 use maplehook_http_semantics::{Begins, Means, Passage};
 use prometheus_client::metrics::counter::Counter;
 use reply::{ExchangeError, ReceivedBody, Reply, exchange};
-use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 /// Time limit of one probe, connection setup included.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -87,15 +87,18 @@
     ) -> AttemptResult {
         let Some(upstream) = self.get(id) else { return Outcome::NotSent.into() };
         let process_epoch = upstream.process_epoch.get();
+        let time = ExchangeTime::new(&outgoing.body, limits);
         loop {
             if outgoing.body.is_spent() {
                 return Outcome::NotSent.into();
             }
-            let (mut connection, is_reused) =
-                match self.acquire_connection(id, &upstream, limits.answer_by).await {
-                    Ok(pair) => pair,
-                    Err(outcome) => return outcome.into(),
-                };
+            let acquired = time.limit(self.acquire_connection(id, &upstream, limits.answer_by)).await;
+            let (mut connection, is_reused) = match acquired {
+                Ok(Ok(pair)) => pair,
+                Ok(Err(outcome)) => return outcome.into(),
+                Err(_) if is_sender_fault(&outgoing.body) => return Outcome::Cancelled.into(),
+                Err(_) => return Outcome::NotSent.into(),
+            };
             let (connection_number, idle_before) = (connection.number(), connection.since_last_response());
             let announced = limits.time_left();
             let permit = self.permit(&upstream, process_epoch, limits, announced);
@@ -115,7 +118,7 @@
             let permit = mark_started_on_permit(permit, limits);
             let response = connection.send_with_permit(request, permit, limits.write_by);
             let exchange_result = exchange(response, &outgoing.passage, &self.body_memory);
-            let exchange_result = with_timeouts(&outgoing.body, limits.answer_by, exchange_result).await;
+            let exchange_result = time.limit(exchange_result).await;
             let written = connection.written() - written_before;
             // A streaming body is complete when its last byte was written, whatever length it announced.
             let may_have_started = match &outgoing.body {
@@ -150,7 +153,7 @@
                     );
                     let response_time = started_at.elapsed();
                     if !self
-                        .is_confirmed(&upstream, &connection, &reply, response_time, limits.answer_by)
+                        .is_confirmed(&upstream, &connection, &reply, response_time, time.begin_by())
                         .await
                     {
                         return Outcome::Error.into();
@@ -350,21 +353,6 @@
     matches!(body, Payload::Upload(upload) if upload.fault().is_some())
 }
 
-/// Runs an exchange under its time limit. A streaming body has its own timeouts.
-async fn with_timeouts<T>(
-    body: &Payload,
-    answer_by: Instant,
-    exchange: impl Future<Output = T>,
-) -> Result<T, TimeLimit> {
-    match body {
-        Payload::Buffered(_) => timeout_at(answer_by, exchange).await.map_err(|_| TimeLimit::AnswerDue),
-        Payload::Upload(upload) => tokio::select! {
-            result = exchange => Ok(result),
-            limit = upload.wait_until_timed_out() => Err(limit),
-        },
-    }
-}
-
 /// Builds the request of one attempt; the time left differs from attempt to attempt.
 fn request(
     outgoing: &OutboundRequest,
@@ -373,7 +361,8 @@
 ) -> Request<crate::parts::body::OutboundBody> {
     let mut headers = outgoing.headers.clone();
     // A streaming body has its own timeouts; the answer timeout starts at its last byte.
-    let time_left = outgoing.body.upload().map_or(time_left, |upload| upload.answer_timeout().min(time_left));
+    let time_left =
+        outgoing.body.upload().map_or(time_left, |upload| upload.time().answer_timeout().min(time_left));
     headers.insert(TIME_LEFT, HeaderValue::from(time_left.as_millis() as u64));
     let body = connection.outbound(&outgoing.body);
     let needs_length = matches!(outgoing.method, Method::POST | Method::PUT | Method::PATCH);
--- a/crates/engine/src/parts/attempt/tests.rs
+++ b/crates/engine/src/parts/attempt/tests.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::spawn_local;
+use tokio::time::timeout_at;
 
 const ID: UpstreamId = UpstreamId(7);
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
--- a/crates/engine/src/parts/body.rs
+++ b/crates/engine/src/parts/body.rs
@@ -7,7 +7,7 @@
 mod upload;
 
 pub use collect::{BodyBuffer, collect_body, receive_body};
-pub use upload::{Upload, UploadBody, UploadTimeouts, WriteCounter};
+pub use upload::{SenderProgress, SenderTimes, Upload, UploadBody, UploadTime, UploadTimeouts, WriteCounter};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
--- a/crates/engine/src/parts/body/upload.rs
+++ b/crates/engine/src/parts/body/upload.rs
@@ -1,4 +1,8 @@
-//! Streaming request bodies: write progress on a connection, and timeouts.
+//! Streaming request bodies, and their write progress on a connection.
+
+mod time;
+
+pub use time::{SenderProgress, SenderTimes, UploadTime, UploadTimeouts};
 
 use super::{BodySource, DISCARD_IDLE_TIMEOUT, Failure, Fault, discard_body};
 use crate::parts::time_limit::TimeLimit;
@@ -8,14 +12,10 @@
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
-use std::task::{Context, Poll, Waker, ready};
-use std::time::Duration;
+use std::task::{Context, Poll, Waker};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout};
-
-/// Delay before a sender timeout is confirmed.
-const RECHECK_DELAY: Duration = Duration::from_millis(1);
+use tokio::time::timeout;
 
 /// Counts the bytes of a connection that the kernel accepted, and wakes the task that waits for a write.
 #[derive(Default)]
@@ -67,19 +67,6 @@
     }
 }
 
-/// Timeouts of a streaming body.
-#[derive(Clone, Copy, Debug)]
-pub struct UploadTimeouts {
-    /// Longest time in which the upstream accepts no data.
-    pub idle: Duration,
-    /// Longest time in which the sender provides no data.
-    pub sender: Duration,
-    /// Longest time for the whole body.
-    pub total: Duration,
-    /// Longest wait for the response head after the last byte.
-    pub answer: Duration,
-}
-
 /// Streaming request body: the part already read, and the rest.
 pub struct Upload {
     prefix: Bytes,
@@ -87,12 +74,7 @@
     /// Length announced by the sender, in bytes.
     length: Option<u64>,
     max_length: u64,
-    timeouts: UploadTimeouts,
-    created_at: Instant,
-    /// Last time that data was sent or received.
-    last_progress: Cell<Instant>,
-    /// Start of the current wait for the sender; unset while the sender is not the bottleneck.
-    waiting_since: Cell<Option<Instant>>,
+    time: UploadTime,
     is_complete: Cell<bool>,
     fault: Cell<Option<Fault>>,
     started: Notify,
@@ -116,16 +98,12 @@
         max_length: u64,
         timeouts: UploadTimeouts,
     ) -> Rc<Self> {
-        let now = Instant::now();
         Rc::new(Self {
             prefix,
             remaining: RefCell::new(Some(remaining)),
             length,
             max_length,
-            timeouts,
-            created_at: now,
-            last_progress: Cell::new(now),
-            waiting_since: Cell::new(None),
+            time: UploadTime::new(timeouts),
             is_complete: Cell::new(false),
             fault: Cell::new(None),
             started: Notify::new(),
@@ -144,14 +122,9 @@
         self.length
     }
 
-    /// Returns how long the client waits for the response after the last byte.
-    pub fn answer_timeout(&self) -> Duration {
-        self.timeouts.answer
-    }
-
-    /// Returns how long the sender may send nothing.
-    pub fn sender_timeout(&self) -> Duration {
-        self.timeouts.sender
+    /// Returns the time of the exchange that the body belongs to.
+    pub fn time(&self) -> &UploadTime {
+        &self.time
     }
 
     /// Returns true if the last byte was written.
@@ -171,38 +144,11 @@
 
     /// Waits until the body, or the response to it, has exceeded a timeout, and returns which.
     pub async fn wait_until_timed_out(&self) -> TimeLimit {
-        let mut rechecked = false;
-        loop {
-            let UploadTimeouts { idle, sender, total, answer } = self.timeouts;
-            let waiting_since = self.waiting_since.get().filter(|_| !self.is_complete.get());
-            let (deadline, limit) = match waiting_since {
-                Some(start) => (start + sender, TimeLimit::ClientIdle),
-                None if self.is_complete.get() => (self.last_progress.get() + answer, TimeLimit::AnswerDue),
-                None => (self.last_progress.get() + idle, TimeLimit::UpstreamIdle),
-            };
-            let (deadline, limit) = if self.created_at + total < deadline {
-                (self.created_at + total, TimeLimit::Total)
-            } else {
-                (deadline, limit)
-            };
-            let now = Instant::now();
-            if deadline <= now {
-                if limit == TimeLimit::ClientIdle {
-                    if !rechecked {
-                        // After a suspension of the process, timers fire before the data that arrived
-                        // meanwhile is read.
-                        rechecked = true;
-                        sleep(RECHECK_DELAY).await;
-                        continue;
-                    }
-                    self.fault.set(Some(Fault::Slow));
-                }
-                return limit;
-            }
-            rechecked = false;
-            // The sender may go silent during this sleep; its own timeout cannot expire before it.
-            sleep_until(deadline.min(now + sender)).await;
+        let limit = self.time.wait_until_exceeded().await;
+        if limit == TimeLimit::ClientIdle {
+            self.fault.set(Some(Fault::Slow));
         }
+        limit
     }
 
     /// Discards the unread rest of the body for a limited time, once the response exists. Closing a
@@ -272,6 +218,8 @@
     /// detected here.
     fn record_sent(&mut self, bytes: usize) {
         self.sent += bytes as u64;
+        let remaining = self.upload.length.map(|length| length.saturating_sub(self.sent));
+        self.upload.time.on_received(bytes, remaining);
         if self.upload.length == Some(self.sent) {
             self.mark_complete();
         }
@@ -279,6 +227,7 @@
 
     fn mark_complete(&self) {
         self.upload.is_complete.set(true);
+        self.upload.time.on_complete();
         self.written.count_sent();
     }
 
@@ -301,7 +250,7 @@
                 return Poll::Pending;
             }
             self.source = self.upload.remaining.borrow_mut().take();
-            self.upload.last_progress.set(Instant::now());
+            self.upload.time.on_progress();
             self.upload.started.notify_one();
         }
         let Some(source) = &mut self.source else {
@@ -309,14 +258,16 @@
         };
         if self.written.is_blocked.get() {
             // Nothing is read from the client while the upstream accepts nothing.
-            self.upload.waiting_since.set(None);
+            self.upload.time.on_blocked();
             self.written.write_waker.set(Some(cx.waker().clone()));
             return Poll::Pending;
         }
-        self.upload.waiting_since.set(Some(self.upload.waiting_since.get().unwrap_or_else(Instant::now)));
-        let frame = ready!(source.as_mut().poll_frame(cx));
-        self.upload.waiting_since.set(None);
-        self.upload.last_progress.set(Instant::now());
+        self.upload.time.on_read();
+        let Poll::Ready(frame) = source.as_mut().poll_frame(cx) else {
+            self.upload.time.on_drained();
+            return Poll::Pending;
+        };
+        self.upload.time.on_progress();
         match frame {
             Some(Ok(frame)) => {
                 self.record_sent(frame.data_ref().map_or(0, Bytes::len));
--- a/crates/engine/src/parts/body/upload/tests.rs
+++ b/crates/engine/src/parts/body/upload/tests.rs
@@ -4,8 +4,9 @@
 use hyper::body::Body;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
+use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::advance;
+use tokio::time::{Instant, advance};
 
 const TIMEOUTS: UploadTimeouts = UploadTimeouts {
     idle: Duration::from_secs(10),
--- a/crates/engine/src/parts/mod.rs
+++ b/crates/engine/src/parts/mod.rs
@@ -8,6 +8,7 @@
 //! | [`upstream`], [`attempt`], [`connection`] | known upstreams, one attempt, one connection |
 //! | [`attempt_limits`] | deadlines for writing an attempt and for its response |
 //! | [`body`], [`answer`], [`buffer_memory`] | request and response bodies, and the memory they share |
+//! | [`exchange_time`] | time of one exchange: when its answer is due, and what ends it |
 //! | [`head_memory`] | memory of the message heads on one connection |
 //! | [`time_limit`] | time limits that end an exchange, for logs and metrics |
 //! | [`unsolicited`] | data from upstreams that no request asked for |
@@ -24,6 +25,7 @@
 pub mod discovery;
 pub mod dispatcher;
 pub mod driver;
+pub mod exchange_time;
 pub mod head_memory;
 pub mod headers;
 pub(crate) mod pool;
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -2,6 +2,7 @@
 
 mod progress;
 mod received;
+mod sender;
 
 pub use progress::ClientTimeouts;
 
@@ -9,6 +10,7 @@
 use crate::server::EndReason;
 use maplehook::label::Label;
 use maplehook_admission::ConnectionId;
+use maplehook_core::exchange_time::SenderClock;
 use progress::{Progress, SEND_GRACE};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -88,6 +90,9 @@
     /// hyper hides.
     framing: RefCell<Framing>,
     has_hidden_length: Cell<bool>,
+    /// What is known of the time at which the client has written its request; counts from `created_at`.
+    sender: RefCell<SenderClock>,
+    created_at: Instant,
     /// Wakes the connection's task to close; `close_requested` is true from then on.
     close_signal: Notify,
     /// Task of a streaming response that waits until the client reads on.
@@ -111,6 +116,8 @@
             label: Cell::default(),
             framing: RefCell::default(),
             has_hidden_length: Cell::new(false),
+            sender: RefCell::new(SenderClock::new(Duration::ZERO)),
+            created_at: Instant::now(),
             close_signal: Notify::new(),
             blocked_body: Cell::default(),
             close_requested: Cell::new(false),
@@ -126,6 +133,7 @@
     pub fn on_head(&self, label: Label) {
         self.label.set(label);
         self.has_hidden_length.set(self.framing.borrow_mut().advance());
+        self.start_sender_clock();
         let start = self.progress.request_started().unwrap_or_else(Instant::now);
         let start = if self.state.replace(ConnectionState::Reading) == ConnectionState::New {
             self.idle_since.get()
@@ -341,18 +349,6 @@
         }
     }
 
-    /// Records bytes received from the client, before the HTTP connection reads them.
-    pub fn on_received(&self, bytes: &[u8]) {
-        let now = Instant::now();
-        self.progress.on_received(now);
-        self.framing.borrow_mut().on_bytes(bytes, now);
-    }
-
-    /// Records that bytes from the client wait in the socket's receive buffer.
-    pub fn on_unread_bytes(&self) {
-        self.progress.on_received(Instant::now());
-    }
-
     /// Records that the HTTP connection consumed this many bytes of a request.
     pub fn on_consumed(&self, bytes: usize) {
         if bytes == 0 {
--- a/crates/proxy/src/client/progress.rs
+++ b/crates/proxy/src/client/progress.rs
@@ -85,6 +85,11 @@
         self.last_received.set(now);
     }
 
+    /// Returns when the last byte was received.
+    pub fn last_received(&self) -> Instant {
+        self.last_received.get()
+    }
+
     /// Returns the time since the last byte was received.
     pub fn time_since_received(&self) -> Duration {
         self.last_received.get().elapsed()
--- a/crates/proxy/src/framing.rs
+++ b/crates/proxy/src/framing.rs
@@ -178,6 +178,14 @@
         is_in_body && self.queued.is_empty()
     }
 
+    /// Returns the number of bytes of the current request's body that were not received yet, if that is known.
+    pub fn remaining_body_bytes(&self) -> Option<u64> {
+        match self.part {
+            Part::Body(left) if self.queued.is_empty() => Some(left),
+            _ => None,
+        }
+    }
+
     /// Returns true if another request was received completely.
     pub fn has_complete_next_request(&self) -> bool {
         self.queued.front().is_some_and(|request| request.completed_at.is_some())
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -187,7 +187,10 @@
     fn look_for_end(&self, cx: &mut Context<'_>) {
         let mut byte = [MaybeUninit::uninit()];
         match self.stream.borrow().poll_peek(cx, &mut ReadBuf::uninit(&mut byte)) {
-            Poll::Ready(Ok(1..)) => self.read_ahead_full.notify_one(),
+            Poll::Ready(Ok(1..)) => {
+                self.client.on_unread();
+                self.read_ahead_full.notify_one();
+            }
             Poll::Ready(Ok(0) | Err(_)) => self.has_client_eof.set(true),
             Poll::Pending => {}
         }
@@ -196,7 +199,10 @@
     /// Reads from the socket, and records received bytes or the end of the stream.
     fn poll_stream(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
-        let read = ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf));
+        let Poll::Ready(read) = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf) else {
+            self.client.on_drained();
+            return Poll::Pending;
+        };
         let received = &buf.filled()[filled_before..];
         if received.is_empty() {
             self.has_client_eof.set(true);
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -9,7 +9,7 @@
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
 use maplehook::parts::answer::ResponseBody;
-use maplehook::parts::body::{Fault, Upload, discard_body};
+use maplehook::parts::body::{Fault, SenderProgress, Upload, discard_body};
 use maplehook::parts::driver::Answer;
 use maplehook_http_semantics::Unfit;
 use std::future::poll_fn;
@@ -132,6 +132,9 @@
             () = stream.wait_for_request_timeout() => return Err(body_fault_response(Fault::Slow)),
             _ = phase.wait_for(|phase| *phase == ShutdownPhase::Stopped) => return Err(NOT_FORWARDED),
         };
+        if let Some(upload) = &ready.upload {
+            upload.time().follow_sender(Rc::clone(stream.client()) as Rc<dyn SenderProgress>);
+        }
         ready.request.label = stream.client().label();
         // A request whose repeats are recognized continues without its client.
         ready.request.presence = ready.identity.is_none().then(|| stream.presence());
@@ -168,7 +171,7 @@
         client.on_request(
             tenant.0,
             is_authenticated,
-            ready.upload.as_ref().map(|upload| upload.sender_timeout()),
+            ready.upload.as_ref().map(|upload| upload.time().sender_timeout()),
         );
         Ok(ready)
     }
