Long answers: one without a length is passed on while it comes, and not retried over

Callers saw refusals and 502 for answers of 66 to 235 KB, chunked or to the close, that their upstream was writing; upstreams saw up to five connections closed in the middle for one safe request.

Cause: such an answer was held up to 64 KiB or its end, for an hour. Until then the decision module took its attempt for a silent one: overdue after the hedge delay, and timed out at the deadline.

Change: AnswerProgress tells the module that an answer arrives, and its attempt is overdue only after 1 s of silence. At the request's time the answer is passed on if it still comes, else when it comes again; no byte is held for more than 1.5 s. UnsizedAnswer judges: an answer that is short still, silent for over twice as long as it took before or slower than 16 KiB/s in the mean, is ended by the request's time and 0.43 s, as a failure if nothing was passed on, else visibly broken. StreamTime keeps it to that also where no memory is left to hold it, and leaves out the time in which its client does not read. Latencies are those of the head.

--- a/crates/core/src/balancer.rs
+++ b/crates/core/src/balancer.rs
@@ -74,6 +74,7 @@
                 self.on_request(id, class, tenant, time_left);
             }
             Event::StreamStarted { id, attempt, latency } => self.on_stream_started(id, attempt, latency),
+            Event::AnswerProgress { id, attempt } => self.on_answer_progress(id, attempt),
             Event::AttemptEnded { id, attempt, upstream, outcome, latency, is_finished, report } => {
                 self.on_load_report(upstream, report);
                 self.on_attempt_ended(id, attempt, outcome, latency.as_secs_f64(), is_finished);
--- a/crates/core/src/exchange_time.rs
+++ b/crates/core/src/exchange_time.rs
@@ -1,19 +1,21 @@
 //! Time at which the final answer to a request is due.
 //!
-//! A client counts its wait from the last byte that it has written. A balancer sees that byte only when it reads
-//! it: until then it may lie in the buffers of both kernels. [`SenderClock`] therefore keeps the last time at
-//! which the client provably had not written it, and [`AnswerDue`] derives when a final answer must have begun.
+//! A client counts its wait from the last byte that it has written. A balancer sees that byte only when it
+//! reads it: until then it may lie in the buffers of both kernels. [`SenderClock`] therefore keeps the last
+//! time at which the client provably had not written it, and [`AnswerDue`] derives when a final answer must
+//! have begun.
 //!
 //! All times are [`Duration`]s on one monotonic clock that the embedder chooses.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time after a request's own within which a final answer still counts as one, less a margin for delivering it.
+/// Time after a request's own within which a final answer still counts as one, less a margin for delivering
+/// it.
 pub const LATE_ANSWER_GRACE: Duration = Duration::from_millis(430);
 
-/// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4 MiB,
-/// and a receive buffer that nobody reads stays small.
+/// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4
+/// MiB, and a receive buffer that nobody reads stays small.
 const MAX_HIDDEN_BYTES: u64 = (4 << 20) + (256 << 10);
 /// Number of marks that divide the hidden bytes.
 const MARKS: u64 = 16;
@@ -77,8 +79,8 @@
     }
 }
 
-/// When the final answer to a request is due. Its sender counts from some time between the last one at which the
-/// request was incomplete and the one at which its last byte was received.
+/// When the final answer to a request is due. Its sender counts from some time between the last one at which
+/// the request was incomplete and the one at which its last byte was received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerDue {
     /// Earliest time at which the answer may be due.
--- a/crates/core/src/hedging.rs
+++ b/crates/core/src/hedging.rs
@@ -9,6 +9,9 @@
 const LOST_MARGIN_DELAYS: f64 = 0.5;
 /// Headroom below which no hedge is sent; negative because the overdue attempt counts as in flight.
 const MIN_HEDGE_HEADROOM: f64 = -1.0;
+/// Seconds of silence after which an attempt whose answer has begun counts as one without an answer.
+/// Upstreams may pause for a while between two parts of a long answer.
+const MAX_ANSWER_SILENCE_S: f64 = 1.0;
 /// Retry-budget cost of a hedge.
 const HEDGE_COST: f64 = 1.0;
 
@@ -22,10 +25,34 @@
         }
     }
 
+    /// Records that part of an attempt's answer has arrived.
+    pub(crate) fn on_answer_progress(&mut self, id: RequestId, attempt: AttemptNo) {
+        let request = self.requests.get_mut(&id);
+        let answered = request.and_then(|request| request.attempts.get_mut(usize::from(attempt.0)));
+        if let Some(answered) = answered {
+            answered.last_progress_at = Some(self.now_s);
+        }
+    }
+
+    /// Postpones the check of an attempt whose answer arrives. Returns true if it was postponed.
+    fn postpone_overdue_check(&mut self, id: RequestId, attempt: AttemptNo) -> bool {
+        let Some(request) = self.requests.get(&id) else { return false };
+        let answered = request.attempts.get(usize::from(attempt.0)).filter(|attempt| attempt.is_in_flight);
+        let last_progress_at = answered.and_then(|attempt| attempt.last_progress_at);
+        let silent_at = last_progress_at.map(|at| at + MAX_ANSWER_SILENCE_S);
+        let Some(silent_at) = silent_at.filter(|at| *at > self.now_s) else { return false };
+        let next_check = self.now + Duration::from_secs_f64(silent_at - self.now_s);
+        self.overdue_timers.insert((next_check, id, attempt.0));
+        true
+    }
+
     /// Handles an attempt that has exceeded the hedge delay: its upstream is skipped, and a hedge may be
     /// sent. If a later check finds the attempt lost, the attempt no longer counts as load and its upstream
     /// counts as healthy.
     fn on_attempt_overdue(&mut self, id: RequestId, attempt: AttemptNo) {
+        if self.postpone_overdue_check(id, attempt) {
+            return;
+        }
         let Some(is_first_time) = self.mark_overdue(id, attempt) else { return };
         if !is_first_time {
             return;
--- a/crates/core/src/interface/event.rs
+++ b/crates/core/src/interface/event.rs
@@ -41,6 +41,14 @@
         /// Time from sending the attempt to the start of the answer; `None` if the request's body streams.
         latency: Option<Duration>,
     },
+    /// Part of a final answer has arrived that is not passed on yet, since nobody knows how long it is. The
+    /// embedder reports this from the head on, as long as more arrives.
+    AnswerProgress {
+        /// Request that is being answered.
+        id: RequestId,
+        /// Attempt that is being answered.
+        attempt: AttemptNo,
+    },
     /// An attempt has ended. The embedder reports this once for each attempt.
     AttemptEnded {
         /// Request that the attempt belongs to.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`connection_reuse`] | when a connection may carry its next request; for the embedder's connection pool |
 //! | [`repeated_responses`] | responses that may answer the request before; for the embedder's connections |
 //! | [`exchange_time`] | when the final answer to a request is due; for the embedder's requests |
+//! | [`unsized_answer`] | whether an answer without a length may go on; for the embedder's streams |
 //! | `discovery`, `endpoints`, `subsetting` | list of upstreams, and the subset in use |
 //! | `state_transfer`, `settings_change` | continuity over a restart or a change of settings |
 //! | `observations`, `zone_observations` | counters that a failover plan is based on |
@@ -154,6 +155,7 @@
 mod throughput;
 mod tick;
 mod token_bucket;
+pub mod unsized_answer;
 mod upstream;
 mod upstream_weights;
 mod zone_observations;
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -22,6 +22,8 @@
     pub(crate) is_retry_paid: bool,
     /// True if the attempt streams, and so occupies no queue slot.
     pub(crate) is_streaming: bool,
+    /// Time of the last part of its answer, if that has begun to arrive.
+    pub(crate) last_progress_at: Option<f64>,
     /// Seconds for which the connection was idle before the attempt.
     pub(crate) idle_before_s: f64,
 }
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -272,6 +272,7 @@
         Event::AttemptEnded { id, attempt, upstream, outcome, latency, is_finished: false, report },
         Event::ProbeEnded { upstream, outcome, latency, report },
         Event::StreamStarted { id, attempt, latency: Some(latency) },
+        Event::AnswerProgress { id, attempt },
         Event::RequestCancelled { id },
         Event::Timer { timer: TimerId(12345) },
     ] {
--- a/crates/engine/src/parts/answer.rs
+++ b/crates/engine/src/parts/answer.rs
@@ -1,8 +1,13 @@
 //! Responses of upstreams: buffered in memory, or streamed from the first byte.
 
+mod stream_time;
+
+pub use stream_time::{StreamOrigin, StreamTime, UnsizedProgress};
+
 use crate::metrics::PendingRequest;
 use crate::parts::body::Failure;
 use crate::parts::connection::Connection;
+use crate::parts::time_limit::TimeLimit;
 use bytes::Bytes;
 use http_body_util::LengthLimitError;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -11,12 +16,9 @@
 use maplehook_core::Outcome;
 use std::collections::VecDeque;
 use std::fmt;
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
-use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep};
+use std::task::{Context, Poll, ready};
 
 /// Memory of a header field beside its name and value, in bytes.
 const HEADER_OVERHEAD_BYTES: usize = 160;
@@ -40,8 +42,8 @@
         Some(Self { status: self.status, headers: self.headers.clone(), body })
     }
 
-    /// Like [`Self::buffered_copy`], but in memory of its own: body and header values are usually parts of larger
-    /// buffers, which a copy that is kept would hold.
+    /// Like [`Self::buffered_copy`], but in memory of its own: body and header values are usually parts of
+    /// larger buffers, which a copy that is kept would hold.
     pub fn detached_copy(&self) -> Option<Self> {
         let ResponseBody::Buffered(body) = &self.body else { return None };
         let body = ResponseBody::Buffered(Bytes::copy_from_slice(body));
@@ -116,10 +118,7 @@
     return_connection: Option<ReturnConnection>,
     on_end: Option<OnStreamEnd>,
     accounting: Option<PendingRequest>,
-    idle_timeout: Duration,
-    /// Idle timer; set while the upstream sends nothing.
-    idle_timer: Option<Pin<Box<Sleep>>>,
-    deadline: Instant,
+    time: StreamTime,
 }
 
 impl fmt::Debug for Stream {
@@ -130,15 +129,13 @@
 
 impl Stream {
     /// Creates a stream that first yields the frames in `prefetched`, then the rest of `incoming`. After a
-    /// complete response the connection goes to `return_connection`. The stream fails after `idle_timeout`
-    /// without data, or at `deadline`.
+    /// complete response the connection goes to `return_connection`. The stream fails once its time is over.
     pub fn new(
         prefetched: VecDeque<Frame<Bytes>>,
         incoming: Incoming,
         connection: Connection,
         return_connection: ReturnConnection,
-        idle_timeout: Duration,
-        deadline: Instant,
+        time: StreamTime,
     ) -> Box<Self> {
         let (connection, return_connection) = (Some(connection), Some(return_connection));
         Box::new(Self {
@@ -148,9 +145,7 @@
             return_connection,
             on_end: None,
             accounting: None,
-            idle_timeout,
-            idle_timer: None,
-            deadline,
+            time,
         })
     }
 
@@ -189,21 +184,19 @@
             return Poll::Ready(Some(Ok(frame)));
         }
         let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
-            let remaining = self.idle_timeout.min(self.deadline.saturating_duration_since(Instant::now()));
-            let idle_timer = self.idle_timer.get_or_insert_with(|| Box::pin(sleep(remaining)));
-            return match idle_timer.as_mut().poll(cx) {
-                Poll::Ready(()) => self.time_out("the upstream sent no data for too long during a response"),
-                Poll::Pending => Poll::Pending,
-            };
+            let limit = ready!(self.time.poll_exceeded(cx));
+            return self.time_out(limit);
         };
-        self.idle_timer = None;
+        if let Some(Ok(frame)) = &frame {
+            self.time.on_data(frame.data_ref().map_or(0, Bytes::len));
+        }
         match frame {
             Some(Ok(frame)) => {
                 // The body is not polled again after its last frame.
                 if self.incoming.is_end_stream() || frame.is_trailers() {
                     self.end(Outcome::Ok);
-                } else if self.deadline <= Instant::now() {
-                    return self.time_out("the response exceeded its total time limit");
+                } else if let Some(limit) = self.time.exceeded_total() {
+                    return self.time_out(limit);
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
@@ -219,9 +212,10 @@
         }
     }
 
-    fn time_out(&mut self, reason: &'static str) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+    fn time_out(&mut self, limit: TimeLimit) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
+        self.time.record(limit);
         self.end(Outcome::TimedOut);
-        Poll::Ready(Some(Err(reason.into())))
+        Poll::Ready(Some(Err(format!("the response exceeded a time limit: {}", limit.name()).into())))
     }
 }
 
--- a/crates/engine/src/parts/attempt.rs
+++ b/crates/engine/src/parts/attempt.rs
@@ -6,8 +6,9 @@
 
 mod repeat_check;
 mod reply;
+mod unsized_body;
 
-use crate::parts::answer::{ResponseBody, Stream, UpstreamResponse};
+use crate::parts::answer::{ResponseBody, Stream, StreamOrigin, StreamTime, UpstreamResponse};
 use crate::parts::attempt_limits::{AttemptLimits, WithheldReason};
 use crate::parts::body::Payload;
 use crate::parts::connection::{Connection, WritePermit, head_length, wire_length};
@@ -117,8 +118,8 @@
                 if outgoing.passage.begins == Begins::LastByte { request_length } else { head_bytes };
             let permit = mark_started_on_permit(permit, limits);
             let response = connection.send_with_permit(request, permit, limits.write_by);
-            let exchange_result = exchange(response, &outgoing.passage, &self.body_memory);
-            let exchange_result = time.limit(exchange_result).await;
+            let exchange_result =
+                exchange(response, &outgoing.passage, &self.body_memory, &time, limits.progress()).await;
             let written = connection.written() - written_before;
             // A streaming body is complete when its last byte was written, whatever length it announced.
             let may_have_started = match &outgoing.body {
@@ -130,7 +131,7 @@
             let request_end = written_before + request_length;
             let may_be_duplicate = is_reused && upstream.reuse.has_shown_unsolicited_data();
             match exchange_result {
-                Ok(Ok(reply))
+                Ok(reply)
                     if is_stale_response(&reply, outgoing, &connection, request_end, may_be_duplicate) =>
                 {
                     connection.report_unsolicited(UnsolicitedKind::BeforeRequestEnd);
@@ -143,7 +144,7 @@
                     );
                     return if may_have_started { Outcome::Error } else { Outcome::ConnectFailed }.into();
                 }
-                Ok(Ok(reply)) => {
+                Ok(reply) => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -158,15 +159,38 @@
                     {
                         return Outcome::Error.into();
                     }
-                    let sender = (id, upstream, process_epoch);
-                    return self.handle_response(sender, connection, outgoing, reply, request_end);
+                    let origin = StreamOrigin {
+                        upstream: id,
+                        connection: connection_number,
+                        started_at,
+                        written,
+                        log: Rc::clone(&self.time_limits),
+                    };
+                    let sender = (upstream, process_epoch);
+                    return self.handle_response(sender, origin, connection, outgoing, reply, request_end);
+                }
+                Err(ExchangeError::TimedOut(limit)) => {
+                    self.time_limits.record(&LimitedExchange {
+                        limit,
+                        upstream: id,
+                        connection: connection_number,
+                        lasted: started_at.elapsed(),
+                        written,
+                        received: 0,
+                    });
+                    return match limit {
+                        _ if is_sender_fault(&outgoing.body) => Outcome::Cancelled,
+                        _ if may_have_started => Outcome::TimedOut,
+                        _ => Outcome::NotSent,
+                    }
+                    .into();
                 }
                 // The time left in the request is stale, or the connection was closed while idle. No byte was
                 // written: build the request again, or use another connection.
-                Ok(Err(_))
+                Err(_)
                     if written == 0
                         && connection.withheld_reason() == Some(WithheldReason::StaleTimeLeft) => {}
-                Ok(Err(e)) if written == 0 && is_reused && connection.withheld_reason().is_none() => {
+                Err(e) if written == 0 && is_reused && connection.withheld_reason().is_none() => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -174,7 +198,7 @@
                         "connection closed before its next request: {e}"
                     );
                 }
-                Ok(Err(e)) => {
+                Err(e) => {
                     tracing::debug!(
                         upstream = id.0,
                         connection = connection_number,
@@ -193,22 +217,6 @@
                     }
                     .into();
                 }
-                Err(limit) => {
-                    self.time_limits.record(&LimitedExchange {
-                        limit,
-                        upstream: id,
-                        connection: connection_number,
-                        lasted: started_at.elapsed(),
-                        written,
-                        received: 0,
-                    });
-                    return match limit {
-                        _ if is_sender_fault(&outgoing.body) => Outcome::Cancelled,
-                        _ if may_have_started => Outcome::TimedOut,
-                        _ => Outcome::NotSent,
-                    }
-                    .into();
-                }
             }
         }
     }
@@ -255,13 +263,15 @@
     /// request.
     fn handle_response(
         self: &Rc<Self>,
-        (id, upstream, process_epoch): (UpstreamId, Rc<Upstream>, u32),
+        (upstream, process_epoch): (Rc<Upstream>, u32),
+        origin: StreamOrigin,
         connection: Connection,
         outgoing: &OutboundRequest,
         reply: Reply,
         request_end: u64,
     ) -> AttemptResult {
         let Reply { parts: Parts { status, mut headers, .. }, means, body } = reply;
+        let id = origin.upstream;
         let report_header = headers.remove(LOAD).filter(|_| self.reports.get() == Reports::Inline);
         let load_report =
             report_header.map_or_else(Vec::new, |report_header| self.read_report(report_header.as_bytes()));
@@ -280,22 +290,15 @@
                 }
                 ResponseBody::Buffered(body)
             }
-            ReceivedBody::Streaming(prefetched, incoming) => {
+            ReceivedBody::Streaming(prefetched, incoming, progress) => {
                 let (upstreams, (idle, total)) = (Rc::clone(self), outgoing.passage.patience());
                 let return_connection = Box::new(move |connection: Connection| {
                     if is_fully_written(&connection) {
                         upstreams.return_connection(id, &upstream, process_epoch, connection);
                     }
                 });
-                let deadline = Instant::now() + total;
-                ResponseBody::Stream(Stream::new(
-                    prefetched,
-                    incoming,
-                    connection,
-                    return_connection,
-                    idle,
-                    deadline,
-                ))
+                let time = StreamTime::new(idle, Instant::now() + total, progress, origin);
+                ResponseBody::Stream(Stream::new(prefetched, incoming, connection, return_connection, time))
             }
         };
         let (response, passes_error) =
--- a/crates/engine/src/parts/attempt/reply.rs
+++ b/crates/engine/src/parts/attempt/reply.rs
@@ -1,10 +1,14 @@
 //! Response to one attempt: its head, and a body that is buffered or streamed.
 
-use crate::parts::answer::is_malformed_body;
-use crate::parts::body::{BodyBuffer, Failure, collect_body};
-use crate::parts::buffer_memory::{BufferMemory, MemoryReservation};
+use super::unsized_body::HeldAnswer;
+use crate::parts::answer::{UnsizedProgress, is_malformed_body};
+use crate::parts::attempt_limits::ProgressObserver;
+use crate::parts::body::{Failure, collect_body};
+use crate::parts::buffer_memory::BufferMemory;
+use crate::parts::exchange_time::ExchangeTime;
+use crate::parts::time_limit::TimeLimit;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::Limited;
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -15,7 +19,6 @@
 use std::fmt;
 use std::future::Future;
 use std::hash::Hasher;
-use tokio::time::{Instant, timeout_at};
 
 /// Longest error body that is buffered, in bytes.
 const MAX_ERROR_BODY_BYTES: usize = 64 * 1024;
@@ -45,8 +48,8 @@
 pub(super) enum ReceivedBody {
     /// The complete body.
     Complete(Bytes),
-    /// The frames received so far, and the rest of the body.
-    Streaming(VecDeque<Frame<Bytes>>, Incoming),
+    /// The frames received so far, the rest of the body, and its progress if it has no stated length.
+    Streaming(VecDeque<Frame<Bytes>>, Incoming, Option<UnsizedProgress>),
 }
 
 /// Reason why an exchange produced no response.
@@ -57,6 +60,14 @@
     /// The response is malformed, though the connection works. The request may have run; the upstream is
     /// treated as one that responds with an error.
     Malformed(Failure),
+    /// A time limit has ended the exchange.
+    TimedOut(TimeLimit),
+}
+
+impl From<TimeLimit> for ExchangeError {
+    fn from(limit: TimeLimit) -> Self {
+        Self::TimedOut(limit)
+    }
 }
 
 impl fmt::Display for ExchangeError {
@@ -64,6 +75,7 @@
         match self {
             Self::Closed(e) => write!(f, "connection closed: {e}"),
             Self::Malformed(e) => write!(f, "malformed response: {e}"),
+            Self::TimedOut(limit) => write!(f, "time limit: {}", limit.name()),
         }
     }
 }
@@ -77,17 +89,20 @@
 }
 
 /// Classifies an error of a response body.
-fn body_error(e: Failure) -> ExchangeError {
+pub(super) fn body_error(e: Failure) -> ExchangeError {
     if is_malformed_body(&e) { ExchangeError::Malformed(e) } else { ExchangeError::Closed(e) }
 }
 
-/// Sends one request and reads the response: completely, or up to the point where it streams.
+/// Sends one request and reads the response, within the time of the exchange: completely, or up to the point
+/// where it streams. `observer` is told of an answer that comes and is held.
 pub(super) async fn exchange(
     response: impl Future<Output = hyper::Result<Response<Incoming>>>,
     passage: &Passage,
     body_memory: &BufferMemory,
+    time: &ExchangeTime,
+    observer: Option<&ProgressObserver>,
 ) -> Result<Reply, ExchangeError> {
-    let (parts, body) = response.await?.into_parts();
+    let (parts, body) = time.limit(response).await??.into_parts();
     if parts.headers.contains_key(CONTENT_LENGTH) && parts.headers.contains_key(TRANSFER_ENCODING) {
         return Err(ExchangeError::Malformed("both Content-Length and Transfer-Encoding".into()));
     }
@@ -95,62 +110,53 @@
         return Err(ExchangeError::Malformed("unrequested protocol upgrade (status 101)".into()));
     }
     let means = passage.meaning.of(parts.status, &parts.headers);
-    let Answers { buffer, hold, most: max_length, .. } = passage.answers;
-    let body = match means {
-        Means::Final { .. } => {
-            let known_length = body.size_hint().exact();
-            if let Some(n) = known_length.filter(|n| *n > max_length) {
-                return Err(ExchangeError::Malformed(
-                    format!("body of {n} bytes exceeds the limit of {max_length}").into(),
-                ));
-            }
-            let buffered_length = match known_length {
-                Some(n) => (n <= buffer as u64).then_some(n as usize),
-                None => (!hold.is_zero()).then_some(buffer),
-            };
+    let body = match (means, body.size_hint().exact()) {
+        (Means::Final { .. }, Some(length)) => {
+            receive_sized(body, length, &passage.answers, body_memory, time).await?
+        }
+        (Means::Final { .. }, None) => {
+            let answers = &passage.answers;
+            let max_short_bytes = answers.short_ends_in_time.then_some(answers.buffer as u64);
+            let progress = UnsizedProgress::new(max_short_bytes, time.clone());
+            let buffered_length = (!answers.hold.is_zero()).then_some(answers.buffer);
             match buffered_length.and_then(|n| body_memory.reserve_body(n)) {
-                Some(reservation) if known_length.is_some() => {
-                    let length = buffered_length.unwrap_or_default();
-                    let body = collect_body(body, length).await.map_err(body_error)?;
-                    ReceivedBody::Complete(reservation.attach_to(body))
+                Some(reservation) => {
+                    HeldAnswer::new(answers, time, progress, observer).receive(body, reservation).await?
                 }
-                Some(reservation) => buffer_unsized(body, buffer, Instant::now() + hold, reservation).await?,
-                // Without free body memory the response streams, and its reader sets the pace.
-                None => ReceivedBody::Streaming(VecDeque::new(), body),
+                None => ReceivedBody::Streaming(VecDeque::new(), body, Some(progress)),
             }
         }
-        _ => ReceivedBody::Complete(read_complete(body, MAX_ERROR_BODY_BYTES, body_memory).await?),
+        _ => {
+            let complete = read_complete(body, MAX_ERROR_BODY_BYTES, body_memory);
+            ReceivedBody::Complete(time.limit(complete).await??)
+        }
     };
     Ok(Reply { parts, means, body })
 }
 
-/// Reads a body of unknown length. Returns it complete if it ends within `buffer` bytes and before `until`;
-/// otherwise the rest streams.
-async fn buffer_unsized(
-    mut body: Incoming,
-    buffer: usize,
-    until: Instant,
-    reservation: MemoryReservation,
+/// Receives the body of a final response of this length. Without free body memory it streams, and its reader
+/// sets the pace.
+async fn receive_sized(
+    body: Incoming,
+    length: u64,
+    answers: &Answers,
+    body_memory: &BufferMemory,
+    time: &ExchangeTime,
 ) -> Result<ReceivedBody, ExchangeError> {
-    let mut received = BodyBuffer::with_capacity(buffer);
-    let mut trailers = None;
-    while received.len() <= buffer && trailers.is_none() {
-        let Ok(frame) = timeout_at(until, body.frame()).await else { break };
-        match frame.transpose().map_err(|e| body_error(e.into()))?.map(Frame::into_data) {
-            Some(Ok(data)) => received.push(data),
-            // Trailers can only be forwarded after the data in a stream.
-            Some(Err(frame)) => trailers = Some(frame),
-            None => {
-                return Ok(ReceivedBody::Complete(
-                    reservation.shrink_to(received.len()).attach_to(received.into_bytes()),
-                ));
-            }
+    let max_length = answers.most;
+    if length > max_length {
+        return Err(ExchangeError::Malformed(
+            format!("body of {length} bytes exceeds the limit of {max_length}").into(),
+        ));
+    }
+    let buffered_length = usize::try_from(length).ok().filter(|n| *n <= answers.buffer);
+    match buffered_length.and_then(|n| Some((n, body_memory.reserve_body(n)?))) {
+        Some((n, reservation)) => {
+            let body = time.limit(collect_body(body, n)).await?.map_err(body_error)?;
+            Ok(ReceivedBody::Complete(reservation.attach_to(body)))
         }
+        None => Ok(ReceivedBody::Streaming(VecDeque::new(), body, None)),
     }
-    // What was received stays in memory until it is forwarded.
-    let data = reservation.shrink_to(received.len()).attach_to(received.into_bytes());
-    let data = (!data.is_empty()).then(|| Frame::data(data));
-    Ok(ReceivedBody::Streaming(data.into_iter().chain(trailers).collect(), body))
 }
 
 /// Reads a complete body of at most `max_length` bytes. Fails if the body memory is exhausted.
--- a/crates/engine/src/parts/attempt_limits.rs
+++ b/crates/engine/src/parts/attempt_limits.rs
@@ -46,11 +46,34 @@
     }
 }
 
+/// Receives reports that a held answer comes.
+#[derive(Clone)]
+pub struct ProgressObserver(Rc<dyn Fn()>);
+
+impl ProgressObserver {
+    /// Creates an observer from a function that is called with each report.
+    pub fn new(on_progress: impl Fn() + 'static) -> Self {
+        Self(Rc::new(on_progress))
+    }
+
+    pub(crate) fn on_progress(&self) {
+        (self.0)();
+    }
+}
+
+impl fmt::Debug for ProgressObserver {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("ProgressObserver")
+    }
+}
+
 /// Limits of one attempt.
 #[derive(Clone, Debug)]
 pub struct AttemptLimits {
     /// Time until which the response is awaited.
     pub answer_by: Instant,
+    /// Time at which the client stops waiting.
+    pub deadline: Instant,
     /// Time before which the last byte must be written: a retry outside the window of its key would run the
     /// request a second time.
     pub write_by: Option<Instant>,
@@ -60,12 +83,22 @@
     presence: Option<Presence>,
     /// True once the first byte may have been written.
     started: Rc<Cell<bool>>,
+    /// Told that an answer has begun and comes, while it is held.
+    progress: Option<ProgressObserver>,
 }
 
 impl AttemptLimits {
     /// Creates the limits of a request's first attempt.
     pub fn first(answer_by: Instant) -> Self {
-        Self { answer_by, write_by: None, is_repeat: false, presence: None, started: Rc::default() }
+        Self {
+            answer_by,
+            deadline: answer_by,
+            write_by: None,
+            is_repeat: false,
+            presence: None,
+            started: Rc::default(),
+            progress: None,
+        }
     }
 
     /// Creates the limits of a retry or a hedge.
@@ -78,6 +111,21 @@
         Self { presence, ..self }
     }
 
+    /// Sets the time at which the client stops waiting, which may be later than that for this attempt.
+    pub fn with_deadline(self, deadline: Instant) -> Self {
+        Self { deadline, ..self }
+    }
+
+    /// Reports to `observer` that an answer comes that is held.
+    pub fn with_progress(self, observer: ProgressObserver) -> Self {
+        Self { progress: Some(observer), ..self }
+    }
+
+    /// Returns the observer of answers that come and are held.
+    pub fn progress(&self) -> Option<&ProgressObserver> {
+        self.progress.as_ref()
+    }
+
     /// Returns the remaining time to wait for the response.
     pub fn time_left(&self) -> Duration {
         self.answer_by.saturating_duration_since(Instant::now())
--- a/crates/engine/src/parts/body/upload.rs
+++ b/crates/engine/src/parts/body/upload.rs
@@ -8,11 +8,13 @@
 use crate::parts::time_limit::TimeLimit;
 use bytes::Bytes;
 use hyper::body::Frame;
+use maplehook_core::exchange_time::AnswerDue;
 use prometheus_client::metrics::counter::Counter;
 use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -142,9 +144,10 @@
         self.started.notified().await;
     }
 
-    /// Waits until the body, or the response to it, has exceeded a timeout, and returns which.
-    pub async fn wait_until_timed_out(&self) -> TimeLimit {
-        let limit = self.time.wait_until_exceeded().await;
+    /// Waits until the body, or the response to it, has exceeded a timeout, and returns which. `answer_by`
+    /// picks the time until which the response is awaited.
+    pub async fn wait_until_timed_out(&self, answer_by: fn(&AnswerDue) -> Duration) -> TimeLimit {
+        let limit = self.time.wait_until_exceeded(answer_by).await;
         if limit == TimeLimit::ClientIdle {
             self.fault.set(Some(Fault::Slow));
         }
--- a/crates/engine/src/parts/body/upload/tests.rs
+++ b/crates/engine/src/parts/body/upload/tests.rs
@@ -4,7 +4,6 @@
 use hyper::body::Body;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
-use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, advance};
 
@@ -55,7 +54,7 @@
 
 /// Polls once whether a timeout has expired.
 async fn has_timed_out(upload: &Upload) -> bool {
-    let mut expiry = std::pin::pin!(upload.wait_until_timed_out());
+    let mut expiry = std::pin::pin!(upload.wait_until_timed_out(AnswerDue::begin_by));
     poll_fn(|cx| Poll::Ready(expiry.as_mut().poll(cx).is_ready())).await
 }
 
@@ -72,7 +71,7 @@
     }
     assert!(poll_once(&mut active.body).is_pending());
     let start = Instant::now();
-    active.upload.wait_until_timed_out().await;
+    active.upload.wait_until_timed_out(AnswerDue::begin_by).await;
     assert!((TIMEOUTS.sender..TIMEOUTS.sender + TOLERANCE).contains(&start.elapsed()));
     assert_eq!(active.upload.fault(), Some(Fault::Slow));
 }
@@ -91,6 +90,6 @@
     assert!(!has_timed_out(&active.upload).await);
     active.sender.send(Bytes::from_static(b"more")).unwrap();
     assert!(poll_once(&mut active.body).is_ready());
-    active.upload.wait_until_timed_out().await;
+    active.upload.wait_until_timed_out(AnswerDue::begin_by).await;
     assert_eq!(active.upload.fault(), None);
 }
--- a/crates/engine/src/parts/body/upload/time.rs
+++ b/crates/engine/src/parts/body/upload/time.rs
@@ -139,7 +139,7 @@
     }
 
     /// Returns the limit that binds now, and when it is exceeded unless something happens before.
-    fn binding_limit(&self) -> (Instant, TimeLimit) {
+    fn binding_limit(&self, answer_by: fn(&AnswerDue) -> Duration) -> (Instant, TimeLimit) {
         let UploadTimeouts { idle, sender, total, .. } = self.timeouts;
         let is_complete = self.completed_at.get().is_some();
         let waiting_since = self.waiting_since.get().filter(|_| !is_complete);
@@ -148,7 +148,7 @@
             None if is_complete => None,
             None => Some((self.last_progress.get() + idle, TimeLimit::UpstreamIdle)),
         };
-        let due = (self.created_at + self.due().begin_by(), TimeLimit::AnswerDue);
+        let due = (self.created_at + answer_by(&self.due()), TimeLimit::AnswerDue);
         let total = (self.created_at + total, TimeLimit::Total);
         progress.into_iter().fold(if due.0 <= total.0 { due } else { total }, |first, other| {
             if other.0 <= first.0 { other } else { first }
@@ -162,16 +162,18 @@
         if earliest > now { next.min(earliest) } else { next }
     }
 
-    /// Waits until a limit is exceeded, and returns it.
-    pub(super) async fn wait_until_exceeded(&self) -> TimeLimit {
+    /// Waits until a limit is exceeded, and returns it; `answer_by` picks the time until which the answer is
+    /// awaited.
+    pub(super) async fn wait_until_exceeded(&self, answer_by: fn(&AnswerDue) -> Duration) -> TimeLimit {
         let mut rechecked = false;
         loop {
-            let ((exceeded_at, limit), now) = (self.binding_limit(), Instant::now());
+            let ((exceeded_at, limit), now) = (self.binding_limit(answer_by), Instant::now());
             if exceeded_at > now {
                 rechecked = false;
                 sleep_until(self.next_check(exceeded_at, now)).await;
             } else if limit == TimeLimit::ClientIdle && !rechecked {
-                // After a suspension of the process, timers fire before the data that arrived meanwhile is read.
+                // After a suspension of the process, timers fire before the data that arrived meanwhile is
+                // read.
                 rechecked = true;
                 sleep(RECHECK_DELAY).await;
             } else {
--- a/crates/engine/src/parts/driver.rs
+++ b/crates/engine/src/parts/driver.rs
@@ -80,6 +80,8 @@
     DiscoveryMoved,
     RequestReceived(RequestId),
     AttemptEnded(RequestId, AttemptNo, AttemptResult),
+    /// Part of an answer to this attempt has arrived, and is held.
+    AnswerProgress(RequestId, AttemptNo),
     /// The body of this attempt has started to stream.
     UploadStarted(RequestId, AttemptNo),
     /// A streamed response has ended.
@@ -292,6 +294,7 @@
                 let is_streaming =
                     matches!(&result.response, Some(UpstreamResponse { body: ResponseBody::Stream(_), .. }));
                 if is_streaming && request.reply.is_some() {
+                    let latency = attempt.answer_began_at.map_or(latency, |at| at - attempt.sent);
                     let latency = (!std::mem::replace(&mut attempt.is_streaming, true)).then_some(latency);
                     self.deliver_response(request, id, no, upstream, result.response);
                     let event = Event::StreamStarted { id, attempt: no, latency };
@@ -323,6 +326,12 @@
                 core.balancer.handle(now, event, &mut actions);
                 self.remove_if_finished(core, id);
             }
+            DriverEvent::AnswerProgress(id, no) => {
+                let Some(request) = core.requests.get_mut(&id) else { return };
+                let Some(attempt) = request.attempts.get_mut(usize::from(no.0)) else { return };
+                attempt.answer_began_at.get_or_insert_with(Instant::now);
+                core.balancer.handle(now, Event::AnswerProgress { id, attempt: no }, &mut actions);
+            }
             DriverEvent::UploadStarted(id, no) => {
                 let Some(request) = core.requests.get_mut(&id) else { return };
                 let Some(attempt) = request.attempts.get_mut(usize::from(no.0)).filter(|a| a.in_flight)
--- a/crates/engine/src/parts/driver/actions.rs
+++ b/crates/engine/src/parts/driver/actions.rs
@@ -3,6 +3,7 @@
 use super::in_flight::{Attempt, InFlightRequest};
 use super::{Answer, Core, Driver, DriverEvent, Trace};
 use crate::parts::answer::{ResponseBody, UpstreamResponse};
+use crate::parts::attempt_limits::ProgressObserver;
 use crate::parts::body::Payload;
 use crate::source::EndpointUpdate;
 use maplehook_core::{Action, AttemptNo, Endpoint, Outcome, RequestId, UpdateScope, UpstreamId};
@@ -163,6 +164,13 @@
         let timeout = timeout.filter(|_| matches!(request.context.outgoing.body, Payload::Buffered(_)));
         let answer_by = timeout.map_or(request.context.deadline, |t| request.context.deadline.min(sent + t));
         let limits = request.attempt_limits(answer_by, self.upstreams.dedup_window(request.context.class));
+        let observed = Rc::downgrade(self);
+        let limits =
+            limits.with_deadline(request.context.deadline).with_progress(ProgressObserver::new(move || {
+                if let Some(driver) = observed.upgrade() {
+                    driver.handle_event(DriverEvent::AnswerProgress(id, no));
+                }
+            }));
         let (driver, context, task_limits) = (Rc::clone(self), Rc::clone(&request.context), limits.clone());
         let mut abort = self.abort.subscribe();
         let task = spawn_local(async move {
--- a/crates/engine/src/parts/driver/in_flight.rs
+++ b/crates/engine/src/parts/driver/in_flight.rs
@@ -22,6 +22,8 @@
     pub(super) task: AbortHandle,
     /// True until the end of the attempt was reported to the decision module.
     pub(super) in_flight: bool,
+    /// Time at which an answer began that is held.
+    pub(super) answer_began_at: Option<Instant>,
     /// True once the decision module knows that the attempt streams.
     pub(super) is_streaming: bool,
     /// True if the attempt ended and is proved not to have run.
@@ -31,7 +33,16 @@
 impl Attempt {
     /// Creates an attempt that starts now.
     pub(super) fn new(upstream: UpstreamId, sent: Instant, limits: AttemptLimits, task: AbortHandle) -> Self {
-        Self { upstream, sent, limits, task, in_flight: true, is_streaming: false, never_ran: false }
+        Self {
+            upstream,
+            sent,
+            limits,
+            task,
+            in_flight: true,
+            answer_began_at: None,
+            is_streaming: false,
+            never_ran: false,
+        }
     }
 
     /// Records the outcome of the attempt.
--- a/crates/engine/src/parts/exchange_time.rs
+++ b/crates/engine/src/parts/exchange_time.rs
@@ -1,11 +1,13 @@
-//! Time of one exchange, from the first byte of the request to the last byte of the answer: by when its answer has
-//! to begin, by when a short one has to end, and which limit ends it otherwise.
+//! Time of one exchange, from the first byte of the request to the last byte of the answer: by when its
+//! answer has to begin, by when a short one has to end, and which limit ends it otherwise.
 
 use crate::parts::attempt_limits::AttemptLimits;
 use crate::parts::body::{Payload, Upload};
 use crate::parts::time_limit::TimeLimit;
+use maplehook_core::exchange_time::{AnswerDue, LATE_ANSWER_GRACE};
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
 /// Time of one attempt's exchange.
@@ -13,6 +15,8 @@
 pub struct ExchangeTime {
     /// Time until which the answer to a complete request is awaited.
     answer_by: Instant,
+    /// Time at which the client of a complete request stops waiting.
+    deadline: Instant,
     /// Body of a request that streams, which has a time of its own.
     upload: Option<Rc<Upload>>,
 }
@@ -20,24 +24,47 @@
 impl ExchangeTime {
     /// Creates the time of an attempt to send a request with this body.
     pub fn new(body: &Payload, limits: &AttemptLimits) -> Self {
-        Self { answer_by: limits.answer_by, upload: body.upload() }
+        Self { answer_by: limits.answer_by, deadline: limits.deadline, upload: body.upload() }
+    }
+
+    /// Returns from when on what has come of a final answer is passed on.
+    pub fn pass_on_at(&self) -> Instant {
+        self.upload_due(|due| due.earliest).unwrap_or(self.answer_by)
     }
 
     /// Returns by when a final answer has to begin, as far as that is known now.
     pub fn begin_by(&self) -> Instant {
-        self.upload.as_ref().map_or(self.answer_by, |upload| {
-            let time = upload.time();
-            time.origin() + time.due().begin_by()
-        })
+        self.upload_due(AnswerDue::begin_by).unwrap_or(self.answer_by)
+    }
+
+    /// Returns by when a short answer has to end, as far as that is known now.
+    pub fn end_by(&self) -> Instant {
+        self.upload_due(AnswerDue::end_by).unwrap_or_else(|| self.deadline + LATE_ANSWER_GRACE)
     }
 
-    /// Runs a part of the exchange, unless a limit ends the exchange before.
+    fn upload_due(&self, part: impl FnOnce(&AnswerDue) -> Duration) -> Option<Instant> {
+        self.upload.as_ref().map(|upload| upload.time().origin() + part(&upload.time().due()))
+    }
+
+    /// Runs a part of the exchange in which the final answer has not begun, unless a limit ends the exchange
+    /// before.
     pub async fn limit<T>(&self, part: impl Future<Output = T>) -> Result<T, TimeLimit> {
         match &self.upload {
             None => timeout_at(self.answer_by, part).await.map_err(|_| TimeLimit::AnswerDue),
             Some(upload) => tokio::select! {
                 result = part => Ok(result),
-                limit = upload.wait_until_timed_out() => Err(limit),
+                limit = upload.wait_until_timed_out(AnswerDue::begin_by) => Err(limit),
+            },
+        }
+    }
+
+    /// Runs a part of the exchange in which the final answer has begun, and is held.
+    pub async fn limit_begun<T>(&self, part: impl Future<Output = T>) -> Result<T, TimeLimit> {
+        match &self.upload {
+            None => timeout_at(self.end_by(), part).await.map_err(|_| TimeLimit::AnswerDue),
+            Some(upload) => tokio::select! {
+                result = part => Ok(result),
+                limit = upload.wait_until_timed_out(AnswerDue::end_by) => Err(limit),
             },
         }
     }
--- a/crates/engine/src/parts/time_limit.rs
+++ b/crates/engine/src/parts/time_limit.rs
@@ -10,6 +10,8 @@
 pub enum TimeLimit {
     /// The answer has not begun by the time it is due.
     AnswerDue,
+    /// An answer without a stated length is short, late, and does not come fast enough to become long.
+    ShortAnswerDue,
     /// The upstream has accepted or sent no data for too long.
     UpstreamIdle,
     /// The client has sent no data for too long in the middle of a body.
@@ -23,6 +25,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::AnswerDue => "answer_due",
+            Self::ShortAnswerDue => "short_answer_due",
             Self::UpstreamIdle => "upstream_idle",
             Self::ClientIdle => "client_idle",
             Self::Total => "total",
@@ -32,7 +35,7 @@
     /// Returns the party that was waited for.
     pub fn waited_for(self) -> &'static str {
         match self {
-            Self::AnswerDue | Self::UpstreamIdle | Self::Total => "upstream",
+            Self::AnswerDue | Self::ShortAnswerDue | Self::UpstreamIdle | Self::Total => "upstream",
             Self::ClientIdle => "client",
         }
     }
--- a/crates/http-semantics/src/meaning.rs
+++ b/crates/http-semantics/src/meaning.rs
@@ -95,6 +95,9 @@
     pub buffer: usize,
     /// How long one that does not say how long it is may be held, in case that it is short.
     pub hold: Duration,
+    /// Whether one that does not say how long it is, and is short, has to end by the request's time. One that comes
+    /// so fast that it may become long goes on.
+    pub short_ends_in_time: bool,
     /// The longest body that an answer may say it has, in bytes; a longer one is an error.
     pub most: u64,
     /// The longest silence of an upstream in the middle of an answer.
@@ -103,9 +106,10 @@
     pub total: Duration,
 }
 
-/// On the platform an answer counts with its last byte, so that nothing is lost by holding one of no stated length until then;
-/// if it breaks off, or never ends, the request can still be answered otherwise. The request's own time is shorter.
-const HOLD: Duration = Duration::from_secs(3600);
+/// On the platform a short answer counts with its last byte, so that nothing is lost by holding one of no stated length until
+/// then: if it breaks off, or never ends, the request can still be answered otherwise. The rest of a long one must not be held
+/// for 2 s.
+const HOLD: Duration = Duration::from_millis(1500);
 
 /// The longest silence of a platform's client in the middle of a request. It is owed an error or the end of its connection
 /// within 3 s of its last byte; the balancer may be held up for 0.15 s before it has read that byte and before it writes.
@@ -141,6 +145,7 @@
             answers: Answers {
                 buffer: 64 * 1024,
                 hold: HOLD,
+                short_ends_in_time: true,
                 most: 1 << 30,
                 idle: Duration::from_secs(10),
                 total: Duration::from_secs(3600),
@@ -160,6 +165,7 @@
             answers: Answers {
                 buffer: 64 * 1024,
                 hold: Duration::ZERO,
+                short_ends_in_time: false,
                 most: u64::MAX,
                 idle: Duration::from_secs(30),
                 total: Duration::from_secs(3600),
