--- a/crates/middleware/tests/host.rs
+++ b/crates/middleware/tests/host.rs
@@ -11,6 +11,7 @@
 use maplehook_test_servers::app::{App, patterned};
 use maplehook_test_servers::{LONG, until};
 use maplehook_tower::{Balance, Balancing, CallError, Client, Peer, RejectionReason, Trace};
+use std::io::{Read, Write};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
@@ -259,3 +260,33 @@
     assert!(error.contains("line 2: class[1].path"), "{error}");
     assert!(error.contains("[[upstream]] is needed"), "{error}");
 }
+
+/// Guards clients of a host whose upstream reads a long body not to its end: they have a final answer in time.
+#[test]
+fn an_upload_that_is_not_read_is_answered_in_time() {
+    const WAIT: Duration = Duration::from_millis(500);
+    let (upstream, host) = (std::net::TcpListener::bind("127.0.0.1:0").unwrap(), host());
+    let file = format!(
+        "[[class]]\nname = \"book\"\npath = \"/book/**\"\nmethods = [\"POST\"]\neffect = \"at_most_once\"\n\
+         deadline_ms = {}\n[[upstream]]\nname = \"desk\"\naddress = \"{}\"\n",
+        WAIT.as_millis(),
+        upstream.local_addr().unwrap()
+    );
+    let balancing = Balancing::from_file(&file).unwrap();
+    let router = Router::new().layer(Balance::new(&balancing));
+    let address = host.block_on(async {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        tokio::spawn(async move { axum::serve(listener, router).await.unwrap() });
+        address
+    });
+    let mut client = std::net::TcpStream::connect(address).unwrap();
+    client.set_read_timeout(Some(LONG)).unwrap();
+    let head = "POST /book/1 HTTP/1.1\r\nHost: desk\r\nContent-Length: 600000\r\n\r\n";
+    client.write_all(head.as_bytes()).unwrap();
+    client.write_all(&[b'x'; 600_000]).unwrap();
+    let written_at = Instant::now();
+    assert!(client.read(&mut [0; 1024]).unwrap() > 0);
+    assert!(written_at.elapsed() < WAIT + Duration::from_millis(500), "{:?}", written_at.elapsed());
+    drop(upstream);
+}
