--- a/crates/proxy/tests/slow_bodies/main.rs
+++ b/crates/proxy/tests/slow_bodies/main.rs
@@ -235,3 +235,34 @@
     let wrong = play(&setup, &kinds, Some(Duration::from_millis(150)));
     assert!(wrong.is_empty(), "{} wrong\n{}", wrong.len(), wrong.join("\n"));
 }
+
+/// Guards bodies of 32 MB both ways: an upstream that keeps up is waited for, though its request takes longer than
+/// the client waits for the answer.
+#[test]
+fn bodies_of_32_mb_pass_both_ways() {
+    const BYTES: usize = 32 << 20;
+    /// Bytes per second: a body takes 0.8 s.
+    const RATE: usize = 40 << 20;
+    let upload = |n: usize| Exchange {
+        id: format!("up-{n}"),
+        is_safe: false,
+        script: format!("read={RATE}"),
+        wait: LONGER_WAIT,
+        body_bytes: BYTES,
+        is_chunked: n % 2 == 0,
+        write_rate: None,
+    };
+    let download = |n: usize| Exchange {
+        id: format!("down-{n}"),
+        is_safe: true,
+        script: format!("form={}&size={BYTES}&over=800", ["chunked", "close"][n % 2]),
+        wait: WAIT,
+        body_bytes: 0,
+        is_chunked: false,
+        write_rate: None,
+    };
+    assert_all_right(&[
+        Kind { name: "up", exchanges: (0..2).map(upload).collect(), expected: Expected::Whole },
+        Kind { name: "down", exchanges: (0..2).map(download).collect(), expected: Expected::Whole },
+    ]);
+}
