Long requests: a hold-up of 0.15 s fits between a final answer's time and its last moment

Where the time of a request is not known exactly, its final answer came up to 0.43 s after it, which leaves 0.07 s.

Change: an answer that has not begun comes by 0.33 s after the earliest time. One that is being received keeps the 0.43 s, since upstreams pause for up to 0.8 s within a long answer.

--- a/crates/core/src/exchange_time.rs
+++ b/crates/core/src/exchange_time.rs
@@ -10,9 +10,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time after a request's own within which a final answer still counts as one, less a margin for delivering
-/// it.
-pub const LATE_ANSWER_GRACE: Duration = Duration::from_millis(430);
+/// Time after a request's own by which a final answer must have begun whose time is not known exactly. An answer
+/// counts for 0.5 s, and the balancer may be held up for 0.15 s before it writes.
+pub const LATE_BEGIN_GRACE: Duration = Duration::from_millis(330);
+/// Time after a request's own by which a short answer must have ended that is received meanwhile: the 0.5 s, less
+/// a margin for delivering it. Upstreams pause for up to 0.8 s within a long answer.
+pub const LATE_END_GRACE: Duration = Duration::from_millis(430);
 
 /// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4
 /// MiB, and a receive buffer that nobody reads stays small.
@@ -98,11 +101,12 @@
 
     /// Returns the time by which a final answer must have begun.
     pub fn begin_by(&self) -> Duration {
-        self.latest.map_or(self.end_by(), |latest| latest.min(self.end_by()))
+        let begin_by = self.earliest + LATE_BEGIN_GRACE;
+        self.latest.map_or(begin_by, |latest| latest.min(begin_by))
     }
 
     /// Returns the time by which a short answer must have ended.
     pub fn end_by(&self) -> Duration {
-        self.earliest + LATE_ANSWER_GRACE
+        self.earliest + LATE_END_GRACE
     }
 }
--- a/crates/core/tests/exchange_time.rs
+++ b/crates/core/tests/exchange_time.rs
@@ -1,6 +1,6 @@
 //! When an answer is due whose request is not seen to its last byte.
 
-use maplehook_core::exchange_time::{AnswerDue, LATE_ANSWER_GRACE, SenderClock};
+use maplehook_core::exchange_time::{AnswerDue, LATE_BEGIN_GRACE, LATE_END_GRACE, SenderClock};
 use std::time::Duration;
 
 const MIB: usize = 1 << 20;
@@ -54,11 +54,11 @@
 #[test]
 fn an_answer_is_due_by_the_earliest_time_and_the_grace() {
     let complete = AnswerDue::new(ms(1000), Some(ms(1000)), WAIT);
-    assert_eq!((complete.begin_by(), complete.end_by()), (ms(1400), ms(1400) + LATE_ANSWER_GRACE));
+    assert_eq!((complete.begin_by(), complete.end_by()), (ms(1400), ms(1400) + LATE_END_GRACE));
     let hidden = AnswerDue::new(ms(1000), Some(ms(5000)), WAIT);
-    assert_eq!(hidden.begin_by(), ms(1400) + LATE_ANSWER_GRACE);
+    assert_eq!(hidden.begin_by(), ms(1400) + LATE_BEGIN_GRACE);
     let short_time = AnswerDue::new(ms(1000), Some(ms(1100)), WAIT);
     assert_eq!((short_time.earliest, short_time.begin_by()), (ms(1400), ms(1500)));
     let incomplete = AnswerDue::new(ms(1000), None, WAIT);
-    assert_eq!(incomplete.begin_by(), ms(1400) + LATE_ANSWER_GRACE);
+    assert_eq!(incomplete.begin_by(), ms(1400) + LATE_BEGIN_GRACE);
 }
--- a/crates/engine/src/parts/exchange_time.rs
+++ b/crates/engine/src/parts/exchange_time.rs
@@ -4,7 +4,7 @@
 use crate::parts::attempt_limits::AttemptLimits;
 use crate::parts::body::{Payload, Upload};
 use crate::parts::time_limit::TimeLimit;
-use maplehook_core::exchange_time::{AnswerDue, LATE_ANSWER_GRACE};
+use maplehook_core::exchange_time::{AnswerDue, LATE_END_GRACE};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -43,7 +43,7 @@
 
     /// Returns by when a short answer has to end, as far as that is known now.
     pub fn end_by(&self) -> Instant {
-        self.upload_due(AnswerDue::end_by).unwrap_or_else(|| self.deadline + LATE_ANSWER_GRACE)
+        self.upload_due(AnswerDue::end_by).unwrap_or_else(|| self.deadline + LATE_END_GRACE)
     }
 
     fn upload_due(&self, part: impl FnOnce(&AnswerDue) -> Duration) -> Option<Instant> {
--- a/crates/proxy/tests/slow_bodies/main.rs
+++ b/crates/proxy/tests/slow_bodies/main.rs
@@ -249,7 +249,7 @@
         script: format!("read={RATE}"),
         wait: LONGER_WAIT,
         body_bytes: BYTES,
-        is_chunked: n % 2 == 0,
+        is_chunked: n.is_multiple_of(2),
         write_rate: None,
     };
     let download = |n: usize| Exchange {
