--- a/tools/testbed/src/soak.rs
+++ b/tools/testbed/src/soak.rs
@@ -8,6 +8,7 @@
 mod balancer;
 mod check;
 mod clients;
+mod long_bodies;
 mod plan;
 mod upstream;
 
@@ -66,25 +67,34 @@
         .upstreams
         .iter()
         .enumerate()
-        .map(|(n, plan)| Upstream::start(plan.clone(), seed + n as u64))
+        .map(|(n, upstream)| Upstream::start(upstream.clone(), seed + n as u64, plan.long_share))
         .collect();
     let lateness = Lateness::start();
     let mut summary = Summary::new(seed);
     for (n, life) in plan.lives.iter().enumerate() {
         let mut balancer = Balancer::start(program, &plan, &upstreams, n)?;
         let clients = Clients::start(&plan, balancer.address, seed * 1000 + n as u64);
-        let (killed_at, peak_memory) = play_life(&plan, life, &mut balancer)?;
+        let (end, peak_memory) = play_life(&plan, life, &mut balancer)?;
         summary.add_peak_memory(&plan, peak_memory);
-        let requests = clients.stop(killed_at);
+        let requests = clients.stop(end.killed_at);
         let executions: Vec<_> = upstreams.iter().flat_map(Upstream::take_executions).collect();
-        summary.add(check::check(&plan, &requests, &executions, killed_at, lateness.longest()));
+        summary.add(check::check(&plan, &requests, &executions, end, lateness.longest()));
     }
     summary.finish(lateness.longest());
     Ok(summary)
 }
 
-/// Sends the signals of one life, and returns the time of SIGKILL and the most memory that was held, in KiB.
-fn play_life(plan: &Plan, life: &Life, balancer: &mut Balancer) -> Result<(Instant, u64), String> {
+/// When a balancer was told to end.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndOfLife {
+    /// Time of SIGTERM.
+    pub(crate) terminated_at: Instant,
+    /// Time of SIGKILL.
+    pub(crate) killed_at: Instant,
+}
+
+/// Sends the signals of one life, and returns its end and the most memory that was held, in KiB.
+fn play_life(plan: &Plan, life: &Life, balancer: &mut Balancer) -> Result<(EndOfLife, u64), String> {
     let start = Instant::now();
     send_signals(&life.signals, start, balancer)?;
     if !balancer.is_running() {
@@ -103,7 +113,7 @@
     sleep_until(kill_at);
     let killed_at = Instant::now();
     balancer.kill();
-    Ok((killed_at, peak_memory.unwrap_or_default()))
+    Ok((EndOfLife { terminated_at, killed_at }, peak_memory.unwrap_or_default()))
 }
 
 fn send_signals(
--- a/tools/testbed/src/soak/check.rs
+++ b/tools/testbed/src/soak/check.rs
@@ -1,12 +1,13 @@
 //! The rules, held against what clients and upstreams recorded.
 
 use super::clients::{End, Request};
+use super::long_bodies::{LongBody, is_made_for};
 use super::plan::Plan;
 use super::upstream::Execution;
-use super::{ANSWER_MARGIN, MAX_LATENESS};
+use super::{ANSWER_MARGIN, EndOfLife, KILL_MARGIN, MAX_LATENESS};
 use std::collections::HashMap;
 use std::fmt;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Share of its memory limit that a balancer may hold.
 const MAX_MEMORY_SHARE: f64 = 0.9;
@@ -112,7 +113,7 @@
     plan: &Plan,
     requests: &[Request],
     executions: &[Execution],
-    killed_at: Instant,
+    end: EndOfLife,
     lateness: Duration,
 ) -> (usize, usize, Vec<Breach>) {
     let mut runs: HashMap<&str, usize> = HashMap::new();
@@ -123,7 +124,7 @@
     let mut breaches = Vec::new();
     for request in requests {
         let runs = runs.get(request.id.as_str()).copied().unwrap_or_default();
-        check_request(request, runs, killed_at, longest_wait, &mut breaches);
+        check_request(request, runs, end, longest_wait, &mut breaches);
     }
     let is_served = |request: &&Request| matches!(request.end, End::Answered { status: 200, .. });
     (requests.len(), requests.iter().filter(is_served).count(), breaches)
@@ -132,12 +133,19 @@
 fn check_request(
     request: &Request,
     runs: usize,
-    killed_at: Instant,
+    end: EndOfLife,
     longest_wait: Duration,
     breaches: &mut Vec<Breach>,
 ) {
     let id = || request.id.clone();
-    let waited = request.ended_at.saturating_duration_since(request.sent_at);
+    // The first bytes of a long answer are timed.
+    let answered_at = match request.long_body {
+        Some(LongBody::Answer(..)) => request.answered_at,
+        _ => request.ended_at,
+    };
+    let waited = answered_at.saturating_duration_since(request.sent_at);
+    // A long exchange may be found by SIGKILL if it began before connections had to be closed.
+    let may_be_found = request.long_body.is_some() && request.sent_at < end.terminated_at + KILL_MARGIN;
     if request.has_extra_bytes {
         breaches.push(Breach::SecondAnswer(id()));
     }
@@ -145,13 +153,16 @@
         breaches.push(Breach::RanTwice(id(), runs));
     }
     match &request.end {
-        End::Answered { status: 200, body } if *body != request.id.as_bytes() => {
+        End::Answered { status: 200, body } if !is_answer_to(request, body) => {
             breaches.push(Breach::WrongAnswer(id(), body.clone()));
         }
         End::Answered { status: 429 | 503, .. } if !request.is_safe && runs > 0 => {
             breaches.push(Breach::RefusedButRan(id()));
         }
-        End::Closed | End::Cut if request.ended_at >= killed_at => breaches.push(Breach::FoundByKill(id())),
+        End::Closed | End::Cut if request.ended_at >= end.killed_at && may_be_found => return,
+        End::Closed | End::Cut if request.ended_at >= end.killed_at => {
+            breaches.push(Breach::FoundByKill(id()));
+        }
         End::Closed if runs > 0 => breaches.push(Breach::Lost(id())),
         End::Cut => breaches.push(Breach::Cut(id())),
         End::Answered { .. } | End::Closed | End::Silent => {}
@@ -160,3 +171,11 @@
         breaches.push(Breach::Late(id(), waited));
     }
 }
+
+/// Returns true if a body was made for a request: its id, which a long answer repeats.
+fn is_answer_to(request: &Request, body: &[u8]) -> bool {
+    match request.long_body {
+        Some(LongBody::Answer(..)) => is_made_for(body, &request.id),
+        _ => body == request.id.as_bytes(),
+    }
+}
--- a/tools/testbed/src/soak/clients.rs
+++ b/tools/testbed/src/soak/clients.rs
@@ -1,6 +1,7 @@
 //! The clients of a run: each sends one request after the other, and keeps its connection while it may.
 
 use super::balancer::lock;
+use super::long_bodies::{self, LongBody};
 use super::plan::Plan;
 use super::{ANSWER_MARGIN, MAX_COUNTED_DEADLINE};
 use fastrand::Rng;
@@ -47,10 +48,14 @@
     pub id: String,
     /// True if it may run more than once.
     pub is_safe: bool,
+    /// Its long body or that of its answer.
+    pub long_body: Option<LongBody>,
     /// True if it was the first on its connection.
     pub is_first: bool,
-    /// Time before its first byte.
+    /// Time before its first byte; after its last one if its body is long.
     pub sent_at: Instant,
+    /// Time of the first byte of its answer, or of its end.
+    pub answered_at: Instant,
     /// Time of its end.
     pub ended_at: Instant,
     /// How it ended.
@@ -76,6 +81,8 @@
                 name: format!("{life}-{n}"),
                 balancer,
                 deadline: plan.deadline,
+                long_share: plan.long_share,
+                long_rng: long_bodies::generator(life.wrapping_mul(7919).wrapping_add(n as u64)),
                 rng: Rng::with_seed(life.wrapping_mul(7919).wrapping_add(n as u64)),
                 stopped: Arc::clone(&stopped),
                 requests: Arc::clone(&requests),
@@ -123,6 +130,8 @@
     name: String,
     balancer: SocketAddr,
     deadline: Duration,
+    long_share: f64,
+    long_rng: Rng,
     rng: Rng,
     stopped: Arc<AtomicBool>,
     requests: Arc<Mutex<Vec<Request>>>,
@@ -153,16 +162,29 @@
             *sent += 1;
             let id = format!("{}-{sent}", self.name);
             let is_safe = self.rng.bool();
-            let sent_at = Instant::now();
-            if stream.get_mut().write_all(self.request_text(&id, is_safe).as_bytes()).is_err() {
+            let long_body = LongBody::draw(&mut self.long_rng, self.long_share);
+            let is_safe = is_safe && !matches!(long_body, Some(LongBody::Request(_)));
+            let before = Instant::now();
+            if stream.get_mut().write_all(self.request_text(&id, is_safe, long_body).as_bytes()).is_err() {
                 return;
             }
-            let (end, keeps_connection) = read_answer(&mut stream);
+            let sent_at = if long_body.is_some() { Instant::now() } else { before };
+            let (end, keeps_connection, answered_at) = read_answer(&mut stream);
             let ended_at = Instant::now();
             let is_answered = matches!(end, End::Answered { .. });
             thread::sleep(MAX_PAUSE.mul_f64(self.rng.f64()));
             let has_extra_bytes = is_answered && has_more(&stream);
-            let request = Request { id, is_safe, is_first, sent_at, ended_at, end, has_extra_bytes };
+            let request = Request {
+                id,
+                is_safe,
+                long_body,
+                is_first,
+                sent_at,
+                answered_at,
+                ended_at,
+                end,
+                has_extra_bytes,
+            };
             lock(&self.requests).push(request);
             is_first = false;
             if !is_answered || !keeps_connection {
@@ -171,31 +193,39 @@
         }
     }
 
-    fn request_text(&self, id: &str, is_safe: bool) -> String {
+    fn request_text(&self, id: &str, is_safe: bool, long_body: Option<LongBody>) -> String {
         let deadline_ms = self.deadline.min(MAX_COUNTED_DEADLINE * 2).as_millis();
         let line = if is_safe { "GET /look" } else { "POST /book" };
-        let length = if is_safe { "" } else { "Content-Length: 4\r\n" };
-        let body = if is_safe { "" } else { "body" };
+        let query = long_body.map(LongBody::query).unwrap_or_default();
+        let body = match long_body {
+            Some(LongBody::Request(bytes)) => "x".repeat(bytes),
+            _ if is_safe => String::new(),
+            _ => "body".to_owned(),
+        };
+        let length = if is_safe { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
         format!(
-            "{line} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Account: acme\r\n\
+            "{line}{query} HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: {id}\r\nX-Account: acme\r\n\
              X-Time-Left-Ms: {deadline_ms}\r\n{length}\r\n{body}"
         )
     }
 }
 
-/// Reads an answer; returns false with it if the balancer announced the end of the connection.
-fn read_answer(stream: &mut BufReader<TcpStream>) -> (End, bool) {
-    match stream.fill_buf() {
-        Ok([]) => return (End::Closed, false),
-        Ok(_) => {}
+/// Reads an answer; returns false with it if the balancer announced the end of the connection, and the time of its
+/// first byte.
+fn read_answer(stream: &mut BufReader<TcpStream>) -> (End, bool, Instant) {
+    let begun = stream.fill_buf().map(<[u8]>::is_empty);
+    let answered_at = Instant::now();
+    match begun {
+        Ok(true) => return (End::Closed, false, answered_at),
+        Ok(false) => {}
         Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-            return (End::Silent, false);
+            return (End::Silent, false, answered_at);
         }
-        Err(_) => return (End::Closed, false),
+        Err(_) => return (End::Closed, false, answered_at),
     }
-    let Some(answer) = Message::read(stream) else { return (End::Cut, false) };
+    let Some(answer) = Message::read(stream) else { return (End::Cut, false, answered_at) };
     let is_closing = answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
-    (End::Answered { status: answer.status(), body: answer.body }, !is_closing)
+    (End::Answered { status: answer.status(), body: answer.body }, !is_closing, answered_at)
 }
 
 /// Returns true if something has come behind the answer.
--- a/tools/testbed/src/soak/plan.rs
+++ b/tools/testbed/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What happens in a run, drawn from its seed.
 
+use super::long_bodies;
 use fastrand::Rng;
 use std::time::Duration;
 
@@ -109,6 +110,8 @@
     pub deadline: Duration,
     /// The upstreams.
     pub upstreams: Vec<UpstreamPlan>,
+    /// Share of the requests that have a long body, or ask for a long answer.
+    pub long_share: f64,
     /// Clients that send one request after the other.
     pub clients: usize,
     /// Connections of which every second says nothing, and the others stop in a long body; none in most runs.
@@ -135,6 +138,7 @@
             seed,
             deadline,
             upstreams,
+            long_share: long_bodies::share(seed),
             clients: rng.usize(4..=16),
             crowd: if is_crowded { rng.usize(60..=160) } else { 0 },
             memory_mb: MEMORY_LIMITS_MB[seed as usize % MEMORY_LIMITS_MB.len()],
--- a/tools/testbed/src/soak/upstream.rs
+++ b/tools/testbed/src/soak/upstream.rs
@@ -1,6 +1,7 @@
 //! An upstream of a run: it records what it ran, and treats some requests badly.
 
 use super::balancer::lock;
+use super::long_bodies::{self, LongBody, PacedReader};
 use super::plan::{Behaviour, UpstreamPlan};
 use fastrand::Rng;
 use maplehook_test_servers::Message;
@@ -35,7 +36,7 @@
 
 impl Upstream {
     /// Starts an upstream whose behaviour is drawn from `seed`.
-    pub fn start(plan: UpstreamPlan, seed: u64) -> Self {
+    pub fn start(plan: UpstreamPlan, seed: u64, long_share: f64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("the listener has an address");
         let executions: Arc<Mutex<Vec<Execution>>> = Arc::default();
@@ -44,8 +45,12 @@
             for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
                 let _ = stream.set_nodelay(true);
                 let (plan, executions) = (plan.clone(), Arc::clone(&shared));
-                let rng = Rng::with_seed(seed.wrapping_mul(1_000_003).wrapping_add(number as u64));
-                thread::spawn(move || Served { stream: &stream, plan, executions, rng }.run());
+                let number = seed.wrapping_mul(1_000_003).wrapping_add(number as u64);
+                let rng = Rng::with_seed(number);
+                let long_rng = long_bodies::generator(number);
+                thread::spawn(move || {
+                    Served { stream: &stream, plan, executions, rng }.run(long_rng, long_share)
+                });
             }
         });
         Self { address, executions }
@@ -66,10 +71,17 @@
 }
 
 impl Served<'_> {
-    fn run(mut self) -> Option<()> {
-        let mut reader = BufReader::new(self.stream.try_clone().ok()?);
+    fn run(mut self, mut long_rng: Rng, long_share: f64) -> Option<()> {
+        let stream = self.stream.try_clone().ok()?;
+        let mut reader = BufReader::new(PacedReader::new(stream, &mut long_rng, long_share));
         while let Some(request) = Message::read(&mut reader) {
             let id = request.header("x-correlation-id").unwrap_or_default().to_owned();
+            let long_answer = LongBody::asked_for(&request.line);
+            if let Some(LongBody::Answer(bytes, over)) = long_answer {
+                lock(&self.executions).push(Execution { id: id.clone(), at: Instant::now() });
+                long_bodies::write_answer(self.stream, &id, bytes, over).ok()?;
+                continue;
+            }
             let behaviour = self.plan.draw_behaviour(&mut self.rng);
             if behaviour == Behaviour::Unprocessed {
                 self.write("HTTP/1.1 503 Busy\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n")?;
