Tests: peers of tests with many connections are started in one place

Need: slow_bodies and memory_limit started their peers by the same lines.

Change: common::peers starts them.

--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod gates;
 pub mod halfway;
+pub mod peers;
 pub mod supervised;
 
 pub use maplehook_test_servers::*;
--- a/crates/proxy/tests/memory_limit/upstreams.rs
+++ b/crates/proxy/tests/memory_limit/upstreams.rs
@@ -1,10 +1,11 @@
 //! Upstreams that read whole requests and answer in one way.
 
+use crate::common::peers;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 
 /// How upstreams answer requests of the crowd. Requests of the known client get a short answer at once.
 #[derive(Clone, Copy, Debug)]
@@ -54,24 +55,7 @@
 
 /// Starts upstreams on a thread of their own, for the rest of the program.
 pub fn start(count: usize, answers: Answers) -> Vec<SocketAddr> {
-    let listeners: Vec<_> = (0..count).map(|_| StdListener::bind("127.0.0.1:0").unwrap()).collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async {
-            for listener in listeners {
-                listener.set_nonblocking(true).unwrap();
-                let listener = TcpListener::from_std(listener).unwrap();
-                tokio::spawn(async move {
-                    while let Ok((stream, _)) = listener.accept().await {
-                        tokio::spawn(serve(stream, answers));
-                    }
-                });
-            }
-            std::future::pending::<()>().await;
-        });
-    });
-    addresses
+    peers::start(count, move |stream| serve(stream, answers))
 }
 
 async fn serve(stream: TcpStream, answers: Answers) -> std::io::Result<()> {
--- a/crates/proxy/tests/slow_bodies/upstreams.rs
+++ b/crates/proxy/tests/slow_bodies/upstreams.rs
@@ -1,11 +1,12 @@
 //! Upstreams that read and write at the pace that each request's query names.
 
+use crate::common::peers;
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time between a request and the head of its answer.
@@ -21,24 +22,7 @@
 
 /// Starts upstreams on a thread of their own, for the rest of the program.
 pub fn start(count: usize) -> Vec<SocketAddr> {
-    let listeners: Vec<_> = (0..count).map(|_| StdListener::bind("127.0.0.1:0").unwrap()).collect();
-    let addresses = listeners.iter().map(|listener| listener.local_addr().unwrap()).collect();
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        runtime.block_on(async {
-            for listener in listeners {
-                listener.set_nonblocking(true).unwrap();
-                let listener = TcpListener::from_std(listener).unwrap();
-                tokio::spawn(async move {
-                    while let Ok((stream, _)) = listener.accept().await {
-                        tokio::spawn(serve(stream));
-                    }
-                });
-            }
-            std::future::pending::<()>().await;
-        });
-    });
-    addresses
+    peers::start(count, serve)
 }
 
 /// What a request's query asks for.
