--- a/crates/core/src/exchange_time.rs
+++ b/crates/core/src/exchange_time.rs
@@ -10,11 +10,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time after a request's own by which a final answer must have begun whose time is not known exactly. An answer
-/// counts for 0.5 s, and the balancer may be held up for 0.15 s before it writes.
+/// Time after a request's own by which a final answer must have begun whose time is not known exactly. An
+/// answer counts for 0.5 s, and the balancer may be held up for 0.15 s before it writes.
 pub const LATE_BEGIN_GRACE: Duration = Duration::from_millis(330);
-/// Time after a request's own by which a short answer must have ended that is received meanwhile: the 0.5 s, less
-/// a margin for delivering it. Upstreams pause for up to 0.8 s within a long answer.
+/// Time after a request's own by which a short answer must have ended that is received meanwhile: the 0.5 s,
+/// less a margin for delivering it. Upstreams pause for up to 0.8 s within a long answer.
 pub const LATE_END_GRACE: Duration = Duration::from_millis(430);
 
 /// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4
