Broken answers: one that fails before its head has left becomes a status

What callers saw: a connection closed with not one byte, where an upstream began an answer without a length and reset it about as the request's time came.

Cause: such an answer is passed on from 20 ms before that time. Its body then fails in the turn in which the HTTP connection buffers its head, and with the error of a body hyper drops what it has not flushed (proto/h1/dispatch.rs, poll_write before poll_flush). Any streamed answer was in question: with a length over 64 KiB, an upload's, the library's, the axum layer's.

Change: RequestLifecycle (core, no I/O, no clock) owns a request until its answer has left. A body that has failed before it is passed on is a failed attempt, which the decisions may retry; one that fails before its head is given to the writer becomes a failure with a status; one that fails later waits for the flush of its head, so that the client sees a broken answer. The library's bodies let their reader wait once before a failure, since an HTTP server flushes then. No attempt begins once its request has its answer: the permit to write asks the same life cycle. balancer_answers_broken_total counts them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -143,6 +143,7 @@
 mod refresh_queue;
 pub mod repeated_responses;
 mod request;
+pub mod request_lifecycle;
 mod retry;
 mod rotation;
 mod round_robin;
--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -164,9 +164,48 @@
 /// Response body that the engine's thread streams to the caller.
 #[derive(Debug)]
 pub struct BodyStream {
-    pub(crate) frames: mpsc::Receiver<StreamItem>,
-    pub(crate) size_hint: SizeHint,
-    pub(crate) has_ended: bool,
+    frames: mpsc::Receiver<StreamItem>,
+    size_hint: SizeHint,
+    has_ended: bool,
+    /// True once a reader has had to wait. An HTTP server sends the head of the response then, and drops it
+    /// with a body that fails before.
+    has_waited: bool,
+    /// Failure of the body that its reader has not been told yet.
+    failure: Option<Failure>,
+}
+
+impl BodyStream {
+    pub(crate) fn new(frames: mpsc::Receiver<StreamItem>, size_hint: SizeHint) -> Self {
+        Self { frames, size_hint, has_ended: false, has_waited: false, failure: None }
+    }
+
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<StreamItem> {
+        if self.has_ended {
+            return Poll::Ready(None);
+        }
+        let item = match self.failure.take() {
+            Some(failure) => Some(Err(failure)),
+            None => ready!(self.poll_item(cx)),
+        };
+        self.has_ended = !matches!(item, Some(Ok(_)));
+        Poll::Ready(item)
+    }
+
+    fn poll_item(&mut self, cx: &mut Context<'_>) -> Poll<StreamItem> {
+        let Poll::Ready(item) = self.frames.poll_recv(cx) else {
+            self.has_waited = true;
+            return Poll::Pending;
+        };
+        match item.unwrap_or_else(|| Some(Err("the engine stopped before the end of the body".into()))) {
+            Some(Err(failure)) if !self.has_waited => {
+                self.has_waited = true;
+                self.failure = Some(failure);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            item => Poll::Ready(item),
+        }
+    }
 }
 
 /// Result of one poll of a body: a frame, an error, or `None` at the end. A channel that closes without a
@@ -191,14 +230,7 @@
         match &mut *self {
             Self::Buffered(body) if body.is_empty() => Poll::Ready(None),
             Self::Buffered(body) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(body))))),
-            Self::Stream(stream) if stream.has_ended => Poll::Ready(None),
-            Self::Stream(stream) => {
-                let item = ready!(stream.frames.poll_recv(cx));
-                stream.has_ended = !matches!(item, Some(Some(Ok(_))));
-                Poll::Ready(
-                    item.unwrap_or_else(|| Some(Err("the engine stopped before the end of the body".into()))),
-                )
-            }
+            Self::Stream(stream) => stream.poll(cx),
         }
     }
 
@@ -216,3 +248,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -510,7 +510,7 @@
                         let (frames, receiver) = mpsc::channel(1);
                         let size_hint = body.size_hint();
                         spawn_local(forward_body(body, frames, in_flight));
-                        ReplyBody::Stream(BodyStream { frames: receiver, size_hint, has_ended: false })
+                        ReplyBody::Stream(BodyStream::new(receiver, size_hint))
                     }
                 };
                 let Trace { attempts, upstream } = trace;
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -67,6 +67,8 @@
     pub responses_held: ReasonCounters,
     /// Number of exchanges with upstreams that a time limit ended, by limit.
     pub time_limits: ReasonCounters,
+    /// Number of answers whose bodies failed, by what became of them.
+    pub answers_broken: ReasonCounters,
     /// Memory that the process takes, in bytes.
     pub memory_resident: Gauge,
     /// Memory that is reserved for buffers, in bytes.
@@ -82,6 +84,7 @@
         let (sends, conf_loaded, conf_invalid) = <(Counter, Counter, Counter)>::default();
         let [clients_ended, clients_refused, unfit, attempts_ended] = <[ReasonCounters; 4]>::default();
         let [unsolicited, connection_rests, responses_held, time_limits] = <[ReasonCounters; 4]>::default();
+        let answers_broken = ReasonCounters::default();
         let (retries, memory_denied) = <(Counter, Counter)>::default();
         let (memory_resident, memory_reserved) = <(Gauge, Gauge)>::default();
         let (current, cluster_size, cluster_unhealthy) = <(Gauge, Gauge, Gauge)>::default();
@@ -119,6 +122,7 @@
             "Exchanges with upstreams that a time limit ended",
             time_limits.family(),
         );
+        registry.register("answers_broken", "Answers whose bodies failed", answers_broken.family());
         registry.register("memory_resident_bytes", "Memory of the process", memory_resident.clone());
         registry.register("memory_reserved_bytes", "Memory reserved for buffers", memory_reserved.clone());
         registry.register("memory_denied", "Reservations of memory denied", memory_denied.clone());
@@ -142,6 +146,7 @@
             connection_rests,
             responses_held,
             time_limits,
+            answers_broken,
             memory_resident,
             memory_reserved,
             memory_denied,
--- a/crates/engine/src/parts/answer.rs
+++ b/crates/engine/src/parts/answer.rs
@@ -4,7 +4,7 @@
 
 pub use stream_time::{StreamOrigin, StreamTime, UnsizedProgress};
 
-use crate::metrics::PendingRequest;
+use crate::metrics::{PendingRequest, ReasonCounters};
 use crate::parts::body::Failure;
 use crate::parts::connection::Connection;
 use crate::parts::time_limit::TimeLimit;
@@ -14,11 +14,16 @@
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, StatusCode};
 use maplehook_core::Outcome;
+use maplehook_core::request_lifecycle::{BrokenAnswer, RequestLifecycle};
 use std::collections::VecDeque;
 use std::fmt;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker, ready};
+
+/// Most frames that are read of a body before it is passed on: the HTTP connection holds one, and an error behind it.
+const MAX_FRAMES_READ_AHEAD: usize = 2;
 
 /// Memory of a header field beside its name and value, in bytes.
 const HEADER_OVERHEAD_BYTES: usize = 160;
@@ -89,16 +94,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(body) => body.is_empty(),
-            Self::Stream(stream) => stream.connection.is_none(),
+            Self::Stream(stream) => stream.connection.is_none() && stream.prefetched.is_empty(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(body) => SizeHint::with_exact(body.len() as u64),
-            // Frames that were already read are no longer covered by hyper's hint.
-            Self::Stream(stream) if stream.prefetched.is_empty() => stream.incoming.size_hint(),
-            Self::Stream(_) => SizeHint::new(),
+            Self::Stream(stream) => stream.size_hint(),
         }
     }
 }
@@ -119,6 +122,8 @@
     on_end: Option<OnStreamEnd>,
     accounting: Option<PendingRequest>,
     time: StreamTime,
+    /// Life cycle of the request that this stream answers.
+    lifecycle: Rc<RequestLifecycle>,
 }
 
 impl fmt::Debug for Stream {
@@ -146,9 +151,44 @@
             on_end: None,
             accounting: None,
             time,
+            lifecycle: Rc::default(),
         })
     }
 
+    /// Sets the life cycle of the request that this stream answers.
+    pub fn set_lifecycle(&mut self, lifecycle: Rc<RequestLifecycle>) {
+        self.lifecycle = lifecycle;
+    }
+
+    /// Returns the life cycle of the request that this stream answers.
+    pub fn lifecycle(&self) -> &Rc<RequestLifecycle> {
+        &self.lifecycle
+    }
+
+    /// Reads what has come of the body without waiting. Returns true if the body has failed.
+    pub fn has_failed(&mut self) -> bool {
+        let read = read_available(&mut self.incoming, &mut self.prefetched);
+        match read {
+            Ok(bytes) => {
+                if bytes > 0 {
+                    self.time.on_data(bytes);
+                }
+                false
+            }
+            Err(e) => {
+                self.end(outcome_of(&e));
+                true
+            }
+        }
+    }
+
+    /// Returns the length of what is still to come. Frames that were already read are not part of hyper's hint.
+    fn size_hint(&self) -> SizeHint {
+        let prefetched: usize = self.prefetched.iter().filter_map(Frame::data_ref).map(Bytes::len).sum();
+        let remaining = self.incoming.size_hint().exact();
+        remaining.map_or_else(SizeHint::new, |remaining| SizeHint::with_exact(remaining + prefetched as u64))
+    }
+
     /// Sets a callback that is called once, when the stream ends.
     pub fn on_end(&mut self, notify: OnStreamEnd) {
         self.on_end = Some(notify);
@@ -174,15 +214,15 @@
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
-        if self.connection.is_none() {
-            return Poll::Ready(None);
-        }
         if let Some(frame) = self.prefetched.pop_front() {
-            if frame.is_trailers() {
+            if frame.is_trailers() || (self.prefetched.is_empty() && self.incoming.is_end_stream()) {
                 self.end(Outcome::Ok);
             }
             return Poll::Ready(Some(Ok(frame)));
         }
+        if self.connection.is_none() {
+            return Poll::Ready(None);
+        }
         let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
             let limit = ready!(self.time.poll_exceeded(cx));
             return self.time_out(limit);
@@ -202,7 +242,7 @@
             }
             Some(Err(e)) => {
                 let e: Failure = e.into();
-                self.end(if is_malformed_body(&e) { Outcome::Error } else { Outcome::Reset });
+                self.end(outcome_of(&e));
                 Poll::Ready(Some(Err(e)))
             }
             None => {
@@ -227,6 +267,37 @@
     }
 }
 
+/// Counts answers whose bodies failed, by what became of them.
+pub fn record_broken_answer(counters: &ReasonCounters, broken: BrokenAnswer) {
+    counters.increment(broken.name());
+    tracing::debug!(became = broken.name(), "the body of an answer failed");
+}
+
+/// Reads frames that have come, without waiting, and returns the number of their bytes.
+pub(crate) fn read_available(
+    incoming: &mut Incoming,
+    received: &mut VecDeque<Frame<Bytes>>,
+) -> Result<usize, Failure> {
+    // Whoever reads on polls again with a waker.
+    let mut context = Context::from_waker(Waker::noop());
+    let mut bytes = 0;
+    for _ in 0..MAX_FRAMES_READ_AHEAD {
+        if incoming.is_end_stream() {
+            break;
+        }
+        let Poll::Ready(Some(frame)) = Pin::new(&mut *incoming).poll_frame(&mut context) else { break };
+        let frame = frame?;
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+        received.push_back(frame);
+    }
+    Ok(bytes)
+}
+
+/// Returns the outcome of an attempt whose response body has failed.
+fn outcome_of(e: &Failure) -> Outcome {
+    if is_malformed_body(e) { Outcome::Error } else { Outcome::Reset }
+}
+
 /// Returns true if the body's framing or length is invalid, which hyper reports as invalid data. Any other
 /// error means that the connection broke.
 pub fn is_malformed_body(e: &Failure) -> bool {
--- a/crates/engine/src/parts/attempt/reply.rs
+++ b/crates/engine/src/parts/attempt/reply.rs
@@ -1,7 +1,7 @@
 //! Response to one attempt: its head, and a body that is buffered or streamed.
 
 use super::unsized_body::HeldAnswer;
-use crate::parts::answer::{UnsizedProgress, is_malformed_body};
+use crate::parts::answer::{UnsizedProgress, is_malformed_body, read_available};
 use crate::parts::attempt_limits::ProgressObserver;
 use crate::parts::body::{Failure, collect_body};
 use crate::parts::buffer_memory::BufferMemory;
@@ -52,6 +52,20 @@
     Streaming(VecDeque<Frame<Bytes>>, Incoming, Option<UnsizedProgress>),
 }
 
+impl ReceivedBody {
+    /// Reads what has come of a body that streams. Another attempt can be made for a body that has failed before
+    /// any of it was passed on.
+    fn check(mut self) -> Result<Self, ExchangeError> {
+        if let Self::Streaming(received, body, progress) = &mut self {
+            let bytes = read_available(body, received).map_err(body_error)?;
+            if bytes > 0 {
+                progress.iter_mut().for_each(|progress| progress.on_data(bytes));
+            }
+        }
+        Ok(self)
+    }
+}
+
 /// Reason why an exchange produced no response.
 #[derive(Debug)]
 pub(super) enum ExchangeError {
@@ -131,7 +145,7 @@
             ReceivedBody::Complete(time.limit(complete).await??)
         }
     };
-    Ok(Reply { parts, means, body })
+    Ok(Reply { parts, means, body: body.check()? })
 }
 
 /// Receives the body of a final response of this length. Without free body memory it streams, and its reader
--- a/crates/engine/src/parts/attempt_limits.rs
+++ b/crates/engine/src/parts/attempt_limits.rs
@@ -4,6 +4,7 @@
 //! its turn on this thread, and the whole process may be suspended meanwhile. Its limits are therefore
 //! checked again right before its first byte is written.
 
+use maplehook_core::request_lifecycle::RequestLifecycle;
 use std::cell::Cell;
 use std::fmt;
 use std::rc::Rc;
@@ -18,7 +19,7 @@
 /// Reason why a request was not written, or not completely, though its connection was open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WithheldReason {
-    /// A deadline has passed, or the request may no longer be sent.
+    /// A deadline has passed, the request has ended, or it may no longer be sent.
     TooLate,
     /// The announced time exceeds the time left by too much; the request must be built again.
     StaleTimeLeft,
@@ -85,6 +86,8 @@
     started: Rc<Cell<bool>>,
     /// Told that an answer has begun and comes, while it is held.
     progress: Option<ProgressObserver>,
+    /// Life cycle of the request.
+    lifecycle: Rc<RequestLifecycle>,
 }
 
 impl AttemptLimits {
@@ -98,6 +101,7 @@
             presence: None,
             started: Rc::default(),
             progress: None,
+            lifecycle: Rc::default(),
         }
     }
 
@@ -111,6 +115,11 @@
         Self { presence, ..self }
     }
 
+    /// Ends the permission to begin the attempt with the request.
+    pub fn with_lifecycle(self, lifecycle: Rc<RequestLifecycle>) -> Self {
+        Self { lifecycle, ..self }
+    }
+
     /// Sets the time at which the client stops waiting, which may be later than that for this attempt.
     pub fn with_deadline(self, deadline: Instant) -> Self {
         Self { deadline, ..self }
@@ -147,6 +156,9 @@
         if time_left.is_zero() || self.write_by.is_some_and(|by| Instant::now() >= by) {
             return Err(WithheldReason::TooLate);
         }
+        if !self.lifecycle.may_begin_attempt() {
+            return Err(WithheldReason::TooLate);
+        }
         if self.presence.as_ref().is_some_and(|presence| !presence.is_connected()) {
             return Err(WithheldReason::TooLate);
         }
--- a/crates/engine/src/parts/dispatcher.rs
+++ b/crates/engine/src/parts/dispatcher.rs
@@ -3,9 +3,10 @@
 
 use crate::ledger::{Bounds, BoundsError, EntryId, FinalAnswer, Identity, Ledger, OpenResult, Waiter};
 use crate::metrics::{Metrics, RequestMetrics};
-use crate::parts::answer::UpstreamResponse;
+use crate::parts::answer::{ResponseBody, UpstreamResponse, record_broken_answer};
 use crate::parts::buffer_memory::{BufferMemory, MemoryReservation};
 use crate::parts::driver::{Answer, Driver, RequestContext, Trace};
+use maplehook_core::request_lifecycle::BrokenAnswer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -132,11 +133,23 @@
         identity: Option<Identity>,
     ) -> TracedAnswer {
         let accounting = self.counting.start_request(request.class, request.tenant);
-        let (mut answer, trace) = self.resolve(request, identity).await;
+        let (answer, trace) = self.resolve(request, identity).await;
+        let mut answer = self.replace_broken(answer);
         accounting.record_answer(&mut answer);
         (answer, trace)
     }
 
+    /// Returns a failure in the place of an answer whose body has failed before any of it was passed on.
+    fn replace_broken(&self, mut answer: Answer) -> Answer {
+        if let Answer::Served(UpstreamResponse { body: ResponseBody::Stream(stream), .. }) = &mut answer
+            && stream.has_failed()
+        {
+            record_broken_answer(&self.tally().answers_broken, BrokenAnswer::Replaced);
+            return Answer::Failed;
+        }
+        answer
+    }
+
     async fn resolve(self: &Rc<Self>, request: RequestContext, identity: Option<Identity>) -> TracedAnswer {
         let Some(identity) = identity else { return self.driver.submit(request).answer().await };
         let (waiter, deadline) = (self.next_waiter.replace(self.next_waiter.get() + 1), request.deadline);
--- a/crates/engine/src/parts/driver/actions.rs
+++ b/crates/engine/src/parts/driver/actions.rs
@@ -35,10 +35,11 @@
         response: Option<UpstreamResponse>,
     ) {
         let Some(mut response) = response else { return };
-        let Some(reply) = request.reply.take() else { return };
+        let Some(reply) = request.take_reply() else { return };
         tracing::debug!(id = id.0, no = no.0, upstream = upstream.0, "response delivered");
         if let ResponseBody::Stream(stream) = &mut response.body {
             let driver = Rc::clone(self);
+            stream.set_lifecycle(Rc::clone(&request.lifecycle));
             stream.on_end(Box::new(move |outcome| {
                 driver.handle_event(DriverEvent::StreamEnded(id, no, outcome));
             }));
@@ -204,7 +205,7 @@
 
     fn deliver_answer(&self, core: &mut Core, id: RequestId, answer: Answer) {
         if let Some(request) = core.requests.get_mut(&id)
-            && let Some(reply) = request.reply.take()
+            && let Some(reply) = request.take_reply()
         {
             let attempts = request.attempts.len() as u8;
             tracing::debug!(id = id.0, attempts, ?answer, "request ended without a response");
--- a/crates/engine/src/parts/driver/in_flight.rs
+++ b/crates/engine/src/parts/driver/in_flight.rs
@@ -3,6 +3,7 @@
 use super::{Answer, RequestContext, Trace};
 use crate::parts::answer::UpstreamResponse;
 use crate::parts::attempt_limits::AttemptLimits;
+use maplehook_core::request_lifecycle::RequestLifecycle;
 use maplehook_core::{Outcome, UpstreamId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -62,6 +63,8 @@
     pub(super) last_error: Option<(UpstreamResponse, UpstreamId)>,
     /// Deduplication window of the request's key on arrival; `None` without a key.
     dedup_window: Option<Duration>,
+    /// Shared with the attempts and with the final answer, if that streams.
+    pub(super) lifecycle: Rc<RequestLifecycle>,
 }
 
 impl InFlightRequest {
@@ -77,22 +80,34 @@
             attempts: Vec::new(),
             last_error: None,
             dedup_window,
+            lifecycle: Rc::default(),
         }
     }
 
+    /// Takes the channel for the final answer, unless the request has ended. No attempt begins from then on.
+    pub(super) fn take_reply(&mut self) -> Option<oneshot::Sender<(Answer, Trace)>> {
+        self.lifecycle.on_answered();
+        self.reply.take()
+    }
+
     /// Returns the limits of an attempt that is sent now. A retry of a keyed request respects the window that
     /// applied on arrival, and `dedup_window`, the one that applies now.
     pub(super) fn attempt_limits(&self, answer_by: Instant, dedup_window: Option<Duration>) -> AttemptLimits {
-        let presence = self.context.presence.clone();
+        self.repeat_limits(answer_by, dedup_window)
+            .with_presence(self.context.presence.clone())
+            .with_lifecycle(Rc::clone(&self.lifecycle))
+    }
+
+    fn repeat_limits(&self, answer_by: Instant, dedup_window: Option<Duration>) -> AttemptLimits {
         if self.attempts.is_empty() {
-            return AttemptLimits::first(answer_by).with_presence(presence);
+            return AttemptLimits::first(answer_by);
         }
         let earliest = self.attempts.iter().filter(|a| !a.never_ran).map(|a| a.sent).min();
         let dedup_window = self.dedup_window.into_iter().chain(dedup_window).min();
         let write_by = earliest
             .zip(dedup_window)
             .map(|(at, dedup_window)| at + dedup_window.saturating_sub(DELIVERY_MARGIN));
-        AttemptLimits::repeat(answer_by, write_by).with_presence(presence)
+        AttemptLimits::repeat(answer_by, write_by)
     }
 
     /// Returns the attempts that have written nothing, if the request already has its answer.
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -11,6 +11,7 @@
 use maplehook::label::Label;
 use maplehook_admission::ConnectionId;
 use maplehook_core::exchange_time::SenderClock;
+use maplehook_core::request_lifecycle::RequestLifecycle;
 use progress::{Progress, SEND_GRACE};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -98,6 +99,8 @@
     /// Task of a streaming response that waits until the client reads on.
     blocked_body: Cell<Option<Waker>>,
     close_requested: Cell<bool>,
+    /// Request whose streaming response is being written.
+    answered_request: RefCell<Option<Rc<RequestLifecycle>>>,
 }
 
 impl ClientConnection {
@@ -121,6 +124,7 @@
             close_signal: Notify::new(),
             blocked_body: Cell::default(),
             close_requested: Cell::new(false),
+            answered_request: RefCell::default(),
         }
     }
 
@@ -308,6 +312,30 @@
         Poll::Pending
     }
 
+    /// Records that the head of a streaming response to `request` goes to the HTTP connection now.
+    pub fn on_head_queued(&self, request: &Rc<RequestLifecycle>) {
+        request.on_head_queued();
+        self.answered_request.replace(Some(Rc::clone(request)));
+    }
+
+    /// Records that the client's socket has taken everything that the HTTP connection had.
+    pub fn on_flushed(&self) {
+        if let Some(request) = &*self.answered_request.borrow() {
+            request.on_flushed();
+            self.blocked_body.take().inspect(Waker::wake_by_ref);
+        }
+    }
+
+    /// Wakes the task of a streaming response after the next flush.
+    pub fn wake_when_flushed(&self, cx: &Context<'_>) {
+        self.blocked_body.set(Some(cx.waker().clone()));
+    }
+
+    /// Records that the body of the streaming response has ended.
+    pub fn on_streamed(&self) {
+        self.answered_request.take().inspect(|request| request.on_ended());
+    }
+
     /// Waits until the connection is asked to close or its current state has timed out.
     pub async fn wait_for_close(&self) {
         tokio::select! {
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -362,6 +362,9 @@
         // The HTTP connection flushes after it has written everything that it has.
         let flushed = Pin::new(&mut *self.0.stream.borrow_mut()).poll_flush(cx);
         self.0.has_pending_write.set(self.0.has_pending_write.get() && flushed.is_pending());
+        if flushed.is_ready() {
+            self.0.client.on_flushed();
+        }
         flushed
     }
 
--- a/crates/proxy/src/responses.rs
+++ b/crates/proxy/src/responses.rs
@@ -6,9 +6,11 @@
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::CONNECTION;
 use hyper::{Response, StatusCode};
-use maplehook::parts::answer::{ResponseBody, UpstreamResponse};
+use maplehook::metrics::ReasonCounters;
+use maplehook::parts::answer::{ResponseBody, UpstreamResponse, record_broken_answer};
 use maplehook::parts::body::Failure;
 use maplehook::parts::driver::Answer;
+use maplehook_core::request_lifecycle::{BrokenAnswer, RequestLifecycle};
 use maplehook_http_semantics::Own;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -55,26 +57,60 @@
     }
 }
 
+/// What a streaming response belongs to.
+struct StreamedResponse {
+    client: Rc<ClientConnection>,
+    request: Rc<RequestLifecycle>,
+    /// Failure of the body, until the head has left.
+    failure: Option<Failure>,
+    broken_answers: ReasonCounters,
+}
+
+impl StreamedResponse {
+    /// Completes once the failure of the body may end the connection: the HTTP connection drops with it what
+    /// it has not flushed, such as the head.
+    fn poll_failure(&mut self, cx: &Context<'_>) -> Poll<Option<Failure>> {
+        if self.request.broken_answer() == BrokenAnswer::AwaitsHead {
+            self.client.wake_when_flushed(cx);
+            return Poll::Pending;
+        }
+        record_broken_answer(&self.broken_answers, BrokenAnswer::BrokenOff);
+        Poll::Ready(self.failure.take())
+    }
+}
+
 /// The body of a final response, which reports the end of a streaming response to the client's connection.
 pub struct TrackedBody {
     body: ResponseBody,
-    /// The connection to notify when a streaming body is dropped; `None` for a complete body.
-    client: Option<Rc<ClientConnection>>,
+    /// `None` for a complete body.
+    streamed: Option<StreamedResponse>,
 }
 
 impl TrackedBody {
-    /// Wraps the body of a response to `client`.
-    pub fn new(body: ResponseBody, client: &Rc<ClientConnection>) -> Self {
-        let client = matches!(body, ResponseBody::Stream(_)).then(|| Rc::clone(client));
-        Self { body, client }
+    /// Wraps the body of a response to `client`, whose head goes to the HTTP connection now. Bodies that fail are
+    /// counted in `broken_answers`.
+    pub fn new(body: ResponseBody, client: &Rc<ClientConnection>, broken_answers: &ReasonCounters) -> Self {
+        let streamed = match &body {
+            ResponseBody::Buffered(_) => None,
+            ResponseBody::Stream(stream) => {
+                client.on_head_queued(stream.lifecycle());
+                Some(StreamedResponse {
+                    client: Rc::clone(client),
+                    request: Rc::clone(stream.lifecycle()),
+                    failure: None,
+                    broken_answers: broken_answers.clone(),
+                })
+            }
+        };
+        Self { body, streamed }
     }
 }
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        if let Some(client) = self.client.take()
-            && client.on_response(MessageKind::Request)
-        {
+        let Some(StreamedResponse { client, .. }) = self.streamed.take() else { return };
+        client.on_streamed();
+        if client.on_response(MessageKind::Request) {
             client.request_close();
         }
     }
@@ -88,14 +124,21 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Failure>>> {
-        if let Some(client) = &self.client {
-            ready!(client.poll_writable(cx));
+        let Self { body, streamed } = &mut *self;
+        let Some(streamed) = streamed else { return Pin::new(body).poll_frame(cx) };
+        if streamed.failure.is_none() {
+            ready!(streamed.client.poll_writable(cx));
+            match ready!(Pin::new(body).poll_frame(cx)) {
+                Some(Err(failure)) => streamed.failure = Some(failure),
+                frame => return Poll::Ready(frame),
+            }
         }
-        Pin::new(&mut self.body).poll_frame(cx)
+        streamed.poll_failure(cx).map(|failure| failure.map(Err))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        let has_failure = self.streamed.as_ref().is_some_and(|streamed| streamed.failure.is_some());
+        !has_failure && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -80,7 +80,8 @@
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         // A streaming response is pending until its body ends.
-        response.map(|body| TrackedBody::new(body, client))
+        let broken_answers = &self.dispatcher.tally().answers_broken;
+        response.map(|body| TrackedBody::new(body, client, broken_answers))
     }
 
     /// Returns the response to a request that is not forwarded.
--- a/crates/proxy/tests/slow_bodies/main.rs
+++ b/crates/proxy/tests/slow_bodies/main.rs
@@ -4,6 +4,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 
+mod broken;
 mod exchange;
 mod upstreams;
 
--- a/crates/proxy/tests/slow_bodies/upstreams.rs
+++ b/crates/proxy/tests/slow_bodies/upstreams.rs
@@ -9,8 +9,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Time between a request and the head of its answer.
-const WORK: Duration = Duration::from_millis(30);
+/// Milliseconds between a request and the head of its answer, unless the script says otherwise.
+const WORK_MS: u64 = 30;
 /// Time between two pieces of a body that is written or read steadily.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -72,7 +72,7 @@
         }
         let script = Script::parse(&target);
         read_body(&mut stream, &script, (!is_chunked).then_some(length)).await?;
-        sleep(WORK).await;
+        sleep(Duration::from_millis(script.number("work").unwrap_or(WORK_MS))).await;
         write_answer(stream.get_mut(), &script).await?;
     }
 }
@@ -108,13 +108,14 @@
     Ok(())
 }
 
-/// Writes an answer of `size` bytes over `over` milliseconds, in the form and the pieces that the script names.
+/// Writes an answer of `size` bytes over `over` milliseconds, in the form and the pieces that the script names. Its
+/// length is said to be `length`, and it ends `pause` milliseconds later as the script names.
 async fn write_answer(stream: &mut TcpStream, script: &Script) -> io::Result<()> {
     let size = script.number("size").unwrap_or(2) as usize;
     let form = match () {
         () if script.is("form", "chunked") => "Transfer-Encoding: chunked\r\n".to_owned(),
         () if script.is("form", "close") => "Connection: close\r\n".to_owned(),
-        () => format!("Content-Length: {size}\r\n"),
+        () => format!("Content-Length: {}\r\n", script.number("length").unwrap_or(size as u64)),
     };
     let is_chunked = script.is("form", "chunked");
     stream.write_all(format!("HTTP/1.1 200 OK\r\n{form}\r\n").as_bytes()).await?;
@@ -135,6 +136,7 @@
         write_piece(stream, piece.min(left), is_chunked).await?;
         left -= piece.min(left);
     }
+    sleep(script.time("pause")).await;
     match () {
         () if script.is("end", "reset") => {
             socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
