Held answers: a hold-up of 0.15 s fits before the time by which one must have begun

What callers saw: final answers up to 0.56 s after their time beside hold-ups, where an answer without a length had stopped.

Cause: such an answer was held until 0.43 s after the request's time, and the failure in its place was written then. 0.43 s and a hold-up of 0.15 s are more than the 0.5 s that count; a hold-up before the request was read comes on top.

Change: what is held is decided 0.18 s after the request's time, so that two hold-ups fit: an answer of 1 KiB or more is passed on, since it may become a long one, and a shorter one that has stopped becomes a failure with a status. 0.43 s limits only what has begun for the client. Behind an upload, whose clock starts at the last moment at which its client had provably not finished, it is 0.33 s. A retry under a key is written 0.2 s before the end of the key's window, no longer 0.05 s.

--- a/crates/core/src/exchange_time.rs
+++ b/crates/core/src/exchange_time.rs
@@ -10,11 +10,18 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Time after a request's own by which a final answer must have begun whose time is not known exactly. An
-/// answer counts for 0.5 s, and the balancer may be held up for 0.15 s before it writes.
+/// Longest time for which the balancer may be held up between reading its clock and writing. It has to fit
+/// before the limit of whatever is written.
+pub const MAX_HOLD_UP: Duration = Duration::from_millis(150);
+/// Time after a request's own by which a final answer must have begun that is not known to be in time: an
+/// answer counts for 0.5 s, less [`MAX_HOLD_UP`] and a margin for delivering it.
 pub const LATE_BEGIN_GRACE: Duration = Duration::from_millis(330);
-/// Time after a request's own by which a short answer must have ended that is received meanwhile: the 0.5 s,
-/// less a margin for delivering it. Upstreams pause for up to 0.8 s within a long answer.
+/// Like [`LATE_BEGIN_GRACE`], for a request whose last byte may have lain unread during a hold-up: two of
+/// them fit.
+pub const LATE_HELD_GRACE: Duration = LATE_BEGIN_GRACE.saturating_sub(MAX_HOLD_UP);
+/// Time after a request's own by which an answer is cut off that has begun for the client and may become
+/// long.
+/// Upstreams pause for up to 0.8 s within a long answer.
 pub const LATE_END_GRACE: Duration = Duration::from_millis(430);
 
 /// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4
@@ -105,7 +112,12 @@
         self.latest.map_or(begin_by, |latest| latest.min(begin_by))
     }
 
-    /// Returns the time by which a short answer must have ended.
+    /// Returns the time by which an answer must have begun that is held.
+    pub fn begin_held_by(&self) -> Duration {
+        self.earliest + LATE_BEGIN_GRACE
+    }
+
+    /// Returns the time by which a short answer must have ended that has begun.
     pub fn end_by(&self) -> Duration {
         self.earliest + LATE_END_GRACE
     }
--- a/crates/core/src/unsized_answer.rs
+++ b/crates/core/src/unsized_answer.rs
@@ -9,6 +9,8 @@
 /// Slowest mean rate of an answer that is expected to become long, in bytes per second: a quarter of the rate
 /// of the slowest peers.
 const MIN_LONG_ANSWER_RATE: f64 = 16.0 * 1024.0;
+/// Fewest bytes of an answer that has stopped for it to be taken for the beginning of a long one.
+const MIN_LONG_ANSWER_BEGINNING: u64 = 1024;
 /// An answer has stopped once its upstream has been silent for this many times as long as it took before.
 const MAX_SILENCE_FACTOR: u32 = 2;
 
@@ -39,6 +41,12 @@
         self.received
     }
 
+    /// Returns true if the answer may become long though it has stopped: it is passed on by the time at which
+    /// an answer must have begun. A shorter one becomes a failure with a status.
+    pub fn may_become_long(&self) -> bool {
+        self.received >= MIN_LONG_ANSWER_BEGINNING
+    }
+
     /// Returns true if the answer still comes, fast enough to become long.
     pub fn is_coming(&self, now: Duration) -> bool {
         let silence = self.waiting_since.map_or(Duration::ZERO, |since| now.saturating_sub(since));
--- a/crates/core/tests/exchange_time.rs
+++ b/crates/core/tests/exchange_time.rs
@@ -1,6 +1,8 @@
 //! When an answer is due whose request is not seen to its last byte.
 
-use maplehook_core::exchange_time::{AnswerDue, LATE_BEGIN_GRACE, LATE_END_GRACE, SenderClock};
+use maplehook_core::exchange_time::{
+    AnswerDue, LATE_BEGIN_GRACE, LATE_END_GRACE, LATE_HELD_GRACE, MAX_HOLD_UP, SenderClock,
+};
 use std::time::Duration;
 
 const MIB: usize = 1 << 20;
@@ -62,3 +64,13 @@
     let incomplete = AnswerDue::new(ms(1000), None, WAIT);
     assert_eq!(incomplete.begin_by(), ms(1400) + LATE_BEGIN_GRACE);
 }
+
+/// Guards the room for a hold-up: what must have begun may be written so much later, and still counts.
+#[test]
+fn a_hold_up_fits_before_the_limit_of_an_answer_that_has_not_begun() {
+    let counted = ms(500);
+    let due = AnswerDue::new(ms(1000), Some(ms(1000)), WAIT);
+    assert!(due.begin_held_by() + MAX_HOLD_UP < ms(1400) + counted);
+    assert!(ms(1400) + LATE_HELD_GRACE + 2 * MAX_HOLD_UP < ms(1400) + counted);
+    assert!(due.begin_by() <= due.begin_held_by() && due.begin_held_by() < due.end_by());
+}
--- a/crates/core/tests/unsized_answer.rs
+++ b/crates/core/tests/unsized_answer.rs
@@ -68,3 +68,13 @@
     assert_eq!(answer.cut_off_at(END_BY), None);
     assert!(answer.is_coming(ms(5000)));
 }
+
+/// Guards the beginnings of long answers, and failures with a status in the place of short ones that have stopped.
+#[test]
+fn only_an_answer_of_some_length_may_become_long() {
+    let mut answer = UnsizedAnswer::default();
+    answer.on_data(Duration::ZERO, 200);
+    assert!(!answer.may_become_long());
+    answer.on_data(Duration::ZERO, 1800);
+    assert!(answer.may_become_long());
+}
--- a/crates/engine/src/parts/answer/stream_time.rs
+++ b/crates/engine/src/parts/answer/stream_time.rs
@@ -43,10 +43,16 @@
         self.max_short_bytes.is_none() || self.answer.is_coming(self.head_at.elapsed())
     }
 
+    /// Returns true if the answer must be passed on once answers have to have begun, though it has stopped.
+    pub fn may_become_long(&self) -> bool {
+        self.max_short_bytes.is_none() || self.answer.may_become_long()
+    }
+
     /// Returns when the answer is cut off unless more of it comes; `None` if it may go on.
     fn cut_off_at(&self) -> Option<Instant> {
         self.max_short_bytes.filter(|most| self.answer.received() <= *most)?;
-        let end_by = self.time.end_by().saturating_duration_since(self.head_at);
+        let end_by = if self.may_become_long() { self.time.end_by() } else { self.time.begin_held_by() };
+        let end_by = end_by.saturating_duration_since(self.head_at);
         self.answer.cut_off_at(end_by).map(|cut_off_at| self.head_at + cut_off_at)
     }
 }
--- a/crates/engine/src/parts/attempt/unsized_body.rs
+++ b/crates/engine/src/parts/attempt/unsized_body.rs
@@ -59,7 +59,7 @@
         while self.is_held() {
             self.progress.on_wait();
             let next = timeout_at(self.next_check(), body.frame());
-            let Ok(frame) = self.time.limit_begun(next).await? else { continue };
+            let Ok(frame) = self.time.limit_held(next).await? else { continue };
             match frame.transpose().map_err(|e| body_error(e.into()))?.map(Frame::into_data) {
                 Some(Ok(data)) => self.push(data),
                 // Trailers can only be forwarded after the data in a stream.
@@ -91,21 +91,24 @@
     }
 
     /// Returns true while the answer may still be short and end in time, or has stopped: until it comes
-    /// again, another answer may still be given.
+    /// again, another answer may still be given, for as long as that can begin in time.
     fn is_held(&self) -> bool {
         let now = Instant::now();
         let is_due = self.time.pass_on_at() <= now;
+        let must_begin = self.time.begin_held_by() <= now;
         self.received.len() <= self.answers.buffer
             && self.trailers.is_none()
             && self.hold_end().is_none_or(|hold_end| hold_end > now)
             && !(is_due && self.progress.may_go_on())
+            && !(must_begin && self.progress.may_become_long())
     }
 
     /// Returns when to look again at an answer of which nothing more comes.
     fn next_check(&self) -> Instant {
         let now = Instant::now();
-        let due = Some(self.time.pass_on_at()).filter(|due| *due > now);
-        due.into_iter().chain(self.hold_end()).min().unwrap_or(now + REPORT_INTERVAL)
+        let times = [self.time.pass_on_at(), self.time.begin_held_by()];
+        let next_time = times.into_iter().filter(|time| *time > now);
+        next_time.chain(self.hold_end()).min().unwrap_or(now + REPORT_INTERVAL)
     }
 
     /// Reports that the answer comes, if that was not reported just before.
--- a/crates/engine/src/parts/driver/in_flight.rs
+++ b/crates/engine/src/parts/driver/in_flight.rs
@@ -3,6 +3,7 @@
 use super::{Answer, RequestContext, Trace};
 use crate::parts::answer::UpstreamResponse;
 use crate::parts::attempt_limits::AttemptLimits;
+use maplehook_core::exchange_time::MAX_HOLD_UP;
 use maplehook_core::request_lifecycle::RequestLifecycle;
 use maplehook_core::{Outcome, UpstreamId};
 use std::rc::Rc;
@@ -12,8 +13,8 @@
 use tokio::time::Instant;
 
 /// Margin before the end of a key's window by which a retry must be written. It covers the path to the
-/// upstream and the queueing there.
-const DELIVERY_MARGIN: Duration = Duration::from_millis(50);
+/// upstream and the queueing there, and a hold-up of this process before the write.
+const DELIVERY_MARGIN: Duration = Duration::from_millis(50).saturating_add(MAX_HOLD_UP);
 
 /// One attempt of a request.
 pub(super) struct Attempt {
--- a/crates/engine/src/parts/exchange_time.rs
+++ b/crates/engine/src/parts/exchange_time.rs
@@ -4,7 +4,7 @@
 use crate::parts::attempt_limits::AttemptLimits;
 use crate::parts::body::{Payload, Upload};
 use crate::parts::time_limit::TimeLimit;
-use maplehook_core::exchange_time::{AnswerDue, LATE_END_GRACE};
+use maplehook_core::exchange_time::{AnswerDue, LATE_END_GRACE, LATE_HELD_GRACE};
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,7 +41,12 @@
         self.upload_due(AnswerDue::begin_by).unwrap_or(self.answer_by)
     }
 
-    /// Returns by when a short answer has to end, as far as that is known now.
+    /// Returns by when an answer has to begin that is held, as far as that is known now.
+    pub fn begin_held_by(&self) -> Instant {
+        self.upload_due(AnswerDue::begin_held_by).unwrap_or_else(|| self.deadline + LATE_HELD_GRACE)
+    }
+
+    /// Returns by when a short answer has to end that has begun, as far as that is known now.
     pub fn end_by(&self) -> Instant {
         self.upload_due(AnswerDue::end_by).unwrap_or_else(|| self.deadline + LATE_END_GRACE)
     }
@@ -62,13 +67,13 @@
         }
     }
 
-    /// Runs a part of the exchange in which the final answer has begun, and is held.
-    pub async fn limit_begun<T>(&self, part: impl Future<Output = T>) -> Result<T, TimeLimit> {
+    /// Runs a part of the exchange in which the final answer is received, and held.
+    pub async fn limit_held<T>(&self, part: impl Future<Output = T>) -> Result<T, TimeLimit> {
         match &self.upload {
-            None => timeout_at(self.end_by(), part).await.map_err(|_| TimeLimit::AnswerDue),
+            None => timeout_at(self.begin_held_by(), part).await.map_err(|_| TimeLimit::AnswerDue),
             Some(upload) => tokio::select! {
                 result = part => Ok(result),
-                limit = upload.wait_until_timed_out(AnswerDue::end_by) => Err(limit),
+                limit = upload.wait_until_timed_out(AnswerDue::begin_held_by) => Err(limit),
             },
         }
     }
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -249,6 +249,14 @@
         self.signal("TERM");
     }
 
+    /// Stops the process for so long.
+    pub fn hold_up(&self, time: std::time::Duration) {
+        let pid = nix::unistd::Pid::from_raw(self.child.id() as i32);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGSTOP).unwrap();
+        std::thread::sleep(time);
+        nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGCONT).unwrap();
+    }
+
     fn signal(&self, name: &str) {
         let kill = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").arg("-c").arg(kill).status().unwrap().success());
--- a/crates/proxy/tests/slow_bodies/main.rs
+++ b/crates/proxy/tests/slow_bodies/main.rs
@@ -6,6 +6,7 @@
 
 mod broken;
 mod exchange;
+mod held_up;
 mod upstreams;
 
 use common::Setup;
