Second answers: a copy of any recent answer on its connection is recognised

What callers saw: the answer to another request, where an upstream had answered that one a second time 20 to 250 ms late.

Cause: only a copy of the answer right before was recognised. A copy that is late by more than a rest and a request comes after other answers on its connection, so that it was taken for the answer to the request in flight (traced: the wrong bodies are those of requests before the last). And where the true answer never came, a copy that had been recognised was served after its hold.

Where nearly all answers of a process differ, silence behind a held one does not make it true; where applications repeat themselves it does, as before. What an unsafe request rides on stays as it is: a doubted answer to it is a failure, a safe one gets another attempt.

--- a/crates/engine/src/parts/attempt/repeat_check.rs
+++ b/crates/engine/src/parts/attempt/repeat_check.rs
@@ -1,5 +1,5 @@
-//! Check for a response that repeats the one before on its connection: it may be a second response to the
-//! request before, which crossed the request in flight.
+//! Check for a response that repeats an earlier one on its connection: it may be a second response to that
+//! request, which crossed the request in flight.
 
 use crate::parts::attempt::reply::Reply;
 use crate::parts::connection::Connection;
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 impl Upstreams {
-    /// Returns false if the response belongs to the request before on its connection. A suspicious response
+    /// Returns false if the response belongs to an earlier request on its connection. A suspicious response
     /// is held: the true one follows it. `response_time` is the time since the request.
     pub(super) async fn is_confirmed(
         &self,
@@ -19,10 +19,8 @@
         response_time: Duration,
         answer_by: Instant,
     ) -> bool {
-        let digest = reply.digest();
-        let previous_digest = connection.replace_digest(digest);
-        let Some(digest) = digest else { return true };
-        let is_suspicious = previous_digest == Some(digest)
+        let Some(digest) = reply.digest() else { return true };
+        let is_suspicious = connection.record_digest(digest)
             && upstream.reuse.is_suspicious(digest, &mut self.recent_responses.borrow_mut());
         if !is_suspicious {
             self.recent_responses.borrow_mut().record(digest, connection.number());
@@ -30,10 +28,15 @@
             return true;
         }
         let limit = upstream.reuse.hold_time(answer_by.saturating_duration_since(Instant::now()));
-        tracing::debug!(connection = connection.number(), ?limit, "response held: it repeats the one before");
+        tracing::debug!(connection = connection.number(), ?limit, "response held: it repeats an earlier one");
         let is_silent = !connection.ends_within(limit).await;
-        if !(is_silent && RepeatPolicy::is_served_after_silence(upstream.reuse.has_shown_unsolicited_data()))
-        {
+        let has_shown_unsolicited_data = upstream.reuse.has_shown_unsolicited_data();
+        let is_served = is_silent
+            && RepeatPolicy::is_served_after_silence(
+                has_shown_unsolicited_data,
+                &self.recent_responses.borrow(),
+            );
+        if !is_served {
             self.tally.responses_held.increment("discarded");
             return false;
         }
--- a/crates/engine/src/parts/connection.rs
+++ b/crates/engine/src/parts/connection.rs
@@ -11,8 +11,9 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use maplehook_core::repeated_responses::ConnectionResponses;
 use prometheus_client::metrics::counter::Counter;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
@@ -42,8 +43,7 @@
     written: Rc<WriteCounter>,
     exchange: Rc<ExchangeState>,
     peer: SocketAddr,
-    /// Digest of the last response; `None` before the first, or if it has none.
-    last_digest: Cell<Option<u64>>,
+    responses: RefCell<ConnectionResponses>,
     /// True if there was no memory to keep the buffer of the last request's head.
     has_long_head: Cell<bool>,
 }
@@ -83,7 +83,7 @@
             written,
             exchange,
             peer,
-            last_digest: Cell::default(),
+            responses: RefCell::default(),
             has_long_head: Cell::default(),
         })
     }
@@ -119,13 +119,13 @@
         self.exchange.report(kind, &[]);
     }
 
-    /// Remembers the digest of a response and returns the one of the response before.
-    pub fn replace_digest(&self, digest: Option<u64>) -> Option<u64> {
-        self.last_digest.replace(digest)
+    /// Records the digest of a response, and returns true if it repeats an earlier one.
+    pub fn record_digest(&self, digest: u64) -> bool {
+        self.responses.borrow_mut().record(digest)
     }
 
     /// Waits up to `limit` for anything that follows the response in hand, which is suspected to be a second
-    /// response to the request before. Returns true if the connection ended, as it does over unsolicited data.
+    /// response to an earlier request. Returns true if the connection ended, as it does over unsolicited data.
     pub async fn ends_within(&self, limit: Duration) -> bool {
         self.exchange.suspected_delay.set(self.since_last_response());
         let has_ended = timeout(limit, self.exchange.ended.notified()).await.is_ok();
