Newcomers: a silent connection holds a descriptor and no place; a request is answered

What callers saw: beside a crowd of idle clients a newcomer's connection was closed with no byte, with hundreds of descriptors left.

Cause: a connection had its place from its accept on. Since memory limits the places, a crowd fills them, and the next arrival evicted the youngest silent connection, or the oldest unproven one of the address that all clients share: newcomers whose request was on its way evicted one another. A rejection beyond 500 a second was a close.

Change: a connection waits for its first byte with a socket and a small task, and takes its place with that byte; which silent one closes for a new connection is decided in maplehook_admission::silent_connections: one older than the prompt time first, then an idle one that was served, then the oldest fresh one. A connection with bytes counts as sending from its admission on. It waits up to 50 ms for evicted ones to close, instead of being refused for them, and a rejected request that is here always gets its 503.

--- a/crates/admission/src/connection_admission.rs
+++ b/crates/admission/src/connection_admission.rs
@@ -104,9 +104,8 @@
         let key = AddressKey::prefix(client, prefix_v4, prefix_v6);
         let prefix_burst = burst * prefix_times.unwrap_or(1.0);
         let prefix = self.table.prefixes.find_or_insert(key, now_seconds, prefix_burst);
-        let is_listed = self.policy.known.iter().any(|network| network.contains(client))
-            || self.known_networks.contains(client);
-        let is_known = is_listed && self.table.addresses.get_mut(address).known < self.max_known();
+        let is_known =
+            self.is_listed(client) && self.table.addresses.get_mut(address).known < self.max_known();
         let is_exempt = is_known || self.policy.fronts.iter().any(|network| network.contains(client));
         Connection {
             generation: 0,
@@ -122,6 +121,28 @@
         }
     }
 
+    /// Whether the networks of known clients contain this one.
+    pub fn is_listed(&self, client: IpAddr) -> bool {
+        self.policy.known.iter().any(|network| network.contains(client))
+            || self.known_networks.contains(client)
+    }
+
+    /// The time within which the first bytes of a connection usually come.
+    pub fn prompt(&self) -> Duration {
+        self.policy.prompt
+    }
+
+    /// Whether so many evicted connections are not closed yet that no other can be evicted.
+    pub fn awaits_evictions(&self) -> bool {
+        self.table.evicted() >= MAX_PENDING_EVICTIONS
+    }
+
+    /// Evicts the connection that has been idle for longest, of unknown clients; `None` if none is idle.
+    pub fn evict_idle(&mut self) -> Option<ConnectionId> {
+        let [unknown, _] = self.table.idle();
+        unknown.first().filter(|_| !self.awaits_evictions()).map(|slot| self.table.evict(slot))
+    }
+
     /// Finds room for a new connection: the slot of another one that has to be evicted for it, if there is need.
     fn make_room(&mut self, now: Duration, new: &Connection) -> Result<Option<u32>, RejectionReason> {
         let mut candidate = None;
@@ -131,7 +152,7 @@
         if candidate.is_none() && !self.has_room(new.is_known) {
             candidate = Some(self.eviction_candidate_for(now, new.is_known).ok_or(RejectionReason::Full)?);
         }
-        if candidate.is_some() && self.table.evicted() >= MAX_PENDING_EVICTIONS {
+        if candidate.is_some() && self.awaits_evictions() {
             return Err(RejectionReason::Full);
         }
         Ok(candidate)
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 //! | [`address`] | addresses, prefixes and sets of networks |
 //! | [`token`] | signed tokens by which a request shows that its client is known |
 //! | [`descriptor_budget`] | how many file descriptors clients and upstreams may hold |
+//! | [`silent_connections`] | connections that have sent nothing yet, and which of them close for others |
 //! | [`memory_budget`] | how many connections and how many buffered bytes the memory limit permits |
 //!
 //! # The rules
@@ -61,6 +62,7 @@
 pub mod memory_budget;
 pub mod policy;
 pub mod rejection;
+pub mod silent_connections;
 mod source_table;
 mod tenant_connections;
 pub mod token;
@@ -71,3 +73,4 @@
 pub use memory_budget::{ConnectionLimits, MemoryBudget};
 pub use policy::{AdmissionPolicy, PolicyError};
 pub use rejection::{Rejection, RejectionReason};
+pub use silent_connections::{Room, SilentConnections};
--- a/crates/engine/src/parts/descriptors.rs
+++ b/crates/engine/src/parts/descriptors.rs
@@ -102,6 +102,11 @@
         self.budget.borrow().limit_of(class).min(self.memory_limits.get().of(class))
     }
 
+    /// Returns the number of descriptors of a class, whatever memory there is for its connections.
+    pub fn descriptors_of(&self, class: DescriptorClass) -> usize {
+        self.budget.borrow().limit_of(class)
+    }
+
     /// Limits the connections of each class to those for which there is memory.
     pub fn set_memory_limits(&self, limits: ConnectionLimits) {
         self.memory_limits.set(limits);
--- a/crates/proxy/src/admission.rs
+++ b/crates/proxy/src/admission.rs
@@ -55,6 +55,43 @@
         }
     }
 
+    /// Returns true if the client at `address` belongs to the networks of known clients.
+    pub fn is_known(&self, address: IpAddr) -> bool {
+        self.admission.borrow().is_listed(address)
+    }
+
+    /// Returns the number of admitted connections that are not closed yet.
+    pub fn open_connections(&self) -> usize {
+        self.clients.borrow().len()
+    }
+
+    /// Returns the time within which the first bytes of a connection usually come.
+    pub fn prompt(&self) -> Duration {
+        self.admission.borrow().prompt()
+    }
+
+    /// Returns true if so many evicted connections are not closed yet that no other can be evicted.
+    pub fn awaits_evictions(&self) -> bool {
+        self.admission.borrow().awaits_evictions()
+    }
+
+    /// Returns the longest time that a connection may send nothing.
+    pub fn first_byte_timeout(&self) -> Duration {
+        self.timeouts.request_idle
+    }
+
+    /// Asks the connection to close that has been idle longest. Returns false if none is idle.
+    pub fn evict_idle(&self) -> bool {
+        let evicted = self.admission.borrow_mut().evict_idle();
+        self.request_close(evicted);
+        evicted.is_some()
+    }
+
+    /// Records that the first byte of an admitted connection has come already.
+    pub fn on_first_byte(&self, client: &ClientConnection) {
+        self.on_bytes(client.id());
+    }
+
     /// Returns a rejection without an admission decision, for a connection that can't be accepted at all.
     pub fn reject(&self, reason: RejectionReason) -> Rejection {
         self.admission.borrow_mut().reject(self.now(), reason)
--- a/crates/proxy/src/client.rs
+++ b/crates/proxy/src/client.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Returns the id under which the connection was admitted.
+    pub fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     /// Returns the request state.
     pub fn state(&self) -> ConnectionState {
         self.state.get()
--- a/crates/proxy/src/inbound.rs
+++ b/crates/proxy/src/inbound.rs
@@ -150,8 +150,7 @@
     /// Returns true if the receive buffer has unread bytes, and false at the end of the stream. Asks the
     /// kernel directly, because the runtime's readiness state may be stale.
     fn peek(&self) -> io::Result<bool> {
-        let (mut byte, stream) = ([MaybeUninit::uninit()], self.stream.borrow());
-        retry_on_interrupt(|| SockRef::from(&*stream).peek(&mut byte)).map(|n| n > 0)
+        peek(&self.stream.borrow())
     }
 
     /// Completes if the client of a pending request has closed its side. Must be polled after the HTTP
@@ -318,6 +317,12 @@
     }
 }
 
+/// Returns true if the receive buffer of a stream has unread bytes, and false at its end.
+pub fn peek(stream: &TcpStream) -> io::Result<bool> {
+    let mut byte = [MaybeUninit::uninit()];
+    retry_on_interrupt(|| SockRef::from(stream).peek(&mut byte)).map(|n| n > 0)
+}
+
 /// Repeats a system call while a signal interrupts it; the interruption says nothing about the stream.
 fn retry_on_interrupt<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     loop {
--- a/crates/proxy/src/rejections.rs
+++ b/crates/proxy/src/rejections.rs
@@ -102,6 +102,7 @@
         if !rejection.has_response || !write_response(&stream, rejection) {
             return;
         }
+        discard_available(&stream);
         let pending = &mut *self.0.borrow_mut();
         pending.retain(|client| !client.is_finished());
         if pending.len() >= REJECTION_DESCRIPTORS
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! The client side: accepts connections, reads requests and writes final responses.
 
+mod arrival;
 mod connection;
 mod ended;
 mod respond;
@@ -7,14 +8,15 @@
 pub use ended::EndReason;
 
 use crate::admission::AdmissionController;
-use crate::inbound::ReadAheadTotal;
+use crate::inbound::{ReadAheadTotal, peek};
 use crate::rejections::PendingRejections;
 use crate::requests::RequestReader;
+use arrival::Arrivals;
 use maplehook::parts::buffer_memory::BufferMemory;
 use maplehook::parts::descriptors::{Descriptors, EXHAUSTION_BACKOFF, is_descriptor_exhaustion};
 use maplehook::parts::dispatcher::Dispatcher;
 use maplehook::parts::rate_limited_log::RateLimitedLog;
-use maplehook_admission::RejectionReason;
+use maplehook_admission::{DescriptorClass, Rejection, RejectionReason};
 use maplehook_http_semantics::Own;
 use std::io;
 use std::net::IpAddr;
@@ -48,6 +50,7 @@
     admission: Rc<AdmissionController>,
     descriptors: Rc<Descriptors>,
     own_responses: Own,
+    arrivals: Arrivals,
     rejections: PendingRejections,
     read_ahead_total: Rc<ReadAheadTotal>,
     phase: watch::Receiver<ShutdownPhase>,
@@ -73,6 +76,7 @@
             admission,
             descriptors,
             own_responses,
+            arrivals: Arrivals::new(),
             rejections: PendingRejections::default(),
             read_ahead_total: ReadAheadTotal::new(buffer_memory),
             phase,
@@ -94,7 +98,7 @@
             };
             match accepted {
                 Ok((stream, peer)) => {
-                    if self.admit(stream, peer.ip()) {
+                    if self.take(stream, peer.ip()) {
                         // An evicted connection closes before the next one is accepted.
                         yield_now().await;
                     }
@@ -114,6 +118,7 @@
         } else {
             drop(listener);
         }
+        self.arrivals.wait_until_empty().await;
         self.admission.wait_until_empty().await;
         self.rejections.wait_until_read().await;
     }
@@ -138,10 +143,19 @@
         retire(listener);
     }
 
+    /// Returns the number of descriptors that clients may hold, admitted or silent.
+    fn max_client_descriptors(&self) -> usize {
+        self.descriptors.descriptors_of(DescriptorClass::Clients)
+    }
+
     /// Admits or rejects a client. Returns true if another connection was asked to close for it.
     fn admit(self: &Rc<Self>, stream: TcpStream, address: IpAddr) -> bool {
+        let has_bytes = peek(&stream).is_ok_and(|has_bytes| has_bytes);
         match self.admission.admit(address) {
             Ok((client, has_evicted)) => {
+                if has_bytes {
+                    self.admission.on_first_byte(&client);
+                }
                 spawn_local(Rc::clone(self).serve_connection(client, stream, address));
                 has_evicted
             }
@@ -149,7 +163,9 @@
                 self.dispatcher.tally().clients_refused.increment(rejection.reason.name());
                 self.rejection_warnings
                     .warn(|| format!("{address}: connection rejected: {:?}", rejection.reason));
-                self.rejections.reject(stream, &rejection);
+                // A request that is here gets its answer, however many are rejected.
+                let has_response = rejection.has_response || has_bytes;
+                self.rejections.reject(stream, &Rejection { has_response, ..rejection });
                 false
             }
         }
--- a/crates/proxy/tests/door/main.rs
+++ b/crates/proxy/tests/door/main.rs
@@ -6,6 +6,7 @@
 mod descriptors;
 mod flood;
 mod known;
+mod newcomers;
 mod places;
 
 use common::{Client, Node, book_as};
--- a/crates/proxy/tests/late_answers/main.rs
+++ b/crates/proxy/tests/late_answers/main.rs
@@ -21,7 +21,8 @@
     let (mut wrong, mut connection) = (Vec::new(), node.connect());
     for n in 0..REQUESTS {
         let id = format!("id-{client}-{n}");
-        let request = if (client + n) % 2 == 0 { look(2000).replace("77aa", &id) } else { book_as(&id, "x") };
+        let request =
+            if (client + n).is_multiple_of(2) { look(2000).replace("77aa", &id) } else { book_as(&id, "x") };
         match connection.try_exchange(&request) {
             Some(answer) if answer.status() == 200 && answer.body != id.as_bytes() => {
                 wrong.push(format!("{id} was served {:?}", String::from_utf8_lossy(&answer.body)));
