Soak: pairs of faults, and a breach for an attempt that begins after its end

Change: each run draws a pair of six faults, all 15 pairs in turn: clients that leave, answers that break in four forms (by a reset or an early end, after 0 to 80,000 bytes, at once or later), upstreams that crash, that are not there at the start, that drain or are left out of whole lists, and times of 5 to 60 ms. New breaches: an attempt that begins 0.1 s after its client has left or has its answer, or 0.15 s after its time; a new connection closed with no byte before SIGTERM where no crowd fills the descriptors. A broken answer may be passed on if its client sees that it is not whole.

--- a/tools/testbed/src/soak.rs
+++ b/tools/testbed/src/soak.rs
@@ -2,21 +2,27 @@
 //! misbehave.
 //!
 //! A run is drawn from its seed. It has two lives of the balancer: each starts a fresh process, sends it signals in
-//! series, and ends with SIGTERM and with SIGKILL at the earliest time that the protocol allows. `check` holds what
-//! the clients and the upstreams recorded against the rules.
+//! series, and ends with SIGTERM and with SIGKILL at the earliest time that the protocol allows. Beside them each run
+//! has a pair of faults. `check` holds what the clients and the upstreams recorded against the rules.
 
 mod balancer;
+mod broken;
 mod check;
 mod clients;
+mod discovery;
+mod faults;
 mod long_bodies;
 mod plan;
 mod upstream;
 
 pub use check::{Breach, Summary};
+pub use faults::{Fault, FaultPair};
 pub use plan::{Behaviour, Life, Plan, SignalKind};
 
 use balancer::Balancer;
 use clients::Clients;
+use discovery::Discovery;
+use maplehook_test_servers::nobody;
 use std::ops::Range;
 use std::path::Path;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -31,6 +37,10 @@
 pub const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
 /// Time after its deadline within which a request still has to get its final answer.
 pub const ANSWER_MARGIN: Duration = Duration::from_millis(500);
+/// Time within which an attempt may still begin after its client has left or has its answer.
+pub const BEGUN_AFTER_END_MARGIN: Duration = Duration::from_millis(100);
+/// Time within which an attempt may still begin after the request's own.
+pub const BEGUN_AFTER_TIME_MARGIN: Duration = Duration::from_millis(150);
 /// Lateness of the machine's timers beyond which a run shows nothing.
 pub const MAX_LATENESS: Duration = Duration::from_millis(150);
 /// Interval for reading the memory that a balancer holds after SIGTERM.
@@ -67,14 +77,23 @@
         .upstreams
         .iter()
         .enumerate()
-        .map(|(n, upstream)| Upstream::start(upstream.clone(), seed + n as u64, plan.long_share))
+        .map(|(n, upstream)| Upstream::start(upstream.clone(), seed + n as u64, plan.long_share, plan.faults))
         .collect();
+    let discovery = Discovery::start(upstreams.iter().map(|upstream| upstream.address));
+    let discovery_address = if plan.faults.has(Fault::ListsChange) { discovery.address } else { nobody() };
     let lateness = Lateness::start();
-    let mut summary = Summary::new(seed);
+    let mut summary = Summary::new(seed, plan.faults);
     for (n, life) in plan.lives.iter().enumerate() {
-        let mut balancer = Balancer::start(program, &plan, &upstreams, n)?;
+        let mut balancer = Balancer::start(program, &plan, &upstreams, discovery_address, n)?;
         let clients = Clients::start(&plan, balancer.address, seed * 1000 + n as u64);
-        let (end, peak_memory) = play_life(&plan, life, &mut balancer)?;
+        let faults_end = Instant::now() + life.terminate_after + plan.deadline.min(MAX_COUNTED_DEADLINE);
+        let rng = faults::generator(seed * 1000 + n as u64);
+        let (end, peak_memory) = thread::scope(|scope| {
+            let play_faults =
+                || faults::play_upstream_faults(plan.faults, rng, &upstreams, &discovery, faults_end);
+            scope.spawn(play_faults);
+            play_life(&plan, life, &mut balancer)
+        })?;
         summary.add_peak_memory(&plan, peak_memory);
         let requests = clients.stop(end.killed_at);
         let executions: Vec<_> = upstreams.iter().flat_map(Upstream::take_executions).collect();
--- a/tools/testbed/src/soak/balancer.rs
+++ b/tools/testbed/src/soak/balancer.rs
@@ -3,7 +3,7 @@
 use super::HOLD_UP;
 use super::plan::{Plan, SignalKind};
 use super::upstream::Upstream;
-use maplehook_test_servers::{entry, list, nobody};
+use maplehook_test_servers::{entry, list};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::io::{BufRead, BufReader};
@@ -28,10 +28,17 @@
 
 impl Balancer {
     /// Starts the process of one life, and waits until it serves.
-    pub fn start(program: &Path, plan: &Plan, upstreams: &[Upstream], life: usize) -> Result<Self, String> {
+    pub fn start(
+        program: &Path,
+        plan: &Plan,
+        upstreams: &[Upstream],
+        discovery: SocketAddr,
+        life: usize,
+    ) -> Result<Self, String> {
         let name = format!("maplehook-soak-{}-{}-{life}.json", std::process::id(), plan.seed);
         let configuration = std::env::temp_dir().join(name);
-        std::fs::write(&configuration, configuration_text(plan, upstreams)).map_err(|e| e.to_string())?;
+        std::fs::write(&configuration, configuration_text(plan, upstreams, discovery))
+            .map_err(|e| e.to_string())?;
         let mut child = Command::new(program)
             .env("NODE_CONFIG", &configuration)
             .env("NODE_LOG", "info")
@@ -95,13 +102,13 @@
     }
 }
 
-fn configuration_text(plan: &Plan, upstreams: &[Upstream]) -> String {
+fn configuration_text(plan: &Plan, upstreams: &[Upstream], discovery: SocketAddr) -> String {
     let entries: Vec<String> = upstreams
         .iter()
         .enumerate()
         .map(|(n, upstream)| entry(&format!("s-{n}"), upstream.address, "Ready"))
         .collect();
-    let (known, discovery) = (list(1, true, &entries), nobody());
+    let known = list(1, true, &entries);
     let (deadline_ms, sockets, memory_mb) = (plan.deadline.as_millis(), plan.sockets, plan.memory_mb);
     let class = |name: &str, effect: &str| {
         format!(
--- a/tools/testbed/src/soak/check.rs
+++ b/tools/testbed/src/soak/check.rs
@@ -1,10 +1,13 @@
 //! The rules, held against what clients and upstreams recorded.
 
 use super::clients::{End, Request};
+use super::faults::FaultPair;
 use super::long_bodies::{LongBody, is_made_for};
 use super::plan::Plan;
 use super::upstream::Execution;
-use super::{ANSWER_MARGIN, EndOfLife, KILL_MARGIN, MAX_LATENESS};
+use super::{
+    ANSWER_MARGIN, BEGUN_AFTER_END_MARGIN, BEGUN_AFTER_TIME_MARGIN, EndOfLife, KILL_MARGIN, MAX_LATENESS,
+};
 use std::collections::HashMap;
 use std::fmt;
 use std::time::Duration;
@@ -27,6 +30,8 @@
     Late(String, Duration),
     /// The connection was closed with no answer to a request that was taken.
     Lost(String),
+    /// An attempt began so long after its client had left or had its answer, or after the time of the request.
+    BegunAfterEnd(String, Duration),
     /// SIGKILL found the request unanswered.
     FoundByKill(String),
     /// The answer broke off.
@@ -46,6 +51,7 @@
             Self::RefusedButRan(id) => write!(f, "{id} was refused and ran"),
             Self::Late(id, time) => write!(f, "{id} had no answer for {time:?}"),
             Self::Lost(id) => write!(f, "{id} was taken and has no answer"),
+            Self::BegunAfterEnd(id, time) => write!(f, "an attempt of {id} began {time:?} after its end"),
             Self::FoundByKill(id) => write!(f, "SIGKILL found {id} unanswered"),
             Self::Cut(id) => write!(f, "the answer to {id} broke off"),
             Self::Memory(peak, limit) => write!(f, "the balancer held {peak} KiB of {limit}"),
@@ -58,6 +64,8 @@
 pub struct Summary {
     /// Its seed.
     pub seed: u64,
+    /// Its faults.
+    pub faults: FaultPair,
     /// Requests that clients sent.
     pub requests: usize,
     /// Requests that were answered with status 200.
@@ -71,8 +79,16 @@
 }
 
 impl Summary {
-    pub(super) fn new(seed: u64) -> Self {
-        Self { seed, requests: 0, served: 0, breaches: Vec::new(), lateness: Duration::ZERO, is_void: false }
+    pub(super) fn new(seed: u64, faults: FaultPair) -> Self {
+        Self {
+            seed,
+            faults,
+            requests: 0,
+            served: 0,
+            breaches: Vec::new(),
+            lateness: Duration::ZERO,
+            is_void: false,
+        }
     }
 
     pub(super) fn add(&mut self, (requests, served, breaches): (usize, usize, Vec<Breach>)) {
@@ -97,11 +113,11 @@
 
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { seed, requests, served, lateness, .. } = self;
+        let Self { seed, faults: FaultPair(first, second), requests, served, lateness, .. } = self;
         let void = if self.is_void { ", void" } else { "" };
         write!(
             f,
-            "seed {seed}: {requests} requests, {served} served, {} breaches, timers {lateness:?} late{void}",
+            "seed {seed}, {first:?} and {second:?}: {requests} requests, {served} served, {} breaches, timers {lateness:?} late{void}",
             self.breaches.len()
         )?;
         self.breaches.iter().try_for_each(|breach| write!(f, "\n  {breach}"))
@@ -116,28 +132,56 @@
     end: EndOfLife,
     lateness: Duration,
 ) -> (usize, usize, Vec<Breach>) {
-    let mut runs: HashMap<&str, usize> = HashMap::new();
+    let mut runs: HashMap<&str, Vec<&Execution>> = HashMap::new();
     for execution in executions {
-        *runs.entry(&execution.id).or_default() += 1;
+        runs.entry(&execution.id).or_default().push(execution);
     }
-    let longest_wait = plan.deadline + ANSWER_MARGIN + lateness;
+    let life = LifeRecord { end, lateness, is_crowded: plan.crowd > 0 };
     let mut breaches = Vec::new();
     for request in requests {
-        let runs = runs.get(request.id.as_str()).copied().unwrap_or_default();
-        check_request(request, runs, end, longest_wait, &mut breaches);
+        let runs = runs.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
+        check_request(request, runs, &life, &mut breaches);
+        check_begins(request, runs, &life, &mut breaches);
     }
     let is_served = |request: &&Request| matches!(request.end, End::Answered { status: 200, .. });
     (requests.len(), requests.iter().filter(is_served).count(), breaches)
 }
 
+/// What the requests of one life are judged by.
+struct LifeRecord {
+    end: EndOfLife,
+    lateness: Duration,
+    is_crowded: bool,
+}
+
+/// Finds attempts that began after the end of their request.
+fn check_begins(request: &Request, executions: &[&Execution], life: &LifeRecord, breaches: &mut Vec<Breach>) {
+    if request.long_body.is_some() {
+        return;
+    }
+    let by_time = request.sent_at + request.wait + BEGUN_AFTER_TIME_MARGIN;
+    let has_ended = matches!(request.end, End::Left | End::Answered { .. });
+    let by_end = has_ended.then_some(request.ended_at + BEGUN_AFTER_END_MARGIN);
+    let latest = by_end.map_or(by_time, |by_end| by_end.min(by_time)) + life.lateness;
+    for begun_at in executions.iter().filter_map(|execution| execution.arrived_at) {
+        if begun_at > latest {
+            breaches.push(Breach::BegunAfterEnd(request.id.clone(), begun_at - latest));
+        }
+    }
+}
+
 fn check_request(
     request: &Request,
-    runs: usize,
-    end: EndOfLife,
-    longest_wait: Duration,
+    executions: &[&Execution],
+    life: &LifeRecord,
     breaches: &mut Vec<Breach>,
 ) {
-    let id = || request.id.clone();
+    let (id, end, runs) = (|| request.id.clone(), life.end, executions.len());
+    let longest_wait = request.wait + ANSWER_MARGIN + life.lateness;
+    // A broken answer may be passed on, as long as its client sees that it is not whole.
+    let may_be_cut = executions.iter().any(|execution| execution.breaks);
+    // Idle clients may fill the descriptors, and new connections are shut unread then.
+    let is_newcomer = request.is_first && !life.is_crowded && request.ended_at < end.terminated_at;
     // The first bytes of a long answer are timed.
     let answered_at = match request.long_body {
         Some(LongBody::Answer(..)) => request.answered_at,
@@ -163,11 +207,11 @@
         End::Closed | End::Cut if request.ended_at >= end.killed_at => {
             breaches.push(Breach::FoundByKill(id()));
         }
-        End::Closed if runs > 0 => breaches.push(Breach::Lost(id())),
-        End::Cut => breaches.push(Breach::Cut(id())),
-        End::Answered { .. } | End::Closed | End::Silent => {}
+        End::Closed if runs > 0 || is_newcomer => breaches.push(Breach::Lost(id())),
+        End::Cut if !may_be_cut => breaches.push(Breach::Cut(id())),
+        End::Answered { .. } | End::Closed | End::Cut | End::Silent | End::Left => {}
     }
-    if waited > longest_wait {
+    if waited > longest_wait && request.end != End::Left {
         breaches.push(Breach::Late(id(), waited));
     }
 }
--- a/tools/testbed/src/soak/clients.rs
+++ b/tools/testbed/src/soak/clients.rs
@@ -1,13 +1,14 @@
 //! The clients of a run: each sends one request after the other, and keeps its connection while it may.
 
 use super::balancer::lock;
+use super::faults::{self, FaultPair};
 use super::long_bodies::{self, LongBody};
 use super::plan::Plan;
 use super::{ANSWER_MARGIN, MAX_COUNTED_DEADLINE};
 use fastrand::Rng;
 use maplehook_test_servers::Message;
 use std::io::{BufRead, BufReader, ErrorKind, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -20,6 +21,8 @@
 /// How much longer than the rules allow a client waits, to tell a late answer from none.
 const EXTRA_PATIENCE: Duration = Duration::from_secs(1);
 
+/// Shortest read timeout that a socket takes for one.
+const MIN_READ_TIMEOUT: Duration = Duration::from_millis(1);
 /// Length of the bodies in which clients of the crowd stop.
 const STOPPED_BODY_BYTES: usize = 60 * 1024;
 
@@ -39,6 +42,8 @@
     Cut,
     /// With nothing, for as long as the client waits.
     Silent,
+    /// With the client, which has closed its connection.
+    Left,
 }
 
 /// A request as its client saw it.
@@ -50,6 +55,8 @@
     pub is_safe: bool,
     /// Its long body or that of its answer.
     pub long_body: Option<LongBody>,
+    /// How long its client waits for the answer.
+    pub wait: Duration,
     /// True if it was the first on its connection.
     pub is_first: bool,
     /// Time before its first byte; after its last one if its body is long.
@@ -81,6 +88,8 @@
                 name: format!("{life}-{n}"),
                 balancer,
                 deadline: plan.deadline,
+                faults: plan.faults,
+                fault_rng: faults::generator(life.wrapping_mul(7919).wrapping_add(n as u64)),
                 long_share: plan.long_share,
                 long_rng: long_bodies::generator(life.wrapping_mul(7919).wrapping_add(n as u64)),
                 rng: Rng::with_seed(life.wrapping_mul(7919).wrapping_add(n as u64)),
@@ -130,6 +139,8 @@
     name: String,
     balancer: SocketAddr,
     deadline: Duration,
+    faults: FaultPair,
+    fault_rng: Rng,
     long_share: f64,
     long_rng: Rng,
     rng: Rng,
@@ -151,10 +162,14 @@
     fn connect(&self) -> Option<BufReader<TcpStream>> {
         let stream = TcpStream::connect(self.balancer).ok()?;
         stream.set_nodelay(true).ok()?;
-        stream.set_read_timeout(Some(self.deadline + ANSWER_MARGIN + EXTRA_PATIENCE)).ok()?;
+        stream.set_read_timeout(Some(self.patience())).ok()?;
         Some(BufReader::new(stream))
     }
 
+    fn patience(&self) -> Duration {
+        self.deadline + ANSWER_MARGIN + EXTRA_PATIENCE
+    }
+
     /// Sends requests on a connection until it ends.
     fn use_connection(&mut self, mut stream: BufReader<TcpStream>, sent: &mut usize) {
         let mut is_first = true;
@@ -164,13 +179,22 @@
             let is_safe = self.rng.bool();
             let long_body = LongBody::draw(&mut self.long_rng, self.long_share);
             let is_safe = is_safe && !matches!(long_body, Some(LongBody::Request(_)));
+            let wait = self.faults.draw_wait(&mut self.fault_rng, self.deadline);
+            let leave_after = self.faults.draw_leave(&mut self.fault_rng, wait);
             let before = Instant::now();
-            if stream.get_mut().write_all(self.request_text(&id, is_safe, long_body).as_bytes()).is_err() {
+            let text = self.request_text(&id, is_safe, long_body, wait);
+            if stream.get_mut().write_all(text.as_bytes()).is_err() {
                 return;
             }
             let sent_at = if long_body.is_some() { Instant::now() } else { before };
-            let (end, keeps_connection, answered_at) = read_answer(&mut stream);
+            let patience = leave_after.map_or(self.patience(), |after| after.max(MIN_READ_TIMEOUT));
+            let _ = stream.get_ref().set_read_timeout(Some(patience));
+            let (mut end, keeps_connection, answered_at) = read_answer(&mut stream);
             let ended_at = Instant::now();
+            if leave_after.is_some() && matches!(end, End::Silent | End::Cut) {
+                end = End::Left;
+                let _ = stream.get_ref().shutdown(Shutdown::Both);
+            }
             let is_answered = matches!(end, End::Answered { .. });
             thread::sleep(MAX_PAUSE.mul_f64(self.rng.f64()));
             let has_extra_bytes = is_answered && has_more(&stream);
@@ -178,6 +202,7 @@
                 id,
                 is_safe,
                 long_body,
+                wait,
                 is_first,
                 sent_at,
                 answered_at,
@@ -193,8 +218,8 @@
         }
     }
 
-    fn request_text(&self, id: &str, is_safe: bool, long_body: Option<LongBody>) -> String {
-        let deadline_ms = self.deadline.min(MAX_COUNTED_DEADLINE * 2).as_millis();
+    fn request_text(&self, id: &str, is_safe: bool, long_body: Option<LongBody>, wait: Duration) -> String {
+        let deadline_ms = wait.min(MAX_COUNTED_DEADLINE * 2).as_millis();
         let line = if is_safe { "GET /look" } else { "POST /book" };
         let query = long_body.map(LongBody::query).unwrap_or_default();
         let body = match long_body {
--- a/tools/testbed/src/soak/plan.rs
+++ b/tools/testbed/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What happens in a run, drawn from its seed.
 
+use super::faults::FaultPair;
 use super::long_bodies;
 use fastrand::Rng;
 use std::time::Duration;
@@ -110,6 +111,8 @@
     pub deadline: Duration,
     /// The upstreams.
     pub upstreams: Vec<UpstreamPlan>,
+    /// The faults beside that misbehaviour.
+    pub faults: FaultPair,
     /// Share of the requests that have a long body, or ask for a long answer.
     pub long_share: f64,
     /// Clients that send one request after the other.
@@ -138,6 +141,7 @@
             seed,
             deadline,
             upstreams,
+            faults: FaultPair::draw(seed),
             long_share: long_bodies::share(seed),
             clients: rng.usize(4..=16),
             crowd: if is_crowded { rng.usize(60..=160) } else { 0 },
