--- a/crates/admission/src/silent_connections.rs
+++ b/crates/admission/src/silent_connections.rs
@@ -52,6 +52,11 @@
         self.opened_at.is_empty()
     }
 
+    /// The connection that has been silent for longest.
+    pub fn oldest(&self) -> Option<SilentId> {
+        self.opened_at.first_key_value().map(|(id, _)| *id)
+    }
+
     /// Finds room for a new connection beside `admitted` others, within `limit` descriptors. The first bytes of a connection
     /// usually come within `prompt`.
     pub fn room(&self, now: Duration, admitted: usize, limit: usize, prompt: Duration) -> Room {
--- a/crates/admission/src/silent_connections/tests.rs
+++ b/crates/admission/src/silent_connections/tests.rs
@@ -17,10 +17,13 @@
     let younger = silent.insert(ms(100));
     assert_eq!(silent.room(ms(100), 1, 4, PROMPT), Room::Free);
     assert_eq!(silent.room(ms(100), 2, 4, PROMPT), Room::IdleOr(oldest));
+    assert_eq!(silent.oldest(), Some(oldest));
     assert_eq!(silent.room(ms(300), 2, 4, PROMPT), Room::Silent(oldest));
     silent.remove(oldest);
     assert_eq!(silent.room(ms(300), 3, 4, PROMPT), Room::IdleOr(younger));
     silent.remove(younger);
     silent.remove(younger);
-    assert!(silent.is_empty() && silent.room(ms(300), 3, 4, PROMPT) == Room::Free);
+    assert!(
+        silent.is_empty() && silent.oldest().is_none() && silent.room(ms(300), 3, 4, PROMPT) == Room::Free
+    );
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -70,7 +70,7 @@
         own_responses: Own,
         phase: watch::Receiver<ShutdownPhase>,
     ) -> Rc<Self> {
-        Rc::new(Self {
+        let server = Rc::new(Self {
             dispatcher,
             requests,
             admission,
@@ -83,7 +83,9 @@
             accept_warnings: RateLimitedLog::default(),
             rejection_warnings: RateLimitedLog::default(),
             stall_warnings: RateLimitedLog::default(),
-        })
+        });
+        server.share_descriptors();
+        server
     }
 
     /// Accepts clients until the process is closing, and returns when the last connection is closed.
--- a/crates/proxy/src/server/arrival.rs
+++ b/crates/proxy/src/server/arrival.rs
@@ -75,6 +75,12 @@
         self.silent.borrow_mut().remove(id);
     }
 
+    /// Asks the oldest silent connection to close. Returns false if there is none.
+    fn close_oldest(&self) -> bool {
+        let oldest = self.silent.borrow().oldest();
+        oldest.inspect(|id| self.close(*id)).is_some()
+    }
+
     /// Waits until no connection is silent.
     pub(super) async fn wait_until_empty(&self) {
         loop {
@@ -88,6 +94,28 @@
 }
 
 impl Server {
+    /// Has silent connections closed where descriptors are exhausted, and where the limit has fallen.
+    pub(super) fn share_descriptors(self: &Rc<Self>) {
+        let (for_relief, for_limits) = (Rc::downgrade(self), Rc::downgrade(self));
+        self.descriptors
+            .add_relief(move || for_relief.upgrade().is_some_and(|server| server.arrivals.close_oldest()));
+        self.descriptors.on_limits_changed(move || {
+            if let Some(server) = for_limits.upgrade() {
+                server.close_excess();
+            }
+        });
+    }
+
+    /// Closes the oldest silent connections, for as long as there are too many connections.
+    fn close_excess(&self) {
+        let limit = self.max_client_descriptors();
+        while self.admission.open_connections() + self.arrivals.silent.borrow().len() > limit {
+            if !self.arrivals.close_oldest() {
+                return;
+            }
+        }
+    }
+
     /// Takes a new connection, which waits for its first byte unless its client is known. Returns true if another
     /// connection was asked to close for it.
     pub(super) fn take(self: &Rc<Self>, stream: TcpStream, address: IpAddr) -> bool {
--- a/crates/proxy/tests/door/newcomers.rs
+++ b/crates/proxy/tests/door/newcomers.rs
@@ -18,6 +18,8 @@
 /// How soon the clients of the crowd come back after a close.
 const RETURN_AFTER: Duration = Duration::from_millis(100);
 const SMALL_RECEIVE_BUFFER: u32 = 4096;
+/// Length of an answer that fills the buffers of both kernels for a client that reads nothing.
+const LONG_ANSWER_BYTES: usize = 1 << 20;
 
 /// What a client of the crowd does once it has connected.
 #[derive(Clone, Copy)]
@@ -29,6 +31,15 @@
 }
 
 impl Crowd {
+    /// Returns what the upstream answers to everybody.
+    fn answer(self) -> &'static str {
+        if !matches!(self, Self::ReadsNothing) {
+            return OK;
+        }
+        let body = "y".repeat(LONG_ANSWER_BYTES);
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).leak()
+    }
+
     async fn stay(self, balancer: SocketAddr, number: usize) -> std::io::Result<()> {
         let mut stream = connect(balancer, matches!(self, Self::ReadsNothing)).await?;
         let request = book_as(&format!("crowd-{number}-{}", fastrand::u32(..)), "x");
@@ -97,7 +108,7 @@
 fn assert_all_answered(crowd: Crowd) {
     let _alone = alone();
     for (memory_mb, sockets, size) in [(48, 384, 300), (32, 1024, 700)] {
-        let upstream = Upstream::start(Then::Answer(OK));
+        let upstream = Upstream::start(Then::Answer(crowd.answer()));
         let mut setup = Setup::with(&[upstream.address]);
         (setup.memory_mb, setup.sockets) = (memory_mb, sockets);
         let node = setup.start();
