--- a/crates/engine/src/parts/driver.rs
+++ b/crates/engine/src/parts/driver.rs
@@ -375,8 +375,7 @@
             }
             DriverEvent::ClientGone(id) => {
                 let Some(request) = core.requests.get_mut(&id) else { return };
-                if request.take_reply().is_some() {
-                    request.lifecycle.on_ended();
+                if request.abandon() {
                     tracing::debug!(id = id.0, "client closed its connection");
                     core.balancer.handle(now, Event::RequestCancelled { id }, &mut actions);
                 }
--- a/crates/engine/src/parts/driver/in_flight.rs
+++ b/crates/engine/src/parts/driver/in_flight.rs
@@ -91,6 +91,13 @@
         self.reply.take()
     }
 
+    /// Ends a request whose client has left. Returns false if it had ended before.
+    pub(super) fn abandon(&mut self) -> bool {
+        let is_open = self.take_reply().is_some();
+        self.lifecycle.on_ended();
+        is_open
+    }
+
     /// Returns the limits of an attempt that is sent now. A retry of a keyed request respects the window that
     /// applied on arrival, and `dedup_window`, the one that applies now.
     pub(super) fn attempt_limits(&self, answer_by: Instant, dedup_window: Option<Duration>) -> AttemptLimits {
--- a/crates/proxy/src/client/tests.rs
+++ b/crates/proxy/src/client/tests.rs
@@ -1,6 +1,7 @@
 //! Timeouts of client connections, on a paused clock.
 
 use super::*;
+use std::task::Poll;
 use tokio::time::advance;
 
 const HEAD: &[u8] = b"POST /book HTTP/1.1\r\nContent-Length: 4\r\n\r\n";
