--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A desk node is marked out of service in the registry and then deregisters. It may get nothing new from then on."""
+"""A large fleet's whole list comes indented on a new watch and leaves out desk nodes that drain. They may get nothing new."""
 
 import asyncio
 import json
@@ -7,147 +7,104 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from kit2 import TROUBLE, CouldNotRun, free_port, new_id, read_head, read_message, request_bytes, response_bytes, run
-
-# GROWTH.md and the brief: nothing new later than 500 ms; 50 ms more on sockets, and 0.15 s for what was on its way.
+from kit2 import (TROUBLE, CouldNotRun, Watch, free_port, new_id, platform_config, platform_settings, read_message,
+                  request_bytes, response_bytes, run)
+
+# STANDING.md: 3,200 at most. LATER.md: 32 to 192 MB, 256 to 1,024 descriptors.
+UPSTREAMS = 3200
+MEMORY_MB = 32
+SOCKETS = 1024
+# One of sixteen drains.
+DRAINING = 16
+# drain_grace_ms of the settings, 50 ms of the sockets, and 0.15 s for what was on its way.
 GRACE_S = 0.5 + 0.05 + 0.15
-MARKED_AT_S = 4.0
-DEREGISTERED_AT_S = 7.0
-PLAY_S = 14.0
-REQUESTS_PER_S = 50
-DESK_NODES = ["desk-1", "desk-2", "desk-3"]
-
-CONFIG = """
-[listen]
-address = "127.0.0.1:{listen}"
-
-[eureka]
-servers = ["127.0.0.1:{registry}"]
-app = "DESKS"
-reach = ["127.0.0.0/8"]
-
-[[class]]
-name = "free-days"
-path = "/free-days/**"
-methods = ["GET"]
-effect = "idempotent"
-deadline_ms = 400
-
-[[class]]
-name = "confirm"
-path = "/confirm/**"
-methods = ["POST"]
-effect = "at_most_once"
-deadline_ms = 6000
-"""
-
-# For a start while the registry is out of order (docs/EUREKA.md).
-UPSTREAM = """
-[[upstream]]
-name = "{name}"
-address = "127.0.0.1:{port}"
-"""
-
-
-class Registry:
-    """One application of a Eureka registry, by its published REST API: GET /eureka/apps/DESKS in JSON."""
-
-    def __init__(self, record, ports):
-        self.record, self.ports = record, ports
-        self.status = {name: "UP" for name in ports}
-        self.changed = {name: 1764000000000 for name in ports}
-        self.told_at = None
-
-    def mark(self, name, status):
-        self.status[name] = status
-        self.changed[name] += 1000
-        self.record.write("registry", f"{name} is {status}")
-
-    def deregister(self, name):
-        del self.status[name]
-        self.record.write("registry", f"{name} has deregistered")
-
-    def document(self):
-        instances = [
-            {
-                "instanceId": name, "app": "DESKS", "hostName": "127.0.0.1", "ipAddr": "127.0.0.1", "status": status,
-                "overriddenstatus": status if status == "OUT_OF_SERVICE" else "UNKNOWN",
-                "port": {"$": self.ports[name], "@enabled": "true"}, "securePort": {"$": 443, "@enabled": "false"},
-                "vipAddress": "desks", "metadata": {}, "leaseInfo": {"renewalIntervalInSecs": 30, "durationInSecs": 90},
-                "lastUpdatedTimestamp": str(self.changed[name]), "lastDirtyTimestamp": str(self.changed[name]),
-                "actionType": "MODIFIED",
-            }
-            for name, status in self.status.items()
-        ]
-        return json.dumps({"application": {"name": "DESKS", "instance": instances}}).encode()
-
-    async def handle(self, reader, writer):
-        while True:
-            line, _ = await read_head(reader)
-            if line.split()[1] == "/eureka/apps/DESKS":
-                writer.write(response_bytes("200 OK", self.document(), "Content-Type: application/json\r\n"))
-                if self.told_at is None and self.status.get("desk-1") != "UP":
-                    self.told_at = self.record.now()
-                    self.record.write("registry", "tells the balancer for the first time that desk-1 is OUT_OF_SERVICE")
-            else:
-                writer.write(response_bytes("404 Not Found", b""))
-            await writer.drain()
+PLAY_S = 16.0
+REQUESTS_PER_S = 60
 
 
 async def play(case):
-    record, sends = case.record, []
+    record, sends, told = case.record, [], {}
 
-    def desk_node(name):
+    def desk_node(group):
         async def handle(reader, writer):
             while True:
-                line, headers, _ = await read_message(reader)
-                sends.append((record.now(), name, f"{line.split()[0]} {headers['x-correlation-id']}"))
-                writer.write(response_bytes("200 OK", b"served by " + name.encode()))
+                await read_message(reader)
+                sends.append((record.now(), group))
+                writer.write(response_bytes("200 OK", b"free: 2, 3, 5"))
                 await writer.drain()
 
         return handle
 
-    # desk-1 goes on answering: it finishes what it has, and its process ends later.
-    ports = {name: await case.serve(desk_node(name)) for name in DESK_NODES}
-    registry = Registry(record, ports)
+    # The nodes of a group share a listener; what counts is whether a node drains.
+    draining_port = await case.serve(desk_node("draining"))
+    ready_ports = [await case.serve(desk_node("ready")) for _ in range(3)]
+    zones = ["cairo-east", "suez", "hurghada", "luxor"]
+
+    def entry(k):
+        port = draining_port if k % DRAINING == 0 else ready_ports[k % 3]
+        return {
+            "uid": f"s-{k * 2654435761 % 2**32:08x}",
+            "endpoint": f"127.0.0.1:{port}",
+            "az": zones[k % 4],
+            "model": "full-core" if k % 5 < 3 else "slow-core",
+            "pod_group": k // 4,
+            "state": "Ready",
+            "capacity_hint": 1.0,
+            # Started days ago.
+            "boot_ms": 1764000000000 + k,
+        }
+
+    entries = [entry(k) for k in range(UPSTREAMS)]
+    left = [entry for k, entry in enumerate(entries) if k % DRAINING]
+    state = {"drains": False}
+
+    def first_document():
+        if not state["drains"]:
+            return None
+        # Lists may come indented; without the disruption this one comes on one line.
+        text = json.dumps({"rev": 42, "all": True, "targets": left}, indent=2 if TROUBLE else None).encode()
+        told.setdefault("at", record.now())
+        record.write("discovery", f"writes the whole list: {len(left)} targets, {len(text)} bytes")
+        return text
+
+    watch = Watch(record, first_document)
+    discovery = await case.serve(watch.handle)
     listen = free_port()
-    text = CONFIG.format(listen=listen, registry=await case.serve(registry.handle))
-    text += "".join(UPSTREAM.format(name=name, port=port) for name, port in ports.items())
-    balancer = case.start_balancer(f"run --config {case.write_file('maplehook.toml', text)}")
+    known = {"rev": 41, "all": True, "targets": entries}
+    config = platform_config(listen, discovery, known, platform_settings("automatic"), MEMORY_MB, SOCKETS)
+    balancer = case.start_on_platform(config)
     await case.wait_until_ready(listen, balancer)
 
     async def client():
         reader, writer = await asyncio.open_connection("127.0.0.1", listen)
-        end, number = record.now() + PLAY_S, 0
+        end = record.now() + PLAY_S
         while record.now() < end:
-            number += 1
-            if number % 5:
-                writer.write(request_bytes("GET", "/free-days", new_id(), "wadi-gemal-co", 400))
-            else:
-                writer.write(request_bytes("POST", "/confirm", new_id(), "wadi-gemal-co", 6000, b"deposit=40"))
-            await read_message(reader)
+            correlation_id = new_id()
+            writer.write(request_bytes("GET", "/free-days", correlation_id, "wadi-gemal-co", 400))
+            _, headers, _ = await read_message(reader)
+            if headers.get("connection", "") == "close":
+                writer.close()
+                reader, writer = await asyncio.open_connection("127.0.0.1", listen)
             await asyncio.sleep(1 / REQUESTS_PER_S)
         writer.close()
 
-    async def operator():
-        await asyncio.sleep(MARKED_AT_S)
-        registry.mark("desk-1", "OUT_OF_SERVICE")
-        await asyncio.sleep(DEREGISTERED_AT_S - MARKED_AT_S)
-        if TROUBLE:
-            registry.deregister("desk-1")
-
-    await asyncio.gather(client(), operator())
-    if registry.told_at is None:
-        raise CouldNotRun("the registry was not asked")
-    counts = {name: sum(1 for send in sends if send[1] == name) for name in ports}
-    record.write("desk nodes", f"requests in all: {counts}")
-    late = [send for send in sends if send[1] == "desk-1" and send[0] > registry.told_at + GRACE_S]
-    for at, name, what in late:
-        record.write(name, f"{what} at {at:.3f}, {at - registry.told_at:.3f} s after the balancer was told")
+    async def drain():
+        await asyncio.sleep(4.0)
+        state["drains"] = True
+        record.write("discovery", f"{UPSTREAMS - len(left)} desk nodes drain; the open watch is reset")
+        watch.reset_all()
+
+    await asyncio.gather(client(), drain())
+    if "at" not in told:
+        raise CouldNotRun("the balancer has not asked again")
+    before = sum(1 for at, group in sends if group == "draining" and at <= told["at"])
+    late = [at - told["at"] for at, group in sends if group == "draining" and at > told["at"] + GRACE_S]
+    for delay in late:
+        record.write("desk node", f"draining: a request {delay:.3f} s after the list was written")
+    record.write("desk nodes", f"{len(sends)} requests, {before} to draining nodes before, {len(late)} after the grace")
     if not late:
         return []
-    first, last = late[0][0] - registry.told_at, late[-1][0] - registry.told_at
-    return [f"drain: {len(late)} requests to desk-1 from {first:.3f} to {last:.3f} s after the balancer was told"]
+    return [f"drain: {len(late)} requests to desk nodes that are gone, the last {late[-1]:.3f} s after the list was written"]
 
 
 run(FOLDER, play)
