A short answer ends by its time, however it is passed on for want of memory

Cause: without memory an answer of up to 64 KiB streams, and a streamed answer with a stated length had the limits of a long one alone. AnswerProgress owns the end of an answer now, in each form; LateWait counts the wait for the upstream alone, so that a byte now and then doesn't put the end off and a slow reader loses nothing.

Of the same class: a refusal or error without memory for its text was "malformed"; a short body that streams announced the whole time, however long it had waited.

--- a/crates/core/src/exchange_time.rs
+++ b/crates/core/src/exchange_time.rs
@@ -24,6 +24,10 @@
 /// Upstreams pause for up to 0.8 s within a long answer.
 pub const LATE_END_GRACE: Duration = Duration::from_millis(430);
 
+/// Time for which an upstream is waited for, in all, once a short answer must have ended: what came while its
+/// reader took nothing is read first.
+const MAX_LATE_WAIT: Duration = Duration::from_millis(20);
+
 /// Most bytes that the kernels of a client and of the balancer hold unread: Linux bounds a send buffer to 4
 /// MiB, and a receive buffer that nobody reads stays small.
 const MAX_HIDDEN_BYTES: u64 = (4 << 20) + (256 << 10);
@@ -122,3 +126,32 @@
         self.earliest + LATE_END_GRACE
     }
 }
+
+/// Time for which the upstream of a short answer was waited for after the answer must have ended. Time in
+/// which the reader of the answer takes nothing is not part of it: a slow reader does not break a timely
+/// answer off, and an upstream that sends a byte now and then does not prolong it.
+#[derive(Clone, Debug, Default)]
+pub struct LateWait {
+    waited: Duration,
+    waiting_since: Option<Duration>,
+}
+
+impl LateWait {
+    /// Records that the upstream has sent nothing more.
+    pub fn on_wait(&mut self, now: Duration) {
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Records that the upstream has sent something of an answer that must end by `end_by`.
+    pub fn on_data(&mut self, now: Duration, end_by: Duration) {
+        if let Some(since) = self.waiting_since.take() {
+            self.waited += now.saturating_sub(since.max(end_by));
+        }
+    }
+
+    /// Returns when the answer is cut off unless more of it comes; `None` if the upstream is not waited for.
+    pub fn cut_off_at(&self, end_by: Duration) -> Option<Duration> {
+        let allowance = MAX_LATE_WAIT.saturating_sub(self.waited);
+        self.waiting_since.map(|since| end_by.max(since + allowance))
+    }
+}
--- a/crates/engine/src/parts/answer.rs
+++ b/crates/engine/src/parts/answer.rs
@@ -1,8 +1,10 @@
 //! Responses of upstreams: buffered in memory, or streamed from the first byte.
 
+mod answer_progress;
 mod stream_time;
 
-pub use stream_time::{StreamOrigin, StreamTime, UnsizedProgress};
+pub use answer_progress::{AnswerLength, AnswerProgress};
+pub use stream_time::{StreamOrigin, StreamTime};
 
 use crate::metrics::{PendingRequest, ReasonCounters};
 use crate::parts::body::Failure;
--- a/crates/engine/src/parts/attempt.rs
+++ b/crates/engine/src/parts/attempt.rs
@@ -101,8 +101,8 @@
                 Err(_) => return Outcome::NotSent.into(),
             };
             let (connection_number, idle_before) = (connection.number(), connection.since_last_response());
-            let announced = limits.time_left();
-            let permit = self.permit(&upstream, process_epoch, limits, announced);
+            let announced = time.announced();
+            let permit = self.permit(&upstream, process_epoch, limits, &time);
             if permit().is_err() {
                 self.return_connection(id, &upstream, process_epoch, connection);
                 return Outcome::NotSent.into();
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Returns a check that a request with the announced time left may be written now. While the connection
+    /// Returns a check that a request that announces the time left now may still be written. While the connection
     /// was being made, the upstream may have started to drain or been restarted, or this process may have
     /// been suspended.
     fn permit(
@@ -229,14 +229,15 @@
         upstream: &Rc<Upstream>,
         process_epoch: u32,
         limits: &AttemptLimits,
-        announced: Duration,
+        time: &ExchangeTime,
     ) -> impl Fn() -> Result<(), WithheldReason> + 'static {
         let (upstreams, upstream, limits) = (Rc::clone(self), Rc::clone(upstream), limits.clone());
+        let (time, announced) = (time.clone(), time.announced());
         move || {
             if !upstream.accepts(process_epoch) || !upstreams.may_write(limits.is_repeat) {
                 return Err(WithheldReason::TooLate);
             }
-            limits.check(announced)
+            limits.check(announced, time.announced())
         }
     }
 
@@ -284,11 +285,11 @@
             Payload::Upload(upload) => upload.is_complete() && connection.is_flushed(),
         };
         let body = match body {
-            ReceivedBody::Complete(body) => {
+            ReceivedBody::Complete(_) | ReceivedBody::Dropped => {
                 if is_fully_written(&connection) {
                     self.return_connection(id, &upstream, process_epoch, connection);
                 }
-                ResponseBody::Buffered(body)
+                body.into_complete().map(ResponseBody::Buffered)
             }
             ReceivedBody::Streaming(prefetched, incoming, progress) => {
                 let (upstreams, (idle, total)) = (Rc::clone(self), outgoing.passage.patience());
@@ -298,17 +299,18 @@
                     }
                 });
                 let time = StreamTime::new(idle, Instant::now() + total, progress, origin);
-                ResponseBody::Stream(Stream::new(prefetched, incoming, connection, return_connection, time))
+                let stream = Stream::new(prefetched, incoming, connection, return_connection, time);
+                Some(ResponseBody::Stream(stream))
             }
         };
-        let (response, passes_error) =
-            (UpstreamResponse { status, headers, body }, outgoing.passage.last_error_passes);
+        let response = body.map(|body| UpstreamResponse { status, headers, body });
+        let passes_error = outgoing.passage.last_error_passes;
         let (outcome, response, error_response) = match means {
-            Means::Final { well: true } => (Outcome::Ok, Some(response), None),
-            Means::Final { well: false } => (Outcome::Error, Some(response), None),
+            Means::Final { well: true } => (Outcome::Ok, response, None),
+            Means::Final { well: false } => (Outcome::Error, response, None),
             Means::TurnedAway => (Outcome::Rejected, None, None),
-            Means::Overload => (Outcome::Overloaded, None, Some(response).filter(|_| passes_error)),
-            Means::Error => (Outcome::Error, None, Some(response).filter(|_| passes_error)),
+            Means::Overload => (Outcome::Overloaded, None, response.filter(|_| passes_error)),
+            Means::Error => (Outcome::Error, None, response.filter(|_| passes_error)),
         };
         AttemptResult { outcome, response, error_response, load_report }
     }
@@ -363,9 +365,6 @@
     connection: &Connection,
 ) -> Request<crate::parts::body::OutboundBody> {
     let mut headers = outgoing.headers.clone();
-    // A streaming body has its own timeouts; the answer timeout starts at its last byte.
-    let time_left =
-        outgoing.body.upload().map_or(time_left, |upload| upload.time().answer_timeout().min(time_left));
     headers.insert(TIME_LEFT, HeaderValue::from(time_left.as_millis() as u64));
     let body = connection.outbound(&outgoing.body);
     let needs_length = matches!(outgoing.method, Method::POST | Method::PUT | Method::PATCH);
--- a/crates/engine/src/parts/attempt/reply.rs
+++ b/crates/engine/src/parts/attempt/reply.rs
@@ -1,14 +1,14 @@
 //! Response to one attempt: its head, and a body that is buffered or streamed.
 
 use super::unsized_body::HeldAnswer;
-use crate::parts::answer::{UnsizedProgress, is_malformed_body, read_available};
+use crate::parts::answer::{AnswerLength, AnswerProgress, is_malformed_body, read_available};
 use crate::parts::attempt_limits::ProgressObserver;
 use crate::parts::body::{Failure, collect_body};
 use crate::parts::buffer_memory::BufferMemory;
 use crate::parts::exchange_time::ExchangeTime;
 use crate::parts::time_limit::TimeLimit;
 use bytes::Bytes;
-use http_body_util::Limited;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
@@ -48,18 +48,28 @@
 pub(super) enum ReceivedBody {
     /// The complete body.
     Complete(Bytes),
-    /// The frames received so far, the rest of the body, and its progress if it has no stated length.
-    Streaming(VecDeque<Frame<Bytes>>, Incoming, Option<UnsizedProgress>),
+    /// The frames received so far, the rest of the body, and its progress.
+    Streaming(VecDeque<Frame<Bytes>>, Incoming, AnswerProgress),
+    /// A complete body that was dropped for want of memory.
+    Dropped,
 }
 
 impl ReceivedBody {
+    /// Returns the body if it is complete and in memory.
+    pub(super) fn into_complete(self) -> Option<Bytes> {
+        match self {
+            Self::Complete(body) => Some(body),
+            Self::Streaming(..) | Self::Dropped => None,
+        }
+    }
+
     /// Reads what has come of a body that streams. Another attempt can be made for a body that has failed before
     /// any of it was passed on.
     fn check(mut self) -> Result<Self, ExchangeError> {
         if let Self::Streaming(received, body, progress) = &mut self {
             let bytes = read_available(body, received).map_err(body_error)?;
             if bytes > 0 {
-                progress.iter_mut().for_each(|progress| progress.on_data(bytes));
+                progress.on_data(bytes);
             }
         }
         Ok(self)
@@ -131,25 +141,25 @@
         (Means::Final { .. }, None) => {
             let answers = &passage.answers;
             let max_short_bytes = answers.short_ends_in_time.then_some(answers.buffer as u64);
-            let progress = UnsizedProgress::new(max_short_bytes, time.clone());
+            let progress = AnswerProgress::new(AnswerLength::Unstated { max_short_bytes }, time.clone());
             let buffered_length = (!answers.hold.is_zero()).then_some(answers.buffer);
             match buffered_length.and_then(|n| body_memory.reserve_body(n)) {
                 Some(reservation) => {
                     HeldAnswer::new(answers, time, progress, observer).receive(body, reservation).await?
                 }
-                None => ReceivedBody::Streaming(VecDeque::new(), body, Some(progress)),
+                None => ReceivedBody::Streaming(VecDeque::new(), body, progress),
             }
         }
         _ => {
             let complete = read_complete(body, MAX_ERROR_BODY_BYTES, body_memory);
-            ReceivedBody::Complete(time.limit(complete).await??)
+            time.limit(complete).await??
         }
     };
     Ok(Reply { parts, means, body: body.check()? })
 }
 
-/// Receives the body of a final response of this length. Without free body memory it streams, and its reader
-/// sets the pace.
+/// Receives the body of a final response of this length. Without free body memory a short one streams as long
+/// ones do, and ends in time as if it were held.
 async fn receive_sized(
     body: Incoming,
     length: u64,
@@ -164,21 +174,23 @@
         ));
     }
     let buffered_length = usize::try_from(length).ok().filter(|n| *n <= answers.buffer);
-    match buffered_length.and_then(|n| Some((n, body_memory.reserve_body(n)?))) {
-        Some((n, reservation)) => {
-            let body = time.limit(collect_body(body, n)).await?.map_err(body_error)?;
-            Ok(ReceivedBody::Complete(reservation.attach_to(body)))
-        }
-        None => Ok(ReceivedBody::Streaming(VecDeque::new(), body, None)),
+    if let Some(n) = buffered_length
+        && let Some(reservation) = body_memory.reserve_body(n)
+    {
+        let body = time.limit(collect_body(body, n)).await?.map_err(body_error)?;
+        return Ok(ReceivedBody::Complete(reservation.attach_to(body)));
     }
+    let stated = if buffered_length.is_some() { AnswerLength::Short } else { AnswerLength::Long };
+    Ok(ReceivedBody::Streaming(VecDeque::new(), body, AnswerProgress::new(stated, time.clone())))
 }
 
-/// Reads a complete body of at most `max_length` bytes. Fails if the body memory is exhausted.
+/// Reads a complete body of at most `max_length` bytes. Without free body memory it is read all the same, and
+/// dropped: what the upstream has answered does not depend on this process's memory.
 async fn read_complete(
     body: Incoming,
     max_length: usize,
     body_memory: &BufferMemory,
-) -> Result<Bytes, ExchangeError> {
+) -> Result<ReceivedBody, ExchangeError> {
     let known_length =
         body.size_hint().exact().map_or(max_length, |n| usize::try_from(n).unwrap_or(usize::MAX));
     if known_length > max_length {
@@ -186,9 +198,13 @@
             format!("body of {known_length} bytes exceeds the limit of {max_length}").into(),
         ));
     }
-    let reservation = body_memory
-        .reserve_body(known_length)
-        .ok_or_else(|| ExchangeError::Malformed("no body memory left for the response".into()))?;
-    let body = collect_body(Limited::new(body, max_length), known_length).await.map_err(body_error)?;
-    Ok(reservation.shrink_to(body.len()).attach_to(body))
+    let mut body = Limited::new(body, max_length);
+    let Some(reservation) = body_memory.reserve_body(known_length) else {
+        while let Some(frame) = body.frame().await {
+            frame.map_err(body_error)?;
+        }
+        return Ok(ReceivedBody::Dropped);
+    };
+    let body = collect_body(body, known_length).await.map_err(body_error)?;
+    Ok(ReceivedBody::Complete(reservation.shrink_to(body.len()).attach_to(body)))
 }
--- a/crates/engine/src/parts/attempt/unsized_body.rs
+++ b/crates/engine/src/parts/attempt/unsized_body.rs
@@ -2,7 +2,7 @@
 //! on from some time on.
 
 use super::reply::{ExchangeError, ReceivedBody, body_error};
-use crate::parts::answer::UnsizedProgress;
+use crate::parts::answer::AnswerProgress;
 use crate::parts::attempt_limits::ProgressObserver;
 use crate::parts::body::BodyBuffer;
 use crate::parts::buffer_memory::MemoryReservation;
@@ -21,7 +21,7 @@
 pub(super) struct HeldAnswer<'a> {
     answers: &'a Answers,
     time: &'a ExchangeTime,
-    progress: UnsizedProgress,
+    progress: AnswerProgress,
     received: BodyBuffer,
     trailers: Option<Frame<Bytes>>,
     /// Time of the first byte.
@@ -34,7 +34,7 @@
     pub(super) fn new(
         answers: &'a Answers,
         time: &'a ExchangeTime,
-        progress: UnsizedProgress,
+        progress: AnswerProgress,
         observer: Option<&'a ProgressObserver>,
     ) -> Self {
         Self {
@@ -75,7 +75,7 @@
         let data = reservation.shrink_to(self.received.len()).attach_to(self.received.into_bytes());
         let data = (!data.is_empty()).then(|| Frame::data(data));
         let received = data.into_iter().chain(self.trailers).collect();
-        Ok(ReceivedBody::Streaming(received, body, Some(self.progress)))
+        Ok(ReceivedBody::Streaming(received, body, self.progress))
     }
 
     fn push(&mut self, data: Bytes) {
--- a/crates/engine/src/parts/attempt_limits.rs
+++ b/crates/engine/src/parts/attempt_limits.rs
@@ -150,10 +150,10 @@
         self.started.set(true);
     }
 
-    /// Checks that a request with the `announced` time left may be written now.
-    pub(crate) fn check(&self, announced: Duration) -> Result<(), WithheldReason> {
-        let time_left = self.time_left();
-        if time_left.is_zero() || self.write_by.is_some_and(|by| Instant::now() >= by) {
+    /// Checks that a request may be written now that announces the time `announced`, where `still_left` would
+    /// be announced now.
+    pub(crate) fn check(&self, announced: Duration, still_left: Duration) -> Result<(), WithheldReason> {
+        if self.time_left().is_zero() || self.write_by.is_some_and(|by| Instant::now() >= by) {
             return Err(WithheldReason::TooLate);
         }
         if !self.lifecycle.may_begin_attempt() {
@@ -162,7 +162,7 @@
         if self.presence.as_ref().is_some_and(|presence| !presence.is_connected()) {
             return Err(WithheldReason::TooLate);
         }
-        if announced > time_left + MAX_ANNOUNCED_EXCESS {
+        if announced > still_left + MAX_ANNOUNCED_EXCESS {
             return Err(WithheldReason::StaleTimeLeft);
         }
         Ok(())
--- a/crates/engine/src/parts/body/upload/time.rs
+++ b/crates/engine/src/parts/body/upload/time.rs
@@ -71,11 +71,6 @@
         *self.sender.borrow_mut() = Some(sender);
     }
 
-    /// Returns how long the client waits for the response after the last byte.
-    pub fn answer_timeout(&self) -> Duration {
-        self.timeouts.answer
-    }
-
     /// Returns how long the sender may send nothing.
     pub fn sender_timeout(&self) -> Duration {
         self.timeouts.sender
--- a/crates/engine/src/parts/exchange_time.rs
+++ b/crates/engine/src/parts/exchange_time.rs
@@ -51,6 +51,14 @@
         self.upload_due(AnswerDue::end_by).unwrap_or_else(|| self.deadline + LATE_END_GRACE)
     }
 
+    /// Returns the time left that is announced to the upstream of a request that is written now. The client of a
+    /// request that streams may have written its last byte already, so that its time runs.
+    pub fn announced(&self) -> Duration {
+        let wait = self.answer_by.saturating_duration_since(Instant::now());
+        let due = self.upload_due(|due| due.earliest);
+        due.map_or(wait, |due| due.saturating_duration_since(Instant::now()).min(wait))
+    }
+
     fn upload_due(&self, part: impl FnOnce(&AnswerDue) -> Duration) -> Option<Instant> {
         self.upload.as_ref().map(|upload| upload.time().origin() + part(&upload.time().due()))
     }
--- a/crates/engine/tests/checks_before_write.rs
+++ b/crates/engine/tests/checks_before_write.rs
@@ -3,12 +3,16 @@
 
 mod common;
 
+use bytes::Bytes;
+use common::manual_attempts::{start_and_receive, start_attempt as start_long_attempt, start_upstream_with};
 use common::{
     AT_MOST_ONCE, ManualUpstream, driver, entry, outbound_request, settings, upstreams, wait_until,
 };
+use http_body_util::{BodyExt, Full};
 use maplehook::Lease;
-use maplehook::parts::attempt::AttemptResult;
+use maplehook::parts::attempt::{AttemptResult, OutboundRequest};
 use maplehook::parts::attempt_limits::{AttemptLimits, Presence};
+use maplehook::parts::body::{Payload, Upload, UploadTimeouts};
 use maplehook::parts::upstream::Upstreams;
 use maplehook_core::connection_reuse::MIN_REST;
 use maplehook_core::{Availability, Outcome, UpstreamId, ZoneId};
@@ -182,3 +186,33 @@
     common::run_tasks().await;
     assert!(other.next_request().is_none(), "a repeat was written after its deduplication window");
 }
+
+/// Guards the time that upstreams are told: a short body for which there is no memory goes on as a stream, and its
+/// client counts from its last byte, which lay unread while the request waited for a connection.
+#[tokio::test(flavor = "local")]
+async fn a_body_that_streams_announces_what_its_client_has_left() {
+    const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+    const BUSY: Duration = Duration::from_millis(250);
+    const MAX_EXCESS: Duration = Duration::from_millis(150);
+    let (mut server, upstreams) = start_upstream_with(1);
+    let (first, connection) = start_and_receive(&mut server, &upstreams).await;
+    let timeouts = UploadTimeouts { idle: LONG, sender: LONG, total: LONG, answer: ANSWER_TIMEOUT };
+    let body = Box::pin(Full::new(Bytes::from_static(b"body")).map_err(Into::into));
+    let upload = Upload::new(Bytes::new(), body, Some(4), 4, timeouts);
+    let request = OutboundRequest { body: Payload::Upload(upload), ..outbound_request(AT_MOST_ONCE, "two") };
+    let second = start_long_attempt(&upstreams, request);
+    // The only connection is in use.
+    tokio::time::sleep(BUSY).await;
+    server.answer(connection, "first");
+    assert_eq!(first.await.unwrap().outcome, Outcome::Ok);
+    let mut request = None;
+    wait_until("the upstream receives the body", || {
+        request = server.next_request();
+        request.is_some()
+    })
+    .await;
+    let request = request.unwrap();
+    assert!(request.time_left <= ANSWER_TIMEOUT - BUSY + MAX_EXCESS, "{:?}", request.time_left);
+    server.answer(request.connection, "second");
+    assert_eq!(second.await.unwrap().outcome, Outcome::Ok);
+}
