An answer belongs to the request that it was made for, not to its id or key

Cause: the ledger knew a request by tenant, class and id alone. It is known by its name and by a fingerprint of method, path and query, and body now: Ledger::open decides for the daemon and the library. Another request under the name gets 409 while the first is open, 422 while its answer is kept, never an answer and never a run; a body that streams matches nothing. On the platform an id stays in use until the last byte of a long answer has left.

--- a/crates/engine/src/call.rs
+++ b/crates/engine/src/call.rs
@@ -23,7 +23,8 @@
     /// Time that the caller waits for the answer, from now on; capped by the deadline of the class.
     pub wait: Duration,
     /// Request id that identifies repeated calls. If set, a request that must not run twice goes through the
-    /// ledger: it is sent once, and callers that repeat it get the same final answer.
+    /// ledger: it is sent once, and callers that repeat it get the same final answer. A call of the same tenant
+    /// with the same id and another method, target or body is rejected; so is one whose body streams.
     pub id: Option<Box<[u8]>>,
     /// HTTP method.
     pub method: Method,
@@ -113,6 +114,10 @@
     BodyIncomplete,
     /// The class does not exist, or a header cannot be forwarded.
     InvalidCall,
+    /// The id or key is that of another call, which is in flight.
+    IdentityInUse,
+    /// The id or key is that of another call, which was answered.
+    IdentityReused,
 }
 
 impl fmt::Display for Rejection {
@@ -124,6 +129,8 @@
             RejectionReason::BodyTooLong => "refused: the body is too long",
             RejectionReason::BodyIncomplete => "refused: the body is incomplete",
             RejectionReason::InvalidCall => "refused: unknown class or invalid headers",
+            RejectionReason::IdentityInUse => "refused: another call with this id or key is open",
+            RejectionReason::IdentityReused => "refused: the id or key was used for another call",
         })
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,7 +8,7 @@
 use crate::call::BodyStream;
 use crate::endpoint_list::EndpointList;
 use crate::label::Label;
-use crate::ledger::{Bounds, Identity};
+use crate::ledger::{Bounds, Identity, IdentityConflict};
 use crate::metrics::{Metrics, RequestMetrics};
 use crate::parts::answer::{ResponseBody, UpstreamResponse};
 use crate::parts::attempt::OutboundRequest;
@@ -485,11 +485,8 @@
             label: Label::default(),
             presence: None,
         };
-        let identity = id.filter(|_| rules.effect != Effect::Idempotent).map(|id| Identity {
-            tenant: tenant.0,
-            class: class.0,
-            id,
-        });
+        let identity = id.filter(|_| rules.effect != Effect::Idempotent);
+        let identity = identity.map(|id| Identity { tenant: tenant.0, id });
         let traced_answer = self.dispatcher.dispatch(context, identity).await;
         upload.iter().for_each(Upload::discard_rest);
         match (&traced_answer.0, upload.and_then(|upload| upload.fault())) {
@@ -520,6 +517,8 @@
                 Outcome::Rejected(Rejection { reason: Reason::NoCapacity, retry_after })
             }
             Answer::Failed => Outcome::Failed,
+            Answer::Conflict(IdentityConflict::Open) => rejected(Reason::IdentityInUse),
+            Answer::Conflict(IdentityConflict::Answered) => rejected(Reason::IdentityReused),
         };
         let _ = reply.send(outcome);
     }
--- a/crates/engine/src/ledger.rs
+++ b/crates/engine/src/ledger.rs
@@ -1,5 +1,6 @@
-//! Ledger of effects, which deduplicates requests that must not run twice. A request is identified by its
-//! tenant, class and id. Callers that repeat a request get the same final answer.
+//! Ledger of effects, which deduplicates requests that must not run twice. A request is identified by its name,
+//! which is its tenant with its key or id, and by a fingerprint of its content. Callers that repeat a request get
+//! the same final answer; another request under the same name gets none.
 //!
 //! The ledger does no I/O and reads no clock: callers pass the time. The embedder calls:
 //!
@@ -12,7 +13,9 @@
 //!
 //! - A request is sent at most once while its entry is open or retained. The exception is a request that
 //!   provably did not run ([`FinalAnswer::Rejected`]): its entry is removed at once because a repeat is safe.
-//! - All callers with the same identity get the same final answer while the entry is open or retained.
+//! - All callers with the same identity and fingerprint get the same final answer while the entry is open or
+//!   retained. An answer belongs to the request that it was made for: a request with the same identity and another
+//!   fingerprint, or one that is not known, gets no answer and is not sent ([`OpenResult::Conflict`]).
 //! - A live entry, open or retained, is never evicted. A full ledger rejects new requests
 //!   ([`OpenResult::Full`]), which is safe because they have not run.
 //! - Entries, bytes and waiters are bounded. An open entry is charged for the longest answer that may be
@@ -26,17 +29,43 @@
 /// Memory that an entry takes in the tables, in bytes, without its id and its answer.
 const ENTRY_OVERHEAD_BYTES: usize = 160;
 
-/// Key of an effect: two requests with the same identity are the same effect.
+/// Name of an effect, as its client chose it. The class is no part of it: a new configuration may give a request
+/// another class between two tries.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Identity {
     /// Index of the tenant.
     pub tenant: u32,
-    /// Index of the class.
-    pub class: u16,
     /// Request id or idempotency key.
     pub id: Box<[u8]>,
 }
 
+/// Digest of what a request asks for: its method, target and body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fingerprint(Option<u64>);
+
+impl Fingerprint {
+    /// Fingerprint of a request whose body is not known when the request is opened. It matches no request.
+    pub const UNKNOWN: Self = Self(None);
+
+    /// Creates a fingerprint from a digest that clients cannot provoke collisions of.
+    pub const fn new(digest: u64) -> Self {
+        Self(Some(digest))
+    }
+
+    fn matches(self, other: Self) -> bool {
+        self.0.is_some() && self == other
+    }
+}
+
+/// Why a name cannot be used for a request: it belongs to another one, or it cannot be told whether it does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdentityConflict {
+    /// The other request is in flight.
+    Open,
+    /// The other request has its final answer.
+    Answered,
+}
+
 /// Limits of a ledger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -101,6 +130,8 @@
     TooManyWaiters,
     /// The ledger is full. Reject the request, which has not run.
     Full,
+    /// The identity belongs to another request. Reject this one, which has not run and must not.
+    Conflict(IdentityConflict),
 }
 
 /// Error for invalid [`Bounds`].
@@ -126,6 +157,7 @@
 struct Entry<A> {
     generation: u32,
     identity: Identity,
+    fingerprint: Fingerprint,
     charged_bytes: usize,
     state: State<A>,
 }
@@ -180,14 +212,23 @@
         self.bytes
     }
 
-    /// Looks up an effect and opens an entry if there is none. `waiter` waits for the answer unless the
-    /// result is `Answered`, `TooManyWaiters` or `Full`.
-    pub fn open(&mut self, now: Duration, identity: &Identity, waiter: Waiter) -> OpenResult<A> {
+    /// Looks up an effect and opens an entry if there is none. `waiter` waits for the answer if the result is
+    /// `First` or `Joined`.
+    pub fn open(
+        &mut self,
+        now: Duration,
+        identity: &Identity,
+        fingerprint: Fingerprint,
+        waiter: Waiter,
+    ) -> OpenResult<A> {
         self.expire(now);
         if let Some(&slot) = self.index.get(identity) {
             let entry = &mut self.entries[slot as usize];
             let id = EntryId { slot, generation: entry.generation };
+            let is_same_request = entry.fingerprint.matches(fingerprint);
             return match &mut entry.state {
+                State::Open(_) if !is_same_request => OpenResult::Conflict(IdentityConflict::Open),
+                State::Answered(_) if !is_same_request => OpenResult::Conflict(IdentityConflict::Answered),
                 State::Answered(answer) => OpenResult::Answered(answer.clone()),
                 // The first caller is in the list but does not count towards the limit.
                 State::Open(waiters) if waiters.len() > self.bounds.waiters => OpenResult::TooManyWaiters,
@@ -207,11 +248,13 @@
         let slot = match self.free.pop() {
             Some(slot) => {
                 let entry = &mut self.entries[slot as usize];
-                (entry.identity, entry.charged_bytes, entry.state) = (identity.clone(), charged_bytes, state);
+                (entry.identity, entry.fingerprint) = (identity.clone(), fingerprint);
+                (entry.charged_bytes, entry.state) = (charged_bytes, state);
                 slot
             }
             None => {
-                self.entries.push(Entry { generation: 0, identity: identity.clone(), charged_bytes, state });
+                let identity = identity.clone();
+                self.entries.push(Entry { generation: 0, identity, fingerprint, charged_bytes, state });
                 (self.entries.len() - 1) as u32
             }
         };
--- a/crates/engine/src/metrics.rs
+++ b/crates/engine/src/metrics.rs
@@ -282,6 +282,8 @@
             Answer::Served(_) => self.count(RequestResult::Served),
             Answer::Rejected(_) => self.count(RequestResult::Rejected),
             Answer::Failed => self.count(RequestResult::Failed),
+            // Counted with the other invalid requests.
+            Answer::Conflict(_) => {}
         }
     }
 
--- a/crates/engine/src/parts/dispatcher.rs
+++ b/crates/engine/src/parts/dispatcher.rs
@@ -1,14 +1,20 @@
 //! Dispatcher: the entry point for requests. A request that must not run twice and has an identity goes
 //! through the ledger.
 
-use crate::ledger::{Bounds, BoundsError, EntryId, FinalAnswer, Identity, Ledger, OpenResult, Waiter};
+use crate::ledger::{
+    Bounds, BoundsError, EntryId, FinalAnswer, Fingerprint, Identity, Ledger, OpenResult, Waiter,
+};
 use crate::metrics::{Metrics, RequestMetrics};
 use crate::parts::answer::{ResponseBody, UpstreamResponse, record_broken_answer};
+use crate::parts::attempt::OutboundRequest;
+use crate::parts::body::Payload;
 use crate::parts::buffer_memory::{BufferMemory, MemoryReservation};
 use crate::parts::driver::{Answer, Driver, RequestContext, Trace};
+use hyper::http::uri::PathAndQuery;
 use maplehook_core::request_lifecycle::BrokenAnswer;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -39,6 +45,8 @@
     driver: Rc<Driver>,
     counting: Rc<RequestMetrics>,
     ledger: RefCell<Ledger<Rc<StoredResponse>>>,
+    /// Key of the fingerprints, which no client knows.
+    fingerprint_key: RandomState,
     /// Memory for the entries of the ledger.
     ledger_memory: RefCell<MemoryReservation>,
     waiters: RefCell<HashMap<Waiter, oneshot::Sender<TracedAnswer>>>,
@@ -89,6 +97,7 @@
             driver,
             counting,
             ledger: RefCell::new(Ledger::new(bounds, seed)?),
+            fingerprint_key: RandomState::new(),
             ledger_memory: RefCell::new(memory.empty_reservation()),
             waiters: RefCell::default(),
             next_waiter: Cell::new(0),
@@ -153,7 +162,7 @@
     async fn resolve(self: &Rc<Self>, request: RequestContext, identity: Option<Identity>) -> TracedAnswer {
         let Some(identity) = identity else { return self.driver.submit(request).answer().await };
         let (waiter, deadline) = (self.next_waiter.replace(self.next_waiter.get() + 1), request.deadline);
-        let opened = self.open_entry(&identity, waiter);
+        let opened = self.open_entry(&identity, self.fingerprint(&request.outgoing), waiter);
         let entry = match opened {
             OpenResult::First(entry) => {
                 let (dispatcher, in_flight) = (Rc::clone(self), self.track());
@@ -166,6 +175,7 @@
             }
             OpenResult::Joined(entry) => entry,
             OpenResult::Answered(result) => return stored_answer(&result),
+            OpenResult::Conflict(conflict) => return (Answer::Conflict(conflict), Trace::default()),
             OpenResult::TooManyWaiters | OpenResult::Full => {
                 return (Answer::Rejected(Some(LEDGER_FULL_RETRY_AFTER)), Trace::default());
             }
@@ -173,10 +183,22 @@
         self.await_entry(entry, waiter, deadline).await
     }
 
+    /// Returns the fingerprint of a request. That of a body that streams is not known in time.
+    fn fingerprint(&self, request: &OutboundRequest) -> Fingerprint {
+        let Payload::Buffered(body) = &request.body else { return Fingerprint::UNKNOWN };
+        let target = request.target.path_and_query().map(PathAndQuery::as_str);
+        Fingerprint::new(self.fingerprint_key.hash_one((request.method.as_str(), target, &body[..])))
+    }
+
     /// Looks up an effect in the ledger, which is full if no memory is left for another entry.
-    fn open_entry(&self, identity: &Identity, waiter: Waiter) -> OpenResult<Rc<StoredResponse>> {
+    fn open_entry(
+        &self,
+        identity: &Identity,
+        fingerprint: Fingerprint,
+        waiter: Waiter,
+    ) -> OpenResult<Rc<StoredResponse>> {
         let (mut ledger, now) = (self.ledger.borrow_mut(), self.driver.now());
-        let opened = ledger.open(now, identity, waiter);
+        let opened = ledger.open(now, identity, fingerprint, waiter);
         let mut memory = self.ledger_memory.borrow_mut();
         if let OpenResult::First(entry) = opened
             && !memory.grow_to(ledger.bytes())
@@ -209,7 +231,7 @@
                 }
                 _ => (FinalAnswer::ServedNotCached, 0),
             },
-            Answer::Rejected(_) => (FinalAnswer::Rejected, 0),
+            Answer::Rejected(_) | Answer::Conflict(_) => (FinalAnswer::Rejected, 0),
             Answer::Failed => (FinalAnswer::Failed, 0),
         };
         // Waiters get the response even if it is too long for the ledger to store.
--- a/crates/engine/src/parts/driver.rs
+++ b/crates/engine/src/parts/driver.rs
@@ -16,6 +16,7 @@
 pub use pending::PendingAnswer;
 
 use crate::label::Label;
+use crate::ledger::IdentityConflict;
 use crate::parts::answer::{ResponseBody, UpstreamResponse};
 use crate::parts::attempt::{AttemptResult, OutboundRequest};
 use crate::parts::attempt_limits::Presence;
@@ -43,6 +44,8 @@
     Rejected(Option<Duration>),
     /// The request may have run.
     Failed,
+    /// The request did not run and must not: its id or key belongs to another request.
+    Conflict(IdentityConflict),
 }
 
 /// Attempts and upstream behind an answer.
--- a/crates/engine/tests/attempt_states.rs
+++ b/crates/engine/tests/attempt_states.rs
@@ -184,6 +184,7 @@
                 },
                 Answer::Rejected(_) => ("rejected", String::new()),
                 Answer::Failed => ("failed", String::new()),
+                Answer::Conflict(_) => panic!("only the ledger finds conflicts"),
             }
         });
         self.requests.push(ClientRequest {
--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -125,6 +125,7 @@
         Answer::Served(_) => "served",
         Answer::Rejected(_) => "rejected",
         Answer::Failed => "failed",
+        Answer::Conflict(_) => "conflict",
     }
 }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -137,6 +137,33 @@
     }
 }
 
+/// A call under the id of another one gets no answer and is not sent, whether that one is in flight or answered. A new
+/// class of the same request, as a new configuration may give it, is no other request.
+#[test]
+fn another_call_under_the_same_id_is_rejected() {
+    let (upstream, host) = (Upstream::start(Then::Mute), host_runtime());
+    let engine = engine_for(&[upstream.address], Duration::from_millis(700));
+    let handle = engine.handle();
+    let reason_of = |call: Call| match host.block_on(handle.call(call)) {
+        Outcome::Rejected(rejection) => Some(rejection.reason),
+        Outcome::Served(_) | Outcome::Failed => None,
+    };
+    let other = || Call { body: "other".into(), ..call(AT_MOST_ONCE, Some("one")) };
+    let first = host.spawn({
+        let handle = handle.clone();
+        async move { outcome_name(&handle.call(call(AT_MOST_ONCE, Some("one"))).await) }
+    });
+    until("the call is sent", || upstream.seen().len() == 1);
+    assert_eq!(reason_of(other()), Some(RejectionReason::IdentityInUse));
+    assert_eq!(host.block_on(first).unwrap(), "failed");
+    assert_eq!(reason_of(other()), Some(RejectionReason::IdentityReused));
+    let frames = Full::new(Bytes::from(vec![b'x'; 100_000]));
+    let streamed = Call { body: CallBody::stream(frames), ..call(AT_MOST_ONCE, Some("one")) };
+    assert_eq!(reason_of(streamed), Some(RejectionReason::IdentityReused));
+    assert_eq!(reason_of(call(DEDUPLICATED, Some("one"))), None, "the first one's answer");
+    assert_eq!(upstream.seen().len(), 1);
+}
+
 /// A call dropped while its request is in flight continues if it is in the ledger, and a repeat gets its
 /// answer. Without an id, its attempt is cancelled.
 #[test]
--- a/crates/http-semantics/src/lib.rs
+++ b/crates/http-semantics/src/lib.rs
@@ -45,7 +45,7 @@
 pub use classify::{Fit, Headers, Route, Rules, Unfit};
 pub use forward::{Forwarding, HostRule, Peer, strip_hop_by_hop};
 pub use meaning::{Answers, Begins, Meaning, Means, Passage, SENDER_IDLE};
-pub use own::Own;
+pub use own::{IDENTITY_IN_USE, IDENTITY_REUSED, Own};
 pub use pattern::{Pattern, PatternError};
 
 /// Names of headers that the platform's protocol has, and defaults elsewhere.
--- a/crates/http-semantics/src/own.rs
+++ b/crates/http-semantics/src/own.rs
@@ -6,6 +6,13 @@
 use http::{HeaderValue, Response, StatusCode};
 use std::time::Duration;
 
+/// Response to a request whose id or key is that of another request, which is open.
+pub const IDENTITY_IN_USE: Unfit =
+    Unfit::new(StatusCode::CONFLICT, "another request with this id or key is open");
+/// Response to a request whose id or key is that of another request, which was answered.
+pub const IDENTITY_REUSED: Unfit =
+    Unfit::new(StatusCode::UNPROCESSABLE_ENTITY, "the id or key was used for another request");
+
 /// How our own answers are worded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Own {
--- a/crates/middleware/src/layer.rs
+++ b/crates/middleware/src/layer.rs
@@ -7,7 +7,7 @@
 use http_body::Body;
 use http_body_util::Either;
 use maplehook::{RejectionReason, ReplyBody};
-use maplehook_http_semantics::Unfit;
+use maplehook_http_semantics::{IDENTITY_IN_USE, IDENTITY_REUSED, Unfit};
 use std::error::Error;
 use std::future::Future;
 use std::pin::Pin;
@@ -87,6 +87,8 @@
                     RejectionReason::InvalidCall => {
                         worded(own.unfit(&Unfit::new(StatusCode::BAD_REQUEST, "an unfit head")))
                     }
+                    RejectionReason::IdentityInUse => worded(own.unfit(&IDENTITY_IN_USE)),
+                    RejectionReason::IdentityReused => worded(own.unfit(&IDENTITY_REUSED)),
                     RejectionReason::NoCapacity
                     | RejectionReason::QueueFull
                     | RejectionReason::ShuttingDown => worded(own.refused(refusal.retry_after)),
--- a/crates/middleware/tests/host.rs
+++ b/crates/middleware/tests/host.rs
@@ -167,6 +167,22 @@
     host.block_on(balancing.shutdown(Duration::from_secs(5)));
 }
 
+/// Guards answers that were made for another booking: through the layer, a key that was used for another one is refused
+/// with a status that says so.
+#[test]
+fn a_key_that_was_used_for_another_booking_is_refused() {
+    let (app, host) = (App::start(), host());
+    let balancing = Balancing::from_file(&file(&app)).unwrap();
+    let router = Router::new().route("/host", get(|| async { "host" })).layer(Balance::new(&balancing));
+    let status = |path: &str| {
+        let (parts, body) = book(path, "trek-8").into_parts();
+        host.block_on(router.clone().oneshot(Request::from_parts(parts, Body::new(body)))).unwrap().status()
+    };
+    assert_eq!([status("/book/1"), status("/book/1")], [StatusCode::OK; 2]);
+    assert_eq!(status("/book/2"), StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!((app.ran("/book/1"), app.ran("/book/2")), (1, 0));
+}
+
 /// Guards what is out at the host's end, planned: fifty bookings, one final answer each, none lost; and `shutdown` from
 /// two places and from inside a request.
 #[test]
--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -312,7 +312,7 @@
         };
         let deadline = started_at.unwrap_or_else(Instant::now) + wait + streaming_time;
         let identity = parsed.identity().filter(|_| !is_strict);
-        let identity = identity.map(|id| Identity { tenant: parsed.tenant.0, class: parsed.class.0, id });
+        let identity = identity.map(|id| Identity { tenant: parsed.tenant.0, id });
         let outgoing =
             OutboundRequest { method: parts.method, target, headers, body, passage: Rc::clone(passage) };
         let Fit { class, tenant, work_ms, repeat, .. } = parsed;
--- a/crates/proxy/src/responses.rs
+++ b/crates/proxy/src/responses.rs
@@ -2,16 +2,18 @@
 //! upstream's.
 
 use crate::client::{ClientConnection, MessageKind};
+use crate::requests::OpenRequestId;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use hyper::header::CONNECTION;
 use hyper::{Response, StatusCode};
+use maplehook::ledger::IdentityConflict;
 use maplehook::metrics::ReasonCounters;
 use maplehook::parts::answer::{ResponseBody, UpstreamResponse, record_broken_answer};
 use maplehook::parts::body::Failure;
 use maplehook::parts::driver::Answer;
 use maplehook_core::request_lifecycle::{BrokenAnswer, RequestLifecycle};
-use maplehook_http_semantics::Own;
+use maplehook_http_semantics::{IDENTITY_IN_USE, IDENTITY_REUSED, Own, Unfit};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -54,6 +56,15 @@
         }
         Answer::Rejected(retry_after) => own_response(own.refused(retry_after)),
         Answer::Failed => own_response(own.failed()),
+        Answer::Conflict(conflict) => own_response(own.unfit(&conflict_response(conflict))),
+    }
+}
+
+/// Returns the response to a request whose id or key belongs to another one.
+pub fn conflict_response(conflict: IdentityConflict) -> Unfit {
+    match conflict {
+        IdentityConflict::Open => IDENTITY_IN_USE,
+        IdentityConflict::Answered => IDENTITY_REUSED,
     }
 }
 
@@ -64,6 +75,8 @@
     /// Failure of the body, until the head has left.
     failure: Option<Failure>,
     broken_answers: ReasonCounters,
+    /// Keeps the request's id reserved until its answer has left.
+    _open_id: Option<OpenRequestId>,
 }
 
 impl StreamedResponse {
@@ -88,8 +101,13 @@
 
 impl TrackedBody {
     /// Wraps the body of a response to `client`, whose head goes to the HTTP connection now. Bodies that fail are
-    /// counted in `broken_answers`.
-    pub fn new(body: ResponseBody, client: &Rc<ClientConnection>, broken_answers: &ReasonCounters) -> Self {
+    /// counted in `broken_answers`. `open_id` is released once the body has left.
+    pub fn new(
+        body: ResponseBody,
+        client: &Rc<ClientConnection>,
+        broken_answers: &ReasonCounters,
+        open_id: Option<OpenRequestId>,
+    ) -> Self {
         let streamed = match &body {
             ResponseBody::Buffered(_) => None,
             ResponseBody::Stream(stream) => {
@@ -99,6 +117,7 @@
                     request: Rc::clone(stream.lifecycle()),
                     failure: None,
                     broken_answers: broken_answers.clone(),
+                    _open_id: open_id,
                 })
             }
         };
--- a/crates/proxy/src/server/respond.rs
+++ b/crates/proxy/src/server/respond.rs
@@ -4,7 +4,7 @@
 use crate::client::{ClientConnection, MessageKind};
 use crate::inbound::ClientStream;
 use crate::requests::{ReadyRequest, VERSION_HEADER, body_fault_response};
-use crate::responses::{TrackedBody, final_response, own_response, plain_response};
+use crate::responses::{TrackedBody, conflict_response, final_response, own_response, plain_response};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue, RETRY_AFTER};
 use hyper::{Request, Response, StatusCode};
@@ -38,7 +38,7 @@
         let is_shutting_down = || *self.phase.borrow() != ShutdownPhase::Serving;
         stream.heads().begin();
         client.on_head(self.requests.request_label(request.headers()));
-        let mut kind = MessageKind::Request;
+        let (mut kind, mut open_id) = (MessageKind::Request, None);
         let mut response = match request.uri().path() {
             "/health/ready" | "/health/live" if request.body().is_end_stream() => {
                 kind = MessageKind::Health;
@@ -49,7 +49,10 @@
                 }
             }
             _ => match self.read_before_shutdown(stream, peer, request).await {
-                Ok(ready) => self.dispatch(client, ready).await,
+                Ok(mut ready) => {
+                    open_id = ready.open_id.take();
+                    self.dispatch(client, ready).await
+                }
                 Err(unfit) => {
                     kind = MessageKind::Invalid;
                     self.count_invalid(&unfit);
@@ -81,7 +84,7 @@
         }
         // A streaming response is pending until its body ends.
         let broken_answers = &self.dispatcher.tally().answers_broken;
-        response.map(|body| TrackedBody::new(body, client, broken_answers))
+        response.map(|body| TrackedBody::new(body, client, broken_answers, open_id))
     }
 
     /// Returns the response to a request that is not forwarded.
@@ -99,10 +102,12 @@
     }
 
     async fn dispatch(&self, client: &ClientConnection, ready: ReadyRequest) -> Response<ResponseBody> {
-        let ReadyRequest { request, identity, upload, open_id, version } = ready;
+        let ReadyRequest { request, identity, upload, version, .. } = ready;
         let (answer, _) = self.dispatcher.dispatch(request, identity).await;
         client.on_upstream_response();
-        drop(open_id);
+        if let Answer::Conflict(conflict) = &answer {
+            self.count_invalid(&conflict_response(*conflict));
+        }
         upload.iter().for_each(Upload::discard_rest);
         let mut response = match (answer, upload.and_then(|upload| upload.fault())) {
             // The client caused the failure, so the response reports that fault.
--- a/tools/conformance/src/ways.rs
+++ b/tools/conformance/src/ways.rs
@@ -256,6 +256,8 @@
         Err(CallError::Refused(refusal)) => match refusal.reason {
             RejectionReason::BodyTooLong => own(Verdict::Unfit(413), false),
             RejectionReason::BodyIncomplete | RejectionReason::InvalidCall => own(Verdict::Unfit(400), false),
+            RejectionReason::IdentityInUse => own(Verdict::Unfit(409), false),
+            RejectionReason::IdentityReused => own(Verdict::Unfit(422), false),
             RejectionReason::NoCapacity | RejectionReason::QueueFull | RejectionReason::ShuttingDown => {
                 own(Verdict::Refused, refusal.retry_after.is_some())
             }
