--- a/crates/engine/src/parts/driver.rs
+++ b/crates/engine/src/parts/driver.rs
@@ -174,7 +174,7 @@
         self.handle_event(DriverEvent::Unattended(id));
     }
 
-    /// Applies new settings; see [`Event::SettingsChanged`].
+    /// Applies new settings; see [`maplehook_core::Event::SettingsChanged`].
     pub fn update_settings(self: &Rc<Self>, settings: Settings, removed_tenants: Vec<TenantId>) {
         self.handle_event(DriverEvent::SettingsChanged(Box::new(settings), removed_tenants));
     }
