An id in use has memory of its own, and does not keep its request's head

Since an id stays in use until the last byte of a long answer has left, the header's value kept the buffer that the head was read into as long.

--- a/crates/proxy/src/requests.rs
+++ b/crates/proxy/src/requests.rs
@@ -34,13 +34,14 @@
     Unfit::new(StatusCode::SERVICE_UNAVAILABLE, "no memory left for the request");
 
 /// Ids of the requests whose responses are pending. Clients choose them, so the set uses a randomly seeded
-/// hasher.
-type OpenRequestIds = Rc<RefCell<HashSet<HeaderValue>>>;
+/// hasher. An id has memory of its own: a header's value is a part of the buffer that the head was read into, which
+/// would stay as long as a long answer.
+type OpenRequestIds = Rc<RefCell<HashSet<Rc<[u8]>>>>;
 
 /// The id of an open request. Dropping the value releases the id; until then no other request may use it.
 pub struct OpenRequestId {
     ids: OpenRequestIds,
-    id: HeaderValue,
+    id: Rc<[u8]>,
 }
 
 impl Drop for OpenRequestId {
@@ -324,10 +325,11 @@
 
     fn claim_id(&self, id: &HeaderValue) -> Result<OpenRequestId, Unfit> {
         // An upstream could take one of the two requests for a repeat of the other.
-        if !self.open_ids.borrow_mut().insert(id.clone()) {
+        let id: Rc<[u8]> = id.as_bytes().into();
+        if !self.open_ids.borrow_mut().insert(Rc::clone(&id)) {
             return Err(Unfit::new(StatusCode::CONFLICT, "a request with this id is open"));
         }
-        Ok(OpenRequestId { ids: Rc::clone(&self.open_ids), id: id.clone() })
+        Ok(OpenRequestId { ids: Rc::clone(&self.open_ids), id })
     }
 }
 
