An attempt is checked against the time that its request announces, taken once

The permit took the time left anew, some microseconds after the value that goes into the head, so that the two could differ by a millisecond: it gets that value now. A derive that nothing uses and a path in place of an import are gone.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -247,7 +247,6 @@
 impl Error for AdoptError {}
 
 /// Caller of a call, as the engine's thread sees it.
-#[derive(Clone)]
 struct Caller(Weak<()>);
 
 impl Caller {
--- a/crates/engine/src/parts/answer/answer_progress.rs
+++ b/crates/engine/src/parts/answer/answer_progress.rs
@@ -3,6 +3,7 @@
 use crate::parts::exchange_time::ExchangeTime;
 use maplehook_core::exchange_time::LateWait;
 use maplehook_core::unsized_answer::UnsizedAnswer;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// What an answer's head says of its length.
@@ -97,7 +98,7 @@
         }
     }
 
-    fn since_head(&self, at: Instant) -> std::time::Duration {
+    fn since_head(&self, at: Instant) -> Duration {
         at.saturating_duration_since(self.head_at)
     }
 }
--- a/crates/engine/src/parts/attempt.rs
+++ b/crates/engine/src/parts/attempt.rs
@@ -102,7 +102,7 @@
             };
             let (connection_number, idle_before) = (connection.number(), connection.since_last_response());
             let announced = time.announced();
-            let permit = self.permit(&upstream, process_epoch, limits, &time);
+            let permit = self.permit(&upstream, process_epoch, limits, &time, announced);
             if permit().is_err() {
                 self.return_connection(id, &upstream, process_epoch, connection);
                 return Outcome::NotSent.into();
@@ -221,7 +221,7 @@
         }
     }
 
-    /// Returns a check that a request that announces the time left now may still be written. While the connection
+    /// Returns a check that a request with the announced time left may be written now. While the connection
     /// was being made, the upstream may have started to drain or been restarted, or this process may have
     /// been suspended.
     fn permit(
@@ -230,9 +230,10 @@
         process_epoch: u32,
         limits: &AttemptLimits,
         time: &ExchangeTime,
+        announced: Duration,
     ) -> impl Fn() -> Result<(), WithheldReason> + 'static {
         let (upstreams, upstream, limits) = (Rc::clone(self), Rc::clone(upstream), limits.clone());
-        let (time, announced) = (time.clone(), time.announced());
+        let time = time.clone();
         move || {
             if !upstream.accepts(process_epoch) || !upstreams.may_write(limits.is_repeat) {
                 return Err(WithheldReason::TooLate);
