Tests of timed calls share one engine and one call

short_answers wrote the settings, the engine and the call of slow_bodies again. They stand once in tests/common/timed_calls.rs; assertions, times and counts are as they were.

--- a/crates/engine/tests/common/mod.rs
+++ b/crates/engine/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod manual_attempts;
 pub mod pushed_source;
+pub mod timed_calls;
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
--- a/crates/engine/tests/short_answers.rs
+++ b/crates/engine/tests/short_answers.rs
@@ -1,16 +1,16 @@
 //! Short answers and error bodies for which there is no memory: they pass in another way, and end by the same time.
 
+mod common;
+
 use bytes::Bytes;
+use common::timed_calls::{WAIT, call, engine, runtime};
 use http_body_util::BodyExt;
-use maplehook::source::Fixed;
-use maplehook::{Call, Engine, Outcome, Reply};
-use maplehook_core::{Class, ClassId, Effect, Settings, Tenant, TenantId};
+use maplehook::{Engine, Outcome, Reply};
 use maplehook_http_semantics::Passage;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-const WAIT: Duration = Duration::from_millis(500);
 /// Time after a call's own within which its answer has to end.
 const END_GRACE: Duration = Duration::from_millis(500);
 /// Time of the sockets and of the test itself.
@@ -79,46 +79,8 @@
     String::from_utf8(head).ok()
 }
 
-fn engine(upstreams: &[SocketAddr], memory: usize) -> Engine {
-    let class = Class {
-        latency_objective: WAIT,
-        deadline: WAIT,
-        effect: Effect::AtMostOnce,
-        late_value: 0.5,
-        ..Class::default()
-    };
-    let settings = Settings {
-        classes: vec![class],
-        tenants: vec![Tenant { allowance_per_s: 100.0 }],
-        ..Settings::default()
-    };
-    let names: Vec<String> = (0..upstreams.len()).map(|n| format!("desk{n}")).collect();
-    let fixed = Fixed::new(names.iter().map(String::as_str).zip(upstreams.iter().copied()));
-    Engine::builder(settings)
-        .passages(vec![Passage::platform()])
-        .seed(7)
-        .body_memory(memory)
-        .upstreams(fixed)
-        .start()
-        .unwrap()
-}
-
-fn call() -> Call {
-    Call {
-        class: ClassId(0),
-        tenant: TenantId(0),
-        wait: WAIT,
-        id: None,
-        method: "POST".parse().unwrap(),
-        target: "/book".parse().unwrap(),
-        headers: [(hyper::header::HOST, "desk".parse().unwrap())].into_iter().collect(),
-        body: Bytes::new().into(),
-        peer: None,
-    }
-}
-
-fn runtime() -> tokio::runtime::Runtime {
-    tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap()
+fn engine_with(upstreams: &[SocketAddr], memory: usize) -> Engine {
+    engine(upstreams, Passage::platform()).body_memory(memory).start().unwrap()
 }
 
 /// Reads an answer to its end, whole or not, and returns its body if it is whole.
@@ -142,10 +104,10 @@
             }
             let _ = std::io::copy(stream, &mut std::io::sink());
         });
-        let engine = engine(&[address], memory);
+        let engine = engine_with(&[address], memory);
         let start = Instant::now();
         let body = runtime.block_on(async {
-            match engine.handle().call(call()).await {
+            match engine.handle().call(call(Bytes::new().into())).await {
                 Outcome::Served(reply) => read(reply).await,
                 Outcome::Rejected(_) | Outcome::Failed => None,
             }
@@ -170,9 +132,9 @@
                 stream.shutdown(std::net::Shutdown::Write).unwrap();
             }
         });
-        let engine = engine(&[address], 0);
+        let engine = engine_with(&[address], 0);
         let body = runtime.block_on(async {
-            let Outcome::Served(mut reply) = engine.handle().call(call()).await else {
+            let Outcome::Served(mut reply) = engine.handle().call(call(Bytes::new().into())).await else {
                 panic!("{form:?}: not served")
             };
             let first = reply.body.frame().await.unwrap().unwrap().into_data().unwrap();
@@ -195,9 +157,9 @@
     let serving = upstream(|stream, _| {
         stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
     });
-    let (runtime, engine) = (runtime(), engine(&[refusing, serving], 0));
+    let (runtime, engine) = (runtime(), engine_with(&[refusing, serving], 0));
     for _ in 0..6 {
-        let outcome = runtime.block_on(engine.handle().call(call()));
+        let outcome = runtime.block_on(engine.handle().call(call(Bytes::new().into())));
         assert!(matches!(outcome, Outcome::Served(_)), "{outcome:?}");
     }
 }
--- a/crates/engine/tests/slow_bodies.rs
+++ b/crates/engine/tests/slow_bodies.rs
@@ -1,20 +1,21 @@
 //! Long bodies of calls whose upstream is slow: an upload that is not read is answered in time, and an answer without
 //! a length that is still written is passed on.
 
+mod common;
+
 use bytes::Bytes;
+use common::timed_calls::{WAIT, call, engine, runtime};
 use futures_util::stream::{self, StreamExt};
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
-use maplehook::source::Fixed;
-use maplehook::{Call, CallBody, Engine, Outcome};
-use maplehook_core::{Class, ClassId, Effect, Settings, Tenant, TenantId};
+use maplehook::{CallBody, Outcome};
+use maplehook_core::Effect;
 use maplehook_http_semantics::Passage;
 use std::convert::Infallible;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::{Duration, Instant};
 
-const WAIT: Duration = Duration::from_millis(500);
 /// Time after a call's own within which its final answer counts as one.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 const FRAME: &[u8] = &[b'x'; 16 * 1024];
@@ -34,37 +35,6 @@
     address
 }
 
-fn engine_for(upstream: SocketAddr, passage: Passage) -> Engine {
-    let class = Class {
-        latency_objective: WAIT,
-        deadline: WAIT,
-        effect: Effect::AtMostOnce,
-        late_value: 0.5,
-        ..Class::default()
-    };
-    let settings = Settings {
-        classes: vec![class],
-        tenants: vec![Tenant { allowance_per_s: 100.0 }],
-        ..Settings::default()
-    };
-    let fixed = Fixed::new([("desk", upstream)]);
-    Engine::builder(settings).passages(vec![passage]).seed(7).upstreams(fixed).start().unwrap()
-}
-
-fn call(body: CallBody) -> Call {
-    Call {
-        class: ClassId(0),
-        tenant: TenantId(0),
-        wait: WAIT,
-        id: None,
-        method: "POST".parse().unwrap(),
-        target: "/book".parse().unwrap(),
-        headers: [(hyper::header::HOST, "desk".parse().unwrap())].into_iter().collect(),
-        body,
-        peer: None,
-    }
-}
-
 fn passages() -> [Passage; 2] {
     [Passage::platform(), Passage::general(Effect::AtMostOnce)]
 }
@@ -72,9 +42,11 @@
 /// Guards a host's time: nothing of the upload says when its sender has ended but the body itself.
 #[test]
 fn a_call_whose_upload_is_not_read_is_answered_in_time() {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     for passage in passages() {
-        let engine = engine_for(upstream(20_000, |_| std::thread::sleep(Duration::from_secs(3))), passage);
+        let engine = engine(&[upstream(20_000, |_| std::thread::sleep(Duration::from_secs(3)))], passage)
+            .start()
+            .unwrap();
         let frames = stream::iter(std::iter::repeat_n(Bytes::from_static(FRAME), 1024));
         let frames = frames.map(|data| Ok::<_, Infallible>(Frame::data(data)));
         let start = Instant::now();
@@ -88,13 +60,13 @@
 #[test]
 fn a_call_whose_upload_is_made_slowly_is_served() {
     const PIECES: usize = 12;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     for passage in passages() {
         let address = upstream(PIECES * FRAME.len(), |stream| {
             std::thread::sleep(WAIT / 2);
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
         });
-        let engine = engine_for(address, passage);
+        let engine = engine(&[address], passage).start().unwrap();
         let frames = stream::iter(0..PIECES).then(|_| async {
             tokio::time::sleep(WAIT / 8).await;
             Ok::<_, Infallible>(Frame::data(Bytes::from_static(FRAME)))
@@ -110,7 +82,7 @@
 #[test]
 fn a_call_whose_answer_is_written_slowly_gets_all_of_it() {
     const PIECES: usize = 50;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let runtime = runtime();
     for passage in passages() {
         let address = upstream(10, |stream| {
             stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n").unwrap();
@@ -120,7 +92,7 @@
             }
             stream.shutdown(std::net::Shutdown::Write).unwrap();
         });
-        let engine = engine_for(address, passage);
+        let engine = engine(&[address], passage).start().unwrap();
         let start = Instant::now();
         let Outcome::Served(reply) = runtime.block_on(engine.handle().call(call(Bytes::new().into()))) else {
             panic!("not served")
